--- a/packages/measure/src/index.ts
+++ b/packages/measure/src/index.ts
@@ -7,4 +7,5 @@
  * ```
  */
 export * from './lib/measure.js';
+export * from './lib/processes.js';
 export * from './lib/registry.js';
--- a/packages/stand-ins/src/lib/json-server.ts
+++ b/packages/stand-ins/src/lib/json-server.ts
@@ -7,6 +7,8 @@
   /** `127.0.0.1:port`. */
   readonly address: string;
   readonly close: () => Promise<void>;
+  /** Refuses new work, finishes what is in progress and closes; absent where nothing is in progress. */
+  readonly drain?: () => Promise<void>;
 }
 
 /** Answers one request; throws nothing. */
--- a/packages/stand-ins/src/lib/upstream.ts
+++ b/packages/stand-ins/src/lib/upstream.ts
@@ -2,12 +2,14 @@
  * Stand-in for one process of a service: a number of slots, a queue when they are taken, and a ledger
  * of every request id that ran, which measurements take as the truth.
  *
- * `GET /ledger` answers `{"ran": {id: times}}`. The header `stand-in-work-ms` sets the service time.
- * The answer echoes the request id and the length of the body.
+ * `GET /ledger` answers `{"ran": {id: times}}`; `PUT /control` takes `{"isLeaving"}`. Request headers
+ * `stand-in-work-ms` and `stand-in-answer-bytes` set the service time and the length of the answer.
+ * An answer without a set length echoes the request id and the length of the body; one with a length
+ * repeats the request id and a line feed.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { answerJson, type RunningServer } from './json-server.js';
+import { answerJson, readBody, type RunningServer } from './json-server.js';
 
 /** Options of an upstream stand-in. */
 export interface UpstreamOptions {
@@ -16,21 +18,34 @@
   /** Service time when the request names none, in milliseconds. */
   readonly workMs: number;
   readonly port?: number;
+  /** While draining, time during which new connections are still taken, in milliseconds. */
+  readonly noticeMs?: number;
 }
 
 /** A running upstream stand-in. */
 export interface Upstream extends RunningServer {
   readonly listLedger: () => ReadonlyMap<string, number>;
+  /** Request ids whose caller's connection closed before the answer was written. */
+  readonly listAbandoned: () => ReadonlySet<string>;
   /** While set, new requests are refused with 503 and the header `vanilladock-not-run`. */
   readonly setLeaving: (isLeaving: boolean) => void;
+  readonly drain: () => Promise<void>;
 }
 
 const WORK_HEADER = 'stand-in-work-ms';
+const LENGTH_HEADER = 'stand-in-answer-bytes';
 const ID_HEADER = 'vanilladock-request-id';
+const DEFAULT_NOTICE_MS = 500;
+
+/** Builds the body of a set length that belongs to a request id. */
+export function buildAnswerBody(id: string, length: number): Buffer {
+  return Buffer.alloc(length, `${id}\n`);
+}
 
 /** Starts an upstream stand-in. */
 export async function startUpstream(options: UpstreamOptions): Promise<Upstream> {
   const ledger = new Map<string, number>();
+  const abandoned = new Set<string>();
   const waiting: (() => void)[] = [];
   let busy = 0;
   let isLeaving = false;
@@ -54,23 +69,50 @@
     for await (const chunk of request) length += (chunk as Buffer).length;
     return length;
   };
+  const answerRan = (request: IncomingMessage, response: ServerResponse, length: number) => {
+    const id = String(request.headers[ID_HEADER] ?? '');
+    const answerBytes = Number(request.headers[LENGTH_HEADER] ?? 0);
+    if (isLeaving) response.setHeader('connection', 'close');
+    if (answerBytes === 0) {
+      answerJson(response, 200, { service: options.service, id, length });
+      return;
+    }
+    response.setHeader('content-length', answerBytes);
+    response.end(buildAnswerBody(id, answerBytes));
+  };
   const runRequest = async (request: IncomingMessage, response: ServerResponse) => {
     const id = String(request.headers[ID_HEADER] ?? '');
     const workMs = Number(request.headers[WORK_HEADER] ?? options.workMs);
+    response.once('close', () => {
+      if (!response.writableFinished) abandoned.add(id);
+    });
     const length = await readLength(request);
     await takeSlot();
     ledger.set(id, (ledger.get(id) ?? 0) + 1);
-    setTimeout(() => {
+    const sendAnswer = () => {
       releaseSlot();
-      answerJson(response, 200, { service: options.service, id, length });
-    }, workMs);
+      answerRan(request, response, length);
+    };
+    if (workMs === 0) sendAnswer();
+    else setTimeout(sendAnswer, workMs);
+  };
+  const handleControl = async (request: IncomingMessage, response: ServerResponse) => {
+    const control = JSON.parse(await readBody(request)) as { readonly isLeaving: boolean };
+    isLeaving = control.isLeaving;
+    answerJson(response, 200, control);
+  };
+  const refuseLeaving = (response: ServerResponse) => {
+    response.setHeader('vanilladock-not-run', 'leaving');
+    response.setHeader('connection', 'close');
+    answerJson(response, 503, { message: 'leaving' });
   };
   const handle = (request: IncomingMessage, response: ServerResponse) => {
     if (request.url === '/ledger') {
       answerJson(response, 200, { ran: Object.fromEntries(ledger) });
+    } else if (request.url === '/control') {
+      handleControl(request, response).catch(() => response.destroy());
     } else if (isLeaving) {
-      response.setHeader('vanilladock-not-run', 'leaving');
-      answerJson(response, 503, { message: 'leaving' });
+      refuseLeaving(response);
     } else {
       runRequest(request, response).catch(() => response.destroy());
     }
@@ -81,12 +123,26 @@
     server.listen(options.port ?? 0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as AddressInfo;
+  const closeServer = () =>
+    new Promise<void>((resolve) => {
+      server.close(() => resolve());
+      server.closeIdleConnections();
+    });
+  const drain = async () => {
+    isLeaving = true;
+    await new Promise((resolve) => {
+      setTimeout(resolve, options.noticeMs ?? DEFAULT_NOTICE_MS);
+    });
+    await closeServer();
+  };
   return {
     address: `127.0.0.1:${port}`,
     listLedger: () => ledger,
+    listAbandoned: () => abandoned,
     setLeaving: (value) => {
       isLeaving = value;
     },
+    drain,
     close: () =>
       new Promise<void>((resolve) => {
         server.close(() => resolve());
