Judge and report measurements, and run them against an earlier commit

Cause: figures were printed without their bounds, and two runs on this machine at different times do not compare.

--- /dev/null
+++ b/packages/measure/src/test/report.test.ts
@@ -0,0 +1,45 @@
+/** Tests of judging and reporting figures. */
+import { build } from 'hdr-histogram-js';
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { checkFigures } from '../lib/bounds.js';
+import { renderChart } from '../lib/quantile-chart.js';
+import { renderReport } from '../lib/report.js';
+
+const test = suite('report');
+
+test('a figure outside its bound is not met, and so is a missing one', () => {
+  const judged = checkFigures('control', { cpu_fraction: 0.03, added_mb: 20 });
+  const isMet = Object.fromEntries(judged.map((one) => [one.figure, one.isMet]));
+  assert.equal(isMet, { cpu_fraction: false, added_mb: true, bytes_per_s: false });
+});
+
+test('figures that are no numbers are not met', () => {
+  assert.not.ok(checkFigures('control', { cpu_fraction: NaN })[0]?.isMet);
+});
+
+test('a figure of one fleet falls under the bound of its kind', () => {
+  const judged = checkFigures('moves', { kept_smokehouse: 0.9 });
+  assert.not.ok(judged[0]?.isMet);
+});
+
+test('the report names bounds, verdicts and earlier figures', () => {
+  const page = renderReport({
+    name: 'control',
+    describe: 'Control cost.',
+    figures: { cpu_fraction: 0.03 },
+    curves: [],
+    before: { revision: 'abc1234', figures: { cpu_fraction: 0.05 } },
+  });
+  assert.match(page, '| cpu_fraction | 0.03 | ≤ 0.021 | **no** | 0.05 |');
+});
+
+test('a chart draws one line for each curve', () => {
+  const histogram = build();
+  [1, 5, 20, 300].forEach((ms) => histogram.recordValue(ms));
+  const picture = renderChart([{ name: 'entry', histogram }]);
+  assert.is(picture.match(/<polyline/g)?.length, 1);
+  assert.match(picture, '99.9%');
+});
+
+test.run();
