--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -11,4 +11,5 @@
 export * from './lib/instance-server.js';
 export * from './lib/json-server.js';
 export * from './lib/log-server.js';
+export * from './lib/pool-server.js';
 export * from './lib/upstream.js';
