--- a/packages/stand-ins/src/lib/pool-server.ts
+++ b/packages/stand-ins/src/lib/pool-server.ts
@@ -52,7 +52,7 @@
   const timers = new Set<NodeJS.Timeout>();
   let instances: readonly Instance[] = [];
 
-  const showInstances = () =>
+  const refreshList = () =>
     list.setInstances(
       instances
         .filter(({ id }) => !rebooting.has(id))
@@ -66,7 +66,7 @@
     const timer = setTimeout(() => {
       timers.delete(timer);
       rebooting.delete(instanceId);
-      showInstances();
+      refreshList();
     }, options.rebootMs);
     timers.add(timer);
   };
@@ -100,7 +100,7 @@
     applyOperation(operation, instanceId);
     const unavailable = [...new Set([...draining, ...rebooting, instanceId])];
     operations.push({ operation, instanceId, permitId, unavailable });
-    showInstances();
+    refreshList();
     answerJson(response, 200, { isRepeated: false });
   };
 
@@ -113,7 +113,7 @@
     },
     setInstances: (changed) => {
       instances = changed;
-      showInstances();
+      refreshList();
     },
     listOperations: () => operations,
   };
