--- a/packages/daemon/src/lib/instance-watcher.ts
+++ b/packages/daemon/src/lib/instance-watcher.ts
@@ -20,8 +20,9 @@
   const poll = async () => {
     const result = await list.fetch();
     if (isStopped) return;
-    if (result.isOk()) instances.next(result.value);
-    else log.warn({ event: 'instances-unreadable', message: result.error.message });
+    if (result.isOk()) {
+      if (result.value !== instances.value) instances.next(result.value);
+    } else log.warn({ event: 'instances-unreadable', message: result.error.message });
     timer = setTimeout(() => void poll(), POLL_MS);
   };
   void poll();
--- a/packages/daemon/src/lib/metrics.ts
+++ b/packages/daemon/src/lib/metrics.ts
@@ -4,6 +4,7 @@
  */
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
+import { controlMeter } from './control-bytes.js';
 
 /** One finished request as metrics see it. */
 export interface AnswerObservation {
@@ -114,7 +115,16 @@
       this.set(process.memoryUsage.rss());
     },
   });
-  [latency, upstreams, version, memory].forEach((gauge) => gauge.reset());
+  const control = new Gauge({
+    name: 'vanilladock_control_bytes_total',
+    help: 'Bytes sent and received for control since start, by cause.',
+    labelNames: ['cause'] as const,
+    registers,
+    collect() {
+      controlMeter.getBytes().forEach((bytes, cause) => this.set({ cause }, bytes));
+    },
+  });
+  [latency, upstreams, version, memory, control].forEach((gauge) => gauge.reset());
 
   const addRefusal = ({ team, urgency, code }: AnswerObservation) => {
     const key = `${team} ${urgency} ${code}`;
--- a/packages/daemon/src/lib/platform/log-client.ts
+++ b/packages/daemon/src/lib/platform/log-client.ts
@@ -9,7 +9,13 @@
 export function createLogClient(address: string): LogService {
   return {
     append: async (texts) => {
-      const call = { address, method: 'POST', path: '/records', body: { texts } } as const;
+      const call = {
+        address,
+        method: 'POST',
+        path: '/records',
+        body: { texts },
+        cause: 'log',
+      } as const;
       const result = await sendJson<{ offset: number }>({ ...call, timeoutMs: APPEND_TIMEOUT_MS });
       return result.map(({ offset }) => offset);
     },
@@ -19,6 +25,7 @@
         method: 'GET',
         path: `/records?from=${from}&waitMs=${waitMs}`,
         timeoutMs: waitMs + READ_MARGIN_MS,
+        cause: 'log',
       }),
   };
 }
--- a/packages/daemon/src/lib/platform/pool-client.ts
+++ b/packages/daemon/src/lib/platform/pool-client.ts
@@ -9,7 +9,7 @@
 export function createPoolClient(address: string): Pools {
   const sendOperation = async (operation: string, instanceId: string, permitId: string) => {
     const body = { operation, instanceId, permitId };
-    const call = { address, method: 'POST', path: '/operations', body } as const;
+    const call = { address, method: 'POST', path: '/operations', body, cause: 'pools' } as const;
     const result = await sendJson<unknown>({ ...call, timeoutMs: OPERATION_TIMEOUT_MS });
     if (result.isOk()) return Ok(undefined);
     const { kind, message } = result.error;
