--- /dev/null
+++ b/packages/measure/src/lib/control.ts
@@ -0,0 +1,199 @@
+/**
+ * What control costs: eight daemons at the design size without callers' requests, with a publication
+ * every few seconds, restarts on the instance list and, by counters of the daemons, bytes by cause.
+ * Added memory is against the same daemon before any configuration, peer or instance is known.
+ */
+import { publishConfig, readConfigState } from '@vanilladock/daemon/lib/cli/publish.js';
+import { createLogClient } from '@vanilladock/daemon/lib/platform/log-client.js';
+import { startInstanceServer, startLogServer, type InstanceServer } from '@vanilladock/stand-ins';
+import type { Instance } from 'vanilladock';
+import { buildConfigText, buildWorkers, DESIGN_SIZE, type FleetSize } from './design-size.js';
+import type { Figures, Measure, MeasureOptions } from './measure.js';
+import { readProcessCost } from './process-cost.js';
+import { MEASURE_KEY, startEntryProcess, type EntryProcess } from './processes.js';
+
+const ENTRIES = 8;
+const IDLE_MS = 4_000;
+const SETTLE_MS = 8_000;
+const WINDOW_MS = 30_000;
+/** 730 publications a day, one each 118 s; the window holds one. */
+const PUBLICATIONS = 1;
+/** 355 instances a day leave and return, two changes each 243 s; the window holds one. */
+const LIST_CHANGES = 1;
+const MEMORY_SAMPLES = 10;
+const MS_PER_SECOND = 1_000;
+
+/** Counters of one daemon at one time. */
+interface Reading {
+  readonly atMs: number;
+  readonly cpuSeconds: number;
+  readonly bytes: ReadonlyMap<string, number>;
+}
+
+/** Waits. */
+function waitMs(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Reads the control bytes of a daemon by cause. */
+async function fetchBytes(entry: EntryProcess): Promise<ReadonlyMap<string, number>> {
+  const answer = await fetch(`http://${entry.addresses.operators}/metrics`, {
+    headers: { 'vanilladock-key': MEASURE_KEY },
+  });
+  const lines = (await answer.text()).matchAll(
+    /vanilladock_control_bytes_total\{cause="([^"]+)"\} (\d+)/g,
+  );
+  return new Map([...lines].map(([, cause, bytes]) => [cause ?? '', Number(bytes)]));
+}
+
+/** Takes a reading of one daemon. */
+async function readEntry(entry: EntryProcess): Promise<Reading> {
+  const bytes = await fetchBytes(entry);
+  return { atMs: performance.now(), cpuSeconds: readProcessCost(entry.pid).cpuSeconds, bytes };
+}
+
+/** Takes the median resident memory of a process over a second. */
+async function readMemory(pid: number): Promise<number> {
+  const samples: number[] = [];
+  for (let index = 0; index < MEMORY_SAMPLES; index += 1) {
+    samples.push(readProcessCost(pid).residentMb);
+    await waitMs(MS_PER_SECOND / MEMORY_SAMPLES);
+  }
+  return samples.sort((a, b) => a - b)[MEMORY_SAMPLES / 2] ?? NaN;
+}
+
+/** Builds the list's line for an entry. */
+function buildEntryInstance(entry: EntryProcess, index: number, size: FleetSize): Instance {
+  const dataCentre = index % size.dataCentres;
+  return {
+    id: `entry-${index}`,
+    role: 'entry',
+    address: entry.addresses.peers ?? entry.addresses.callers,
+    location: {
+      region: `region-${dataCentre % size.regions}`,
+      dataCentre: `dc-${dataCentre}`,
+      rack: `entry-rack-${index}`,
+    },
+    state: 'live',
+    attributes: {},
+  };
+}
+
+/** Publishes one further change of the configuration. */
+async function publishChange(logAddress: string, size: FleetSize, note: number): Promise<void> {
+  const service = createLogClient(logAddress);
+  const base = (await readConfigState(service))?.version ?? -1;
+  const text = buildConfigText(size, note);
+  const answer = await publishConfig(service, { text, base, by: 'measure' });
+  if (answer.kind !== 'accepted') throw new Error(`publication ${note}: ${answer.kind}`);
+}
+
+/** Makes the changes of an ordinary window: restarts on the list and publications. */
+async function runChanges(
+  instances: InstanceServer,
+  fleet: readonly Instance[],
+  logAddress: string,
+  size: FleetSize,
+): Promise<void> {
+  for (let index = 0; index < LIST_CHANGES; index += 1) {
+    await waitMs(WINDOW_MS / (2 * (LIST_CHANGES + PUBLICATIONS)));
+    instances.setInstances(fleet.filter((_, position) => position !== index));
+  }
+  for (let index = 0; index < PUBLICATIONS; index += 1) {
+    await waitMs(WINDOW_MS / (2 * (LIST_CHANGES + PUBLICATIONS)));
+    await publishChange(logAddress, size, index + 1);
+  }
+  await waitMs(WINDOW_MS / 2);
+}
+
+/** Cost of one daemon over the window. */
+interface EntryCost {
+  readonly cpuFraction: number;
+  readonly bytesPerSecond: number;
+  readonly causes: ReadonlyMap<string, number>;
+}
+
+/** Computes a daemon's cost between two readings. */
+function computeCost(before: Reading, after: Reading): EntryCost {
+  const seconds = (after.atMs - before.atMs) / MS_PER_SECOND;
+  const causes = new Map(
+    [...after.bytes].map(([cause, bytes]) => [
+      cause,
+      (bytes - (before.bytes.get(cause) ?? 0)) / seconds,
+    ]),
+  );
+  return {
+    cpuFraction: (after.cpuSeconds - before.cpuSeconds) / seconds,
+    bytesPerSecond: [...causes.values()].reduce((sum, value) => sum + value, 0),
+    causes,
+  };
+}
+
+/** Takes the worst of the daemons' figures. */
+function makeFigures(
+  costs: readonly EntryCost[],
+  bareMb: readonly number[],
+  loadedMb: readonly number[],
+): Figures {
+  const worst = costs.reduce((a, b) => (b.bytesPerSecond > a.bytesPerSecond ? b : a));
+  const split = [...worst.causes].map(([cause, bytes]) => [`bytes_${cause}`, Math.round(bytes)]);
+  const bare = Math.max(...bareMb);
+  return {
+    cpu_fraction: Number(Math.max(...costs.map((cost) => cost.cpuFraction)).toFixed(4)),
+    added_mb: Number(
+      Math.max(...loadedMb.map((mb, index) => mb - (bareMb[index] ?? bare))).toFixed(1),
+    ),
+    bytes_per_s: Math.round(worst.bytesPerSecond),
+    total_mb: Number(Math.max(...loadedMb).toFixed(1)),
+    bare_mb: Number(bare.toFixed(1)),
+    ...Object.fromEntries(split),
+  };
+}
+
+/** Runs the measurement at a size. */
+export async function measureControlAt(
+  size: FleetSize,
+  { log }: Pick<MeasureOptions, 'log'>,
+): Promise<Figures> {
+  const logServer = await startLogServer();
+  const instances = await startInstanceServer();
+  const platform = { log: logServer.address, instances: instances.address };
+  const entries = await Promise.all(
+    Array.from({ length: ENTRIES }, (_, index) =>
+      startEntryProcess({ id: `entry-${index}`, platform, logLevel: 'info' }),
+    ),
+  );
+  try {
+    log(`${ENTRIES} daemons started; reading their memory without a fleet`);
+    await waitMs(IDLE_MS);
+    const bareMb = await Promise.all(entries.map(({ pid }) => readMemory(pid)));
+    const listed = entries.map((entry, index) => buildEntryInstance(entry, index, size));
+    const fleet = [...buildWorkers(size), ...listed];
+    instances.setInstances(fleet);
+    await publishChange(logServer.address, size, 0);
+    log('fleet published; settling');
+    await waitMs(SETTLE_MS);
+    const before = await Promise.all(entries.map(readEntry));
+    log(`measuring for ${WINDOW_MS / MS_PER_SECOND} s`);
+    await runChanges(instances, fleet, logServer.address, size);
+    const after = await Promise.all(entries.map(readEntry));
+    const loadedMb = await Promise.all(entries.map(({ pid }) => readMemory(pid)));
+    const costs = before.flatMap((reading, index) => {
+      const later = after[index];
+      return later === undefined ? [] : [computeCost(reading, later)];
+    });
+    return makeFigures(costs, bareMb, loadedMb);
+  } finally {
+    await Promise.all(entries.map((entry) => entry.stop()));
+    await Promise.all([logServer.close(), instances.close()]);
+  }
+}
+
+/** Control cost of eight daemons at the design size. */
+export const CONTROL_MEASURE: Measure = {
+  name: 'control',
+  describe: 'processor, added memory and bytes that eight daemons spend on control at design size',
+  run: (options) => measureControlAt(DESIGN_SIZE, options),
+};
--- /dev/null
+++ b/packages/measure/src/lib/process-cost.ts
@@ -0,0 +1,28 @@
+/** Reads what a process has used, from the kernel's files about it. */
+import { readFileSync } from 'node:fs';
+
+/** Cost of a process so far. */
+export interface ProcessCost {
+  /** Processor time since start, in seconds. */
+  readonly cpuSeconds: number;
+  /** Resident memory now, in megabytes. */
+  readonly residentMb: number;
+}
+
+const TICKS_PER_SECOND = 100;
+const PAGE_BYTES = 4_096;
+const BYTES_PER_MB = 1_048_576;
+const USER_TICKS_FIELD = 11;
+const SYSTEM_TICKS_FIELD = 12;
+
+/** Reads the cost of a process. Throws when it has ended. */
+export function readProcessCost(pid: number): ProcessCost {
+  const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD]);
+  const pages = Number(readFileSync(`/proc/${pid}/statm`, 'utf8').split(' ')[1]);
+  return {
+    cpuSeconds: ticks / TICKS_PER_SECOND,
+    residentMb: (pages * PAGE_BYTES) / BYTES_PER_MB,
+  };
+}
