Fold pools and maintenance, with fences, barrier and budgets

Moves and permits need one answer on every entry, whoever races. The fold voids what a superseded planner writes, joins whose barrier is not passed, releases and permits that would overdraw a pool's budget, and repeats.

--- /dev/null
+++ b/packages/vanilladock/src/lib/maintenance/fleet.ts
@@ -0,0 +1,104 @@
+/**
+ * Folds pools and maintenance together, for each limits the other: a release may not take an
+ * instance that has a permit or is lost, nor shrink a pool so far that what is unavailable exceeds
+ * its budget; a removed instance needs no permit any more.
+ */
+import type { PlacedRecord } from '../log/record.js';
+import { countMembers, createPoolState, foldPool, type PoolState } from '../pools/fold.js';
+import { addRecentId } from '../pools/recent-ids.js';
+import type { ReleaseRecord, RemovalRecord } from '../pools/records.js';
+import {
+  countUnavailable,
+  createMaintenanceState,
+  foldMaintenance,
+  type MaintenanceState,
+} from './fold.js';
+import { computeBudget, type PolicyOf } from './policy.js';
+
+/** Pools and their maintenance. */
+export interface FleetState {
+  readonly pools: PoolState;
+  readonly maintenance: MaintenanceState;
+}
+
+/** Creates the state before any record. */
+export function createFleetState(): FleetState {
+  return { pools: createPoolState(), maintenance: createMaintenanceState() };
+}
+
+/** Says whether the budget of the pool that an instance leaves still holds without it. */
+export function isReleaseAllowed(
+  state: FleetState,
+  record: Pick<ReleaseRecord, 'instanceId' | 'from' | 'at'>,
+  policyOf: PolicyOf,
+): boolean {
+  const { pools, maintenance } = state;
+  const { instanceId, from, at } = record;
+  if (maintenance.permits.has(instanceId) || maintenance.lost.has(instanceId)) return false;
+  const unavailable = countUnavailable(maintenance, pools, from);
+  const share = policyOf(from, at).maxUnavailableShare;
+  return unavailable === 0 || unavailable <= computeBudget(share, countMembers(pools, from) - 1);
+}
+
+/** Forgets the maintenance of a removed instance. */
+function dropInstance(state: MaintenanceState, instanceId: string): MaintenanceState {
+  return {
+    ...state,
+    lost: state.lost.delete(instanceId),
+    maintained: state.maintained.delete(instanceId),
+    refusals: state.refusals.delete(instanceId),
+  };
+}
+
+/** Folds a removal; void while the instance has a permit, for a reboot looks like a removal. */
+function foldRemoval(state: FleetState, placed: PlacedRecord<RemovalRecord>): FleetState {
+  const { instanceId } = placed.record;
+  if (state.maintenance.permits.has(instanceId)) return dropRecord(state, placed.record.id);
+  const pools = foldPool(state.pools, placed);
+  if (pools.memberships === state.pools.memberships) return { ...state, pools };
+  return { pools, maintenance: dropInstance(state.maintenance, instanceId) };
+}
+
+/** Makes a record void for good, also when it is appended again. */
+function dropRecord(state: FleetState, id: string): FleetState {
+  const recentIds = addRecentId(state.pools.recentIds, id);
+  return { ...state, pools: { ...state.pools, recentIds } };
+}
+
+/** Folds one record of the log; kinds that concern neither half leave the state as it is. */
+export function foldFleet(state: FleetState, placed: PlacedRecord, policyOf: PolicyOf): FleetState {
+  const { record, offset } = placed;
+  const { pools, maintenance } = state;
+  switch (record.kind) {
+    case 'duty.claim':
+      return {
+        pools: foldPool(pools, { record, offset }),
+        maintenance: foldMaintenance(maintenance, { record, offset }, { pools, policyOf }),
+      };
+    case 'pool.release':
+      if (!isReleaseAllowed(state, record, policyOf)) return dropRecord(state, record.id);
+      return { pools: foldPool(pools, { record, offset }), maintenance };
+    case 'pool.acknowledgement':
+    case 'pool.join':
+      return { pools: foldPool(pools, { record, offset }), maintenance };
+    case 'pool.removal':
+      return foldRemoval(state, { record, offset });
+    case 'maintenance.permit':
+    case 'maintenance.outcome':
+    case 'maintenance.observation':
+      return {
+        pools,
+        maintenance: foldMaintenance(maintenance, { record, offset }, { pools, policyOf }),
+      };
+    case 'config.publication':
+    case 'config.snapshot':
+    case 'task.submission':
+    case 'task.lease':
+    case 'task.outcome':
+    case 'task.cancellation':
+    case 'worker.quarantine':
+      return state;
+    default:
+      return record satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/maintenance/waves.ts
@@ -0,0 +1,83 @@
+/**
+ * Waves as the fold sees them. A wave begins with canaries; the others follow when those have
+ * returned. A wave that loses a canary, or too many of its instances, stops itself for good and
+ * keeps the reason; the planner may try the same instances again in a later wave.
+ */
+
+/** Why a wave stopped itself. */
+export type WaveStop =
+  | { readonly kind: 'canary-failed'; readonly instanceId: string }
+  | { readonly kind: 'too-many-failed'; readonly failed: number; readonly granted: number };
+
+/** Progress of one wave. */
+export interface Wave {
+  readonly canariesOpen: number;
+  readonly canariesReturned: number;
+  readonly granted: number;
+  readonly returned: number;
+  readonly failed: number;
+  /** Dates, in milliseconds since 1970, of the first permit and of the newest record. */
+  readonly startedAtMs: number;
+  readonly changedAtMs: number;
+  readonly stop: WaveStop | undefined;
+}
+
+/** How a permit can end. */
+export type PermitResult = 'returned' | 'gave-back' | 'failed';
+
+const FAILURES_AT_LEAST = 2;
+const FAILED_SHARE = 0.1;
+
+/** Creates a wave without permits. */
+export function createWave(atMs: number): Wave {
+  return {
+    canariesOpen: 0,
+    canariesReturned: 0,
+    granted: 0,
+    returned: 0,
+    failed: 0,
+    startedAtMs: atMs,
+    changedAtMs: atMs,
+    stop: undefined,
+  };
+}
+
+/** Adds a granted permit to a wave. */
+export function addPermit(wave: Wave, isCanary: boolean, atMs: number): Wave {
+  const canariesOpen = wave.canariesOpen + (isCanary ? 1 : 0);
+  return { ...wave, canariesOpen, granted: wave.granted + 1, changedAtMs: atMs };
+}
+
+/** Decides whether a failure stops the wave. */
+function decideStop(wave: Wave, instanceId: string, isCanary: boolean): WaveStop | undefined {
+  if (isCanary) return { kind: 'canary-failed', instanceId };
+  const { failed, granted } = wave;
+  if (failed < Math.max(FAILURES_AT_LEAST, granted * FAILED_SHARE)) return undefined;
+  return { kind: 'too-many-failed', failed, granted };
+}
+
+/** Ends one permit of a wave. */
+export function closePermit(
+  wave: Wave,
+  ended: { readonly instanceId: string; readonly isCanary: boolean },
+  result: PermitResult,
+  atMs: number,
+): Wave {
+  const canariesOpen = wave.canariesOpen - (ended.isCanary ? 1 : 0);
+  const next = { ...wave, canariesOpen, changedAtMs: atMs };
+  switch (result) {
+    case 'returned': {
+      const canariesReturned = wave.canariesReturned + (ended.isCanary ? 1 : 0);
+      return { ...next, canariesReturned, returned: wave.returned + 1 };
+    }
+    case 'gave-back':
+      return { ...next, granted: wave.granted - 1 };
+    case 'failed': {
+      const failing = { ...next, failed: wave.failed + 1 };
+      const stop = wave.stop ?? decideStop(failing, ended.instanceId, ended.isCanary);
+      return { ...failing, stop };
+    }
+    default:
+      return result satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/pools/fences.ts
@@ -0,0 +1,33 @@
+/**
+ * Fencing tokens of the planners. A claim that follows the current one supersedes it, and from that
+ * offset on only records that carry the new claim's offset have an effect.
+ */
+import { Map } from 'immutable';
+import type { ClaimRecord } from '../duties/records.js';
+import type { PlacedRecord } from '../log/record.js';
+
+/** The duty whose holder plans moves of instances between pools. */
+export const MOVES_DUTY = 'pools/moves';
+
+/** The duty whose holder gives permits and records losses. */
+export const MAINTENANCE_DUTY = 'maintenance/waves';
+
+/** Offset of the newest valid claim on each duty. */
+export type Fences = Map<string, number>;
+
+/** Creates fences before any claim. */
+export function createFences(): Fences {
+  return Map();
+}
+
+/** Folds a claim; one that does not follow the current claim is void. */
+export function foldFence(fences: Fences, placed: PlacedRecord<ClaimRecord>): Fences {
+  const { record, offset } = placed;
+  if (record.follows !== (fences.get(record.duty) ?? -1)) return fences;
+  return fences.set(record.duty, offset);
+}
+
+/** Says whether a token is that of the duty's current claim. */
+export function isCurrentFence(fences: Fences, duty: string, fence: number): boolean {
+  return fences.get(duty) === fence;
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/pools/fold.ts
@@ -0,0 +1,200 @@
+/**
+ * Folds records about pools into the membership of instances. An instance is in one pool or between
+ * pools, never in two: a release takes it out, and the join that follows is void until every entry
+ * has applied the release or is named as lapsed. Of racing planners the one with the newest claim
+ * wins, and within one claim the first release of an instance does.
+ */
+import { Map, Set } from 'immutable';
+import type { ClaimRecord } from '../duties/records.js';
+import type { PlacedRecord } from '../log/record.js';
+import { createFences, foldFence, isCurrentFence, MOVES_DUTY, type Fences } from './fences.js';
+import { addRecentId, createRecentIds, type RecentIds } from './recent-ids.js';
+import type { AcknowledgementRecord, JoinRecord, PoolRecord, ReleaseRecord } from './records.js';
+
+/** Where an instance stands. */
+export type Membership =
+  | { readonly kind: 'member'; readonly pool: string; readonly offset: number }
+  | {
+      readonly kind: 'released';
+      readonly from: string;
+      readonly to: string;
+      readonly offset: number;
+    }
+  /** Removed; kept until every entry has applied the removal, for the id may come back. */
+  | { readonly kind: 'removed'; readonly offset: number };
+
+/** The newest word of an entry. */
+export interface EntryWord {
+  readonly appliedOffset: number;
+  /** Offset of the newest acknowledgement. */
+  readonly offset: number;
+  /** Offset of the first acknowledgement since the entry was last unknown. */
+  readonly firstOffset: number;
+}
+
+/** Membership of all instances, and what entries have acknowledged. */
+export interface PoolState {
+  readonly memberships: Map<string, Membership>;
+  /** Instance ids of each pool. */
+  readonly members: Map<string, Set<string>>;
+  readonly entries: Map<string, EntryWord>;
+  readonly fences: Fences;
+  readonly recentIds: RecentIds;
+}
+
+/** Records that the fold takes in. */
+export type PoolFoldRecord = PoolRecord | ClaimRecord;
+
+/** Creates the state before any record. */
+export function createPoolState(): PoolState {
+  return {
+    memberships: Map(),
+    members: Map(),
+    entries: Map(),
+    fences: createFences(),
+    recentIds: createRecentIds(),
+  };
+}
+
+/** Lists the entries that may still route by a state older than the offset. */
+export function listUnacknowledged(state: PoolState, offset: number): readonly string[] {
+  return [...state.entries]
+    .filter(([, word]) => word.firstOffset < offset && word.appliedOffset < offset)
+    .map(([entryId]) => entryId)
+    .sort();
+}
+
+/** Sets an instance's membership and keeps the index by pool. */
+function setMembership(state: PoolState, instanceId: string, next: Membership): PoolState {
+  const previous = state.memberships.get(instanceId);
+  let { members } = state;
+  if (previous?.kind === 'member') {
+    members = members.update(previous.pool, Set(), (ids) => ids.delete(instanceId));
+  }
+  if (next.kind === 'member') {
+    members = members.update(next.pool, Set(), (ids) => ids.add(instanceId));
+  }
+  return { ...state, members, memberships: state.memberships.set(instanceId, next) };
+}
+
+/** Forgets removed instances whose removal every entry has applied. */
+function dropAppliedRemovals(state: PoolState): PoolState {
+  const memberships = state.memberships.filterNot(
+    (membership) =>
+      membership.kind === 'removed' && listUnacknowledged(state, membership.offset).length === 0,
+  );
+  return memberships.size === state.memberships.size ? state : { ...state, memberships };
+}
+
+/** Folds an entry's word; applied offsets never go back. */
+function foldAcknowledgement(state: PoolState, placed: PlacedRecord<AcknowledgementRecord>) {
+  const { record, offset } = placed;
+  if (record.appliedOffset >= offset) return state;
+  if (record.isLeaving === true) {
+    return { ...state, entries: state.entries.delete(record.entryId) };
+  }
+  const known = state.entries.get(record.entryId);
+  const word = {
+    appliedOffset: Math.max(record.appliedOffset, known?.appliedOffset ?? -1),
+    firstOffset: known?.firstOffset ?? offset,
+    offset,
+  };
+  return { ...state, entries: state.entries.set(record.entryId, word) };
+}
+
+/** Folds a release; void unless the instance is a member of the pool that it names. */
+function foldRelease(state: PoolState, placed: PlacedRecord<ReleaseRecord>): PoolState {
+  const { record, offset } = placed;
+  const membership = state.memberships.get(record.instanceId);
+  if (membership?.kind !== 'member') return state;
+  if (membership.pool !== record.from || record.to === record.from) return state;
+  const { from, to } = record;
+  return setMembership(state, record.instanceId, { kind: 'released', from, to, offset });
+}
+
+/** Says whether all entries have applied the release or are named as lapsed by their last word. */
+function isBarrierPassed(state: PoolState, record: JoinRecord): boolean {
+  return listUnacknowledged(state, record.releaseOffset).every((entryId) =>
+    record.lapsed?.some(
+      (lapsed) =>
+        lapsed.entryId === entryId &&
+        lapsed.acknowledgementOffset === state.entries.get(entryId)?.offset,
+    ),
+  );
+}
+
+/** Says whether a join fits where its instance stands. */
+function isJoinValid(state: PoolState, record: JoinRecord): boolean {
+  const membership = state.memberships.get(record.instanceId);
+  if (membership === undefined) return record.releaseOffset === -1;
+  if (record.releaseOffset !== membership.offset) return false;
+  switch (membership.kind) {
+    case 'member':
+      return false;
+    case 'released':
+      if (record.pool === membership.from) return true;
+      return record.pool === membership.to && isBarrierPassed(state, record);
+    case 'removed':
+      return isBarrierPassed(state, record);
+    default:
+      return membership satisfies never;
+  }
+}
+
+/** Folds a join and forgets the entries that held it up and have lapsed. */
+function foldJoin(state: PoolState, placed: PlacedRecord<JoinRecord>): PoolState {
+  const { record, offset } = placed;
+  if (!isJoinValid(state, record)) return state;
+  const late = listUnacknowledged(state, record.releaseOffset);
+  const lapsed = (record.lapsed ?? []).map(({ entryId }) => entryId);
+  const entries = state.entries.deleteAll(late.filter((entryId) => lapsed.includes(entryId)));
+  const member = { kind: 'member', pool: record.pool, offset } as const;
+  return setMembership({ ...state, entries }, record.instanceId, member);
+}
+
+/** Applies a record that is no repetition. */
+function applyRecord(state: PoolState, placed: PlacedRecord<PoolFoldRecord>): PoolState {
+  const { record, offset } = placed;
+  switch (record.kind) {
+    case 'duty.claim':
+      return { ...state, fences: foldFence(state.fences, { record, offset }) };
+    case 'pool.acknowledgement':
+      return dropAppliedRemovals(foldAcknowledgement(state, { record, offset }));
+    case 'pool.release':
+    case 'pool.join':
+    case 'pool.removal':
+      if (!isCurrentFence(state.fences, MOVES_DUTY, record.fence)) return state;
+      break;
+    default:
+      return record satisfies never;
+  }
+  switch (record.kind) {
+    case 'pool.release':
+      return foldRelease(state, { record, offset });
+    case 'pool.join':
+      return foldJoin(state, { record, offset });
+    case 'pool.removal':
+      if (!state.memberships.has(record.instanceId)) return state;
+      return setMembership(state, record.instanceId, { kind: 'removed', offset });
+    default:
+      return record satisfies never;
+  }
+}
+
+/** Folds one record into the membership of pools. */
+export function foldPool(state: PoolState, placed: PlacedRecord<PoolFoldRecord>): PoolState {
+  if (state.recentIds.has(placed.record.id)) return state;
+  const applied = applyRecord(state, placed);
+  return { ...applied, recentIds: addRecentId(applied.recentIds, placed.record.id) };
+}
+
+/** Gets the pool of an instance; undefined while it is between pools or unknown. */
+export function getPool(state: PoolState, instanceId: string): string | undefined {
+  const membership = state.memberships.get(instanceId);
+  return membership?.kind === 'member' ? membership.pool : undefined;
+}
+
+/** Counts the instances of a pool. */
+export function countMembers(state: PoolState, pool: string): number {
+  return state.members.get(pool)?.size ?? 0;
+}
--- a/packages/vanilladock/src/lib/pools/records.ts
+++ b/packages/vanilladock/src/lib/pools/records.ts
@@ -16,6 +16,15 @@
   readonly kind: 'pool.acknowledgement';
   readonly entryId: string;
   readonly appliedOffset: number;
+  /** True in the last word of an entry that has stopped routing for good. */
+  readonly isLeaving?: boolean;
+}
+
+/** An entry whose lease the planner saw run out, and the acknowledgement that it judged by. */
+export interface LapsedEntry {
+  readonly entryId: string;
+  /** Offset of the entry's newest acknowledgement; the join is void when there is a newer one. */
+  readonly acknowledgementOffset: number;
 }
 
 /** Puts a released instance into a pool; second half of a move, or first sight of an instance. */
@@ -23,8 +32,10 @@
   readonly kind: 'pool.join';
   readonly instanceId: string;
   readonly pool: string;
-  /** Offset of the release that this join completes; -1 for a new instance. */
+  /** Offset of the release or removal that this join follows; -1 for a new instance. */
   readonly releaseOffset: number;
+  /** Entries that have not acknowledged the release and whose lease has run out. */
+  readonly lapsed?: readonly LapsedEntry[];
   readonly fence: number;
 }
 
