--- a/packages/vanilladock/src/lib/maintenance/fold.ts
+++ b/packages/vanilladock/src/lib/maintenance/fold.ts
@@ -4,7 +4,7 @@
  * permit and what is lost count alike. A permit ends by its outcome, which rests on an observed
  * return, and never by time alone; an instance that failed to return counts as lost.
  */
-import { Map } from 'immutable';
+import { Map, OrderedMap } from 'immutable';
 import type { ClaimRecord } from '../duties/records.js';
 import type { PlacedRecord } from '../log/record.js';
 import {
@@ -57,7 +57,8 @@
   readonly lost: Map<string, number>;
   /** Dates of the last completed maintenance, in milliseconds since 1970. */
   readonly maintained: Map<string, number>;
-  readonly waves: Map<string, Wave>;
+  /** Waves by name, the newest last; the oldest are forgotten. */
+  readonly waves: OrderedMap<string, Wave>;
   /** The newest void permit of each instance. */
   readonly refusals: Map<string, { readonly offset: number; readonly refusal: PermitRefusal }>;
   /** Moving average of the time from permit to return, in milliseconds; undefined at first. */
@@ -76,6 +77,7 @@
 export type MaintenanceFoldRecord = MaintenanceRecord | ClaimRecord;
 
 const AVERAGE_WEIGHT = 0.1;
+const WAVES_KEPT = 128;
 
 /** Creates the state before any record. */
 export function createMaintenanceState(): MaintenanceState {
@@ -83,7 +85,7 @@
     permits: Map(),
     lost: Map(),
     maintained: Map(),
-    waves: Map(),
+    waves: OrderedMap(),
     refusals: Map(),
     typicalMs: undefined,
     fences: createFences(),
@@ -151,7 +153,7 @@
   return {
     ...state,
     permits: state.permits.set(instanceId, permit),
-    waves: state.waves.set(wave, granted),
+    waves: state.waves.set(wave, granted).takeLast(WAVES_KEPT),
     refusals: state.refusals.delete(instanceId),
   };
 }
--- /dev/null
+++ b/packages/vanilladock/src/lib/maintenance/losses.ts
@@ -0,0 +1,81 @@
+/**
+ * Unplanned losses and returns, read from the platform's instance list. The list lags and may miss an
+ * instance for a moment, so an absence counts only after some time; a return counts at once. While an
+ * instance has a permit its absence is expected and is the executor's matter.
+ */
+import { Map } from 'immutable';
+import { getPool } from '../pools/fold.js';
+import type { Instance } from '../topology.js';
+import type { FleetState } from './fleet.js';
+
+/** The platform's list as last read. */
+export interface ListReading {
+  readonly instances: ReadonlyMap<string, Instance>;
+  /** Monotonic time before the list was asked for, in milliseconds. */
+  readonly askedAtMs: number;
+}
+
+/** Since when each instance has been missing or leaving, by monotonic time. */
+export type Absences = Map<string, number>;
+
+/** What an observation record should say, and the absences that it rests on. */
+export interface LossPlan {
+  readonly absences: Absences;
+  readonly lost: readonly string[];
+  readonly returned: readonly string[];
+}
+
+const LOST_SHARE_OF_DOMAIN = 0.5;
+
+/** Says whether the list shows an instance as able to take work. */
+export function isLive(list: ListReading, instanceId: string): boolean {
+  return list.instances.get(instanceId)?.state === 'live';
+}
+
+/** Plans what to record as lost and returned; `lostAfterMs` is the least absence of a loss. */
+export function planObservation(
+  fleet: FleetState,
+  absences: Absences,
+  list: ListReading,
+  lostAfterMs: number,
+): LossPlan {
+  const { permits, lost } = fleet.maintenance;
+  const members = [...fleet.pools.memberships]
+    .filter(([, { kind }]) => kind === 'member')
+    .map(([id]) => id);
+  const absent = members.filter((id) => !permits.has(id) && !isLive(list, id));
+  const nextAbsences = Map(absent.map((id) => [id, absences.get(id) ?? list.askedAtMs]));
+  return {
+    absences: nextAbsences,
+    lost: absent.filter(
+      (id) => !lost.has(id) && list.askedAtMs - (nextAbsences.get(id) ?? 0) >= lostAfterMs,
+    ),
+    returned: [...lost.keys()].filter((id) => isLive(list, id)),
+  };
+}
+
+/** Lists the data centres and racks of which at least half of the members are lost. */
+export function listLostDomains(
+  fleet: FleetState,
+  locations: ReadonlyMap<string, Instance>,
+): ReadonlySet<string> {
+  const totals = new globalThis.Map<string, { lost: number; all: number }>();
+  locations.forEach((instance, id) => {
+    if (getPool(fleet.pools, id) === undefined) return;
+    const { dataCentre, rack } = instance.location;
+    [dataCentre, `${dataCentre}/${rack}`].forEach((domain) => {
+      const total = totals.get(domain) ?? { lost: 0, all: 0 };
+      const lost = total.lost + (fleet.maintenance.lost.has(id) ? 1 : 0);
+      totals.set(domain, { lost, all: total.all + 1 });
+    });
+  });
+  const isLost = ({ lost, all }: { lost: number; all: number }) =>
+    lost > 1 && lost >= all * LOST_SHARE_OF_DOMAIN;
+  return new Set([...totals].filter(([, total]) => isLost(total)).map(([domain]) => domain));
+}
+
+/** Says whether an instance stands in one of the lost domains. */
+export function isInLostDomain(domains: ReadonlySet<string>, instance: Instance): boolean {
+  const { dataCentre, rack } = instance.location;
+  return domains.has(dataCentre) || domains.has(`${dataCentre}/${rack}`);
+}
