--- /dev/null
+++ b/packages/measure/src/lib/wave/platform.ts
@@ -0,0 +1,139 @@
+/**
+ * The platform as planners meet it: a log whose answers get lost before or after the effect, a list
+ * that lags, and drain, reboot and restore that are idempotent by permit and refused once restored.
+ */
+import {
+  foldFleet,
+  type FleetState,
+  type Instance,
+  type LogRecord,
+  type PermitOperation,
+  type PolicyOf,
+  type Random,
+} from 'vanilladock';
+import { HOUR_MS, isDown, SECOND_MS, type World } from './world.js';
+
+/** What an append told its caller. */
+export type AppendAnswer = 'stored' | 'unknown';
+
+/** Answers of operations. */
+export type OperationAnswer = 'done' | 'unknown' | 'refused';
+
+const LOST_BEFORE_SHARE = 0.01;
+const LOST_AFTER_SHARE = 0.02;
+const LEAST_DRAIN_MS = 10 * SECOND_MS;
+const MOST_DRAIN_MS = 60 * SECOND_MS;
+const STATES_KEPT = 4096;
+
+/** A log that keeps the folded state of its newest offsets. */
+export interface FakeLog {
+  readonly append: (records: readonly LogRecord[], nowMs: number) => AppendAnswer;
+  /** Gets the offset of the newest record stored by a time. */
+  readonly getOffsetAt: (atMs: number) => number;
+  readonly getState: (offset: number) => FleetState;
+  readonly getRecord: (offset: number) => LogRecord | undefined;
+  readonly getNewest: () => number;
+}
+
+/** Creates a log over a first state. */
+export function createFakeLog(first: FleetState, policyOf: PolicyOf, random: Random): FakeLog {
+  const states = new Map<number, FleetState>([[-1, first]]);
+  const records = new Map<number, { readonly record: LogRecord; readonly atMs: number }>();
+  let newest = -1;
+  const store = (record: LogRecord, atMs: number): void => {
+    const state = states.get(newest) ?? first;
+    newest += 1;
+    states.set(newest, foldFleet(state, { offset: newest, record }, policyOf));
+    records.set(newest, { record, atMs });
+    states.delete(newest - STATES_KEPT);
+    records.delete(newest - STATES_KEPT);
+  };
+  const append = (batch: readonly LogRecord[], nowMs: number): AppendAnswer => {
+    const luck = random();
+    if (luck < LOST_BEFORE_SHARE) return 'unknown';
+    batch.forEach((record) => store(record, nowMs));
+    return luck < LOST_AFTER_SHARE ? 'unknown' : 'stored';
+  };
+  const getOffsetAt = (atMs: number): number => {
+    let offset = newest;
+    while ((records.get(offset)?.atMs ?? -Infinity) > atMs) offset -= 1;
+    return offset;
+  };
+  return {
+    append,
+    getOffsetAt,
+    getState: (offset) => states.get(Math.max(offset, newest - STATES_KEPT + 1)) ?? first,
+    getRecord: (offset) => records.get(offset)?.record,
+    getNewest: () => newest,
+  };
+}
+
+/** The true state of an instance under a permit. */
+interface Stop {
+  readonly permitId: string;
+  readonly idleAtMs: number;
+  rebootUntilMs: number | undefined;
+}
+
+/** The platform's instances. */
+export interface FakePlatform {
+  readonly operate: (
+    operation: PermitOperation,
+    instanceId: string,
+    permitId: string,
+    nowMs: number,
+  ) => OperationAnswer;
+  readonly listLive: (atMs: number) => ReadonlyMap<string, Instance>;
+  readonly countWork: (instanceId: string, nowMs: number) => number;
+  /** Ids of instances that are drained or rebooting by permit. */
+  readonly stops: ReadonlyMap<string, unknown>;
+  /** Called just before an instance goes down by permit. */
+  readonly onReboot: { handle: (instanceId: string, nowMs: number) => void };
+}
+
+/** Creates the platform over a world. */
+export function createFakePlatform(world: World, random: Random): FakePlatform {
+  const stops = new Map<string, Stop>();
+  const ended = new Set<string>();
+  const failed = new Set<string>();
+  const reboots = new Map<string, { fromMs: number; untilMs: number }>();
+  const onReboot = { handle: (_id: string, _nowMs: number): void => undefined };
+  const start = (stop: Stop, id: string, nowMs: number): void => {
+    if (stop.rebootUntilMs !== undefined) return;
+    onReboot.handle(id, nowMs);
+    const isFailing = world.failsReboot.has(id) && !failed.has(id);
+    if (isFailing) failed.add(id);
+    const tookMs = (world.rebootMs.get(id) ?? 0) + (isFailing ? HOUR_MS : 0);
+    stop.rebootUntilMs = nowMs + tookMs;
+    reboots.set(id, { fromMs: nowMs, untilMs: stop.rebootUntilMs });
+  };
+  const operate = (operation: PermitOperation, id: string, permitId: string, nowMs: number) => {
+    if (random() < LOST_BEFORE_SHARE) return 'unknown';
+    if (operation === 'restore') {
+      ended.add(permitId);
+      if (stops.get(id)?.permitId === permitId) stops.delete(id);
+    } else {
+      if (ended.has(permitId)) return 'refused';
+      const known = stops.get(id);
+      const drainMs = LEAST_DRAIN_MS + random() * (MOST_DRAIN_MS - LEAST_DRAIN_MS);
+      const stop =
+        known?.permitId === permitId
+          ? known
+          : { permitId, idleAtMs: nowMs + drainMs, rebootUntilMs: undefined };
+      stops.set(id, stop);
+      if (operation === 'reboot') start(stop, id, nowMs);
+    }
+    return random() < LOST_BEFORE_SHARE ? 'unknown' : 'done';
+  };
+  const isUp = (id: string, atMs: number): boolean => {
+    const reboot = reboots.get(id);
+    const isRebooting = reboot !== undefined && reboot.fromMs <= atMs && atMs < reboot.untilMs;
+    return !isRebooting && !isDown(world, id, atMs);
+  };
+  const countWork = (id: string, nowMs: number): number => {
+    const stop = stops.get(id);
+    return stop !== undefined && nowMs >= stop.idleAtMs ? 0 : 1;
+  };
+  const listLive = (atMs: number) => new Map([...world.instances].filter(([id]) => isUp(id, atMs)));
+  return { operate, listLive, countWork, stops, onReboot };
+}
--- /dev/null
+++ b/packages/measure/src/lib/wave/world.ts
@@ -0,0 +1,156 @@
+/**
+ * The fleet that the wave measure works on: 950 instances in 7 data centres and 241 pools, with a
+ * trace of failures, restarts, one lost rack and one lost data centre, all drawn from the seed
+ * before anything runs, so that the core, its baseline and the bound meet the same faults.
+ */
+import type { Instance, Random } from 'vanilladock';
+
+/** Size of the fleet. */
+export const INSTANCES = 950;
+export const POOLS = 241;
+export const SIMULATED_DAYS = 28;
+export const SECOND_MS = 1000;
+export const MINUTE_MS = 60 * SECOND_MS;
+export const HOUR_MS = 60 * MINUTE_MS;
+export const DAY_MS = 24 * HOUR_MS;
+
+const DATA_CENTRES = [
+  { name: 'hobart', region: 'south' },
+  { name: 'huonville', region: 'south' },
+  { name: 'kingston', region: 'south' },
+  { name: 'launceston', region: 'north' },
+  { name: 'devonport', region: 'north' },
+  { name: 'burnie', region: 'west' },
+  { name: 'strahan', region: 'west' },
+] as const;
+const RACK_SIZE = 4;
+const SMALLEST_POOL = 2;
+const FAILURES_A_DAY = 5;
+const RESTARTS_A_DAY = 350;
+const STRICT_POOL_EVERY = 5;
+const STRICT_SHARE = 0.1;
+const DEFAULT_SHARE = 0.25;
+const REBOOT_MS = 10 * MINUTE_MS;
+const REBOOT_SPREAD = 0.1;
+const REBOOT_FAILURE_SHARE = 0.003;
+
+/** A time during which an instance is down without a permit. */
+export interface Downtime {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** The fleet and everything that will happen to it. */
+export interface World {
+  readonly instances: ReadonlyMap<string, Instance>;
+  /** First pool of each instance. */
+  readonly pools: ReadonlyMap<string, string>;
+  readonly shares: ReadonlyMap<string, number>;
+  /** Unplanned downtimes of each instance, sorted by start. */
+  readonly downtimes: ReadonlyMap<string, readonly Downtime[]>;
+  readonly rebootMs: ReadonlyMap<string, number>;
+  /** Instances whose first planned reboot fails; they need an hour's repair. */
+  readonly failsReboot: ReadonlySet<string>;
+}
+
+/** Picks an integer below the limit. */
+export function pickInteger(random: Random, limit: number): number {
+  return Math.floor(random() * limit);
+}
+
+/** Makes the instances, racks of four filled one data centre after the other. */
+function makeInstances(): readonly Instance[] {
+  return Array.from({ length: INSTANCES }, (_, index) => {
+    const centre = DATA_CENTRES[index % DATA_CENTRES.length] ?? DATA_CENTRES[0];
+    const rack = Math.floor(index / DATA_CENTRES.length / RACK_SIZE);
+    return {
+      id: `i${String(index).padStart(3, '0')}`,
+      role: 'worker',
+      address: `10.0.${index >> 8}.${index & 255}:9000`,
+      location: { region: centre.region, dataCentre: centre.name, rack: `r${rack}` },
+      state: 'live',
+      attributes: {},
+    };
+  });
+}
+
+/** Makes pool sizes: two each, and the rest shared out in proportion to 1 / rank. */
+function makePoolSizes(): readonly number[] {
+  const spare = INSTANCES - POOLS * SMALLEST_POOL;
+  const weights = Array.from({ length: POOLS }, (_, rank) => 1 / (rank + 1));
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  const sizes = weights.map((weight) => SMALLEST_POOL + Math.floor((spare * weight) / total));
+  const placed = sizes.reduce((sum, size) => sum + size, 0);
+  return sizes.map((size, rank) => size + (rank < INSTANCES - placed ? 1 : 0));
+}
+
+/** Shuffles a copy of the items. */
+function spreadItems<T>(items: readonly T[], random: Random): readonly T[] {
+  return items
+    .map((item) => ({ item, key: random() }))
+    .sort((a, b) => a.key - b.key)
+    .map(({ item }) => item);
+}
+
+/** Draws the downtimes of single instances over the whole time. */
+function makeSingleDowntimes(ids: readonly string[], random: Random) {
+  const draw = (count: number, leastMs: number, mostMs: number) =>
+    Array.from({ length: count * SIMULATED_DAYS }, () => {
+      const fromMs = random() * SIMULATED_DAYS * DAY_MS;
+      const id = ids[pickInteger(random, ids.length)] ?? '';
+      return { id, fromMs, untilMs: fromMs + leastMs + random() * (mostMs - leastMs) };
+    });
+  return [
+    ...draw(FAILURES_A_DAY, HOUR_MS / 2, 4 * HOUR_MS),
+    ...draw(RESTARTS_A_DAY, MINUTE_MS, 3 * MINUTE_MS),
+  ];
+}
+
+/** Losses of whole domains: a data centre amid the first waves, a rack amid the second ones. */
+export const DOMAIN_LOSSES = {
+  dataCentre: { fromMs: 1.5 * HOUR_MS, untilMs: 3.5 * HOUR_MS },
+  rack: { fromMs: 25.2 * DAY_MS + 2 * HOUR_MS, untilMs: 25.2 * DAY_MS + 3 * HOUR_MS },
+} as const;
+
+/** Draws a world from random numbers. */
+export function createWorld(random: Random): World {
+  const instances = makeInstances();
+  const ids = instances.map(({ id }) => id);
+  const names = makePoolSizes().flatMap((size, rank) =>
+    Array.from({ length: size }, () => `pool-${String(rank).padStart(3, '0')}`),
+  );
+  const shuffled = spreadItems(ids, random);
+  const pools = new Map(shuffled.map((id, index) => [id, names[index] ?? '']));
+  const lostCentre = DATA_CENTRES[pickInteger(random, DATA_CENTRES.length)]?.name;
+  const rackOf = instances[pickInteger(random, INSTANCES)]?.location;
+  const events = makeSingleDowntimes(ids, random);
+  const downtimes = new Map<string, Downtime[]>(ids.map((id) => [id, []]));
+  events.forEach(({ id, fromMs, untilMs }) => downtimes.get(id)?.push({ fromMs, untilMs }));
+  instances.forEach(({ id, location }) => {
+    if (location.dataCentre === lostCentre) downtimes.get(id)?.push(DOMAIN_LOSSES.dataCentre);
+    const isInRack = location.dataCentre === rackOf?.dataCentre && location.rack === rackOf.rack;
+    if (isInRack) downtimes.get(id)?.push(DOMAIN_LOSSES.rack);
+  });
+  downtimes.forEach((list) => list.sort((a, b) => a.fromMs - b.fromMs));
+  const shares = Array.from({ length: POOLS }, (_, rank) => {
+    const share = rank % STRICT_POOL_EVERY === 0 ? STRICT_SHARE : DEFAULT_SHARE;
+    return [`pool-${String(rank).padStart(3, '0')}`, share] as const;
+  });
+  return {
+    instances: new Map(instances.map((instance) => [instance.id, instance])),
+    pools,
+    shares: new Map(shares),
+    downtimes,
+    rebootMs: new Map(
+      ids.map((id) => [id, REBOOT_MS * (1 - REBOOT_SPREAD + 2 * REBOOT_SPREAD * random())]),
+    ),
+    failsReboot: new Set(ids.filter(() => random() < REBOOT_FAILURE_SHARE)),
+  };
+}
+
+/** Says whether an instance is down without a permit at a time. */
+export function isDown(world: World, id: string, atMs: number): boolean {
+  return (world.downtimes.get(id) ?? []).some(
+    ({ fromMs, untilMs }) => fromMs <= atMs && atMs < untilMs,
+  );
+}
