Fold tasks, leases, outcomes and quarantine into bounded placement state

Placement had record types and no meaning. The fold decides racing leases by the one they follow, counts team cores so that a lease beyond the quota is void whoever wrote it, learns sizes and evidence from outcomes, and keeps queues, teams and workers indexed so that a planning round touches only what changes.

The worker port now names the report from whose making a lease counts, so that a command which arrives late extends nothing, and renews a worker's leases together. Tests: 15 for the fold.

--- /dev/null
+++ b/packages/vanilladock/src/lib/placement/fold-quarantine.ts
@@ -0,0 +1,28 @@
+/** Folds quarantine records; one that does not follow the worker's newest record is void. */
+import { findPlacementDuty } from './duty.js';
+import { setWorker } from './fold-index.js';
+import { setVoid } from './fold-void.js';
+import type { QuarantineRecord } from './records.js';
+import type { PlacementRules, PlacementState } from './state.js';
+import { EMPTY_WORKER } from './state.js';
+
+/** Folds one quarantine record. */
+export function foldQuarantine(
+  state: PlacementState,
+  record: QuarantineRecord,
+  offset: number,
+  rules: PlacementRules,
+): PlacementState {
+  const worker = state.workers.get(record.workerId) ?? EMPTY_WORKER;
+  if (!rules.isCurrentClaim(findPlacementDuty(record.pool), record.fence)) {
+    return setVoid(state, record.id, 'stale-claim');
+  }
+  if (record.follows !== worker.quarantineOffset) return setVoid(state, record.id, 'superseded');
+  return setWorker(state, record.workerId, {
+    ...worker,
+    isQuarantined: record.isQuarantined,
+    quarantineOffset: offset,
+    quarantineReason: record.reason,
+    streak: [],
+  });
+}
--- a/packages/vanilladock/src/lib/placement/records.ts
+++ b/packages/vanilladock/src/lib/placement/records.ts
@@ -27,7 +27,10 @@
   readonly fence: number;
 }
 
-/** How a lease ended. */
+/**
+ * How a lease ended. `never-runnable` refuses a queued task that holds no lease: its `leaseOffset` is
+ * the offset of the task's newest lease, or -1.
+ */
 export interface TaskOutcomeRecord extends RecordHead {
   readonly kind: 'task.outcome';
   readonly taskId: string;
@@ -35,6 +38,8 @@
   readonly result: 'succeeded' | 'failed' | 'checkpointed' | 'lapsed' | 'never-runnable';
   readonly used: Resources;
   readonly reason: string;
+  /** Fencing token of the planner's claim; void for `lapsed` and `never-runnable` unless current. */
+  readonly fence: number;
 }
 
 /** Withdraws a task. */
@@ -47,7 +52,11 @@
 export interface QuarantineRecord extends RecordHead {
   readonly kind: 'worker.quarantine';
   readonly workerId: string;
+  /** Pool of the worker, under whose duty it is judged. */
+  readonly pool: string;
   readonly isQuarantined: boolean;
+  /** Offset of the worker's record that this one follows; -1 for none. */
+  readonly follows: number;
   readonly reason: string;
   readonly fence: number;
 }
--- a/packages/vanilladock/src/lib/ports/workers.ts
+++ b/packages/vanilladock/src/lib/ports/workers.ts
@@ -1,6 +1,8 @@
 /**
  * Port to the workers. A worker runs tasks under leases with fencing tokens and refuses a command
- * whose token is older than the newest that it has seen for the task.
+ * whose token is older than the newest that it has seen for the task. It counts the time of a lease
+ * by its own clock from the moment when it made the report that the command names, so that a command
+ * which arrives late extends nothing.
  */
 import type { Result } from 'ts-results-es';
 
@@ -17,10 +19,23 @@
   /** Offset of the record that granted the lease; later leases have larger tokens. */
   readonly fencingToken: number;
   readonly durationMs: number;
+  /** Fencing token of the planner's claim; a worker refuses one older than the newest it has seen. */
+  readonly plannerFence: number;
+  /** The worker's report from whose making the duration counts; an unknown one is refused. */
+  readonly reportId: string;
+}
+
+/** Renews every lease that a worker holds. */
+export interface WorkerRenewal {
+  readonly kind: 'renew-worker';
+  readonly durationMs: number;
+  readonly plannerFence: number;
+  readonly reportId: string;
 }
 
 /** A command to a worker. */
 export type WorkerCommand =
+  | WorkerRenewal
   | { readonly kind: 'start'; readonly lease: TaskLease; readonly size: Resources }
   | { readonly kind: 'renew'; readonly lease: TaskLease }
   | { readonly kind: 'checkpoint'; readonly lease: TaskLease }
@@ -41,8 +56,17 @@
   readonly used: Resources;
 }
 
+/** Everything that a worker reports at one moment. */
+export interface WorkerReport {
+  /** Opaque name of this report, different after a restart of the worker. */
+  readonly reportId: string;
+  /** Newest fencing token of a planner whose command the worker has obeyed; -1 for none. */
+  readonly plannerFence: number;
+  readonly tasks: readonly TaskReport[];
+}
+
 /** The workers' command and report interface. */
 export interface Workers {
   readonly send: (workerId: string, command: WorkerCommand) => Promise<Result<void, WorkerError>>;
-  readonly fetchReports: (workerId: string) => Promise<Result<readonly TaskReport[], WorkerError>>;
+  readonly fetchReport: (workerId: string) => Promise<Result<WorkerReport, WorkerError>>;
 }
--- /dev/null
+++ b/packages/vanilladock/src/test/placement-fold.test.ts
@@ -0,0 +1,192 @@
+/** Tests of the placement fold: races, quotas, ends of leases, bounds. */
+import { is } from 'immutable';
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import {
+  ATTEMPTS_MAX,
+  FINISHED_KEPT,
+  LAPSES_MAX,
+  QUEUED_MAX_PER_TEAM,
+} from '../lib/placement/fold.js';
+import { createPlacementState } from '../lib/placement/state.js';
+import {
+  foldAll,
+  makeLease,
+  makeOutcome,
+  makeQuarantine,
+  makeRules,
+  makeSize,
+  makeSubmission,
+} from './placement-fixtures.js';
+
+const test = suite('placement fold');
+
+test('a submission repeated by another entry changes nothing', () => {
+  const once = foldAll([makeSubmission('t')]);
+  const twice = foldAll([makeSubmission('t', { id: 'other', by: 'b' })], makeRules(100), once, 5);
+  assert.is(twice, once);
+});
+
+test('of two leases that follow the same one the first wins', () => {
+  const state = foldAll([
+    makeSubmission('t'),
+    makeLease('t', { workerId: 'w1' }),
+    makeLease('t', { workerId: 'w2' }),
+  ]);
+  assert.is(state.tasks.get('t')?.lease?.workerId, 'w1');
+  assert.is(state.voids.get('l-t--1-w2'), 'superseded');
+  assert.not.ok(state.workers.has('w2'));
+});
+
+test('a lease by a planner whose claim was superseded is void', () => {
+  const state = foldAll([makeSubmission('t'), makeLease('t', { fence: 3 })]);
+  assert.is(state.tasks.get('t')?.lease, undefined);
+  assert.is(state.voids.get('l-t--1-w'), 'stale-claim');
+});
+
+test("a lease beyond the team's quota is void and frees nothing", () => {
+  const state = foldAll(
+    [makeSubmission('t'), makeSubmission('u'), makeLease('t'), makeLease('u')],
+    makeRules(3),
+  );
+  assert.is(state.voids.get('l-u--1-w'), 'quota');
+  assert.is(state.teams.get('stalls')?.heldCores, 2);
+  assert.is(state.teams.get('stalls')?.queued, 1);
+});
+
+test('a lease of no cores or of no number is void', () => {
+  const state = foldAll([
+    makeSubmission('t'),
+    makeLease('t', { id: 'x', size: makeSize(0) }),
+    makeLease('t', { id: 'y', size: makeSize(Number.NaN) }),
+  ]);
+  assert.equal([state.voids.get('x'), state.voids.get('y')], ['bad-size', 'bad-size']);
+});
+
+test('an outcome counts only for the current lease', () => {
+  const state = foldAll([
+    makeSubmission('t'),
+    makeLease('t'),
+    makeOutcome('t', 1, 'lapsed'),
+    makeLease('t', { follows: 1, workerId: 'w2' }),
+    makeOutcome('t', 1, 'succeeded'),
+  ]);
+  assert.is(state.tasks.get('t')?.lease?.offset, 3);
+  assert.is(state.voids.get('o-t-1-succeeded'), 'not-holder');
+});
+
+test('only the current planner may say that a lease lapsed', () => {
+  const state = foldAll([
+    makeSubmission('t'),
+    makeLease('t'),
+    makeOutcome('t', 1, 'lapsed', { fence: 3 }),
+  ]);
+  assert.is(state.tasks.get('t')?.lease?.offset, 1);
+});
+
+test('a cancelled task holds its quota until its worker has stopped', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0 } as const;
+  const leased = foldAll([
+    makeSubmission('t'),
+    makeLease('t'),
+    { ...cancel, kind: 'task.cancellation', taskId: 't' },
+  ]);
+  assert.is(leased.teams.get('stalls')?.heldCores, 2);
+  const ended = foldAll([makeOutcome('t', 1, 'checkpointed')], makeRules(100), leased, 3);
+  assert.is(ended.finished.get('t')?.result, 'cancelled');
+  assert.is(ended.finished.get('t')?.verdict, 'may-have-run');
+  assert.is(ended.teams.size, 0);
+});
+
+test('a task cancelled before any lease has not run', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0 } as const;
+  const state = foldAll([
+    makeSubmission('t'),
+    { ...cancel, kind: 'task.cancellation', taskId: 't' },
+  ]);
+  assert.is(state.finished.get('t')?.verdict, 'not-run');
+  assert.is(state.queues.size, 0);
+});
+
+test('work that keeps failing is ended after three attempts, lapses after six', () => {
+  const buildAttempts = (result: 'failed' | 'lapsed', times: number) =>
+    Array.from({ length: times }, (_, index) => [
+      makeLease('t', { follows: index === 0 ? -1 : index * 2 - 1 }),
+      makeOutcome('t', index * 2 + 1, result),
+    ]).flat();
+  const failed = foldAll([makeSubmission('t'), ...buildAttempts('failed', ATTEMPTS_MAX)]);
+  assert.is(failed.finished.get('t')?.result, 'failed');
+  const almost = foldAll([makeSubmission('t'), ...buildAttempts('failed', ATTEMPTS_MAX - 1)]);
+  assert.equal(almost.tasks.get('t')?.failedOn, ['w', 'w']);
+  const lapsed = foldAll([makeSubmission('t'), ...buildAttempts('lapsed', LAPSES_MAX)]);
+  assert.is(lapsed.finished.get('t')?.result, 'lapsed');
+});
+
+test('quick submissions beyond the quota are refused as not run and may come again', () => {
+  const makeQuick = (taskId: string) => makeSubmission(taskId, { urgency: 'quick' });
+  const full = foldAll([makeQuick('t'), makeQuick('u')], makeRules(3));
+  assert.is(full.finished.get('u')?.verdict, 'not-run');
+  const freed = foldAll(
+    [makeLease('t'), makeOutcome('t', 2, 'succeeded'), makeQuick('u')],
+    makeRules(3),
+    full,
+    2,
+  );
+  assert.ok(freed.tasks.has('u'));
+  assert.not.ok(freed.finished.has('u'));
+});
+
+test('a queue is bounded for each team and ended tasks are forgotten in order', () => {
+  const flood = Array.from({ length: QUEUED_MAX_PER_TEAM + 1 }, (_, index) =>
+    makeSubmission(`t${index}`),
+  );
+  const state = foldAll(flood);
+  assert.is(state.queued, QUEUED_MAX_PER_TEAM);
+  assert.is(state.finished.get(`t${QUEUED_MAX_PER_TEAM}`)?.result, 'refused');
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0, kind: 'task.cancellation' } as const;
+  const many = Array.from({ length: FINISHED_KEPT + 2 }, (_, index) => [
+    makeSubmission(`t${index}`),
+    { ...cancel, taskId: `t${index}` },
+  ]).flat();
+  const ended = foldAll(many);
+  assert.is(ended.finished.size, FINISHED_KEPT);
+  assert.not.ok(ended.finished.has('t1'));
+  assert.is(ended.tasks.size, 0);
+});
+
+test('a repeated old quarantine record does not undo a newer one', () => {
+  const state = foldAll([
+    makeQuarantine('w', true, -1),
+    makeQuarantine('w', false, 0),
+    { ...makeQuarantine('w', true, -1), id: 'again' },
+  ]);
+  assert.is(state.workers.get('w')?.isQuarantined, false);
+});
+
+test('a quarantined worker may hold one task at a time', () => {
+  const state = foldAll([
+    makeSubmission('t'),
+    makeSubmission('u'),
+    makeQuarantine('w', true, -1),
+    makeLease('t'),
+    makeLease('u'),
+  ]);
+  assert.is(state.tasks.get('t')?.lease?.offset, 3);
+  assert.is(state.voids.get('l-u--1-w'), 'quarantined');
+});
+
+test('when every task has ended no sum is left over', () => {
+  const records = Array.from({ length: 50 }, (_, index) => makeSubmission(`t${index}`));
+  const leases = records.map((record) =>
+    makeLease(record.taskId, { size: makeSize(0.1 + record.taskId.length * 0.3) }),
+  );
+  const ends = leases.map((lease, index) => makeOutcome(lease.taskId, 50 + index, 'succeeded'));
+  const state = foldAll([...records, ...leases, ...ends]);
+  const empty = createPlacementState();
+  assert.ok(is(state.teams, empty.teams));
+  assert.ok(is(state.workers, empty.workers));
+  assert.ok(is(state.queues, empty.queues));
+  assert.is(state.queued, 0);
+});
+
+test.run();
