Plan placement: fair queue, best fit, quarantine, lease times, admission

The planner decides rounds from the fold and the workers' reports: quick work first, then the team with the fewest cores for its weight; throttles or checkpoints less urgent work; lapses a lease only after its worker has stopped by its own clock. A worker whose report and leases did not change costs nothing in a round. Not measured yet.

--- a/packages/vanilladock/src/lib/placement/fold-evidence.ts
+++ b/packages/vanilladock/src/lib/placement/fold-evidence.ts
@@ -29,7 +29,11 @@
   const learned = observeEnd(observeUsage(kind, record.used, lease.size), true);
   const next = setKind(state, task.taskKind, learned);
   const worker = next.workers.get(lease.workerId) ?? EMPTY_WORKER;
-  return setWorker(next, lease.workerId, { ...worker, streak: [] });
+  return setWorker(next, lease.workerId, {
+    ...worker,
+    streak: [],
+    hasPassedProbe: worker.isQuarantined,
+  });
 }
 
 /** Takes in a failure; one that ran out of memory speaks of its size, not of its worker. */
--- a/packages/vanilladock/src/lib/placement/fold-quarantine.ts
+++ b/packages/vanilladock/src/lib/placement/fold-quarantine.ts
@@ -21,6 +21,7 @@
   return setWorker(state, record.workerId, {
     ...worker,
     isQuarantined: record.isQuarantined,
+    hasPassedProbe: false,
     quarantineOffset: offset,
     quarantineReason: record.reason,
     streak: [],
--- a/packages/vanilladock/src/lib/placement/fold.ts
+++ b/packages/vanilladock/src/lib/placement/fold.ts
@@ -7,9 +7,16 @@
 import type { PlacedRecord } from '../log/record.js';
 import type { Verdict } from '../verdict.js';
 import { findPlacementDuty } from './duty.js';
-import { foldQuarantine } from './fold-quarantine.js';
-import { addLease, addQuickCores, addToQueue, removeFromQueue, removeLease } from './fold-index.js';
 import { foldEvidence } from './fold-evidence.js';
+import {
+  addLease,
+  addQuickCores,
+  addToQueue,
+  removeFromQueue,
+  removeLease,
+  setWorker,
+} from './fold-index.js';
+import { foldQuarantine } from './fold-quarantine.js';
 import { setVoid } from './fold-void.js';
 import { chooseSize, GROWTH, isOutOfMemory } from './learn-sizes.js';
 import type {
@@ -28,7 +35,7 @@
   TaskState,
   VoidReason,
 } from './state.js';
-import { EMPTY_TEAM } from './state.js';
+import { EMPTY_TEAM, EMPTY_WORKER } from './state.js';
 
 /** Ended tasks that are remembered; an older one submitted again counts as new. */
 export const FINISHED_KEPT = 20_000;
@@ -71,7 +78,7 @@
 }
 
 /** Says why a submission must be refused; undefined when there is room. */
-function checkSubmission(
+export function checkSubmission(
   state: PlacementState,
   record: SubmissionRecord,
   rules: PlacementRules,
@@ -247,7 +254,12 @@
   const task = state.tasks.get(record.taskId);
   if (task === undefined) return setVoid(state, record.id, 'no-such-task');
   if (task.lease !== undefined) {
-    return { ...state, tasks: state.tasks.set(task.taskId, { ...task, isCancelled: true }) };
+    const marked = {
+      ...state,
+      tasks: state.tasks.set(task.taskId, { ...task, isCancelled: true }),
+    };
+    const worker = state.workers.get(task.lease.workerId) ?? EMPTY_WORKER;
+    return setWorker(marked, task.lease.workerId, { ...worker });
   }
   const verdict = task.newestLease < 0 ? 'not-run' : 'may-have-run';
   const reason = `cancelled by ${record.by}`;
--- /dev/null
+++ b/packages/vanilladock/src/lib/placement/plan-worker.ts
@@ -0,0 +1,294 @@
+/**
+ * Keeps one worker in step with the log: starts what was granted, stops what was withdrawn, takes
+ * outcomes from its reports, renews its leases, and ends the leases of a worker that has lapsed.
+ */
+import type { TaskLease, TaskReport, WorkerCommand } from '../ports/workers.js';
+import type { CommandDecision, EndDecision, PlacementDecision } from './decisions.js';
+import {
+  computeLeaseBase,
+  computeSafeEnd,
+  isRenewalDue,
+  observeEcho,
+  observeReport,
+} from './leases.js';
+import type { DutyView, WorkerContact } from './leases.js';
+import { APPEND_TIMEOUT_MS, RESEND_AFTER_MS, SILENT_AFTER_MS } from './plan-input.js';
+import type { PlanInput, PoolView, ReceivedReport, WorkerView } from './plan-input.js';
+import { getWorkerMemory } from './planner-memory.js';
+import type { PlannerMemory } from './planner-memory.js';
+import type { RecordMaker } from './record-maker.js';
+import type { TaskOutcomeRecord } from './records.js';
+import { EMPTY_WORKER } from './state.js';
+import type { CurrentLease, TaskState } from './state.js';
+
+/** A round's input, the planner's memory and the maker of its records. */
+export interface PlanContext {
+  readonly input: PlanInput;
+  readonly memory: PlannerMemory;
+  readonly maker: RecordMaker;
+}
+
+/** A task with a current lease on the worker. */
+interface LeasedTask {
+  readonly task: TaskState;
+  readonly lease: CurrentLease;
+}
+
+type LeaseCommand = Extract<WorkerCommand, { readonly lease: TaskLease }>;
+
+const RESULTS = {
+  checkpointed: 'checkpointed',
+  stopped: 'checkpointed',
+  succeeded: 'succeeded',
+  failed: 'failed',
+  lapsed: 'lapsed',
+} as const satisfies Record<Exclude<TaskReport['phase'], 'running'>, TaskOutcomeRecord['result']>;
+
+/** Lists the tasks with a current lease on a worker. */
+function listLeasedTasks(input: PlanInput, workerId: string): readonly LeasedTask[] {
+  const ids = input.state.workers.get(workerId)?.tasks ?? EMPTY_WORKER.tasks;
+  const leased: LeasedTask[] = [];
+  ids.forEach((taskId) => {
+    const task = input.state.tasks.get(taskId);
+    if (task?.lease !== undefined) leased.push({ task, lease: task.lease });
+  });
+  return leased;
+}
+
+/** Makes the lease as a command names it. */
+export function makeTaskLease(
+  taskId: string,
+  fencingToken: number,
+  durationMs: number,
+  duty: DutyView,
+  reportId: string,
+): TaskLease {
+  const { fence: plannerFence } = duty;
+  return { taskId, fencingToken, durationMs, duty: duty.duty, plannerFence, reportId };
+}
+
+/** Takes a newly received report into the planner's memory. */
+export function observeNewest(
+  context: PlanContext,
+  workerId: string,
+  received: ReceivedReport | undefined,
+): void {
+  const known = getWorkerMemory(context.memory, workerId);
+  if (received === undefined || known.contact?.reportId === received.report.reportId) return;
+  const { duty } = context.input;
+  const contact = observeReport(known.contact, received.report, duty, received.receivedMs);
+  const running = received.report.tasks.filter(({ phase }) => phase === 'running');
+  const runningSince = new Map(
+    running.map(({ fencingToken }) => [
+      fencingToken,
+      known.runningSince.get(fencingToken) ?? received.receivedMs,
+    ]),
+  );
+  const { nowMs } = context.input;
+  const sent = new Map([...known.sent].filter(([, at]) => nowMs - at < RESEND_AFTER_MS));
+  context.memory.workers.set(workerId, { ...known, contact, runningSince, sent });
+}
+
+/** Sends a command about a lease unless it was sent a short time ago. */
+export function sendOnce(
+  context: PlanContext,
+  workerId: string,
+  command: LeaseCommand,
+  grounds: { readonly reason: string; readonly refused: string },
+): readonly CommandDecision[] {
+  const known = getWorkerMemory(context.memory, workerId);
+  const share = command.kind === 'throttle' ? `/${command.share.toFixed(2)}` : '';
+  const key = `${command.kind}/${command.lease.fencingToken}${share}`;
+  const { nowMs } = context.input;
+  if (nowMs - (known.sent.get(key) ?? -Infinity) < RESEND_AFTER_MS) return [];
+  const contact = known.contact && observeEcho(known.contact);
+  const sent = new Map(known.sent).set(key, nowMs);
+  context.memory.workers.set(workerId, { ...known, contact, sent });
+  return [{ kind: 'command', workerId, command, ...grounds }];
+}
+
+/** Ends a lease unless that was appended a short time ago; repeats the same record until read back. */
+export function closeOnce(
+  context: PlanContext,
+  task: TaskState,
+  result: TaskOutcomeRecord['result'],
+  grounds: { readonly reason: string; readonly refused: string },
+  used?: TaskReport['used'],
+): readonly EndDecision[] {
+  const { memory, input, maker } = context;
+  const key = task.lease?.offset ?? task.taskId;
+  const pending = memory.ends.get(key);
+  if (pending !== undefined && input.nowMs - pending.sentMs < APPEND_TIMEOUT_MS) return [];
+  const record = pending?.record ?? maker.makeEnd(task, result, grounds.reason, used);
+  memory.ends.set(key, { record, sentMs: input.nowMs });
+  return [{ kind: 'end', record, ...grounds }];
+}
+
+/** Says whether an end of the lease was already decided, so that it must not be started. */
+function isEnding(context: PlanContext, lease: CurrentLease): boolean {
+  return context.memory.ends.has(lease.offset);
+}
+
+/** Decides on one lease that the newest report shows. */
+function planReported(
+  context: PlanContext,
+  { task, lease }: LeasedTask,
+  report: TaskReport,
+  reportId: string,
+): readonly PlacementDecision[] {
+  if (report.phase === 'running') {
+    if (!task.isCancelled) return [];
+    const { duty } = context.input;
+    const named = makeTaskLease(task.taskId, lease.offset, lease.durationMs, duty, reportId);
+    const grounds = { reason: 'the task was cancelled', refused: 'let it run to its end' };
+    return sendOnce(context, lease.workerId, { kind: 'stop', lease: named }, grounds);
+  }
+  const reason = `worker ${lease.workerId} reported ${report.phase}`;
+  const grounds = { reason, refused: 'wait for its lease to lapse' };
+  return closeOnce(context, task, RESULTS[report.phase], grounds, report.used);
+}
+
+/** Decides on one lease that the newest report does not show. */
+function planUnreported(
+  context: PlanContext,
+  { task, lease }: LeasedTask,
+  reportId: string,
+): readonly PlacementDecision[] {
+  if (isEnding(context, lease)) return [];
+  const { duty } = context.input;
+  const named = makeTaskLease(task.taskId, lease.offset, lease.durationMs, duty, reportId);
+  if (task.isCancelled) {
+    const grounds = { reason: 'the task was cancelled', refused: 'start it' };
+    return sendOnce(context, lease.workerId, { kind: 'stop', lease: named }, grounds);
+  }
+  const grounds = { reason: 'its lease was read back', refused: 'wait for a report first' };
+  const command = { kind: 'start', lease: named, size: lease.size } as const;
+  return sendOnce(context, lease.workerId, command, grounds);
+}
+
+/** Stops what a worker runs without a current lease; lists the tokens that are settled. */
+function planStray(
+  context: PlanContext,
+  workerId: string,
+  report: TaskReport,
+  reportId: string,
+): readonly PlacementDecision[] {
+  if (report.phase !== 'running') return [];
+  const { duty } = context.input;
+  const named = makeTaskLease(report.taskId, report.fencingToken, 1, duty, reportId);
+  const grounds = { reason: 'its lease has ended', refused: 'let it run to its end' };
+  return sendOnce(context, workerId, { kind: 'stop', lease: named }, grounds);
+}
+
+/** Decides on every task that a worker reports or should run. */
+function planTasks(
+  context: PlanContext,
+  worker: WorkerView,
+  received: ReceivedReport,
+  leased: readonly LeasedTask[],
+): readonly PlacementDecision[] {
+  const { reportId, tasks } = received.report;
+  const byToken = new Map(tasks.map((report) => [report.fencingToken, report]));
+  const current = new Set(leased.map(({ lease }) => lease.offset));
+  const onLeases = leased.flatMap((item) => {
+    const report = byToken.get(item.lease.offset);
+    return report === undefined
+      ? planUnreported(context, item, reportId)
+      : planReported(context, item, report, reportId);
+  });
+  const strays = tasks
+    .filter(({ fencingToken }) => !current.has(fencingToken))
+    .flatMap((report) => planStray(context, worker.id, report, reportId));
+  return [...onLeases, ...strays];
+}
+
+/** Ends the leases of a worker that has surely stopped its tasks by its own clock. */
+function planLapses(
+  context: PlanContext,
+  workerId: string,
+  contact: WorkerContact | undefined,
+  leased: readonly LeasedTask[],
+): readonly PlacementDecision[] {
+  const { duty, nowMs } = context.input;
+  const baseMs = computeLeaseBase(duty, contact);
+  const longestMs = Math.max(0, ...leased.map(({ lease }) => lease.durationMs));
+  if (nowMs < computeSafeEnd(baseMs, longestMs)) return [];
+  const grounds = {
+    reason: `worker ${workerId} was last renewed ${Math.round(nowMs - baseMs)} ms ago`,
+    refused: 'wait for the worker to come back',
+  };
+  return leased.flatMap(({ task }) => closeOnce(context, task, 'lapsed', grounds));
+}
+
+/** Renews a worker's leases when that is due, which also settles what it still reports. */
+export function planRenewal(
+  context: PlanContext,
+  pool: PoolView,
+  workerId: string,
+): readonly CommandDecision[] {
+  const { input, memory } = context;
+  const known = getWorkerMemory(memory, workerId);
+  const received = input.reports.get(workerId);
+  if (known.contact === undefined || received === undefined) return [];
+  const { reportId, tasks } = received.report;
+  if (tasks.length === 0 || known.contact.reportId !== reportId) return [];
+  if (!isRenewalDue(known.contact, pool.taskLeaseMs)) return [];
+  memory.workers.set(workerId, { ...known, contact: observeEcho(known.contact) });
+  const settled = tasks
+    .filter(({ taskId, fencingToken, phase }) => {
+      const offset = input.state.tasks.get(taskId)?.lease?.offset;
+      return phase !== 'running' && offset !== fencingToken;
+    })
+    .map(({ fencingToken }) => fencingToken);
+  const command = {
+    kind: 'renew-worker',
+    duty: input.duty.duty,
+    plannerFence: input.duty.fence,
+    reportId,
+    settled,
+  } as const;
+  const grounds = { reason: 'the worker reported', refused: 'let its leases lapse' };
+  return [{ kind: 'command', workerId, command, ...grounds }];
+}
+
+/** Ends the leases of workers that the instance list no longer shows in the planner's pools. */
+export function planAbsent(context: PlanContext): readonly PlacementDecision[] {
+  const { input, memory } = context;
+  const pools = new Set(input.pools.map(({ name }) => name));
+  const listed = new Set(input.pools.flatMap(({ workers }) => workers.map(({ id }) => id)));
+  const decisions: PlacementDecision[] = [];
+  input.state.workers.forEach((worker, workerId) => {
+    if (worker.tasks.isEmpty() || listed.has(workerId)) return;
+    const leased = listLeasedTasks(input, workerId).filter(({ task }) => pools.has(task.pool));
+    const { contact } = getWorkerMemory(memory, workerId);
+    decisions.push(...planLapses(context, workerId, contact, leased));
+  });
+  return decisions;
+}
+
+/** Decides everything about one worker but what it is newly given. */
+export function planWorker(
+  context: PlanContext,
+  pool: PoolView,
+  worker: WorkerView,
+): readonly PlacementDecision[] {
+  const { input, memory } = context;
+  const received = input.reports.get(worker.id);
+  observeNewest(context, worker.id, received);
+  const { contact, decided } = getWorkerMemory(memory, worker.id);
+  const isSilent = contact === undefined || input.nowMs - contact.receivedMs > SILENT_AFTER_MS;
+  if (isSilent || received === undefined) {
+    return planLapses(context, worker.id, contact, listLeasedTasks(input, worker.id));
+  }
+  const folded = input.state.workers.get(worker.id);
+  const { reportId } = received.report;
+  const isDone =
+    decided?.reportId === reportId && decided.folded === folded && input.nowMs < decided.untilMs;
+  if (isDone) return [];
+  const decisions = planTasks(context, worker, received, listLeasedTasks(input, worker.id));
+  const renewals = planRenewal(context, pool, worker.id);
+  const known = getWorkerMemory(memory, worker.id);
+  const untilMs = input.nowMs + RESEND_AFTER_MS;
+  memory.workers.set(worker.id, { ...known, decided: { reportId, folded, untilMs } });
+  return [...decisions, ...renewals];
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/placement/record-maker.ts
@@ -0,0 +1,78 @@
+/** Makes the records that a planner appends, with ids that no other planner uses. */
+import type { RecordHead } from '../log/record.js';
+import type { Resources } from '../ports/workers.js';
+import type { DutyView } from './leases.js';
+import type { LeaseRecord, QuarantineRecord, TaskOutcomeRecord } from './records.js';
+import { NO_RESOURCES } from './state.js';
+import type { TaskState, WorkerState } from './state.js';
+
+/** Makes placement records under one claim. */
+export interface RecordMaker {
+  readonly makeLease: (
+    task: TaskState,
+    workerId: string,
+    size: Resources,
+    durationMs: number,
+  ) => LeaseRecord;
+  readonly makeEnd: (
+    task: TaskState,
+    result: TaskOutcomeRecord['result'],
+    reason: string,
+    used?: Resources,
+  ) => TaskOutcomeRecord;
+  readonly makeQuarantine: (
+    workerId: string,
+    worker: WorkerState,
+    pool: string,
+    isQuarantined: boolean,
+    reason: string,
+  ) => QuarantineRecord;
+}
+
+/** Creates a maker of records for one round; `nextNumber` never repeats under one claim. */
+export function createRecordMaker(
+  entryId: string,
+  duty: DutyView,
+  at: number,
+  nextNumber: () => number,
+): RecordMaker {
+  const { fence } = duty;
+  const makeHead = (): RecordHead => ({
+    version: 1,
+    id: `${entryId}/${fence}/${nextNumber()}`,
+    by: entryId,
+    at,
+  });
+  return {
+    makeLease: (task, workerId, size, durationMs) => ({
+      ...makeHead(),
+      kind: 'task.lease',
+      taskId: task.taskId,
+      workerId,
+      size,
+      follows: task.newestLease,
+      durationMs,
+      fence,
+    }),
+    makeEnd: (task, result, reason, used = NO_RESOURCES) => ({
+      ...makeHead(),
+      kind: 'task.outcome',
+      taskId: task.taskId,
+      leaseOffset: task.newestLease,
+      result,
+      used,
+      reason,
+      fence,
+    }),
+    makeQuarantine: (workerId, worker, pool, isQuarantined, reason) => ({
+      ...makeHead(),
+      kind: 'worker.quarantine',
+      workerId,
+      pool,
+      isQuarantined,
+      follows: worker.quarantineOffset,
+      reason,
+      fence,
+    }),
+  };
+}
--- a/packages/vanilladock/src/lib/placement/state.ts
+++ b/packages/vanilladock/src/lib/placement/state.ts
@@ -93,6 +93,8 @@
   /** Failures since the last success, oldest first, at most `STREAK_KEPT`. */
   readonly streak: readonly WorkerFailure[];
   readonly isQuarantined: boolean;
+  /** Whether a task has succeeded there since the worker was quarantined. */
+  readonly hasPassedProbe: boolean;
   /** Offset of the newest quarantine record; -1 for none. */
   readonly quarantineOffset: number;
   readonly quarantineReason: string;
@@ -142,6 +144,7 @@
   quickCores: 0,
   streak: [],
   isQuarantined: false,
+  hasPassedProbe: false,
   quarantineOffset: -1,
   quarantineReason: '',
 };
--- a/packages/vanilladock/src/lib/ports/workers.ts
+++ b/packages/vanilladock/src/lib/ports/workers.ts
@@ -19,18 +19,22 @@
   /** Offset of the record that granted the lease; later leases have larger tokens. */
   readonly fencingToken: number;
   readonly durationMs: number;
-  /** Fencing token of the planner's claim; a worker refuses one older than the newest it has seen. */
+  /** The planner's duty; a lease is renewed only under the duty that started it. */
+  readonly duty: string;
+  /** Fencing token of the planner's claim; refused when older than the newest seen for the duty. */
   readonly plannerFence: number;
   /** The worker's report from whose making the duration counts; an unknown one is refused. */
   readonly reportId: string;
 }
 
-/** Renews every lease that a worker holds. */
+/** Renews every lease that a worker holds under a duty, each for its own duration. */
 export interface WorkerRenewal {
   readonly kind: 'renew-worker';
-  readonly durationMs: number;
+  readonly duty: string;
   readonly plannerFence: number;
   readonly reportId: string;
+  /** Tokens of leases whose outcomes are recorded; the worker need not report them any more. */
+  readonly settled: readonly number[];
 }
 
 /** A command to a worker. */
@@ -48,20 +52,22 @@
   readonly message: string;
 }
 
-/** What a worker reports of one task, some seconds late. */
+/** What a worker reports of one task, some seconds late, until its outcome is settled. */
 export interface TaskReport {
   readonly taskId: string;
   readonly fencingToken: number;
-  readonly phase: 'running' | 'checkpointed' | 'succeeded' | 'failed' | 'lapsed';
+  readonly phase: 'running' | 'checkpointed' | 'stopped' | 'succeeded' | 'failed' | 'lapsed';
   readonly used: Resources;
+  /** Share of its cores that the task may use; less than 1 while it is throttled. */
+  readonly share: number;
 }
 
 /** Everything that a worker reports at one moment. */
 export interface WorkerReport {
   /** Opaque name of this report, different after a restart of the worker. */
   readonly reportId: string;
-  /** Newest fencing token of a planner whose command the worker has obeyed; -1 for none. */
-  readonly plannerFence: number;
+  /** Newest fencing token of a planner whose command the worker has obeyed, for each duty. */
+  readonly plannerFences: Readonly<Record<string, number>>;
   readonly tasks: readonly TaskReport[];
 }
 
