Admit by weighted fair shares with return slots

Cause: a first-come queue lets one kind of work or one team take every place, and refused callers all came back after the same second.

Change: admission decides per service by start-time fair queueing over urgencies and teams, learns service times, refuses at arrival what its share cannot reach in half of its deadline, makes room from whoever holds most for its weight, and gives refused callers return slots at the rate of service. Quotas of teams are split by demand over entries.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -36,9 +36,8 @@
 
   const applyCapacity = (config: Config) =>
     config.services.forEach(({ name, pool }) => {
-      const { slots, queueLength } = resolveValues(config, { service: name, pool }, Date.now());
+      const { slots } = resolveValues(config, { service: name, pool }, Date.now());
       admission.setCapacity(name, table.listCandidates(name).length * slots);
-      admission.setQueueLength(queueLength);
     });
   const subscription = combineLatest([follower.config$, watcher.instances$]).subscribe(
     ([{ config }, instances]) => {
--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -11,6 +11,8 @@
  * ```
  */
 export * from './lib/admission/admission.js';
+export * from './lib/admission/core.js';
+export * from './lib/admission/request.js';
 export * from './lib/config/fold.js';
 export * from './lib/config/parse.js';
 export * from './lib/config/records.js';
--- a/packages/vanilladock/src/lib/admission/admission.ts
+++ b/packages/vanilladock/src/lib/admission/admission.ts
@@ -1,20 +1,13 @@
 /**
  * Admission of requests at one entry: a bounded number runs for each service, the others wait in a
- * bounded queue, and what cannot be served before its deadline is refused at once.
+ * bounded, weighted fair queue, and what cannot be served before its deadline is refused at once with
+ * the time at which to come back. Joins the decisions of the core to promises, timers and the clock.
  */
 import { Err, Ok, type Result } from 'ts-results-es';
-import type { Urgency } from '../config/schema.js';
+import { createRandom, type Random } from '../ports/random.js';
 import type { Failure } from '../verdict.js';
-
-/** What admission needs to know of a request. */
-export interface AdmissionRequest {
-  readonly id: string;
-  readonly service: string;
-  readonly team: string;
-  readonly urgency: Urgency;
-  /** On the monotonic clock, in milliseconds. */
-  readonly deadlineAtMs: number;
-}
+import { createAdmissionCore, type AdmissionReport, type Demand } from './core.js';
+import type { AdmissionRequest, Effect, Ticket } from './request.js';
 
 /** A place in service; released exactly once. */
 export interface Admittance {
@@ -30,86 +23,78 @@
   ) => Promise<Result<Admittance, Failure>>;
   /** Sets how many requests of a service this entry may run at once. */
   readonly setCapacity: (service: string, running: number) => void;
-  /** Sets how many requests of a service may wait. */
-  readonly setQueueLength: (length: number) => void;
-}
-
-interface Waiter {
-  readonly start: () => void;
-}
-
-interface ServiceQueue {
-  capacity: number;
-  running: number;
-  readonly waiting: Set<Waiter>;
+  /** Takes in what the other entries are asked, in requests a second by team, and their number. */
+  readonly setPeerDemand: (teams: ReadonlyMap<string, number>, peers: number) => void;
+  /** What this entry is asked, as told to its peers. */
+  readonly getDemand: () => Demand;
+  /** True while a service refuses callers for want of capacity; nothing is retried meanwhile. */
+  readonly isShedding: (service: string) => boolean;
+  readonly getStats: () => AdmissionReport;
 }
 
-const DEFAULT_QUEUE_LENGTH = 100;
+type Settle = (result: Result<Admittance, Failure>) => void;
 
-/** Builds the failure for a request that was given up while waiting. */
-function makeFailure(code: 'queue-full' | 'deadline-passed' | 'caller-left'): Failure {
-  const message = 'The request waited for a place and did not run; send it again later.';
-  return { code, verdict: 'not-run', message, retryAfterMs: 1000 };
-}
+const DEFAULT_SEED = 1;
 
 /** Creates the admission of one entry. */
-export function createAdmission(): Admission {
-  const queues = new Map<string, ServiceQueue>();
-  let queueLength = DEFAULT_QUEUE_LENGTH;
+export function createAdmission(random: Random = createRandom(DEFAULT_SEED)): Admission {
+  const core = createAdmissionCore(random);
+  const settles = new Map<Ticket, Settle>();
+  let timer: NodeJS.Timeout | undefined;
+  let timerAtMs = Infinity;
 
-  const getQueue = (service: string) => {
-    const queue = queues.get(service) ?? { capacity: 0, running: 0, waiting: new Set() };
-    queues.set(service, queue);
-    return queue;
-  };
-  const startWaiters = (queue: ServiceQueue) => {
-    for (const waiter of queue.waiting) {
-      if (queue.running >= queue.capacity) return;
-      queue.waiting.delete(waiter);
-      waiter.start();
+  const makeAdmittance = (ticket: Ticket): Admittance => ({
+    release: () => applyEffects(core.release(ticket, performance.now())),
+  });
+  const applyEffect = (effect: Effect) => {
+    const settle = settles.get(effect.ticket);
+    settles.delete(effect.ticket);
+    switch (effect.kind) {
+      case 'start':
+        return settle?.(Ok(makeAdmittance(effect.ticket)));
+      case 'refuse':
+        return settle?.(Err(effect.failure));
+      default:
+        return effect satisfies never;
     }
   };
-  const makeAdmittance = (queue: ServiceQueue): Admittance => {
-    let isReleased = false;
-    queue.running += 1;
-    const release = () => {
-      if (isReleased) return;
-      isReleased = true;
-      queue.running -= 1;
-      startWaiters(queue);
-    };
-    return { release };
+  const applyEffects = (effects: readonly Effect[]) => {
+    effects.forEach(applyEffect);
+  };
+  const handleTimer = () => {
+    timerAtMs = Infinity;
+    applyEffects(core.expire(performance.now()));
+    scheduleTimer();
+  };
+  const scheduleTimer = () => {
+    const nextMs = core.getNextDeadlineMs();
+    if (nextMs === undefined || nextMs >= timerAtMs) return;
+    clearTimeout(timer);
+    timerAtMs = nextMs;
+    timer = setTimeout(handleTimer, Math.max(0, nextMs - performance.now()));
+    timer.unref();
   };
 
   return {
-    admit: (request, signal) => {
-      const queue = getQueue(request.service);
-      if (queue.running < queue.capacity) return Promise.resolve(Ok(makeAdmittance(queue)));
-      if (queue.waiting.size >= queueLength) return Promise.resolve(Err(makeFailure('queue-full')));
-      return new Promise((resolve) => {
-        const waiter: Waiter = {
-          start: () => {
-            clearTimeout(timer);
-            resolve(Ok(makeAdmittance(queue)));
-          },
-        };
-        const giveUp = (code: 'deadline-passed' | 'caller-left') => {
-          clearTimeout(timer);
-          if (queue.waiting.delete(waiter)) resolve(Err(makeFailure(code)));
-        };
-        const waitMs = Math.max(0, request.deadlineAtMs - performance.now());
-        const timer = setTimeout(() => giveUp('deadline-passed'), waitMs);
-        signal.addEventListener('abort', () => giveUp('caller-left'), { once: true });
-        queue.waiting.add(waiter);
-      });
-    },
-    setCapacity: (service, running) => {
-      const queue = getQueue(service);
-      queue.capacity = running;
-      startWaiters(queue);
-    },
-    setQueueLength: (length) => {
-      queueLength = length;
-    },
+    admit: (request, signal) =>
+      new Promise((resolve) => {
+        const { ticket, effects } = core.arrive(request, performance.now());
+        const handleAbort = () => applyEffects(core.leave(ticket, performance.now()));
+        settles.set(ticket, (result) => {
+          signal.removeEventListener('abort', handleAbort);
+          resolve(result);
+        });
+        applyEffects(effects);
+        if (ticket.state !== 'waiting') return;
+        if (signal.aborted) handleAbort();
+        else signal.addEventListener('abort', handleAbort, { once: true });
+        scheduleTimer();
+      }),
+    setCapacity: (service, running) =>
+      applyEffects(core.setPlaces(service, running, performance.now())),
+    setPeerDemand: core.setPeerDemand,
+    getDemand: () => core.getDemand(performance.now()),
+    isShedding: (service) => core.isShedding(service, performance.now()),
+    getStats: () => core.getReport(performance.now()),
   };
 }
