Exchange heartbeats and demand among entries, compare ways to share slots

Cause: entries cannot hold shares of slots or quotas without knowing of one another.

Change: heartbeats over UDP with truncated HMAC, replay guard by epochs and sequence numbers, demand by service and changed demand by team; pure membership; shares of slots in proportion to demand, dealt over the upstream processes; drivers for the measures herd and slots.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -34,10 +34,15 @@
   const admission = createAdmission();
   let isDraining = false;
 
+  const countEntries = () =>
+    Math.max(1, watcher.getInstances().filter(({ role }) => role === 'entry').length);
   const applyCapacity = (config: Config) =>
     config.services.forEach(({ name, pool }) => {
       const { slots } = resolveValues(config, { service: name, pool }, Date.now());
-      admission.setCapacity(name, table.listCandidates(name).length * slots);
+      admission.setCapacity(
+        name,
+        Math.round((table.listCandidates(name).length * slots) / countEntries()),
+      );
     });
   const subscription = combineLatest([follower.config$, watcher.instances$]).subscribe(
     ([{ config }, instances]) => {
--- /dev/null
+++ b/packages/daemon/src/lib/peers/peer-exchange-codec.ts
@@ -0,0 +1,131 @@
+/**
+ * Datagrams of the peer exchange: a msgpack array followed by a truncated HMAC-SHA256 under the key of
+ * the settings. Services are told in the order of their names and teams by a hash, so that a datagram
+ * stays within some hundred bytes; demand of teams has steps of about 4 %.
+ */
+import { createHmac, timingSafeEqual } from 'node:crypto';
+import murmur from 'imurmurhash';
+import { Packr } from 'msgpackr';
+import type { Heartbeat, TeamDemand } from 'vanilladock';
+import { z } from 'zod';
+
+/** What one datagram carries. */
+export interface PeerDatagram {
+  readonly heartbeat: Heartbeat;
+  /** Demand of some teams by the hash of their names, in requests a second. */
+  readonly teams: ReadonlyMap<number, number>;
+}
+
+/** Encodes and decodes datagrams for the services now configured. */
+export interface PeerCodec {
+  readonly encode: (heartbeat: Heartbeat, teams: readonly TeamDemand[]) => Buffer;
+  /** Decodes a datagram; undefined when its authentication or its form is wrong. */
+  readonly decode: (datagram: Buffer) => PeerDatagram | undefined;
+  readonly setServices: (services: readonly string[]) => void;
+}
+
+const MAC_BYTES = 8;
+const TEAM_BYTES = 4;
+const HASH_BITS = 24;
+const STEPS_PER_DOUBLING = 16;
+const STEPS_FROM_PER_SECOND = 0.25;
+const MAX_CODE = 255;
+const WIRE_VERSION = 1;
+const SERVICES_HASH_MASK = 0xffff;
+
+const COUNT = z.number().int().min(0);
+const fieldsSchema = z.tuple([
+  z.literal(WIRE_VERSION),
+  z.string().min(1),
+  COUNT,
+  COUNT,
+  COUNT,
+  z.boolean(),
+  z.number().int(),
+  COUNT,
+  z.tuple([COUNT], COUNT),
+  z.instanceof(Buffer),
+]);
+
+/** Computes the hash by which datagrams name a team. */
+export function computeTeamHash(team: string): number {
+  return murmur(team).result() >>> (32 - HASH_BITS);
+}
+
+/** Encodes a rate in one byte on a logarithmic scale. */
+function encodeRate(perSecond: number): number {
+  const code = Math.round(STEPS_PER_DOUBLING * Math.log2(1 + perSecond / STEPS_FROM_PER_SECOND));
+  return Math.min(MAX_CODE, code);
+}
+
+/** Decodes a rate. */
+function decodeRate(code: number): number {
+  return (2 ** (code / STEPS_PER_DOUBLING) - 1) * STEPS_FROM_PER_SECOND;
+}
+
+/** Encodes the demand of teams. */
+function encodeTeams(teams: readonly TeamDemand[]): Buffer {
+  const bytes = Buffer.alloc(teams.length * TEAM_BYTES);
+  teams.forEach(({ team, perSecond }, index) => {
+    bytes.writeUIntBE(computeTeamHash(team), index * TEAM_BYTES, TEAM_BYTES - 1);
+    bytes.writeUInt8(encodeRate(perSecond), index * TEAM_BYTES + TEAM_BYTES - 1);
+  });
+  return bytes;
+}
+
+/** Decodes the demand of teams. */
+function decodeTeams(bytes: Buffer): ReadonlyMap<number, number> {
+  const count = Math.floor(bytes.length / TEAM_BYTES);
+  return new Map(
+    Array.from({ length: count }, (_, index) => {
+      const at = index * TEAM_BYTES;
+      const hash = bytes.readUIntBE(at, TEAM_BYTES - 1);
+      return [hash, decodeRate(bytes.readUInt8(at + TEAM_BYTES - 1))] as const;
+    }),
+  );
+}
+
+/** Creates the codec of the entries that share a key. */
+export function createPeerCodec(key: string): PeerCodec {
+  const packr = new Packr();
+  let services: readonly string[] = [];
+  let servicesHash = 0;
+
+  const computeMac = (body: Buffer) =>
+    createHmac('sha256', key).update(body).digest().subarray(0, MAC_BYTES);
+  const isAuthentic = (datagram: Buffer) => {
+    if (datagram.length <= MAC_BYTES) return false;
+    const mac = computeMac(datagram.subarray(0, -MAC_BYTES));
+    return timingSafeEqual(datagram.subarray(-MAC_BYTES), mac);
+  };
+  /** Reads demand in the order of the services; only under the hash of that order. */
+  const decodeDemand = ([hash, ...counts]: readonly number[]) =>
+    hash === servicesHash
+      ? new Map(services.map((name, index) => [name, counts[index] ?? 0]))
+      : new Map<string, number>();
+
+  return {
+    setServices: (names) => {
+      services = [...names].sort();
+      servicesHash = murmur(services.join(' ')).result() & SERVICES_HASH_MASK;
+    },
+    encode: (heartbeat, teams) => {
+      const { id, epoch, receiverEpoch, sequence, isLeaving, appliedOffset, digest } = heartbeat;
+      const counts = services.map((name) => heartbeat.demand.get(name) ?? 0);
+      const head = [WIRE_VERSION, id, epoch, receiverEpoch, sequence, isLeaving];
+      const demand = [servicesHash, ...counts];
+      const body = packr.pack([...head, appliedOffset, digest, demand, encodeTeams(teams)]);
+      return Buffer.concat([body, computeMac(body)]);
+    },
+    decode: (datagram) => {
+      if (!isAuthentic(datagram)) return undefined;
+      const fields = fieldsSchema.safeParse(packr.unpack(datagram.subarray(0, -MAC_BYTES)));
+      if (!fields.success) return undefined;
+      const [, id, epoch, receiverEpoch, sequence, isLeaving, appliedOffset, digest, ...rest] =
+        fields.data;
+      const head = { id, epoch, receiverEpoch, sequence, isLeaving, appliedOffset, digest };
+      const heartbeat = { ...head, demand: decodeDemand(rest[0]) };
+      return { heartbeat, teams: decodeTeams(rest[1]) };
+    },
+  };
+}
--- a/packages/daemon/src/lib/request/classify.ts
+++ b/packages/daemon/src/lib/request/classify.ts
@@ -5,7 +5,7 @@
 import { randomUUID } from 'node:crypto';
 import type { IncomingMessage } from 'node:http';
 import { Err, Ok, type Result } from 'ts-results-es';
-import { resolveValues, type Config, type Failure } from 'vanilladock';
+import { resolveValues, URGENCIES, type Config, type Failure, type Urgency } from 'vanilladock';
 import { HEADERS, type RequestContext } from './context.js';
 
 const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
@@ -23,6 +23,12 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+/** Reads the urgency that a request names; undefined when it names none that is known. */
+function getUrgency(request: IncomingMessage): Urgency | undefined {
+  const named = getHeader(request, HEADERS.urgency);
+  return URGENCIES.find((urgency) => urgency === named);
+}
+
 /** Builds the failure for a request that names no known service or team. */
 function makeUnknown(what: string): Failure {
   const message = `There is no ${what}; correct the request.`;
@@ -48,7 +54,7 @@
     id: getHeader(request, HEADERS.requestId) ?? randomUUID(),
     service: service.name,
     team,
-    urgency: service.urgency,
+    urgency: getUrgency(request) ?? service.urgency,
     isIdempotent:
       IDEMPOTENT_METHODS.has(request.method ?? '') ||
       getHeader(request, HEADERS.idempotent) === 'true',
--- a/packages/daemon/src/lib/request/context.ts
+++ b/packages/daemon/src/lib/request/context.ts
@@ -4,6 +4,7 @@
 /** Request and answer headers of the entry, in lower case. */
 export const HEADERS = {
   team: 'vanilladock-team',
+  urgency: 'vanilladock-urgency',
   requestId: 'vanilladock-request-id',
   idempotent: 'vanilladock-idempotent',
   deadlineMs: 'vanilladock-deadline-ms',
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,5 +1,7 @@
 /** All measurements, in the order in which they are listed. */
+import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
+import { SLOTS_MEASURE } from './slots.js';
 
 /** The measurements. */
-export const MEASURES: readonly Measure[] = [];
+export const MEASURES: readonly Measure[] = [HERD_MEASURE, SLOTS_MEASURE];
--- /dev/null
+++ b/packages/measure/src/lib/slots-driver.ts
@@ -0,0 +1,211 @@
+/**
+ * Discrete-event driver for the ways of sharing upstream slots among entries: callers arrive at
+ * entries, entries send to processes by a policy, processes queue what exceeds their slots.
+ */
+import { Heap } from 'mnemonist';
+import { createRandom, type Random } from 'vanilladock';
+
+/** One process as the driver knows it. */
+export interface SlotProcess {
+  readonly id: string;
+  readonly slowness: number;
+  busy: number;
+  readonly queue: SlotRequest[];
+}
+
+/** One entry as the driver knows it. */
+export interface SlotEntry {
+  readonly id: string;
+  isLive: boolean;
+  running: number;
+  /** Requests of this entry in progress, by process id. */
+  readonly inFlight: Map<string, number>;
+  readonly queue: SlotRequest[];
+}
+
+/** One request. */
+export interface SlotRequest {
+  readonly arrivedAtMs: number;
+  sentAtMs: number;
+  startedAtMs: number;
+}
+
+/** The fleet that a policy sees; policies read only what an entry could know. */
+export interface SlotFleet {
+  readonly entries: readonly SlotEntry[];
+  readonly processes: readonly SlotProcess[];
+  readonly random: Random;
+}
+
+/** A way of sharing slots. */
+export interface SlotPolicy {
+  readonly name: string;
+  /** Exchanges demand; called once a second. */
+  readonly exchange: (fleet: SlotFleet) => void;
+  /** Picks the process for an entry's next request; undefined while it must wait at the entry. */
+  readonly choose: (entry: SlotEntry, fleet: SlotFleet) => SlotProcess | undefined;
+}
+
+/** A load case. */
+export interface SlotCase {
+  readonly name: string;
+  /** Offered load as a part of capacity. */
+  readonly load: number;
+  /** Part of the callers that the first entry gets. */
+  readonly firstShare: number;
+  /** Times, as parts of the run, at which the last entry leaves and joins again. */
+  readonly leaveAt?: number;
+  readonly joinAt?: number;
+  /** How many times slower the first process is. */
+  readonly slowness: number;
+}
+
+/** What a run gave. */
+export interface SlotFigures {
+  /** Served, as a part of what could be served. */
+  readonly goodput: number;
+  /** Time of slots idle while a request waited, at an entry or at another process, as a part. */
+  readonly lost: number;
+  /** 99th percentile of the time spent in a process's queue, in milliseconds. */
+  readonly upstreamWaitP99Ms: number;
+  /** 99th percentile of all waiting, in milliseconds. */
+  readonly waitP99Ms: number;
+}
+
+interface Event {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+const ENTRIES = 6;
+const PROCESSES = 7;
+const SLOTS = 8;
+const SERVICE_MS = 100;
+const RUN_MS = 60_000;
+const EXCHANGE_MS = 1_000;
+
+/** Draws an exponential time with a mean. */
+function pickExponential(random: Random, mean: number): number {
+  return -mean * Math.log(1 - random());
+}
+
+/** Computes a quantile of some values; 0 without values. */
+function computeQuantile(values: number[], quantile: number): number {
+  values.sort((a, b) => a - b);
+  return values[Math.floor(values.length * quantile)] ?? 0;
+}
+
+/** Makes the fleet of a case. */
+function makeFleet({ slowness }: SlotCase, random: Random): SlotFleet {
+  const entries = Array.from({ length: ENTRIES }, (_, index) => ({
+    id: `entry-${index}`,
+    isLive: true,
+    running: 0,
+    inFlight: new Map<string, number>(),
+    queue: [],
+  }));
+  const processes = Array.from({ length: PROCESSES }, (_, index) => ({
+    id: `process-${index}`,
+    slowness: index === 0 ? slowness : 1,
+    busy: 0,
+    queue: [],
+  }));
+  return { entries, processes, random };
+}
+
+/** Runs a case under a policy. */
+export function runSlotCase(policy: SlotPolicy, slotCase: SlotCase, seed: number): SlotFigures {
+  const random = createRandom(seed);
+  const fleet = makeFleet(slotCase, random);
+  const { entries, processes } = fleet;
+  const events = new Heap<Event>((a, b) => a.atMs - b.atMs);
+  const ended: SlotRequest[] = [];
+  const speed = processes.reduce((sum, { slowness }) => sum + 1 / slowness, 0);
+  const capacityPerMs = (speed * SLOTS) / SERVICE_MS;
+  let nowMs = 0;
+  let lostSlotMs = 0;
+
+  const schedule = (atMs: number, run: () => void) => events.push({ atMs, run });
+  const runNext = (process: SlotProcess, entry: SlotEntry, request: SlotRequest) => {
+    process.busy += 1;
+    request.startedAtMs = nowMs;
+    const workMs = pickExponential(random, SERVICE_MS * process.slowness);
+    schedule(nowMs + workMs, () => handleEnd(process, entry, request));
+  };
+  const owners = new Map<SlotRequest, SlotEntry>();
+  const handleEnd = (process: SlotProcess, entry: SlotEntry, request: SlotRequest) => {
+    ended.push(request);
+    process.busy -= 1;
+    entry.running -= 1;
+    entry.inFlight.set(process.id, (entry.inFlight.get(process.id) ?? 0) - 1);
+    const next = process.queue.shift();
+    const owner = next === undefined ? undefined : owners.get(next);
+    if (next !== undefined && owner !== undefined) runNext(process, owner, next);
+    sendWaiting(entry);
+  };
+  const sendWaiting = (entry: SlotEntry) => {
+    while (entry.queue.length > 0) {
+      const process = policy.choose(entry, fleet);
+      if (process === undefined) return;
+      const request = entry.queue.shift();
+      if (request === undefined) return;
+      request.sentAtMs = nowMs;
+      entry.running += 1;
+      entry.inFlight.set(process.id, (entry.inFlight.get(process.id) ?? 0) + 1);
+      owners.set(request, entry);
+      if (process.busy < SLOTS) runNext(process, entry, request);
+      else process.queue.push(request);
+    }
+  };
+  const pickEntry = () => {
+    const live = entries.filter(({ isLive }) => isLive);
+    const [first] = live;
+    if (random() < slotCase.firstShare) return first;
+    return live[Math.floor(random() * live.length)];
+  };
+  const handleArrival = () => {
+    const entry = pickEntry();
+    entry?.queue.push({ arrivedAtMs: nowMs, sentAtMs: 0, startedAtMs: 0 });
+    if (entry !== undefined) sendWaiting(entry);
+    const gapMs = pickExponential(random, 1 / (capacityPerMs * slotCase.load));
+    if (nowMs + gapMs < RUN_MS) schedule(nowMs + gapMs, handleArrival);
+  };
+  const handleExchange = () => {
+    policy.exchange(fleet);
+    entries.forEach(sendWaiting);
+    if (nowMs + EXCHANGE_MS < RUN_MS) schedule(nowMs + EXCHANGE_MS, handleExchange);
+  };
+  const setLast = (isLive: boolean) => {
+    const last = entries.at(-1);
+    if (last !== undefined) last.isLive = isLive;
+  };
+  const addLost = (elapsedMs: number) => {
+    const waiting = [...entries, ...processes].reduce((sum, { queue }) => sum + queue.length, 0);
+    const idle = processes.reduce((sum, { busy }) => sum + SLOTS - busy, 0);
+    lostSlotMs += Math.min(waiting, idle) * elapsedMs;
+  };
+
+  schedule(0, handleExchange);
+  schedule(0, handleArrival);
+  if (slotCase.leaveAt !== undefined) schedule(slotCase.leaveAt * RUN_MS, () => setLast(false));
+  if (slotCase.joinAt !== undefined) schedule(slotCase.joinAt * RUN_MS, () => setLast(true));
+  for (let event = events.pop(); event !== undefined; event = events.pop()) {
+    if (event.atMs >= RUN_MS) break;
+    addLost(event.atMs - nowMs);
+    nowMs = event.atMs;
+    event.run();
+  }
+  const possible = RUN_MS * capacityPerMs * Math.min(1, slotCase.load);
+  return {
+    goodput: ended.length / possible,
+    lost: lostSlotMs / (RUN_MS * PROCESSES * SLOTS),
+    upstreamWaitP99Ms: computeQuantile(
+      ended.map(({ sentAtMs, startedAtMs }) => startedAtMs - sentAtMs),
+      0.99,
+    ),
+    waitP99Ms: computeQuantile(
+      ended.map(({ arrivedAtMs, startedAtMs }) => startedAtMs - arrivedAtMs),
+      0.99,
+    ),
+  };
+}
--- /dev/null
+++ b/packages/measure/src/lib/slots.ts
@@ -0,0 +1,158 @@
+/**
+ * Measurement `slots`: ways of sharing 8 slots a process among entries, compared in simulated time
+ * over cases of load. docs/design/003-slots.md holds the table.
+ */
+import { chooseUpstream, computeSlotShares, spreadSlots } from 'vanilladock';
+import type { Figures, Measure } from './measure.js';
+import {
+  runSlotCase,
+  type SlotCase,
+  type SlotEntry,
+  type SlotFleet,
+  type SlotPolicy,
+} from './slots-driver.js';
+
+const SLOTS = 8;
+
+const CASES: readonly SlotCase[] = [
+  { name: 'even', load: 1.1, firstShare: 0, slowness: 1 },
+  { name: 'calm', load: 0.8, firstShare: 0, slowness: 1 },
+  { name: 'skewed', load: 0.9, firstShare: 0.6, slowness: 1 },
+  { name: 'churn', load: 0.95, firstShare: 0, leaveAt: 0.3, joinAt: 0.7, slowness: 1 },
+  { name: 'slow', load: 0.95, firstShare: 0, slowness: 5 },
+];
+
+/** Picks the less loaded of two processes, by the entry's own counts. */
+function chooseOfTwo(entry: SlotEntry, { processes, random }: SlotFleet) {
+  const candidates = processes.map((process) => ({
+    id: process.id,
+    address: '',
+    inFlight: entry.inFlight.get(process.id) ?? 0,
+    process,
+  }));
+  return chooseUpstream(candidates, random)?.process;
+}
+
+/** Lists the demand of the live entries. */
+function listDemand({ entries }: SlotFleet) {
+  return entries
+    .filter(({ isLive }) => isLive)
+    .map(({ id, running, queue }) => ({ id, demand: running + queue.length }));
+}
+
+/** Makes the policy of equal shares among the configured entries. */
+function makeEqualPolicy(): SlotPolicy {
+  return {
+    name: 'equal',
+    exchange: () => {},
+    choose: (entry, fleet) => {
+      const limit = (fleet.processes.length * SLOTS) / fleet.entries.length;
+      return entry.running < Math.round(limit) ? chooseOfTwo(entry, fleet) : undefined;
+    },
+  };
+}
+
+/** Makes the policy of power of two choices without limits. */
+function makeOpenPolicy(): SlotPolicy {
+  return { name: 'two', exchange: () => {}, choose: chooseOfTwo };
+}
+
+/** Makes the policy in which each entry has a part of the processes, with whole slots. */
+function makeSubsetPolicy(): SlotPolicy {
+  const SUBSET = 3;
+  return {
+    name: 'subset',
+    exchange: () => {},
+    choose: (entry, fleet) => {
+      const index = fleet.entries.indexOf(entry);
+      const count = fleet.processes.length;
+      const start = Math.floor((index * count) / fleet.entries.length);
+      const sharers = (fleet.entries.length * SUBSET) / count;
+      const limit = Math.round(SLOTS / sharers);
+      const own = Array.from({ length: SUBSET }, (_, at) => fleet.processes[(start + at) % count]);
+      return own
+        .filter((process) => process !== undefined)
+        .filter(({ id }) => (entry.inFlight.get(id) ?? 0) < limit)
+        .sort((a, b) => (entry.inFlight.get(a.id) ?? 0) - (entry.inFlight.get(b.id) ?? 0))[0];
+    },
+  };
+}
+
+/** Makes the policy of shares in proportion to demand, each over all processes. */
+function makeDemandPolicy(): SlotPolicy {
+  let shares: ReadonlyMap<string, number> = new Map();
+  return {
+    name: 'demand',
+    exchange: (fleet) => {
+      shares = computeSlotShares('s', fleet.processes.length * SLOTS, listDemand(fleet));
+    },
+    choose: (entry, fleet) =>
+      entry.running < (shares.get(entry.id) ?? 1) ? chooseOfTwo(entry, fleet) : undefined,
+  };
+}
+
+/** Makes the policy of shares in proportion to demand, dealt over the processes. */
+function makeDealtPolicy(name: string, headroom: number, weight = 1): SlotPolicy {
+  const smooth = new Map<string, number>();
+  let shares: ReadonlyMap<string, number> = new Map();
+  const dealt = new Map<string, ReadonlyMap<string, number>>();
+  return {
+    name,
+    exchange: (fleet) => {
+      const ids = fleet.processes.map(({ id }) => id);
+      const demands = listDemand(fleet).map(({ id, demand }) => {
+        const before = smooth.get(id) ?? demand;
+        smooth.set(id, before + weight * (demand - before));
+        return { id, demand: smooth.get(id) ?? demand };
+      });
+      shares = computeSlotShares('s', ids.length * SLOTS, demands);
+      fleet.entries.forEach(({ id }) => dealt.set(id, spreadSlots(shares, id, ids)));
+    },
+    choose: (entry, { processes }) => {
+      const share = shares.get(entry.id) ?? 1;
+      if (entry.running >= Math.ceil(share * (1 + headroom))) return undefined;
+      const countFree = (id: string) =>
+        (dealt.get(entry.id)?.get(id) ?? 0) - (entry.inFlight.get(id) ?? 0);
+      return processes
+        .filter(({ id }) => countFree(id) > (headroom > 0 ? -1 : 0))
+        .sort((a, b) => countFree(b.id) - countFree(a.id))[0];
+    },
+  };
+}
+
+const POLICIES = [
+  makeEqualPolicy,
+  makeOpenPolicy,
+  makeSubsetPolicy,
+  makeDemandPolicy,
+  () => makeDealtPolicy('dealt', 0),
+  () => makeDealtPolicy('dealtS3', 0, 0.3),
+  () => makeDealtPolicy('dealtS1', 0, 0.1),
+  () => makeDealtPolicy('dealt25S1', 0.25, 0.1),
+  () => makeDealtPolicy('dealt50', 0.5),
+];
+
+/** Runs all policies over all cases. */
+export function compareSlotPolicies(seed: number): Figures {
+  const figures = POLICIES.flatMap((makePolicy) =>
+    CASES.flatMap((slotCase) => {
+      const policy = makePolicy();
+      const result = runSlotCase(policy, slotCase, seed);
+      const prefix = `${policy.name}_${slotCase.name}`;
+      return [
+        [`${prefix}_goodput`, result.goodput],
+        [`${prefix}_lost`, result.lost],
+        [`${prefix}_upstream_wait_p99_ms`, result.upstreamWaitP99Ms],
+        [`${prefix}_wait_p99_ms`, result.waitP99Ms],
+      ] as const;
+    }),
+  );
+  return Object.fromEntries(figures.map(([key, value]) => [key, Number(value.toFixed(4))]));
+}
+
+/** The measurement `slots`. */
+export const SLOTS_MEASURE: Measure = {
+  name: 'slots',
+  describe: 'ways of sharing upstream slots among entries, in simulated time',
+  run: ({ seed }) => Promise.resolve(compareSlotPolicies(seed)),
+};
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,6 +8,7 @@
  * await log.close();
  * ```
  */
+export * from './lib/caller.js';
 export * from './lib/instance-server.js';
 export * from './lib/json-server.js';
 export * from './lib/log-server.js';
--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -13,6 +13,7 @@
 export * from './lib/admission/admission.js';
 export * from './lib/admission/core.js';
 export * from './lib/admission/request.js';
+export * from './lib/admission/slot-shares.js';
 export * from './lib/config/fold.js';
 export * from './lib/config/parse.js';
 export * from './lib/config/records.js';
@@ -22,6 +23,9 @@
 export * from './lib/log/codec.js';
 export * from './lib/log/record.js';
 export * from './lib/maintenance/records.js';
+export * from './lib/membership/fleet-demand.js';
+export * from './lib/membership/membership.js';
+export * from './lib/membership/usage-report.js';
 export * from './lib/placement/records.js';
 export * from './lib/pools/records.js';
 export * from './lib/ports/instance-list.js';
