--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,4 +12,5 @@
 export * from './lib/instance-server.js';
 export * from './lib/json-server.js';
 export * from './lib/log-server.js';
+export * from './lib/pool-server.js';
 export * from './lib/upstream.js';
