--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -11,6 +11,9 @@
  * ```
  */
 export * from './lib/admission/admission.js';
+export * from './lib/admission/core.js';
+export * from './lib/admission/request.js';
+export * from './lib/admission/slot-shares.js';
 export * from './lib/config/fold.js';
 export * from './lib/config/parse.js';
 export * from './lib/config/records.js';
@@ -30,6 +33,9 @@
 export * from './lib/maintenance/policy.js';
 export * from './lib/maintenance/records.js';
 export * from './lib/maintenance/waves.js';
+export * from './lib/membership/fleet-demand.js';
+export * from './lib/membership/membership.js';
+export * from './lib/membership/usage-report.js';
 export * from './lib/placement/records.js';
 export * from './lib/pools/barrier.js';
 export * from './lib/pools/fences.js';
