Prove verdicts and hold whole answers on the request path

Cause: the first path took a kept agent of Node, so a request could go out on a connection that had timed out, a cut answer could pass for a short one, and the verdict was guessed from the connect event.

Change: connections of our own per upstream, one request on each at a time and destroyed on any end but a whole answer; not-run only when no byte was handed to the connection or the upstream said so; bodies held up to 64 KiB for a retry and streamed beyond; a retry budget; health and departure of upstreams as pure folds; a caller's server that refuses odd framing, upgrades and CONNECT with codes; drain with notice; log lines written once a turn; a clear error and exit code 3 for a port in use.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -2,7 +2,6 @@
  * One entry: joins the log follower, the instance watcher, admission and the request path, and owns
  * their life from start to graceful stop.
  */
-import { createServer } from 'node:http';
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
 import { startInstanceWatcher } from './instance-watcher.js';
@@ -11,9 +10,10 @@
 import { createOperatorServer } from './operators/operator-server.js';
 import { createInstanceClient } from './platform/instance-client.js';
 import { createLogClient } from './platform/log-client.js';
+import { createCallerServer } from './request/caller-server.js';
 import { createForward } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
-import { closeServer, openServer } from './servers.js';
+import { closeServer, openServer, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable } from './upstream-table.js';
 
@@ -25,25 +25,36 @@
   readonly stop: () => Promise<void>;
 }
 
+/** Shares an upstream's connections among the live entries, in whole connections, at least one. */
+function countConnectionShare(connections: number, liveEntries: number): number {
+  return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
+}
+
 /** Starts an entry. Rejects when an address cannot be bound. */
 export async function startEntry(settings: Settings): Promise<Entry> {
   const log = createJsonLog(settings);
   const follower = startLogFollower(createLogClient(settings.platform.log), log);
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
   const table = createUpstreamTable();
+  const forward = createForward();
   const admission = createAdmission();
   let isDraining = false;
 
   const applyCapacity = (config: Config) =>
     config.services.forEach(({ name, pool }) => {
-      const { slots, queueLength } = resolveValues(config, { service: name, pool }, Date.now());
+      const values = resolveValues(config, { service: name, pool }, Date.now());
+      const { slots, queueLength } = values;
+      table.setLimits(name, values);
       admission.setCapacity(name, table.listCandidates(name).length * slots);
       admission.setQueueLength(queueLength);
     });
   const subscription = combineLatest([follower.config$, watcher.instances$]).subscribe(
     ([{ config }, instances]) => {
       table.setInstances(instances);
-      if (config !== undefined) applyCapacity(config);
+      if (config === undefined) return;
+      applyCapacity(config);
+      const entries = instances.filter(({ role, state }) => role === 'entry' && state === 'live');
+      forward.setConnectionLimit(countConnectionShare(config.defaults.connections, entries.length));
     },
   );
   const handleRequest = createRequestHandler({
@@ -52,11 +63,12 @@
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
     admission,
-    forward: createForward(),
+    isDraining: () => isDraining,
+    forward,
     random: createRandom(process.pid),
     log,
   });
-  const callers = createServer((request, response) => void handleRequest(request, response));
+  const callers = createCallerServer((request, response) => void handleRequest(request, response));
   const operators = createOperatorServer({
     key: settings.key,
     isReady: () => !isDraining && follower.getConfig().config !== undefined,
@@ -70,11 +82,14 @@
 
   const stop = async () => {
     isDraining = true;
+    log.info({ event: 'draining', noticeMs: settings.drainNoticeMs });
+    await waitMs(settings.drainNoticeMs);
     await closeServer(callers, settings.drainLimitMs);
     await closeServer(operators, 0);
     subscription.unsubscribe();
     follower.stop();
     watcher.stop();
+    forward.close();
     log.info({ event: 'stopped' });
   };
   return { addresses, stop };
--- a/packages/daemon/src/lib/main.ts
+++ b/packages/daemon/src/lib/main.ts
@@ -7,6 +7,7 @@
 import { parseSettings } from './settings.js';
 
 const EXIT_BAD_INPUT = 2;
+const EXIT_CANNOT_START = 3;
 
 /** Starts a daemon from a settings file and stops it gracefully on SIGTERM or SIGINT. */
 async function serveEntry(path: string): Promise<void> {
@@ -18,7 +19,10 @@
     process.exitCode = EXIT_BAD_INPUT;
     return;
   }
-  const entry = await startEntry(settings.value);
+  const entry = await startEntry(settings.value).catch((error: Error) => {
+    process.stderr.write(`${error.message}\n`);
+    return process.exit(EXIT_CANNOT_START);
+  });
   const handleSignal = () => void entry.stop();
   process.once('SIGTERM', handleSignal);
   process.once('SIGINT', handleSignal);
--- /dev/null
+++ b/packages/daemon/src/lib/request/guard.ts
@@ -0,0 +1,90 @@
+/**
+ * Guards a request from admission to its end: the first of a passed deadline, a caller that left and
+ * a body that is too large or cut stops whatever is in progress.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Failure, Verdict } from 'vanilladock';
+import type { RequestBody } from './request-body.js';
+
+/** Why a request was stopped. */
+export type StopReason = 'deadline-passed' | 'caller-left' | 'body-too-large';
+
+/** A guard over one request. */
+export interface Guard {
+  readonly getReason: () => StopReason | undefined;
+  /** Sets what stops the step in progress; replaces the step before. */
+  readonly setHandler: (handle: () => void) => void;
+  /** Ends the guard when the request is over. */
+  readonly release: () => void;
+}
+
+/** Says whether a caller's connection has closed. */
+function hasCallerLeft(incoming: IncomingMessage, response: ServerResponse): boolean {
+  return response.closed || incoming.socket.destroyed;
+}
+
+/** Creates the guard of a request whose deadline is on the monotonic clock, in milliseconds. */
+export function createGuard(
+  incoming: IncomingMessage,
+  response: ServerResponse,
+  body: RequestBody,
+  deadlineAtMs: number,
+): Guard {
+  let reason: StopReason | undefined = hasCallerLeft(incoming, response)
+    ? 'caller-left'
+    : undefined;
+  let handleStop = () => {};
+  const stop = (cause: StopReason) => {
+    if (reason !== undefined) return;
+    reason = cause;
+    handleStop();
+  };
+  const handleClose = () => stop('caller-left');
+  const timer = setTimeout(
+    () => stop('deadline-passed'),
+    Math.max(0, deadlineAtMs - performance.now()),
+  );
+  response.once('close', handleClose);
+  body.setFaultHandler((fault) => stop(fault === 'cut' ? 'caller-left' : 'body-too-large'));
+  return {
+    getReason: () => reason,
+    setHandler: (handle) => {
+      handleStop = handle;
+    },
+    release: () => {
+      handleStop = () => {};
+      clearTimeout(timer);
+      response.off('close', handleClose);
+    },
+  };
+}
+
+/** Builds the failure of a stopped request; `verdict` says how far it had come. */
+export function makeStopFailure(reason: StopReason, verdict: Verdict): Failure {
+  switch (reason) {
+    case 'deadline-passed':
+      return verdict === 'not-run'
+        ? {
+            code: 'deadline-passed',
+            verdict,
+            message: 'The deadline passed before the request was sent; send it again later.',
+            retryAfterMs: 1000,
+          }
+        : {
+            code: 'upstream-timeout',
+            verdict,
+            message:
+              'The deadline passed while the upstream had the request; find out whether it ran before sending it again.',
+          };
+    case 'caller-left':
+      return { code: 'caller-left', verdict, message: 'The caller closed its connection.' };
+    case 'body-too-large':
+      return {
+        code: 'body-too-large',
+        verdict,
+        message: 'The body is longer than the service takes; send a shorter one.',
+      };
+    default:
+      return reason satisfies never;
+  }
+}
--- a/packages/daemon/src/lib/request/handler.ts
+++ b/packages/daemon/src/lib/request/handler.ts
@@ -6,29 +6,46 @@
 import {
   chooseUpstream,
   type Admission,
-  type Candidate,
   type Config,
   type Failure,
   type Random,
 } from 'vanilladock';
 import type { JsonLog } from '../json-log.js';
+import type { Observation, UpstreamCandidate } from '../upstream-table.js';
 import { answerFailure } from './answer.js';
 import { classifyRequest } from './classify.js';
 import type { RequestContext } from './context.js';
-import type { Forward } from './forward.js';
+import type { Forward, ForwardResult } from './forward.js';
+import { createGuard, makeStopFailure, type Guard } from './guard.js';
+import { buildRequestHeaders } from './headers.js';
+import { createRequestBody, type RequestBody } from './request-body.js';
+import { createRetryFilter } from './retry.js';
 
 /** What the request path needs from the daemon. */
 export interface RequestPorts {
   readonly getConfig: () => Config | undefined;
-  readonly listCandidates: (service: string) => readonly Candidate[];
+  readonly listCandidates: (service: string) => readonly UpstreamCandidate[];
   readonly observeStart: (upstreamId: string) => void;
-  readonly observeEnd: (upstreamId: string, failure: Failure | undefined) => void;
+  readonly observeEnd: (upstreamId: string, observation: Observation) => void;
   readonly admission: Admission;
+  /** Whether a service refuses work for lack of capacity; nothing is retried then. */
+  readonly isShedding?: (service: string) => boolean;
+  /** Whether this entry is about to stop, so that callers are told to reconnect elsewhere. */
+  readonly isDraining?: () => boolean;
   readonly forward: Forward;
   readonly random: Random;
   readonly log: JsonLog;
 }
 
+/** One request on its way through the filters. */
+interface RoutedRequest {
+  readonly context: RequestContext;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: RequestBody;
+  readonly guard: Guard;
+}
+
 const NOT_READY: Failure = {
   code: 'not-ready',
   verdict: 'not-run',
@@ -43,48 +60,111 @@
   retryAfterMs: 1000,
 };
 
+/** Keeps the doubt of an earlier attempt: what may have run stays so, whatever came after. */
+function mergeFailures(earlier: Failure | undefined, later: Failure): Failure {
+  return earlier?.verdict === 'may-have-run' && later.verdict === 'not-run' ? earlier : later;
+}
+
 /** Creates the handler of callers' requests. */
 export function createRequestHandler(ports: RequestPorts) {
-  const sendToUpstream = async (
-    context: RequestContext,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ): Promise<Failure | undefined> => {
-    const upstream = chooseUpstream(ports.listCandidates(context.service), ports.random);
-    if (upstream === undefined) return NO_UPSTREAM;
-    const { id, service, team } = context;
-    ports.log.info({ event: 'route', id, service, team, upstream: upstream.id });
+  const isDraining = ports.isDraining ?? (() => false);
+  const retries = createRetryFilter(ports.isShedding ?? (() => false));
+
+  const choose = (service: string, tried: ReadonlySet<string>) => {
+    const candidates = ports.listCandidates(service);
+    const untried = tried.size === 0 ? candidates : candidates.filter(({ id }) => !tried.has(id));
+    return chooseUpstream(untried.length === 0 ? candidates : untried, ports.random);
+  };
+  const sendOnce = async (
+    routed: RoutedRequest,
+    upstream: UpstreamCandidate,
+  ): Promise<ForwardResult> => {
+    const { context, request, response, body, guard } = routed;
+    const { id, service } = context;
     ports.observeStart(upstream.id);
-    const failure = await ports.forward(context, upstream.address, request, response);
-    ports.observeEnd(upstream.id, failure);
+    const result = await ports.forward.send({
+      head: {
+        id,
+        method: request.method ?? 'GET',
+        path: context.path,
+        headers: buildRequestHeaders(request, id, body.length),
+      },
+      isIdempotent: context.isIdempotent,
+      address: upstream.address,
+      usualMs: upstream.usualMs,
+      body,
+      response,
+      guard,
+      isClosing: isDraining(),
+      takeRetry: () => retries.takeRetry(service, context.values.retryBudgetShare),
+      handleSilent: () =>
+        ports.log.warn({ event: 'connection-silent', id, service, upstream: upstream.id }),
+    });
+    ports.observeEnd(upstream.id, result.observation);
+    return result;
+  };
+  const sendWithRetries = async (routed: RoutedRequest): Promise<Failure | undefined> => {
+    const { context, response, body, guard } = routed;
+    const { id, service, team } = context;
+    const tried = new Set<string>();
+    let failure: Failure | undefined;
+    for (let attempt = 1; ; attempt += 1) {
+      const upstream = choose(service, tried);
+      if (upstream === undefined) return mergeFailures(failure, NO_UPSTREAM);
+      tried.add(upstream.id);
+      ports.log.info({ event: 'route', id, service, team, upstream: upstream.id, attempt });
+      const result = await sendOnce(routed, upstream);
+      if (result.failure === undefined) return undefined;
+      failure = mergeFailures(failure, result.failure);
+      const mayRetry =
+        !response.headersSent &&
+        guard.getReason() === undefined &&
+        body.isReplayable() &&
+        retries.mayRetry(context, result, attempt);
+      if (!mayRetry) return failure;
+    }
+  };
+  const runAdmitted = async (routed: RoutedRequest): Promise<Failure | undefined> => {
+    const { context, request, response, guard } = routed;
+    const abort = new AbortController();
+    guard.setHandler(() => abort.abort());
+    const admitted = await ports.admission.admit(context, abort.signal);
+    if (admitted.isErr()) return admitted.error;
+    const reason = guard.getReason();
+    if (reason !== undefined) {
+      admitted.value.release();
+      return makeStopFailure(reason, 'not-run');
+    }
+    if (request.headers.expect !== undefined) response.writeContinue();
+    retries.observeRequest(context.service);
+    const failure = await sendWithRetries(routed);
+    admitted.value.release();
     return failure;
   };
-  const runAdmitted = async (
+  const runClassified = async (
     context: RequestContext,
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Failure | undefined> => {
-    const abort = new AbortController();
-    response.once('close', () => abort.abort());
-    const admitted = await ports.admission.admit(context, abort.signal);
-    if (admitted.isErr()) return admitted.error;
-    const failure = await sendToUpstream(context, request, response);
-    admitted.value.release();
+    const body = createRequestBody(request, context.values.maxBodyBytes);
+    const guard = createGuard(request, response, body, context.deadlineAtMs);
+    const failure = await runAdmitted({ context, request, response, body, guard });
+    guard.release();
     return failure;
   };
   return async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const config = ports.getConfig();
     if (config === undefined) {
-      answerFailure(response, NOT_READY);
+      answerFailure(request, response, NOT_READY, isDraining());
       return;
     }
     const context = classifyRequest(request, config);
     const failure = context.isErr()
       ? context.error
-      : await runAdmitted(context.value, request, response);
+      : await runClassified(context.value, request, response);
     if (failure === undefined) return;
     const id = context.isOk() ? context.value.id : undefined;
     ports.log.info({ event: 'failure', id, code: failure.code, verdict: failure.verdict });
-    answerFailure(response, failure);
+    answerFailure(request, response, failure, isDraining());
   };
 }
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -21,6 +21,8 @@
   /** Shared by entries and operators; never logged. */
   key: z.string().min(MIN_KEY_LENGTH, `write a key of at least ${MIN_KEY_LENGTH} characters`),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  /** Time between failing readiness and refusing connections, in milliseconds. */
+  drainNoticeMs: z.number().int().nonnegative().default(1_000),
   /** Longest wait for requests in progress after SIGTERM, in milliseconds. */
   drainLimitMs: z.number().int().positive().default(60_000),
 });
--- a/packages/daemon/src/lib/upstream-table.ts
+++ b/packages/daemon/src/lib/upstream-table.ts
@@ -1,29 +1,198 @@
-/** The upstream processes of each service as this entry sees them, with its requests in progress. */
-import type { Candidate, Instance } from 'vanilladock';
+/**
+ * The upstream processes of each service as this entry sees them: listed state, signals of their own,
+ * health and requests in progress. Leaving and ejected ones are passed over.
+ */
+import {
+  computePenalty,
+  createDeparture,
+  createHealth,
+  foldHealth,
+  foldListedState,
+  foldStaySignal,
+  getHealthState,
+  isGone,
+  isLeaving,
+  type Candidate,
+  type Departure,
+  type EjectionRoom,
+  type Health,
+  type Instance,
+  type Outcome,
+  type StaySignal,
+} from 'vanilladock';
+
+/** Values of the configuration that hold for the upstreams of a service. */
+export interface UpstreamLimits {
+  readonly maxEjectedShare: number;
+  readonly leaveGraceMs: number;
+}
+
+/** What one attempt showed about its upstream; absent parts were not seen. */
+export interface Observation {
+  readonly outcome?: Outcome | undefined;
+  readonly stay?: StaySignal | undefined;
+}
+
+/** State of one upstream, for operators. */
+export interface UpstreamStatus {
+  readonly id: string;
+  readonly service: string;
+  readonly address: string;
+  readonly inFlight: number;
+  readonly state: 'healthy' | 'probation' | 'ejected' | 'leaving';
+}
+
+/** A candidate with its usual time to the first byte, in milliseconds; 0 when unknown. */
+export interface UpstreamCandidate extends Candidate {
+  readonly usualMs: number;
+}
 
 /** A table of upstreams. */
 export interface UpstreamTable {
   readonly setInstances: (instances: readonly Instance[]) => void;
-  /** Live upstreams of a service. */
-  readonly listCandidates: (service: string) => readonly Candidate[];
+  readonly setLimits: (service: string, limits: UpstreamLimits) => void;
+  /** Upstreams of a service that may be given work now. */
+  readonly listCandidates: (service: string) => readonly UpstreamCandidate[];
+  readonly listStatus: () => readonly UpstreamStatus[];
   readonly observeStart: (upstreamId: string) => void;
-  readonly observeEnd: (upstreamId: string) => void;
+  readonly observeEnd: (upstreamId: string, observation?: Observation) => void;
+}
+
+interface Upstream extends UpstreamCandidate {
+  inFlight: number;
+  penalty: number;
+  usualMs: number;
+  health: Health;
+  departure: Departure;
+  readonly service: string;
+}
+
+const PENALTY_REFRESH_MS = 50;
+const NO_ROOM: EjectionRoom = { total: 0, ejected: 0, maxShare: 0 };
+const DEFAULT_LIMITS: UpstreamLimits = { maxEjectedShare: 0.5, leaveGraceMs: 2_000 };
+
+/** Computes the median of the known latencies, in milliseconds. */
+function computeMedianLatency(upstreams: readonly Upstream[]): number {
+  const known = upstreams
+    .filter(({ health }) => health.samples > 0)
+    .map(({ health }) => health.latencyMs)
+    .sort((a, b) => a - b);
+  return known[Math.floor(known.length / 2)] ?? 0;
+}
+
+/** Selects the upstreams that may be given work, the best kind that can be had. */
+function selectEligible(
+  upstreams: readonly Upstream[],
+  limits: UpstreamLimits,
+  nowMs: number,
+): readonly Upstream[] {
+  const staying = upstreams.filter(({ departure }) => !isLeaving(departure, nowMs));
+  if (staying.length === 0) {
+    return upstreams.filter(({ departure }) => !isGone(departure, limits.leaveGraceMs, nowMs));
+  }
+  const usable = staying.filter(({ health, inFlight }) => {
+    const state = getHealthState(health, nowMs);
+    return state === 'healthy' || (state === 'probation' && inFlight === 0);
+  });
+  return usable.length === 0 ? staying : usable;
+}
+
+/** Names the state of an upstream for operators. */
+function getState({ departure, health }: Upstream, nowMs: number): UpstreamStatus['state'] {
+  return isLeaving(departure, nowMs) ? 'leaving' : getHealthState(health, nowMs);
 }
 
 /** Creates an empty table. */
 export function createUpstreamTable(): UpstreamTable {
-  const inFlight = new Map<string, number>();
-  let upstreams: readonly Instance[] = [];
-  const add = (id: string, change: number) => inFlight.set(id, (inFlight.get(id) ?? 0) + change);
+  const byId = new Map<string, Upstream>();
+  const byService = new Map<string, Upstream[]>();
+  const limitsByService = new Map<string, UpstreamLimits>();
+  const penaltiesAtMs = new Map<string, number>();
+
+  const getLimits = (service: string) => limitsByService.get(service) ?? DEFAULT_LIMITS;
+  const updateUpstream = ({ id, address, service = '', state }: Instance, nowMs: number) => {
+    const known = byId.get(id);
+    const isSame = known?.address === address && known.service === service;
+    const upstream: Upstream = isSame
+      ? known
+      : {
+          id,
+          address,
+          service,
+          inFlight: 0,
+          penalty: 1,
+          usualMs: 0,
+          health: createHealth(),
+          departure: createDeparture(),
+        };
+    upstream.departure = foldListedState(upstream.departure, state, nowMs);
+    byId.set(id, upstream);
+    return upstream;
+  };
+  const updatePenalties = (service: string, nowMs: number) => {
+    penaltiesAtMs.set(service, nowMs);
+    const siblings = byService.get(service) ?? [];
+    const medianMs = computeMedianLatency(siblings);
+    siblings.forEach((upstream) => {
+      upstream.penalty = computePenalty(upstream.health, medianMs);
+    });
+  };
+  const countEjectionRoom = (service: string, nowMs: number): EjectionRoom => {
+    const siblings = byService.get(service) ?? [];
+    const ejected = siblings.filter(({ health }) => getHealthState(health, nowMs) === 'ejected');
+    const { maxEjectedShare } = getLimits(service);
+    return { total: siblings.length, ejected: ejected.length, maxShare: maxEjectedShare };
+  };
+  const observeOutcome = (upstream: Upstream, outcome: Outcome, nowMs: number) => {
+    const { service } = upstream;
+    const isFailure = outcome.kind === 'failed';
+    const room = isFailure ? countEjectionRoom(service, nowMs) : NO_ROOM;
+    upstream.health = foldHealth(upstream.health, outcome, room, nowMs);
+    upstream.usualMs = upstream.health.latencyMs;
+    const ageMs = nowMs - (penaltiesAtMs.get(service) ?? -Infinity);
+    if (isFailure || ageMs >= PENALTY_REFRESH_MS) updatePenalties(service, nowMs);
+  };
+
   return {
     setInstances: (instances) => {
-      upstreams = instances.filter(({ role, state }) => role === 'upstream' && state === 'live');
+      const nowMs = performance.now();
+      const listed = instances
+        .filter(({ role }) => role === 'upstream')
+        .map((instance) => updateUpstream(instance, nowMs));
+      const ids = new Set(listed.map(({ id }) => id));
+      [...byId.keys()].filter((id) => !ids.has(id)).forEach((id) => byId.delete(id));
+      byService.clear();
+      listed.forEach((upstream) => {
+        const siblings = byService.get(upstream.service) ?? [];
+        siblings.push(upstream);
+        byService.set(upstream.service, siblings);
+      });
     },
+    setLimits: (service, limits) => void limitsByService.set(service, limits),
     listCandidates: (service) =>
-      upstreams
-        .filter((upstream) => upstream.service === service)
-        .map(({ id, address }) => ({ id, address, inFlight: inFlight.get(id) ?? 0 })),
-    observeStart: (id) => void add(id, 1),
-    observeEnd: (id) => void add(id, -1),
+      selectEligible(byService.get(service) ?? [], getLimits(service), performance.now()),
+    listStatus: () => {
+      const nowMs = performance.now();
+      return [...byId.values()].map((upstream) => ({
+        id: upstream.id,
+        service: upstream.service,
+        address: upstream.address,
+        inFlight: upstream.inFlight,
+        state: getState(upstream, nowMs),
+      }));
+    },
+    observeStart: (id) => {
+      const upstream = byId.get(id);
+      if (upstream !== undefined) upstream.inFlight += 1;
+    },
+    observeEnd: (id, observation = {}) => {
+      const upstream = byId.get(id);
+      if (upstream === undefined) return;
+      const nowMs = performance.now();
+      upstream.inFlight = Math.max(0, upstream.inFlight - 1);
+      const { stay, outcome } = observation;
+      if (stay !== undefined) upstream.departure = foldStaySignal(upstream.departure, stay, nowMs);
+      if (outcome !== undefined) observeOutcome(upstream, outcome, nowMs);
+    },
   };
 }
--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -28,5 +28,8 @@
 export * from './lib/ports/random.js';
 export * from './lib/ports/workers.js';
 export * from './lib/routing/choose-upstream.js';
+export * from './lib/routing/departure.js';
+export * from './lib/routing/health.js';
+export * from './lib/routing/retry-budget.js';
 export * from './lib/topology.js';
 export * from './lib/verdict.js';
--- a/packages/vanilladock/src/lib/routing/choose-upstream.ts
+++ b/packages/vanilladock/src/lib/routing/choose-upstream.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses the upstream process for a request: of two candidates drawn at random, the one with fewer
- * requests of this entry in progress.
+ * Chooses the upstream process for a request: of two different candidates drawn at random, the less
+ * loaded one by the requests of this entry in progress, weighed by health.
  */
 import type { Random } from '../ports/random.js';
 
@@ -10,15 +10,24 @@
   readonly address: string;
   /** Requests of this entry in progress there. */
   readonly inFlight: number;
+  /** Factor of its load, 1 for a healthy one; see `computePenalty`. */
+  readonly penalty?: number;
 }
 
-/** Picks one of two random candidates; undefined when there is none. */
+/** Computes the load that one more request would meet. */
+export function computeLoad({ inFlight, penalty = 1 }: Candidate): number {
+  return (inFlight + 1) * penalty;
+}
+
+/** Picks the less loaded of two random candidates; undefined when there is none. */
 export function chooseUpstream<T extends Candidate>(
   candidates: readonly T[],
   random: Random,
 ): T | undefined {
-  const one = candidates[Math.floor(random() * candidates.length)];
-  const other = candidates[Math.floor(random() * candidates.length)];
-  if (one === undefined || other === undefined) return undefined;
-  return other.inFlight < one.inFlight ? other : one;
+  const first = Math.floor(random() * candidates.length);
+  const step = 1 + Math.floor(random() * (candidates.length - 1));
+  const one = candidates[first];
+  const other = candidates[(first + step) % candidates.length];
+  if (one === undefined || other === undefined) return one;
+  return computeLoad(other) < computeLoad(one) ? other : one;
 }
--- /dev/null
+++ b/packages/vanilladock/src/lib/routing/retry-budget.ts
@@ -0,0 +1,55 @@
+/**
+ * Retry budget of one service: retries may be at most a share of the recent requests, so that they
+ * cannot feed a flood. A small number is always allowed, so that a quiet service can retry at all.
+ */
+
+/** Requests and retries of the current and the previous window. */
+export interface RetryBudget {
+  /** Start of the current window on the monotonic clock, in milliseconds. */
+  readonly startedAtMs: number;
+  readonly requests: number;
+  readonly retries: number;
+  readonly previousRequests: number;
+  readonly previousRetries: number;
+}
+
+const WINDOW_MS = 10_000;
+const MIN_RETRIES = 10;
+
+/** Creates the budget of a service that has had no requests. */
+export function createRetryBudget(nowMs: number): RetryBudget {
+  return { startedAtMs: nowMs, requests: 0, retries: 0, previousRequests: 0, previousRetries: 0 };
+}
+
+/** Moves the window on when it has passed. */
+function refreshWindow(budget: RetryBudget, nowMs: number): RetryBudget {
+  const ageMs = nowMs - budget.startedAtMs;
+  if (ageMs < WINDOW_MS) return budget;
+  const isRecent = ageMs < 2 * WINDOW_MS;
+  return {
+    startedAtMs: nowMs,
+    requests: 0,
+    retries: 0,
+    previousRequests: isRecent ? budget.requests : 0,
+    previousRetries: isRecent ? budget.retries : 0,
+  };
+}
+
+/** Counts a first attempt. */
+export function addRequest(budget: RetryBudget, nowMs: number): RetryBudget {
+  const current = refreshWindow(budget, nowMs);
+  return { ...current, requests: current.requests + 1 };
+}
+
+/** Takes one retry out of the budget; undefined when the share, from 0 to 1, is used up. */
+export function takeRetry(
+  budget: RetryBudget,
+  share: number,
+  nowMs: number,
+): RetryBudget | undefined {
+  const current = refreshWindow(budget, nowMs);
+  const requests = current.requests + current.previousRequests;
+  const retries = current.retries + current.previousRetries;
+  if (retries >= Math.max(MIN_RETRIES, share * requests)) return undefined;
+  return { ...current, retries: current.retries + 1 };
+}
