--- a/packages/daemon/src/lib/cli/serve.ts
+++ b/packages/daemon/src/lib/cli/serve.ts
@@ -19,26 +19,17 @@
   );
 }
 
-/** Words an error of starting and chooses its exit code. */
-function reportStartError(error: unknown, output: Output): ExitCode {
-  const { code, address, port, message } = error as NodeJS.ErrnoException & {
-    readonly address?: string;
-    readonly port?: number;
-  };
+/** Reports an error of starting and chooses its exit code. */
+function reportStartError(error: Error, output: Output): ExitCode {
+  output.writeError(error.message);
+  const { code } = (error.cause ?? {}) as NodeJS.ErrnoException;
   switch (code ?? '') {
     case 'EADDRINUSE':
-      output.writeError(
-        `${address}:${port} is in use; stop its user or set another listen address`,
-      );
       return EXIT_CODES.addressInUse;
     case 'EADDRNOTAVAIL':
     case 'EACCES':
-      output.writeError(
-        `cannot listen on ${address}:${port} (${code}); set another listen address`,
-      );
       return EXIT_CODES.badInput;
     default:
-      output.writeError(`cannot start: ${message}`);
       return EXIT_CODES.failed;
   }
 }
@@ -68,6 +59,6 @@
     await entry.stop();
     return EXIT_CODES.ok;
   } catch (error) {
-    return reportStartError(error, output);
+    return reportStartError(error as Error, output);
   }
 }
--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -2,7 +2,6 @@
  * One entry: joins the log follower, the instance watcher, admission and the request path, and owns
  * their life from start to graceful stop.
  */
-import { createServer } from 'node:http';
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
 import { startInstanceWatcher } from './instance-watcher.js';
@@ -13,10 +12,11 @@
 import { createInstanceClient } from './platform/instance-client.js';
 import { createLogClient } from './platform/log-client.js';
 import type { EntryStatus } from './operators/status.js';
+import { createCallerServer } from './request/caller-server.js';
 import { createForward } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
 import { observeAnswers } from './request/observe-answers.js';
-import { closeServer, openServer } from './servers.js';
+import { closeServer, openServer, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable } from './upstream-table.js';
 
@@ -28,12 +28,18 @@
   readonly stop: () => Promise<void>;
 }
 
+/** Shares an upstream's connections among the live entries, in whole connections, at least one. */
+function countConnectionShare(connections: number, liveEntries: number): number {
+  return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
+}
+
 /** Starts an entry. Rejects when an address cannot be bound. */
 export async function startEntry(settings: Settings): Promise<Entry> {
   const log = createJsonLog(settings);
   const follower = startLogFollower(createLogClient(settings.platform.log), log);
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
   const table = createUpstreamTable();
+  const forward = createForward();
   const admission = createAdmission();
   const startedAtMs = performance.now();
   let isDraining = false;
@@ -42,16 +48,18 @@
     Math.max(1, watcher.getInstances().filter(({ role }) => role === 'entry').length);
   const applyCapacity = (config: Config) =>
     config.services.forEach(({ name, pool }) => {
-      const { slots } = resolveValues(config, { service: name, pool }, Date.now());
-      admission.setCapacity(
-        name,
-        Math.round((table.listCandidates(name).length * slots) / countEntries()),
-      );
+      const values = resolveValues(config, { service: name, pool }, Date.now());
+      table.setLimits(name, values);
+      const slots = table.listCandidates(name).length * values.slots;
+      admission.setCapacity(name, Math.round(slots / countEntries()));
     });
   const subscription = combineLatest([follower.config$, watcher.instances$]).subscribe(
     ([{ config }, instances]) => {
       table.setInstances(instances);
-      if (config !== undefined) applyCapacity(config);
+      if (config === undefined) return;
+      applyCapacity(config);
+      const entries = instances.filter(({ role, state }) => role === 'entry' && state === 'live');
+      forward.setConnectionLimit(countConnectionShare(config.defaults.connections, entries.length));
     },
   );
   const handleRequest = createRequestHandler({
@@ -60,7 +68,8 @@
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
     admission,
-    forward: createForward(),
+    isDraining: () => isDraining,
+    forward,
     random: createRandom(process.pid),
     log,
   });
@@ -71,12 +80,6 @@
     countUpstreams: (service) => table.listCandidates(service).length,
     listServices: () => getConfig()?.services.map(({ name }) => name) ?? [],
   });
-  const listUpstreams = () =>
-    (getConfig()?.services ?? []).flatMap(({ name }) =>
-      table
-        .listCandidates(name)
-        .map(({ id, inFlight }) => ({ id, service: name, state: 'live', inFlight })),
-    );
   const getStatus = (): EntryStatus => ({
     id: settings.id,
     dataCentre: settings.dataCentre,
@@ -88,14 +91,14 @@
     appliedOffset: follower.getNext(),
     answers: metrics.countAnswers(),
     peers: [],
-    upstreams: listUpstreams(),
+    upstreams: table.listStatus(),
     leaving: watcher
       .getInstances()
       .filter(({ state }) => state === 'leaving')
       .map(({ id }) => id),
     refusals: metrics.listRefusals(),
   });
-  const callers = createServer(
+  const callers = createCallerServer(
     observeAnswers(
       (request, response) => void handleRequest(request, response),
       getConfig,
@@ -121,9 +124,12 @@
 
   const stop = async () => {
     isDraining = true;
+    log.info({ event: 'draining', noticeMs: settings.drainNoticeMs });
+    await waitMs(settings.drainNoticeMs);
     await closeServer(callers, settings.drainLimitMs);
     await closeServer(operators, 0);
     stopSources();
+    forward.close();
     log.info({ event: 'stopped' });
   };
   return { addresses, stop };
--- a/packages/daemon/src/lib/operators/status.ts
+++ b/packages/daemon/src/lib/operators/status.ts
@@ -13,6 +13,7 @@
 export interface UpstreamStatus {
   readonly id: string;
   readonly service: string;
+  /** `healthy`, `probation`, `ejected` or `leaving`. */
   readonly state: string;
   /** Requests of this entry in progress there. */
   readonly inFlight: number;
--- a/packages/daemon/src/test/command-line.test.ts
+++ b/packages/daemon/src/test/command-line.test.ts
@@ -86,7 +86,10 @@
   );
   taken.close();
   assert.is(code, EXIT_CODES.addressInUse);
-  assert.match(stderr, `${address} is in use; stop its user or set another listen address`);
+  assert.match(
+    stderr,
+    `cannot listen on ${address}: the port is in use; choose another one or stop what holds it`,
+  );
   assert.not.match(stdout + stderr, KEY);
 });
 
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -5,8 +5,4 @@
 import { SLOTS_MEASURE } from './slots.js';
 
 /** The measurements. */
-export const MEASURES: readonly Measure[] = [
-  HERD_MEASURE,
-  SLOTS_MEASURE,
-  CONTROL_MEASURE,
-];
+export const MEASURES: readonly Measure[] = [HERD_MEASURE, SLOTS_MEASURE, CONTROL_MEASURE];
