Fold the log into one state and catch up from peers when it is down

A publication could be told as accepted while only its operator had read it, and an entry that could not read the log had no other way to learn of it.

Faults of a configuration now say what to write; dangling names, duplicates and exceptions that disagree are found; diffs, history and paths are shown. One state folds every domain with a running digest. Entries serve records and state to one another by tRPC, compare digests and serve nothing before they know what their peers know.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -13,6 +13,9 @@
 import { createLogClient } from './platform/log-client.js';
 import { createForward } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
+import { startCatchUp } from './peers/catch-up.js';
+import { createCatchUpClient } from './peers/catch-up-client.js';
+import { createCatchUpServer } from './peers/catch-up-server.js';
 import { closeServer, openServer } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable } from './upstream-table.js';
@@ -20,7 +23,11 @@
 /** A running entry. */
 export interface Entry {
   /** Bound addresses, `ip:port`. */
-  readonly addresses: { readonly callers: string; readonly operators: string };
+  readonly addresses: {
+    readonly callers: string;
+    readonly operators: string;
+    readonly peers: string;
+  };
   /** Fails readiness, stops accepting, finishes requests in progress and stops. */
   readonly stop: () => Promise<void>;
 }
@@ -33,6 +40,24 @@
   const table = createUpstreamTable();
   const admission = createAdmission();
   let isDraining = false;
+  let peerAddress = '';
+
+  const catchUp = startCatchUp({
+    follower,
+    client: createCatchUpClient(settings.key),
+    listPeers: () => settings.peers,
+    getAddress: () => peerAddress,
+    random: createRandom(process.pid),
+    log,
+  });
+  const peers = createCatchUpServer({
+    id: settings.id,
+    key: settings.key,
+    store: follower.store,
+    isCaughtUp: catchUp.isCaughtUp,
+    handleNotice: catchUp.observePeer,
+  });
+  const getServedConfig = () => (catchUp.isCaughtUp() ? follower.getConfig().config : undefined);
 
   const applyCapacity = (config: Config) =>
     config.services.forEach(({ name, pool }) => {
@@ -47,7 +72,7 @@
     },
   );
   const handleRequest = createRequestHandler({
-    getConfig: () => follower.getConfig().config,
+    getConfig: getServedConfig,
     listCandidates: table.listCandidates,
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
@@ -59,10 +84,12 @@
   const callers = createServer((request, response) => void handleRequest(request, response));
   const operators = createOperatorServer({
     key: settings.key,
-    isReady: () => !isDraining && follower.getConfig().config !== undefined,
+    isReady: () => !isDraining && getServedConfig() !== undefined,
     getStatus: () => ({ id: settings.id, configVersion: follower.getConfig().version }),
   });
+  peerAddress = await openServer(peers, settings.listen.peers);
   const addresses = {
+    peers: peerAddress,
     callers: await openServer(callers, settings.listen.callers),
     operators: await openServer(operators, settings.listen.operators),
   };
@@ -72,6 +99,8 @@
     isDraining = true;
     await closeServer(callers, settings.drainLimitMs);
     await closeServer(operators, 0);
+    catchUp.stop();
+    await closeServer(peers, 0);
     subscription.unsubscribe();
     follower.stop();
     watcher.stop();
--- a/packages/daemon/src/lib/log-follower.ts
+++ b/packages/daemon/src/lib/log-follower.ts
@@ -1,18 +1,29 @@
 /**
- * Follows the log: reads records as they come, folds them, and shows each new state. While the log
- * cannot be read the last state stays in force and reading is tried again with a growing delay.
+ * Follows the log: reads records as they come and hands them to the store. While the log cannot be read
+ * the last state stays in force and reading is tried again with a growing, spread delay.
  */
-import { BehaviorSubject, type Observable } from 'rxjs';
-import { createConfigState, decodeRecord, foldConfig } from 'vanilladock';
-import type { ConfigRecord, ConfigState, LogService, StoredRecord } from 'vanilladock';
+import { BehaviorSubject, distinctUntilChanged, map, type Observable } from 'rxjs';
+import { createRandom, type ConfigState, type LogService, type LogSlice } from 'vanilladock';
+import { createBackoff } from './backoff.js';
 import type { JsonLog } from './json-log.js';
+import { readFleet } from './log-reader.js';
+import { createLogStore, type LogStore } from './log-store.js';
 
 /** A follower of the log. */
 export interface LogFollower {
+  readonly store: LogStore;
   readonly config$: Observable<ConfigState>;
   readonly getConfig: () => ConfigState;
   /** Offset after the last record that was folded. */
   readonly getNext: () => number;
+  /**
+   * Since when the log has been read to its end without a failed read, on the monotonic clock in
+   * milliseconds; undefined while it cannot be read.
+   */
+  readonly getReadableSince: () => number | undefined;
+  /** Emits true once the end of the log has been reached. */
+  readonly hasReachedEnd$: Observable<boolean>;
+  readonly hasReachedEnd: () => boolean;
   readonly stop: () => void;
 }
 
@@ -20,45 +31,81 @@
 const MIN_RETRY_MS = 100;
 const MAX_RETRY_MS = 2_000;
 
-/** Starts following the log from its oldest kept record. */
-export function startLogFollower(service: LogService, log: JsonLog): LogFollower {
-  const config = new BehaviorSubject(createConfigState());
-  let next = 0;
-  let retryMs = MIN_RETRY_MS;
+/** Starts following the log. */
+export function startLogFollower(
+  service: LogService,
+  log: JsonLog,
+  random = createRandom(process.pid),
+): LogFollower {
+  const store = createLogStore(log);
+  const backoff = createBackoff(MIN_RETRY_MS, MAX_RETRY_MS, random);
+  let readableSinceMs: number | undefined;
+  const hasReachedEnd = new BehaviorSubject(false);
+  let hasState = false;
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
 
-  const applyRecord = ({ offset, text }: StoredRecord) => {
-    const record = decodeRecord(text);
-    if (!record?.kind.startsWith('config.')) return;
-    const before = config.value;
-    const after = foldConfig(before, { offset, record: record as ConfigRecord });
-    if (after === before) return;
-    config.next(after);
-    if (after.version === before.version) return;
-    log.info({ event: 'config-in-force', version: after.version, author: after.author });
+  const scheduleRetry = (event: string, message: string) => {
+    readableSinceMs = undefined;
+    const retryMs = Math.round(backoff.takeDelay());
+    log.warn({ event, message, retryMs });
+    timer = setTimeout(runLoop, retryMs);
+  };
+  const handleEnd = () => {
+    readableSinceMs ??= performance.now();
+    if (!hasReachedEnd.value) hasReachedEnd.next(true);
+  };
+  const readState = async () => {
+    const read = await readFleet(service);
+    if (isStopped) return;
+    if (read.isErr()) {
+      scheduleRetry('log-unreadable', read.error.message);
+      return;
+    }
+    hasState = true;
+    store.takeState(read.value);
+    handleEnd();
+    timer = setTimeout(runLoop, 0);
+  };
+  const applySlice = ({ records, first, next }: LogSlice) => {
+    if (first > store.getState().next) {
+      hasState = false;
+      return;
+    }
+    store.applyRecords(records);
+    const known = store.getState().next;
+    if (known > next) log.error({ event: 'log-went-back', known, next });
+    if (known < next) return;
+    handleEnd();
   };
   const readOnce = async () => {
-    const result = await service.read(next, READ_WAIT_MS);
+    const slice = await service.read(store.getState().next, READ_WAIT_MS);
     if (isStopped) return;
-    if (result.isErr()) {
-      log.warn({ event: 'log-unreadable', message: result.error.message, retryMs });
-      timer = setTimeout(runLoop, retryMs);
-      retryMs = Math.min(retryMs * 2, MAX_RETRY_MS);
+    if (slice.isErr()) {
+      scheduleRetry('log-unreadable', slice.error.message);
       return;
     }
-    retryMs = MIN_RETRY_MS;
-    result.value.records.forEach(applyRecord);
-    next = Math.max(next, (result.value.records.at(-1)?.offset ?? next - 1) + 1);
+    backoff.reset();
+    applySlice(slice.value);
     timer = setTimeout(runLoop, 0);
   };
-  const runLoop = () => void readOnce();
+  const runLoop = () => {
+    if (hasState || store.getState().next > 0) void readOnce();
+    else void readState();
+  };
 
   runLoop();
   return {
-    config$: config.asObservable(),
-    getConfig: () => config.value,
-    getNext: () => next,
+    store,
+    config$: store.state$.pipe(
+      map(({ config }) => config),
+      distinctUntilChanged(),
+    ),
+    getConfig: () => store.getState().config,
+    getNext: () => store.getState().next,
+    getReadableSince: () => readableSinceMs,
+    hasReachedEnd$: hasReachedEnd.asObservable(),
+    hasReachedEnd: () => hasReachedEnd.value,
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
--- /dev/null
+++ b/packages/daemon/src/lib/log-reader.ts
@@ -0,0 +1,49 @@
+/**
+ * Reads the state of the fleet from the log alone: from its beginning, or from the newest complete
+ * snapshot and the records after it. Reads backwards from the end, so that a long log costs little.
+ */
+import { Err, Ok, type Result } from 'ts-results-es';
+import {
+  createFleetState,
+  loadFleet,
+  type FleetState,
+  type LogError,
+  type LogService,
+  type StoredRecord,
+} from 'vanilladock';
+
+const START_SPAN = 2_000;
+const SPAN_FACTOR = 4;
+
+/** Reads all records from an offset to the end. */
+async function readFrom(
+  service: LogService,
+  from: number,
+): Promise<Result<readonly StoredRecord[], LogError>> {
+  const records: StoredRecord[] = [];
+  for (let next = from; ;) {
+    const slice = await service.read(next, 0);
+    if (slice.isErr()) return Err(slice.error);
+    records.push(...slice.value.records);
+    next = (slice.value.records.at(-1)?.offset ?? slice.value.next - 1) + 1;
+    if (next >= slice.value.next) return Ok(records);
+  }
+}
+
+/** Reads the state of the fleet; `refused` when the log no longer holds enough of it. */
+export async function readFleet(service: LogService): Promise<Result<FleetState, LogError>> {
+  const end = await service.read(Number.MAX_SAFE_INTEGER, 0);
+  if (end.isErr()) return Err(end.error);
+  const { first, next } = end.value;
+  if (next === 0) return Ok(createFleetState());
+  for (let span = START_SPAN; ; span *= SPAN_FACTOR) {
+    const from = Math.max(first, next - span);
+    const records = await readFrom(service, from);
+    if (records.isErr()) return Err(records.error);
+    const state = records.value.length === 0 ? undefined : loadFleet(records.value);
+    if (state !== undefined) return Ok(state);
+    if (from === first) break;
+  }
+  const message = 'the log has dropped its beginning and holds no complete snapshot';
+  return Err({ kind: 'refused', message });
+}
--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -11,14 +11,25 @@
  * ```
  */
 export * from './lib/admission/admission.js';
+export * from './lib/config/check.js';
+export * from './lib/config/diff.js';
+export * from './lib/config/explain-path.js';
 export * from './lib/config/fold.js';
 export * from './lib/config/parse.js';
 export * from './lib/config/records.js';
 export * from './lib/config/resolve.js';
 export * from './lib/config/schema.js';
+export * from './lib/duties/decide.js';
+export * from './lib/duties/fold.js';
 export * from './lib/duties/records.js';
 export * from './lib/log/codec.js';
+export * from './lib/log/digests.js';
+export * from './lib/log/domains.js';
+export * from './lib/log/fleet-state.js';
 export * from './lib/log/record.js';
+export * from './lib/log/snapshot.js';
+export * from './lib/log/snapshot-record.js';
+export * from './lib/log/state-codec.js';
 export * from './lib/maintenance/records.js';
 export * from './lib/placement/records.js';
 export * from './lib/pools/records.js';
--- /dev/null
+++ b/packages/vanilladock/src/lib/config/check.ts
@@ -0,0 +1,131 @@
+/**
+ * Checks of a configuration that its schema cannot express: names that point at nothing, names given
+ * twice, and exceptions of one scope that disagree. None of them depends on the date, so that every
+ * reader of the log comes to the same verdict.
+ */
+import { isDeepStrictEqual } from 'node:util';
+import type { Config, Exception, Scope, ValueName } from './schema.js';
+
+/** A fault and the path of the part that is wrong. */
+export interface CheckFault {
+  readonly path: readonly PropertyKey[];
+  /** What is wrong and what to write instead. */
+  readonly message: string;
+}
+
+interface Named {
+  readonly name: string;
+}
+
+const NAMED_LISTS = ['dataCentres', 'pools', 'services', 'teams'] as const;
+const SCOPE_LISTS = {
+  dataCentre: 'dataCentres',
+  pool: 'pools',
+  service: 'services',
+  team: 'teams',
+} as const;
+const LISTED_NAMES_MAX = 5;
+
+/** Words the names that may be written, at most a few of them. */
+function formatNames(list: readonly Named[]): string {
+  const names = list.map(({ name }) => name);
+  const shown = names.slice(0, LISTED_NAMES_MAX).join(', ');
+  return names.length > LISTED_NAMES_MAX ? `${shown} or another listed name` : shown;
+}
+
+/** Finds names that are given twice in one list. */
+function listDuplicates(config: Config): readonly CheckFault[] {
+  return NAMED_LISTS.flatMap((list) => {
+    const seen = new Set<string>();
+    return config[list].flatMap(({ name }, index) => {
+      const isRepeated = seen.has(name);
+      seen.add(name);
+      if (!isRepeated) return [];
+      const message = `the name ${name} is already in ${list}; remove one or rename it`;
+      return [{ path: [list, index, 'name'], message }];
+    });
+  });
+}
+
+/** Finds data centres, pools and services that point at nothing. */
+function listDanglingServices(config: Config): readonly CheckFault[] {
+  const pools = new Set(config.pools.map(({ name }) => name));
+  return config.services.flatMap(({ name, pool }, index) => {
+    if (pools.has(pool)) return [];
+    const advice = `write one of ${formatNames(config.pools)}, or add the pool`;
+    const message = `service ${name} names pool ${pool}, which does not exist; ${advice}`;
+    return [{ path: ['services', index, 'pool'], message }];
+  });
+}
+
+/** Finds scopes of exceptions that name nothing that exists. */
+function listDanglingScopes(config: Config): readonly CheckFault[] {
+  return config.exceptions.flatMap(({ scope }, index) =>
+    (Object.keys(SCOPE_LISTS) as (keyof typeof SCOPE_LISTS)[]).flatMap((part) => {
+      const name = scope[part];
+      const list = config[SCOPE_LISTS[part]];
+      if (name === undefined || list.some((one) => one.name === name)) return [];
+      const advice = `write one of ${formatNames(list)}, or remove the exception`;
+      const message = `there is no ${part} ${name}; ${advice}`;
+      return [{ path: ['exceptions', index, 'scope', part], message }];
+    }),
+  );
+}
+
+/** Says whether two scopes cover the same subjects. */
+function isSameScope(a: Scope, b: Scope): boolean {
+  return isDeepStrictEqual(a, b);
+}
+
+/** Lists the values that two exceptions set differently. */
+function listDisagreements(a: Exception, b: Exception): readonly ValueName[] {
+  return (Object.keys(b.set) as ValueName[]).filter(
+    (name) => a.set[name] !== undefined && !isDeepStrictEqual(a.set[name], b.set[name]),
+  );
+}
+
+/** Finds exceptions that disagree with an earlier one of the same scope. */
+function listConflicts(config: Config): readonly CheckFault[] {
+  return config.exceptions.flatMap((exception, index) =>
+    config.exceptions.slice(0, index).flatMap((earlier, earlierIndex) => {
+      if (!isSameScope(earlier.scope, exception.scope)) return [];
+      return listDisagreements(earlier, exception).map((name) => ({
+        path: ['exceptions', index, 'set', name],
+        message:
+          `exception ${earlierIndex + 1} of the same scope, by ${earlier.author}, sets ${name} to ` +
+          `${JSON.stringify(earlier.set[name])}; keep one of the two`,
+      }));
+    }),
+  );
+}
+
+/** Finds more than one spare pool. */
+function listSpares(config: Config): readonly CheckFault[] {
+  const first = config.pools.findIndex(({ spare }) => spare === true);
+  return config.pools.flatMap(({ spare, name }, index) => {
+    if (spare !== true || index === first) return [];
+    const message = `pool ${name} is a second spare pool; keep spare: true on one pool only`;
+    return [{ path: ['pools', index, 'spare'], message }];
+  });
+}
+
+/** Lists what is wrong with a configuration whose shape is right. */
+export function checkConfig(config: Config): readonly CheckFault[] {
+  return [
+    ...listDuplicates(config),
+    ...listSpares(config),
+    ...listDanglingServices(config),
+    ...listDanglingScopes(config),
+    ...listConflicts(config),
+  ];
+}
+
+/** Lists what is allowed but likely a mistake on a day given in milliseconds since 1970. */
+export function checkDates(config: Config, nowMs: number): readonly CheckFault[] {
+  const today = new Date(nowMs).toISOString().slice(0, 10);
+  return config.exceptions.flatMap(({ until }, index) => {
+    if (until === undefined || until >= today) return [];
+    const message = `the end date ${until} has passed, so the exception has no effect; remove it or write a later date`;
+    return [{ path: ['exceptions', index, 'until'], message }];
+  });
+}
--- a/packages/vanilladock/src/lib/config/parse.ts
+++ b/packages/vanilladock/src/lib/config/parse.ts
@@ -3,8 +3,10 @@
  * and what to write instead.
  */
 import { Err, Ok, type Result } from 'ts-results-es';
-import { LineCounter, parseDocument, type Document } from 'yaml';
+import { isPair, isScalar, LineCounter, parseDocument, visit, type Document } from 'yaml';
 import type { z } from 'zod';
+import { checkConfig, checkDates, type CheckFault } from './check.js';
+import { formatIssue } from './fault-message.js';
 import { configSchema, type Config } from './schema.js';
 
 /** One fault of a document. */
@@ -16,8 +18,16 @@
   readonly message: string;
 }
 
+/** Largest document, in characters. */
+export const MAX_DOCUMENT_LENGTH = 1_048_576;
+
+interface Source {
+  readonly document: Document;
+  readonly counter: LineCounter;
+}
+
 /** Finds the position of a path in a document, or of the nearest parent that exists. */
-function findPosition(document: Document, counter: LineCounter, path: readonly PropertyKey[]) {
+function findPosition({ document, counter }: Source, path: readonly PropertyKey[]) {
   for (let { length } = path; length >= 0; length -= 1) {
     const node = document.getIn(path.slice(0, length), true) as
       { range?: [number, number, number] } | undefined;
@@ -26,35 +36,85 @@
   return { line: 1, col: 1 };
 }
 
-/** Words one schema issue. */
-function formatIssue(issue: z.core.$ZodIssue): string {
-  if (issue.code !== 'unrecognized_keys') return issue.message;
-  return `unknown key ${issue.keys.join(', ')}; remove it or correct its spelling`;
+/** Finds the position of a key below a path; undefined when there is none. */
+function findKeyPosition({ document, counter }: Source, path: readonly PropertyKey[], key: string) {
+  const parent = path.length === 0 ? document.contents : document.getIn(path, true);
+  let offset: number | undefined;
+  visit(parent as Document['contents'], {
+    Pair: (_, pair, ancestors) => {
+      if (ancestors.length > 1 || !isPair(pair) || !isScalar(pair.key)) return;
+      if (pair.key.value === key) offset = pair.key.range?.[0];
+    },
+  });
+  return offset === undefined ? undefined : counter.linePos(offset);
+}
+
+/** Makes a fault at the position of a path. */
+function makeFault(source: Source, { path, message }: CheckFault): ConfigFault {
+  const { line, col } = findPosition(source, path);
+  return { line, column: col, path: path.join('.'), message };
+}
+
+/** Makes the fault of a schema issue; an unknown key is shown where it stands. */
+function makeIssueFault(source: Source, issue: z.core.$ZodIssue): ConfigFault {
+  const isMissing = source.document.getIn(issue.path, true) === undefined;
+  const message = formatIssue(issue, isMissing);
+  const fault = makeFault(source, { path: issue.path, message });
+  if (issue.code !== 'unrecognized_keys') return fault;
+  const position = findKeyPosition(source, issue.path, issue.keys[0] ?? '');
+  return position === undefined ? fault : { ...fault, line: position.line, column: position.col };
+}
+
+/** Makes a fault of the whole document. */
+function makeDocumentFault(message: string): readonly ConfigFault[] {
+  return [{ line: 1, column: 1, path: '', message }];
+}
+
+/** Reads a document into plain values; fails on aliases that expand without bound. */
+function readValues(document: Document): Result<unknown, readonly ConfigFault[]> {
+  try {
+    return Ok(document.toJS() as unknown);
+  } catch {
+    return Err(makeDocumentFault('aliases expand too far; write the values out'));
+  }
 }
 
 /** Parses YAML text against a schema; faults carry line and column. */
 export function parseYaml<T>(
   text: string,
   schema: z.ZodType<T>,
+  check: (value: T) => readonly CheckFault[] = () => [],
 ): Result<T, readonly ConfigFault[]> {
+  if (text.length > MAX_DOCUMENT_LENGTH) {
+    return Err(makeDocumentFault(`too long; write at most ${MAX_DOCUMENT_LENGTH} characters`));
+  }
   const counter = new LineCounter();
-  const document = parseDocument(text, { lineCounter: counter });
+  const document = parseDocument(text, { lineCounter: counter, prettyErrors: false });
+  const source = { document, counter };
   const syntax = document.errors.map((error) => {
     const { line, col } = counter.linePos(error.pos[0]);
-    return { line, column: col, path: '', message: error.message.split('\n')[0] ?? error.code };
+    const message = `${error.message.split('\n')[0] ?? error.code}; correct the YAML here`;
+    return { line, column: col, path: '', message };
   });
   if (syntax.length > 0) return Err(syntax);
-  const checked = schema.safeParse(document.toJS());
-  if (checked.success) return Ok(checked.data);
-  return Err(
-    checked.error.issues.map((issue) => {
-      const { line, col } = findPosition(document, counter, issue.path);
-      return { line, column: col, path: issue.path.join('.'), message: formatIssue(issue) };
-    }),
-  );
+  return readValues(document).andThen((values) => {
+    const checked = schema.safeParse(values);
+    if (!checked.success) {
+      return Err(checked.error.issues.map((issue) => makeIssueFault(source, issue)));
+    }
+    const faults = check(checked.data).map((fault) => makeFault(source, fault));
+    return faults.length > 0 ? Err(faults) : Ok(checked.data);
+  });
 }
 
 /** Parses a configuration document. */
 export function parseConfig(text: string): Result<Config, readonly ConfigFault[]> {
-  return parseYaml(text, configSchema as unknown as z.ZodType<Config>);
+  return parseYaml(text, configSchema as unknown as z.ZodType<Config>, checkConfig);
+}
+
+/** Lists what is allowed but likely a mistake, such as an end date that has passed. */
+export function listWarnings(text: string, nowMs: number): readonly ConfigFault[] {
+  const listDated = (config: Config) => checkDates(config, nowMs);
+  const parsed = parseYaml(text, configSchema as unknown as z.ZodType<Config>, listDated);
+  return parsed.isErr() ? parsed.error : [];
 }
--- a/packages/vanilladock/src/lib/config/records.ts
+++ b/packages/vanilladock/src/lib/config/records.ts
@@ -10,15 +10,5 @@
   readonly text: string;
 }
 
-/** The current configuration, appended again before retention ends. */
-export interface ConfigSnapshotRecord extends RecordHead {
-  readonly kind: 'config.snapshot';
-  /** Offset of the publication that is in force. */
-  readonly configVersion: number;
-  readonly author: string;
-  readonly publicationId: string;
-  readonly text: string;
-}
-
 /** Any record about the configuration. */
-export type ConfigRecord = PublicationRecord | ConfigSnapshotRecord;
+export type ConfigRecord = PublicationRecord;
--- a/packages/vanilladock/src/lib/duties/records.ts
+++ b/packages/vanilladock/src/lib/duties/records.ts
@@ -7,5 +7,6 @@
   readonly duty: string;
   /** Offset of the claim that this one follows; -1 for none. Void unless it is the current one. */
   readonly follows: number;
+  /** Length of the lease in milliseconds; 0 gives the duty back. */
   readonly leaseMs: number;
 }
--- a/packages/vanilladock/src/lib/log/codec.ts
+++ b/packages/vanilladock/src/lib/log/codec.ts
@@ -6,9 +6,10 @@
 
 const KNOWN_VERSION = 1;
 
-const KNOWN_KINDS: ReadonlySet<string> = new Set<LogRecord['kind']>([
+/** Every kind of record that this version understands. */
+export const RECORD_KINDS: ReadonlySet<string> = new Set<LogRecord['kind']>([
   'config.publication',
-  'config.snapshot',
+  'log.snapshot',
   'duty.claim',
   'pool.release',
   'pool.acknowledgement',
@@ -38,10 +39,16 @@
   }
 }
 
+/** Says whether a value carries what every record must. */
+function hasHead(value: Partial<LogRecord>): boolean {
+  const { id, by, at } = value;
+  return typeof id === 'string' && typeof by === 'string' && typeof at === 'number';
+}
+
 /** Decodes a stored text; undefined for what this version does not know. */
 export function decodeRecord(text: string): LogRecord | undefined {
   const value = parseJson(text) as Partial<LogRecord> | undefined | null;
   if (value === undefined || value === null || typeof value !== 'object') return undefined;
-  const isKnown = value.version === KNOWN_VERSION && KNOWN_KINDS.has(value.kind ?? '');
-  return isKnown ? (value as LogRecord) : undefined;
+  const isKnown = value.version === KNOWN_VERSION && RECORD_KINDS.has(value.kind ?? '');
+  return isKnown && hasHead(value) ? (value as LogRecord) : undefined;
 }
--- /dev/null
+++ b/packages/vanilladock/src/lib/log/domains.ts
@@ -0,0 +1,42 @@
+/**
+ * The domains whose folds make up the state of the fleet, in the order in which they see a record. A
+ * domain joins by a line in `DomainStates` and one in `DOMAINS`; its fold may read the states of the
+ * domains before it, which have already taken in the same record.
+ */
+import { createConfigState, foldConfig, type ConfigState } from '../config/fold.js';
+import type { ConfigRecord } from '../config/records.js';
+import { createDutyState, foldDuty, type DutyState } from '../duties/fold.js';
+import type { ClaimRecord } from '../duties/records.js';
+import type { LogRecord, PlacedRecord } from './record.js';
+
+/** Folded state of each domain. */
+export interface DomainStates {
+  readonly config: ConfigState;
+  readonly duties: DutyState;
+}
+
+/** One domain: the records that it takes in, its first state and its fold. */
+export interface Domain<State> {
+  readonly kinds: readonly string[];
+  readonly create: () => State;
+  readonly fold: (state: State, placed: PlacedRecord, states: DomainStates) => State;
+}
+
+/** Joins a typed fold to the records of its kinds. */
+function makeDomain<State, Folded extends LogRecord>(
+  kinds: readonly Folded['kind'][],
+  create: () => State,
+  fold: (state: State, placed: PlacedRecord<Folded>, states: DomainStates) => State,
+): Domain<State> {
+  return { kinds, create, fold: fold as Domain<State>['fold'] };
+}
+
+/** All domains. */
+export const DOMAINS: { readonly [Name in keyof DomainStates]: Domain<DomainStates[Name]> } = {
+  config: makeDomain<ConfigState, ConfigRecord>(
+    ['config.publication'],
+    createConfigState,
+    foldConfig,
+  ),
+  duties: makeDomain<DutyState, ClaimRecord>(['duty.claim'], createDutyState, foldDuty),
+};
--- /dev/null
+++ b/packages/vanilladock/src/lib/log/fleet-state.ts
@@ -0,0 +1,76 @@
+/**
+ * The state of the fleet: what the log folds to, all domains together, up to an offset. Equal prefixes
+ * of the log give equal states and equal digests. A record of an unknown kind or version, and one that
+ * a fold cannot take, is passed over by every reader alike.
+ */
+import { createHash } from 'node:crypto';
+import type { StoredRecord } from '../ports/log-service.js';
+import { decodeRecord } from './codec.js';
+import { DOMAINS, type Domain, type DomainStates } from './domains.js';
+import { addKey, createRecentKeys, hasKey, makeKey, type RecentKeys } from './recent-keys.js';
+import type { LogRecord, PlacedRecord } from './record.js';
+
+/** Everything that the log says of the fleet. */
+export interface FleetState extends DomainStates {
+  /** Offset after the last record taken in. */
+  readonly next: number;
+  /** Running digest over the records and which domains each one changed. */
+  readonly digest: string;
+  readonly recentKeys: RecentKeys;
+}
+
+const DIGEST_LENGTH = 16;
+const DOMAIN_NAMES = Object.keys(DOMAINS) as (keyof DomainStates)[];
+
+/** Creates the state before the first record of the log. */
+export function createFleetState(): FleetState {
+  const states = Object.fromEntries(
+    DOMAIN_NAMES.map((name) => [name, DOMAINS[name].create()]),
+  ) as unknown as DomainStates;
+  return { ...states, next: 0, digest: '', recentKeys: createRecentKeys() };
+}
+
+/** Folds a record into one domain; a record that its fold cannot take changes nothing. */
+function foldDomain(
+  states: DomainStates,
+  name: keyof DomainStates,
+  placed: PlacedRecord,
+): DomainStates {
+  const domain = DOMAINS[name] as Domain<unknown>;
+  if (!domain.kinds.includes(placed.record.kind)) return states;
+  try {
+    const folded = domain.fold(states[name], placed, states);
+    return folded === states[name] ? states : { ...states, [name]: folded };
+  } catch {
+    return states;
+  }
+}
+
+/** Folds a record into all domains, unless it is a repetition. */
+function foldRecord(state: FleetState, offset: number, record: LogRecord): FleetState {
+  const key = makeKey(record.id);
+  if (hasKey(state.recentKeys, key)) return state;
+  const placed = { offset, record };
+  const folded = DOMAIN_NAMES.reduce<DomainStates>(
+    (states, name) => foldDomain(states, name, placed),
+    state,
+  );
+  return { ...state, ...folded, recentKeys: addKey(state.recentKeys, key) };
+}
+
+/** Extends the running digest by a record and its effect. */
+function computeDigest(before: FleetState, after: FleetState, { offset, text }: StoredRecord) {
+  const effects = DOMAIN_NAMES.map((name) => (before[name] === after[name] ? '0' : '1')).join('');
+  return createHash('sha256')
+    .update(`${before.digest}\n${offset}\n${effects}\n${text}`)
+    .digest('hex')
+    .slice(0, DIGEST_LENGTH);
+}
+
+/** Takes in the record at `state.next`; records at other offsets change nothing. */
+export function foldFleet(state: FleetState, stored: StoredRecord): FleetState {
+  if (stored.offset !== state.next) return state;
+  const record = decodeRecord(stored.text);
+  const folded = record === undefined ? state : foldRecord(state, stored.offset, record);
+  return { ...folded, next: stored.offset + 1, digest: computeDigest(state, folded, stored) };
+}
--- a/packages/vanilladock/src/lib/log/record.ts
+++ b/packages/vanilladock/src/lib/log/record.ts
@@ -8,6 +8,7 @@
 import type { MaintenanceRecord } from '../maintenance/records.js';
 import type { PlacementRecord } from '../placement/records.js';
 import type { PoolRecord } from '../pools/records.js';
+import type { SnapshotRecord } from './snapshot-record.js';
 
 /** What every record carries. */
 export interface RecordHead {
@@ -22,7 +23,7 @@
 
 /** Any record that this version understands. */
 export type LogRecord =
-  ConfigRecord | ClaimRecord | PoolRecord | MaintenanceRecord | PlacementRecord;
+  ConfigRecord | ClaimRecord | PoolRecord | MaintenanceRecord | PlacementRecord | SnapshotRecord;
 
 /** A record together with its place in the log. */
 export interface PlacedRecord<T extends LogRecord = LogRecord> {
--- /dev/null
+++ b/packages/vanilladock/src/lib/log/state-codec.ts
@@ -0,0 +1,93 @@
+/**
+ * Text form of folded state. Plain data is JSON; Immutable.js collections are tagged with their kind,
+ * so that decoding gives back an equal value. Absent and undefined properties are not told apart.
+ */
+import { createHash } from 'node:crypto';
+import { deflateSync, inflateSync } from 'node:zlib';
+import { isOrdered, List, Map, OrderedMap, OrderedSet, Set } from 'immutable';
+import { createFleetState, type FleetState } from './fleet-state.js';
+
+const TAG = '#';
+const FORMAT = 1;
+const MAX_STATE_BYTES = 67_108_864;
+
+type Tag = 'map' | 'ordered-map' | 'set' | 'ordered-set' | 'list' | 'number';
+
+/** Makes a tagged value. */
+function makeTagged(tag: Tag, items: unknown): unknown {
+  return { [TAG]: tag, items };
+}
+
+/** Turns folded state into plain data. */
+function encodeValue(value: unknown): unknown {
+  if (typeof value === 'number' && !Number.isFinite(value)) {
+    return makeTagged('number', String(value));
+  }
+  if (Map.isMap(value)) {
+    const items = [...value].map(([key, item]) => [encodeValue(key), encodeValue(item)]);
+    return makeTagged(isOrdered(value) ? 'ordered-map' : 'map', items);
+  }
+  if (Set.isSet(value)) {
+    return makeTagged(isOrdered(value) ? 'ordered-set' : 'set', [...value].map(encodeValue));
+  }
+  if (List.isList(value)) return makeTagged('list', [...value].map(encodeValue));
+  if (Array.isArray(value)) return value.map(encodeValue);
+  if (typeof value !== 'object' || value === null) return value;
+  return Object.fromEntries(Object.entries(value).map(([key, item]) => [key, encodeValue(item)]));
+}
+
+/** Builds a collection from its tag and plain items. */
+function decodeTagged(tag: Tag, items: unknown): unknown {
+  if (tag === 'number') return Number(items);
+  const list = (items as readonly unknown[]).map(decodeValue);
+  switch (tag) {
+    case 'map':
+      return Map(list as [unknown, unknown][]);
+    case 'ordered-map':
+      return OrderedMap(list as [unknown, unknown][]);
+    case 'set':
+      return Set(list);
+    case 'ordered-set':
+      return OrderedSet(list);
+    case 'list':
+      return List(list);
+    default:
+      return tag satisfies never;
+  }
+}
+
+/** Turns plain data back into folded state. */
+function decodeValue(value: unknown): unknown {
+  if (Array.isArray(value)) return value.map(decodeValue);
+  if (typeof value !== 'object' || value === null) return value;
+  const tagged = value as { [TAG]?: Tag; items?: unknown };
+  if (tagged[TAG] !== undefined) return decodeTagged(tagged[TAG], tagged.items);
+  return Object.fromEntries(Object.entries(value).map(([key, item]) => [key, decodeValue(item)]));
+}
+
+/** Computes the check sum of an encoded state. */
+function computeSum(text: string): string {
+  return createHash('sha256').update(text).digest('hex').slice(0, 16);
+}
+
+/** Encodes the fleet's state as compressed text with a check sum. */
+export function encodeFleetState(state: FleetState): string {
+  const plain = JSON.stringify({ format: FORMAT, state: encodeValue(state) });
+  const body = deflateSync(plain).toString('base64');
+  return `${computeSum(body)}.${body}`;
+}
+
+/** Decodes the fleet's state; undefined when it is damaged or of another format. */
+export function decodeFleetState(text: string): FleetState | undefined {
+  const [sum = '', body = ''] = text.split('.');
+  if (computeSum(body) !== sum) return undefined;
+  try {
+    const limits = { maxOutputLength: MAX_STATE_BYTES };
+    const plain = inflateSync(Buffer.from(body, 'base64'), limits).toString('utf8');
+    const { format, state } = JSON.parse(plain) as { format: number; state: unknown };
+    if (format !== FORMAT) return undefined;
+    return { ...createFleetState(), ...(decodeValue(state) as FleetState) };
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/vanilladock/src/test/config-fold.test.ts
+++ b/packages/vanilladock/src/test/config-fold.test.ts
@@ -2,8 +2,10 @@
 import { readFileSync } from 'node:fs';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { createConfigState, foldConfig } from '../lib/config/fold.js';
+import { createConfigState, FATES_KEPT, foldConfig } from '../lib/config/fold.js';
 import { parseConfig } from '../lib/config/parse.js';
+import { diffConfigs } from '../lib/config/diff.js';
+import { explainPath } from '../lib/config/explain-path.js';
 import type { PublicationRecord } from '../lib/config/records.js';
 import { explainValues, resolveValues } from '../lib/config/resolve.js';
 
@@ -50,4 +52,52 @@
   assert.ok((faults[0]?.line ?? 0) > 1);
 });
 
+test('fates and history are bounded and keep the newest', () => {
+  const count = FATES_KEPT + 10;
+  let state = createConfigState();
+  for (let offset = 0; offset < count; offset += 1) {
+    state = foldConfig(state, { offset, record: buildPublication(`p${offset}`, state.version) });
+  }
+  assert.is(state.fates.size, FATES_KEPT);
+  assert.is(state.history.size, FATES_KEPT);
+  assert.is(state.history.last()?.id, `p${count - 1}`);
+  assert.is(state.version, count - 1);
+});
+
+test('a diff lists what changes and how much of the fleet it touches', () => {
+  const before = parseConfig(TEXT).unwrap();
+  const after = parseConfig(
+    TEXT.replace('slots: 8', 'slots: 6')
+      .replace('set: { weight: 2 }', 'set: { weight: 3 }')
+      .replace('  - { name: restaurants }\n', '') +
+      '  - { scope: { pool: counter }, set: { canaries: 2 }, author: a.lee, reason: New racks. }\n',
+  ).unwrap();
+  const changes = diffConfigs(before, after);
+  assert.equal(
+    changes.map(({ kind, path, touched }) => [kind, path, touched.services, touched.teams]),
+    [
+      ['removed', 'teams.restaurants', 0, 1],
+      ['changed', 'defaults.slots', 5, 2],
+      ['changed', 'exceptions[team=market-stalls].weight', 5, 1],
+      ['added', 'exceptions[pool=counter].canaries', 2, 2],
+    ],
+  );
+  assert.equal(diffConfigs(before, before), []);
+});
+
+test('a path is explained with its origin, and a wrong one with what to write', () => {
+  const config = parseConfig(TEXT).unwrap();
+  const [weight] = explainPath(config, 'teams.market-stalls.weight', NOW_MS).unwrap();
+  assert.is(weight?.value, 2);
+  assert.is(weight?.origin.kind === 'exception' && weight.origin.exception.author, 'j.tran');
+  assert.is(explainPath(config, 'defaults.weight', NOW_MS).unwrap()[0]?.value, 1);
+  assert.is(explainPath(config, 'services.prices', NOW_MS).unwrap().length > 10, true);
+  assert.match(explainPath(config, 'teams.bakers.weight', NOW_MS).unwrapErr(), 'has no bakers');
+  assert.match(
+    explainPath(config, 'teams.market-stalls.wait', NOW_MS).unwrapErr(),
+    'no value wait',
+  );
+  assert.match(explainPath(config, 'instances.i-1', NOW_MS).unwrapErr(), 'write defaults');
+});
+
 test.run();
