--- a/packages/daemon/src/lib/backoff.ts
+++ b/packages/daemon/src/lib/backoff.ts
@@ -22,10 +22,3 @@
     },
   };
 }
-
-/** Resolves after some milliseconds. */
-export function waitMs(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
--- a/packages/daemon/src/lib/cli/publish.ts
+++ b/packages/daemon/src/lib/cli/publish.ts
@@ -20,8 +20,8 @@
   type LogService,
   type StoredRecord,
 } from 'vanilladock';
-import { waitMs } from '../backoff.js';
 import { readFleet } from '../log-reader.js';
+import { waitMs } from '../servers.js';
 
 /** What is known of a publication. */
 export type PublishAnswer =
--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -2,21 +2,17 @@
  * One entry: joins the log follower, the instance watcher, admission and the request path, and owns
  * their life from start to graceful stop.
  */
-import { createServer } from 'node:http';
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
+import { startControl } from './control.js';
 import { startInstanceWatcher } from './instance-watcher.js';
 import { createJsonLog } from './json-log.js';
-import { startLogFollower } from './log-follower.js';
 import { createOperatorServer } from './operators/operator-server.js';
 import { createInstanceClient } from './platform/instance-client.js';
-import { createLogClient } from './platform/log-client.js';
+import { createCallerServer } from './request/caller-server.js';
 import { createForward } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
-import { startCatchUp } from './peers/catch-up.js';
-import { createCatchUpClient } from './peers/catch-up-client.js';
-import { createCatchUpServer } from './peers/catch-up-server.js';
-import { closeServer, openServer } from './servers.js';
+import { closeServer, openServer, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable } from './upstream-table.js';
 
@@ -32,43 +28,37 @@
   readonly stop: () => Promise<void>;
 }
 
+/** Shares an upstream's connections among the live entries, in whole connections, at least one. */
+function countConnectionShare(connections: number, liveEntries: number): number {
+  return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
+}
+
 /** Starts an entry. Rejects when an address cannot be bound. */
 export async function startEntry(settings: Settings): Promise<Entry> {
   const log = createJsonLog(settings);
-  const follower = startLogFollower(createLogClient(settings.platform.log), log);
+  const control = startControl(settings, log);
+  const { follower, getServedConfig } = control;
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
   const table = createUpstreamTable();
+  const forward = createForward();
   const admission = createAdmission();
   let isDraining = false;
-  let peerAddress = '';
-
-  const catchUp = startCatchUp({
-    follower,
-    client: createCatchUpClient(settings.key),
-    listPeers: () => settings.peers,
-    getAddress: () => peerAddress,
-    random: createRandom(process.pid),
-    log,
-  });
-  const peers = createCatchUpServer({
-    id: settings.id,
-    key: settings.key,
-    store: follower.store,
-    isCaughtUp: catchUp.isCaughtUp,
-    handleNotice: catchUp.observePeer,
-  });
-  const getServedConfig = () => (catchUp.isCaughtUp() ? follower.getConfig().config : undefined);
 
   const applyCapacity = (config: Config) =>
     config.services.forEach(({ name, pool }) => {
-      const { slots, queueLength } = resolveValues(config, { service: name, pool }, Date.now());
+      const values = resolveValues(config, { service: name, pool }, Date.now());
+      const { slots, queueLength } = values;
+      table.setLimits(name, values);
       admission.setCapacity(name, table.listCandidates(name).length * slots);
       admission.setQueueLength(queueLength);
     });
   const subscription = combineLatest([follower.config$, watcher.instances$]).subscribe(
     ([{ config }, instances]) => {
       table.setInstances(instances);
-      if (config !== undefined) applyCapacity(config);
+      if (config === undefined) return;
+      applyCapacity(config);
+      const entries = instances.filter(({ role, state }) => role === 'entry' && state === 'live');
+      forward.setConnectionLimit(countConnectionShare(config.defaults.connections, entries.length));
     },
   );
   const handleRequest = createRequestHandler({
@@ -77,19 +67,19 @@
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
     admission,
-    forward: createForward(),
+    isDraining: () => isDraining,
+    forward,
     random: createRandom(process.pid),
     log,
   });
-  const callers = createServer((request, response) => void handleRequest(request, response));
+  const callers = createCallerServer((request, response) => void handleRequest(request, response));
   const operators = createOperatorServer({
     key: settings.key,
     isReady: () => !isDraining && getServedConfig() !== undefined,
     getStatus: () => ({ id: settings.id, configVersion: follower.getConfig().version }),
   });
-  peerAddress = await openServer(peers, settings.listen.peers);
   const addresses = {
-    peers: peerAddress,
+    peers: await control.openPeers(),
     callers: await openServer(callers, settings.listen.callers),
     operators: await openServer(operators, settings.listen.operators),
   };
@@ -97,13 +87,14 @@
 
   const stop = async () => {
     isDraining = true;
+    log.info({ event: 'draining', noticeMs: settings.drainNoticeMs });
+    await waitMs(settings.drainNoticeMs);
     await closeServer(callers, settings.drainLimitMs);
     await closeServer(operators, 0);
-    catchUp.stop();
-    await closeServer(peers, 0);
     subscription.unsubscribe();
-    follower.stop();
+    await control.stop();
     watcher.stop();
+    forward.close();
     log.info({ event: 'stopped' });
   };
   return { addresses, stop };
--- a/packages/daemon/src/lib/peers/catch-up.ts
+++ b/packages/daemon/src/lib/peers/catch-up.ts
@@ -6,9 +6,9 @@
  */
 import { distinctUntilChanged, firstValueFrom, map, merge, skip, timer } from 'rxjs';
 import { decodeFleetState, findFirstDifference, type Random } from 'vanilladock';
-import { waitMs } from '../backoff.js';
 import type { JsonLog } from '../json-log.js';
 import type { LogFollower } from '../log-follower.js';
+import { waitMs } from '../servers.js';
 import type { CatchUpClient } from './catch-up-client.js';
 import type { PeerNotice, PeerStatus } from './catch-up-server.js';
 
