--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -4,14 +4,13 @@
  */
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
+import { startControl } from './control.js';
 import { startInstanceWatcher } from './instance-watcher.js';
 import { createJsonLog } from './json-log.js';
 import { createMetrics } from './metrics.js';
-import { startLogFollower } from './log-follower.js';
 import { createOperatorServer } from './operators/operator-server.js';
-import { createInstanceClient } from './platform/instance-client.js';
-import { createLogClient } from './platform/log-client.js';
 import type { EntryStatus } from './operators/status.js';
+import { createInstanceClient } from './platform/instance-client.js';
 import { createCallerServer } from './request/caller-server.js';
 import { createForward } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
@@ -23,7 +22,11 @@
 /** A running entry. */
 export interface Entry {
   /** Bound addresses, `ip:port`. */
-  readonly addresses: { readonly callers: string; readonly operators: string };
+  readonly addresses: {
+    readonly callers: string;
+    readonly operators: string;
+    readonly peers: string;
+  };
   /** Fails readiness, stops accepting, finishes requests in progress and stops. */
   readonly stop: () => Promise<void>;
 }
@@ -36,7 +39,8 @@
 /** Starts an entry. Rejects when an address cannot be bound. */
 export async function startEntry(settings: Settings): Promise<Entry> {
   const log = createJsonLog(settings);
-  const follower = startLogFollower(createLogClient(settings.platform.log), log);
+  const control = startControl(settings, log);
+  const { follower, getServedConfig } = control;
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
   const table = createUpstreamTable();
   const forward = createForward();
@@ -63,7 +67,7 @@
     },
   );
   const handleRequest = createRequestHandler({
-    getConfig: () => follower.getConfig().config,
+    getConfig: getServedConfig,
     listCandidates: table.listCandidates,
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
@@ -74,7 +78,7 @@
     log,
   });
   const getConfig = () => follower.getConfig().config;
-  const isReady = () => !isDraining && getConfig() !== undefined;
+  const isReady = () => !isDraining && getServedConfig() !== undefined;
   const metrics = createMetrics({
     getConfigVersion: () => follower.getConfig().version,
     countUpstreams: (service) => table.listCandidates(service).length,
@@ -106,17 +110,19 @@
     ),
   );
   const operators = createOperatorServer({ key: settings.key, isReady, getStatus, metrics });
-  const stopSources = () => {
+  const stopSources = async () => {
     subscription.unsubscribe();
-    follower.stop();
+    await control.stop();
     watcher.stop();
+    forward.close();
   };
   const openServers = async () => ({
+    peers: await control.openPeers(),
     callers: await openServer(callers, settings.listen.callers),
     operators: await openServer(operators, settings.listen.operators),
   });
-  const addresses = await openServers().catch((error: unknown) => {
-    stopSources();
+  const addresses = await openServers().catch(async (error: unknown) => {
+    await stopSources();
     callers.close();
     throw error;
   });
@@ -128,8 +134,7 @@
     await waitMs(settings.drainNoticeMs);
     await closeServer(callers, settings.drainLimitMs);
     await closeServer(operators, 0);
-    stopSources();
-    forward.close();
+    await stopSources();
     log.info({ event: 'stopped' });
   };
   return { addresses, stop };
--- a/packages/measure/src/lib/wave.ts
+++ b/packages/measure/src/lib/wave.ts
@@ -6,17 +6,15 @@
  */
 import {
   computeBudget,
-  createFleetState,
   createRandom,
-  foldFleet,
   getPool,
   MOVES_DUTY,
-  type FleetState,
   type LogRecord,
   type MaintenancePolicy,
   type PolicyOf,
   type Random,
 } from 'vanilladock';
+import { createFleetState, foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
 import { computeBaselineMs, computeBoundMs } from './wave/bound.js';
 import { createFakeLog, createFakePlatform, type FakeLog } from './wave/platform.js';
 import { createPlanner, type Planner } from './wave/planner.js';
--- a/packages/measure/src/lib/wave/planner.ts
+++ b/packages/measure/src/lib/wave/planner.ts
@@ -20,7 +20,6 @@
   BARRIER_SETTINGS,
   type Absences,
   type ExecutorState,
-  type FleetState,
   type Instance,
   type ListReading,
   type LogRecord,
@@ -30,6 +29,7 @@
   type Sightings,
   type WaveDecision,
 } from 'vanilladock';
+import { type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
 import type { FakeLog, FakePlatform } from './platform.js';
 import { MINUTE_MS, pickInteger, SECOND_MS, type World } from './world.js';
 
--- a/packages/measure/src/lib/wave/platform.ts
+++ b/packages/measure/src/lib/wave/platform.ts
@@ -3,14 +3,13 @@
  * that lags, and drain, reboot and restore that are idempotent by permit and refused once restored.
  */
 import {
-  foldFleet,
-  type FleetState,
   type Instance,
   type LogRecord,
   type PermitOperation,
   type PolicyOf,
   type Random,
 } from 'vanilladock';
+import { foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
 import { HOUR_MS, isDown, SECOND_MS, type World } from './world.js';
 
 /** What an append told its caller. */
--- a/packages/vanilladock/src/lib/maintenance/fleet.ts
+++ b/packages/vanilladock/src/lib/maintenance/fleet.ts
@@ -91,7 +91,7 @@
         maintenance: foldMaintenance(maintenance, { record, offset }, { pools, policyOf }),
       };
     case 'config.publication':
-    case 'config.snapshot':
+    case 'log.snapshot':
     case 'task.submission':
     case 'task.lease':
     case 'task.outcome':
