Publish, compare, list and explain configuration from the command line

Cause: operators had only check and status; publishing needed code. Conclusion: an operator learns accepted, refused by whom, or unknown; nothing is guessed.

--- a/packages/daemon/src/lib/main.ts
+++ b/packages/daemon/src/lib/main.ts
@@ -3,11 +3,17 @@
 import { hideBin } from 'yargs/helpers';
 import { checkFile } from './cli/check.js';
 import { runDemo } from './cli/demo.js';
+import { reportDiff } from './cli/diff-command.js';
 import { EXIT_CODES, type ExitCode } from './cli/exit-codes.js';
+import { reportExplanation } from './cli/explain-command.js';
+import { reportHistory } from './cli/history-command.js';
 import { loadFile } from './cli/load-file.js';
 import { createOutput, type Output } from './cli/output.js';
+import { runPublish } from './cli/publish-command.js';
 import { formatFlag, listOverrides, serveEntry } from './cli/serve.js';
 import { reportStatus } from './cli/status.js';
+import { createOffer } from './peers/offer-records.js';
+import { createLogClient } from './platform/log-client.js';
 import { OVERRIDABLE_SETTINGS, parseSettings, type Settings } from './settings.js';
 
 const DEFAULT_SETTINGS = 'vanilladock.yaml';
@@ -86,9 +92,69 @@
       });
     },
   )
+  .command(
+    'diff <file>',
+    'show what a file would change and whom it touches',
+    (args) =>
+      args
+        .positional('file', { type: 'string', demandOption: true })
+        .option('settings', settingsOption),
+    ({ settings: path, file, json }) => {
+      const output = createOutput(json);
+      return runWithSettings(path, output, ({ platform }) =>
+        reportDiff(file, createLogClient(platform.log), output),
+      );
+    },
+  )
+  .command(
+    'publish <file>',
+    'publish a configuration',
+    (args) =>
+      args
+        .positional('file', { type: 'string', demandOption: true })
+        .option('by', { type: 'string', demandOption: true, describe: 'who publishes' })
+        .option('yes', { type: 'boolean', default: false, describe: 'do not ask' })
+        .option('base', { type: 'number', describe: 'version that the file was made from' })
+        .option('settings', settingsOption),
+    ({ settings: path, file, by, yes, base, json }) => {
+      const output = createOutput(json);
+      return runWithSettings(path, output, ({ platform, key, peers, listen }) => {
+        const request = { path: file, by, isConfirmed: yes, base };
+        const offer = createOffer(key, () => [...peers, listen.peers]);
+        return runPublish(request, createLogClient(platform.log), offer, output);
+      });
+    },
+  )
+  .command(
+    'history',
+    'list publications and what became of them',
+    (args) => args.option('settings', settingsOption),
+    ({ settings: path, json }) => {
+      const output = createOutput(json);
+      return runWithSettings(path, output, ({ platform }) =>
+        reportHistory(createLogClient(platform.log), output),
+      );
+    },
+  )
+  .command(
+    'explain <path>',
+    'show which default or exception gives a value',
+    (args) =>
+      args
+        .positional('path', { type: 'string', demandOption: true })
+        .option('settings', settingsOption),
+    ({ settings, path, json }) => {
+      const output = createOutput(json);
+      return runWithSettings(settings, output, ({ platform }) =>
+        reportExplanation(path, createLogClient(platform.log), output),
+      );
+    },
+  )
   .command('demo', 'run entries and stand-ins in one process', {}, runDemo)
   .example('$0 serve entry-1.yaml --log-level warn', 'run an entry with fewer log lines')
   .example('$0 check fleet.yaml', 'check a configuration before publishing it')
+  .example('$0 publish fleet.yaml --by ada --yes', 'publish from a script')
+  .example('$0 explain teams.market-stalls.weight', 'see who set a value and why')
   .epilogue(
     'Exit codes: 0 good, 1 failed, 2 bad input, 3 refused, 4 unknown, 5 unreachable, 6 address in use.',
   )
--- a/packages/daemon/src/test/command-line.test.ts
+++ b/packages/daemon/src/test/command-line.test.ts
@@ -1,5 +1,4 @@
 /** Tests of the command line with real processes: messages, exit codes and JSON output. */
-import { spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer, type AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -7,26 +6,11 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { EXIT_CODES } from '../lib/cli/exit-codes.js';
+import { runCommand } from './run-command.js';
 
-const MAIN = new URL('../lib/main.js', import.meta.url).pathname;
 const CONFIG = new URL('../../../../examples/smokehouse.yaml', import.meta.url).pathname;
 const KEY = 'a-key-that-no-line-may-show';
 
-/** Runs the command line to its end. */
-const runCommand = (...args: readonly string[]) =>
-  new Promise<{ code: number | null; stdout: string; stderr: string }>((resolve) => {
-    const child = spawn(process.execPath, [MAIN, ...args]);
-    let stdout = '';
-    let stderr = '';
-    child.stdout.on('data', (chunk: Buffer) => {
-      stdout += chunk.toString();
-    });
-    child.stderr.on('data', (chunk: Buffer) => {
-      stderr += chunk.toString();
-    });
-    child.on('close', (code) => resolve({ code, stdout, stderr }));
-  });
-
 const buildSettings = (callers: string, key = KEY) =>
   `id: entry-1
 region: tasmania
@@ -42,7 +26,7 @@
 const test = suite('command line');
 
 test('check accepts the example and gives counts as JSON', async () => {
-  const { code, stdout } = await runCommand('check', CONFIG, '--json');
+  const { code, stdout } = await runCommand(['check', CONFIG, '--json']);
   assert.is(code, EXIT_CODES.ok);
   const summary = JSON.parse(stdout) as Record<string, unknown>;
   assert.is(summary.services, 5);
@@ -52,20 +36,20 @@
 test('check names file, line, column and what to write', async () => {
   const path = join(folder, 'bad.yaml');
   writeFileSync(path, readFileSync(CONFIG, 'utf8').replace('weight: 1\n', 'weihgt: 1\n'));
-  const { code, stdout } = await runCommand('check', path);
+  const { code, stdout } = await runCommand(['check', path]);
   assert.is(code, EXIT_CODES.badInput);
   assert.match(stdout, /bad\.yaml:\d+:\d+ defaults: unknown key weihgt; remove it or correct/);
 });
 
 test('an unreadable file is named with advice', async () => {
-  const { code, stderr } = await runCommand('check', join(folder, 'missing.yaml'));
+  const { code, stderr } = await runCommand(['check', join(folder, 'missing.yaml')]);
   assert.is(code, EXIT_CODES.badInput);
   assert.match(stderr, /missing\.yaml \(ENOENT\); check the path/);
 });
 
 test('serve refuses a short key without showing it', async () => {
   writeFileSync(settingsPath, buildSettings('127.0.0.1:0', 'short-key'));
-  const { code, stdout, stderr } = await runCommand('serve', settingsPath);
+  const { code, stdout, stderr } = await runCommand(['serve', settingsPath]);
   assert.is(code, EXIT_CODES.badInput);
   assert.match(stderr, /settings\.yaml:5:6 key: write a key of at least 16 characters/);
   assert.not.match(stdout + stderr, 'short-key');
@@ -78,12 +62,12 @@
   });
   const address = `127.0.0.1:${(taken.address() as AddressInfo).port}`;
   writeFileSync(settingsPath, buildSettings('127.0.0.1:0'));
-  const { code, stdout, stderr } = await runCommand(
+  const { code, stdout, stderr } = await runCommand([
     'serve',
     settingsPath,
     '--listen-callers',
     address,
-  );
+  ]);
   taken.close();
   assert.is(code, EXIT_CODES.addressInUse);
   assert.match(
@@ -95,13 +79,13 @@
 
 test('status says which entry cannot be reached', async () => {
   writeFileSync(settingsPath, buildSettings('127.0.0.1:0'));
-  const { code, stdout } = await runCommand(
+  const { code, stdout } = await runCommand([
     'status',
     '127.0.0.1:1',
     '--settings',
     settingsPath,
     '--json',
-  );
+  ]);
   assert.is(code, EXIT_CODES.unreachable);
   assert.match(stdout, '"kind":"unreachable"');
 });
