--- a/packages/measure/src/lib/wave/bound.ts
+++ b/packages/measure/src/lib/wave/bound.ts
@@ -5,7 +5,7 @@
  * knowing as much and spending as little on anything but reboots.
  */
 import { computeBudget } from 'vanilladock';
-import { isDown, MINUTE_MS, SECOND_MS, type World } from './world.js';
+import { getRebootMs, isDown, MINUTE_MS, SECOND_MS, type World } from './world.js';
 
 const STEP_MS = 10 * SECOND_MS;
 const LONGEST_MS = 4 * 24 * 60 * MINUTE_MS;
@@ -14,6 +14,8 @@
 interface PoolWork {
   readonly ids: readonly string[];
   readonly budget: number;
+  /** Whether the instances are rebooted for the first time. */
+  readonly isFirst: boolean;
 }
 
 /** Computes how long one pool takes over some of its instances from a start on. */
@@ -37,7 +39,7 @@
       const index = waiting.findIndex((id) => !isDown(world, id, at));
       if (index < 0) break;
       const [id = ''] = waiting.splice(index, 1);
-      const end = nowMs + (world.rebootMs.get(id) ?? 0);
+      const end = nowMs + getRebootMs(world, id, work.isFirst);
       ends.set(id, end);
       endMs = Math.max(endMs, end);
       room -= 1;
@@ -58,10 +60,11 @@
   world: World,
   pools: ReadonlyMap<string, string>,
   startMs: number,
+  isFirst: boolean,
 ): number {
   const times = [...groupByPool(pools)].map(([pool, ids]) => {
     const budget = computeBudget(world.shares.get(pool) ?? 0, ids.length);
-    return budget === 0 ? 0 : computePoolMs(world, ids, { ids, budget }, startMs);
+    return budget === 0 ? 0 : computePoolMs(world, ids, { ids, budget, isFirst }, startMs);
   });
   return Math.max(...times);
 }
@@ -71,14 +74,15 @@
   world: World,
   pools: ReadonlyMap<string, string>,
   startMs: number,
+  isFirst: boolean,
 ): number {
-  const centreOf = (id: string) => world.instances.get(id)?.location.dataCentre ?? '';
-  const centres = [...new Set([...pools.keys()].map(centreOf))].sort();
+  const getCentre = (id: string) => world.instances.get(id)?.location.dataCentre ?? '';
+  const centres = [...new Set([...pools.keys()].map(getCentre))].sort();
   const groups = [...groupByPool(pools)];
   return centres.reduce((tookMs, centre) => {
     const times = groups.map(([, members]) => {
-      const ids = members.filter((id) => centreOf(id) === centre);
-      return computePoolMs(world, members, { ids, budget: 1 }, startMs + tookMs);
+      const ids = members.filter((id) => getCentre(id) === centre);
+      return computePoolMs(world, members, { ids, budget: 1, isFirst }, startMs + tookMs);
     });
     return tookMs + Math.max(...times);
   }, 0);
--- a/packages/measure/src/lib/wave/platform.ts
+++ b/packages/measure/src/lib/wave/platform.ts
@@ -11,7 +11,7 @@
   type PolicyOf,
   type Random,
 } from 'vanilladock';
-import { HOUR_MS, isDown, SECOND_MS, type World } from './world.js';
+import { getRebootMs, isDown, SECOND_MS, type World } from './world.js';
 
 /** What an append told its caller. */
 export type AppendAnswer = 'stored' | 'unknown';
@@ -40,7 +40,7 @@
   const states = new Map<number, FleetState>([[-1, first]]);
   const records = new Map<number, { readonly record: LogRecord; readonly atMs: number }>();
   let newest = -1;
-  const store = (record: LogRecord, atMs: number): void => {
+  const appendOne = (record: LogRecord, atMs: number): void => {
     const state = states.get(newest) ?? first;
     newest += 1;
     states.set(newest, foldFleet(state, { offset: newest, record }, policyOf));
@@ -51,7 +51,7 @@
   const append = (batch: readonly LogRecord[], nowMs: number): AppendAnswer => {
     const luck = random();
     if (luck < LOST_BEFORE_SHARE) return 'unknown';
-    batch.forEach((record) => store(record, nowMs));
+    batch.forEach((record) => appendOne(record, nowMs));
     return luck < LOST_AFTER_SHARE ? 'unknown' : 'stored';
   };
   const getOffsetAt = (atMs: number): number => {
@@ -77,13 +77,14 @@
 
 /** The platform's instances. */
 export interface FakePlatform {
-  readonly operate: (
+  readonly applyOperation: (
     operation: PermitOperation,
     instanceId: string,
     permitId: string,
     nowMs: number,
   ) => OperationAnswer;
-  readonly listLive: (atMs: number) => ReadonlyMap<string, Instance>;
+  /** Lists all instances; those that are down show as leaving. */
+  readonly listInstances: (atMs: number) => ReadonlyMap<string, Instance>;
   readonly countWork: (instanceId: string, nowMs: number) => number;
   /** Ids of instances that are drained or rebooting by permit. */
   readonly stops: ReadonlyMap<string, unknown>;
@@ -95,19 +96,20 @@
 export function createFakePlatform(world: World, random: Random): FakePlatform {
   const stops = new Map<string, Stop>();
   const ended = new Set<string>();
-  const failed = new Set<string>();
   const reboots = new Map<string, { fromMs: number; untilMs: number }>();
   const onReboot = { handle: (_id: string, _nowMs: number): void => undefined };
   const start = (stop: Stop, id: string, nowMs: number): void => {
     if (stop.rebootUntilMs !== undefined) return;
     onReboot.handle(id, nowMs);
-    const isFailing = world.failsReboot.has(id) && !failed.has(id);
-    if (isFailing) failed.add(id);
-    const tookMs = (world.rebootMs.get(id) ?? 0) + (isFailing ? HOUR_MS : 0);
-    stop.rebootUntilMs = nowMs + tookMs;
+    stop.rebootUntilMs = nowMs + getRebootMs(world, id, !reboots.has(id));
     reboots.set(id, { fromMs: nowMs, untilMs: stop.rebootUntilMs });
   };
-  const operate = (operation: PermitOperation, id: string, permitId: string, nowMs: number) => {
+  const applyOperation = (
+    operation: PermitOperation,
+    id: string,
+    permitId: string,
+    nowMs: number,
+  ) => {
     if (random() < LOST_BEFORE_SHARE) return 'unknown';
     if (operation === 'restore') {
       ended.add(permitId);
@@ -134,6 +136,15 @@
     const stop = stops.get(id);
     return stop !== undefined && nowMs >= stop.idleAtMs ? 0 : 1;
   };
-  const listLive = (atMs: number) => new Map([...world.instances].filter(([id]) => isUp(id, atMs)));
-  return { operate, listLive, countWork, stops, onReboot };
+  const leaving = new Map(
+    [...world.instances].map(([id, instance]) => [id, { ...instance, state: 'leaving' } as const]),
+  );
+  const listInstances = (atMs: number): ReadonlyMap<string, Instance> => {
+    const list = new Map<string, Instance>(world.instances);
+    leaving.forEach((instance, id) => {
+      if (!isUp(id, atMs)) list.set(id, instance);
+    });
+    return list;
+  };
+  return { applyOperation, listInstances, countWork, stops, onReboot };
 }
--- a/packages/measure/src/lib/wave/world.ts
+++ b/packages/measure/src/lib/wave/world.ts
@@ -33,6 +33,7 @@
 const REBOOT_MS = 10 * MINUTE_MS;
 const REBOOT_SPREAD = 0.1;
 const REBOOT_FAILURE_SHARE = 0.003;
+const REPAIR_MS = HOUR_MS;
 
 /** A time during which an instance is down without a permit. */
 export interface Downtime {
@@ -94,15 +95,15 @@
 
 /** Draws the downtimes of single instances over the whole time. */
 function makeSingleDowntimes(ids: readonly string[], random: Random) {
-  const draw = (count: number, leastMs: number, mostMs: number) =>
+  const makeDowntimes = (count: number, leastMs: number, mostMs: number) =>
     Array.from({ length: count * SIMULATED_DAYS }, () => {
       const fromMs = random() * SIMULATED_DAYS * DAY_MS;
       const id = ids[pickInteger(random, ids.length)] ?? '';
       return { id, fromMs, untilMs: fromMs + leastMs + random() * (mostMs - leastMs) };
     });
   return [
-    ...draw(FAILURES_A_DAY, HOUR_MS / 2, 4 * HOUR_MS),
-    ...draw(RESTARTS_A_DAY, MINUTE_MS, 3 * MINUTE_MS),
+    ...makeDowntimes(FAILURES_A_DAY, HOUR_MS / 2, 4 * HOUR_MS),
+    ...makeDowntimes(RESTARTS_A_DAY, MINUTE_MS, 3 * MINUTE_MS),
   ];
 }
 
@@ -148,6 +149,12 @@
   };
 }
 
+/** Gets the time of an instance's reboot; the first one may need a repair. */
+export function getRebootMs(world: World, id: string, isFirst: boolean): number {
+  const repairMs = isFirst && world.failsReboot.has(id) ? REPAIR_MS : 0;
+  return (world.rebootMs.get(id) ?? 0) + repairMs;
+}
+
 /** Says whether an instance is down without a permit at a time. */
 export function isDown(world: World, id: string, atMs: number): boolean {
   return (world.downtimes.get(id) ?? []).some(
--- a/packages/vanilladock/src/lib/maintenance/candidates.ts
+++ b/packages/vanilladock/src/lib/maintenance/candidates.ts
@@ -17,6 +17,8 @@
   readonly lossPauseMs: number;
   /** Share of the fleet whose unplanned loss holds all pools. */
   readonly fleetLossShare: number;
+  /** Time by which others begin earlier still once any instance may, so that waves stay together. */
+  readonly cohortMs: number;
   /** Age at which a wave takes no further instances. */
   readonly waveAgeMs: number;
   /** Pause after a wave stopped itself. */
@@ -26,6 +28,7 @@
 /** Settings that suit a fleet of some hundred instances. */
 export const WAVE_SETTINGS: WaveSettings = {
   leadShare: 0.1,
+  cohortMs: DAY_MS,
   lossPauseMs: 5 * 60_000,
   fleetLossShare: 0.1,
   waveAgeMs: DAY_MS,
@@ -73,18 +76,44 @@
   return maintainedAtMs + input.policyOf(pool, input.nowMs).maintenanceIntervalDays * DAY_MS;
 }
 
-/** Makes a candidate of an instance that is due, or soon will be. */
+/** Makes a candidate of an instance. */
 function makeCandidate(input: WaveInput, pool: string, id: string): Candidate | undefined {
   const instance = input.instances.get(id);
   if (instance === undefined) return undefined;
   const dueAtMs = computeDueAtMs(input, id, pool);
-  const { maintenanceIntervalDays } = input.policyOf(pool, input.nowMs);
-  const leadMs = maintenanceIntervalDays * DAY_MS * input.settings.leadShare;
-  if (input.nowMs < dueAtMs - leadMs) return undefined;
   const { dataCentre, rack } = instance.location;
   return { instanceId: id, pool, dataCentre, rack, dueAtMs, isOverdue: input.nowMs >= dueAtMs };
 }
 
+/** Says whether a wave began so lately that others still belong to its cohort. */
+function isUnderWay(input: WaveInput): boolean {
+  const startedAtMs = input.fleet.maintenance.waves.last(undefined)?.startedAtMs;
+  return startedAtMs !== undefined && input.nowMs - startedAtMs < input.settings.waveAgeMs;
+}
+
+/** Lists the candidates of each pool that are due, or soon will be together with others. */
+function listDue(input: WaveInput) {
+  const { nowMs, policyOf, settings } = input;
+  const pools = [...input.fleet.pools.members].map(([pool, ids]) => {
+    const candidates = [...ids]
+      .map((id) => makeCandidate(input, pool, id))
+      .filter((candidate) => candidate !== undefined);
+    const { maintenanceIntervalDays } = policyOf(pool, nowMs);
+    const leadMs = maintenanceIntervalDays * DAY_MS * settings.leadShare;
+    return { pool, candidates, horizonMs: nowMs + leadMs };
+  });
+  const isAnyOpen = pools.some(({ candidates, horizonMs }) =>
+    candidates.some(({ dueAtMs }) => dueAtMs <= horizonMs),
+  );
+  if (!isAnyOpen && !isUnderWay(input)) return [];
+  return pools
+    .map(({ pool, candidates, horizonMs }) => {
+      const latestMs = horizonMs + settings.cohortMs;
+      return { pool, due: candidates.filter(({ dueAtMs }) => dueAtMs <= latestMs) };
+    })
+    .filter(({ due }) => due.length > 0);
+}
+
 /** Compares values that may be infinite. */
 function compareNumbers(a: number, b: number): number {
   if (a === b) return 0;
@@ -181,17 +210,11 @@
 
 /** Lists the boards of all pools with due instances, the most rounds of maintenance first. */
 export function listBoards(input: WaveInput): readonly PoolBoard[] {
-  const duePools = [...input.fleet.pools.members].map(([pool, ids]) => {
-    const due = [...ids]
-      .map((id) => makeCandidate(input, pool, id))
-      .filter((candidate) => candidate !== undefined);
-    return { pool, due };
-  });
+  const duePools = listDue(input);
   const ranks = new globalThis.Map(
     orderDataCentres(duePools.flatMap(({ due }) => due)).map((name, rank) => [name, rank]),
   );
   return duePools
-    .filter(({ due }) => due.length > 0)
     .map(({ pool, due }) => makeBoard(input, pool, due, ranks))
     .sort((a, b) => computeRounds(b) - computeRounds(a) || compareTexts(a.pool, b.pool));
 }
--- a/packages/vanilladock/src/lib/maintenance/executor.ts
+++ b/packages/vanilladock/src/lib/maintenance/executor.ts
@@ -57,6 +57,11 @@
 /** Progress by permit id; lost with the executor. */
 export type ExecutorState = Map<string, PermitProgress>;
 
+/** Creates the state of an executor that has just taken over. */
+export function createExecutorState(): ExecutorState {
+  return Map();
+}
+
 /** What the executor knows of the platform. */
 export interface ExecutorObservations {
   readonly list: ListReading;
--- a/packages/vanilladock/src/lib/maintenance/losses.ts
+++ b/packages/vanilladock/src/lib/maintenance/losses.ts
@@ -18,6 +18,11 @@
 /** Since when each instance has been missing or leaving, by monotonic time. */
 export type Absences = Map<string, number>;
 
+/** Creates the absences of a planner that has just taken over. */
+export function createAbsences(): Absences {
+  return Map();
+}
+
 /** What an observation record should say, and the absences that it rests on. */
 export interface LossPlan {
   readonly absences: Absences;
@@ -59,6 +64,7 @@
   fleet: FleetState,
   locations: ReadonlyMap<string, Instance>,
 ): ReadonlySet<string> {
+  if (fleet.maintenance.lost.size < 2) return new Set();
   const totals = new globalThis.Map<string, { lost: number; all: number }>();
   locations.forEach((instance, id) => {
     if (getPool(fleet.pools, id) === undefined) return;
--- a/packages/vanilladock/src/lib/pools/barrier.ts
+++ b/packages/vanilladock/src/lib/pools/barrier.ts
@@ -38,6 +38,11 @@
 /** The planner's sightings by entry id; lost with the planner, and then counted anew. */
 export type Sightings = Map<string, Sighting>;
 
+/** Creates the sightings of a planner that has just taken over. */
+export function createSightings(): Sightings {
+  return Map();
+}
+
 /** Whether a join may be written. */
 export type JoinVerdict =
   | { readonly kind: 'ready'; readonly lapsed: readonly LapsedEntry[] }
@@ -49,7 +54,7 @@
   pools: PoolState,
   nowMs: number,
 ): Sightings {
-  return pools.entries.map((word, entryId) => {
+  return pools.entries.map((word, entryId): Sighting => {
     const known = sightings.get(entryId);
     if (known?.acknowledgementOffset === word.offset) return known;
     return { acknowledgementOffset: word.offset, readAtMs: nowMs };
@@ -137,7 +142,8 @@
   if (lease.sentAtMs === undefined) return true;
   if (nowMs >= lease.sentAtMs + settings.renewMs) return true;
   const word = pools.entries.get(entryId);
-  return pools.memberships.some(
-    ({ kind, offset }) => kind !== 'member' && offset > (word?.appliedOffset ?? -1),
-  );
+  return pools.between.some((id) => {
+    const offset = pools.memberships.get(id)?.offset ?? -1;
+    return offset > (word?.appliedOffset ?? -1);
+  });
 }
--- a/packages/vanilladock/src/lib/pools/fold.ts
+++ b/packages/vanilladock/src/lib/pools/fold.ts
@@ -37,6 +37,8 @@
   readonly memberships: Map<string, Membership>;
   /** Instance ids of each pool. */
   readonly members: Map<string, Set<string>>;
+  /** Ids of instances that are released or removed. */
+  readonly between: Set<string>;
   readonly entries: Map<string, EntryWord>;
   readonly fences: Fences;
   readonly recentIds: RecentIds;
@@ -50,6 +52,7 @@
   return {
     memberships: Map(),
     members: Map(),
+    between: Set(),
     entries: Map(),
     fences: createFences(),
     recentIds: createRecentIds(),
@@ -74,16 +77,22 @@
   if (next.kind === 'member') {
     members = members.update(next.pool, Set(), (ids) => ids.add(instanceId));
   }
-  return { ...state, members, memberships: state.memberships.set(instanceId, next) };
+  const between =
+    next.kind === 'member' ? state.between.delete(instanceId) : state.between.add(instanceId);
+  return { ...state, members, between, memberships: state.memberships.set(instanceId, next) };
 }
 
 /** Forgets removed instances whose removal every entry has applied. */
 function dropAppliedRemovals(state: PoolState): PoolState {
-  const memberships = state.memberships.filterNot(
-    (membership) =>
-      membership.kind === 'removed' && listUnacknowledged(state, membership.offset).length === 0,
-  );
-  return memberships.size === state.memberships.size ? state : { ...state, memberships };
+  const applied = state.between.filter((instanceId) => {
+    const membership = state.memberships.get(instanceId);
+    return (
+      membership?.kind === 'removed' && listUnacknowledged(state, membership.offset).length === 0
+    );
+  });
+  if (applied.isEmpty()) return state;
+  const memberships = state.memberships.deleteAll(applied);
+  return { ...state, memberships, between: state.between.subtract(applied) };
 }
 
 /** Folds an entry's word; applied offsets never go back. */
