--- a/packages/daemon/src/lib/log-follower.ts
+++ b/packages/daemon/src/lib/log-follower.ts
@@ -6,7 +6,7 @@
 import { createRandom, type ConfigState, type LogService, type LogSlice } from 'vanilladock';
 import { createBackoff } from './backoff.js';
 import type { JsonLog } from './json-log.js';
-import { readFleet } from './log-reader.js';
+import { readStart } from './log-reader.js';
 import { createLogStore, type LogStore } from './log-store.js';
 
 /** A follower of the log. */
@@ -56,14 +56,15 @@
     if (!hasReachedEnd.value) hasReachedEnd.next(true);
   };
   const readState = async () => {
-    const read = await readFleet(service);
+    const read = await readStart(service);
     if (isStopped) return;
     if (read.isErr()) {
       scheduleRetry('log-unreadable', read.error.message);
       return;
     }
     hasState = true;
-    store.takeState(read.value);
+    store.takeState(read.value.state);
+    store.applyRecords(read.value.records);
     handleEnd();
     timer = setTimeout(runLoop, 0);
   };
--- a/packages/daemon/src/lib/log-reader.ts
+++ b/packages/daemon/src/lib/log-reader.ts
@@ -5,7 +5,8 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import {
   createFleetState,
-  loadFleet,
+  findStart,
+  foldFleet,
   type FleetState,
   type LogError,
   type LogService,
@@ -30,20 +31,32 @@
   }
 }
 
-/** Reads the state of the fleet; `refused` when the log no longer holds enough of it. */
-export async function readFleet(service: LogService): Promise<Result<FleetState, LogError>> {
+/** A state and the records that follow it, up to the end of the log. */
+export interface LogStart {
+  readonly state: FleetState;
+  readonly records: readonly StoredRecord[];
+}
+
+/** Reads where to start from; `refused` when the log no longer holds enough of itself. */
+export async function readStart(service: LogService): Promise<Result<LogStart, LogError>> {
   const end = await service.read(Number.MAX_SAFE_INTEGER, 0);
   if (end.isErr()) return Err(end.error);
   const { first, next } = end.value;
-  if (next === 0) return Ok(createFleetState());
+  if (next === 0) return Ok({ state: createFleetState(), records: [] });
   for (let span = START_SPAN; ; span *= SPAN_FACTOR) {
     const from = Math.max(first, next - span);
     const records = await readFrom(service, from);
     if (records.isErr()) return Err(records.error);
-    const state = records.value.length === 0 ? undefined : loadFleet(records.value);
-    if (state !== undefined) return Ok(state);
+    const state = records.value.length === 0 ? undefined : findStart(records.value);
+    if (state !== undefined) return Ok({ state, records: records.value });
     if (from === first) break;
   }
   const message = 'the log has dropped its beginning and holds no complete snapshot';
   return Err({ kind: 'refused', message });
 }
+
+/** Reads the state of the fleet at the end of the log. */
+export async function readFleet(service: LogService): Promise<Result<FleetState, LogError>> {
+  const start = await readStart(service);
+  return start.map(({ state, records }) => records.reduce(foldFleet, state));
+}
--- a/packages/stand-ins/src/lib/log-server.ts
+++ b/packages/stand-ins/src/lib/log-server.ts
@@ -3,7 +3,7 @@
  *
  * `POST /records` with `{"texts": [...]}` appends and answers `{"offset": N}`.
  * `GET /records?from=N&waitMs=M` answers `{"records", "first", "next"}`, waiting for the first record.
- * `PUT /faults` sets `{"isDown", "losesAnswers", "delayMs", "keep"}`; `keep` is the retention in records.
+ * `PUT /faults` sets some of the fields of `LogFaults`.
  */
 import {
   answerJson,
@@ -21,6 +21,8 @@
   readonly delayMs: number;
   /** Records kept; older ones are dropped. */
   readonly keep: number;
+  /** Of the reads that wait when a record comes, those answered; the others wait on. */
+  readonly readersServed: number;
 }
 
 /** A running log service stand-in. */
@@ -31,7 +33,13 @@
   readonly countAppends: () => number;
 }
 
-const NO_FAULTS: LogFaults = { isDown: false, losesAnswers: false, delayMs: 0, keep: Infinity };
+const NO_FAULTS: LogFaults = {
+  isDown: false,
+  losesAnswers: false,
+  delayMs: 0,
+  keep: Infinity,
+  readersServed: Infinity,
+};
 const MAX_SLICE = 1000;
 const MAX_WAIT_MS = 30_000;
 
@@ -51,7 +59,7 @@
     texts = texts.slice(surplus);
     first += surplus;
     appends += 1;
-    [...waiters].forEach((wake) => wake());
+    [...waiters].slice(0, faults.readersServed).forEach((wake) => wake());
     return offset;
   };
   const waitForNext = (from: number, waitMs: number) =>
--- a/packages/vanilladock/src/lib/log/snapshot.ts
+++ b/packages/vanilladock/src/lib/log/snapshot.ts
@@ -59,14 +59,20 @@
 }
 
 /**
- * Computes the state from the records that are kept, without a gap from the first one given to the
- * end. Undefined when they do not begin with the log and hold no usable snapshot.
+ * Finds the state from which the kept records are to be folded, given without a gap to the end: that of
+ * the newest snapshot, or the empty one. Undefined when the records do not begin with the log and hold
+ * no usable snapshot.
  */
-export function loadFleet(records: readonly StoredRecord[]): FleetState | undefined {
+export function findStart(records: readonly StoredRecord[]): FleetState | undefined {
   const first = records[0]?.offset ?? 0;
   const snapshot = findSnapshot(records);
   const decoded = snapshot === undefined ? undefined : decodeFleetState(snapshot.body);
-  const isUsable = decoded !== undefined && decoded.next >= first;
-  if (!isUsable && first > 0) return undefined;
-  return records.reduce(foldFleet, isUsable ? decoded : createFleetState());
+  if (decoded !== undefined && decoded.next >= first) return decoded;
+  return first > 0 ? undefined : createFleetState();
+}
+
+/** Folds kept records from their start; undefined when there is none to start from. */
+export function loadFleet(records: readonly StoredRecord[]): FleetState | undefined {
+  const start = findStart(records);
+  return start === undefined ? undefined : records.reduce(foldFleet, start);
 }
