Fold pools, maintenance and placement into the fleet's state

Cause: the daemons folded configuration and duties only, so that no entry knew of pools or tasks. Change: two domains more, with policies and quotas from the configuration in force at the record. Conclusion: one fold of the log carries every decision.

--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -21,6 +21,7 @@
 export * from './lib/config/parse.js';
 export * from './lib/config/records.js';
 export * from './lib/config/resolve.js';
+export * from './lib/config/rules.js';
 export * from './lib/config/schema.js';
 export * from './lib/duties/decide.js';
 export * from './lib/duties/fold.js';
--- a/packages/vanilladock/src/lib/log/domains.ts
+++ b/packages/vanilladock/src/lib/log/domains.ts
@@ -5,14 +5,28 @@
  */
 import { createConfigState, foldConfig, type ConfigState } from '../config/fold.js';
 import type { ConfigRecord } from '../config/records.js';
-import { createDutyState, foldDuty, type DutyState } from '../duties/fold.js';
+import { createPlacementRules, createPolicyOf } from '../config/rules.js';
+import { createDutyState, foldDuty, isCurrentClaim, type DutyState } from '../duties/fold.js';
 import type { ClaimRecord } from '../duties/records.js';
+import {
+  createFleetState as createCapacityState,
+  foldFleet as foldCapacity,
+  type FleetState as CapacityState,
+} from '../maintenance/fleet.js';
+import type { MaintenanceRecord } from '../maintenance/records.js';
+import { foldPlacement } from '../placement/fold.js';
+import type { PlacementRecord } from '../placement/records.js';
+import { createPlacementState, type PlacementState } from '../placement/state.js';
+import type { PoolRecord } from '../pools/records.js';
 import type { LogRecord, PlacedRecord } from './record.js';
 
 /** Folded state of each domain. */
 export interface DomainStates {
   readonly config: ConfigState;
   readonly duties: DutyState;
+  /** Membership of instances in pools, and their maintenance. */
+  readonly capacity: CapacityState;
+  readonly placement: PlacementState;
 }
 
 /** One domain: the records that it takes in, its first state and its fold. */
@@ -39,4 +53,30 @@
     foldConfig,
   ),
   duties: makeDomain<DutyState, ClaimRecord>(['duty.claim'], createDutyState, foldDuty),
+  capacity: makeDomain<CapacityState, ClaimRecord | PoolRecord | MaintenanceRecord>(
+    [
+      'duty.claim',
+      'pool.release',
+      'pool.acknowledgement',
+      'pool.join',
+      'pool.removal',
+      'maintenance.permit',
+      'maintenance.outcome',
+      'maintenance.observation',
+    ],
+    createCapacityState,
+    (state, placed, { config }) => foldCapacity(state, placed, createPolicyOf(config.config)),
+  ),
+  placement: makeDomain<PlacementState, PlacementRecord>(
+    ['task.submission', 'task.lease', 'task.outcome', 'task.cancellation', 'worker.quarantine'],
+    createPlacementState,
+    (state, placed, { config, duties }) =>
+      foldPlacement(
+        state,
+        placed,
+        createPlacementRules(config.config, placed.record.at, (duty, fence) =>
+          isCurrentClaim(duties, duty, fence),
+        ),
+      ),
+  ),
 };
