--- /dev/null
+++ b/packages/measure/src/lib/placement/scenario.ts
@@ -0,0 +1,282 @@
+/**
+ * The timeline of the placement measurement and the small fakes that it runs on: workers with clocks of
+ * their own, commands and reports that are late or lost, floods, black holes, pauses, a lost rack, a
+ * cancellation wave and an hour without the store. Times are in milliseconds of the true clock.
+ */
+import { createWorkerCore } from '@vanilladock/stand-ins/lib/worker-core.js';
+import type { LedgerEntry, WorkerCore } from '@vanilladock/stand-ins/lib/worker-core.js';
+import { createRandom } from 'vanilladock';
+import type { Random, WorkerCommand } from 'vanilladock';
+import type { PoolView } from 'vanilladock/lib/placement/plan-input.js';
+import type { Scheduler, SendCommand, SentAnswer } from './scheduler.js';
+import { buildPools, createTaskSource, pickOne, WORKER_CAPACITY } from './workload.js';
+import type { WorkTask } from './workload.js';
+
+const TICK_MS = 250;
+const OUTAGE_TICK_MS = 2_000;
+const ROUND_MS = 500;
+const MINUTE_MS = 60_000;
+const REPORT_MIN_MS = 3_000;
+const REPORT_SPREAD_MS = 2_000;
+const REPORT_DELAY_MIN_MS = 500;
+const REPORT_DELAY_SPREAD_MS = 1_500;
+const LOST_SHARE = 0.01;
+const ANSWER_TIMEOUT_MS = 2_000;
+const LATE_SHARE = 0.01;
+const LATE_MS = 40_000;
+const CLOCK_SPREAD = 0.004;
+const BLACK_HOLES = 20;
+const PAUSED_WORKERS = 30;
+const PAUSED_ENTRIES = 4;
+const HOT_POOLS = 24;
+const CANCELLED_SHARE = 0.3;
+
+/** Minutes at which things begin. */
+export const TIMELINE = {
+  patientFlood: 2,
+  quickFlood: 4,
+  cancellations: 6,
+  rackLoss: 6.5,
+  outage: 8,
+  recovery: 68,
+  end: 71,
+} as const;
+
+const ARRIVALS_PER_SECOND = { quick: 20, heavy: 12, patient: 10 } as const;
+const FLOOD_FACTOR = 10;
+
+/** What a run left behind. */
+export interface Outcome {
+  readonly entries: readonly LedgerEntry[];
+  readonly tasks: ReadonlyMap<string, WorkTask>;
+  readonly submittedMs: ReadonlyMap<string, number>;
+  readonly startedMs: ReadonlyMap<string, number>;
+  readonly cancelled: ReadonlySet<string>;
+  readonly failingSince: ReadonlyMap<string, number>;
+  /** Refusals by urgency and code. */
+  readonly refusals: ReadonlyMap<string, number>;
+  readonly isAccepted: (taskId: string) => boolean;
+  readonly endMs: number;
+}
+
+/** Creates the scheduler of a run. */
+export type CreateScheduler = (
+  pools: readonly PoolView[],
+  random: Random,
+  send: SendCommand,
+) => Scheduler;
+
+/** Runs the timeline against a scheduler. */
+export function runScenario(seed: number, createScheduler: CreateScheduler): Outcome {
+  const work = createRandom(seed);
+  const faults = createRandom(seed + 1);
+  const transport = createRandom(seed + 2);
+  const pools = buildPools();
+  const poolNames = pools.map(({ name }) => name);
+  const hotNames = poolNames.slice(0, HOT_POOLS);
+  const source = createTaskSource(work);
+  const tasks = new Map<string, WorkTask>();
+  const submittedMs = new Map<string, number>();
+  const startedMs = new Map<string, number>();
+  const cancelled = new Set<string>();
+  const failingSince = new Map<string, number>();
+  const refusals = new Map<string, number>();
+  const entries: LedgerEntry[] = [];
+  const progress = new Map<string, number>();
+  const workers = new Map<string, WorkerCore>();
+  const dead = new Set<string>();
+  const events = new Map<number, (() => void)[]>();
+  let nowMs = 0;
+
+  const schedule = (atMs: number, run: () => void): void => {
+    const key = Math.ceil(Math.max(atMs, nowMs + 1) / TICK_MS);
+    const list = events.get(key);
+    if (list) list.push(run);
+    else events.set(key, [run]);
+  };
+
+  const applyCommand = (
+    workerId: string,
+    command: WorkerCommand,
+    onAnswer: (answer: SentAnswer) => void,
+  ): void => {
+    const worker = workers.get(workerId);
+    if (worker === undefined || dead.has(workerId)) return onAnswer('lost');
+    if (worker.isPaused()) {
+      return schedule(nowMs + TICK_MS, () => {
+        applyCommand(workerId, command, onAnswer);
+      });
+    }
+    return onAnswer(worker.apply(command, nowMs));
+  };
+
+  const send: SendCommand = (workerId, command, onAnswer) => {
+    const draw = transport();
+    if (draw < LOST_SHARE) {
+      schedule(nowMs + ANSWER_TIMEOUT_MS, () => {
+        onAnswer('lost');
+      });
+      return;
+    }
+    if (draw < LOST_SHARE + LATE_SHARE) {
+      schedule(nowMs + LATE_MS * transport(), () => {
+        applyCommand(workerId, command, () => undefined);
+      });
+      schedule(nowMs + ANSWER_TIMEOUT_MS, () => {
+        onAnswer('lost');
+      });
+      return;
+    }
+    schedule(nowMs + 1, () => {
+      applyCommand(workerId, command, onAnswer);
+    });
+  };
+
+  pools.forEach(({ workers: views }) =>
+    views.forEach(({ id }) => {
+      const options = {
+        workerId: id,
+        capacity: WORKER_CAPACITY,
+        clockRate: 1 + CLOCK_SPREAD * (faults() * 2 - 1),
+        getWork: (taskId: string) => {
+          const task = tasks.get(taskId);
+          if (task === undefined) throw new Error(`unknown task ${taskId}`);
+          return task.work;
+        },
+        progress,
+        onStart: (taskId: string, atMs: number) => {
+          if (!startedMs.has(taskId)) startedMs.set(taskId, atMs);
+        },
+        onEnd: (entry: LedgerEntry) => entries.push(entry),
+      };
+      workers.set(id, createWorkerCore(options));
+    }),
+  );
+
+  const scheduler = createScheduler(pools, transport, send);
+
+  const reportWorker = (workerId: string): void => {
+    const worker = workers.get(workerId);
+    schedule(nowMs + REPORT_MIN_MS + REPORT_SPREAD_MS * transport(), () => {
+      reportWorker(workerId);
+    });
+    if (worker === undefined || dead.has(workerId) || worker.isPaused()) return;
+    const report = worker.report(nowMs);
+    schedule(nowMs + REPORT_DELAY_MIN_MS + REPORT_DELAY_SPREAD_MS * transport(), () => {
+      scheduler.observeReport(workerId, report, nowMs);
+    });
+  };
+
+  const sendTask = (task: WorkTask): void => {
+    tasks.set(task.taskId, task);
+    submittedMs.set(task.taskId, nowMs);
+    const refusal = scheduler.takeTask(task, nowMs);
+    if (refusal === undefined) return;
+    const isHot = hotNames.includes(task.pool) ? 'hot' : 'other';
+    const key = `${task.urgency}/${isHot}/${refusal}`;
+    refusals.set(key, (refusals.get(key) ?? 0) + 1);
+  };
+
+  const isBetween = (from: number, to: number): boolean =>
+    nowMs >= from * MINUTE_MS && nowMs < to * MINUTE_MS;
+
+  const sendArrivals = (stepMs: number): void => {
+    (['quick', 'heavy', 'patient'] as const).forEach((urgency) => {
+      const isPatientFlood =
+        urgency === 'patient' && isBetween(TIMELINE.patientFlood, TIMELINE.quickFlood);
+      const isQuickFlood =
+        urgency === 'quick' && isBetween(TIMELINE.quickFlood, TIMELINE.cancellations);
+      const mean = (ARRIVALS_PER_SECOND[urgency] * stepMs) / 1_000;
+      const extra = isPatientFlood || isQuickFlood ? mean * (FLOOD_FACTOR - 1) : 0;
+      const count = Math.floor(mean + work());
+      const extraCount = Math.floor(extra + work());
+      for (let index = 0; index < count; index += 1) {
+        sendTask(source.makeTask(urgency, poolNames));
+      }
+      for (let index = 0; index < extraCount; index += 1) {
+        sendTask(source.makeTask(urgency, isQuickFlood ? hotNames : poolNames));
+      }
+    });
+  };
+
+  const scheduleFaults = (): void => {
+    const ids = [...workers.keys()];
+    Array.from({ length: BLACK_HOLES }).forEach(() => {
+      const workerId = pickOne(faults, ids);
+      schedule(MINUTE_MS * (1 + 5 * faults()), () => {
+        if (failingSince.has(workerId)) return;
+        failingSince.set(workerId, nowMs);
+        workers.get(workerId)?.setBehaviour({ isFailing: true, isPaused: false }, nowMs);
+      });
+    });
+    Array.from({ length: PAUSED_WORKERS }).forEach(() => {
+      const workerId = pickOne(faults, ids);
+      const atMs = MINUTE_MS * (1 + 6 * faults());
+      const isFailing = (): boolean => failingSince.has(workerId);
+      schedule(atMs, () => {
+        workers.get(workerId)?.setBehaviour({ isFailing: isFailing(), isPaused: true }, nowMs);
+      });
+      schedule(atMs + MINUTE_MS * (0.2 + 1.3 * faults()), () => {
+        workers.get(workerId)?.setBehaviour({ isFailing: isFailing(), isPaused: false }, nowMs);
+      });
+    });
+    Array.from({ length: PAUSED_ENTRIES }).forEach((_, index) => {
+      const atMs = MINUTE_MS * (1.5 + 1.7 * index);
+      schedule(atMs, () => {
+        scheduler.pauseEntry(index, nowMs, nowMs + MINUTE_MS);
+      });
+    });
+    const rack = pools
+      .flatMap(({ workers: views }) => views)
+      .filter(({ location }) => location.rack === 'rack-17');
+    schedule(MINUTE_MS * TIMELINE.rackLoss, () => {
+      rack.forEach(({ id }) => {
+        workers.get(id)?.stop(nowMs);
+        dead.add(id);
+      });
+    });
+    schedule(MINUTE_MS * TIMELINE.recovery, () => rack.forEach(({ id }) => dead.delete(id)));
+    schedule(MINUTE_MS * TIMELINE.cancellations, () => {
+      tasks.forEach((_task, taskId) => {
+        if (faults() >= CANCELLED_SHARE) return;
+        cancelled.add(taskId);
+        scheduler.cancelTask(taskId, nowMs);
+      });
+    });
+    schedule(MINUTE_MS * TIMELINE.outage, () => scheduler.setStoreUp(false, nowMs));
+    schedule(MINUTE_MS * TIMELINE.recovery, () => scheduler.setStoreUp(true, nowMs));
+  };
+
+  [...workers.keys()].forEach((workerId) => {
+    schedule(REPORT_MIN_MS * transport(), () => {
+      reportWorker(workerId);
+    });
+  });
+  scheduleFaults();
+  const endMs = TIMELINE.end * MINUTE_MS;
+  while (nowMs < endMs) {
+    const isQuiet = isBetween(TIMELINE.outage + 1, TIMELINE.recovery - 1);
+    const stepMs = isQuiet ? OUTAGE_TICK_MS : TICK_MS;
+    for (let passed = 0; passed < stepMs; passed += TICK_MS) {
+      nowMs += TICK_MS;
+      const due = events.get(nowMs / TICK_MS) ?? [];
+      events.delete(nowMs / TICK_MS);
+      due.forEach((run) => run());
+    }
+    sendArrivals(stepMs);
+    if (nowMs % ROUND_MS === 0) scheduler.runRound(nowMs);
+  }
+  workers.forEach((worker) => worker.stop(nowMs));
+  const { isAccepted } = scheduler;
+  return {
+    entries,
+    tasks,
+    submittedMs,
+    startedMs,
+    cancelled,
+    failingSince,
+    refusals,
+    isAccepted,
+    endMs,
+  };
+}
--- /dev/null
+++ b/packages/measure/src/lib/placement/workload.ts
@@ -0,0 +1,143 @@
+/**
+ * The fleet and the work of the placement measurement, repeatable from a seed: 950 workers in 241
+ * pools, 340 teams, kinds of task whose declared sizes are wrong by up to ten times, some work that
+ * never ends well, and floods.
+ */
+import type { Work } from '@vanilladock/stand-ins/lib/worker-core.js';
+import type { Random, Resources, Urgency } from 'vanilladock';
+import type { PoolView, WorkerView } from 'vanilladock/lib/placement/plan-input.js';
+
+export const WORKERS = 950;
+export const POOLS = 241;
+export const TEAMS = 340;
+export const TEAM_QUOTA_CORES = 160;
+export const WORKER_CAPACITY: Resources = { cores: 32, memoryMb: 65_536, accelerators: 0 };
+
+const WORKERS_PER_RACK = 4;
+const DATA_CENTRES = 7;
+const REGIONS = 3;
+const KINDS_PER_URGENCY = 40;
+const WRONG_FACTOR = 10;
+const FAULTY_SHARE = 0.005;
+const OVERSIZED_SHARE = 0.003;
+const OVERSIZED_MB = 400_000;
+const RESERVE_SHARE = 0.1;
+const LEASE_MS = 30_000;
+
+/** A kind of task: what its tasks really need, within a spread. */
+interface Kind {
+  readonly name: string;
+  readonly needs: Resources;
+  readonly runMs: number;
+}
+
+/** A task of the workload. */
+export interface WorkTask {
+  readonly taskId: string;
+  readonly team: string;
+  readonly pool: string;
+  readonly urgency: Urgency;
+  readonly taskKind: string;
+  readonly declared: Resources;
+  readonly work: Work;
+  /** Whether no worker can ever finish it. */
+  readonly isUnrunnable: boolean;
+}
+
+/** Builds the pools; a rack's workers belong to different pools. */
+export function buildPools(): readonly PoolView[] {
+  const workers = Array.from({ length: WORKERS }, (_, index): WorkerView => {
+    const rack = Math.floor(index / WORKERS_PER_RACK);
+    const dataCentre = rack % DATA_CENTRES;
+    const location = {
+      region: `region-${dataCentre % REGIONS}`,
+      dataCentre: `dc-${dataCentre}`,
+      rack: `rack-${rack}`,
+    };
+    return { id: `worker-${index}`, location, capacity: WORKER_CAPACITY, isOpen: true };
+  });
+  return Array.from({ length: POOLS }, (_, index) => ({
+    name: `pool-${index}`,
+    workers: workers.filter((_worker, position) => position % POOLS === index),
+    urgentReserveShare: RESERVE_SHARE,
+    taskLeaseMs: LEASE_MS,
+  }));
+}
+
+const RUN_MS = {
+  quick: [2_000, 20_000],
+  heavy: [20_000, 120_000],
+  patient: [60_000, 240_000],
+} as const;
+
+/** Picks a number between two, evenly on a logarithmic scale. */
+function pickLog(random: Random, low: number, high: number): number {
+  return low * (high / low) ** random();
+}
+
+/** Picks one of a list. */
+export function pickOne<T>(random: Random, list: readonly T[]): T {
+  const picked = list[Math.floor(random() * list.length)];
+  if (picked === undefined) throw new Error('cannot pick from an empty list');
+  return picked;
+}
+
+/** Builds the kinds of task of one urgency. */
+function buildKinds(random: Random, urgency: Urgency): readonly Kind[] {
+  const [shortest, longest] = RUN_MS[urgency];
+  return Array.from({ length: KINDS_PER_URGENCY }, (_, index) => ({
+    name: `${urgency}-${index}`,
+    needs: {
+      cores: Math.round(pickLog(random, 0.5, 8) * 10) / 10,
+      memoryMb: Math.round(pickLog(random, 500, 12_000)),
+      accelerators: 0,
+    },
+    runMs: pickLog(random, shortest, longest),
+  }));
+}
+
+/** Makes tasks of the workload. */
+export interface TaskSource {
+  readonly makeTask: (urgency: Urgency, pools: readonly string[]) => WorkTask;
+}
+
+/** Creates a source of tasks. */
+export function createTaskSource(random: Random): TaskSource {
+  const kinds = {
+    quick: buildKinds(random, 'quick'),
+    heavy: buildKinds(random, 'heavy'),
+    patient: buildKinds(random, 'patient'),
+  };
+  let tasks = 0;
+  return {
+    makeTask: (urgency, pools) => {
+      const kind = pickOne(random, kinds[urgency]);
+      tasks += 1;
+      const factor = pickLog(random, 1 / WRONG_FACTOR, WRONG_FACTOR);
+      const memoryFactor = pickLog(random, 1 / WRONG_FACTOR, WRONG_FACTOR);
+      const spread = 0.8 + 0.4 * random();
+      const draw = random();
+      const isFaulty = draw < FAULTY_SHARE;
+      const isOversized = !isFaulty && draw < FAULTY_SHARE + OVERSIZED_SHARE;
+      const memoryMb = isOversized ? OVERSIZED_MB : kind.needs.memoryMb * spread;
+      return {
+        taskId: `task-${tasks}`,
+        team: `team-${Math.floor(random() * TEAMS)}`,
+        pool: pickOne(random, pools),
+        urgency,
+        taskKind: isOversized ? `${kind.name}-oversized` : kind.name,
+        declared: {
+          cores: Math.max(0.1, kind.needs.cores * factor),
+          memoryMb: Math.max(50, kind.needs.memoryMb * memoryFactor),
+          accelerators: 0,
+        },
+        work: {
+          needs: { cores: kind.needs.cores * spread, memoryMb, accelerators: 0 },
+          runMs: kind.runMs * spread,
+          isFaulty,
+        },
+        isUnrunnable: isFaulty || isOversized,
+      };
+    },
+  };
+}
--- a/packages/vanilladock/src/lib/placement/leases.ts
+++ b/packages/vanilladock/src/lib/placement/leases.ts
@@ -56,6 +56,8 @@
   readonly acceptedMs: number | undefined;
   /** When the newest report that the planner has named in a command was received; -1 for none. */
   readonly echoedMs: number;
+  /** When the report that the newest renewal named was received; -Infinity for none. */
+  readonly renewedMs: number;
 }
 
 /** Computes when a duration counted by another clock has surely passed. */
@@ -83,7 +85,7 @@
 
 /** Says whether a worker's leases are due to be renewed. */
 export function isRenewalDue(contact: WorkerContact, durationMs: number): boolean {
-  return contact.receivedMs - contact.echoedMs >= durationMs * RENEW_SHARE;
+  return contact.receivedMs - contact.renewedMs >= durationMs * RENEW_SHARE;
 }
 
 /** Takes in a report received at a time under a claim. */
@@ -99,6 +101,7 @@
     receivedMs: nowMs,
     acceptedMs: contact?.acceptedMs ?? (isAccepted ? nowMs : undefined),
     echoedMs: contact?.echoedMs ?? -1,
+    renewedMs: contact?.renewedMs ?? -Infinity,
   };
 }
 
@@ -106,3 +109,8 @@
 export function observeEcho(contact: WorkerContact): WorkerContact {
   return { ...contact, echoedMs: contact.receivedMs };
 }
+
+/** Takes in that a renewal naming the newest report is sent. */
+export function observeRenewal(contact: WorkerContact): WorkerContact {
+  return { ...observeEcho(contact), renewedMs: contact.receivedMs };
+}
--- a/packages/vanilladock/src/lib/placement/plan-input.ts
+++ b/packages/vanilladock/src/lib/placement/plan-input.ts
@@ -55,7 +55,7 @@
 export const SILENT_AFTER_MS = 12_000;
 
 /** Time after which an append without a result is decided anew. */
-export const APPEND_TIMEOUT_MS = 10_000;
+export const APPEND_TIMEOUT_MS = 3_000;
 
 /** Time after which a command that shows no effect in the reports is sent again. */
 export const RESEND_AFTER_MS = 8_000;
--- a/packages/vanilladock/src/lib/placement/plan-pool.ts
+++ b/packages/vanilladock/src/lib/placement/plan-pool.ts
@@ -15,6 +15,7 @@
   addToRoom,
   buildPoolRoom,
   computeLargest,
+  hasAnyRoom,
   isNeverFitting,
   pickWorker,
 } from './plan-room.js';
@@ -25,6 +26,9 @@
 import { EMPTY_TEAM } from './state.js';
 import type { TaskState, TeamQueue } from './state.js';
 
+/** Time after which a pool in which nothing fitted is looked at again, if its queue stays the same. */
+const STUCK_RETRY_MS = 2_000;
+
 /** A team's place in the order of a round. */
 interface TeamTurn {
   readonly team: string;
@@ -107,7 +111,8 @@
     sinceMs: input.nowMs,
   });
   const rack = `${task.team}/${chosen.best.worker.location.rack}`;
-  pool.spread.set(rack, (pool.spread.get(rack) ?? 0) + 1);
+  const spread = pool.getSpread();
+  spread.set(rack, (spread.get(rack) ?? 0) + 1);
   const reason = `best fit among ${pool.rooms.size} workers, spread over racks`;
   const refused = chosen.next ? `worker ${chosen.next.worker.id}` : 'no other worker has room';
   return {
@@ -196,6 +201,7 @@
   budget: number,
   pending: Map<string, number>,
 ): readonly PlacementDecision[] {
+  if (urgency !== 'quick' && !hasAnyRoom(pool, false)) return [];
   const turns = orderTeams(context, pool.pool, urgency, pending);
   const decisions: PlacementDecision[] = [];
   let granted = 0;
@@ -226,6 +232,11 @@
   budget: number,
   pending: Map<string, number>,
 ): readonly PlacementDecision[] {
+  const { memory, input } = context;
+  const queue = input.state.queues.get(pool.name);
+  const stuck = memory.stuck.get(pool.name);
+  const isStuck = queue !== undefined && stuck?.queue === queue && input.nowMs < stuck.untilMs;
+  if (isStuck) return [];
   const room = buildPoolRoom(context, pool);
   const decisions: PlacementDecision[] = [];
   let left = budget;
@@ -234,6 +245,10 @@
     left -= planned.filter(({ kind }) => kind === 'grant').length;
     decisions.push(...planned);
   });
+  const hasQuick = queue?.has('quick') === true;
+  if (queue !== undefined && decisions.length === 0 && !hasQuick) {
+    memory.stuck.set(pool.name, { queue, untilMs: input.nowMs + STUCK_RETRY_MS });
+  }
   const throttles = [...room.rooms.values()].flatMap((one) => planThrottle(context, one));
   return [...throttles, ...decisions];
 }
--- a/packages/vanilladock/src/lib/placement/plan-room.ts
+++ b/packages/vanilladock/src/lib/placement/plan-room.ts
@@ -37,7 +37,7 @@
   /** Cores used by tasks that are not quick. */
   readonly countPatientCores: () => number;
   /** Tasks of a team on each rack, counted as `team/rack`. */
-  readonly spread: Map<string, number>;
+  readonly getSpread: () => Map<string, number>;
 }
 
 /** Counts the leases of a worker that it has not yet shown to run. */
@@ -107,13 +107,17 @@
 /** Builds the room of a pool: the fold, grants not yet read back, and reservations. */
 export function buildPoolRoom(context: PlanContext, pool: PoolView): PoolRoom {
   const rooms = new Map(pool.workers.map((worker) => [worker.id, buildRoom(context, worker)]));
+  let spread: Map<string, number> | undefined;
   const built: PoolRoom = {
     pool,
     rooms,
     capacityCores: pool.workers.reduce((sum, { capacity }) => sum + capacity.cores, 0),
     countPatientCores: () =>
       [...rooms.values()].reduce((sum, room) => sum + room.used.cores - room.quickCores, 0),
-    spread: countSpread(context, rooms.values()),
+    getSpread: () => {
+      spread ??= countSpread(context, rooms.values());
+      return spread;
+    },
   };
   context.memory.grants.forEach(({ workerId, size, urgency }) => {
     addToRoom(built, workerId, size, urgency === 'quick');
@@ -141,6 +145,17 @@
   return isWithin(size, { ...free, cores: free.cores + EPSILON });
 }
 
+const LEAST_CORES = 0.1;
+
+/** Says whether any worker could take even the smallest task. */
+export function hasAnyRoom(pool: PoolRoom, isQuick: boolean): boolean {
+  const least = { cores: LEAST_CORES, memoryMb: 1, accelerators: 0 };
+  for (const room of pool.rooms.values()) {
+    if (isFitting(room, least, isQuick)) return true;
+  }
+  return false;
+}
+
 const SPREAD_WEIGHT = 0.25;
 const THROTTLE_WEIGHT = 2;
 
@@ -148,9 +163,9 @@
 function computeScore(pool: PoolRoom, room: WorkerRoom, task: TaskState, size: Resources): number {
   const { capacity, location } = room.worker;
   const left = removeResources(removeResources(capacity, room.used), size);
-  const leftover = left.cores / capacity.cores + left.memoryMb / capacity.memoryMb;
+  const leftover = Math.max(0, left.cores) / capacity.cores + left.memoryMb / capacity.memoryMb;
   const sharing = Math.max(0, -left.cores) / capacity.cores;
-  const neighbours = pool.spread.get(`${task.team}/${location.rack}`) ?? 0;
+  const neighbours = pool.getSpread().get(`${task.team}/${location.rack}`) ?? 0;
   return leftover + sharing * THROTTLE_WEIGHT + neighbours * SPREAD_WEIGHT;
 }
 
--- a/packages/vanilladock/src/lib/placement/plan-worker.ts
+++ b/packages/vanilladock/src/lib/placement/plan-worker.ts
@@ -9,6 +9,7 @@
   computeSafeEnd,
   isRenewalDue,
   observeEcho,
+  observeRenewal,
   observeReport,
 } from './leases.js';
 import type { DutyView, WorkerContact } from './leases.js';
@@ -86,7 +87,9 @@
   );
   const { nowMs } = context.input;
   const sent = new Map([...known.sent].filter(([, at]) => nowMs - at < RESEND_AFTER_MS));
-  context.memory.workers.set(workerId, { ...known, contact, runningSince, sent });
+  const hasThrottled = running.some(({ share }) => share < 1);
+  const next = { ...known, contact, runningSince, sent, hasThrottled };
+  context.memory.workers.set(workerId, next);
 }
 
 /** Sends a command about a lease unless it was sent a short time ago. */
@@ -233,7 +236,7 @@
   const { reportId, tasks } = received.report;
   if (tasks.length === 0 || known.contact.reportId !== reportId) return [];
   if (!isRenewalDue(known.contact, pool.taskLeaseMs)) return [];
-  memory.workers.set(workerId, { ...known, contact: observeEcho(known.contact) });
+  memory.workers.set(workerId, { ...known, contact: observeRenewal(known.contact) });
   const settled = tasks
     .filter(({ taskId, fencingToken, phase }) => {
       const offset = input.state.tasks.get(taskId)?.lease?.offset;
--- a/packages/vanilladock/src/lib/placement/plan.ts
+++ b/packages/vanilladock/src/lib/placement/plan.ts
@@ -15,6 +15,9 @@
 import { createPlannerMemory, dropAnswered, getWorkerMemory } from './planner-memory.js';
 import { createRecordMaker } from './record-maker.js';
 
+/** Rounds between two looks at leases on workers that are no longer listed. */
+const ABSENT_ROUNDS = 10;
+
 /** How a worker answered a command. */
 export type CommandAnswer = 'done' | 'refused' | 'fenced' | 'unknown';
 
@@ -22,15 +25,13 @@
 export interface Planner {
   /** Decides one round; the order of the decisions is the order in which they are carried out. */
   readonly plan: (input: PlanInput) => readonly PlacementDecision[];
-  /** Takes in how a worker answered a command, so that a refused one is sent again sooner. */
+  /** Takes in how a worker answered a command, so that one without effect is sent again. */
   readonly observeAnswer: (workerId: string, command: WorkerCommand, answer: CommandAnswer) => void;
 }
 
 /** Says whether some task of a pool is throttled. */
-function hasThrottled({ input }: PlanContext, pool: PoolView): boolean {
-  return pool.workers.some(({ id }) =>
-    input.reports.get(id)?.report.tasks.some(({ share }) => share < 1),
-  );
+function hasThrottled({ memory }: PlanContext, pool: PoolView): boolean {
+  return pool.workers.some(({ id }) => getWorkerMemory(memory, id).hasThrottled);
 }
 
 /** Decides a round under a claim that is held. */
@@ -39,7 +40,8 @@
   const upkeep = pools.flatMap((pool) =>
     pool.workers.flatMap((worker) => planWorker(context, pool, worker)),
   );
-  const decisions = [...upkeep, ...planAbsent(context)];
+  const absent = round % ABSENT_ROUNDS === 0 ? planAbsent(context) : [];
+  const decisions = [...upkeep, ...absent];
   const pending = computePendingCores(context);
   let budget = GRANTS_PER_ROUND;
   pools.forEach((_, index) => {
@@ -92,7 +94,7 @@
       }
     },
     observeAnswer: (workerId, command, answer) => {
-      if (command.kind === 'renew-worker' || answer !== 'refused') return;
+      if (command.kind === 'renew-worker' || answer === 'done' || answer === 'fenced') return;
       const known = getWorkerMemory(memory, workerId);
       const sent = new Map(known.sent);
       sent.delete(`${command.kind}/${command.lease.fencingToken}`);
--- a/packages/vanilladock/src/lib/placement/planner-memory.ts
+++ b/packages/vanilladock/src/lib/placement/planner-memory.ts
@@ -6,7 +6,7 @@
 import type { Urgency } from '../config/schema.js';
 import type { TaskOutcomeRecord } from './records.js';
 import type { WorkerContact } from './leases.js';
-import type { PlacementState, WorkerState } from './state.js';
+import type { PlacementState, PoolQueue, WorkerState } from './state.js';
 import { APPEND_TIMEOUT_MS } from './plan-input.js';
 
 /** A lease that was appended and has not been read back. */
@@ -49,6 +49,8 @@
   readonly runningSince: ReadonlyMap<number, number>;
   /** When each command about a lease was last sent; by command kind and lease offset. */
   readonly sent: ReadonlyMap<string, number>;
+  /** Whether some task in the newest report is throttled. */
+  readonly hasThrottled: boolean;
   /** The report and folded state that were decided on last, and until when that need not be redone. */
   readonly decided:
     | {
@@ -63,6 +65,7 @@
   contact: undefined,
   runningSince: new Map(),
   sent: new Map(),
+  hasThrottled: false,
   decided: undefined,
 };
 
@@ -77,6 +80,8 @@
   readonly probes: Map<string, ProbeState>;
   /** When a quarantine record was last appended; by worker id. */
   readonly judged: Map<string, number>;
+  /** Queues in which nothing could be granted, and when that was found; by pool. */
+  readonly stuck: Map<string, { readonly queue: PoolQueue; readonly untilMs: number }>;
   /** Room being freed; by task id. */
   readonly reservations: Map<string, Reservation>;
 }
@@ -89,6 +94,7 @@
     workers: new Map(),
     probes: new Map(),
     judged: new Map(),
+    stuck: new Map(),
     reservations: new Map(),
   };
 }
