--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -2,7 +2,15 @@
 import { CONTROL_MEASURE } from './control.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
+import { PLACEMENT_MEASURE } from './placement.js';
 import { SLOTS_MEASURE } from './slots.js';
+import { WAVE_MEASURE } from './wave.js';
 
 /** The measurements. */
-export const MEASURES: readonly Measure[] = [HERD_MEASURE, SLOTS_MEASURE, CONTROL_MEASURE];
+export const MEASURES: readonly Measure[] = [
+  HERD_MEASURE,
+  WAVE_MEASURE,
+  PLACEMENT_MEASURE,
+  CONTROL_MEASURE,
+  SLOTS_MEASURE,
+];
