--- a/packages/vanilladock/src/lib/maintenance/candidates.ts
+++ b/packages/vanilladock/src/lib/maintenance/candidates.ts
@@ -69,22 +69,28 @@
   readonly hold: HoldReason | undefined;
 }
 
-/** Computes when an instance is due; never maintained counts as due since ever. */
-export function computeDueAtMs(input: WaveInput, instanceId: string, pool: string): number {
-  const maintainedAtMs = input.fleet.maintenance.maintained.get(instanceId);
-  if (maintainedAtMs === undefined) return -Infinity;
-  return maintainedAtMs + input.policyOf(pool, input.nowMs).maintenanceIntervalDays * DAY_MS;
-}
-
 /** Makes a candidate of an instance. */
-function makeCandidate(input: WaveInput, pool: string, id: string): Candidate | undefined {
+function makeCandidate(
+  input: WaveInput,
+  pool: string,
+  { id, dueAtMs }: { readonly id: string; readonly dueAtMs: number },
+): Candidate | undefined {
   const instance = input.instances.get(id);
   if (instance === undefined) return undefined;
-  const dueAtMs = computeDueAtMs(input, id, pool);
   const { dataCentre, rack } = instance.location;
   return { instanceId: id, pool, dataCentre, rack, dueAtMs, isOverdue: input.nowMs >= dueAtMs };
 }
 
+/** Lists when each instance of a pool is due; never maintained counts as due since ever. */
+function listDueDates(input: WaveInput, pool: string, ids: Iterable<string>) {
+  const intervalMs = input.policyOf(pool, input.nowMs).maintenanceIntervalDays * DAY_MS;
+  const dates = [...ids].map((id) => {
+    const maintainedAtMs = input.fleet.maintenance.maintained.get(id) ?? -Infinity;
+    return { id, dueAtMs: maintainedAtMs + intervalMs };
+  });
+  return { pool, dates, horizonMs: input.nowMs + intervalMs * input.settings.leadShare };
+}
+
 /** Says whether a wave began so lately that others still belong to its cohort. */
 function isUnderWay(input: WaveInput): boolean {
   const startedAtMs = input.fleet.maintenance.waves.last(undefined)?.startedAtMs;
@@ -93,23 +99,19 @@
 
 /** Lists the candidates of each pool that are due, or soon will be together with others. */
 function listDue(input: WaveInput) {
-  const { nowMs, policyOf, settings } = input;
-  const pools = [...input.fleet.pools.members].map(([pool, ids]) => {
-    const candidates = [...ids]
-      .map((id) => makeCandidate(input, pool, id))
-      .filter((candidate) => candidate !== undefined);
-    const { maintenanceIntervalDays } = policyOf(pool, nowMs);
-    const leadMs = maintenanceIntervalDays * DAY_MS * settings.leadShare;
-    return { pool, candidates, horizonMs: nowMs + leadMs };
-  });
-  const isAnyOpen = pools.some(({ candidates, horizonMs }) =>
-    candidates.some(({ dueAtMs }) => dueAtMs <= horizonMs),
+  const pools = [...input.fleet.pools.members].map(([pool, ids]) => listDueDates(input, pool, ids));
+  const isAnyOpen = pools.some(({ dates, horizonMs }) =>
+    dates.some(({ dueAtMs }) => dueAtMs <= horizonMs),
   );
   if (!isAnyOpen && !isUnderWay(input)) return [];
   return pools
-    .map(({ pool, candidates, horizonMs }) => {
-      const latestMs = horizonMs + settings.cohortMs;
-      return { pool, due: candidates.filter(({ dueAtMs }) => dueAtMs <= latestMs) };
+    .map(({ pool, dates, horizonMs }) => {
+      const latestMs = horizonMs + input.settings.cohortMs;
+      const due = dates
+        .filter(({ dueAtMs }) => dueAtMs <= latestMs)
+        .map((date) => makeCandidate(input, pool, date))
+        .filter((candidate) => candidate !== undefined);
+      return { pool, due };
     })
     .filter(({ due }) => due.length > 0);
 }
--- a/packages/vanilladock/src/lib/maintenance/fleet.ts
+++ b/packages/vanilladock/src/lib/maintenance/fleet.ts
@@ -4,7 +4,7 @@
  * its budget; a removed instance needs no permit any more.
  */
 import type { PlacedRecord } from '../log/record.js';
-import { countMembers, createPoolState, foldPool, type PoolState } from '../pools/fold.js';
+import { countMembers, createPoolState, foldPool, getPool, type PoolState } from '../pools/fold.js';
 import { addRecentId } from '../pools/recent-ids.js';
 import type { ReleaseRecord, RemovalRecord } from '../pools/records.js';
 import {
@@ -50,10 +50,31 @@
   };
 }
 
-/** Folds a removal; void while the instance has a permit, for a reboot looks like a removal. */
-function foldRemoval(state: FleetState, placed: PlacedRecord<RemovalRecord>): FleetState {
-  const { instanceId } = placed.record;
-  if (state.maintenance.permits.has(instanceId)) return dropRecord(state, placed.record.id);
+/**
+ * Says whether an instance may be forgotten. Not while it has a permit, for a reboot looks like a
+ * removal, nor while its pool has permits that the budget of the smaller pool would not give; until
+ * then it counts as lost.
+ */
+function isRemovalAllowed(state: FleetState, record: RemovalRecord, policyOf: PolicyOf): boolean {
+  const { pools, maintenance } = state;
+  const { instanceId, at } = record;
+  if (maintenance.permits.has(instanceId)) return false;
+  const pool = getPool(pools, instanceId);
+  const others = pools.members.get(pool ?? '')?.delete(instanceId);
+  if (pool === undefined || others === undefined) return true;
+  if (!others.some((id) => maintenance.permits.has(id))) return true;
+  const unavailable = others.count((id) => maintenance.permits.has(id) || maintenance.lost.has(id));
+  return unavailable <= computeBudget(policyOf(pool, at).maxUnavailableShare, others.size);
+}
+
+/** Folds a removal. */
+function foldRemoval(
+  state: FleetState,
+  placed: PlacedRecord<RemovalRecord>,
+  policyOf: PolicyOf,
+): FleetState {
+  const { instanceId, id } = placed.record;
+  if (!isRemovalAllowed(state, placed.record, policyOf)) return dropRecord(state, id);
   const pools = foldPool(state.pools, placed);
   if (pools.memberships === state.pools.memberships) return { ...state, pools };
   return { pools, maintenance: dropInstance(state.maintenance, instanceId) };
@@ -82,7 +103,7 @@
     case 'pool.join':
       return { pools: foldPool(pools, { record, offset }), maintenance };
     case 'pool.removal':
-      return foldRemoval(state, { record, offset });
+      return foldRemoval(state, { record, offset }, policyOf);
     case 'maintenance.permit':
     case 'maintenance.outcome':
     case 'maintenance.observation':
--- /dev/null
+++ b/packages/vanilladock/src/test/fleet-model.ts
@@ -0,0 +1,292 @@
+/**
+ * A small fleet whose steps tests choose: planners that race for both duties, entries that apply the
+ * log late, a log that is out or loses answers, time that passes. Invariants are checked after each
+ * step. The fence and the barrier can be left out, to show that the checks then find a fault.
+ */
+import { Map as ImmutableMap } from 'immutable';
+import type { LogRecord } from '../lib/log/record.js';
+import { createFleetState, foldFleet, type FleetState } from '../lib/maintenance/fleet.js';
+import { computeBudget, type PolicyOf } from '../lib/maintenance/policy.js';
+import { decideJoin, type Sighting } from '../lib/pools/barrier.js';
+import { MAINTENANCE_DUTY, MOVES_DUTY } from '../lib/pools/fences.js';
+import { countMembers, getPool } from '../lib/pools/fold.js';
+import { POLICY, type Body } from './fleet-records.js';
+
+/** What the model leaves out, to show what it is for. */
+export type Omission = 'nothing' | 'fence' | 'barrier' | 'budget';
+
+export interface Planner {
+  readonly applied: number;
+  readonly movesFence: number;
+  readonly wavesFence: number;
+  /** Offset of the planner's own newest record; it plans nothing before it has read it back. */
+  readonly lastAppend: number;
+  /** When the planner first read each entry's newest word. */
+  readonly sightings: readonly Sighting[];
+}
+
+export interface Entry {
+  readonly applied: number;
+  /** Time before which the entry may route; counted from before it sent. */
+  readonly leaseEndMs: number;
+  readonly pending: { readonly offset: number; readonly sentMs: number } | undefined;
+}
+
+export interface Model {
+  readonly records: readonly LogRecord[];
+  readonly states: readonly FleetState[];
+  readonly planners: readonly Planner[];
+  readonly entries: readonly Entry[];
+  readonly nowMs: number;
+  readonly isLogOut: boolean;
+}
+
+export const LEASE_MS = 10;
+/** Planners leave pool `a` at least this many instances; only their view of it keeps them to it. */
+export const FLOOR = 2;
+const SETTINGS = { leaseMs: LEASE_MS, renewMs: 3, driftShare: 0 };
+export const getPolicy: PolicyOf = () => ({ ...POLICY, maxUnavailableShare: 0.5 });
+
+export const getFleet = (model: Model, applied = model.records.length - 1): FleetState =>
+  model.states[applied + 1] ?? createFleetState();
+
+/** Leaves the fence or the barrier out of a record by filling in what the fold asks for. */
+const applyOmission = (record: LogRecord, state: FleetState, omission: Omission): LogRecord => {
+  const fence =
+    'instanceId' in record && 'fence' in record && omission === 'fence'
+      ? {
+          fence:
+            record.kind === 'maintenance.permit'
+              ? state.maintenance.fences.get(MAINTENANCE_DUTY, -1)
+              : state.pools.fences.get(MOVES_DUTY, -1),
+        }
+      : {};
+  const barrier =
+    record.kind === 'pool.join' && omission === 'barrier'
+      ? {
+          lapsed: [...state.pools.entries].map(([entryId, { offset }]) => {
+            return { entryId, acknowledgementOffset: offset };
+          }),
+        }
+      : {};
+  return { ...record, ...fence, ...barrier };
+};
+
+export const appendTo = (
+  model: Model,
+  body: Body,
+  omission: Omission = 'nothing',
+  id = `r${model.records.length}`,
+): Model => {
+  const head = { version: 1, id, by: 'e', at: 0 } as const;
+  const state = getFleet(model);
+  const record = applyOmission({ ...head, ...body }, state, omission);
+  const policy: PolicyOf =
+    omission === 'budget' ? () => ({ ...POLICY, maxUnavailableShare: 1 }) : getPolicy;
+  const next = foldFleet(state, { offset: model.records.length, record }, policy);
+  return { ...model, records: [...model.records, record], states: [...model.states, next] };
+};
+
+/** Starts with pool `a` of the given size and pool `b` of two, and every entry's word applied. */
+export const createModel = (planners: number, entries: number, size: number): Model => {
+  const empty: Model = {
+    records: [],
+    states: [createFleetState()],
+    planners: [],
+    entries: [],
+    nowMs: 0,
+    isLogOut: false,
+  };
+  const makeClaim = (duty: string): Body => ({ kind: 'duty.claim', duty, follows: -1, leaseMs: 1 });
+  let model = appendTo(appendTo(empty, makeClaim(MOVES_DUTY)), makeClaim(MAINTENANCE_DUTY));
+  const ids = Array.from({ length: size }, (_, index) => ['a', `a-${index}`] as const);
+  [...ids, ['b', 'b-0'] as const, ['b', 'b-1'] as const].forEach(([pool, instanceId]) => {
+    model = appendTo(model, { kind: 'pool.join', instanceId, pool, releaseOffset: -1, fence: 0 });
+  });
+  for (let index = 0; index < entries; index += 1) {
+    const appliedOffset = model.records.length - 1;
+    model = appendTo(model, { kind: 'pool.acknowledgement', entryId: `e${index}`, appliedOffset });
+  }
+  const applied = model.records.length - 1;
+  const sightings = Array.from({ length: entries }, (_, index) => ({
+    acknowledgementOffset: applied - entries + 1 + index,
+    readAtMs: 0,
+  }));
+  const first = { applied, movesFence: 0, wavesFence: 1, lastAppend: 1, sightings };
+  const rival = { ...first, movesFence: -1, wavesFence: -1 };
+  return {
+    ...model,
+    planners: Array.from({ length: planners }, (_, index) => (index === 0 ? first : rival)),
+    entries: Array.from({ length: entries }, () => ({
+      applied,
+      leaseEndMs: LEASE_MS,
+      pending: undefined,
+    })),
+  };
+};
+
+const updateAt = <T>(items: readonly T[], index: number, change: (item: T) => T): readonly T[] =>
+  items.map((item, at) => (at === index ? change(item) : item));
+
+/** Reads the log: a planner takes in its sightings, an entry confirms its own word. */
+export const readPlanner = (model: Model, index: number): Model => {
+  const applied = model.records.length - 1;
+  const words = getFleet(model).pools.entries;
+  const observe = (planner: Planner): Planner => ({
+    ...planner,
+    applied,
+    sightings: planner.sightings.map((sighting, at) => {
+      const offset = words.get(`e${at}`)?.offset ?? sighting.acknowledgementOffset;
+      if (offset === sighting.acknowledgementOffset) return sighting;
+      return { acknowledgementOffset: offset, readAtMs: model.nowMs };
+    }),
+  });
+  return { ...model, planners: updateAt(model.planners, index, observe) };
+};
+
+export const readEntry = (model: Model, index: number): Model => {
+  const observe = (entry: Entry): Entry => {
+    const { pending } = entry;
+    const leaseEndMs = pending ? pending.sentMs + LEASE_MS : entry.leaseEndMs;
+    return { applied: model.records.length - 1, leaseEndMs, pending: undefined };
+  };
+  return { ...model, entries: updateAt(model.entries, index, observe) };
+};
+
+export const sendWord = (model: Model, index: number): Model => {
+  const entry = model.entries[index];
+  if (entry === undefined || entry.pending !== undefined || model.isLogOut) return model;
+  const offset = model.records.length;
+  const next = appendTo(model, {
+    kind: 'pool.acknowledgement',
+    entryId: `e${index}`,
+    appliedOffset: entry.applied,
+  });
+  const pending = { offset, sentMs: model.nowMs };
+  const entries = updateAt(next.entries, index, (it) => ({ ...it, pending }));
+  return { ...next, entries };
+};
+
+/** Claims both duties by what the planner has read, and takes the fences it would then use. */
+export const appendClaimsOf = (model: Model, index: number): Model => {
+  const planner = model.planners[index];
+  if (planner === undefined || model.isLogOut) return model;
+  const fleet = getFleet(model, planner.applied);
+  const movesFence = model.records.length;
+  const moves = fleet.pools.fences.get(MOVES_DUTY, -1);
+  const waves = fleet.maintenance.fences.get(MAINTENANCE_DUTY, -1);
+  const claimed = appendTo(
+    appendTo(model, { kind: 'duty.claim', duty: MOVES_DUTY, follows: moves, leaseMs: 1 }),
+    { kind: 'duty.claim', duty: MAINTENANCE_DUTY, follows: waves, leaseMs: 1 },
+  );
+  const planners = updateAt(claimed.planners, index, (it) => ({
+    ...it,
+    movesFence,
+    wavesFence: movesFence + 1,
+    lastAppend: movesFence + 1,
+  }));
+  return { ...claimed, planners };
+};
+
+/** Says whether a planner has claimed and has read back all that it wrote. */
+const isReady = (planner: Planner | undefined): planner is Planner =>
+  planner !== undefined && planner.movesFence >= 0 && planner.applied >= planner.lastAppend;
+
+/** Appends a planner's record and keeps its offset. */
+const appendAs = (model: Model, index: number, body: Body, omission: Omission): Model => {
+  if (model.isLogOut) return model;
+  const lastAppend = model.records.length;
+  const next = appendTo(model, body, omission);
+  return { ...next, planners: updateAt(next.planners, index, (it) => ({ ...it, lastAppend })) };
+};
+
+export const appendReleaseOf = (
+  model: Model,
+  index: number,
+  [instanceId, to]: readonly [string, string],
+  omission: Omission,
+): Model => {
+  const planner = model.planners[index];
+  if (!isReady(planner)) return model;
+  const { pools } = getFleet(model, planner.applied);
+  const from = getPool(pools, instanceId);
+  if (from === undefined || from === to || countMembers(pools, from) <= FLOOR) return model;
+  const fence = planner.movesFence;
+  return appendAs(model, index, { kind: 'pool.release', instanceId, from, to, fence }, omission);
+};
+
+export const appendRemovalOf = (model: Model, index: number, instanceId: string): Model => {
+  const planner = model.planners[index];
+  if (!isReady(planner)) return model;
+  const { pools } = getFleet(model, planner.applied);
+  const pool = getPool(pools, instanceId);
+  if (pool !== undefined && countMembers(pools, pool) <= FLOOR) return model;
+  const fence = planner.movesFence;
+  return appendAs(model, index, { kind: 'pool.removal', instanceId, fence }, 'nothing');
+};
+
+/** Joins the instance that the planner has read as released, when its barrier says so. */
+export const appendJoinOf = (model: Model, index: number, omission: Omission): Model => {
+  const planner = model.planners[index];
+  if (!isReady(planner)) return model;
+  const { pools } = getFleet(model, planner.applied);
+  const instanceId = pools.between.first('');
+  const released = pools.memberships.get(instanceId);
+  if (released?.kind !== 'released') return model;
+  const sightings = ImmutableMap(planner.sightings.map((sighting, at) => [`e${at}`, sighting]));
+  const verdict = decideJoin(pools, released.offset, sightings, model.nowMs, SETTINGS);
+  if (verdict.kind === 'waiting' && omission !== 'barrier') return model;
+  const body: Body = {
+    kind: 'pool.join',
+    instanceId,
+    pool: released.to,
+    releaseOffset: released.offset,
+    lapsed: verdict.kind === 'ready' ? verdict.lapsed : [],
+    fence: planner.movesFence,
+  };
+  return appendAs(model, index, body, omission);
+};
+
+export const appendPermitOf = (
+  model: Model,
+  index: number,
+  instanceId: string,
+  omission: Omission,
+): Model => {
+  const planner = model.planners[index];
+  if (!isReady(planner)) return model;
+  const fence = planner.wavesFence;
+  const body: Body = {
+    kind: 'maintenance.permit',
+    instanceId,
+    wave: 'w',
+    isCanary: false,
+    fence,
+  };
+  return appendAs(model, index, body, omission);
+};
+
+/** Finds what is wrong with a model; undefined when nothing is. */
+export const findFault = (model: Model): string | undefined => {
+  const { pools, maintenance } = getFleet(model);
+  const doubled = [...pools.memberships.keys()].find((id) => {
+    const owners = pools.members.filter((ids) => ids.has(id)).size;
+    return owners !== (getPool(pools, id) === undefined ? 0 : 1);
+  });
+  if (doubled !== undefined) return `${doubled} is not in exactly one pool`;
+  const overdrawn = [...pools.members.keys()].find((pool) => {
+    const planned = pools.members.get(pool)?.filter((id) => maintenance.permits.has(id)).size ?? 0;
+    const budget = computeBudget(0.5, countMembers(pools, pool));
+    return planned > budget;
+  });
+  if (overdrawn !== undefined) return `the budget of ${overdrawn} is overdrawn`;
+  if (countMembers(pools, 'a') < FLOOR) return 'pool a is left with too few';
+  const routed = model.entries
+    .filter(({ leaseEndMs }) => model.nowMs < leaseEndMs)
+    .map(({ applied }) => getFleet(model, applied).pools);
+  const split = [...pools.memberships.keys()].find((id) => {
+    const seen = routed.flatMap((view) => getPool(view, id) ?? []);
+    return new Set([...seen, getPool(pools, id)].filter((pool) => pool !== undefined)).size > 1;
+  });
+  return split === undefined ? undefined : `${split} is routed to as a member of two pools`;
+};
--- a/packages/vanilladock/src/test/maintenance-fold.test.ts
+++ b/packages/vanilladock/src/test/maintenance-fold.test.ts
@@ -169,6 +169,17 @@
   assert.not(log.getState().maintenance.lost.has('a-0'));
 });
 
+test('a removal is void while the smaller pool would not give the permits of others', () => {
+  const { log, moves, appendPermit, appendOutcome } = setUp();
+  const offset = appendPermit('a-0');
+  appendPermit('a-1');
+  log.append({ kind: 'pool.removal', instanceId: 'a-2', fence: moves });
+  assert.is(log.getState().pools.members.get('a')?.size, 8);
+  appendOutcome(offset, 'a-0', 'returned');
+  log.append({ kind: 'pool.removal', instanceId: 'a-2', fence: moves });
+  assert.is(log.getState().pools.members.get('a')?.size, 7);
+});
+
 test('a budget rounds down, yet spares one instance of several and none of one', () => {
   assert.is(computeBudget(0.25, 8), 2);
   assert.is(computeBudget(0.25, 11), 2);
