Plan loans of capacity and moves of instances, and measure them

Loans serve peaks of seconds; moves must pay for themselves by the weights of the configuration, for ten minutes on end, with the spare pool last.

--- /dev/null
+++ b/packages/measure/src/lib/moves/core-run.ts
@@ -0,0 +1,194 @@
+/**
+ * A day under the decision core: loans planned each second from the demand of the second before,
+ * moves planned every ten seconds and carried out by release, barrier and join on a folded log.
+ */
+import {
+  BARRIER_SETTINGS,
+  computeJain,
+  createDemandState,
+  createFleetState,
+  createMoveMemory,
+  createSightings,
+  decideJoin,
+  foldFleet,
+  MOVES_DUTY,
+  MOVE_SETTINGS,
+  observeDemand,
+  planLoans,
+  planMoves,
+  sumLoans,
+  type FleetState,
+  type Instance,
+  type Loan,
+  type LogRecord,
+  type MoveWeights,
+  type PolicyOf,
+} from 'vanilladock';
+import { addWork, computeKept, createQueue, serveWork } from './queue.js';
+import { DAY_S, type Trace } from './trace.js';
+
+/** One fleet of the measure. */
+export interface FleetCase {
+  readonly name: string;
+  readonly weights: MoveWeights;
+  readonly means: readonly number[];
+  /** First sizes of the services' pools, and of the spare pool. */
+  readonly sizes: readonly number[];
+  readonly spareSize: number;
+  /** Own work of the spare pool, in instances' worth. */
+  readonly spareDemand: number;
+}
+
+/** What a day under the core gave. */
+export interface CoreDay {
+  readonly moves: number;
+  readonly kept: number;
+  readonly jain: number;
+  readonly lentShare: number;
+}
+
+const SPARE = 'spare';
+const ENTRIES = 8;
+const PLAN_EVERY_S = 10;
+const ENTRY_LAG_S = 3;
+const AVERAGE_MS = 30 * 60_000;
+const LENT_WORK_SHARE = 1 - MOVE_SETTINGS.loanLossShare;
+const DATA_CENTRES = ['hobart', 'huonville', 'kingston'] as const;
+
+const getPolicy: PolicyOf = () => ({
+  maxUnavailableShare: 0.25,
+  maintenanceIntervalDays: 28,
+  maintenanceFrozen: true,
+  maintenanceHours: [0, 24],
+  drainLimitMs: 600_000,
+  rebootLimitMs: 900_000,
+  canaries: 1,
+});
+
+type Body = LogRecord extends infer R
+  ? R extends LogRecord
+    ? Omit<R, 'version' | 'id' | 'by' | 'at'>
+    : never
+  : never;
+
+/** Creates a log that folds at once. */
+function createLog() {
+  let state: FleetState = createFleetState();
+  let offset = -1;
+  const append = (body: Body): number => {
+    offset += 1;
+    const head = { version: 1, id: `r${offset}`, by: 'entry-0', at: 0 } as const;
+    state = foldFleet(state, { offset, record: { ...head, ...body } }, getPolicy);
+    return offset;
+  };
+  return { append, getState: () => state };
+}
+
+/** Sets up the pools of a fleet. */
+function createFleet(it: FleetCase) {
+  const log = createLog();
+  const fence = log.append({ kind: 'duty.claim', duty: MOVES_DUTY, follows: -1, leaseMs: 1 });
+  const names = it.sizes.map((_, index) => `service-${index}`);
+  const instances = new Map<string, Instance>();
+  [...it.sizes, it.spareSize].forEach((size, index) => {
+    const pool = names[index] ?? SPARE;
+    for (let number = 0; number < size; number += 1) {
+      const id = `${pool}-${number}`;
+      const dataCentre = DATA_CENTRES[number % DATA_CENTRES.length] ?? DATA_CENTRES[0];
+      const location = { region: 'south', dataCentre, rack: `r${number >> 2}` };
+      const address = `10.0.${index}.${number}:9000`;
+      instances.set(id, { id, role: 'upstream', address, location, state: 'live', attributes: {} });
+      log.append({ kind: 'pool.join', instanceId: id, pool, releaseOffset: -1, fence });
+    }
+  });
+  return { log, fence, names, instances };
+}
+
+/** Runs one day. */
+export function runCoreDay(it: FleetCase, trace: Trace): CoreDay {
+  const { log, fence, names, instances } = createFleet(it);
+  const queues = names.map(createQueue);
+  const appendWords = (): void => {
+    const appliedOffset = log.append({
+      kind: 'pool.acknowledgement',
+      entryId: 'entry-0',
+      appliedOffset: 0,
+    });
+    Array.from({ length: ENTRIES }, (_, index) =>
+      log.append({ kind: 'pool.acknowledgement', entryId: `entry-${index}`, appliedOffset }),
+    );
+  };
+  appendWords();
+  let demand = createDemandState();
+  let memory = createMoveMemory();
+  let moves = 0;
+  const counts = { lent: 0 };
+  let loans: readonly Loan[] = [];
+  let release: { readonly offset: number; readonly second: number } | undefined;
+  const countSize = (pool: string): number => log.getState().pools.members.get(pool)?.size ?? 0;
+  const runPlanner = (second: number): void => {
+    const input = {
+      fleet: log.getState(),
+      instances,
+      demand,
+      weights: it.weights,
+      policyOf: getPolicy,
+      spare: SPARE,
+      nowMs: second * 1000,
+      atMs: second * 1000,
+      settings: MOVE_SETTINGS,
+    };
+    const plan = planMoves(input, memory);
+    memory = plan.memory;
+    if (plan.decision.kind !== 'move') return;
+    const { instanceId, from, to } = plan.decision;
+    release = { offset: log.append({ kind: 'pool.release', instanceId, from, to, fence }), second };
+    moves += 1;
+  };
+  const runBarrier = (second: number): void => {
+    if (release === undefined || second < release.second + ENTRY_LAG_S) return;
+    appendWords();
+    const { pools } = log.getState();
+    const [instanceId = ''] = pools.between;
+    const membership = pools.memberships.get(instanceId);
+    const verdict = decideJoin(pools, release.offset, createSightings(), 0, BARRIER_SETTINGS);
+    if (verdict.kind !== 'ready' || membership?.kind !== 'released') return;
+    const { to: pool, offset: releaseOffset } = membership;
+    log.append({ kind: 'pool.join', instanceId, pool, releaseOffset, fence });
+    release = undefined;
+  };
+  for (let second = 0; second < DAY_S; second += 1) {
+    const sizes = names.map(countSize);
+    const idle = new Map<string, number>([[SPARE, countSize(SPARE) - it.spareDemand]]);
+    const readings = names.map((pool, index) => {
+      const queue = queues[index] ?? createQueue();
+      addWork(queue, trace[index]?.[second] ?? 0, second);
+      const size = sizes[index] ?? 0;
+      const reading = { pool, demand: queue.backlog, size };
+      idle.set(pool, size - serveWork(queue, size));
+      return reading;
+    });
+    const granted = sumLoans(loans, 'from');
+    loans.forEach(({ from, to, amount }) => {
+      const planned = granted.get(from) ?? 0;
+      const share = planned === 0 ? 0 : Math.min(1, Math.max(0, idle.get(from) ?? 0) / planned);
+      const queue = queues[names.indexOf(to)] ?? createQueue();
+      counts.lent += serveWork(queue, amount * share * LENT_WORK_SHARE);
+    });
+    const spare = { pool: SPARE, demand: it.spareDemand, size: countSize(SPARE) };
+    const all = [...readings, spare].map((reading) => {
+      return { ...reading, lent: granted.get(reading.pool) ?? 0 };
+    });
+    demand = observeDemand(demand, all, second * 1000, AVERAGE_MS);
+    loans = planLoans(all.map((reading) => ({ ...reading, isSpare: reading.pool === SPARE })));
+    if (second % PLAN_EVERY_S === 0) runPlanner(second);
+    runBarrier(second);
+  }
+  const served = queues.reduce((sum, queue) => sum + queue.served, 0);
+  return {
+    moves,
+    kept: computeKept(queues),
+    jain: computeJain(queues.map((queue) => queue.served / queue.asked)),
+    lentShare: counts.lent / served,
+  };
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/pools/demand.ts
@@ -0,0 +1,61 @@
+/**
+ * What pools have asked for of late. Queues peak by turns for seconds, so single readings say little
+ * about where instances belong; two slow averages do: the share of time in which a pool wanted more
+ * than it holds, and the instances that lay idle and were lent to nobody.
+ */
+import { Map } from 'immutable';
+
+/** One reading of a pool; all counts are instances' worth of work. */
+export interface PoolReading {
+  readonly pool: string;
+  readonly demand: number;
+  readonly size: number;
+  /** Capacity lent to other pools. */
+  readonly lent: number;
+}
+
+/** The slow averages of a pool. */
+export interface PoolTrend {
+  /** Share of time in which demand exceeded the pool's own size. */
+  readonly shortShare: number;
+  /** Instances that were idle and not lent. */
+  readonly idle: number;
+}
+
+/** Averages by pool, and the monotonic time of the newest reading. */
+export interface DemandState {
+  readonly trends: Map<string, PoolTrend>;
+  readonly readAtMs: number | undefined;
+}
+
+/** Creates the state before any reading. */
+export function createDemandState(): DemandState {
+  return { trends: Map(), readAtMs: undefined };
+}
+
+/** Folds one reading into a pool's averages. */
+function updateTrend(trend: PoolTrend | undefined, reading: PoolReading, weight: number) {
+  const short = reading.demand > reading.size ? 1 : 0;
+  const idle = Math.max(0, reading.size - reading.demand - reading.lent);
+  if (trend === undefined) return { shortShare: short, idle };
+  return {
+    shortShare: trend.shortShare + (short - trend.shortShare) * weight,
+    idle: trend.idle + (idle - trend.idle) * weight,
+  };
+}
+
+/** Takes in the readings of all pools; `averageMs` is the averages' time constant. */
+export function observeDemand(
+  state: DemandState,
+  readings: readonly PoolReading[],
+  nowMs: number,
+  averageMs: number,
+): DemandState {
+  const elapsedMs = nowMs - (state.readAtMs ?? nowMs);
+  const weight = 1 - Math.exp(-elapsedMs / averageMs);
+  const trends = readings.map(
+    (reading) =>
+      [reading.pool, updateTrend(state.trends.get(reading.pool), reading, weight)] as const,
+  );
+  return { trends: Map(trends), readAtMs: nowMs };
+}
