Reserve memory and starts for quick work; ask for a report after a checkpoint

The reserve now covers memory, two starts of each worker are kept for quick tasks, admission bounds the quick tasks that wait, and a checkpoint is followed by a poll.

--- a/packages/measure/src/lib/placement.ts
+++ b/packages/measure/src/lib/placement.ts
@@ -67,8 +67,8 @@
 }): Promise<Readonly<Record<string, number>>> {
   const { seed, log } = options;
   const decisions = new Map<string, number>();
-  const core = runScenario(seed, (pools, random, send) =>
-    createCoreScheduler(pools, random, send, (decision) => {
+  const core = runScenario(seed, (pools, random, send, poll) =>
+    createCoreScheduler(pools, random, send, poll, (decision) => {
       const kind = decision.kind === 'command' ? decision.command.kind : decision.kind;
       decisions.set(kind, (decisions.get(kind) ?? 0) + 1);
     }),
--- a/packages/measure/src/lib/placement/core-scheduler.ts
+++ b/packages/measure/src/lib/placement/core-scheduler.ts
@@ -15,7 +15,7 @@
 import { createPlacementState } from 'vanilladock/lib/placement/state.js';
 import type { PlacementRules } from 'vanilladock/lib/placement/state.js';
 import type { Random } from 'vanilladock';
-import type { Scheduler, SendCommand } from './scheduler.js';
+import type { PollReport, Scheduler, SendCommand } from './scheduler.js';
 import { TEAM_QUOTA_CORES } from './workload.js';
 import type { WorkTask } from './workload.js';
 
@@ -28,6 +28,7 @@
 const LOST_SHARE = 0.01;
 const REPEATED_SHARE = 0.01;
 const SEEN_LATE_MS = 1_000;
+const CHECKPOINT_POLL_MS = 2_250;
 
 interface Duty {
   readonly name: string;
@@ -52,6 +53,7 @@
   pools: readonly PoolView[],
   random: Random,
   send: SendCommand,
+  poll: PollReport,
   onDecision: (decision: PlacementDecision) => void,
 ): Scheduler {
   const poolsByName = new Map(pools.map((pool) => [pool.name, pool]));
@@ -107,6 +109,7 @@
     const lateMs = Math.max(nowMs, pausedUntil.get(duty.owner) ?? 0) + SEEN_LATE_MS;
     outdated = [...outdated, { duty, untilMs: lateMs }];
     openDuty(duty.name, owner, nowMs, STRETCH_LIMIT_MS);
+    duty.pools.forEach(({ workers }) => workers.forEach(({ id }) => poll(id, 0)));
   };
 
   const append = (records: readonly PlacementRecord[], nowMs: number): void => {
@@ -145,6 +148,7 @@
         return;
       }
       const { workerId, command } = decision;
+      if (command.kind === 'checkpoint') poll(workerId, CHECKPOINT_POLL_MS);
       send(workerId, command, (answer) => {
         duty.planner.observeAnswer(workerId, command, answer === 'lost' ? 'unknown' : answer);
       });
--- a/packages/measure/src/lib/placement/scenario.ts
+++ b/packages/measure/src/lib/placement/scenario.ts
@@ -8,7 +8,7 @@
 import { createRandom } from 'vanilladock';
 import type { Random, WorkerCommand } from 'vanilladock';
 import type { PoolView } from 'vanilladock/lib/placement/plan-input.js';
-import type { Scheduler, SendCommand, SentAnswer } from './scheduler.js';
+import type { PollReport, Scheduler, SendCommand, SentAnswer } from './scheduler.js';
 import { buildPools, createTaskSource, pickOne, WORKER_CAPACITY } from './workload.js';
 import type { WorkTask } from './workload.js';
 
@@ -64,6 +64,7 @@
   pools: readonly PoolView[],
   random: Random,
   send: SendCommand,
+  poll: PollReport,
 ) => Scheduler;
 
 /** Runs the timeline against a scheduler. */
@@ -153,13 +154,11 @@
     }),
   );
 
-  const scheduler = createScheduler(pools, transport, send);
+  let scheduler: Scheduler;
 
-  const reportWorker = (workerId: string): void => {
+  /** Lets a worker make a report now, which arrives later. */
+  const sendReport = (workerId: string): void => {
     const worker = workers.get(workerId);
-    schedule(nowMs + REPORT_MIN_MS + REPORT_SPREAD_MS * transport(), () => {
-      reportWorker(workerId);
-    });
     if (worker === undefined || dead.has(workerId) || worker.isPaused()) return;
     const report = worker.report(nowMs);
     schedule(nowMs + REPORT_DELAY_MIN_MS + REPORT_DELAY_SPREAD_MS * transport(), () => {
@@ -167,6 +166,21 @@
     });
   };
 
+  const fetchLater: PollReport = (workerId, delayMs) => {
+    schedule(nowMs + delayMs, () => {
+      sendReport(workerId);
+    });
+  };
+
+  scheduler = createScheduler(pools, transport, send, fetchLater);
+
+  const reportWorker = (workerId: string): void => {
+    schedule(nowMs + REPORT_MIN_MS + REPORT_SPREAD_MS * transport(), () => {
+      reportWorker(workerId);
+    });
+    sendReport(workerId);
+  };
+
   const sendTask = (task: WorkTask): void => {
     tasks.set(task.taskId, task);
     submittedMs.set(task.taskId, nowMs);
--- a/packages/measure/src/lib/placement/scheduler.ts
+++ b/packages/measure/src/lib/placement/scheduler.ts
@@ -12,6 +12,9 @@
   onAnswer: (answer: SentAnswer) => void,
 ) => void;
 
+/** Asks a worker for a report after a delay, besides those that it sends on its own. */
+export type PollReport = (workerId: string, delayMs: number) => void;
+
 /** A scheduler under measurement. */
 export interface Scheduler {
   /** Takes in a submission; returns why it was refused, if it was. */
--- a/packages/vanilladock/src/lib/placement/admit.ts
+++ b/packages/vanilladock/src/lib/placement/admit.ts
@@ -14,7 +14,7 @@
 import type { SubmissionRecord } from './records.js';
 import { isValidSize } from './resources.js';
 import { EMPTY_WORKER } from './state.js';
-import type { PlacementRules, PlacementState } from './state.js';
+import type { PlacementRules, PlacementState, TaskState } from './state.js';
 
 /** Time without an answer of the log service after which submissions are refused. */
 export const STORE_SILENT_MS = 3_000;
@@ -22,6 +22,9 @@
 /** Share of a pool's cores that quick tasks, running and waiting, may fill. */
 export const QUICK_SHARE = 0.85;
 
+/** Quick tasks that may wait in a pool for each of its workers, which start a few at a time. */
+export const WAITING_QUICK_PER_WORKER = 2;
+
 const RETRY_MS = 5_000;
 const STORE_RETRY_MS = 30_000;
 
@@ -51,24 +54,27 @@
   return Err({ code, verdict: 'not-run', message, retryAfterMs });
 }
 
-/** Sums the cores that quick tasks of a pool hold or wait for. */
-export function sumQuickCores(state: PlacementState, pool: PoolView): number {
-  const held = pool.workers.reduce(
-    (sum, { id }) => sum + (state.workers.get(id) ?? EMPTY_WORKER).quickCores,
-    0,
-  );
-  let waiting = 0;
+/** Lists the quick tasks of a pool that wait. */
+function listWaitingQuick(state: PlacementState, pool: PoolView): readonly TaskState[] {
+  const waiting: TaskState[] = [];
   state.queues
     .get(pool.name)
     ?.get('quick')
     ?.forEach(({ again, fresh }) => {
-      [again, fresh].forEach((ids) =>
-        ids.forEach((id) => {
-          waiting += state.tasks.get(id)?.expectedCores ?? 0;
-        }),
-      );
+      [...again, ...fresh].forEach((id) => {
+        const task = state.tasks.get(id);
+        if (task !== undefined) waiting.push(task);
+      });
     });
-  return held + waiting;
+  return waiting;
+}
+
+/** Sums the cores that quick tasks hold on the workers of a pool. */
+function sumHeldQuickCores(state: PlacementState, pool: PoolView): number {
+  return pool.workers.reduce(
+    (sum, { id }) => sum + (state.workers.get(id) ?? EMPTY_WORKER).quick.cores,
+    0,
+  );
 }
 
 /** Counts the cores of the pool's workers that may take tasks. */
@@ -78,11 +84,14 @@
     .reduce((sum, { capacity }) => sum + capacity.cores, 0);
 }
 
-/** Says whether a quick task can start without waiting for another quick one. */
+/** Says whether a quick task can start without waiting for another one to end. */
 function hasQuickRoom(input: AdmissionInput, pool: PoolView, cores: number): boolean {
-  const usable = countUsableCores(input.state, pool) * QUICK_SHARE;
-  const taken = sumQuickCores(input.state, pool) + input.pendingQuickCores;
-  return taken + cores <= usable;
+  const { state, pendingQuickCores } = input;
+  const waiting = listWaitingQuick(state, pool);
+  if (waiting.length >= pool.workers.length * WAITING_QUICK_PER_WORKER) return false;
+  const queued = waiting.reduce((sum, { expectedCores }) => sum + expectedCores, 0);
+  const taken = sumHeldQuickCores(state, pool) + queued + pendingQuickCores;
+  return taken + cores <= countUsableCores(state, pool) * QUICK_SHARE;
 }
 
 /** Admits a submission, or refuses it as not run with a code and the time to come back. */
--- a/packages/vanilladock/src/lib/placement/fold-index.ts
+++ b/packages/vanilladock/src/lib/placement/fold-index.ts
@@ -109,12 +109,12 @@
   const team = state.teams.get(task.team) ?? EMPTY_TEAM;
   const heldCores = computeSum(team.heldCores, lease.size.cores);
   const worker = state.workers.get(lease.workerId) ?? EMPTY_WORKER;
-  const quick = task.urgency === 'quick' ? lease.size.cores : 0;
+  const quick = task.urgency === 'quick' ? lease.size : NO_RESOURCES;
   const next = {
     ...worker,
     tasks: worker.tasks.add(task.taskId),
     leased: addResources(worker.leased, lease.size),
-    quickCores: computeSum(worker.quickCores, quick),
+    quick: addResources(worker.quick, quick),
   };
   return setWorker(setTeam(state, task.team, { ...team, heldCores }), lease.workerId, next);
 }
@@ -128,13 +128,13 @@
   const team = state.teams.get(task.team) ?? EMPTY_TEAM;
   const heldCores = computeSum(team.heldCores, -lease.size.cores);
   const worker = state.workers.get(lease.workerId) ?? EMPTY_WORKER;
-  const quick = task.urgency === 'quick' ? lease.size.cores : 0;
+  const quick = task.urgency === 'quick' ? lease.size : NO_RESOURCES;
   const tasks = worker.tasks.remove(task.taskId);
   const next = {
     ...worker,
     tasks,
     leased: tasks.isEmpty() ? NO_RESOURCES : removeResources(worker.leased, lease.size),
-    quickCores: computeSum(worker.quickCores, -quick),
+    quick: tasks.isEmpty() ? NO_RESOURCES : removeResources(worker.quick, quick),
   };
   return setWorker(setTeam(state, task.team, { ...team, heldCores }), lease.workerId, next);
 }
--- a/packages/vanilladock/src/lib/placement/plan-pool.ts
+++ b/packages/vanilladock/src/lib/placement/plan-pool.ts
@@ -125,8 +125,12 @@
 /** Says whether a task that is not quick would use the reserve for quick ones. */
 function isInReserve(pool: PoolRoom, task: TaskState, size: Resources): boolean {
   if (task.urgency === 'quick') return false;
-  const usable = pool.capacityCores * (1 - pool.pool.urgentReserveShare);
-  return pool.countPatientCores() + size.cores > usable;
+  const share = 1 - pool.pool.urgentReserveShare;
+  const others = pool.sumOthers();
+  return (
+    others.cores + size.cores > pool.capacity.cores * share ||
+    others.memoryMb + size.memoryMb > pool.capacity.memoryMb * share
+  );
 }
 
 /** Grants a task whose room was reserved, once that room is free. */
--- a/packages/vanilladock/src/lib/placement/plan-room.ts
+++ b/packages/vanilladock/src/lib/placement/plan-room.ts
@@ -16,14 +16,17 @@
 import { EMPTY_WORKER, NO_RESOURCES } from './state.js';
 import type { TaskState, WorkerState } from './state.js';
 
+/** Starts on a worker that are kept for quick tasks. */
+const QUICK_STARTS = 2;
+
 /** One worker's room during a round; updated by each grant of the round. */
 export interface WorkerRoom {
   readonly worker: WorkerView;
   readonly folded: WorkerState;
   /** Leased, granted but not yet read back, and reserved. */
   readonly used: Resources;
-  /** Part of the used cores that quick tasks hold. */
-  readonly quickCores: number;
+  /** Part of the used room that quick tasks hold. */
+  readonly quick: Resources;
   /** Tasks that it may still be given before it has shown that it runs those it has. */
   readonly startsLeft: number;
   readonly isOpen: boolean;
@@ -33,9 +36,9 @@
 export interface PoolRoom {
   readonly pool: PoolView;
   readonly rooms: Map<string, WorkerRoom>;
-  readonly capacityCores: number;
-  /** Cores used by tasks that are not quick. */
-  readonly countPatientCores: () => number;
+  readonly capacity: Resources;
+  /** Sums what tasks that are not quick use. */
+  readonly sumOthers: () => Resources;
   /** Tasks of a team on each rack, counted as `team/rack`. */
   readonly getSpread: () => Map<string, number>;
 }
@@ -43,14 +46,12 @@
 /** Counts the leases of a worker that it has not yet shown to run. */
 function countUnconfirmed(context: PlanContext, workerId: string, folded: WorkerState): number {
   const { runningSince } = getWorkerMemory(context.memory, workerId);
-  const { state, nowMs } = context.input;
-  let unconfirmed = 0;
-  folded.tasks.forEach((taskId) => {
-    const offset = state.tasks.get(taskId)?.lease?.offset ?? -1;
-    const sinceMs = runningSince.get(offset) ?? Infinity;
-    if (nowMs - sinceMs < CONFIRMED_AFTER_MS) unconfirmed += 1;
+  const latestMs = context.input.nowMs - CONFIRMED_AFTER_MS;
+  let confirmed = 0;
+  runningSince.forEach((sinceMs) => {
+    if (sinceMs <= latestMs) confirmed += 1;
   });
-  return unconfirmed;
+  return Math.max(0, folded.tasks.size - confirmed);
 }
 
 /** Says whether a worker may be given tasks: open, reporting, and not in quarantine. */
@@ -63,12 +64,12 @@
 /** Builds the room of one worker from the fold alone. */
 function buildRoom(context: PlanContext, worker: WorkerView): WorkerRoom {
   const folded = context.input.state.workers.get(worker.id) ?? EMPTY_WORKER;
-  const limit = Math.max(1, UNCONFIRMED_MAX - folded.streak.length);
+  const limit = Math.max(QUICK_STARTS + 1, UNCONFIRMED_MAX - folded.streak.length);
   return {
     worker,
     folded,
     used: folded.leased,
-    quickCores: folded.quickCores,
+    quick: folded.quick,
     startsLeft: limit - countUnconfirmed(context, worker.id, folded),
     isOpen: isUsable(context, worker, folded),
   };
@@ -86,7 +87,7 @@
   pool.rooms.set(workerId, {
     ...room,
     used: addResources(room.used, size),
-    quickCores: room.quickCores + (isQuick ? size.cores : 0),
+    quick: isQuick ? addResources(room.quick, size) : room.quick,
     startsLeft: room.startsLeft - 1,
   });
 }
@@ -111,9 +112,12 @@
   const built: PoolRoom = {
     pool,
     rooms,
-    capacityCores: pool.workers.reduce((sum, { capacity }) => sum + capacity.cores, 0),
-    countPatientCores: () =>
-      [...rooms.values()].reduce((sum, room) => sum + room.used.cores - room.quickCores, 0),
+    capacity: pool.workers.reduce((sum, { capacity }) => addResources(sum, capacity), NO_RESOURCES),
+    sumOthers: () =>
+      [...rooms.values()].reduce(
+        (sum, room) => removeResources(addResources(sum, room.used), room.quick),
+        NO_RESOURCES,
+      ),
     getSpread: () => {
       spread ??= countSpread(context, rooms.values());
       return spread;
@@ -132,7 +136,7 @@
 export function computeFree(room: WorkerRoom, isQuick: boolean): Resources {
   const free = removeResources(room.worker.capacity, room.used);
   if (!isQuick) return free;
-  const others = room.used.cores - room.quickCores;
+  const others = room.used.cores - room.quick.cores;
   return { ...free, cores: free.cores + others * (1 - THROTTLE_FLOOR) };
 }
 
@@ -140,7 +144,8 @@
 
 /** Says whether a task of a size fits a worker now. */
 export function isFitting(room: WorkerRoom, size: Resources, isQuick: boolean): boolean {
-  if (!room.isOpen || room.startsLeft <= 0) return false;
+  const keptStarts = isQuick ? 0 : QUICK_STARTS;
+  if (!room.isOpen || room.startsLeft <= keptStarts) return false;
   const free = computeFree(room, isQuick);
   return isWithin(size, { ...free, cores: free.cores + EPSILON });
 }
--- a/packages/vanilladock/src/lib/placement/plan-urgent.ts
+++ b/packages/vanilladock/src/lib/placement/plan-urgent.ts
@@ -94,9 +94,9 @@
 
 /** Computes the share of their cores that tasks which are not quick may use on a worker. */
 export function computeShare(room: WorkerRoom): number {
-  const others = room.used.cores - room.quickCores;
+  const others = room.used.cores - room.quick.cores;
   if (others <= 0 || room.used.cores <= room.worker.capacity.cores) return 1;
-  const share = (room.worker.capacity.cores - room.quickCores) / others;
+  const share = (room.worker.capacity.cores - room.quick.cores) / others;
   return Math.max(THROTTLE_FLOOR, share);
 }
 
--- a/packages/vanilladock/src/lib/placement/plan.ts
+++ b/packages/vanilladock/src/lib/placement/plan.ts
@@ -16,7 +16,7 @@
 import { createRecordMaker } from './record-maker.js';
 
 /** Rounds between two looks at leases on workers that are no longer listed. */
-const ABSENT_ROUNDS = 10;
+const ABSENT_ROUNDS = 60;
 
 /** How a worker answered a command. */
 export type CommandAnswer = 'done' | 'refused' | 'fenced' | 'unknown';
--- a/packages/vanilladock/src/lib/placement/state.ts
+++ b/packages/vanilladock/src/lib/placement/state.ts
@@ -88,8 +88,8 @@
   readonly tasks: Set<string>;
   /** Sum of the sizes of its current leases. */
   readonly leased: Resources;
-  /** Cores of its current leases of quick tasks. */
-  readonly quickCores: number;
+  /** Sum of the sizes of its current leases of quick tasks. */
+  readonly quick: Resources;
   /** Failures since the last success, oldest first, at most `STREAK_KEPT`. */
   readonly streak: readonly WorkerFailure[];
   readonly isQuarantined: boolean;
@@ -141,7 +141,7 @@
 export const EMPTY_WORKER: WorkerState = {
   tasks: Set(),
   leased: NO_RESOURCES,
-  quickCores: 0,
+  quick: NO_RESOURCES,
   streak: [],
   isQuarantined: false,
   hasPassedProbe: false,
