--- /dev/null
+++ b/packages/vanilladock/src/test/placement-machine.test.ts
@@ -0,0 +1,417 @@
+/**
+ * State-machine test of placement: three planners share one fake log with lost and repeated appends,
+ * lagging readers and outages; workers pause, and commands and whole rounds are carried out late.
+ */
+import fc from 'fast-check';
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { PlacementDecision } from '../lib/placement/decisions.js';
+import { findPlacementDuty } from '../lib/placement/duty.js';
+import { foldPlacement } from '../lib/placement/fold.js';
+import { STRETCH_LIMIT_MS } from '../lib/placement/leases.js';
+import type { ReceivedReport } from '../lib/placement/plan-input.js';
+import { createPlanner } from '../lib/placement/plan.js';
+import type { PlacementRecord } from '../lib/placement/records.js';
+import type { PlacementState } from '../lib/placement/state.js';
+import { createPlacementState } from '../lib/placement/state.js';
+import type { TaskReport, WorkerCommand, WorkerReport } from '../lib/ports/workers.js';
+import { makeSize, makeSubmission } from './placement-fixtures.js';
+
+const POOL = 'p';
+const DUTY = findPlacementDuty(POOL);
+const PLANNERS = 3;
+const WORKERS = ['w0', 'w1'] as const;
+const QUOTA_CORES = 5;
+const CLAIM_MS = 5_000;
+const LEASE_MS = 10_000;
+const RUNS = 2_000;
+const SEED = 20_260_101;
+
+type Entry = PlacementRecord | { readonly kind: 'claim'; readonly planner: number };
+
+/** A worker that keeps leases by its own clock and obeys no superseded planner. */
+const createFakeWorker = (id: string) => {
+  const made = new Map<string, number>();
+  const tasks = new Map<number, { report: TaskReport; untilMs: number; cores: number }>();
+  let fence = -1;
+  let isPaused = false;
+  const listRunning = (nowMs: number) =>
+    [...tasks.values()].filter(({ report, untilMs }) => {
+      return report.phase === 'running' && untilMs > nowMs;
+    });
+  const closeLapsed = (nowMs: number): void => {
+    tasks.forEach((task, token) => {
+      if (task.report.phase !== 'running' || task.untilMs > nowMs) return;
+      tasks.set(token, { ...task, report: { ...task.report, phase: 'lapsed' } });
+    });
+  };
+  const setPhase = (token: number, phase: TaskReport['phase']): void => {
+    const task = tasks.get(token);
+    if (task?.report.phase !== 'running') return;
+    tasks.set(token, { ...task, report: { ...task.report, phase } });
+  };
+  return {
+    apply: (command: WorkerCommand, nowMs: number): void => {
+      closeLapsed(nowMs);
+      const { plannerFence, reportId } = command.kind === 'renew-worker' ? command : command.lease;
+      if (isPaused || plannerFence < fence) return;
+      fence = plannerFence;
+      const untilMs = (made.get(reportId) ?? -Infinity) + LEASE_MS;
+      if (command.kind === 'renew-worker') {
+        command.settled.forEach((token) => tasks.delete(token));
+        tasks.forEach((task, token) => {
+          tasks.set(token, { ...task, untilMs: Math.max(task.untilMs, untilMs) });
+        });
+        return;
+      }
+      const { taskId, fencingToken } = command.lease;
+      if (command.kind === 'stop') {
+        setPhase(fencingToken, 'stopped');
+        return;
+      }
+      if (command.kind === 'checkpoint') setPhase(fencingToken, 'checkpointed');
+      if (command.kind !== 'start' || tasks.has(fencingToken) || untilMs <= nowMs) return;
+      const used = makeSize(0.5);
+      const report = { taskId, fencingToken, phase: 'running', used, share: 1 } as const;
+      tasks.set(fencingToken, { report, untilMs, cores: command.size.cores });
+    },
+    report: (nowMs: number): WorkerReport | undefined => {
+      if (isPaused) return undefined;
+      closeLapsed(nowMs);
+      const reportId = `${id}/${made.size}`;
+      made.set(reportId, nowMs);
+      const reports = [...tasks.values()].map(({ report }) => report);
+      return { reportId, plannerFences: { [DUTY]: fence }, tasks: reports };
+    },
+    finish: (phase: 'succeeded' | 'failed', nowMs: number): void => {
+      const running = [...tasks].find(([, task]) => listRunning(nowMs).includes(task));
+      if (running !== undefined && !isPaused) setPhase(running[0], phase);
+    },
+    setPaused: (paused: boolean): void => {
+      isPaused = paused;
+    },
+    listRunning,
+  };
+};
+
+interface Reader {
+  readonly state: PlacementState;
+  readonly applied: number;
+  /** Offset and planner of the newest claim in the applied part of the log. */
+  readonly claim: { readonly offset: number; readonly planner: number };
+}
+
+const NEW_READER: Reader = {
+  state: createPlacementState(),
+  applied: 0,
+  claim: { offset: -1, planner: -1 },
+};
+
+const applyEntry = (reader: Reader, entry: Entry): Reader => {
+  const offset = reader.applied;
+  if (entry.kind === 'claim') {
+    return { ...reader, applied: offset + 1, claim: { offset, planner: entry.planner } };
+  }
+  const rules = {
+    getQuotaCores: () => QUOTA_CORES,
+    getWeight: () => 1,
+    isCurrentClaim: (_duty: string, fence: number) => fence === reader.claim.offset,
+  };
+  const state = foldPlacement(reader.state, { offset, record: entry }, rules);
+  return { ...reader, state, applied: offset + 1 };
+};
+
+type Fate = 'done' | 'lost' | 'twice' | 'late';
+
+const createWorld = () => {
+  const log: Entry[] = [];
+  const workers = WORKERS.map((id) => createFakeWorker(id));
+  const late: (() => void)[] = [];
+  let whole = NEW_READER;
+  let nowMs = 0;
+  let isStoreUp = true;
+  let heldUntilMs = 0;
+  let submitted = 0;
+  const accepted = new Set<string>();
+  const planners = Array.from({ length: PLANNERS }, (_, index) => ({
+    index,
+    reader: NEW_READER,
+    planner: createPlanner(`e${index}`),
+    fence: -1,
+    sinceMs: 0,
+    heldUntilMs: 0,
+    hasPredecessor: false,
+    reports: new Map<string, ReceivedReport>(),
+  }));
+  const append = (entry: Entry): void => {
+    if (!isStoreUp) return;
+    log.push(entry);
+    whole = applyEntry(whole, entry);
+    if (entry.kind === 'task.submission') accepted.add(entry.taskId);
+  };
+  const runLater = (fate: Fate, run: () => void): void => {
+    if (fate === 'late') late.push(run);
+    if (fate === 'done' || fate === 'twice') run();
+    if (fate === 'twice') run();
+  };
+  const applyDecisions = (
+    decisions: readonly PlacementDecision[],
+    fates: readonly Fate[],
+  ): void => {
+    decisions.forEach((decision, at) => {
+      const fate = fates[at % fates.length] ?? 'done';
+      runLater(fate, () => {
+        if (decision.kind !== 'command') append(decision.record);
+        else workers[WORKERS.indexOf(decision.workerId as 'w0')]?.apply(decision.command, nowMs);
+      });
+    });
+  };
+  return {
+    log,
+    addTime: (ms: number): void => {
+      nowMs += ms;
+    },
+    setStoreUp: (isUp: boolean): void => {
+      isStoreUp = isUp;
+    },
+    takeTask: (cores: number): void => {
+      submitted += 1;
+      append(makeSubmission(`t${submitted}`, { declared: makeSize(cores), pool: POOL }));
+    },
+    cancelTask: (number: number): void => {
+      const head = { version: 1, id: `c${number}`, by: 'x', at: 0 } as const;
+      append({ ...head, kind: 'task.cancellation', taskId: `t${number}` });
+    },
+    /** Reads the log; takes up a claim of its own when that is the newest one read. */
+    readLog: (index: number, count: number): void => {
+      const one = planners[index];
+      if (one === undefined || !isStoreUp) return;
+      const entries = log.slice(one.reader.applied, one.reader.applied + count);
+      one.reader = entries.reduce(applyEntry, one.reader);
+    },
+    /** Claims the duty once no earlier claim can be held any more, and reads the claim back. */
+    claimDuty: (index: number): void => {
+      const one = planners[index];
+      if (one === undefined || !isStoreUp || nowMs < heldUntilMs) return;
+      const hasPredecessor = whole.claim.offset >= 0;
+      append({ kind: 'claim', planner: index });
+      heldUntilMs = nowMs + CLAIM_MS;
+      one.fence = whole.claim.offset;
+      one.sinceMs = nowMs;
+      one.heldUntilMs = heldUntilMs;
+      one.hasPredecessor = hasPredecessor;
+      one.planner = createPlanner(`e${index}`);
+      one.reports.clear();
+      one.reader = log.slice(one.reader.applied).reduce(applyEntry, one.reader);
+    },
+    refreshClaim: (index: number): void => {
+      const one = planners[index];
+      if (one === undefined || !isStoreUp || whole.claim.offset !== one.fence) return;
+      heldUntilMs = nowMs + CLAIM_MS;
+      one.heldUntilMs = heldUntilMs;
+    },
+    runRound: (index: number, fates: readonly Fate[], isHeldUp: boolean): void => {
+      const one = planners[index];
+      if (one === undefined || one.fence < 0) return;
+      const { claim, state } = one.reader;
+      const decisions = one.planner.plan({
+        state,
+        rules: {
+          getQuotaCores: () => QUOTA_CORES,
+          getWeight: () => 1,
+          isCurrentClaim: () => true,
+        },
+        duty: {
+          duty: DUTY,
+          fence: one.fence,
+          sinceMs: one.sinceMs,
+          heldUntilMs: one.heldUntilMs,
+          isSuperseded: claim.offset > one.fence,
+          predecessorStretchMs: one.hasPredecessor ? STRETCH_LIMIT_MS : 0,
+        },
+        pools: [
+          {
+            name: POOL,
+            workers: WORKERS.map((id) => ({
+              id,
+              location: { region: 'r', dataCentre: 'd', rack: id },
+              capacity: makeSize(4),
+              isOpen: true,
+            })),
+            urgentReserveShare: 0,
+            taskLeaseMs: LEASE_MS,
+          },
+        ],
+        reports: one.reports,
+        nowMs,
+        at: 0,
+      });
+      if (isHeldUp) late.push(() => applyDecisions(decisions, fates));
+      else applyDecisions(decisions, fates);
+    },
+    observeReport: (worker: number, index: number): void => {
+      const report = workers[worker]?.report(nowMs);
+      if (report === undefined) return;
+      planners[index]?.reports.set(WORKERS[worker] ?? '', { report, receivedMs: nowMs });
+    },
+    releaseLate: (): void => late.shift()?.(),
+    finishTask: (worker: number, phase: 'succeeded' | 'failed'): void =>
+      workers[worker]?.finish(phase, nowMs),
+    setPaused: (worker: number, isPaused: boolean): void => workers[worker]?.setPaused(isPaused),
+    /** Checks what must hold after every step. */
+    checkInvariants: (): { readonly starts: number } => {
+      const running = workers.flatMap((worker) => worker.listRunning(nowMs));
+      const ids = running.map(({ report }) => report.taskId);
+      assert.is(new Set(ids).size, ids.length, `a task runs twice: ${ids.join(', ')}`);
+      const cores = running.reduce((sum, task) => sum + task.cores, 0);
+      assert.ok(cores <= QUOTA_CORES, `${cores} cores run beyond the quota`);
+      const held = whole.state.teams.get('stalls')?.heldCores ?? 0;
+      assert.ok(held <= QUOTA_CORES, `${held} cores are leased beyond the quota`);
+      accepted.forEach((taskId) => {
+        const isKnown = whole.state.tasks.has(taskId) || whole.state.finished.has(taskId);
+        assert.ok(isKnown, `the accepted task ${taskId} is lost`);
+      });
+      return { starts: running.length };
+    },
+  };
+};
+
+type World = ReturnType<typeof createWorld>;
+type Step = (world: World) => void;
+
+const planner = fc.nat(PLANNERS - 1);
+const worker = fc.nat(WORKERS.length - 1);
+const fates = fc.array(fc.constantFrom<Fate>('done', 'done', 'done', 'lost', 'twice', 'late'), {
+  minLength: 1,
+  maxLength: 4,
+});
+
+/** What a healthy planner does in a few seconds. */
+const runCycle =
+  (index: number, fate: readonly Fate[]): Step =>
+  (world) => {
+    world.claimDuty(index);
+    world.refreshClaim(index);
+    world.addTime(500);
+    WORKERS.forEach((_id, at) => world.observeReport(at, index));
+    world.readLog(index, Infinity);
+    world.runRound(index, fate, false);
+    world.readLog(index, Infinity);
+    world.runRound(index, fate, false);
+  };
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 12,
+    arbitrary: fc.tuple(planner, fates).map(([p, f]): Step => runCycle(p, f)),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.nat(8_000).map(
+      (ms): Step =>
+        (world) =>
+          world.addTime(ms),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.integer({ min: 1, max: 4 }).map(
+      (n): Step =>
+        (w) =>
+          w.takeTask(n),
+    ),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.integer({ min: 1, max: 6 }).map(
+      (n): Step =>
+        (w) =>
+          w.cancelTask(n),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: planner.map(
+      (p): Step =>
+        (world) =>
+          world.claimDuty(p),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: planner.map(
+      (p): Step =>
+        (world) =>
+          world.refreshClaim(p),
+    ),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.tuple(planner, fc.nat(20)).map(
+      ([p, n]): Step =>
+        (world) =>
+          world.readLog(p, n),
+    ),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.tuple(planner, fates, fc.nat(5)).map(
+      ([p, f, n]): Step =>
+        (world) =>
+          world.runRound(p, f, n === 0),
+    ),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.tuple(worker, planner).map(
+      ([w, p]): Step =>
+        (world) =>
+          world.observeReport(w, p),
+    ),
+  },
+  { weight: 3, arbitrary: fc.constant<Step>((world) => world.releaseLate()) },
+  {
+    weight: 2,
+    arbitrary: fc.tuple(worker, fc.constantFrom('succeeded' as const, 'failed' as const)).map(
+      ([w, phase]): Step =>
+        (world) =>
+          world.finishTask(w, phase),
+    ),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.tuple(worker, fc.boolean()).map(
+      ([w, isPaused]): Step =>
+        (world) =>
+          world.setPaused(w, isPaused),
+    ),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.boolean().map(
+      (isUp): Step =>
+        (world) =>
+          world.setStoreUp(isUp),
+    ),
+  },
+);
+
+const test = suite('placement machine');
+
+test('no interleaving runs a task twice, exceeds a quota or loses an accepted task', () => {
+  let stepsWithWork = 0;
+  const property = fc.property(fc.array(step, { minLength: 40, maxLength: 120 }), (steps) => {
+    const world = createWorld();
+    world.takeTask(2);
+    world.claimDuty(0);
+    steps.forEach((run) => {
+      run(world);
+      if (world.checkInvariants().starts > 0) stepsWithWork += 1;
+    });
+  });
+  fc.assert(property, { numRuns: RUNS, seed: SEED });
+  process.stdout.write(`${RUNS} interleavings, ${stepsWithWork} steps with work running\n`);
+  assert.ok(stepsWithWork > RUNS, 'too few interleavings reach the point where work runs');
+});
+
+test.run();
