Let the state machine attack quotas, fences and stretched leases

With the quota check, the fence on lapses or the wait for stretched leases left out of the built code, the test now fails; before it failed for none of them.

--- a/packages/vanilladock/src/test/placement-machine.test.ts
+++ b/packages/vanilladock/src/test/placement-machine.test.ts
@@ -15,7 +15,7 @@
 import type { PlacementState } from '../lib/placement/state.js';
 import { createPlacementState } from '../lib/placement/state.js';
 import type { TaskReport, WorkerCommand, WorkerReport } from '../lib/ports/workers.js';
-import { makeSize, makeSubmission } from './placement-fixtures.js';
+import { makeLease, makeOutcome, makeSize, makeSubmission } from './placement-fixtures.js';
 
 const POOL = 'p';
 const DUTY = findPlacementDuty(POOL);
@@ -254,6 +254,24 @@
       if (report === undefined) return;
       planners[index]?.reports.set(WORKERS[worker] ?? '', { report, receivedMs: nowMs });
     },
+    /** A planner with the current claim but a faulty view grants a task; the fold must judge it. */
+    appendRogueLease: (number: number, workerId: string): void => {
+      const task = whole.state.tasks.get(`t${number}`);
+      if (task === undefined || task.lease !== undefined) return;
+      const size = task.declared;
+      const { newestLease: follows } = task;
+      const id = `rogue-${log.length}`;
+      append(makeLease(task.taskId, { id, workerId, size, follows, fence: whole.claim.offset }));
+    },
+    /** A planner whose claim was superseded wakes and says that a lease lapsed. */
+    appendStaleEnd: (number: number): void => {
+      const task = whole.state.tasks.get(`t${number}`);
+      if (task?.lease === undefined) return;
+      const fence = whole.claim.offset - 1;
+      append(
+        makeOutcome(task.taskId, task.lease.offset, 'lapsed', { id: `x${log.length}`, fence }),
+      );
+    },
     releaseLate: (): void => late.shift()?.(),
     finishTask: (worker: number, phase: 'succeeded' | 'failed'): void =>
       workers[worker]?.finish(phase, nowMs),
@@ -300,7 +318,48 @@
     world.runRound(index, fate, false);
   };
 
+/** What planners do while one reaches only one worker, and another only the log and the other worker. */
+const runPartition =
+  (cutOff: number, other: number, at: number, times: number): Step =>
+  (world) => {
+    if (cutOff === other) return;
+    for (let time = 0; time < times; time += 1) {
+      world.addTime(2_000);
+      world.observeReport(at, cutOff);
+      world.runRound(cutOff, ['done'], false);
+      world.claimDuty(other);
+      world.refreshClaim(other);
+      world.readLog(other, Infinity);
+      world.observeReport(1 - at, other);
+      world.runRound(other, ['done'], false);
+    }
+  };
+
+const number = fc.integer({ min: 1, max: 6 });
+
 const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 2,
+    arbitrary: fc
+      .tuple(planner, planner, worker, fc.integer({ min: 1, max: 12 }))
+      .map(([a, b, w, times]): Step => runPartition(a, b, w, times)),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.tuple(number, worker).map(
+      ([n, w]): Step =>
+        (world) =>
+          world.appendRogueLease(n, WORKERS[w] ?? 'w0'),
+    ),
+  },
+  {
+    weight: 1,
+    arbitrary: number.map(
+      (n): Step =>
+        (world) =>
+          world.appendStaleEnd(n),
+    ),
+  },
   {
     weight: 12,
     arbitrary: fc.tuple(planner, fates).map(([p, f]): Step => runCycle(p, f)),
