--- a/packages/measure/src/lib/moves/core-run.ts
+++ b/packages/measure/src/lib/moves/core-run.ts
@@ -6,24 +6,22 @@
   BARRIER_SETTINGS,
   computeJain,
   createDemandState,
-  createFleetState,
   createMoveMemory,
   createSightings,
   decideJoin,
-  foldFleet,
   MOVES_DUTY,
   MOVE_SETTINGS,
   observeDemand,
   planLoans,
   planMoves,
   sumLoans,
-  type FleetState,
   type Instance,
   type Loan,
   type LogRecord,
   type MoveWeights,
   type PolicyOf,
 } from 'vanilladock';
+import { createFleetState, foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
 import { addWork, computeKept, createQueue, serveWork } from './queue.js';
 import { DAY_S, type Trace } from './trace.js';
 
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -2,6 +2,7 @@
 import { CONTROL_MEASURE } from './control.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
+import { MOVES_MEASURE } from './moves.js';
 import { PLACEMENT_MEASURE } from './placement.js';
 import { SLOTS_MEASURE } from './slots.js';
 import { WAVE_MEASURE } from './wave.js';
@@ -10,6 +11,7 @@
 export const MEASURES: readonly Measure[] = [
   HERD_MEASURE,
   WAVE_MEASURE,
+  MOVES_MEASURE,
   PLACEMENT_MEASURE,
   CONTROL_MEASURE,
   SLOTS_MEASURE,
