--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -36,9 +36,11 @@
 /** Starts an entry. Rejects when an address cannot be bound. */
 export async function startEntry(settings: Settings): Promise<Entry> {
   const log = createJsonLog(settings);
-  const control = startControl(settings, log);
-  const { follower, getServedConfig } = control;
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
+  const listEntries = () =>
+    watcher.getInstances().filter(({ role, state }) => role === 'entry' && state === 'live');
+  const control = startControl(settings, log, listEntries);
+  const { follower, getServedConfig } = control;
   const table = createUpstreamTable();
   const forward = createForward();
   const admission = createAdmission();
--- a/packages/daemon/src/lib/log-follower.ts
+++ b/packages/daemon/src/lib/log-follower.ts
@@ -16,6 +16,8 @@
   readonly getConfig: () => ConfigState;
   /** Offset after the last record that was folded. */
   readonly getNext: () => number;
+  /** The oldest offset that the log keeps, as far as is known. */
+  readonly getFirst: () => number;
   /**
    * Since when the log has been read to its end without a failed read, on the monotonic clock in
    * milliseconds; undefined while it cannot be read.
@@ -39,9 +41,11 @@
 ): LogFollower {
   const store = createLogStore(log);
   const backoff = createBackoff(MIN_RETRY_MS, MAX_RETRY_MS, random);
+  let oldest = 0;
   let readableSinceMs: number | undefined;
   const hasReachedEnd = new BehaviorSubject(false);
-  let hasState = false;
+  let isBehind = false;
+  let hasStarted = false;
   let timer: NodeJS.Timeout | undefined;
   let isStopped = false;
 
@@ -62,15 +66,16 @@
       scheduleRetry('log-unreadable', read.error.message);
       return;
     }
-    hasState = true;
+    hasStarted = true;
     store.takeState(read.value.state);
     store.applyRecords(read.value.records);
     handleEnd();
     timer = setTimeout(runLoop, 0);
   };
   const applySlice = ({ records, first, next }: LogSlice) => {
+    oldest = first;
     if (first > store.getState().next) {
-      hasState = false;
+      isBehind = true;
       return;
     }
     store.applyRecords(records);
@@ -91,8 +96,10 @@
     timer = setTimeout(runLoop, 0);
   };
   const runLoop = () => {
-    if (hasState || store.getState().next > 0) void readOnce();
-    else void readState();
+    const mustStart = !hasStarted && store.getState().next === 0;
+    if (isBehind || mustStart) void readState();
+    else void readOnce();
+    isBehind = false;
   };
 
   runLoop();
@@ -104,6 +111,7 @@
     ),
     getConfig: () => store.getState().config,
     getNext: () => store.getState().next,
+    getFirst: () => oldest,
     getReadableSince: () => readableSinceMs,
     hasReachedEnd$: hasReachedEnd.asObservable(),
     hasReachedEnd: () => hasReachedEnd.value,
--- a/packages/daemon/src/lib/log-store.ts
+++ b/packages/daemon/src/lib/log-store.ts
@@ -3,7 +3,7 @@
  * it hands to peers that cannot read the log themselves. Records come from the log or from peers, in
  * any order and more than once; only the next one in order is folded.
  */
-import { BehaviorSubject, type Observable } from 'rxjs';
+import { BehaviorSubject, Subject, type Observable } from 'rxjs';
 import {
   createFleetState,
   DIGESTS_KEPT,
@@ -19,6 +19,8 @@
   /** Emits after each batch of records that changed the state. */
   readonly state$: Observable<FleetState>;
   readonly getState: () => FleetState;
+  /** Emits each record once, when it is folded. */
+  readonly records$: Observable<StoredRecord>;
   /** Folds the records that come next in order. */
   readonly applyRecords: (records: readonly StoredRecord[]) => void;
   /** Takes over a state that is further on; one that is not changes nothing. */
@@ -47,6 +49,7 @@
 /** Creates a store that knows nothing yet. */
 export function createLogStore(log: JsonLog): LogStore {
   const state = new BehaviorSubject(createFleetState());
+  const folded$ = new Subject<StoredRecord>();
   let held: StoredRecord[] = [];
   let heldLength = 0;
   let digests: DigestAt[] = [];
@@ -79,6 +82,7 @@
       const next = foldFleet(folded, record);
       if (next === folded) return folded;
       addHeld(record);
+      folded$.next(record);
       addDigest({ offset: record.offset, digest: next.digest });
       return next;
     }, before);
@@ -105,6 +109,7 @@
   return {
     state$: state.asObservable(),
     getState: () => state.value,
+    records$: folded$.asObservable(),
     applyRecords,
     takeState,
     listRecords,
--- /dev/null
+++ b/packages/measure/src/lib/config.ts
@@ -0,0 +1,221 @@
+/**
+ * Measures publishing with real entries: how soon an accepted configuration is in force on all of them,
+ * with operators that race, answers that are lost, the log down right after acceptance, and all entries
+ * replaced, at last at once and with a log that has dropped the publication. The baseline is entries
+ * that read the log alone and do not hand on what they know.
+ */
+import { readFileSync } from 'node:fs';
+import {
+  publishConfig,
+  readConfigState,
+  type PublishAnswer,
+} from '@vanilladock/daemon/lib/cli/publish.js';
+import { createOffer } from '@vanilladock/daemon/lib/peers/offer-records.js';
+import { createLogClient } from '@vanilladock/daemon/lib/platform/log-client.js';
+import { startInstanceServer, startLogServer, type LogServer } from '@vanilladock/stand-ins';
+import { build as buildHistogram } from 'hdr-histogram-js';
+import { createRandom, type Random } from 'vanilladock';
+import { startConfigFleet, type ConfigFleet } from './config-fleet.js';
+import { checkAnswers, type JudgedAnswer } from './config-oracle.js';
+import type { Figures, Measure, MeasureOptions } from './measure.js';
+import { MEASURE_KEY } from './processes.js';
+
+const CONFIG_URL = new URL('../../../../examples/smokehouse.yaml', import.meta.url);
+const ENTRIES = 8;
+const BASELINE_ENTRIES = 2;
+const OPERATORS = 4;
+const RACES = 20;
+const LOST_ANSWER_SHARE = 0.25;
+const OUTAGES = 4;
+const BASELINE_OUTAGE_MS = 1_000;
+const IN_FORCE_LIMIT_MS = 15_000;
+const KEPT_RECORDS = 60;
+const FILLER_RECORDS = 45;
+const SNAPSHOT_WAIT_MS = 20_000;
+const POLL_MS = 50;
+
+interface Bench {
+  readonly logServer: LogServer;
+  readonly fleet: ConfigFleet;
+  readonly baseline: ConfigFleet;
+  readonly random: Random;
+  readonly answers: JudgedAnswer[];
+  readonly log: MeasureOptions['log'];
+}
+
+interface Accepted {
+  readonly offset: number;
+  readonly sentAtMs: number;
+  readonly answeredAtMs: number;
+}
+
+const template = readFileSync(CONFIG_URL, 'utf8');
+
+/** Makes a valid text that differs from the others. */
+function makeText(random: Random): string {
+  const quota = 100 + Math.floor(random() * 900);
+  return template.replace('quotaPerSecond: 500', `quotaPerSecond: ${quota}`);
+}
+
+/** Publishes as one operator and keeps the answer. */
+async function publishAs(bench: Bench, base: number, isOffering: boolean): Promise<PublishAnswer> {
+  const by = `operator-${bench.answers.length}-${Math.floor(bench.random() * 1e9)}`;
+  const service = createLogClient(bench.logServer.address);
+  const offer = isOffering ? createOffer(MEASURE_KEY, bench.fleet.listPeers) : undefined;
+  const answer = await publishConfig(service, { text: makeText(bench.random), base, by }, offer);
+  bench.answers.push({ by, answer });
+  return answer;
+}
+
+/** Reads the version that the log shows. */
+async function readVersion(bench: Bench): Promise<number> {
+  const state = await readConfigState(createLogClient(bench.logServer.address));
+  return state?.version ?? -1;
+}
+
+/** Lets operators race from one base; resolves to the accepted one. */
+async function runRace(bench: Bench, operators: number, isOffering: boolean): Promise<Accepted> {
+  const base = await readVersion(bench);
+  const sentAtMs = performance.now();
+  const answers = await Promise.all(
+    Array.from({ length: operators }, () => publishAs(bench, base, isOffering)),
+  );
+  const winner = answers.find(({ kind }) => kind === 'accepted');
+  if (winner?.kind !== 'accepted') throw new Error(`no operator won: ${JSON.stringify(answers)}`);
+  return { offset: winner.offset, sentAtMs, answeredAtMs: performance.now() };
+}
+
+/** Measures races, some with lost answers; from sending to in force everywhere, in milliseconds. */
+async function measureRaces(bench: Bench): Promise<readonly number[]> {
+  const times: number[] = [];
+  for (let race = 0; race < RACES; race += 1) {
+    bench.logServer.setFaults({ losesAnswers: bench.random() < LOST_ANSWER_SHARE });
+    const { offset, sentAtMs } = await runRace(bench, OPERATORS, race % 2 === 0);
+    times.push((await bench.fleet.waitForVersion(offset, IN_FORCE_LIMIT_MS)) - sentAtMs);
+  }
+  bench.logServer.setFaults({ losesAnswers: false });
+  return times;
+}
+
+/** Takes the log down at the moment of acceptance; from then to in force everywhere. */
+async function measureOutages(bench: Bench) {
+  const times: number[] = [];
+  const baseline: number[] = [];
+  for (let outage = 0; outage < OUTAGES; outage += 1) {
+    const isOffering = outage % 2 === 0;
+    bench.logServer.setFaults({ readersServed: isOffering ? 0 : 1 });
+    const { offset, answeredAtMs } = await runRace(bench, 1, isOffering);
+    bench.logServer.setFaults({ isDown: true, readersServed: Infinity });
+    const downAtMs = performance.now();
+    times.push((await bench.fleet.waitForVersion(offset, IN_FORCE_LIMIT_MS)) - answeredAtMs);
+    const restMs = BASELINE_OUTAGE_MS - (performance.now() - downAtMs);
+    await new Promise((resolve) => {
+      setTimeout(resolve, Math.max(0, restMs));
+    });
+    bench.logServer.setFaults({ isDown: false });
+    baseline.push((await bench.baseline.waitForVersion(offset, IN_FORCE_LIMIT_MS)) - answeredAtMs);
+    bench.log(`outage ${outage + 1} of ${OUTAGES}: ${Math.round(times.at(-1) ?? 0)} ms`);
+  }
+  return { times, baseline };
+}
+
+/** Replaces every entry, one after the other, half of them with the log down. */
+async function runReplacements(bench: Bench): Promise<void> {
+  for (let index = 0; index < ENTRIES; index += 1) {
+    const isDown = index % 2 === 1;
+    const accepted = await runRace(bench, 2, true);
+    bench.logServer.setFaults({ isDown });
+    await bench.fleet.replaceEntry(index, index === 1 || index === 2 ? 'SIGKILL' : 'SIGTERM');
+    await bench.fleet.waitForVersion(accepted.offset, IN_FORCE_LIMIT_MS);
+    bench.logServer.setFaults({ isDown: false });
+  }
+}
+
+/** Waits until the log holds a snapshot written after an offset; resolves to whether it does. */
+async function waitForSnapshot(bench: Bench, after: number): Promise<boolean> {
+  const endMs = performance.now() + SNAPSHOT_WAIT_MS;
+  const hasSnapshot = () =>
+    bench.logServer
+      .listTexts()
+      .slice(-KEPT_RECORDS)
+      .some((text) => {
+        const record = JSON.parse(text) as { kind: string; throughOffset?: number };
+        return record.kind === 'log.snapshot' && (record.throughOffset ?? -1) >= after;
+      });
+  while (!hasSnapshot() && performance.now() < endMs) {
+    await new Promise((resolve) => {
+      setTimeout(resolve, POLL_MS);
+    });
+  }
+  return hasSnapshot();
+}
+
+/** Lets the log drop every publication, then ends all entries at once and starts new ones. */
+async function runFullReplacement(bench: Bench): Promise<void> {
+  const { logServer } = bench;
+  const end = logServer.listAllTexts().length;
+  const service = createLogClient(logServer.address);
+  const appendFiller = () =>
+    service.append(Array.from({ length: FILLER_RECORDS }, () => '{"kind":"filler"}'));
+  logServer.setFaults({ keep: KEPT_RECORDS });
+  await appendFiller();
+  const isWritten = await waitForSnapshot(bench, end - 1);
+  await appendFiller();
+  const isDropped = logServer.getFirst() > end;
+  bench.log(`new snapshot: ${isWritten}, publications dropped: ${isDropped}`);
+  await bench.fleet.replaceAll();
+}
+
+/** Computes the 99th percentile in milliseconds. */
+function computeP99(times: readonly number[]): number {
+  const histogram = buildHistogram();
+  times.forEach((time) => histogram.recordValue(Number.isFinite(time) ? time : IN_FORCE_LIMIT_MS));
+  return histogram.getValueAtPercentile(99);
+}
+
+/** Runs all parts on a started bench. */
+async function runParts(bench: Bench): Promise<Figures> {
+  const races = await measureRaces(bench);
+  bench.log(`${RACES} races: p99 ${computeP99(races)} ms`);
+  const outages = await measureOutages(bench);
+  await runReplacements(bench);
+  bench.log('all entries replaced in turn');
+  await runFullReplacement(bench);
+  const judgement = checkAnswers(bench.logServer.listAllTexts(), bench.answers);
+  const backAtMs = await bench.fleet.waitForVersion(judgement.version, IN_FORCE_LIMIT_MS);
+  const behind = bench.fleet.listVersions().filter((version) => version !== judgement.version);
+  return {
+    in_force_p99_ms: computeP99(races),
+    in_force_max_outage_ms: Math.round(Math.max(...outages.times)),
+    baseline_in_force_max_outage_ms: Math.round(Math.max(...outages.baseline)),
+    reverts: bench.fleet.countReverts(),
+    lost: judgement.lost + behind.length + (Number.isFinite(backAtMs) ? 0 : 1),
+    false_answers: judgement.falseAnswers,
+    publications: bench.answers.length,
+    unknown_answers: bench.answers.filter(({ answer }) => answer.kind === 'unknown').length,
+  };
+}
+
+/** Starts everything, runs the parts and stops everything. */
+async function runConfig({ seed, log }: MeasureOptions): Promise<Figures> {
+  const logServer = await startLogServer();
+  const instances = await startInstanceServer();
+  const platform = { log: logServer.address, instances: instances.address };
+  const fleet = await startConfigFleet(ENTRIES, platform, instances);
+  const baseline = await startConfigFleet(BASELINE_ENTRIES, platform, undefined);
+  const random = createRandom(seed);
+  const figures = await runParts({ logServer, fleet, baseline, random, answers: [], log }).finally(
+    async () => {
+      await Promise.all([fleet.stop(), baseline.stop()]);
+      await Promise.all([logServer.close(), instances.close()]);
+    },
+  );
+  return figures;
+}
+
+/** The measurement. */
+export const CONFIG_MEASURE: Measure = {
+  name: 'config',
+  describe: 'publishing with racing operators, log outages and replaced entries, on real daemons',
+  run: runConfig,
+};
--- a/packages/stand-ins/src/lib/log-server.ts
+++ b/packages/stand-ins/src/lib/log-server.ts
@@ -29,6 +29,10 @@
 export interface LogServer extends RunningServer {
   readonly setFaults: (faults: Partial<LogFaults>) => void;
   readonly listTexts: () => readonly string[];
+  /** Every text that was ever appended, also those dropped since. */
+  readonly listAllTexts: () => readonly string[];
+  /** The oldest offset that is kept. */
+  readonly getFirst: () => number;
   /** Appends so far that took effect. */
   readonly countAppends: () => number;
 }
@@ -47,6 +51,7 @@
 export async function startLogServer(port = 0): Promise<LogServer> {
   let faults = NO_FAULTS;
   let texts: string[] = [];
+  const allTexts: string[] = [];
   let first = 0;
   let appends = 0;
   const waiters = new Set<() => void>();
@@ -55,6 +60,7 @@
   const append = (added: readonly string[]) => {
     const offset = getNext();
     texts = [...texts, ...added];
+    allTexts.push(...added);
     const surplus = Math.max(0, texts.length - faults.keep);
     texts = texts.slice(surplus);
     first += surplus;
@@ -117,5 +123,12 @@
   };
 
   const server = await startServer(handle, port);
-  return { ...server, setFaults, listTexts: () => texts, countAppends: () => appends };
+  return {
+    ...server,
+    setFaults,
+    listTexts: () => texts,
+    listAllTexts: () => allTexts,
+    getFirst: () => first,
+    countAppends: () => appends,
+  };
 }
--- a/packages/vanilladock/src/lib/topology.ts
+++ b/packages/vanilladock/src/lib/topology.ts
@@ -19,7 +19,7 @@
 export interface Instance {
   readonly id: string;
   readonly role: InstanceRole;
-  /** `ip:port` where the instance answers. */
+  /** `ip:port` where the instance answers; of an entry, where it answers its peers. */
   readonly address: string;
   /** The service that an upstream belongs to; absent for other roles. */
   readonly service?: string;
