--- a/packages/daemon/src/lib/duties-runner.ts
+++ b/packages/daemon/src/lib/duties-runner.ts
@@ -54,6 +54,7 @@
   const { follower, appender, log } = options;
   const watched = new Map<string, Watched>();
   const sent = new Map<string, readonly Sent[]>();
+  const released = new Map<string, number>();
   const held = new Set<string>();
   let isStopping = false;
 
@@ -78,6 +79,7 @@
       seenAtMs: watchDuty(duty, nowMs).seenAtMs,
       sentAtMs: ownSent.find(({ id }) => id === claim?.id)?.atMs,
       pendingAtMs: isReadBack ? undefined : last.atMs,
+      releasedOffset: released.get(duty) ?? -1,
       readableSinceMs: follower.getReadableSince(),
       liveIds: options.listLiveEntries(),
       isStopping,
@@ -87,6 +89,7 @@
     if (action.kind === 'none') return [];
     const id = randomUUID();
     sent.set(duty, [...(sent.get(duty) ?? []), { id, atMs: nowMs }].slice(-SENT_KEPT));
+    if (action.kind === 'release') released.set(duty, action.follows);
     const leaseMs = action.kind === 'claim' ? action.leaseMs : 0;
     const head = { version: 1, id, by: options.id, at: Date.now() } as const;
     return [{ ...head, kind: 'duty.claim', duty, follows: action.follows, leaseMs }];
--- a/packages/daemon/src/lib/log-reader.ts
+++ b/packages/daemon/src/lib/log-reader.ts
@@ -47,7 +47,7 @@
     const from = Math.max(first, next - span);
     const records = await readFrom(service, from);
     if (records.isErr()) return Err(records.error);
-    const state = records.value.length === 0 ? undefined : findStart(records.value);
+    const state = findStart(records.value, records.value[0]?.offset ?? next);
     if (state !== undefined) return Ok({ state, records: records.value });
     if (from === first) break;
   }
--- a/packages/vanilladock/src/lib/duties/decide.ts
+++ b/packages/vanilladock/src/lib/duties/decide.ts
@@ -5,7 +5,8 @@
  *
  * A holder counts its lease from before it sent the claim and stops early by the drift margin; others
  * count from when they read the claim and start late by the margin. So a holder has stopped before
- * another starts as long as clocks run within the margin of each other. A holder that is paused beyond
+ * another starts as long as clocks run within the margin of each other. Once it has sent a release it
+ * acts no more, whether or not the release arrives. A holder that is paused beyond
  * its lease is stopped by the fencing token instead.
  */
 import MurmurHash from 'imurmurhash';
@@ -38,6 +39,8 @@
   readonly sentAtMs: number | undefined;
   /** When this entry sent a claim whose record it has not read back; undefined when there is none. */
   readonly pendingAtMs: number | undefined;
+  /** Offset of the own claim for which a release was sent last; -1 for none. */
+  readonly releasedOffset: number;
   /** Since when the log has been readable without a break; undefined while it is not. */
   readonly readableSinceMs: number | undefined;
   /** Ids of the live entries, as the lagging list shows them. */
@@ -76,6 +79,7 @@
 export function getFence(view: DutyView, nowMs: number): number | undefined {
   const { claim, selfId, sentAtMs } = view;
   if (claim === undefined || claim.owner !== selfId || sentAtMs === undefined) return undefined;
+  if (view.releasedOffset === claim.offset) return undefined;
   return nowMs < computeHeldUntil(sentAtMs, claim.leaseMs) ? claim.offset : undefined;
 }
 
--- a/packages/vanilladock/src/lib/log/snapshot.ts
+++ b/packages/vanilladock/src/lib/log/snapshot.ts
@@ -59,12 +59,11 @@
 }
 
 /**
- * Finds the state from which the kept records are to be folded, given without a gap to the end: that of
- * the newest snapshot, or the empty one. Undefined when the records do not begin with the log and hold
- * no usable snapshot.
+ * Finds the state from which the kept records are to be folded, given without a gap from `first`, the
+ * oldest of them, to the end: that of the newest snapshot, or the empty one. Undefined when the records
+ * do not begin with the log and hold no usable snapshot.
  */
-export function findStart(records: readonly StoredRecord[]): FleetState | undefined {
-  const first = records[0]?.offset ?? 0;
+export function findStart(records: readonly StoredRecord[], first: number): FleetState | undefined {
   const snapshot = findSnapshot(records);
   const decoded = snapshot === undefined ? undefined : decodeFleetState(snapshot.body);
   if (decoded !== undefined && decoded.next >= first) return decoded;
@@ -72,7 +71,7 @@
 }
 
 /** Folds kept records from their start; undefined when there is none to start from. */
-export function loadFleet(records: readonly StoredRecord[]): FleetState | undefined {
-  const start = findStart(records);
+export function loadFleet(records: readonly StoredRecord[], first: number): FleetState | undefined {
+  const start = findStart(records, first);
   return start === undefined ? undefined : records.reduce(foldFleet, start);
 }
--- a/packages/vanilladock/src/test/log-fleet-state.test.ts
+++ b/packages/vanilladock/src/test/log-fleet-state.test.ts
@@ -101,16 +101,21 @@
   const tail = [...parts.map(encodeRecord), makePublication('c', 0), 'noise'];
   const records = [...before, ...makeStored(tail, before.length)];
   const whole = foldAll(records);
-  assert.is(loadFleet(records.slice(1))?.digest, whole.digest);
-  assert.is(loadFleet(records.slice(2))?.config.version, whole.config.version);
-  assert.is(loadFleet(records.slice(3)), undefined, 'a snapshot without its first part');
+  assert.is(loadFleet(records.slice(1), 1)?.digest, whole.digest);
+  assert.is(loadFleet(records.slice(2), 2)?.config.version, whole.config.version);
+  assert.is(loadFleet(records.slice(3), 3), undefined, 'a snapshot without its first part');
+});
+
+test('a log that dropped everything gives no state', () => {
+  assert.is(loadFleet([], 2), undefined);
+  assert.is(loadFleet([], 0)?.next, 0);
 });
 
 test('a publication made from no version cannot win on a log that lost its beginning', () => {
   const before = makeStored([makePublication('a', -1)]);
   const snapshot = buildSnapshot(foldAll(before), makeHead('snap')).map(encodeRecord);
   const tail = makeStored([makePublication('stale', -1), ...snapshot], 1);
-  const restored = loadFleet(tail);
+  const restored = loadFleet(tail, 1);
   assert.is(restored?.config.publicationId, 'a');
   assert.is(restored?.config.fates.get('stale')?.kind, 'superseded');
 });
