--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -13,7 +13,7 @@
 /** Explains why an address could not be bound and what to do about it. */
 function makeListenError(address: string, error: NodeJS.ErrnoException): Error {
   const advice = LISTEN_ADVICE[error.code ?? ''] ?? error.message;
-  return new Error(`cannot listen on ${address}: ${advice}`);
+  return new Error(`cannot listen on ${address}: ${advice}`, { cause: error });
 }
 
 /** Resolves after a time in milliseconds. */
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,7 +8,9 @@
  * await log.close();
  * ```
  */
+export * from './lib/caller.js';
 export * from './lib/instance-server.js';
 export * from './lib/json-server.js';
 export * from './lib/log-server.js';
+export * from './lib/pool-server.js';
 export * from './lib/upstream.js';
