--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,4 +1,5 @@
 /** All measurements, in the order in which they are listed. */
+import { CONFIG_MEASURE } from './config.js';
 import { CONTROL_MEASURE } from './control.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
@@ -10,6 +11,7 @@
 /** The measurements. */
 export const MEASURES: readonly Measure[] = [
   HERD_MEASURE,
+  CONFIG_MEASURE,
   WAVE_MEASURE,
   MOVES_MEASURE,
   PLACEMENT_MEASURE,
