Carry out maintenance waves and first joins in the daemon

Cause: pools and waves were decided by the core only; no daemon ran them. Change: a fleet runner on every entry joins new instances to pools, acknowledges the log, plans waves while it holds the duty and takes permits through drain, reboot and restore. Work on an instance is asked of every peer, and unknown work holds the reboot. The first run stood still after the first reboot, because the stand-in listed a rebooted instance as leaving; ruled out were the work count and the confirmation of the reboot. The port now says that it is live once it is back.

--- a/packages/daemon/src/lib/control.ts
+++ b/packages/daemon/src/lib/control.ts
@@ -5,11 +5,12 @@
 import { createRandom, type Config, type Instance } from 'vanilladock';
 import { startDutiesRunner, type DutiesRunner } from './duties-runner.js';
 import { SNAPSHOTS_DUTY, startSnapshotWriter } from './duties-snapshots.js';
+import { FLEET_DUTIES } from './fleet/runner.js';
 import type { JsonLog } from './json-log.js';
 import { createLogAppender, type LogAppender } from './log-appender.js';
 import { startLogFollower, type LogFollower } from './log-follower.js';
 import { startCatchUp, type CatchUp } from './peers/catch-up.js';
-import { createCatchUpClient } from './peers/catch-up-client.js';
+import { createCatchUpClient, type CatchUpClient } from './peers/catch-up-client.js';
 import { createCatchUpServer } from './peers/catch-up-server.js';
 import { createLogClient } from './platform/log-client.js';
 import { closeServer, openServer } from './servers.js';
@@ -21,6 +22,9 @@
   readonly catchUp: CatchUp;
   readonly appender: LogAppender;
   readonly duties: DutiesRunner;
+  readonly client: CatchUpClient;
+  /** Peer addresses of the other entries, from settings and the instance list. */
+  readonly listPeers: () => readonly string[];
   /** The configuration to serve by; undefined until the entry has caught up. */
   readonly getServedConfig: () => Config | undefined;
   /** Opens the peers' server; resolves to its address. Rejects when it cannot be bound. */
@@ -28,14 +32,21 @@
   readonly stop: () => Promise<void>;
 }
 
-const DUTIES = [SNAPSHOTS_DUTY];
+/** What the control part is given by the entry. */
+export interface ControlOptions {
+  readonly settings: Settings;
+  readonly log: JsonLog;
+  /** Lists the live entries of the instance list. */
+  readonly listEntries: () => readonly Instance[];
+  /** Requests of this entry in progress at an instance. */
+  readonly countWork: (instanceId: string) => number;
+}
+
+const DUTIES = [SNAPSHOTS_DUTY, ...FLEET_DUTIES];
 
-/** Starts the control part of an entry; `listEntries` lists the live entries of the instance list. */
-export function startControl(
-  settings: Settings,
-  log: JsonLog,
-  listEntries: () => readonly Instance[],
-): Control {
+/** Starts the control part of an entry. */
+export function startControl(options: ControlOptions): Control {
+  const { settings, log, listEntries } = options;
   const { id } = settings;
   const random = createRandom(process.pid);
   const service = createLogClient(settings.platform.log);
@@ -57,12 +68,15 @@
     log,
   });
   let address = '';
+  const client = createCatchUpClient(settings.key);
+  const listPeers = () =>
+    [...new Set([...settings.peers, ...listEntries().map((entry) => entry.address)])].filter(
+      (peer) => peer !== address,
+    );
   const catchUp = startCatchUp({
     follower,
-    client: createCatchUpClient(settings.key),
-    listPeers: () => [
-      ...new Set([...settings.peers, ...listEntries().map((entry) => entry.address)]),
-    ],
+    client,
+    listPeers,
     getAddress: () => address,
     random,
     log,
@@ -73,12 +87,15 @@
     store: follower.store,
     isCaughtUp: catchUp.isCaughtUp,
     handleNotice: catchUp.observePeer,
+    countWork: options.countWork,
   });
   return {
     follower,
     catchUp,
     appender,
     duties,
+    client,
+    listPeers,
     getServedConfig: () => (catchUp.isCaughtUp() ? follower.getConfig().config : undefined),
     openPeers: async () => {
       address = await openServer(peers, settings.listen.peers);
--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -4,20 +4,23 @@
  */
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
-import { startControl } from './control.js';
-import { startInstanceWatcher } from './instance-watcher.js';
-import { createJsonLog } from './json-log.js';
+import { startControl, type Control } from './control.js';
+import { startFleetRunner, type FleetRunner } from './fleet/runner.js';
+import { createWorkCounter } from './fleet/work-counter.js';
+import { startInstanceWatcher, type InstanceWatcher } from './instance-watcher.js';
+import { createJsonLog, type JsonLog } from './json-log.js';
 import { createMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/operator-server.js';
 import type { EntryStatus } from './operators/status.js';
 import { createInstanceClient } from './platform/instance-client.js';
+import { createPoolClient } from './platform/pool-client.js';
 import { createCallerServer } from './request/caller-server.js';
 import { createForward } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
 import { observeAnswers } from './request/observe-answers.js';
 import { closeServer, openServer, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
-import { createUpstreamTable } from './upstream-table.js';
+import { createUpstreamTable, type UpstreamTable } from './upstream-table.js';
 
 /** A running entry. */
 export interface Entry {
@@ -36,15 +39,45 @@
   return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
 }
 
+/** Starts the duties of pools and maintenance, where the platform's operations are known. */
+function startFleet(
+  settings: Settings,
+  log: JsonLog,
+  control: Control,
+  watcher: InstanceWatcher,
+  table: UpstreamTable,
+): FleetRunner | undefined {
+  if (settings.platform.pools === undefined) return undefined;
+  const { store } = control.follower;
+  const work = createWorkCounter({
+    client: control.client,
+    listPeers: control.listPeers,
+    countOwn: table.countInFlight,
+    getState: store.getState,
+  });
+  return startFleetRunner({
+    entryId: settings.id,
+    store,
+    appender: control.appender,
+    duties: control.duties,
+    getList: () => ({ instances: watcher.getInstances(), askedAtMs: watcher.getAskedAt() }),
+    pools: createPoolClient(settings.platform.pools),
+    work,
+    log,
+    times: settings.fleet,
+  });
+}
+
 /** Starts an entry. Rejects when an address cannot be bound. */
 export async function startEntry(settings: Settings): Promise<Entry> {
   const log = createJsonLog(settings);
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
   const listEntries = () =>
     watcher.getInstances().filter(({ role, state }) => role === 'entry' && state === 'live');
-  const control = startControl(settings, log, listEntries);
-  const { follower, getServedConfig } = control;
   const table = createUpstreamTable();
+  const control = startControl({ settings, log, listEntries, countWork: table.countInFlight });
+  const { follower, getServedConfig } = control;
+  const fleet = startFleet(settings, log, control, watcher, table);
   const forward = createForward();
   const admission = createAdmission();
   const startedAtMs = performance.now();
@@ -114,6 +147,7 @@
   const operators = createOperatorServer({ key: settings.key, isReady, getStatus, metrics });
   const stopSources = async () => {
     subscription.unsubscribe();
+    await fleet?.stop();
     await control.stop();
     watcher.stop();
     forward.close();
--- /dev/null
+++ b/packages/daemon/src/lib/fleet/record-head.ts
@@ -0,0 +1,8 @@
+/** Heads of the records that this entry writes. */
+import { randomUUID } from 'node:crypto';
+import type { RecordHead } from 'vanilladock';
+
+/** Makes the head of a new record by an entry. */
+export function makeHead(by: string): RecordHead {
+  return { version: 1, id: randomUUID(), by, at: Date.now() };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/fleet/work-counter.ts
@@ -0,0 +1,52 @@
+/**
+ * Counts the work that runs on instances about to be stopped: requests in progress at this entry and at
+ * every live peer, and tasks under lease. As long as one peer has not answered, the count is unknown,
+ * and an instance with unknown work is not rebooted.
+ */
+import type { FleetState } from 'vanilladock';
+import type { CatchUpClient } from '../peers/catch-up-client.js';
+
+/** What counting needs from the entry. */
+export interface WorkCounterOptions {
+  readonly client: Pick<CatchUpClient, 'fetchWork'>;
+  readonly listPeers: () => readonly string[];
+  readonly countOwn: (instanceId: string) => number;
+  readonly getState: () => FleetState;
+}
+
+/** A counter of work. */
+export interface WorkCounter {
+  /** Asks all peers about instances anew. */
+  readonly refresh: (instanceIds: readonly string[]) => Promise<void>;
+  /** Work on each instance asked about; absent where it is unknown. */
+  readonly getCounts: () => ReadonlyMap<string, number>;
+}
+
+/** Creates a counter that knows nothing yet. */
+export function createWorkCounter(options: WorkCounterOptions): WorkCounter {
+  let counts: ReadonlyMap<string, number> = new Map();
+  const countTasks = (instanceId: string) =>
+    options.getState().placement.workers.get(instanceId)?.tasks.size ?? 0;
+  const refresh = async (instanceIds: readonly string[]) => {
+    if (instanceIds.length === 0) {
+      counts = new Map();
+      return;
+    }
+    const peers = options.listPeers();
+    const answers = await Promise.all(
+      peers.map((address) => options.client.fetchWork(address, instanceIds)),
+    );
+    if (answers.some((answer) => answer.isErr())) {
+      counts = new Map();
+      return;
+    }
+    const works = answers.map((answer) => answer.unwrapOr([]));
+    counts = new Map(
+      instanceIds.map((id, index) => {
+        const atPeers = works.reduce((sum, work) => sum + (work[index] ?? 0), 0);
+        return [id, atPeers + options.countOwn(id) + countTasks(id)];
+      }),
+    );
+  };
+  return { refresh, getCounts: () => counts };
+}
--- a/packages/daemon/src/lib/instance-watcher.ts
+++ b/packages/daemon/src/lib/instance-watcher.ts
@@ -7,6 +7,8 @@
 export interface InstanceWatcher {
   readonly instances$: Observable<readonly Instance[]>;
   readonly getInstances: () => readonly Instance[];
+  /** Monotonic time before the newest list was asked for, in milliseconds. */
+  readonly getAskedAt: () => number;
   readonly stop: () => void;
 }
 
@@ -17,10 +19,13 @@
   const instances = new BehaviorSubject<readonly Instance[]>([]);
   let isStopped = false;
   let timer: NodeJS.Timeout | undefined;
+  let askedAtMs = -Infinity;
   const poll = async () => {
+    const askingAtMs = performance.now();
     const result = await list.fetch();
     if (isStopped) return;
     if (result.isOk()) {
+      askedAtMs = askingAtMs;
       if (result.value !== instances.value) instances.next(result.value);
     } else log.warn({ event: 'instances-unreadable', message: result.error.message });
     timer = setTimeout(() => void poll(), POLL_MS);
@@ -29,6 +34,7 @@
   return {
     instances$: instances.asObservable(),
     getInstances: () => instances.value,
+    getAskedAt: () => askedAtMs,
     stop: () => {
       isStopped = true;
       clearTimeout(timer);
--- a/packages/daemon/src/lib/peers/catch-up-client.ts
+++ b/packages/daemon/src/lib/peers/catch-up-client.ts
@@ -22,6 +22,11 @@
   readonly fetchHistory: (address: string, from: number) => Promise<Result<PeerHistory, PeerError>>;
   readonly fetchDigests: (address: string) => Promise<Result<readonly DigestAt[], PeerError>>;
   readonly sendNotice: (address: string, notice: PeerNotice) => Promise<Result<void, PeerError>>;
+  /** Requests of a peer in progress at each instance, in the order asked. */
+  readonly fetchWork: (
+    address: string,
+    instanceIds: readonly string[],
+  ) => Promise<Result<readonly number[], PeerError>>;
   /** Hands records to a peer; resolves to its status afterwards. */
   readonly sendRecords: (
     address: string,
@@ -95,6 +100,8 @@
     fetchHistory: (address, from) => toResult(openPeer(address, 'long').history.query({ from })),
     fetchDigests: (address) => toResult(openPeer(address, 'long').digests.query()),
     sendNotice: (address, notice) => toResult(openPeer(address, 'short').notify.mutate(notice)),
+    fetchWork: (address, instanceIds) =>
+      toResult(openPeer(address, 'short').work.query({ instanceIds: [...instanceIds] })),
     sendRecords: (address, records) =>
       toResult(openPeer(address, 'short').offer.mutate({ records: [...records] })),
   };
--- a/packages/daemon/src/lib/peers/catch-up-server.ts
+++ b/packages/daemon/src/lib/peers/catch-up-server.ts
@@ -44,6 +44,8 @@
   readonly store: LogStore;
   readonly isCaughtUp: () => boolean;
   readonly handleNotice: (notice: PeerNotice) => void;
+  /** Requests of this entry in progress at an instance. */
+  readonly countWork: (instanceId: string) => number;
 }
 
 interface Context {
@@ -53,6 +55,7 @@
 const MAX_BODY_BYTES = 4_194_304;
 const OFFSET = z.number().int().min(0);
 const RECORDS = z.array(z.object({ offset: OFFSET, text: z.string() })).max(1000);
+const INSTANCE_IDS = z.array(z.string().max(200)).max(1000);
 const NOTICE = z.object({ address: z.string().max(64), next: OFFSET });
 
 /** Says whether two keys are equal, in a time that tells nothing of either. */
@@ -86,6 +89,9 @@
       .query(({ input }) => getHistory(input.from)),
     digests: procedure.query((): readonly DigestAt[] => ports.store.listDigests()),
     notify: procedure.input(NOTICE).mutation(({ input }) => ports.handleNotice(input)),
+    work: procedure
+      .input(z.object({ instanceIds: INSTANCE_IDS }))
+      .query(({ input }): readonly number[] => input.instanceIds.map(ports.countWork)),
     offer: procedure.input(z.object({ records: RECORDS })).mutation(({ input }) => {
       ports.store.applyRecords(input.records);
       return getStatus();
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -16,7 +16,22 @@
   rack: z.string().min(1),
   /** Where callers, operators and peers reach this entry. Port 0 lets the kernel choose. */
   listen: z.strictObject({ callers: ADDRESS, operators: ADDRESS, peers: ADDRESS }),
-  platform: z.strictObject({ log: ADDRESS, instances: ADDRESS }),
+  platform: z.strictObject({
+    log: ADDRESS,
+    instances: ADDRESS,
+    /** Drain and reboot operations; without it nothing is maintained or moved. */
+    pools: ADDRESS.optional(),
+  }),
+  /** Times of pools and maintenance, in milliseconds, for platforms that are faster or slower. */
+  fleet: z
+    .strictObject({
+      roundMs: z.number().int().positive().default(5_000),
+      /** Absence from the list after which an instance counts as lost. */
+      lostAfterMs: z.number().int().positive().default(60_000),
+      /** Time after a reboot until the list surely shows it. */
+      settleMs: z.number().int().positive().default(90_000),
+    })
+    .prefault({}),
   /** Peer addresses of the other entries. */
   peers: z.array(ADDRESS).default([]),
   /** Shared by entries and operators; never logged. */
@@ -51,6 +66,7 @@
   'listen.peers',
   'platform.log',
   'platform.instances',
+  'platform.pools',
   'peers',
   'logLevel',
   'drainLimitMs',
--- a/packages/daemon/src/lib/upstream-table.ts
+++ b/packages/daemon/src/lib/upstream-table.ts
@@ -54,6 +54,11 @@
   /** Upstreams of a service that may be given work now. */
   readonly listCandidates: (service: string) => readonly UpstreamCandidate[];
   readonly listStatus: () => readonly UpstreamStatus[];
+  /**
+   * Counts what may still run at an upstream for this entry: its requests in progress, and at least one
+   * until the entry knows that the upstream takes no new work.
+   */
+  readonly countInFlight: (upstreamId: string) => number;
   readonly observeStart: (upstreamId: string) => void;
   readonly observeEnd: (upstreamId: string, observation?: Observation) => void;
 }
@@ -181,6 +186,12 @@
         state: getState(upstream, nowMs),
       }));
     },
+    countInFlight: (id) => {
+      const upstream = byId.get(id);
+      if (upstream === undefined) return 0;
+      const isOpen = getState(upstream, performance.now()) !== 'leaving';
+      return isOpen ? Math.max(1, upstream.inFlight) : upstream.inFlight;
+    },
     observeStart: (id) => {
       const upstream = byId.get(id);
       if (upstream !== undefined) upstream.inFlight += 1;
--- a/packages/daemon/src/test/peers-catch-up.test.ts
+++ b/packages/daemon/src/test/peers-catch-up.test.ts
@@ -43,6 +43,7 @@
     store: follower.store,
     isCaughtUp: catchUp.isCaughtUp,
     handleNotice: catchUp.observePeer,
+    countWork: () => 0,
   });
   address = await openServer(server, '127.0.0.1:0');
   peers.push(address);
--- a/packages/stand-ins/src/lib/pool-server.ts
+++ b/packages/stand-ins/src/lib/pool-server.ts
@@ -2,7 +2,7 @@
  * Stand-in for the platform's pool operations. `POST /operations` with
  * `{"operation", "instanceId", "permitId"}` drains, reboots or restores an instance. Each operation is
  * idempotent by its permit; once a permit's restore has run, its other operations are refused. A
- * rebooting instance is missing from the instance list until it is back.
+ * drained instance is listed as leaving, a rebooting one is missing, and one that is back is live.
  */
 import type { Instance } from 'vanilladock';
 import type { InstanceServer } from './instance-server.js';
@@ -66,6 +66,7 @@
     const timer = setTimeout(() => {
       timers.delete(timer);
       rebooting.delete(instanceId);
+      draining.delete(instanceId);
       refreshList();
     }, options.rebootMs);
     timers.add(timer);
--- a/packages/vanilladock/src/lib/ports/pools.ts
+++ b/packages/vanilladock/src/lib/ports/pools.ts
@@ -1,4 +1,8 @@
-/** Port to the platform's pool operations on instances; each is idempotent by its permit id. */
+/**
+ * Port to the platform's pool operations on instances; each is idempotent by its permit id. A drained
+ * instance is listed as leaving, and as live again once it is back from its reboot. After a permit's
+ * restore the platform refuses its other operations.
+ */
 import type { Result } from 'ts-results-es';
 
 /** `unknown`: no answer, the operation may have taken effect. */
