--- a/packages/daemon/src/lib/control.ts
+++ b/packages/daemon/src/lib/control.ts
@@ -28,13 +28,15 @@
   readonly stop: () => Promise<void>;
 }
 
-const DUTIES = [SNAPSHOTS_DUTY];
-
-/** Starts the control part of an entry; `listEntries` lists the live entries of the instance list. */
+/**
+ * Starts the control part of an entry; `listEntries` lists the live entries of the instance list, and
+ * `listDuties` the duties to take a share of besides the snapshots.
+ */
 export function startControl(
   settings: Settings,
   log: JsonLog,
   listEntries: () => readonly Instance[],
+  listDuties: () => readonly string[] = () => [],
 ): Control {
   const { id } = settings;
   const random = createRandom(process.pid);
@@ -43,7 +45,7 @@
   const appender = createLogAppender(service, random);
   const duties = startDutiesRunner({
     id,
-    listDuties: () => DUTIES,
+    listDuties: () => [SNAPSHOTS_DUTY, ...listDuties()],
     listLiveEntries: () => listEntries().map((entry) => entry.id),
     follower,
     appender,
--- a/packages/daemon/src/lib/peers/catch-up-server.ts
+++ b/packages/daemon/src/lib/peers/catch-up-server.ts
@@ -63,7 +63,7 @@
 
 /** Builds the procedures. */
 function buildRouter(ports: CatchUpPorts) {
-  const t = initTRPC.context<Context>().create();
+  const t = initTRPC.context<Context>().create({ isDev: false });
   const procedure = t.procedure.use(({ ctx, next }) => {
     if (isSameKey(ctx.key, ports.key)) return next();
     const message = `send the key of the settings file in the header ${KEY_HEADER}`;
--- a/packages/daemon/src/test/peers-catch-up.test.ts
+++ b/packages/daemon/src/test/peers-catch-up.test.ts
@@ -1,5 +1,11 @@
 /** Tests of followers that catch up from one another over real HTTP while the log is down. */
-import { createRandom } from 'vanilladock';
+import {
+  buildSnapshot,
+  createFleetState,
+  createRandom,
+  encodeRecord,
+  foldFleet,
+} from 'vanilladock';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { publishConfig } from '../lib/cli/publish.js';
@@ -155,6 +161,58 @@
   await Promise.all([first.stop(), second.stop()]);
 });
 
+test('racing operators with lost answers leave all followers on one chain of versions', async () => {
+  const fake = createFakeLog();
+  const peers: string[] = [];
+  const nodes = [await startNode(fake, 'one', peers), await startNode(fake, 'two', peers)];
+  await waitUntil(() => nodes.every(({ catchUp }) => catchUp.isCaughtUp()));
+  for (let round = 0; round < 6; round += 1) {
+    const base = fake.texts.length === 0 ? -1 : (nodes[0]?.getVersion() ?? -1);
+    const answers = await Promise.all(
+      ['ada', 'bo', 'cy'].map((by, index) => {
+        const view = fake.openView();
+        view.losesAnswers = (round + index) % 2 === 0;
+        return publishConfig(view, { text: CONFIG_TEXT, base, by: `${by}-${round}` });
+      }),
+    );
+    const accepted = answers.flatMap((answer) =>
+      answer.kind === 'accepted' ? [answer.offset] : [],
+    );
+    assert.is(accepted.length, 1);
+    assert.is(answers.filter(({ kind }) => kind === 'superseded').length, 2);
+    await waitUntil(() => nodes.every(({ getVersion }) => getVersion() === accepted[0]));
+  }
+  const [one, two] = nodes.map(({ follower }) => follower.store.getState());
+  assert.is(one?.digest, two?.digest);
+  await Promise.all(nodes.map(({ stop }) => stop()));
+});
+
+test('an entry that was away beyond retention goes on from a snapshot', async () => {
+  const fake = createFakeLog();
+  const peers: string[] = [];
+  fake.texts.push(encodePublication('ada', -1));
+  const node = await startNode(fake, 'one', peers);
+  await waitUntil(() => node.getVersion() === 0);
+  node.view.isDown = true;
+  await waitUntil(() => node.follower.getReadableSince() === undefined);
+  fake.texts.push(encodePublication('bo', 0), 'noise');
+  const state = fake.texts
+    .map((text, offset) => ({ text, offset }))
+    .reduce(foldFleet, createFleetState());
+  fake.first = fake.texts.length;
+  fake.texts.push('noise');
+  node.view.isDown = false;
+  await waitUntil(() =>
+    node.log.lines.some(({ message }) => /no complete snapshot/.test(`${message}`)),
+  );
+  assert.is(node.getVersion(), 0);
+  const head = { version: 1, id: 'snap', by: 'entry-9', at: 0 } as const;
+  fake.texts.push(...buildSnapshot(state, head).map(encodeRecord));
+  await waitUntil(() => node.getVersion() === 1);
+  assert.is(node.follower.getNext(), fake.texts.length);
+  await node.stop();
+});
+
 test('a call without the key is refused and told what to send', async () => {
   const peers: string[] = [];
   const node = await startNode(createFakeLog(), 'one', peers);
