Notice the end of an outage at once, and keep the delay of a reader growing

The first read after a failure waited up to 10 s for new records before it counted the log as readable, so that duties stayed unheld for about 9 s after an outage of 30 s.

--- a/packages/daemon/src/lib/log-follower.ts
+++ b/packages/daemon/src/lib/log-follower.ts
@@ -78,6 +78,7 @@
       isBehind = true;
       return;
     }
+    backoff.reset();
     store.applyRecords(records);
     const known = store.getState().next;
     if (known > next) log.error({ event: 'log-went-back', known, next });
@@ -85,13 +86,13 @@
     handleEnd();
   };
   const readOnce = async () => {
-    const slice = await service.read(store.getState().next, READ_WAIT_MS);
+    const limitMs = readableSinceMs === undefined ? 0 : READ_WAIT_MS;
+    const slice = await service.read(store.getState().next, limitMs);
     if (isStopped) return;
     if (slice.isErr()) {
       scheduleRetry('log-unreadable', slice.error.message);
       return;
     }
-    backoff.reset();
     applySlice(slice.value);
     timer = setTimeout(runLoop, 0);
   };
