--- a/packages/measure/src/lib/placement/scenario.ts
+++ b/packages/measure/src/lib/placement/scenario.ts
@@ -8,7 +8,7 @@
 import { createRandom } from 'vanilladock';
 import type { Random, WorkerCommand } from 'vanilladock';
 import type { PoolView } from 'vanilladock/lib/placement/plan-input.js';
-import type { Scheduler, SendCommand, SentAnswer } from './scheduler.js';
+import type { PollReport, Scheduler, SendCommand, SentAnswer } from './scheduler.js';
 import { buildPools, createTaskSource, pickOne, WORKER_CAPACITY } from './workload.js';
 import type { WorkTask } from './workload.js';
 
@@ -33,13 +33,13 @@
 
 /** Minutes at which things begin. */
 export const TIMELINE = {
-  patientFlood: 2,
-  quickFlood: 4,
-  cancellations: 6,
-  rackLoss: 6.5,
-  outage: 8,
-  recovery: 68,
-  end: 71,
+  patientFlood: 1.5,
+  quickFlood: 3,
+  cancellations: 4.5,
+  rackLoss: 5,
+  outage: 6.5,
+  recovery: 66.5,
+  end: 69,
 } as const;
 
 const ARRIVALS_PER_SECOND = { quick: 20, heavy: 12, patient: 10 } as const;
@@ -64,6 +64,7 @@
   pools: readonly PoolView[],
   random: Random,
   send: SendCommand,
+  poll: PollReport,
 ) => Scheduler;
 
 /** Runs the timeline against a scheduler. */
@@ -153,13 +154,11 @@
     }),
   );
 
-  const scheduler = createScheduler(pools, transport, send);
+  let scheduler: Scheduler;
 
-  const reportWorker = (workerId: string): void => {
+  /** Lets a worker make a report now, which arrives later. */
+  const sendReport = (workerId: string): void => {
     const worker = workers.get(workerId);
-    schedule(nowMs + REPORT_MIN_MS + REPORT_SPREAD_MS * transport(), () => {
-      reportWorker(workerId);
-    });
     if (worker === undefined || dead.has(workerId) || worker.isPaused()) return;
     const report = worker.report(nowMs);
     schedule(nowMs + REPORT_DELAY_MIN_MS + REPORT_DELAY_SPREAD_MS * transport(), () => {
@@ -167,6 +166,21 @@
     });
   };
 
+  const fetchLater: PollReport = (workerId, delayMs) => {
+    schedule(nowMs + delayMs, () => {
+      sendReport(workerId);
+    });
+  };
+
+  scheduler = createScheduler(pools, transport, send, fetchLater);
+
+  const reportWorker = (workerId: string): void => {
+    schedule(nowMs + REPORT_MIN_MS + REPORT_SPREAD_MS * transport(), () => {
+      reportWorker(workerId);
+    });
+    sendReport(workerId);
+  };
+
   const sendTask = (task: WorkTask): void => {
     tasks.set(task.taskId, task);
     submittedMs.set(task.taskId, nowMs);
@@ -203,7 +217,7 @@
     const ids = [...workers.keys()];
     Array.from({ length: BLACK_HOLES }).forEach(() => {
       const workerId = pickOne(faults, ids);
-      schedule(MINUTE_MS * (1 + 5 * faults()), () => {
+      schedule(MINUTE_MS * (1 + 3.5 * faults()), () => {
         if (failingSince.has(workerId)) return;
         failingSince.set(workerId, nowMs);
         workers.get(workerId)?.setBehaviour({ isFailing: true, isPaused: false }, nowMs);
@@ -211,7 +225,7 @@
     });
     Array.from({ length: PAUSED_WORKERS }).forEach(() => {
       const workerId = pickOne(faults, ids);
-      const atMs = MINUTE_MS * (1 + 6 * faults());
+      const atMs = MINUTE_MS * (1 + 4.5 * faults());
       const isFailing = (): boolean => failingSince.has(workerId);
       schedule(atMs, () => {
         workers.get(workerId)?.setBehaviour({ isFailing: isFailing(), isPaused: true }, nowMs);
@@ -221,7 +235,7 @@
       });
     });
     Array.from({ length: PAUSED_ENTRIES }).forEach((_, index) => {
-      const atMs = MINUTE_MS * (1.5 + 1.7 * index);
+      const atMs = MINUTE_MS * (1 + 1.3 * index);
       schedule(atMs, () => {
         scheduler.pauseEntry(index, nowMs, nowMs + MINUTE_MS);
       });
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -3,12 +3,18 @@
 import { CONTROL_MEASURE } from './control.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
+import { MOVES_MEASURE } from './moves.js';
+import { PLACEMENT_MEASURE } from './placement.js';
 import { SLOTS_MEASURE } from './slots.js';
+import { WAVE_MEASURE } from './wave.js';
 
 /** The measurements. */
 export const MEASURES: readonly Measure[] = [
   HERD_MEASURE,
   CONFIG_MEASURE,
-  SLOTS_MEASURE,
+  WAVE_MEASURE,
+  MOVES_MEASURE,
+  PLACEMENT_MEASURE,
   CONTROL_MEASURE,
+  SLOTS_MEASURE,
 ];
