--- a/packages/daemon/src/lib/control.ts
+++ b/packages/daemon/src/lib/control.ts
@@ -5,7 +5,6 @@
 import { createRandom, type Config, type Instance } from 'vanilladock';
 import { startDutiesRunner, type DutiesRunner } from './duties-runner.js';
 import { SNAPSHOTS_DUTY, startSnapshotWriter } from './duties-snapshots.js';
-import { FLEET_DUTIES } from './fleet/runner.js';
 import type { JsonLog } from './json-log.js';
 import { createLogAppender, type LogAppender } from './log-appender.js';
 import { startLogFollower, type LogFollower } from './log-follower.js';
@@ -40,13 +39,13 @@
   readonly listEntries: () => readonly Instance[];
   /** Requests of this entry in progress at an instance. */
   readonly countWork: (instanceId: string) => number;
+  /** Duties to take a share of, besides the snapshots. */
+  readonly listDuties: () => readonly string[];
 }
 
-const DUTIES = [SNAPSHOTS_DUTY, ...FLEET_DUTIES];
-
 /** Starts the control part of an entry. */
 export function startControl(options: ControlOptions): Control {
-  const { settings, log, listEntries } = options;
+  const { settings, log, listEntries, listDuties } = options;
   const { id } = settings;
   const random = createRandom(process.pid);
   const service = createLogClient(settings.platform.log);
@@ -54,7 +53,7 @@
   const appender = createLogAppender(service, random);
   const duties = startDutiesRunner({
     id,
-    listDuties: () => DUTIES,
+    listDuties: () => [SNAPSHOTS_DUTY, ...listDuties()],
     listLiveEntries: () => listEntries().map((entry) => entry.id),
     follower,
     appender,
--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -5,7 +5,7 @@
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
 import { startControl, type Control } from './control.js';
-import { startFleetRunner, type FleetRunner } from './fleet/runner.js';
+import { FLEET_DUTIES, startFleetRunner, type FleetRunner } from './fleet/runner.js';
 import { createWorkCounter } from './fleet/work-counter.js';
 import { startInstanceWatcher, type InstanceWatcher } from './instance-watcher.js';
 import { createJsonLog, type JsonLog } from './json-log.js';
@@ -75,7 +75,13 @@
   const listEntries = () =>
     watcher.getInstances().filter(({ role, state }) => role === 'entry' && state === 'live');
   const table = createUpstreamTable();
-  const control = startControl({ settings, log, listEntries, countWork: table.countInFlight });
+  const control = startControl({
+    settings,
+    log,
+    listEntries,
+    countWork: table.countInFlight,
+    listDuties: () => (settings.platform.pools === undefined ? [] : FLEET_DUTIES),
+  });
   const { follower, getServedConfig } = control;
   const fleet = startFleet(settings, log, control, watcher, table);
   const forward = createForward();
