--- a/packages/measure/src/lib/moves.ts
+++ b/packages/measure/src/lib/moves.ts
@@ -3,10 +3,10 @@
  * planned moves, against static pools that keep as much work and against greedy moves.
  */
 import { createRandom } from 'vanilladock';
+import type { MeasureOptions } from './measure.js';
 import { findStaticSize, runGreedy } from './moves/baselines.js';
 import { runCoreDay, type FleetCase } from './moves/core-run.js';
 import { createTrace, sumMeans } from './moves/trace.js';
-import type { MeasureOptions } from './wave.js';
 
 /** What the moves measure reports; ratios are those of the worse fleet. */
 export type MovesReport = Readonly<
--- a/packages/measure/src/lib/moves/core-run.ts
+++ b/packages/measure/src/lib/moves/core-run.ts
@@ -17,11 +17,11 @@
   sumLoans,
   type Instance,
   type Loan,
-  type LogRecord,
   type MoveWeights,
   type PolicyOf,
 } from 'vanilladock';
 import { createFleetState, foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import type { Body } from '../wave/log-client.js';
 import { addWork, computeKept, createQueue, serveWork } from './queue.js';
 import { DAY_S, type Trace } from './trace.js';
 
@@ -63,12 +63,6 @@
   canaries: 1,
 });
 
-type Body = LogRecord extends infer R
-  ? R extends LogRecord
-    ? Omit<R, 'version' | 'id' | 'by' | 'at'>
-    : never
-  : never;
-
 /** Creates a log that folds at once. */
 function createLog() {
   let state: FleetState = createFleetState();
--- a/packages/measure/src/lib/wave.ts
+++ b/packages/measure/src/lib/wave.ts
@@ -15,6 +15,7 @@
   type Random,
 } from 'vanilladock';
 import { createFleetState, foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import type { MeasureOptions } from './measure.js';
 import { computeBaselineMs, computeBoundMs } from './wave/bound.js';
 import { createFakeLog, createFakePlatform, type FakeLog } from './wave/platform.js';
 import { createPlanner, type Planner } from './wave/planner.js';
@@ -30,12 +31,6 @@
   type World,
 } from './wave/world.js';
 
-/** What a measure is given. */
-export interface MeasureOptions {
-  readonly seed: number;
-  readonly log: (line: string) => void;
-}
-
 /** What the wave measure reports; times are ratios to the bound of the same faults. */
 export type WaveReport = Readonly<
   Record<
