--- a/packages/vanilladock/src/lib/placement/fold-void.ts
+++ b/packages/vanilladock/src/lib/placement/fold-void.ts
@@ -11,5 +11,8 @@
   reason: VoidReason,
 ): PlacementState {
   const voids = state.voids.set(recordId, reason);
-  return { ...state, voids: voids.size > VOIDS_KEPT ? voids.rest() : voids };
+  const voidOrder = state.voidOrder.push(recordId);
+  const oldest = voidOrder.first();
+  if (voidOrder.size <= VOIDS_KEPT || oldest === undefined) return { ...state, voids, voidOrder };
+  return { ...state, voids: voids.remove(oldest), voidOrder: voidOrder.shift() };
 }
--- a/packages/vanilladock/src/lib/placement/fold.ts
+++ b/packages/vanilladock/src/lib/placement/fold.ts
@@ -63,12 +63,20 @@
 ): PlacementState {
   const entry = { ...end, team: task.team, workerId: task.lease?.workerId };
   const counted = addQuickCores(state, task, -1);
-  const finished = counted.finished.remove(task.taskId).set(task.taskId, entry);
-  return {
-    ...counted,
-    tasks: counted.tasks.remove(task.taskId),
-    finished: finished.size > FINISHED_KEPT ? finished.rest() : finished,
-  };
+  const finished = counted.finished.set(task.taskId, entry);
+  const key = { taskId: task.taskId, offset: end.offset };
+  const finishedOrder = counted.finishedOrder.push(key);
+  const tasks = counted.tasks.remove(task.taskId);
+  return dropOldest({ ...counted, tasks, finished, finishedOrder });
+}
+
+/** Forgets the task that ended first when too many are remembered. */
+function dropOldest(state: PlacementState): PlacementState {
+  const oldest = state.finishedOrder.first();
+  if (state.finishedOrder.size <= FINISHED_KEPT || oldest === undefined) return state;
+  const isNewest = state.finished.get(oldest.taskId)?.offset === oldest.offset;
+  const finished = isNewest ? state.finished.remove(oldest.taskId) : state.finished;
+  return { ...state, finished, finishedOrder: state.finishedOrder.shift() };
 }
 
 /** Estimates the cores that a submitted task needs. */
--- a/packages/vanilladock/src/lib/placement/state.ts
+++ b/packages/vanilladock/src/lib/placement/state.ts
@@ -3,7 +3,7 @@
  * leases by worker, so that a planning round touches only what may change.
  */
 import type { OrderedSet } from 'immutable';
-import { Map, OrderedMap, Set } from 'immutable';
+import { List, Map, OrderedMap, Set } from 'immutable';
 import type { Urgency } from '../config/schema.js';
 import type { Resources } from '../ports/workers.js';
 import type { Verdict } from '../verdict.js';
@@ -114,13 +114,16 @@
 /** Folded state of all placement records. */
 export interface PlacementState {
   readonly tasks: Map<string, TaskState>;
-  readonly finished: OrderedMap<string, FinishedTask>;
+  readonly finished: Map<string, FinishedTask>;
+  /** Ended tasks in the order of their ends; one that was submitted again is listed twice. */
+  readonly finishedOrder: List<{ readonly taskId: string; readonly offset: number }>;
   readonly queues: Map<string, PoolQueue>;
   readonly teams: Map<string, TeamState>;
   readonly workers: Map<string, WorkerState>;
   readonly kinds: OrderedMap<string, KindState>;
   /** Reasons of the newest records without effect, by record id. */
-  readonly voids: OrderedMap<string, VoidReason>;
+  readonly voids: Map<string, VoidReason>;
+  readonly voidOrder: List<string>;
   readonly queued: number;
 }
 
@@ -153,12 +156,14 @@
 export function createPlacementState(): PlacementState {
   return {
     tasks: Map(),
-    finished: OrderedMap(),
+    finished: Map(),
+    finishedOrder: List(),
     queues: Map(),
     teams: Map(),
     workers: Map(),
     kinds: OrderedMap(),
-    voids: OrderedMap(),
+    voids: Map(),
+    voidOrder: List(),
     queued: 0,
   };
 }
