Test the planner's decisions one failure at a time

Fifteen tests: floods, fairness, throttle, checkpoint, learned sizes, shapes that fit nowhere, quarantine and probes, lapses, the store's outage, cancellation, admission.

--- /dev/null
+++ b/packages/vanilladock/src/test/placement-plan.test.ts
@@ -0,0 +1,314 @@
+/** Tests of the planner: urgency, fairness, sizes, quarantine, lapses, outages, refusals. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { admitTask, STORE_SILENT_MS } from '../lib/placement/admit.js';
+import type { PlacementDecision } from '../lib/placement/decisions.js';
+import { formatDecision } from '../lib/placement/decisions.js';
+import { findPlacementDuty } from '../lib/placement/duty.js';
+import type { PlanInput, PoolView, ReceivedReport } from '../lib/placement/plan-input.js';
+import { SILENT_AFTER_MS, UNCONFIRMED_MAX } from '../lib/placement/plan-input.js';
+import { createPlanner } from '../lib/placement/plan.js';
+import type { PlacementRecord } from '../lib/placement/records.js';
+import { createPlacementState } from '../lib/placement/state.js';
+import type { PlacementState } from '../lib/placement/state.js';
+import type { TaskReport } from '../lib/ports/workers.js';
+import {
+  FENCE,
+  foldAll,
+  makeLease,
+  makeOutcome,
+  makeQuarantine,
+  makeRules,
+  makeSize,
+  makeSubmission,
+} from './placement-fixtures.js';
+
+const DUTY = findPlacementDuty('p');
+
+const makePool = (names: readonly string[], cores = 8): PoolView => ({
+  name: 'p',
+  workers: names.map((id) => ({
+    id,
+    location: { region: 'r', dataCentre: 'd', rack: `rack-${id}` },
+    capacity: makeSize(cores),
+    isOpen: true,
+  })),
+  urgentReserveShare: 0,
+  taskLeaseMs: 30_000,
+});
+
+const makeReports = (
+  names: readonly string[],
+  nowMs: number,
+  tasks: readonly TaskReport[] = [],
+): Map<string, ReceivedReport> =>
+  new Map(
+    names.map((id) => {
+      const reportId = `${id}-${nowMs}`;
+      const report = { reportId, plannerFences: { [DUTY]: FENCE }, tasks };
+      return [id, { report, receivedMs: nowMs }];
+    }),
+  );
+
+const makeInput = (state: PlacementState, more: Partial<PlanInput> = {}): PlanInput => ({
+  state,
+  rules: makeRules(100),
+  duty: {
+    duty: DUTY,
+    fence: FENCE,
+    sinceMs: 0,
+    heldUntilMs: Infinity,
+    isSuperseded: false,
+    predecessorStretchMs: 0,
+  },
+  pools: [makePool(['a', 'b'])],
+  reports: makeReports(['a', 'b'], 1_000),
+  nowMs: 1_000,
+  at: 0,
+  ...more,
+});
+
+const listGrants = (decisions: readonly PlacementDecision[]) =>
+  decisions.flatMap((one) => (one.kind === 'grant' ? [one.record] : []));
+
+const listCommands = (decisions: readonly PlacementDecision[], kind: string) =>
+  decisions.flatMap((one) =>
+    one.kind === 'command' && one.command.kind === kind ? [one.command] : [],
+  );
+
+const makeRunning = (taskId: string, fencingToken: number): TaskReport => ({
+  taskId,
+  fencingToken,
+  phase: 'running',
+  used: makeSize(1),
+  share: 1,
+});
+
+const test = suite('placement plan');
+
+test('quick work goes before an older flood of patient work', () => {
+  const flood = Array.from({ length: 200 }, (_, index) =>
+    makeSubmission(`p${index}`, { urgency: 'patient' }),
+  );
+  const state = foldAll([...flood, makeSubmission('q', { urgency: 'quick', team: 'vans' })]);
+  const grants = listGrants(createPlanner('e').plan(makeInput(state)));
+  assert.is(grants[0]?.taskId, 'q');
+});
+
+test('teams get cores by weight, not by how much they ask for', () => {
+  const flood = Array.from({ length: 50 }, (_, index) => makeSubmission(`f${index}`));
+  const few = Array.from({ length: 3 }, (_, index) => makeSubmission(`m${index}`, { team: 'm' }));
+  const grants = listGrants(createPlanner('e').plan(makeInput(foldAll([...flood, ...few]))));
+  const mine = grants.filter(({ taskId }) => taskId.startsWith('m')).length;
+  assert.is(mine, 3);
+  assert.ok(grants.length > 5);
+});
+
+test('a round grants no task twice while its append has not been read back', () => {
+  const state = foldAll([makeSubmission('t')]);
+  const planner = createPlanner('e');
+  assert.is(listGrants(planner.plan(makeInput(state))).length, 1);
+  const again = planner.plan(makeInput(state, { nowMs: 1_500 }));
+  assert.is(listGrants(again).length, 0);
+  const lost = planner.plan(
+    makeInput(state, { nowMs: 9_000, reports: makeReports(['a', 'b'], 9_000) }),
+  );
+  assert.is(listGrants(lost).length, 1);
+});
+
+test('quick work that finds no cores throttles less urgent work and starts at once', () => {
+  const state = foldAll([
+    makeSubmission('t', { declared: makeSize(8, 1_000) }),
+    makeLease('t', { workerId: 'a', size: makeSize(8, 1_000) }),
+    makeSubmission('q', { urgency: 'quick', declared: makeSize(4, 1_000) }),
+  ]);
+  const reports = makeReports(['a'], 1_000, [makeRunning('t', 1)]);
+  const input = makeInput(state, { pools: [makePool(['a'])], reports });
+  const decisions = createPlanner('e').plan(input);
+  assert.is(listGrants(decisions)[0]?.taskId, 'q');
+  const throttle = listCommands(decisions, 'throttle')[0];
+  assert.is(throttle?.kind === 'throttle' && throttle.share, 0.5);
+});
+
+test('quick work that finds no memory checkpoints the fewest tasks, then takes their room', () => {
+  const leased = [
+    makeSubmission('t', { urgency: 'patient' }),
+    makeLease('t', { workerId: 'a', size: makeSize(1, 8_000) }),
+    makeSubmission('q', { urgency: 'quick', declared: makeSize(1, 4_000) }),
+  ];
+  const state = foldAll(leased);
+  const planner = createPlanner('e');
+  const pools = [makePool(['a'])];
+  const reports = makeReports(['a'], 1_000, [makeRunning('t', 1)]);
+  const first = planner.plan(makeInput(state, { pools, reports }));
+  assert.is(listCommands(first, 'checkpoint').length, 1);
+  assert.is(listGrants(first).length, 0);
+  const freed = foldAll([makeOutcome('t', 1, 'checkpointed')], makeRules(100), state, 3);
+  const later = makeReports(['a'], 3_000);
+  const second = planner.plan(makeInput(freed, { pools, reports: later, nowMs: 3_000 }));
+  assert.is(listGrants(second)[0]?.taskId, 'q');
+});
+
+test('a task that fits no worker of its pool is refused with its shape', () => {
+  const state = foldAll([makeSubmission('t', { declared: makeSize(9) })]);
+  const decision = createPlanner('e').plan(makeInput(state))[0];
+  assert.is(decision?.kind, 'end');
+  assert.match(decision?.reason ?? '', 'no worker of pool p holds 9 cores');
+  const line = JSON.parse(formatDecision(decision as PlacementDecision, 5)) as { result: string };
+  assert.is(line.result, 'never-runnable');
+});
+
+test('sizes learned from usage replace declared ones that are ten times too large', () => {
+  const records: PlacementRecord[] = [0, 1, 2].flatMap((index) => [
+    makeSubmission(`t${index}`, { declared: makeSize(8) }),
+    makeLease(`t${index}`, { size: makeSize(8) }),
+    makeOutcome(`t${index}`, index * 3 + 1, 'succeeded', { used: makeSize(0.8) }),
+  ]);
+  const state = foldAll([...records, makeSubmission('t', { declared: makeSize(8) })]);
+  const size = listGrants(createPlanner('e').plan(makeInput(state)))[0]?.size;
+  assert.ok((size?.cores ?? 8) < 1);
+  assert.ok((size?.memoryMb ?? 8_000) < 1_000);
+});
+
+/** Successes of two kinds on worker `good`, then failures of both on worker `a`. */
+const buildFailures = (hasSuccesses: boolean): PlacementRecord[] => {
+  const kinds = ['kiln', 'price', 'kiln', 'price', 'kiln', 'price'];
+  const run = (from: number, workerId: string, result: 'succeeded' | 'failed') =>
+    kinds.flatMap((taskKind, index) => [
+      makeSubmission(`${workerId}${index}`, { taskKind }),
+      makeLease(`${workerId}${index}`, { workerId }),
+      makeOutcome(`${workerId}${index}`, from + index * 3 + 1, result),
+    ]);
+  const failures = run(hasSuccesses ? 18 : 0, 'a', 'failed');
+  return hasSuccesses ? [...run(0, 'good', 'succeeded'), ...failures] : failures;
+};
+
+test('a worker that fails kinds which succeed elsewhere is quarantined', () => {
+  const state = foldAll(buildFailures(true));
+  const decision = createPlanner('e')
+    .plan(makeInput(state))
+    .find((one) => one.kind === 'quarantine');
+  assert.is(decision?.kind === 'quarantine' && decision.record.workerId, 'a');
+  const quarantined = foldAll([makeQuarantine('a', true, -1)], makeRules(100), state, 50);
+  const grants = listGrants(
+    createPlanner('e').plan(
+      makeInput(foldAll([makeSubmission('t')], makeRules(100), quarantined, 51)),
+    ),
+  );
+  assert.ok(grants.every(({ workerId }) => workerId !== 'a'));
+});
+
+test('work that fails everywhere is not blamed on a worker', () => {
+  const decisions = createPlanner('e').plan(makeInput(foldAll(buildFailures(false))));
+  assert.not.ok(decisions.some((one) => one.kind === 'quarantine'));
+});
+
+test('a quarantined worker is tried again with one task and put back when it passes', () => {
+  const start = foldAll([...buildFailures(true), makeQuarantine('a', true, -1)]);
+  const proofs = [0, 1, 2].flatMap((index) => [
+    makeSubmission(`f${index}`, { taskKind: 'fine' }),
+    makeLease(`f${index}`, { workerId: 'good' }),
+    makeOutcome(`f${index}`, 41 + index * 3, 'succeeded'),
+  ]);
+  const waiting = makeSubmission('t', { taskKind: 'fine' });
+  const state = foldAll([...proofs, waiting], makeRules(100), start, 40);
+  const planner = createPlanner('e');
+  const pools = [makePool(['a'])];
+  const plan = (nowMs: number) =>
+    planner.plan(makeInput(state, { pools, nowMs, reports: makeReports(['a'], nowMs) }));
+  assert.is(listGrants(plan(1_000)).length, 0);
+  assert.is(listGrants(plan(11 * 60_000))[0]?.workerId, 'a');
+  const passed = foldAll(
+    [makeLease('t', { workerId: 'a' }), makeOutcome('t', 50, 'succeeded')],
+    makeRules(100),
+    state,
+    50,
+  );
+  const nowMs = 12 * 60_000;
+  const input = makeInput(passed, { pools, nowMs, reports: makeReports(['a'], nowMs) });
+  const back = planner.plan(input).find((one) => one.kind === 'quarantine');
+  assert.is(back?.kind === 'quarantine' && back.record.isQuarantined, false);
+});
+
+test('a worker is not given more than it has shown to run', () => {
+  const many = Array.from({ length: 40 }, (_, index) =>
+    makeSubmission(`t${index}`, { declared: makeSize(0.1, 10) }),
+  );
+  const input = makeInput(foldAll(many), { pools: [makePool(['a'])] });
+  const grants = listGrants(createPlanner('e').plan(input));
+  assert.ok(grants.length <= UNCONFIRMED_MAX);
+});
+
+test('a lease whose end is decided is never started, even if the worker comes back', () => {
+  const state = foldAll([makeSubmission('t'), makeLease('t', { workerId: 'a' })]);
+  const planner = createPlanner('e');
+  const pools = [makePool(['a'])];
+  planner.plan(makeInput(state, { pools, reports: makeReports(['a'], 1_000) }));
+  const silentMs = 1_000 + 32_000 + SILENT_AFTER_MS;
+  const silent = makeInput(state, { pools, nowMs: silentMs, reports: makeReports(['a'], 1_000) });
+  const ended = planner.plan(silent).find((one) => one.kind === 'end');
+  assert.is(ended?.kind === 'end' && ended.record.result, 'lapsed');
+  const backMs = silentMs + 1_000;
+  const back = makeInput(state, { pools, nowMs: backMs, reports: makeReports(['a'], backMs) });
+  assert.is(listCommands(planner.plan(back), 'start').length, 0);
+});
+
+test('while the store is down running work is renewed and nothing else is decided', () => {
+  const state = foldAll([
+    makeSubmission('t'),
+    makeLease('t', { workerId: 'a' }),
+    makeSubmission('u'),
+  ]);
+  const { duty } = makeInput(state);
+  const down = { ...duty, heldUntilMs: 500 };
+  const reports = makeReports(['a'], 1_000, [makeRunning('t', 1)]);
+  const decisions = createPlanner('e').plan(makeInput(state, { duty: down, reports }));
+  assert.is(decisions.length, 1);
+  assert.is(listCommands(decisions, 'renew-worker').length, 1);
+  const lost = { ...down, isSuperseded: true };
+  assert.equal(createPlanner('e').plan(makeInput(state, { duty: lost, reports })), []);
+});
+
+test('a cancelled task is stopped, and a stray one that the log knows nothing of', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0 } as const;
+  const state = foldAll([
+    makeSubmission('t'),
+    makeLease('t', { workerId: 'a' }),
+    { ...cancel, kind: 'task.cancellation', taskId: 't' },
+  ]);
+  const reports = makeReports(['a'], 1_000, [makeRunning('t', 1), makeRunning('gone', 0)]);
+  const decisions = createPlanner('e').plan(makeInput(state, { reports }));
+  assert.is(listCommands(decisions, 'stop').length, 2);
+});
+
+test('admission refuses as not run: store down, unknown pool, never runnable, full of quick work', () => {
+  const admit = (more: Partial<Parameters<typeof admitTask>[0]>) =>
+    admitTask(
+      {
+        state: createPlacementState(),
+        rules: makeRules(100),
+        pool: makePool(['a']),
+        submission: makeSubmission('t', { urgency: 'quick' }),
+        pendingQuickCores: 0,
+        storeAnsweredMs: 0,
+        nowMs: 0,
+        ...more,
+      },
+      () => 0.5,
+    );
+  assert.ok(admit({}).isOk());
+  const refusals = [
+    admit({ nowMs: STORE_SILENT_MS + 1 }),
+    admit({ pool: undefined }),
+    admit({ submission: makeSubmission('t', { declared: makeSize(9) }) }),
+    admit({ pendingQuickCores: 6 }),
+  ].map((refusal) => refusal.unwrapErr());
+  assert.equal(
+    refusals.map(({ code }) => code),
+    ['store-unavailable', 'bad-request', 'never-runnable', 'queue-full'],
+  );
+  assert.ok(refusals.every(({ verdict }) => verdict === 'not-run'));
+  assert.is(refusals[0]?.retryAfterMs, 45_000);
+});
+
+test.run();
