Count lapsed attempts of failing work; admit quick work by memory as well

Attempts now count lapses when the last one failed, and admission bounds the waiting quick tasks to one for each worker, and their memory.

--- a/packages/measure/src/lib/placement/core-scheduler.ts
+++ b/packages/measure/src/lib/placement/core-scheduler.ts
@@ -12,9 +12,10 @@
 import { createPlanner } from 'vanilladock/lib/placement/plan.js';
 import type { Planner } from 'vanilladock/lib/placement/plan.js';
 import type { PlacementRecord, SubmissionRecord } from 'vanilladock/lib/placement/records.js';
-import { createPlacementState } from 'vanilladock/lib/placement/state.js';
+import { addResources } from 'vanilladock/lib/placement/resources.js';
+import { createPlacementState, NO_RESOURCES } from 'vanilladock/lib/placement/state.js';
 import type { PlacementRules } from 'vanilladock/lib/placement/state.js';
-import type { Random } from 'vanilladock';
+import type { Random, Resources } from 'vanilladock';
 import type { PollReport, Scheduler, SendCommand } from './scheduler.js';
 import { TEAM_QUOTA_CORES } from './workload.js';
 import type { WorkTask } from './workload.js';
@@ -66,7 +67,7 @@
   const pausedUntil = new Map<number, number>();
   let held: readonly { readonly atMs: number; readonly run: () => void }[] = [];
   let appends: readonly Append[] = [];
-  const pendingQuick = new Map<string, { readonly taskId: string; readonly cores: number }[]>();
+  const pendingQuick = new Map<string, { readonly taskId: string; readonly size: Resources }[]>();
   const accepted = new Set<string>();
   let state = createPlacementState();
   let offset = 0;
@@ -212,7 +213,7 @@
           rules,
           pool: poolsByName.get(task.pool),
           submission,
-          pendingQuickCores: pending.reduce((sum, { cores }) => sum + cores, 0),
+          pendingQuick: pending.map(({ size }) => size).reduce(addResources, NO_RESOURCES),
           storeAnsweredMs,
           nowMs,
         },
@@ -220,8 +221,8 @@
       );
       if (admitted.isErr()) return admitted.error.code;
       if (task.urgency === 'quick') {
-        const { cores } = state.kinds.get(task.taskKind)?.estimate ?? task.declared;
-        pendingQuick.set(key, [...pending.slice(-20), { taskId: task.taskId, cores }]);
+        const size = state.kinds.get(task.taskKind)?.estimate ?? task.declared;
+        pendingQuick.set(key, [...pending.slice(-20), { taskId: task.taskId, size }]);
       }
       append([submission], nowMs);
       return undefined;
--- a/packages/vanilladock/src/lib/placement/admit.ts
+++ b/packages/vanilladock/src/lib/placement/admit.ts
@@ -6,24 +6,25 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { Random } from '../ports/random.js';
+import type { Resources } from '../ports/workers.js';
 import type { Failure, FailureCode } from '../verdict.js';
 import { checkSubmission } from './fold.js';
 import { chooseSize } from './learn-sizes.js';
 import type { PoolView } from './plan-input.js';
 import { isNeverFitting } from './plan-room.js';
 import type { SubmissionRecord } from './records.js';
-import { isValidSize } from './resources.js';
-import { EMPTY_WORKER } from './state.js';
+import { addResources, isValidSize } from './resources.js';
+import { EMPTY_WORKER, NO_RESOURCES } from './state.js';
 import type { PlacementRules, PlacementState, TaskState } from './state.js';
 
 /** Time without an answer of the log service after which submissions are refused. */
 export const STORE_SILENT_MS = 3_000;
 
-/** Share of a pool's cores that quick tasks, running and waiting, may fill. */
+/** Share of a pool's cores and memory that quick tasks, running and waiting, may fill. */
 export const QUICK_SHARE = 0.85;
 
 /** Quick tasks that may wait in a pool for each of its workers, which start a few at a time. */
-export const WAITING_QUICK_PER_WORKER = 2;
+export const WAITING_QUICK_PER_WORKER = 1;
 
 const RETRY_MS = 5_000;
 const STORE_RETRY_MS = 30_000;
@@ -35,8 +36,8 @@
   /** The pool that the submission names; undefined when there is none. */
   readonly pool: PoolView | undefined;
   readonly submission: SubmissionRecord;
-  /** Cores of quick tasks of the pool that this entry has admitted and not yet read back. */
-  readonly pendingQuickCores: number;
+  /** Sizes of quick tasks of the pool that this entry has admitted and not yet read back, summed. */
+  readonly pendingQuick: Resources;
   /** When the log service last answered, by the monotonic clock in milliseconds. */
   readonly storeAnsweredMs: number;
   readonly nowMs: number;
@@ -69,29 +70,34 @@
   return waiting;
 }
 
-/** Sums the cores that quick tasks hold on the workers of a pool. */
-function sumHeldQuickCores(state: PlacementState, pool: PoolView): number {
+/** Sums what quick tasks hold on the workers of a pool. */
+function sumHeldQuick(state: PlacementState, pool: PoolView): Resources {
   return pool.workers.reduce(
-    (sum, { id }) => sum + (state.workers.get(id) ?? EMPTY_WORKER).quick.cores,
-    0,
+    (sum, { id }) => addResources(sum, (state.workers.get(id) ?? EMPTY_WORKER).quick),
+    NO_RESOURCES,
   );
 }
 
-/** Counts the cores of the pool's workers that may take tasks. */
-function countUsableCores(state: PlacementState, pool: PoolView): number {
+/** Sums the cores and memory of the pool's workers that may take tasks. */
+function sumUsable(state: PlacementState, pool: PoolView): Resources {
   return pool.workers
     .filter(({ id, isOpen }) => isOpen && state.workers.get(id)?.isQuarantined !== true)
-    .reduce((sum, { capacity }) => sum + capacity.cores, 0);
+    .reduce((sum, { capacity }) => addResources(sum, capacity), NO_RESOURCES);
 }
 
 /** Says whether a quick task can start without waiting for another one to end. */
-function hasQuickRoom(input: AdmissionInput, pool: PoolView, cores: number): boolean {
-  const { state, pendingQuickCores } = input;
+function hasQuickRoom(input: AdmissionInput, pool: PoolView, size: Resources): boolean {
+  const { state, pendingQuick } = input;
   const waiting = listWaitingQuick(state, pool);
   if (waiting.length >= pool.workers.length * WAITING_QUICK_PER_WORKER) return false;
-  const queued = waiting.reduce((sum, { expectedCores }) => sum + expectedCores, 0);
-  const taken = sumHeldQuickCores(state, pool) + queued + pendingQuickCores;
-  return taken + cores <= countUsableCores(state, pool) * QUICK_SHARE;
+  const taken = waiting
+    .map((task) => chooseSize(state.kinds.get(task.taskKind), task.declared, task.grownMemoryMb))
+    .reduce(addResources, addResources(sumHeldQuick(state, pool), pendingQuick));
+  const wanted = addResources(taken, size);
+  const usable = sumUsable(state, pool);
+  return (
+    wanted.cores <= usable.cores * QUICK_SHARE && wanted.memoryMb <= usable.memoryMb * QUICK_SHARE
+  );
 }
 
 /** Admits a submission, or refuses it as not run with a code and the time to come back. */
@@ -118,7 +124,7 @@
   if (full !== undefined) {
     return makeRefusal('queue-full', `Refused: ${full}.`, RETRY_MS, random);
   }
-  if (submission.urgency === 'quick' && !hasQuickRoom(input, pool, size.cores)) {
+  if (submission.urgency === 'quick' && !hasQuickRoom(input, pool, size)) {
     const message = `Pool ${pool.name} is full of quick tasks; come back later.`;
     return makeRefusal('queue-full', message, RETRY_MS, random);
   }
--- a/packages/vanilladock/src/lib/placement/fold.ts
+++ b/packages/vanilladock/src/lib/placement/fold.ts
@@ -44,7 +44,7 @@
 export const QUEUED_MAX = 60_000;
 export const QUEUED_MAX_PER_TEAM = 5_000;
 
-/** Failed attempts after which a task is ended. */
+/** Attempts, failed or lapsed, of which the last failed, after which a task is ended. */
 export const ATTEMPTS_MAX = 3;
 
 /** Lapsed leases after which a task is ended, because it may be what stops its workers. */
@@ -223,7 +223,9 @@
 ): { readonly result: TaskResult; readonly verdict: Verdict } | undefined {
   if (record.result === 'succeeded') return { result: 'succeeded', verdict: 'ran' };
   if (task.isCancelled) return { result: 'cancelled', verdict: 'may-have-run' };
-  if (task.failures >= ATTEMPTS_MAX) return { result: 'failed', verdict: 'ran' };
+  const isFailure = record.result === 'failed';
+  if (isFailure && task.failures + task.lapses >= ATTEMPTS_MAX)
+    return { result: 'failed', verdict: 'ran' };
   if (task.lapses >= LAPSES_MAX) return { result: 'lapsed', verdict: 'may-have-run' };
   return undefined;
 }
--- a/packages/vanilladock/src/test/placement-fold.test.ts
+++ b/packages/vanilladock/src/test/placement-fold.test.ts
@@ -120,6 +120,16 @@
   assert.equal(almost.tasks.get('t')?.failedOn, ['w', 'w']);
   const lapsed = foldAll([makeSubmission('t'), ...buildAttempts('lapsed', LAPSES_MAX)]);
   assert.is(lapsed.finished.get('t')?.result, 'lapsed');
+  const mixed = foldAll([
+    makeSubmission('t'),
+    makeLease('t'),
+    makeOutcome('t', 1, 'lapsed'),
+    makeLease('t', { follows: 1 }),
+    makeOutcome('t', 3, 'failed'),
+    makeLease('t', { follows: 3 }),
+    makeOutcome('t', 5, 'failed'),
+  ]);
+  assert.is(mixed.finished.get('t')?.result, 'failed');
 });
 
 test('quick submissions beyond the quota are refused as not run and may come again', () => {
