Attack verdicts and connections through a fault-injecting proxy

Cause: the verdicts of the request path were argued, not shown.

Tests compare what the caller was told with the upstreams' ledgers, and cover silent connections, limits, callers that leave and large bodies. A reset of a socket that is already shutting down is now a close: Node 20 leaves such a handle open and spins on it, which the first run of these tests showed.

--- a/packages/daemon/src/lib/request/answer-stream.ts
+++ b/packages/daemon/src/lib/request/answer-stream.ts
@@ -11,7 +11,7 @@
 /** Ends a begun answer so that the caller sees that it is not whole. */
 export function closeBroken(response: ServerResponse): void {
   const { socket } = response;
-  if (socket === null) response.destroy();
+  if (socket === null || socket.writableEnded) response.destroy();
   else socket.resetAndDestroy();
 }
 
--- a/packages/daemon/src/lib/request/connection-pool.ts
+++ b/packages/daemon/src/lib/request/connection-pool.ts
@@ -37,7 +37,9 @@
   /** Destroys the idle connections, because one of their age has gone silent. */
   readonly dropIdle: () => void;
   readonly setLimit: (limit: number) => void;
+  /** Counts connections that are open or being opened. */
   readonly countOpen: () => number;
+  readonly countIdle: () => number;
   readonly close: () => void;
 }
 
@@ -189,6 +191,7 @@
       limit = value;
     },
     countOpen: () => open.size + opening.size,
+    countIdle: () => idle.length,
     close: () => {
       clearTimeout(sweeper);
       [...opening].forEach((socket) => socket.destroy());
--- /dev/null
+++ b/packages/daemon/src/test/connections.test.ts
@@ -0,0 +1,223 @@
+/** Connections to upstreams and callers: silent ones, limits, memory, and callers that leave. */
+import { request as sendRequest } from 'node:http';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import { startUpstream } from '@vanilladock/stand-ins';
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { createConnectionPool, FRESH_IDLE_MS } from '../lib/request/connection-pool.js';
+import { startHarness, waitFor } from './routing-harness.js';
+
+const test = suite('connections');
+
+test('when kept connections go silent, an idempotent request is answered over a fresh one', async () => {
+  const harness = await startHarness({ upstreams: 1 });
+  await harness.call({ id: 'warm' });
+  harness.proxies[0]?.setEstablishedSilent();
+  const result = await harness.call({ id: 'after' });
+  assert.is(result.status, 200);
+  assert.is(JSON.parse(result.body).id, 'after');
+  assert.ok(harness.lines.some(({ event }) => event === 'connection-silent'));
+  assert.is(harness.table.listStatus()[0]?.state, 'healthy');
+  await harness.close();
+});
+
+test('when kept connections go silent, an order ends as unknown at its deadline', async () => {
+  const harness = await startHarness({ upstreams: 1 });
+  await harness.call({ id: 'warm' });
+  harness.proxies[0]?.setEstablishedSilent();
+  const headers = { 'vanilladock-deadline-ms': '200' };
+  const result = await harness.call({ id: 'order', method: 'POST', body: 'x', headers });
+  assert.is(result.verdict, 'may-have-run');
+  assert.is(result.code, 'upstream-timeout');
+  assert.is(harness.countRuns('order'), 0);
+  const next = await harness.call({ id: 'next', method: 'POST', body: 'x' });
+  assert.is(next.status, 200);
+  await harness.close();
+});
+
+test('an aged idle connection carries no order', async () => {
+  const upstream = await startUpstream({ service: 'prices', slots: 8, workMs: 0 });
+  const pool = createConnectionPool(upstream.address, 4);
+  const first = (await pool.take(FRESH_IDLE_MS).result).unwrap();
+  const answer = new Promise<void>((resolve) => {
+    sendRequest({ agent: first.agent, path: '/x' }, (message) => {
+      message.resume();
+      message.once('close', resolve);
+    }).end();
+  });
+  await answer;
+  await waitFor(() => pool.countIdle() === 1);
+  const young = (await pool.take(FRESH_IDLE_MS).result).unwrap();
+  assert.is(young.socket, first.socket);
+  assert.is(young.isReused, true);
+  young.destroy();
+  await waitFor(() => pool.countOpen() === 0);
+  const fresh = (await pool.take(0).result).unwrap();
+  assert.is(fresh.isReused, false);
+  pool.close();
+  await upstream.close();
+});
+
+test('a pool opens no more connections than its limit and serves waiters in order', async () => {
+  const upstream = await startUpstream({ service: 'prices', slots: 8, workMs: 0 });
+  const pool = createConnectionPool(upstream.address, 2);
+  const [one, two] = await Promise.all([pool.take(0).result, pool.take(0).result]);
+  const third = pool.take(0);
+  const fourth = pool.take(0);
+  assert.is(pool.countOpen(), 2);
+  fourth.cancel();
+  assert.is((await fourth.result).isErr(), true);
+  one?.unwrap().destroy();
+  assert.is((await third.result).isOk(), true);
+  assert.is(pool.countOpen(), 2);
+  two?.unwrap().destroy();
+  pool.close();
+  await upstream.close();
+});
+
+test('connections that stall while opening are not counted as sent', async () => {
+  const pool = createConnectionPool('127.0.0.1:1', 2);
+  const result = await pool.take(0).result;
+  assert.is(result.isErr(), true);
+  assert.is(pool.countOpen(), 0);
+});
+
+test('a caller that leaves stops its request at the upstream and frees its place', async () => {
+  const harness = await startHarness({ upstreams: 1, workMs: 5_000 });
+  const headers = { 'vanilladock-request-id': 'left' };
+  const outgoing = sendRequest(`http://${harness.address}/prices/x`, { agent: false, headers });
+  outgoing.on('error', () => {});
+  outgoing.end();
+  await waitFor(() => harness.countRuns('left') === 1);
+  assert.is(harness.table.listStatus()[0]?.inFlight, 1);
+  outgoing.destroy();
+  await waitFor(() => harness.upstreams[0]?.listAbandoned().has('left') === true);
+  await waitFor(() => harness.table.listStatus()[0]?.inFlight === 0);
+  await harness.close();
+});
+
+test('a caller whose body is cut runs nothing', async () => {
+  const harness = await startHarness({ upstreams: 1 });
+  const [host = '', port] = harness.address.split(':');
+  const socket = connect({ host, port: Number(port) });
+  socket.write('POST /prices/x HTTP/1.1\r\nHost: x\r\nvanilladock-request-id: cut\r\n');
+  socket.write('Content-Length: 1000\r\n\r\nonly this');
+  await waitFor(() => harness.lines.some(({ event }) => event === 'route'));
+  socket.destroy();
+  await waitFor(() => harness.lines.some(({ code }) => code === 'caller-left'));
+  assert.is(harness.countRuns('cut'), 0);
+  await harness.close();
+});
+
+test('an upstream that reads nothing holds the caller back instead of filling memory', async () => {
+  const size = 64 * 1024 * 1024;
+  const stuck = createServer((socket) => socket.pause().on('error', () => {}));
+  const sockets: Socket[] = [];
+  stuck.on('connection', (socket) => sockets.push(socket));
+  await new Promise<void>((resolve) => {
+    stuck.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = stuck.address() as AddressInfo;
+  const harness = await startHarness({ upstreams: 1, maxBodyBytes: size });
+  harness.setAddress(0, `127.0.0.1:${port}`);
+  const outgoing = sendRequest(`http://${harness.address}/prices/x`, {
+    agent: false,
+    method: 'POST',
+    headers: { 'content-length': size },
+  });
+  outgoing.on('error', () => {});
+  outgoing.write(Buffer.alloc(size));
+  await waitFor(() => (outgoing.socket?.bytesWritten ?? 0) > 0);
+  await waitFor(() => sockets.length > 0);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 300);
+  });
+  const taken = size - (outgoing.socket?.writableLength ?? 0);
+  assert.ok(taken < size, 'the caller could write everything');
+  outgoing.destroy();
+  await harness.close();
+  sockets.forEach((socket) => socket.destroy());
+  stuck.close();
+});
+
+test('a body of 64 MiB arrives whole', async () => {
+  const size = 64 * 1024 * 1024;
+  const harness = await startHarness({ upstreams: 1, maxBodyBytes: size });
+  const body = Buffer.alloc(size);
+  const result = await harness.call({ id: 'large', method: 'POST', body });
+  assert.equal(JSON.parse(result.body), { service: 'prices', id: 'large', length: size });
+  await harness.close();
+});
+
+test('a slow caller holds the upstream back instead of filling memory', async () => {
+  const harness = await startHarness({ upstreams: 1 });
+  const size = 64 * 1024 * 1024;
+  const headers = { 'stand-in-answer': 'chunked', 'stand-in-answer-bytes': String(size) };
+  const outgoing = sendRequest(`http://${harness.address}/prices/x`, { agent: false, headers });
+  const read = new Promise<number>((resolve) => {
+    outgoing.on('response', (answer) => {
+      let bytes = 0;
+      answer.pause();
+      setTimeout(() => {
+        const written = harness.upstreams[0]?.countWritten() ?? 0;
+        assert.ok(written < size / 2, `${written} bytes were taken from the upstream`);
+        answer.on('data', (chunk: Buffer) => {
+          bytes += chunk.length;
+        });
+        answer.once('end', () => resolve(bytes));
+        answer.resume();
+      }, 300);
+    });
+  });
+  outgoing.end();
+  assert.is(await read, size);
+  await harness.close();
+});
+
+test('a streamed body over the limit is refused and the upstream does not get its end', async () => {
+  const harness = await startHarness({ upstreams: 1, maxBodyBytes: 1000 });
+  const headers = { 'transfer-encoding': 'chunked' };
+  const body = 'x'.repeat(5000);
+  const streamed = await harness.call({ id: 'long', method: 'POST', body, headers });
+  assert.is(streamed.code, 'body-too-large');
+  assert.is(harness.countRuns('long'), 0);
+  const declared = await harness.call({ id: 'declared', method: 'POST', body });
+  assert.is(declared.status, 413);
+  assert.is(declared.verdict, 'not-run');
+  await harness.close();
+});
+
+test('a body too long to be held is not sent twice', async () => {
+  const harness = await startHarness({ upstreams: 1 });
+  const headers = { 'stand-in-fault': 'reset-before-answer' };
+  const body = 'x'.repeat(200_000);
+  const result = await harness.call({ id: 'held', method: 'PUT', body, headers });
+  assert.is(result.verdict, 'may-have-run');
+  assert.is(harness.lines.filter(({ event }) => event === 'route').length, 1);
+  await harness.close();
+});
+
+test('answers whose end cannot be checked, and answers to other requests, are not passed on', async () => {
+  const harness = await startHarness();
+  const unframed = await harness.call({ id: 'u', headers: { 'stand-in-answer': 'unframed' } });
+  assert.is(unframed.code, 'upstream-truncated');
+  assert.is(unframed.verdict, 'ran');
+  const headers = { 'stand-in-answer': 'other-id' };
+  const other = await harness.call({ id: 'o', method: 'POST', body: 'x', headers });
+  assert.is(other.code, 'upstream-reset');
+  assert.is(other.verdict, 'may-have-run');
+  await harness.close();
+});
+
+['cut-chunked', 'short'].forEach((kind) => {
+  test(`an upstream's ${kind} answer is never shown as whole`, async () => {
+    const harness = await startHarness();
+    const headers = { 'stand-in-answer': kind, 'stand-in-answer-bytes': '3000' };
+    const result = await harness.call({ id: kind, headers });
+    assert.is(result.isWhole, false);
+    assert.is(harness.countRuns(kind), 1);
+    await harness.close();
+  });
+});
+
+test.run();
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,7 +8,11 @@
  * await log.close();
  * ```
  */
+export * from './lib/fault-actions.js';
+export * from './lib/fault-proxy.js';
+export * from './lib/faults.js';
 export * from './lib/instance-server.js';
 export * from './lib/json-server.js';
 export * from './lib/log-server.js';
+export * from './lib/upstream-answers.js';
 export * from './lib/upstream.js';
--- a/packages/stand-ins/src/lib/upstream.ts
+++ b/packages/stand-ins/src/lib/upstream.ts
@@ -3,13 +3,15 @@
  * of every request id that ran, which measurements take as the truth.
  *
  * `GET /ledger` answers `{"ran": {id: times}}`; `PUT /control` takes `{"isLeaving"}`. Request headers
- * `stand-in-work-ms` and `stand-in-answer-bytes` set the service time and the length of the answer.
- * An answer without a set length echoes the request id and the length of the body; one with a length
- * repeats the request id and a line feed.
+ * `stand-in-work-ms`, `stand-in-answer-bytes` and `stand-in-answer` set the service time, the length
+ * and the kind of the answer; `stand-in-answer: refuse` is answered before it runs. An answer without a
+ * set length echoes the request id and the length of the body; one with a length repeats the id.
  */
+import { appendFileSync } from 'node:fs';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { answerJson, readBody, type RunningServer } from './json-server.js';
+import { answerRan } from './upstream-answers.js';
 
 /** Options of an upstream stand-in. */
 export interface UpstreamOptions {
@@ -20,6 +22,8 @@
   readonly port?: number;
   /** While draining, time during which new connections are still taken, in milliseconds. */
   readonly noticeMs?: number;
+  /** File that gets a line with the request id for each run, before the answer. */
+  readonly ledgerPath?: string;
 }
 
 /** A running upstream stand-in. */
@@ -27,6 +31,8 @@
   readonly listLedger: () => ReadonlyMap<string, number>;
   /** Request ids whose caller's connection closed before the answer was written. */
   readonly listAbandoned: () => ReadonlySet<string>;
+  /** Bytes written to connections that are open. */
+  readonly countWritten: () => number;
   /** While set, new requests are refused with 503 and the header `vanilladock-not-run`. */
   readonly setLeaving: (isLeaving: boolean) => void;
   readonly drain: () => Promise<void>;
@@ -37,11 +43,6 @@
 const ID_HEADER = 'vanilladock-request-id';
 const DEFAULT_NOTICE_MS = 500;
 
-/** Builds the body of a set length that belongs to a request id. */
-export function buildAnswerBody(id: string, length: number): Buffer {
-  return Buffer.alloc(length, `${id}\n`);
-}
-
 /** Starts an upstream stand-in. */
 export async function startUpstream(options: UpstreamOptions): Promise<Upstream> {
   const ledger = new Map<string, number>();
@@ -69,17 +70,6 @@
     for await (const chunk of request) length += (chunk as Buffer).length;
     return length;
   };
-  const answerRan = (request: IncomingMessage, response: ServerResponse, length: number) => {
-    const id = String(request.headers[ID_HEADER] ?? '');
-    const answerBytes = Number(request.headers[LENGTH_HEADER] ?? 0);
-    if (isLeaving) response.setHeader('connection', 'close');
-    if (answerBytes === 0) {
-      answerJson(response, 200, { service: options.service, id, length });
-      return;
-    }
-    response.setHeader('content-length', answerBytes);
-    response.end(buildAnswerBody(id, answerBytes));
-  };
   const runRequest = async (request: IncomingMessage, response: ServerResponse) => {
     const id = String(request.headers[ID_HEADER] ?? '');
     const workMs = Number(request.headers[WORK_HEADER] ?? options.workMs);
@@ -89,9 +79,12 @@
     const length = await readLength(request);
     await takeSlot();
     ledger.set(id, (ledger.get(id) ?? 0) + 1);
+    if (options.ledgerPath !== undefined) appendFileSync(options.ledgerPath, `${id}\n`);
     const sendAnswer = () => {
       releaseSlot();
-      answerRan(request, response, length);
+      if (isLeaving) response.setHeader('connection', 'close');
+      const answerBytes = Number(request.headers[LENGTH_HEADER] ?? 0);
+      answerRan(request, response, { id, service: options.service, length, answerBytes });
     };
     if (workMs === 0) sendAnswer();
     else setTimeout(sendAnswer, workMs);
@@ -101,10 +94,10 @@
     isLeaving = control.isLeaving;
     answerJson(response, 200, control);
   };
-  const refuseLeaving = (response: ServerResponse) => {
-    response.setHeader('vanilladock-not-run', 'leaving');
-    response.setHeader('connection', 'close');
-    answerJson(response, 503, { message: 'leaving' });
+  const refuseRun = (response: ServerResponse, reason: 'leaving' | 'busy') => {
+    response.setHeader('vanilladock-not-run', reason);
+    if (reason === 'leaving') response.setHeader('connection', 'close');
+    answerJson(response, 503, { message: reason });
   };
   const handle = (request: IncomingMessage, response: ServerResponse) => {
     if (request.url === '/ledger') {
@@ -112,13 +105,20 @@
     } else if (request.url === '/control') {
       handleControl(request, response).catch(() => response.destroy());
     } else if (isLeaving) {
-      refuseLeaving(response);
+      refuseRun(response, 'leaving');
+    } else if (request.headers['stand-in-answer'] === 'refuse') {
+      refuseRun(response, 'busy');
     } else {
       runRequest(request, response).catch(() => response.destroy());
     }
   };
 
+  const sockets = new Set<Socket>();
   const server = createServer(handle);
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   await new Promise<void>((resolve) => {
     server.listen(options.port ?? 0, '127.0.0.1', resolve);
   });
@@ -139,6 +139,7 @@
     address: `127.0.0.1:${port}`,
     listLedger: () => ledger,
     listAbandoned: () => abandoned,
+    countWritten: () => [...sockets].reduce((sum, socket) => sum + socket.bytesWritten, 0),
     setLeaving: (value) => {
       isLeaving = value;
     },
