--- a/packages/daemon/src/lib/main.ts
+++ b/packages/daemon/src/lib/main.ts
@@ -23,7 +23,7 @@
     process.stderr.write(`${error.message}\n`);
     return process.exit(EXIT_CANNOT_START);
   });
-  const handleSignal = () => void entry.stop();
+  const handleSignal = () => void entry.stop().then(() => process.exit(0));
   process.once('SIGTERM', handleSignal);
   process.once('SIGINT', handleSignal);
 }
--- a/packages/daemon/src/lib/request/attempt.ts
+++ b/packages/daemon/src/lib/request/attempt.ts
@@ -101,19 +101,24 @@
   };
 }
 
+/**
+ * Says whether an answer belongs to the request. Once an upstream has repeated a request's id on a
+ * connection, every later answer on it must, so that a stray one cannot be taken for the next.
+ */
+function isOwnAnswer(answer: IncomingMessage, head: RequestHead, connection: Connection): boolean {
+  const answeredId = answer.headers[HEADERS.requestId];
+  if (answeredId === undefined) return !connection.hasEchoed();
+  connection.observeEcho();
+  return answeredId === head.id;
+}
+
 /** Judges the head of an answer; may destroy the connection. */
 function classifyAnswer(
   answer: IncomingMessage,
   head: RequestHead,
   connection: Connection,
 ): AttemptResult {
-  if (answer.statusCode === SERVICE_UNAVAILABLE && answer.headers[HEADERS.notRun] !== undefined) {
-    answer.on('error', () => {});
-    answer.resume();
-    return makeRefusal(answer);
-  }
-  const answeredId = answer.headers[HEADERS.requestId];
-  if (answeredId !== undefined && answeredId !== head.id) {
+  if (!isOwnAnswer(answer, head, connection)) {
     connection.destroy();
     return {
       kind: 'failed',
@@ -121,6 +126,11 @@
       isUpstreamFault: true,
     };
   }
+  if (answer.statusCode === SERVICE_UNAVAILABLE && answer.headers[HEADERS.notRun] !== undefined) {
+    answer.on('error', () => {});
+    answer.resume();
+    return makeRefusal(answer);
+  }
   if (!isFramed(answer, head.method)) {
     connection.destroy();
     return makeUnusable('The upstream ran the request; its answer gives no length to check.');
--- a/packages/daemon/src/lib/request/connection-pool.ts
+++ b/packages/daemon/src/lib/request/connection-pool.ts
@@ -14,6 +14,10 @@
   readonly socket: Socket;
   /** Whether it has carried a request before. */
   readonly isReused: boolean;
+  /** Whether an earlier answer on it repeated its request's id. */
+  readonly hasEchoed: () => boolean;
+  /** Notes that an answer repeated its request's id. */
+  readonly observeEcho: () => void;
   /** Destroys it; it will carry nothing more. */
   readonly destroy: () => void;
 }
@@ -56,6 +60,7 @@
   readonly socket: Socket;
   idleSinceMs: number;
   uses: number;
+  hasEchoed: boolean;
   readonly dropStray: () => void;
 }
 
@@ -79,7 +84,16 @@
   const makeConnection = (slot: Slot): Connection => {
     slot.uses += 1;
     const { agent, socket } = slot;
-    return { agent, socket, isReused: slot.uses > 1, destroy: () => void socket.destroy() };
+    return {
+      agent,
+      socket,
+      isReused: slot.uses > 1,
+      hasEchoed: () => slot.hasEchoed,
+      observeEcho: () => {
+        slot.hasEchoed = true;
+      },
+      destroy: () => void socket.destroy(),
+    };
   };
   const dropSlot = (slot: Slot) => {
     const index = idle.indexOf(slot);
@@ -136,6 +150,7 @@
       socket,
       idleSinceMs: 0,
       uses: 0,
+      hasEchoed: false,
       dropStray: () => dropSlot(slot),
     };
     agent.on('free', () => handleFree(slot));
--- a/packages/stand-ins/src/lib/fault-actions.ts
+++ b/packages/stand-ins/src/lib/fault-actions.ts
@@ -13,6 +13,8 @@
   bodyBytes: number;
   passedBody: number;
   hasAnswered: boolean;
+  /** Bytes of the answer that are still to come; undefined before its head. */
+  answerLeft: number | undefined;
   /** Whether bytes are dropped in both directions. */
   isSilent: boolean;
 }
@@ -32,6 +34,7 @@
 
 const HEAD_END = '\r\n\r\n';
 const DRIP_BYTES = 7;
+const DRIPPED_BYTES = 700;
 const STRAY_DELAY_MS = 1;
 const STRAY_ANSWER = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray';
 const GARBAGE = 'no answer of this protocol\r\n\r\n';
@@ -61,11 +64,13 @@
   to.once('close', startAgain);
 }
 
-/** Passes bytes on in many small writes. */
+/** Passes bytes on, the first ones in many small writes. */
 function sendSlowly(to: Socket, bytes: Buffer): FaultEffect {
-  for (let start = 0; start < bytes.length; start += DRIP_BYTES) {
-    to.write(bytes.subarray(start, start + DRIP_BYTES));
+  const dripped = Math.min(bytes.length, DRIPPED_BYTES);
+  for (let start = 0; start < dripped; start += DRIP_BYTES) {
+    to.write(bytes.subarray(start, Math.min(start + DRIP_BYTES, dripped)));
   }
+  to.write(bytes.subarray(dripped));
   return 'taken';
 }
 
@@ -108,6 +113,22 @@
   return headEnd + Math.floor((bytes.length - headEnd) / 2);
 }
 
+/** Counts bytes of an answer with a declared length; true when they are its last. */
+function observeAnswerBytes(link: Link, bytes: Buffer): boolean {
+  const headEnd = bytes.indexOf(HEAD_END) + HEAD_END.length;
+  const declared = /content-length: *(\d+)/i.exec(bytes.subarray(0, headEnd).toString('latin1'));
+  link.answerLeft ??= headEnd + Number(declared?.[1] ?? 0);
+  link.answerLeft -= bytes.length;
+  return link.answerLeft <= 0;
+}
+
+/** Passes an answer on and does something after its last byte. */
+function sendWholeThen(link: Link, bytes: Buffer, act: () => void): FaultEffect {
+  if (!observeAnswerBytes(link, bytes)) return 'passed';
+  link.client.write(bytes, act);
+  return 'taken';
+}
+
 /** Faults that strike when a request's head is whole. */
 export const HEAD_FAULTS: FaultActions = {
   'reset-before-head': (link) => {
@@ -163,18 +184,12 @@
   'late-answer': (link, bytes) => sendLater(link, bytes, LATE_ANSWER_MS),
   'delay-answer': (link, bytes) => sendLater(link, bytes, ANSWER_DELAY_MS),
   'drip-answer': (link, bytes) => sendSlowly(link.client, bytes),
-  'close-after-answer': (link, bytes) => {
-    link.client.write(bytes, () => void link.client.end());
-    return 'taken';
-  },
-  'reset-after-answer': (link, bytes) => {
-    link.client.write(bytes, () => void setTimeout(() => closeBroken(link), STRAY_DELAY_MS));
-    return 'taken';
-  },
+  'close-after-answer': (link, bytes) => sendWholeThen(link, bytes, () => void link.client.end()),
+  'reset-after-answer': (link, bytes) =>
+    sendWholeThen(link, bytes, () => void setTimeout(() => closeBroken(link), STRAY_DELAY_MS)),
   'stray-answer': (link, bytes) => {
     const sendStray = () => void link.client.write(STRAY_ANSWER);
-    link.client.write(bytes, () => void setTimeout(sendStray, STRAY_DELAY_MS));
-    return 'taken';
+    return sendWholeThen(link, bytes, () => void setTimeout(sendStray, STRAY_DELAY_MS));
   },
   'garbage-answer': (link) => sendThenClose(link, Buffer.from(GARBAGE)),
 };
--- a/packages/stand-ins/src/lib/fault-proxy.ts
+++ b/packages/stand-ins/src/lib/fault-proxy.ts
@@ -51,6 +51,7 @@
   const startRequest = (link: Link, request: RequestHead) => {
     link.requests += 1;
     link.hasAnswered = false;
+    link.answerLeft = undefined;
     link.bodyBytes = request.bodyBytes;
     link.passedBody = 0;
     link.fault = chooseFault(request, struck, link.requests > 1);
@@ -98,6 +99,7 @@
       bodyBytes: 0,
       passedBody: 0,
       hasAnswered: false,
+      answerLeft: undefined,
       isSilent: false,
     };
     links.add(link);
--- a/packages/stand-ins/src/lib/upstream.ts
+++ b/packages/stand-ins/src/lib/upstream.ts
@@ -5,7 +5,8 @@
  * `GET /ledger` answers `{"ran": {id: times}}`; `PUT /control` takes `{"isLeaving"}`. Request headers
  * `stand-in-work-ms`, `stand-in-answer-bytes` and `stand-in-answer` set the service time, the length
  * and the kind of the answer; `stand-in-answer: refuse` is answered before it runs. An answer without a
- * set length echoes the request id and the length of the body; one with a length repeats the id.
+ * set length echoes the request id and the length of the body; one with a length repeats the id. Every
+ * answer repeats the request id in its header.
  */
 import { appendFileSync } from 'node:fs';
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
@@ -100,6 +101,7 @@
     answerJson(response, 503, { message: reason });
   };
   const handle = (request: IncomingMessage, response: ServerResponse) => {
+    response.setHeader(ID_HEADER, request.headers[ID_HEADER] ?? '');
     if (request.url === '/ledger') {
       answerJson(response, 200, { ran: Object.fromEntries(ledger) });
     } else if (request.url === '/control') {
