--- /dev/null
+++ b/packages/measure/src/lib/overhead-load.ts
@@ -0,0 +1,113 @@
+/**
+ * Load of the overhead measurement, run as a process. Its argument is a `LoadPlan` as JSON. Writes
+ * `started`, runs the plan and writes one `result` line with a `LoadResult`.
+ */
+import { Agent, request as sendRequest } from 'node:http';
+import { build } from 'hdr-histogram-js';
+
+/** What one load process does. */
+export interface LoadPlan {
+  /** `ip:port` and path. */
+  readonly targets: readonly string[];
+  readonly connections: number;
+  readonly durationMs: number;
+  /** Length of the answers that are asked for; 0 for short JSON. */
+  readonly answerBytes: number;
+  /** Requests a second; 0 sends the next one as soon as one was answered. */
+  readonly perSecond: number;
+}
+
+/** What one load process saw; times in milliseconds. */
+export interface LoadResult {
+  readonly event: 'result';
+  readonly answered: number;
+  readonly failed: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+const WARM_UP_SHARE = 0.2;
+const US_PER_MS = 1000;
+const MS_PER_SECOND = 1000;
+const TICK_MS = 1;
+const OK_STATUS = 200;
+
+const plan = JSON.parse(process.argv[2] ?? '{}') as LoadPlan;
+const agent = new Agent({ keepAlive: true, maxSockets: plan.connections });
+const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: 60_000_000 });
+const startedAtMs = performance.now();
+const countedFromMs = startedAtMs + plan.durationMs * WARM_UP_SHARE;
+const endsAtMs = startedAtMs + plan.durationMs;
+let answered = 0;
+let failed = 0;
+let sent = 0;
+
+/** Counts one finished request. */
+function recordEnd(sentAtMs: number, isGood: boolean): void {
+  const nowMs = performance.now();
+  if (sentAtMs < countedFromMs || nowMs > endsAtMs) return;
+  if (!isGood) {
+    failed += 1;
+    return;
+  }
+  answered += 1;
+  histogram.recordValue(Math.max(1, Math.round((nowMs - sentAtMs) * US_PER_MS)));
+}
+
+/** Sends one request and resolves when it is over. */
+function sendOne(): Promise<void> {
+  sent += 1;
+  const sentAtMs = performance.now();
+  const headers = {
+    'vanilladock-team': 'restaurants',
+    'stand-in-answer-bytes': plan.answerBytes,
+  };
+  const url = `http://${plan.targets[sent % plan.targets.length]}`;
+  return new Promise((resolve) => {
+    const outgoing = sendRequest(url, { agent, headers }, (answer) => {
+      answer.resume();
+      answer.once('close', () => {
+        recordEnd(sentAtMs, answer.statusCode === OK_STATUS && answer.complete);
+        resolve();
+      });
+    });
+    outgoing.on('error', () => {
+      recordEnd(sentAtMs, false);
+      resolve();
+    });
+    outgoing.end();
+  });
+}
+
+/** Sends requests one after another. */
+async function runCaller(): Promise<void> {
+  while (performance.now() < endsAtMs) await sendOne();
+}
+
+/** Sends requests at a fixed rate, whatever becomes of those before. */
+function runPaced(): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setInterval(() => {
+      const nowMs = performance.now();
+      if (nowMs >= endsAtMs) {
+        clearInterval(timer);
+        resolve();
+        return;
+      }
+      const due = ((nowMs - startedAtMs) * plan.perSecond) / MS_PER_SECOND;
+      while (sent < due) void sendOne();
+    }, TICK_MS);
+  });
+}
+
+process.stdout.write(`${JSON.stringify({ event: 'started' })}\n`);
+if (plan.perSecond > 0) await runPaced();
+else await Promise.all(Array.from({ length: plan.connections }, runCaller));
+const result: LoadResult = {
+  event: 'result',
+  answered,
+  failed,
+  p50Ms: histogram.getValueAtPercentile(50) / US_PER_MS,
+  p99Ms: histogram.getValueAtPercentile(99) / US_PER_MS,
+};
+process.stdout.write(`${JSON.stringify(result)}\n`, () => process.exit(0));
--- /dev/null
+++ b/packages/measure/src/lib/overhead.ts
@@ -0,0 +1,145 @@
+/**
+ * What the entry costs: its throughput against a bare pass-through of the same runtime, and the time
+ * it adds at half of its load against asking the upstreams directly. The three take turns in each
+ * round; load comes from processes of its own.
+ */
+import type { Measure, MeasureOptions } from './measure.js';
+import type { LoadPlan, LoadResult } from './overhead-load.js';
+import { startNodeProcess } from './processes.js';
+import { FLEET_SERVICE, startRoutingFleet } from './routing-fleet.js';
+
+const UPSTREAMS = 2;
+const SLOTS = 64;
+const LOADERS = 3;
+const ROUNDS = 3;
+const CONNECTIONS = 5;
+const SMALL_MS = 1_300;
+const LARGE_MS = 1_000;
+const PACED_MS = 1_500;
+const MIB = 1_048_576;
+const MS_PER_SECOND = 1000;
+const COUNTED_SHARE = 0.8;
+
+const LOAD_SCRIPT = new URL('./overhead-load.js', import.meta.url).pathname;
+const BARE_SCRIPT = new URL('./overhead-bare.js', import.meta.url).pathname;
+
+/** What load is put on: addresses with a path. */
+type Target = readonly string[];
+
+/** The three ways to the upstreams. */
+interface Ways<T> {
+  readonly direct: T;
+  readonly bare: T;
+  readonly entry: T;
+}
+
+/** What all loaders saw together; times in milliseconds. */
+interface Load {
+  readonly perSecond: number;
+  readonly failed: number;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Computes the median. */
+function computeMedian(values: readonly number[]): number {
+  const sorted = [...values].sort((a, b) => a - b);
+  return sorted[Math.floor(sorted.length / 2)] ?? NaN;
+}
+
+/** Runs one plan in all load processes. */
+async function runLoad(plan: LoadPlan): Promise<Load> {
+  const runOne = async () => {
+    const loader = await startNodeProcess(LOAD_SCRIPT, [JSON.stringify(plan)]);
+    const line = await loader.waitForEvent('result');
+    await loader.exited;
+    return line as unknown as LoadResult;
+  };
+  const results = await Promise.all(Array.from({ length: LOADERS }, runOne));
+  const answered = results.reduce((sum, one) => sum + one.answered, 0);
+  return {
+    perSecond: (answered * MS_PER_SECOND) / (plan.durationMs * COUNTED_SHARE),
+    failed: results.reduce((sum, one) => sum + one.failed, 0),
+    p50Ms: computeMedian(results.map((one) => one.p50Ms)),
+    p99Ms: Math.max(...results.map((one) => one.p99Ms)),
+  };
+}
+
+/** Runs the same load on the three ways, one after another, in each round. */
+async function runRounds(
+  targets: Ways<Target>,
+  plan: Omit<LoadPlan, 'targets'>,
+): Promise<readonly Ways<Load>[]> {
+  const rounds: Ways<Load>[] = [];
+  for (let round = 0; round < ROUNDS; round += 1) {
+    const direct = await runLoad({ ...plan, targets: targets.direct });
+    const bare = await runLoad({ ...plan, targets: targets.bare });
+    const entry = await runLoad({ ...plan, targets: targets.entry });
+    rounds.push({ direct, bare, entry });
+  }
+  return rounds;
+}
+
+/** Measures all figures. */
+async function measureOverhead(targets: Ways<Target>, { log }: MeasureOptions) {
+  const closed = { connections: CONNECTIONS, perSecond: 0 };
+  log('throughput with short answers');
+  const small = await runRounds(targets, { ...closed, answerBytes: 0, durationMs: SMALL_MS });
+  log('throughput with answers of 1 MiB');
+  const large = await runRounds(targets, { ...closed, answerBytes: MIB, durationMs: LARGE_MS });
+  const entryPerSecond = computeMedian(small.map(({ entry }) => entry.perSecond));
+  const perSecond = Math.floor(entryPerSecond / 2 / LOADERS);
+  log(`time added at ${perSecond * LOADERS} requests a second`);
+  const plan = { connections: CONNECTIONS, perSecond, answerBytes: 0, durationMs: PACED_MS };
+  const paced = await runRounds(targets, plan);
+  const smallRatio = computeMedian(
+    small.map(({ entry, bare }) => entry.perSecond / bare.perSecond),
+  );
+  const largeRatio = computeMedian(
+    large.map(({ entry, bare }) => entry.perSecond / bare.perSecond),
+  );
+  const all = [...small, ...large, ...paced];
+  return {
+    throughput_ratio: Math.min(smallRatio, largeRatio),
+    small_ratio: smallRatio,
+    large_ratio: largeRatio,
+    entry_per_second: entryPerSecond,
+    bare_per_second: computeMedian(small.map(({ bare }) => bare.perSecond)),
+    direct_per_second: computeMedian(small.map(({ direct }) => direct.perSecond)),
+    p50_added_ms: computeMedian(paced.map(({ entry, direct }) => entry.p50Ms - direct.p50Ms)),
+    p99_added_ms: computeMedian(paced.map(({ entry, direct }) => entry.p99Ms - direct.p99Ms)),
+    bare_p50_added_ms: computeMedian(paced.map(({ bare, direct }) => bare.p50Ms - direct.p50Ms)),
+    bare_p99_added_ms: computeMedian(paced.map(({ bare, direct }) => bare.p99Ms - direct.p99Ms)),
+    failed: all.reduce((sum, { entry }) => sum + entry.failed, 0),
+  };
+}
+
+/** The entry against a bare pass-through and against no proxy at all. */
+export const OVERHEAD_MEASURE: Measure = {
+  name: 'overhead',
+  describe: 'throughput and added time of the entry against a bare pass-through and direct calls',
+  run: async (options) => {
+    const fleet = await startRoutingFleet({
+      entries: 1,
+      upstreams: UPSTREAMS,
+      slots: SLOTS,
+      hasProxies: false,
+      hasLedgers: false,
+    });
+    const upstreams = fleet.listUpstreams().map(({ process }) => process.address);
+    const bare = await startNodeProcess(BARE_SCRIPT, [JSON.stringify(upstreams)]);
+    const figures = await measureOverhead(
+      {
+        direct: upstreams.map((address) => `${address}/tray`),
+        bare: [`${String(bare.started.address)}/tray`],
+        entry: fleet
+          .listEntries()
+          .map(({ addresses }) => `${addresses.callers}/${FLEET_SERVICE}/tray`),
+      },
+      options,
+    );
+    await bare.stop();
+    await fleet.close();
+    return figures;
+  },
+};
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -3,6 +3,7 @@
 import { FAULTS_MEASURE } from './faults.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
+import { OVERHEAD_MEASURE } from './overhead.js';
 import { PLACEMENT_MEASURE } from './placement.js';
 import { SLOTS_MEASURE } from './slots.js';
 import { WAVE_MEASURE } from './wave.js';
@@ -10,6 +11,7 @@
 /** The measurements. */
 export const MEASURES: readonly Measure[] = [
   HERD_MEASURE,
+  OVERHEAD_MEASURE,
   FAULTS_MEASURE,
   WAVE_MEASURE,
   PLACEMENT_MEASURE,
