--- a/packages/daemon/src/lib/request/connection-pool.ts
+++ b/packages/daemon/src/lib/request/connection-pool.ts
@@ -14,6 +14,10 @@
   readonly socket: Socket;
   /** Whether it has carried a request before. */
   readonly isReused: boolean;
+  /** Whether an earlier answer on it repeated its request's id. */
+  readonly hasEchoed: () => boolean;
+  /** Notes that an answer repeated its request's id. */
+  readonly observeEcho: () => void;
   /** Destroys it; it will carry nothing more. */
   readonly destroy: () => void;
 }
@@ -37,7 +41,9 @@
   /** Destroys the idle connections, because one of their age has gone silent. */
   readonly dropIdle: () => void;
   readonly setLimit: (limit: number) => void;
+  /** Counts connections that are open or being opened. */
   readonly countOpen: () => number;
+  readonly countIdle: () => number;
   readonly close: () => void;
 }
 
@@ -54,6 +60,7 @@
   readonly socket: Socket;
   idleSinceMs: number;
   uses: number;
+  hasEchoed: boolean;
   readonly dropStray: () => void;
 }
 
@@ -77,7 +84,16 @@
   const makeConnection = (slot: Slot): Connection => {
     slot.uses += 1;
     const { agent, socket } = slot;
-    return { agent, socket, isReused: slot.uses > 1, destroy: () => void socket.destroy() };
+    return {
+      agent,
+      socket,
+      isReused: slot.uses > 1,
+      hasEchoed: () => slot.hasEchoed,
+      observeEcho: () => {
+        slot.hasEchoed = true;
+      },
+      destroy: () => void socket.destroy(),
+    };
   };
   const dropSlot = (slot: Slot) => {
     const index = idle.indexOf(slot);
@@ -134,6 +150,7 @@
       socket,
       idleSinceMs: 0,
       uses: 0,
+      hasEchoed: false,
       dropStray: () => dropSlot(slot),
     };
     agent.on('free', () => handleFree(slot));
@@ -189,6 +206,7 @@
       limit = value;
     },
     countOpen: () => open.size + opening.size,
+    countIdle: () => idle.length,
     close: () => {
       clearTimeout(sweeper);
       [...opening].forEach((socket) => socket.destroy());
