--- a/packages/vanilladock/src/lib/admission/service-gate.ts
+++ b/packages/vanilladock/src/lib/admission/service-gate.ts
@@ -50,6 +50,8 @@
 
 /** A request waits only if its turn is expected within this share of the time to its deadline. */
 const WAIT_SHARE = 0.5;
+/** A waiting request is refused once its turn is expected after this share of the time left. */
+const HOPELESS_SHARE = 0.9;
 const SHEDDING_MS = 1_000;
 const COMPACT_MIN = 1_024;
 
@@ -90,13 +92,17 @@
   };
   const isTooLate = ({ request, leaf }: Ticket, ahead: number, share: number, nowMs: number) =>
     estimateWaitMs(leaf, ahead) > (request.deadlineAtMs - nowMs) * share;
+  /** Says whether a request that waited would be cut by its deadline while it runs. */
+  const isCut = ({ request }: Ticket, nowMs: number) =>
+    request.deadlineAtMs - nowMs < rate.estimateMs(request.urgency);
   const startNext = (nowMs: number): Effect[] => {
     const effects: Effect[] = [];
     while (running < places) {
       const ticket = queue.takeNext(({ urgencyClass }) => rate.estimateMs(urgencyClass.urgency));
       if (ticket === undefined) break;
-      const isPassed = ticket.request.deadlineAtMs <= nowMs;
-      effects.push(isPassed ? refuse(ticket, 'deadline-passed', nowMs) : start(ticket, nowMs));
+      effects.push(
+        isCut(ticket, nowMs) ? refuse(ticket, 'deadline-passed', nowMs) : start(ticket, nowMs),
+      );
     }
     return effects;
   };
@@ -108,7 +114,7 @@
       last !== undefined;
       last = queue.findMostOverShare()
     ) {
-      if (!isTooLate(last, last.leaf.waiting - 1, 1, nowMs)) break;
+      if (!isTooLate(last, last.leaf.waiting - 1, HOPELESS_SHARE, nowMs)) break;
       queue.remove(last);
       effects.push(refuse(last, 'queue-full', nowMs));
     }
--- a/packages/vanilladock/src/lib/admission/slot-shares.ts
+++ b/packages/vanilladock/src/lib/admission/slot-shares.ts
@@ -1,6 +1,7 @@
 /**
  * Shares of a service's slots among the live entries, in proportion to what each is asked, with a
- * floor, and their places at the upstream processes. Every entry computes the same whole numbers from
+ * floor, and their places at the upstream processes. Each entry counts as asked for an equal share on
+ * top of its demand, so that small numbers do not swing the shares. Every entry computes the same whole numbers from
  * the same demand, so no upstream is given more than its slots without agreement among entries.
  */
 import murmur from 'imurmurhash';
@@ -32,12 +33,12 @@
   slots: number,
   entries: readonly EntryDemand[],
 ): ReadonlyMap<string, number> {
-  const total = entries.reduce((sum, { demand }) => sum + demand, 0);
+  const equal = slots / entries.length;
+  const total = entries.reduce((sum, { demand }) => sum + demand, slots);
   const parts = entries
     .map(({ id, demand }): Part => {
-      const equal = 1 / entries.length;
-      const asked = total > 0 ? demand / total : equal;
-      const exact = slots * (FLOOR_SHARE * equal + (1 - FLOOR_SHARE) * asked);
+      const asked = total > 0 ? (slots * (demand + equal)) / total : 0;
+      const exact = FLOOR_SHARE * equal + (1 - FLOOR_SHARE) * asked;
       return { id, exact, rank: murmur(`${service} ${id}`).result() };
     })
     .sort((a, b) => a.rank - b.rank);
@@ -50,20 +51,33 @@
   return shares;
 }
 
+/** Part by which an entry's share may grow in one exchange. */
+const GROWTH_SHARE = 0.25;
+
+/**
+ * Limits how fast a share grows. What an entry is asked reaches its peers later than itself, so in a
+ * sudden rush every entry would otherwise take what the others still hold. An equal share is its own
+ * at any time.
+ */
+export function computeNextShare(current: number, wanted: number, equal: number): number {
+  return Math.min(wanted, Math.ceil(Math.max(current, equal) * (1 + GROWTH_SHARE)));
+}
+
 /**
  * Deals the slots of a service's processes to entries, entry after entry over the processes in turn,
- * and gives how many of each process are one entry's own.
+ * and gives how many of each process are one entry's own, up to a limit.
  */
 export function spreadSlots(
   shares: ReadonlyMap<string, number>,
   own: string,
   processes: readonly string[],
+  limit = Infinity,
 ): ReadonlyMap<string, number> {
   const dealt = new Map(processes.map((id) => [id, 0]));
   const ordered = [...processes].sort();
   let position = 0;
   shares.forEach((count, id) => {
-    for (let index = 0; id === own && index < count; index += 1) {
+    for (let index = 0; id === own && index < Math.min(count, limit); index += 1) {
       const process = ordered[(position + index) % ordered.length] ?? '';
       dealt.set(process, (dealt.get(process) ?? 0) + 1);
     }
