--- a/packages/measure/src/lib/slots.ts
+++ b/packages/measure/src/lib/slots.ts
@@ -97,7 +97,7 @@
 }
 
 /** Makes the policy of shares in proportion to demand, dealt over the processes. */
-function makeDealtPolicy(name: string, headroom: number): SlotPolicy {
+function makeDealtPolicy(name: string, extra: number): SlotPolicy {
   const demands = new Map<string, FleetDemand>();
   const dealt = new Map<string, ReadonlyMap<string, number>>();
   const told = new Map<string, number>();
@@ -114,17 +114,15 @@
           const known = id === own.id ? demand : (told.get(id) ?? 0);
           view.observe(id, new Map([['s', known]]));
         });
-        dealt.set(own.id, view.computeOwnSlots('s', ids, SLOTS));
+        dealt.set(own.id, view.computeOwnSlots('s', ids, SLOTS + extra));
       });
       now.forEach(({ id, demand }) => told.set(id, demand));
     },
     choose: (entry, { processes }) => {
       const own = dealt.get(entry.id);
-      const share = [...(own?.values() ?? [])].reduce((sum, count) => sum + count, 0);
-      if (entry.running >= Math.ceil(share * (1 + headroom))) return undefined;
       const countFree = (id: string) => (own?.get(id) ?? 0) - (entry.inFlight.get(id) ?? 0);
       return processes
-        .filter(({ id }) => countFree(id) > (headroom > 0 ? -1 : 0))
+        .filter(({ id }) => countFree(id) > 0)
         .sort((a, b) => countFree(b.id) - countFree(a.id))[0];
     },
   };
@@ -135,8 +133,9 @@
   makeOpenPolicy,
   makeSubsetPolicy,
   makeDemandPolicy,
+  () => makeDealtPolicy('strict', -1),
   () => makeDealtPolicy('dealt', 0),
-  () => makeDealtPolicy('headroom', 0.25),
+  () => makeDealtPolicy('headroom', 1),
 ];
 
 /** Runs all policies over all cases. */
--- a/packages/vanilladock/src/lib/admission/leaf.ts
+++ b/packages/vanilladock/src/lib/admission/leaf.ts
@@ -7,9 +7,9 @@
 
 /** Share of each urgency while all three have work; what one leaves unused goes to the others. */
 export const URGENCY_WEIGHTS: Readonly<Record<Urgency, number>> = {
-  quick: 5,
+  quick: 4,
   heavy: 3,
-  patient: 2,
+  patient: 3,
 };
 
 /** What is counted for a leaf, a class or a whole service. */
@@ -126,19 +126,34 @@
   return tree.all.reduce((sum, one) => sum + (one === own || hasWork(one) ? one.weight : 0), 0);
 }
 
-/** Computes the share, in (0, 1], that a leaf gets of the service rate while others wait too. */
-export function computeWaitingShare(tree: ShareTree, leaf: Leaf): number {
-  const { urgencyClass: parent } = leaf;
-  const sum = sumClassWeights(tree, parent, ({ waiting }) => waiting > 0);
-  const leafSum = parent.waitingWeight + (leaf.waiting > 0 ? 0 : leaf.weight);
-  return (parent.weight / sum) * (leaf.weight / leafSum);
+/** What an estimate counts: those that wait, or also those told to come back. */
+export type WaitScope = 'waiting' | 'backlog';
+
+/** Counts what a leaf, a class or a service has in a scope. */
+function countWork(one: Leaf | UrgencyClass | ShareTree, scope: WaitScope): number {
+  return scope === 'waiting' ? one.waiting : one.waiting + one.promised;
 }
 
-/** Computes the same share while also those told to come back are counted. */
-export function computeBacklogShare(tree: ShareTree, leaf: Leaf): number {
+/**
+ * Estimates the time until a leaf's next request is served behind a number of its own, in milliseconds,
+ * at a rate of requests a millisecond. Weighted fair service reaches it at the latest when the leaf's
+ * share, the class's share or the whole rate has served what is ahead there.
+ */
+export function estimateTurnMs(
+  tree: ShareTree,
+  leaf: Leaf,
+  ahead: number,
+  scope: WaitScope,
+  ratePerMs: number,
+): number {
   const { urgencyClass: parent } = leaf;
-  const sum = sumClassWeights(tree, parent, ({ waiting, promised }) => waiting + promised > 0);
-  const isCounted = leaf.waiting + leaf.promised > 0;
-  const leafSum = parent.backlogWeight + (isCounted ? 0 : leaf.weight);
-  return (parent.weight / sum) * (leaf.weight / leafSum);
+  const hasWork = (one: UrgencyClass) => countWork(one, scope) > 0;
+  const classRate = (ratePerMs * parent.weight) / sumClassWeights(tree, parent, hasWork);
+  const counted = scope === 'waiting' ? parent.waitingWeight : parent.backlogWeight;
+  const leafSum = counted + (countWork(leaf, scope) > 0 ? 0 : leaf.weight);
+  return Math.min(
+    (ahead + 1) / (classRate * (leaf.weight / leafSum)),
+    (countWork(parent, scope) + 1) / classRate,
+    (countWork(tree, scope) + 1) / ratePerMs,
+  );
 }
--- a/packages/vanilladock/src/lib/admission/return-slots.ts
+++ b/packages/vanilladock/src/lib/admission/return-slots.ts
@@ -5,15 +5,16 @@
  * backlog needs.
  */
 import type { Random } from '../ports/random.js';
-import { addCount, computeBacklogShare, type Leaf, type ShareTree } from './leaf.js';
+import { addCount, estimateTurnMs, type Leaf, type ShareTree } from './leaf.js';
 
 /** Return slots of one service. */
 export interface ReturnSlots {
   /**
-   * Gives a leaf's caller the next slot: milliseconds from now, at the rate of requests per ms. Whole
+   * Gives a leaf's caller the next slot: milliseconds from now, at the rate of requests per ms, and so
+   * much earlier than its turn that the queue does not run empty before it returns. Whole
    * seconds, because Retry-After has no finer unit, rounded at random so that the mean is right.
    */
-  readonly takeSlot: (leaf: Leaf, ratePerMs: number, nowMs: number) => number;
+  readonly takeSlot: (leaf: Leaf, ratePerMs: number, leadMs: number, nowMs: number) => number;
   /** Forgets the slots that have come due. */
   readonly update: (nowMs: number) => void;
 }
@@ -21,18 +22,8 @@
 const SLOT_MS = 1_000;
 const MIN_RETURN_MS = 1_000;
 const MAX_RETURN_MS = 3_600_000;
-/** Callers return this much before their turn, so that the queue does not run empty. */
-const LEAD_MS = 2_000;
-/** Returns are given out this much faster than the rate of service, for the same reason. */
-const RETURN_RATE_FACTOR = 1.1;
-/** Estimates the wait until a leaf's next request is served, when all of the backlog comes back. */
-export function estimateBacklogMs(tree: ShareTree, leaf: Leaf, ratePerMs: number): number {
-  const share = computeBacklogShare(tree, leaf);
-  const fairMs = (leaf.waiting + leaf.promised + 1) / (ratePerMs * share);
-  const wholeMs = (tree.waiting + tree.promised + 1) / ratePerMs;
-  return Math.min(fairMs, wholeMs);
-}
-
+/** Returns are given out this much faster than the rate of service, so that the queue stays filled. */
+const RETURN_RATE_FACTOR = 1.25;
 /** Creates return slots over a share tree. */
 export function createReturnSlots(tree: ShareTree, random: Random): ReturnSlots {
   const slots = new Map<number, Map<Leaf, number>>();
@@ -57,10 +48,12 @@
 
   return {
     update,
-    takeSlot: (leaf, ratePerMs, nowMs) => {
+    takeSlot: (leaf, ratePerMs, leadMs, nowMs) => {
       update(nowMs);
-      const backlogMs = estimateBacklogMs(tree, leaf, ratePerMs * RETURN_RATE_FACTOR);
-      const slot = Math.floor((backlogMs - LEAD_MS) / SLOT_MS + random());
+      const ahead = leaf.waiting + leaf.promised;
+      const returnRate = ratePerMs * RETURN_RATE_FACTOR;
+      const backlogMs = estimateTurnMs(tree, leaf, ahead, 'backlog', returnRate);
+      const slot = Math.floor((backlogMs - leadMs) / SLOT_MS + random());
       const returnMs = Math.min(MAX_RETURN_MS, Math.max(MIN_RETURN_MS, slot * SLOT_MS));
       recordSlot(leaf, nowMs + returnMs);
       return returnMs;
--- a/packages/vanilladock/src/lib/admission/service-gate.ts
+++ b/packages/vanilladock/src/lib/admission/service-gate.ts
@@ -8,7 +8,7 @@
 import { Heap } from 'mnemonist';
 import type { Random } from '../ports/random.js';
 import { computeOccupancy, createFairQueue } from './fair-queue.js';
-import { computeWaitingShare, getLeaf, makeShareTree, type Leaf } from './leaf.js';
+import { estimateTurnMs, getLeaf, makeShareTree, type Leaf } from './leaf.js';
 import {
   makeRefusal,
   type AdmissionRequest,
@@ -50,8 +50,13 @@
 
 /** A request waits only if its turn is expected within this share of the time to its deadline. */
 const WAIT_SHARE = 0.5;
+/** Callers return before their turn by this share of the time that they can wait. */
+const LEAD_SHARE = 0.4;
+const MIN_LEAD_MS = 1_000;
 /** A waiting request is refused once its turn is expected after this share of the time left. */
 const HOPELESS_SHARE = 0.9;
+/** A request that waited starts only with this many service times left to its deadline. */
+const CUT_MARGIN = 1.5;
 const SHEDDING_MS = 1_000;
 const COMPACT_MIN = 1_024;
 
@@ -74,8 +79,11 @@
   const refuse = (ticket: Ticket, code: RefusalCode, nowMs: number): Effect => {
     ticket.state = 'ended';
     if (code !== 'caller-left') refusedAtMs = nowMs;
+    const leadMs = Math.max(MIN_LEAD_MS, (ticket.request.deadlineAtMs - nowMs) * LEAD_SHARE);
     const retryAfterMs =
-      code === 'caller-left' ? 0 : returns.takeSlot(ticket.leaf, rate.computeRate(places), nowMs);
+      code === 'caller-left'
+        ? 0
+        : returns.takeSlot(ticket.leaf, rate.computeRate(places), leadMs, nowMs);
     return { kind: 'refuse', ticket, failure: makeRefusal(code, retryAfterMs) };
   };
   const start = (ticket: Ticket, nowMs: number): Effect => {
@@ -84,17 +92,13 @@
     running += 1;
     return { kind: 'start', ticket };
   };
-  /** Estimates the wait of the next request of a leaf behind a number that wait in it already. */
-  const estimateWaitMs = (leaf: Leaf, ahead: number) => {
-    const ratePerMs = rate.computeRate(places);
-    const fairMs = (ahead + 1) / (ratePerMs * computeWaitingShare(tree, leaf));
-    return Math.min(fairMs, (tree.waiting + 1) / ratePerMs);
-  };
+  const estimateWaitMs = (leaf: Leaf, ahead: number) =>
+    estimateTurnMs(tree, leaf, ahead, 'waiting', rate.computeRate(places));
   const isTooLate = ({ request, leaf }: Ticket, ahead: number, share: number, nowMs: number) =>
     estimateWaitMs(leaf, ahead) > (request.deadlineAtMs - nowMs) * share;
   /** Says whether a request that waited would be cut by its deadline while it runs. */
   const isCut = ({ request }: Ticket, nowMs: number) =>
-    request.deadlineAtMs - nowMs < rate.estimateMs(request.urgency);
+    request.deadlineAtMs - nowMs < rate.estimateMs(request.urgency) * CUT_MARGIN;
   const startNext = (nowMs: number): Effect[] => {
     const effects: Effect[] = [];
     while (running < places) {
--- a/packages/vanilladock/src/lib/membership/fleet-demand.ts
+++ b/packages/vanilladock/src/lib/membership/fleet-demand.ts
@@ -18,6 +18,11 @@
   ) => ReadonlyMap<string, number>;
 }
 
+/**
+ * Requests that a process is given beyond its slots, so that a slot which comes free does not stand idle
+ * until the next request has crossed the network.
+ */
+const TRANSIT_SLOTS = 1;
 /** Weight of the newest demand in the smoothed one. */
 const SAMPLE_WEIGHT = 0.3;
 
@@ -42,7 +47,7 @@
     },
     computeOwnSlots: (service, processes, slotsEach) => {
       const demands = [...entries].map(([id, known]) => ({ id, demand: known.get(service) ?? 0 }));
-      const slots = processes.length * slotsEach;
+      const slots = processes.length * (slotsEach + TRANSIT_SLOTS);
       const shares = new Map(computeSlotShares(service, slots, demands));
       const wanted = shares.get(ownId) ?? 0;
       const current = ownShares.get(service) ?? 0;
