--- a/packages/stand-ins/src/lib/caller.ts
+++ b/packages/stand-ins/src/lib/caller.ts
@@ -17,6 +17,8 @@
   /** Time over which the calls are spread, from the start, in milliseconds. */
   readonly spreadMs: number;
   readonly deadlineMs: number;
+  /** Mean service time; calls take between half and one and a half of it. The upstream's own if absent. */
+  readonly workMs?: number;
 }
 
 /** What a caller process is started with. */
@@ -67,9 +69,16 @@
 }
 
 /** Sends one attempt and reads its answer. */
-function sendAttempt(agent: Agent, address: string, plan: CallPlan, id: string): Promise<Answer> {
+function sendAttempt(
+  agent: Agent,
+  address: string,
+  plan: CallPlan,
+  id: string,
+  workMs: number | undefined,
+): Promise<Answer> {
   const [host, port] = address.split(':');
   const headers = {
+    ...(workMs === undefined ? {} : { 'stand-in-work-ms': String(workMs) }),
     'vanilladock-request-id': id,
     'vanilladock-team': plan.team,
     'vanilladock-urgency': plan.urgency,
@@ -103,12 +112,14 @@
 
   const runCall = async (plan: CallPlan, id: string, atMs: number): Promise<CallResult> => {
     await waitMs(atMs - getElapsedMs());
+    const workMs = plan.workMs === undefined ? undefined : plan.workMs * (0.5 + random());
     let answer: Answer = { outcome: 'no-answer' };
     let attempts = 0;
     do {
       if (attempts > 0) await waitMs(answer.retryAfterMs ?? 0);
       attempts += 1;
-      answer = await sendAttempt(agent, pickEntry(), plan, formatAttemptId(id, attempts));
+      const attemptId = formatAttemptId(id, attempts);
+      answer = await sendAttempt(agent, pickEntry(), plan, attemptId, workMs);
     } while (
       answer.outcome === 'not-run' &&
       getElapsedMs() + (answer.retryAfterMs ?? 0) < options.limitMs
--- a/packages/vanilladock/src/lib/membership/usage-report.ts
+++ b/packages/vanilladock/src/lib/membership/usage-report.ts
@@ -53,7 +53,8 @@
       const changes = moves
         .filter(({ move }) => move >= 1)
         .sort((a, b) => b.move - a.move)
-        .slice(0, limit);
+        .slice(0, limit)
+        .map(({ team, perSecond }) => ({ team, perSecond }));
       changes.forEach(({ team, perSecond }) => told.set(team, { perSecond, atMs: nowMs }));
       return changes;
     },
