--- a/packages/measure/src/lib/slots.ts
+++ b/packages/measure/src/lib/slots.ts
@@ -2,7 +2,12 @@
  * Measurement `slots`: ways of sharing 8 slots a process among entries, compared in simulated time
  * over cases of load. docs/design/003-slots.md holds the table.
  */
-import { chooseUpstream, computeSlotShares, spreadSlots } from 'vanilladock';
+import {
+  chooseUpstream,
+  computeSlotShares,
+  createFleetDemand,
+  type FleetDemand,
+} from 'vanilladock';
 import type { Figures, Measure } from './measure.js';
 import {
   runSlotCase,
@@ -92,29 +97,32 @@
 }
 
 /** Makes the policy of shares in proportion to demand, dealt over the processes. */
-function makeDealtPolicy(name: string, headroom: number, weight = 1): SlotPolicy {
-  const smooth = new Map<string, number>();
-  let shares: ReadonlyMap<string, number> = new Map();
+function makeDealtPolicy(name: string, extra: number): SlotPolicy {
+  const demands = new Map<string, FleetDemand>();
   const dealt = new Map<string, ReadonlyMap<string, number>>();
+  const told = new Map<string, number>();
   return {
     name,
     exchange: (fleet) => {
       const ids = fleet.processes.map(({ id }) => id);
-      const demands = listDemand(fleet).map(({ id, demand }) => {
-        const before = smooth.get(id) ?? demand;
-        smooth.set(id, before + weight * (demand - before));
-        return { id, demand: smooth.get(id) ?? demand };
+      const now = listDemand(fleet);
+      now.forEach((own) => {
+        const view = demands.get(own.id) ?? createFleetDemand(own.id);
+        demands.set(own.id, view);
+        view.retain(now.map(({ id }) => id));
+        now.forEach(({ id, demand }) => {
+          const known = id === own.id ? demand : (told.get(id) ?? 0);
+          view.observe(id, new Map([['s', known]]));
+        });
+        dealt.set(own.id, view.computeOwnSlots('s', ids, SLOTS + extra));
       });
-      shares = computeSlotShares('s', ids.length * SLOTS, demands);
-      fleet.entries.forEach(({ id }) => dealt.set(id, spreadSlots(shares, id, ids)));
+      now.forEach(({ id, demand }) => told.set(id, demand));
     },
     choose: (entry, { processes }) => {
-      const share = shares.get(entry.id) ?? 1;
-      if (entry.running >= Math.ceil(share * (1 + headroom))) return undefined;
-      const countFree = (id: string) =>
-        (dealt.get(entry.id)?.get(id) ?? 0) - (entry.inFlight.get(id) ?? 0);
+      const own = dealt.get(entry.id);
+      const countFree = (id: string) => (own?.get(id) ?? 0) - (entry.inFlight.get(id) ?? 0);
       return processes
-        .filter(({ id }) => countFree(id) > (headroom > 0 ? -1 : 0))
+        .filter(({ id }) => countFree(id) > 0)
         .sort((a, b) => countFree(b.id) - countFree(a.id))[0];
     },
   };
@@ -125,11 +133,9 @@
   makeOpenPolicy,
   makeSubsetPolicy,
   makeDemandPolicy,
+  () => makeDealtPolicy('strict', -1),
   () => makeDealtPolicy('dealt', 0),
-  () => makeDealtPolicy('dealtS3', 0, 0.3),
-  () => makeDealtPolicy('dealtS1', 0, 0.1),
-  () => makeDealtPolicy('dealt25S1', 0.25, 0.1),
-  () => makeDealtPolicy('dealt50', 0.5),
+  () => makeDealtPolicy('headroom', 1),
 ];
 
 /** Runs all policies over all cases. */
--- a/packages/vanilladock/src/lib/membership/fleet-demand.ts
+++ b/packages/vanilladock/src/lib/membership/fleet-demand.ts
@@ -2,7 +2,7 @@
  * Demand over all live entries: smooths what each entry tells of its services, and derives this entry's
  * slots at each upstream process.
  */
-import { computeSlotShares, spreadSlots } from '../admission/slot-shares.js';
+import { computeNextShare, computeSlotShares, spreadSlots } from '../admission/slot-shares.js';
 
 /** Demand of the entries and the slots that follow from it. */
 export interface FleetDemand {
@@ -18,12 +18,18 @@
   ) => ReadonlyMap<string, number>;
 }
 
+/**
+ * Requests that a process is given beyond its slots, so that a slot which comes free does not stand idle
+ * until the next request has crossed the network.
+ */
+const TRANSIT_SLOTS = 1;
 /** Weight of the newest demand in the smoothed one. */
 const SAMPLE_WEIGHT = 0.3;
 
 /** Creates the demand of a fleet in which only this entry is known. */
 export function createFleetDemand(ownId: string): FleetDemand {
   const entries = new Map<string, Map<string, number>>([[ownId, new Map()]]);
+  const ownShares = new Map<string, number>();
   const updateDemand = (known: Map<string, number>, service: string, demand: number) => {
     const before = known.get(service) ?? demand;
     known.set(service, before + SAMPLE_WEIGHT * (demand - before));
@@ -41,8 +47,13 @@
     },
     computeOwnSlots: (service, processes, slotsEach) => {
       const demands = [...entries].map(([id, known]) => ({ id, demand: known.get(service) ?? 0 }));
-      const shares = computeSlotShares(service, processes.length * slotsEach, demands);
-      return spreadSlots(shares, ownId, processes);
+      const slots = processes.length * (slotsEach + TRANSIT_SLOTS);
+      const shares = new Map(computeSlotShares(service, slots, demands));
+      const wanted = shares.get(ownId) ?? 0;
+      const current = ownShares.get(service) ?? 0;
+      const share = computeNextShare(current, wanted, slots / entries.size);
+      ownShares.set(service, share);
+      return spreadSlots(shares, ownId, processes, share);
     },
   };
 }
