Give back a permit that an earlier planner ended at the platform

Cause: a planner killed between its confirmed restore and the outcome left a permit open whose instance was back in service; its successor drained an instance that the platform no longer held and waited for the drain limit of ten minutes. Ruled out: the count of work, the leases of duties (the successor held the duty 13 s after the kill). Conclusion: at worst the one instance is rebooted a second time within the budget.

--- a/packages/daemon/src/lib/fleet/maintenance-duty.ts
+++ b/packages/daemon/src/lib/fleet/maintenance-duty.ts
@@ -59,6 +59,7 @@
 export function createMaintenanceDuty(options: MaintenanceOptions): MaintenanceDuty {
   const { entryId, pools, decisions } = options;
   const confirmed = new Set<string>();
+  const ended = new Set<string>();
   const underWay = new Set<string>();
   const asked = new Map<string, number>();
   let absences = createAbsences();
@@ -76,6 +77,7 @@
     const result = await pools[operation](instanceId, permitId);
     underWay.delete(key);
     if (result.isOk()) confirmed.add(key);
+    else if (result.error.kind === 'refused') ended.add(permitId);
     const outcome = result.isOk() ? 'done' : result.error.kind;
     decisions.logDecision(key, { event: 'operation', operation, instanceId, permitId, outcome });
   };
@@ -137,6 +139,7 @@
       work: options.countWork(),
       isConfirmed: (permitId: string, operation: PermitOperation) =>
         confirmed.has(`${permitId}/${operation}`),
+      isEnded: (permitId: string) => ended.has(permitId),
       policyOf: createPolicyOf(state.config.config),
       atMs: Date.now(),
     };
@@ -152,6 +155,7 @@
       executor = createExecutorState();
       absences = createAbsences();
       confirmed.clear();
+      ended.clear();
       asked.clear();
     },
   };
--- a/packages/measure/src/lib/wave/maintenance-driver.ts
+++ b/packages/measure/src/lib/wave/maintenance-driver.ts
@@ -56,6 +56,7 @@
 export function createMaintenanceDriver(setting: MaintenanceSetting): MaintenanceDriver {
   const { world, platform, policyOf, random } = setting;
   const confirmed = new Set<string>();
+  const ended = new Set<string>();
   let executor: ExecutorState = createExecutorState();
   let absences: Absences = createAbsences();
   let decisions: readonly WaveDecision[] = [];
@@ -69,6 +70,7 @@
           const { operation, instanceId, permitId } = action;
           const answer = platform.applyOperation(operation, instanceId, permitId, nowMs);
           if (answer === 'done') confirmed.add(`${permitId}/${operation}`);
+          if (answer === 'refused') ended.add(permitId);
           return [];
         }
         case 'outcome': {
@@ -84,8 +86,9 @@
     const work = new Map(ids.map((id) => [id, platform.countWork(id, nowMs)]));
     const isConfirmed = (permitId: string, operation: string) =>
       confirmed.has(`${permitId}/${operation}`);
+    const isEnded = (permitId: string) => ended.has(permitId);
     const { instances } = world;
-    const seen = { list, instances, work, isConfirmed, policyOf, atMs: nowMs };
+    const seen = { list, instances, work, isConfirmed, isEnded, policyOf, atMs: nowMs };
     const step = decidePermitActions(executor, state, seen, nowMs);
     executor = step.state;
     return step.actions;
--- a/packages/stand-ins/src/lib/pool-server.ts
+++ b/packages/stand-ins/src/lib/pool-server.ts
@@ -90,12 +90,12 @@
     const { operation, instanceId, permitId } = JSON.parse(
       await readBody(request),
     ) as PoolOperationEntry;
-    if (hasRun(permitId, operation)) {
-      answerJson(response, 200, { isRepeated: true });
+    if (operation !== 'restore' && hasRun(permitId, 'restore')) {
+      answerJson(response, 409, { message: `the permit ${permitId} has ended` });
       return;
     }
-    if (hasRun(permitId, 'restore')) {
-      answerJson(response, 409, { message: `the permit ${permitId} has ended` });
+    if (hasRun(permitId, operation)) {
+      answerJson(response, 200, { isRepeated: true });
       return;
     }
     applyOperation(operation, instanceId);
--- a/packages/vanilladock/src/lib/maintenance/executor.ts
+++ b/packages/vanilladock/src/lib/maintenance/executor.ts
@@ -1,7 +1,8 @@
 /**
  * Carries out open permits, one pure step at a time: drain with tasks checkpointed first, reboot,
  * wait for an observed return, restore, write the outcome. Every operation is idempotent by its permit
- * id and is sent again until confirmed, so an executor that takes over simply starts from the drain.
+ * id and is sent again until confirmed, so an executor that takes over simply starts from the drain. When the platform
+ * refuses that, the permit has ended there, and is given back: at worst an instance is rebooted twice.
  * A confirmed restore ends the permit at the platform as well: an older executor that wakes later with
  * a reboot in hand is refused. Hence a permit is given back only after its restore was confirmed.
  */
@@ -18,7 +19,11 @@
 
 /** Why a permit ends. */
 export type OutcomeReason =
-  'seen-after-reboot' | 'drain-limit' | 'budget-lost-before-reboot' | 'reboot-limit';
+  | 'seen-after-reboot'
+  | 'drain-limit'
+  | 'budget-lost-before-reboot'
+  | 'reboot-limit'
+  | 'ended-before';
 
 /** What the executor asks for. */
 export type PermitAction =
@@ -71,6 +76,11 @@
   readonly work: ReadonlyMap<string, number>;
   /** Says whether the platform has confirmed an operation for a permit. */
   readonly isConfirmed: (permitId: string, operation: PermitOperation) => boolean;
+  /**
+   * Says whether the platform has refused an operation because the permit has ended there: an earlier
+   * executor restored the instance and did not live to write the outcome.
+   */
+  readonly isEnded: (permitId: string) => boolean;
   readonly policyOf: PolicyOf;
   /** Date in milliseconds since 1970. */
   readonly atMs: number;
@@ -185,6 +195,9 @@
 /** Decides on one permit. */
 function decidePermit(it: PermitCase, progress: PermitProgress | undefined): PermitStep {
   const current = progress ?? { phase: 'draining', sinceMs: it.nowMs };
+  if (current.phase !== 'restoring' && it.seen.isEnded(it.permit.id)) {
+    return startRestore(it, 'gave-back', 'ended-before');
+  }
   switch (current.phase) {
     case 'draining':
       return decideDraining(it, current);
--- a/packages/vanilladock/src/test/maintenance-waves.test.ts
+++ b/packages/vanilladock/src/test/maintenance-waves.test.ts
@@ -196,6 +196,7 @@
       instances,
       work: new Map([['a-0', work]]),
       isConfirmed: (_permitId: string, operation: string) => confirmed.has(operation),
+      isEnded: () => false,
       policyOf: () => policy,
       atMs: NOW_MS,
       ...rest,
@@ -251,6 +252,17 @@
   assert.equal(formatActions(run(POLICY.drainLimitMs + 2, 1)), ['gave-back: drain-limit']);
 });
 
+test('a permit that an earlier executor ended at the platform is given back at once', () => {
+  const fleet = setUp();
+  fleet.appendPermit('a-0');
+  const { run, setConfirmed } = createExecutor(fleet);
+  assert.equal(formatActions(run(0, 2)), ['drain', 'checkpoint 2']);
+  const refused = { isEnded: () => true };
+  assert.equal(formatActions(run(1000, 2, refused)), ['restore']);
+  setConfirmed('restore');
+  assert.equal(formatActions(run(2000, 2, refused)), ['gave-back: ended-before']);
+});
+
 test('a loss that overdraws the budget before the reboot gives the permit back', () => {
   const fleet = setUp();
   fleet.appendPermit('a-0');
