Refuse hours that enclose no time and scopes of no attribute

Both were taken and meant something else than written: equal hours never or always, an empty set of attributes everything.

--- a/packages/stand-ins/src/lib/log-server.ts
+++ b/packages/stand-ins/src/lib/log-server.ts
@@ -50,7 +50,7 @@
 /** Starts the log service stand-in. */
 export async function startLogServer(port = 0): Promise<LogServer> {
   let faults = NO_FAULTS;
-  let texts: string[] = [];
+  const texts: string[] = [];
   const allTexts: string[] = [];
   let first = 0;
   let appends = 0;
@@ -59,10 +59,10 @@
   const getNext = () => first + texts.length;
   const append = (added: readonly string[]) => {
     const offset = getNext();
-    texts = [...texts, ...added];
+    texts.push(...added);
     allTexts.push(...added);
     const surplus = Math.max(0, texts.length - faults.keep);
-    texts = texts.slice(surplus);
+    texts.splice(0, surplus);
     first += surplus;
     appends += 1;
     [...waiters].slice(0, faults.readersServed).forEach((wake) => wake());
--- a/packages/vanilladock/src/lib/config/check.ts
+++ b/packages/vanilladock/src/lib/config/check.ts
@@ -109,6 +109,26 @@
   });
 }
 
+/** Finds scopes that name no attribute and hours that enclose no time. */
+function listEmpty(config: Config): readonly CheckFault[] {
+  const sets = [
+    { path: ['defaults'], set: config.defaults },
+    ...config.exceptions.map(({ set }, index) => ({ path: ['exceptions', index, 'set'], set })),
+  ];
+  const hours = sets.flatMap(({ path, set }) => {
+    const [from, to] = set.maintenanceHours ?? [0, 24];
+    if (from !== to) return [];
+    const message = `from ${from} to ${to} encloses no time; write two different hours`;
+    return [{ path: [...path, 'maintenanceHours'], message }];
+  });
+  const attributes = config.exceptions.flatMap(({ scope }, index) => {
+    if (scope.attributes === undefined || Object.keys(scope.attributes).length > 0) return [];
+    const message = 'no attribute is named; write one, such as generation: b, or leave this out';
+    return [{ path: ['exceptions', index, 'scope', 'attributes'], message }];
+  });
+  return [...hours, ...attributes];
+}
+
 /** Lists what is wrong with a configuration whose shape is right. */
 export function checkConfig(config: Config): readonly CheckFault[] {
   return [
@@ -117,6 +137,7 @@
     ...listDanglingServices(config),
     ...listDanglingScopes(config),
     ...listConflicts(config),
+    ...listEmpty(config),
   ];
 }
 
--- a/packages/vanilladock/src/test/config-parse.test.ts
+++ b/packages/vanilladock/src/test/config-parse.test.ts
@@ -98,6 +98,17 @@
     fault:
       '10:35 pools.3.spare: pool miscellaneous is a second spare pool; keep spare: true on one pool only',
   },
+  {
+    name: 'a window of hours that encloses no time',
+    text: TEXT.replace('maintenanceHours: [0, 24]', 'maintenanceHours: [5, 5]'),
+    fault:
+      '36:21 defaults.maintenanceHours: from 5 to 5 encloses no time; write two different hours',
+  },
+  {
+    name: 'a scope of attributes that names none',
+    text: addException(`{ scope: { attributes: {} }, set: { slots: 3 }, ${SIGNED} }`),
+    fault: `${EXCEPTION_START + 5}:28 exceptions.1.scope.attributes: no attribute is named; write one, such as generation: b, or leave this out`,
+  },
   {
     name: 'broken YAML',
     text: TEXT.replace('{ name: kiln }', '{ name: kiln'),
