--- a/packages/daemon/src/lib/cli/publish.ts
+++ b/packages/daemon/src/lib/cli/publish.ts
@@ -48,6 +48,8 @@
   /** Version that the text was made from; -1 for the first. */
   readonly base: number;
   readonly by: string;
+  /** State read earlier, from which the log is read on instead of anew. */
+  readonly known?: FleetState;
 }
 
 /** Hands records read from the log to the entries; resolves when it has tried. */
@@ -125,7 +127,7 @@
 ): Promise<PublishAnswer> {
   const parsed = parseConfig(publication.text);
   if (parsed.isErr()) return { kind: 'invalid', faults: parsed.error };
-  const before = await readFleet(service);
+  const before = await readFleet(service, publication.known);
   if (before.isErr()) return { kind: 'not-published', message: before.error.message };
   if (before.value.config.version !== publication.base) {
     return makeSuperseded(service, publication.base, before.value.config);
--- a/packages/daemon/src/lib/log-reader.ts
+++ b/packages/daemon/src/lib/log-reader.ts
@@ -55,8 +55,16 @@
   return Err({ kind: 'refused', message });
 }
 
-/** Reads the state of the fleet at the end of the log. */
-export async function readFleet(service: LogService): Promise<Result<FleetState, LogError>> {
+/** Reads the state of the fleet at the end of the log, on from a known one if there is one. */
+export async function readFleet(
+  service: LogService,
+  known?: FleetState,
+): Promise<Result<FleetState, LogError>> {
+  if (known !== undefined) {
+    const later = await readFrom(service, known.next);
+    const isWhole = later.isOk() && (later.value[0]?.offset ?? known.next) === known.next;
+    if (isWhole) return Ok(later.value.reduce(foldFleet, known));
+  }
   const start = await readStart(service);
   return start.map(({ state, records }) => records.reduce(foldFleet, state));
 }
