--- a/packages/vanilladock/src/lib/admission/slot-shares.ts
+++ b/packages/vanilladock/src/lib/admission/slot-shares.ts
@@ -1,8 +1,9 @@
 /**
  * Shares of a service's slots among the live entries, in proportion to what each is asked, with a
  * floor, and their places at the upstream processes. Each entry counts as asked for an equal share on
- * top of its demand, so that small numbers do not swing the shares. Every entry computes the same whole numbers from
- * the same demand, so no upstream is given more than its slots without agreement among entries.
+ * top of its demand, so that small numbers do not swing the shares. Every entry computes the same
+ * whole numbers from the same demand, so no upstream is given more than its slots without agreement
+ * among entries.
  */
 import murmur from 'imurmurhash';
 
--- a/packages/vanilladock/src/lib/membership/usage-report.ts
+++ b/packages/vanilladock/src/lib/membership/usage-report.ts
@@ -23,7 +23,7 @@
 /** Moves below this part of what was told are left out. */
 const RELATIVE_THRESHOLD = 0.1;
 /** Moves below this are left out, in requests a second. */
-const ABSOLUTE_THRESHOLD = 0.5;
+const ABSOLUTE_THRESHOLD = 0.1;
 /** What was told longer ago than this is told again, in milliseconds. */
 const REFRESH_MS = 30_000;
 
