--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,6 +1,7 @@
 /** All measurements, in the order in which they are listed. */
 import { CONFIG_MEASURE } from './config.js';
 import { CONTROL_MEASURE } from './control.js';
+import { EXCHANGE_MEASURE } from './exchange.js';
 import { FAULTS_MEASURE } from './faults.js';
 import { FLOOD_MEASURE } from './flood.js';
 import { HERD_MEASURE } from './herd.js';
@@ -22,5 +23,6 @@
   MOVES_MEASURE,
   PLACEMENT_MEASURE,
   CONTROL_MEASURE,
+  EXCHANGE_MEASURE,
   SLOTS_MEASURE,
 ];
