--- a/packages/vanilladock/src/lib/maintenance/losses.ts
+++ b/packages/vanilladock/src/lib/maintenance/losses.ts
@@ -59,25 +59,37 @@
   };
 }
 
+/** Lists the failure domains of an instance that a loss may take as a whole. */
+function listDomains({ location }: Instance): readonly string[] {
+  return [location.dataCentre, `${location.dataCentre}/${location.rack}`];
+}
+
+/** Counts instances by failure domain. */
+function countByDomain(instances: Iterable<Instance>): ReadonlyMap<string, number> {
+  const counts = new globalThis.Map<string, number>();
+  for (const instance of instances) {
+    listDomains(instance).forEach((domain) => counts.set(domain, (counts.get(domain) ?? 0) + 1));
+  }
+  return counts;
+}
+
 /** Lists the data centres and racks of which at least half of the members are lost. */
 export function listLostDomains(
   fleet: FleetState,
   locations: ReadonlyMap<string, Instance>,
 ): ReadonlySet<string> {
-  if (fleet.maintenance.lost.size < 2) return new Set();
-  const totals = new globalThis.Map<string, { lost: number; all: number }>();
-  locations.forEach((instance, id) => {
-    if (getPool(fleet.pools, id) === undefined) return;
-    const { dataCentre, rack } = instance.location;
-    [dataCentre, `${dataCentre}/${rack}`].forEach((domain) => {
-      const total = totals.get(domain) ?? { lost: 0, all: 0 };
-      const lost = total.lost + (fleet.maintenance.lost.has(id) ? 1 : 0);
-      totals.set(domain, { lost, all: total.all + 1 });
-    });
-  });
-  const isLost = ({ lost, all }: { lost: number; all: number }) =>
-    lost > 1 && lost >= all * LOST_SHARE_OF_DOMAIN;
-  return new Set([...totals].filter(([, total]) => isLost(total)).map(([domain]) => domain));
+  const lost = [...fleet.maintenance.lost.keys()].flatMap((id) => locations.get(id) ?? []);
+  const suspects = [...countByDomain(lost)].filter(([, count]) => count > 1);
+  if (suspects.length === 0) return new Set();
+  const members = [...locations.values()].filter(
+    ({ id }) => getPool(fleet.pools, id) !== undefined,
+  );
+  const totals = countByDomain(members);
+  return new Set(
+    suspects
+      .filter(([domain, count]) => count >= (totals.get(domain) ?? 0) * LOST_SHARE_OF_DOMAIN)
+      .map(([domain]) => domain),
+  );
 }
 
 /** Says whether an instance stands in one of the lost domains. */
