--- a/packages/daemon/src/lib/request/answer.ts
+++ b/packages/daemon/src/lib/request/answer.ts
@@ -76,6 +76,7 @@
   const body = Buffer.from(JSON.stringify(failure));
   const isUnread = !request.complete;
   const headers = buildFailureHeaders(failure, body.length, isDraining || isUnread);
+  response.setHeader(HEADERS.code, failure.code);
   response.writeHead(FAILURE_STATUS[failure.code], headers);
   if (isUnread) {
     response.write(body);
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,8 +1,10 @@
 /** All measurements, in the order in which they are listed. */
 import { CONFIG_MEASURE } from './config.js';
 import { CONTROL_MEASURE } from './control.js';
+import { FAULTS_MEASURE } from './faults.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
+import { OVERHEAD_MEASURE } from './overhead.js';
 import { MOVES_MEASURE } from './moves.js';
 import { PLACEMENT_MEASURE } from './placement.js';
 import { SLOTS_MEASURE } from './slots.js';
@@ -11,6 +13,8 @@
 /** The measurements. */
 export const MEASURES: readonly Measure[] = [
   HERD_MEASURE,
+  OVERHEAD_MEASURE,
+  FAULTS_MEASURE,
   CONFIG_MEASURE,
   WAVE_MEASURE,
   MOVES_MEASURE,
