Start no token twice; count failures short of memory against new starts

One black hole took 14 tasks because failures short of memory did not slow its starts; each failure now takes two starts.

--- a/packages/stand-ins/src/lib/worker-core.ts
+++ b/packages/stand-ins/src/lib/worker-core.ts
@@ -84,6 +84,7 @@
 const FAIL_AFTER_MS = 1_000;
 const CHECKPOINT_MS = 2_000;
 const REPORTS_KEPT = 32;
+const TOKEN_KEPT_MS = 30 * 60_000;
 const NOTHING: Resources = { cores: 0, memoryMb: 0, accelerators: 0 };
 
 /** Computes the usage that a task shows: what it needs, within what it was granted. */
@@ -99,7 +100,7 @@
 export function createWorkerCore(options: WorkerOptions): WorkerCore {
   const { workerId, capacity, clockRate, getWork, progress } = options;
   const held = new Map<number, Held>();
-  const newestTokens = new Map<string, number>();
+  const newestTokens = new Map<string, { readonly token: number; readonly atMs: number }>();
   const fences = new Map<string, number>();
   const reportTimes = new Map<string, number>();
   let behaviour: Behaviour = { isFailing: false, isPaused: false };
@@ -178,6 +179,7 @@
     const times = { startMs: nowMs, sinceMs: nowMs, checkpointAtMs: Infinity, expiresMs };
     const used = computeUsage(size, getWork(lease.taskId).needs);
     held.set(lease.fencingToken, { lease, size, phase: 'running', share: 1, used, ...times });
+    newestTokens.set(lease.taskId, { token: lease.fencingToken, atMs: nowMs });
     options.onStart(lease.taskId, nowMs);
     return 'done';
   };
@@ -196,6 +198,7 @@
       closeTask(lease.fencingToken, task, { atMs: nowMs, phase: 'stopped' });
     }
     if (task !== undefined) return 'done';
+    newestTokens.set(lease.taskId, { token: lease.fencingToken, atMs: nowMs });
     const times = { startMs: nowMs, sinceMs: nowMs, expiresMs: nowMs, checkpointAtMs: Infinity };
     const stopped = { lease, size: NOTHING, used: NOTHING, phase: 'stopped', share: 1 } as const;
     held.set(lease.fencingToken, { ...stopped, ...times });
@@ -219,16 +222,23 @@
     return 'done';
   };
 
-  /** Says whether a command comes from a superseded planner or concerns a superseded lease. */
+  /** Says whether a command comes from a superseded planner or concerns a superseded or used lease. */
   const isFenced = (command: WorkerCommand): boolean => {
     const { duty, plannerFence } = command.kind === 'renew-worker' ? command : command.lease;
     if (plannerFence < (fences.get(duty) ?? -1)) return true;
     fences.set(duty, plannerFence);
     if (command.kind !== 'start') return false;
     const { taskId, fencingToken } = command.lease;
-    if (fencingToken < (newestTokens.get(taskId) ?? -1)) return true;
-    newestTokens.set(taskId, fencingToken);
-    return false;
+    const newest = newestTokens.get(taskId)?.token ?? -1;
+    const isUsed = fencingToken === newest && !held.has(fencingToken);
+    return fencingToken < newest || isUsed;
+  };
+
+  /** Forgets tokens of tasks for which no command can be valid any more. */
+  const dropTokens = (nowMs: number): void => {
+    newestTokens.forEach(({ token, atMs }, taskId) => {
+      if (!held.has(token) && nowMs - atMs > TOKEN_KEPT_MS) newestTokens.delete(taskId);
+    });
   };
 
   return {
@@ -263,6 +273,7 @@
     report: (nowMs) => {
       runUntil(nowMs);
       reports += 1;
+      if (reports % REPORTS_KEPT === 0) dropTokens(nowMs);
       const reportId = `${workerId}/${epoch}/${reports}`;
       reportTimes.set(reportId, nowMs);
       const [oldest] = reportTimes.keys();
--- a/packages/stand-ins/src/test/worker.test.ts
+++ b/packages/stand-ins/src/test/worker.test.ts
@@ -57,6 +57,18 @@
   assert.is(core.apply(makeStart(reportId, 4, 4), 14_000), 'fenced');
 });
 
+test('a start that arrives again after its task has ended and is settled starts nothing', () => {
+  const { core, entries } = makeCore({ ...WORK, runMs: 1_000 });
+  const { reportId } = core.report(0);
+  core.apply(makeStart(reportId), 0);
+  core.report(2_000);
+  const renewal = { kind: 'renew-worker', duty: 'd', plannerFence: 3, reportId } as const;
+  core.apply({ ...renewal, settled: [5] }, 3_000);
+  assert.is(core.apply(makeStart(reportId), 4_000), 'fenced');
+  core.report(9_000);
+  assert.is(entries.length, 1);
+});
+
 test('a paused holder does no work and finds its lease lapsed when it wakes', () => {
   const { core, entries } = makeCore();
   core.apply(makeStart(core.report(0).reportId), 0);
--- a/packages/vanilladock/src/lib/placement/fold-evidence.ts
+++ b/packages/vanilladock/src/lib/placement/fold-evidence.ts
@@ -44,12 +44,11 @@
   record: TaskOutcomeRecord,
 ): PlacementState {
   const kind = state.kinds.get(task.taskKind) ?? UNKNOWN_KIND;
-  if (isOutOfMemory(record.used, lease.size)) {
-    return setKind(state, task.taskKind, observeUsage(kind, record.used, lease.size));
-  }
-  const next = setKind(state, task.taskKind, observeEnd(kind, false));
+  const isShort = isOutOfMemory(record.used, lease.size);
+  const learned = isShort ? observeUsage(kind, record.used, lease.size) : observeEnd(kind, false);
+  const next = setKind(state, task.taskKind, learned);
   const worker = next.workers.get(lease.workerId) ?? EMPTY_WORKER;
-  const failure = { taskKind: task.taskKind, team: task.team };
+  const failure = { taskKind: task.taskKind, team: task.team, isShort };
   const streak = [...worker.streak, failure].slice(-STREAK_KEPT);
   return setWorker(next, lease.workerId, { ...worker, streak });
 }
--- a/packages/vanilladock/src/lib/placement/plan-room.ts
+++ b/packages/vanilladock/src/lib/placement/plan-room.ts
@@ -19,6 +19,9 @@
 /** Starts on a worker that are kept for quick tasks. */
 const QUICK_STARTS = 2;
 
+/** Starts by which each failure since the last success lowers what a worker may be given. */
+const STARTS_PER_FAILURE = 2;
+
 /** One worker's room during a round; updated by each grant of the round. */
 export interface WorkerRoom {
   readonly worker: WorkerView;
@@ -64,7 +67,7 @@
 /** Builds the room of one worker from the fold alone. */
 function buildRoom(context: PlanContext, worker: WorkerView): WorkerRoom {
   const folded = context.input.state.workers.get(worker.id) ?? EMPTY_WORKER;
-  const limit = Math.max(QUICK_STARTS + 1, UNCONFIRMED_MAX - folded.streak.length);
+  const limit = Math.max(1, UNCONFIRMED_MAX - STARTS_PER_FAILURE * folded.streak.length);
   return {
     worker,
     folded,
@@ -144,7 +147,7 @@
 
 /** Says whether a task of a size fits a worker now. */
 export function isFitting(room: WorkerRoom, size: Resources, isQuick: boolean): boolean {
-  const keptStarts = isQuick ? 0 : QUICK_STARTS;
+  const keptStarts = isQuick || room.folded.streak.length > 0 ? 0 : QUICK_STARTS;
   if (!room.isOpen || room.startsLeft <= keptStarts) return false;
   const free = computeFree(room, isQuick);
   return isWithin(size, { ...free, cores: free.cores + EPSILON });
--- a/packages/vanilladock/src/lib/placement/quarantine.ts
+++ b/packages/vanilladock/src/lib/placement/quarantine.ts
@@ -42,7 +42,8 @@
   workerId: string,
 ): readonly WorkerFailure[] {
   const streak = state.workers.get(workerId)?.streak ?? [];
-  return streak.filter(({ taskKind }) => {
+  return streak.filter(({ taskKind, isShort }) => {
+    if (isShort) return false;
     const own = streak.filter((other) => other.taskKind === taskKind).length;
     return isHealthyKind(state, taskKind, own);
   });
--- a/packages/vanilladock/src/lib/placement/state.ts
+++ b/packages/vanilladock/src/lib/placement/state.ts
@@ -80,6 +80,8 @@
 export interface WorkerFailure {
   readonly taskKind: string;
   readonly team: string;
+  /** Whether the task ran out of memory, which speaks against its size. */
+  readonly isShort: boolean;
 }
 
 /** What the log says of one worker. */
--- a/packages/vanilladock/src/lib/ports/workers.ts
+++ b/packages/vanilladock/src/lib/ports/workers.ts
@@ -1,6 +1,7 @@
 /**
  * Port to the workers. A worker runs tasks under leases with fencing tokens and refuses a command
- * whose token is older than the newest that it has seen for the task. It counts the time of a lease
+ * whose token is older than the newest that it has seen for the task; it starts no token twice, also
+ * when the first start has ended and is settled. It counts the time of a lease
  * by its own clock from the moment when it made the report that the command names, so that a command
  * which arrives late extends nothing.
  */
