--- a/packages/stand-ins/src/lib/worker-core.ts
+++ b/packages/stand-ins/src/lib/worker-core.ts
@@ -198,7 +198,9 @@
       closeTask(lease.fencingToken, task, { atMs: nowMs, phase: 'stopped' });
     }
     if (task !== undefined) return 'done';
-    newestTokens.set(lease.taskId, { token: lease.fencingToken, atMs: nowMs });
+    const newest = newestTokens.get(lease.taskId)?.token ?? -1;
+    const token = Math.max(newest, lease.fencingToken);
+    newestTokens.set(lease.taskId, { token, atMs: nowMs });
     const times = { startMs: nowMs, sinceMs: nowMs, expiresMs: nowMs, checkpointAtMs: Infinity };
     const stopped = { lease, size: NOTHING, used: NOTHING, phase: 'stopped', share: 1 } as const;
     held.set(lease.fencingToken, { ...stopped, ...times });
