Leave a failing worker alone between tasks; renew only what runs

Such a worker now waits 15 s between tasks, doubled by each failure; failures short of memory no longer slow healthy workers. Admission keeps a quarter of a pool free of quick work. Workers that run nothing are not renewed.

--- a/packages/vanilladock/src/lib/placement/admit.ts
+++ b/packages/vanilladock/src/lib/placement/admit.ts
@@ -21,7 +21,7 @@
 export const STORE_SILENT_MS = 3_000;
 
 /** Share of a pool's cores and memory that quick tasks, running and waiting, may fill. */
-export const QUICK_SHARE = 0.85;
+export const QUICK_SHARE = 0.75;
 
 /** Quick tasks that may wait in a pool for each of its workers, which start a few at a time. */
 export const WAITING_QUICK_PER_WORKER = 1;
--- a/packages/vanilladock/src/lib/placement/plan-pool.ts
+++ b/packages/vanilladock/src/lib/placement/plan-pool.ts
@@ -100,6 +100,7 @@
   const workerId = chosen.best.worker.id;
   const record = maker.makeLease(task, workerId, size, pool.pool.taskLeaseMs);
   memory.reservations.delete(task.taskId);
+  memory.granted.set(workerId, input.nowMs);
   memory.grants.set(task.taskId, {
     recordId: record.id,
     taskId: task.taskId,
--- a/packages/vanilladock/src/lib/placement/plan-room.ts
+++ b/packages/vanilladock/src/lib/placement/plan-room.ts
@@ -22,6 +22,12 @@
 /** Starts by which each failure since the last success lowers what a worker may be given. */
 const STARTS_PER_FAILURE = 2;
 
+/** Failures since the last success from which on a worker is left alone between tasks. */
+const BACKOFF_FAILURES = 3;
+
+/** Time for which it is left alone at first, doubled by each further failure. */
+const BACKOFF_MS = 15_000;
+
 /** One worker's room during a round; updated by each grant of the round. */
 export interface WorkerRoom {
   readonly worker: WorkerView;
@@ -64,17 +70,24 @@
   return context.input.nowMs - contact.receivedMs <= SILENT_AFTER_MS;
 }
 
+/** Computes how long a worker with some failures since its last success is left alone, in ms. */
+function computeBackoff(failures: number): number {
+  return failures < BACKOFF_FAILURES ? 0 : BACKOFF_MS * 2 ** (failures - BACKOFF_FAILURES);
+}
+
 /** Builds the room of one worker from the fold alone. */
 function buildRoom(context: PlanContext, worker: WorkerView): WorkerRoom {
   const folded = context.input.state.workers.get(worker.id) ?? EMPTY_WORKER;
-  const limit = Math.max(1, UNCONFIRMED_MAX - STARTS_PER_FAILURE * folded.streak.length);
+  const { length } = folded.streak.filter(({ isShort }) => !isShort);
+  const limit = Math.max(1, UNCONFIRMED_MAX - STARTS_PER_FAILURE * length);
+  const sinceMs = context.input.nowMs - (context.memory.granted.get(worker.id) ?? -Infinity);
   return {
     worker,
     folded,
     used: folded.leased,
     quick: folded.quick,
     startsLeft: limit - countUnconfirmed(context, worker.id, folded),
-    isOpen: isUsable(context, worker, folded),
+    isOpen: isUsable(context, worker, folded) && sinceMs >= computeBackoff(length),
   };
 }
 
--- a/packages/vanilladock/src/lib/placement/plan-worker.ts
+++ b/packages/vanilladock/src/lib/placement/plan-worker.ts
@@ -236,13 +236,14 @@
   const { reportId, tasks } = received.report;
   if (tasks.length === 0 || known.contact.reportId !== reportId) return [];
   if (!isRenewalDue(known.contact, pool.taskLeaseMs)) return [];
-  memory.workers.set(workerId, { ...known, contact: observeRenewal(known.contact) });
   const settled = tasks
     .filter(({ taskId, fencingToken, phase }) => {
       const offset = input.state.tasks.get(taskId)?.lease?.offset;
       return phase !== 'running' && offset !== fencingToken;
     })
     .map(({ fencingToken }) => fencingToken);
+  if (settled.length === 0 && known.runningSince.size === 0) return [];
+  memory.workers.set(workerId, { ...known, contact: observeRenewal(known.contact) });
   const command = {
     kind: 'renew-worker',
     duty: input.duty.duty,
--- a/packages/vanilladock/src/lib/placement/planner-memory.ts
+++ b/packages/vanilladock/src/lib/placement/planner-memory.ts
@@ -80,6 +80,8 @@
   readonly probes: Map<string, ProbeState>;
   /** When a quarantine record was last appended; by worker id. */
   readonly judged: Map<string, number>;
+  /** When a lease was last granted to each worker; by worker id. */
+  readonly granted: Map<string, number>;
   /** Queues in which nothing could be granted, and when that was found; by pool. */
   readonly stuck: Map<string, { readonly queue: PoolQueue; readonly untilMs: number }>;
   /** Room being freed; by task id. */
@@ -94,6 +96,7 @@
     workers: new Map(),
     probes: new Map(),
     judged: new Map(),
+    granted: new Map(),
     stuck: new Map(),
     reservations: new Map(),
   };
