Give back a permit that an earlier executor had restored

An executor that dies between a confirmed restore and its outcome left a permit whose drain is refused for good, so that the next one waited for the drain limit. It now gives the permit back when told of the refusal (isRefused, optional; the daemon does not pass it yet).

--- a/packages/vanilladock/src/lib/maintenance/executor.ts
+++ b/packages/vanilladock/src/lib/maintenance/executor.ts
@@ -18,7 +18,11 @@
 
 /** Why a permit ends. */
 export type OutcomeReason =
-  'seen-after-reboot' | 'drain-limit' | 'budget-lost-before-reboot' | 'reboot-limit';
+  | 'seen-after-reboot'
+  | 'drain-limit'
+  | 'budget-lost-before-reboot'
+  | 'reboot-limit'
+  | 'ended-by-earlier-executor';
 
 /** What the executor asks for. */
 export type PermitAction =
@@ -71,6 +75,11 @@
   readonly work: ReadonlyMap<string, number>;
   /** Says whether the platform has confirmed an operation for a permit. */
   readonly isConfirmed: (permitId: string, operation: PermitOperation) => boolean;
+  /**
+   * Says whether the platform has refused an operation because the permit was restored before: an
+   * earlier executor stopped between the restore and its outcome.
+   */
+  readonly isRefused?: (permitId: string, operation: PermitOperation) => boolean;
   readonly policyOf: PolicyOf;
   /** Date in milliseconds since 1970. */
   readonly atMs: number;
@@ -133,6 +142,9 @@
   progress: PermitProgress & { readonly phase: 'draining' },
 ): PermitStep {
   const work = it.seen.work.get(it.instanceId);
+  if (it.seen.isRefused?.(it.permit.id, 'drain') === true) {
+    return startRestore(it, 'gave-back', 'ended-by-earlier-executor');
+  }
   if (it.isOverdrawn) return startRestore(it, 'gave-back', 'budget-lost-before-reboot');
   if (it.seen.isConfirmed(it.permit.id, 'drain') && work === 0) {
     const rebooting = { phase: 'rebooting', sinceMs: it.nowMs, confirmedAtMs: undefined } as const;
--- a/packages/vanilladock/src/test/maintenance-waves.test.ts
+++ b/packages/vanilladock/src/test/maintenance-waves.test.ts
@@ -293,4 +293,15 @@
   });
 });
 
+test('a permit that an earlier executor has restored is given back without waiting', () => {
+  const fleet = setUp();
+  fleet.appendPermit('a-0');
+  const { run, setConfirmed } = createExecutor(fleet);
+  const isRefused = () => true;
+  assert.equal(formatActions(run(0, 0, { isRefused })), ['restore']);
+  setConfirmed('restore');
+  const actions = run(1, 0, { isRefused });
+  assert.equal(formatActions(actions), ['gave-back: ended-by-earlier-executor']);
+});
+
 test.run();
