--- a/packages/daemon/src/lib/control-bytes.ts
+++ b/packages/daemon/src/lib/control-bytes.ts
@@ -2,6 +2,7 @@
  * Counts the bytes that an entry spends on control, by cause: what it sends and receives for other
  * purposes than callers' requests. Counts are payload and protocol headers above TCP or UDP.
  */
+import type { ClientRequest } from 'node:http';
 
 /** Why control bytes are spent. */
 export type ControlCause = 'log' | 'instances' | 'exchange' | 'catch-up' | 'pools' | 'workers';
@@ -28,3 +29,13 @@
 
 /** The counter of this process. */
 export const controlMeter = createControlMeter();
+
+/** Counts the bytes that one call moves over its connection, which others may have used before. */
+export function observeCallBytes(outgoing: ClientRequest, cause: ControlCause): void {
+  outgoing.once('socket', (socket) => {
+    const before = socket.bytesRead + socket.bytesWritten;
+    outgoing.once('close', () => {
+      controlMeter.addBytes(cause, socket.bytesRead + socket.bytesWritten - before);
+    });
+  });
+}
--- a/packages/daemon/src/lib/instance-watcher.ts
+++ b/packages/daemon/src/lib/instance-watcher.ts
@@ -12,7 +12,7 @@
   readonly stop: () => void;
 }
 
-const POLL_MS = 1_000;
+const POLL_MS = 2_000;
 
 /** Starts watching the instance list. */
 export function startInstanceWatcher(list: InstanceList, log: JsonLog): InstanceWatcher {
--- a/packages/daemon/src/lib/peers/catch-up-client.ts
+++ b/packages/daemon/src/lib/peers/catch-up-client.ts
@@ -3,6 +3,7 @@
 import { createTRPCClient, httpLink } from '@trpc/client';
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { DigestAt, StoredRecord } from 'vanilladock';
+import { observeCallBytes } from '../control-bytes.js';
 import {
   KEY_HEADER,
   type PeerHistory,
@@ -68,6 +69,7 @@
           resolve({ ok, json: async () => JSON.parse(text) as unknown });
         });
       });
+      observeCallBytes(outgoing, 'catch-up');
       outgoing.on('error', reject);
       outgoing.end(options.body);
     });
--- a/packages/daemon/src/lib/platform/http-json.ts
+++ b/packages/daemon/src/lib/platform/http-json.ts
@@ -2,10 +2,10 @@
  * JSON calls over HTTP to the platform, with a time-out and kept connections. Answers may come
  * compressed, and unchanged ones as 304 by their entity tag.
  */
-import { Agent, request, type ClientRequest, type IncomingMessage } from 'node:http';
+import { Agent, request, type IncomingMessage } from 'node:http';
 import { gunzipSync } from 'node:zlib';
 import { Err, Ok, type Result } from 'ts-results-es';
-import { controlMeter, type ControlCause } from '../control-bytes.js';
+import { observeCallBytes, type ControlCause } from '../control-bytes.js';
 
 /** `refused`: answered with a status of 400 to 499. `unavailable`: no usable answer. */
 export interface CallError {
@@ -54,16 +54,6 @@
   }
 }
 
-/** Counts the bytes that one call moves over its connection, which others have used before. */
-function observeBytes(outgoing: ClientRequest, cause: ControlCause): void {
-  outgoing.once('socket', (socket) => {
-    const before = socket.bytesRead + socket.bytesWritten;
-    outgoing.once('close', () => {
-      controlMeter.addBytes(cause, socket.bytesRead + socket.bytesWritten - before);
-    });
-  });
-}
-
 /** Makes one JSON call whose answer may be unchanged; never rejects. */
 export function sendTagged<T>(call: JsonCall): Promise<Result<TaggedAnswer<T>, CallError>> {
   const url = `http://${call.address}${call.path}`;
@@ -80,7 +70,7 @@
       answer.on('aborted', () => fail('the answer was cut off'));
       answer.on('end', () => resolve(parseAnswer<T>(answer, Buffer.concat(chunks))));
     });
-    observeBytes(outgoing, call.cause);
+    observeCallBytes(outgoing, call.cause);
     outgoing.setTimeout(call.timeoutMs, () => outgoing.destroy(new Error('time-out')));
     outgoing.on('error', (error) => fail(error.message));
     outgoing.end(body);
