--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -74,6 +74,7 @@
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
     admission,
+    isShedding: admission.isShedding,
     isDraining: () => isDraining,
     forward,
     random: createRandom(process.pid),
--- a/packages/daemon/src/lib/request/answer.ts
+++ b/packages/daemon/src/lib/request/answer.ts
@@ -50,9 +50,17 @@
   return headers;
 }
 
+const lingering = new WeakSet<Duplex>();
+
+/** Says whether a connection only waits for the rest of a body that was refused. */
+export function isLingering(socket: Duplex): boolean {
+  return lingering.has(socket);
+}
+
 /** Reads and drops what is left of a body for a short time, then ends the answer and connection. */
 function closeAfterLinger(request: IncomingMessage, response: ServerResponse): void {
   const timer = setTimeout(() => response.end(), LINGER_MS);
+  lingering.add(request.socket);
   request.on('error', () => {});
   request.once('end', () => {
     clearTimeout(timer);
--- a/packages/daemon/src/lib/request/caller-server.ts
+++ b/packages/daemon/src/lib/request/caller-server.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import type { Failure } from 'vanilladock';
-import { answerRawFailure } from './answer.js';
+import { answerRawFailure, isLingering } from './answer.js';
 
 /** Largest head of a request, in bytes. */
 export const MAX_HEAD_BYTES = 16_384;
@@ -57,7 +57,8 @@
     handle(request, response);
   };
   const refuseSocket = (socket: Duplex, failure: Failure, status?: number) => {
-    if (!socket.writable || (inProgress.get(socket) ?? 0) > 0) socket.destroy();
+    if (isLingering(socket)) socket.end(() => socket.destroy());
+    else if (!socket.writable || (inProgress.get(socket) ?? 0) > 0) socket.destroy();
     else answerRawFailure(socket, failure, status);
   };
   server.maxHeadersCount = 0;
--- a/packages/daemon/src/lib/request/connection-pool.ts
+++ b/packages/daemon/src/lib/request/connection-pool.ts
@@ -145,6 +145,7 @@
   const addSlot = (socket: Socket): Slot => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1, maxFreeSockets: 1 });
     agent.createConnection = () => socket;
+    agent.getName = () => address;
     const slot: Slot = {
       agent,
       socket,
--- a/packages/daemon/src/lib/upstream-table.ts
+++ b/packages/daemon/src/lib/upstream-table.ts
@@ -134,7 +134,7 @@
     const siblings = byService.get(service) ?? [];
     const medianMs = computeMedianLatency(siblings);
     siblings.forEach((upstream) => {
-      upstream.penalty = computePenalty(upstream.health, medianMs);
+      upstream.penalty = computePenalty(upstream.health, medianMs, nowMs);
     });
   };
   const countEjectionRoom = (service: string, nowMs: number): EjectionRoom => {
--- a/packages/vanilladock/src/lib/routing/health.ts
+++ b/packages/vanilladock/src/lib/routing/health.ts
@@ -23,6 +23,8 @@
   readonly ejections: number;
   /** No work before this time; 0 when not ejected. */
   readonly ejectedUntilMs: number;
+  /** When the last outcome was seen; older evidence counts for less. */
+  readonly observedAtMs: number;
 }
 
 /** How many upstreams of a service there are and how many are ejected. */
@@ -46,6 +48,7 @@
 const MIN_LATENCY_SAMPLES = 20;
 const MAX_LATENCY_PENALTY = 4;
 const MIN_SUCCESS_SHARE = 0.05;
+const EVIDENCE_HALF_LIFE_MS = 5_000;
 
 /** Creates the health of an upstream that has done no work yet. */
 export function createHealth(): Health {
@@ -57,6 +60,7 @@
     trials: 0,
     ejections: 0,
     ejectedUntilMs: 0,
+    observedAtMs: 0,
   };
 }
 
@@ -84,6 +88,7 @@
     trials: isOver ? 0 : trials,
     ejections: isOver ? 0 : health.ejections,
     ejectedUntilMs: isOver ? 0 : health.ejectedUntilMs,
+    observedAtMs: nowMs,
   };
 }
 
@@ -108,6 +113,7 @@
     failureShare: mergeSample(health.failureShare, 1, FAILURE_DECAY),
     consecutiveFailures: health.consecutiveFailures + 1,
     trials: 0,
+    observedAtMs: nowMs,
   };
   const hasRoom = room.ejected + 1 <= room.maxShare * room.total;
   if (!hasRoom || !isFailing(failed, getHealthState(health, nowMs))) return failed;
@@ -135,10 +141,13 @@
 /**
  * Computes the factor by which an upstream's load counts for more than its requests in progress:
  * one that fails fast must not look idle, and one that is slower than its siblings counts as fuller.
+ * The factor fades while nothing is seen, so that a recovered upstream is tried again.
  */
-export function computePenalty(health: Health, medianLatencyMs: number): number {
-  const successShare = Math.max(MIN_SUCCESS_SHARE, 1 - health.failureShare);
+export function computePenalty(health: Health, medianLatencyMs: number, nowMs: number): number {
+  const freshness = 0.5 ** ((nowMs - health.observedAtMs) / EVIDENCE_HALF_LIFE_MS);
+  const successShare = Math.max(MIN_SUCCESS_SHARE, 1 - health.failureShare * freshness);
   const isKnown = health.samples >= MIN_LATENCY_SAMPLES && medianLatencyMs > 0;
   const slowness = isKnown ? health.latencyMs / medianLatencyMs : 1;
-  return Math.min(Math.max(1, slowness), MAX_LATENCY_PENALTY) / successShare;
+  const excess = Math.min(Math.max(1, slowness), MAX_LATENCY_PENALTY) - 1;
+  return (1 + excess * freshness) / successShare;
 }
