--- /dev/null
+++ b/packages/daemon/src/test/routing-golden.test.ts
@@ -0,0 +1,86 @@
+/** A whole session of routing on the paused clock: decisions and log lines against a golden file. */
+import { install } from '@sinonjs/fake-timers';
+import { suite } from 'uvu';
+import { chooseUpstream, createRandom, type Instance, type InstanceState } from 'vanilladock';
+import { createRetryFilter } from '../lib/request/retry.js';
+import type { RequestContext } from '../lib/request/context.js';
+import type { ForwardResult } from '../lib/request/forward.js';
+import { createUpstreamTable } from '../lib/upstream-table.js';
+import { checkGolden } from './golden.js';
+
+const test = suite('routing-golden');
+const LOCATION = { region: 'tasmania', dataCentre: 'hobart', rack: 'r1' };
+const STEP_MS = 250;
+const STEPS = 120;
+
+/** Lists three upstreams, the last in a given state. */
+const listInstances = (last: InstanceState): readonly Instance[] =>
+  ['a', 'b', 'c'].map((id) => ({
+    id,
+    role: 'upstream',
+    service: 'prices',
+    address: `10.0.0.1:${id}`,
+    location: LOCATION,
+    state: id === 'c' ? last : 'live',
+    attributes: {},
+  }));
+
+/** What the upstreams do by time: `a` fails for 5 s, `b` says once that it leaves. */
+const answerFor = (id: string, nowMs: number): ForwardResult => {
+  if (id === 'a' && nowMs >= 5_000 && nowMs < 10_000) {
+    return {
+      failure: { code: 'connect-failed', verdict: 'not-run', message: 'refused' },
+      observation: { outcome: { kind: 'failed' } },
+    };
+  }
+  if (id === 'b' && nowMs >= 12_000 && nowMs < 20_000) {
+    return {
+      failure: { code: 'upstream-refused', verdict: 'not-run', message: 'leaving' },
+      observation: { stay: 'leaving' },
+    };
+  }
+  return { observation: { stay: 'staying', outcome: { kind: 'answered', latencyMs: 5 } } };
+};
+
+test('failure, probation, leaving by signal and by list over 30 s', () => {
+  const clock = install({ toFake: ['performance', 'setTimeout', 'Date'] });
+  const table = createUpstreamTable();
+  const retries = createRetryFilter(() => false);
+  const random = createRandom(7);
+  const lines: string[] = [];
+  const context = {
+    service: 'prices',
+    isIdempotent: false,
+    values: { retryBudgetShare: 0.1 },
+  } as unknown as RequestContext;
+  table.setLimits('prices', { maxEjectedShare: 0.5, leaveGraceMs: 2_000 });
+  table.setInstances(listInstances('live'));
+  const sendOrder = () => {
+    retries.observeRequest('prices');
+    const tried: string[] = [];
+    for (let attempt = 1; ; attempt += 1) {
+      const candidates = table.listCandidates('prices').filter(({ id }) => !tried.includes(id));
+      const upstream = chooseUpstream(candidates, random);
+      if (upstream === undefined) return `${tried.join(' ')} none left`;
+      tried.push(upstream.id);
+      table.observeStart(upstream.id);
+      const result = answerFor(upstream.id, performance.now());
+      table.observeEnd(upstream.id, result.observation);
+      if (result.failure === undefined) return `${tried.join(' ')} answered`;
+      if (!retries.mayRetry(context, result, attempt)) return `${tried.join(' ')} failed`;
+    }
+  };
+  for (let step = 0; step < STEPS; step += 1) {
+    if (step * STEP_MS === 22_000) table.setInstances(listInstances('leaving'));
+    const routed = sendOrder();
+    const states = table.listStatus().map(({ id, state }) => `${id}=${state}`);
+    lines.push(
+      `${String(step * STEP_MS).padStart(5)} ms  ${routed.padEnd(14)}  ${states.join(' ')}`,
+    );
+    clock.tick(STEP_MS);
+  }
+  clock.uninstall();
+  checkGolden('routing-session', lines);
+});
+
+test.run();
--- a/packages/vanilladock/src/lib/routing/health.ts
+++ b/packages/vanilladock/src/lib/routing/health.ts
@@ -47,6 +47,8 @@
 const PROBATION_TRIALS = 3;
 const MIN_LATENCY_SAMPLES = 20;
 const MAX_LATENCY_PENALTY = 4;
+const TOLERATED_SLOWNESS = 1.5;
+const MIN_PENALTY = 1.1;
 const MIN_SUCCESS_SHARE = 0.05;
 const EVIDENCE_HALF_LIFE_MS = 5_000;
 
@@ -141,13 +143,14 @@
 /**
  * Computes the factor by which an upstream's load counts for more than its requests in progress:
  * one that fails fast must not look idle, and one that is slower than its siblings counts as fuller.
- * The factor fades while nothing is seen, so that a recovered upstream is tried again.
+ * The factor fades while nothing is seen and ends at 1, so that a recovered upstream is tried again.
  */
 export function computePenalty(health: Health, medianLatencyMs: number, nowMs: number): number {
   const freshness = 0.5 ** ((nowMs - health.observedAtMs) / EVIDENCE_HALF_LIFE_MS);
   const successShare = Math.max(MIN_SUCCESS_SHARE, 1 - health.failureShare * freshness);
   const isKnown = health.samples >= MIN_LATENCY_SAMPLES && medianLatencyMs > 0;
-  const slowness = isKnown ? health.latencyMs / medianLatencyMs : 1;
+  const slowness = isKnown ? health.latencyMs / medianLatencyMs / TOLERATED_SLOWNESS : 1;
   const excess = Math.min(Math.max(1, slowness), MAX_LATENCY_PENALTY) - 1;
-  return (1 + excess * freshness) / successShare;
+  const penalty = (1 + excess * freshness) / successShare;
+  return penalty < MIN_PENALTY ? 1 : penalty;
 }
