--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -1,15 +1,18 @@
 /**
- * One entry: joins the log follower, the instance watcher, admission and the request path, and owns
+ * One entry: joins the control part, the instance watcher, admission and the request path, and owns
  * their life from start to graceful stop.
  */
 import { combineLatest } from 'rxjs';
 import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
 import { startControl } from './control.js';
+import { createShares, startEntryExchange } from './entry-exchange.js';
+import { startEntryFleet } from './entry-fleet.js';
+import { buildStatus } from './entry-status.js';
+import { FLEET_DUTIES } from './fleet/runner.js';
 import { startInstanceWatcher } from './instance-watcher.js';
 import { createJsonLog } from './json-log.js';
 import { createMetrics } from './metrics.js';
 import { createOperatorServer } from './operators/operator-server.js';
-import type { EntryStatus } from './operators/status.js';
 import { createInstanceClient } from './platform/instance-client.js';
 import { createCallerServer } from './request/caller-server.js';
 import { createForward } from './request/forward.js';
@@ -17,7 +20,7 @@
 import { observeAnswers } from './request/observe-answers.js';
 import { closeServer, openServer, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
-import { createUpstreamTable } from './upstream-table.js';
+import { createUpstreamTable, type UpstreamTable } from './upstream-table.js';
 
 /** A running entry. */
 export interface Entry {
@@ -36,75 +39,72 @@
   return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
 }
 
-/** Starts an entry. Rejects when an address cannot be bound. */
-export async function startEntry(settings: Settings): Promise<Entry> {
+/** Sets the limits of every service's upstreams. */
+function setLimits(table: UpstreamTable, config: Config): void {
+  config.services.forEach(({ name, pool }) =>
+    table.setLimits(name, resolveValues(config, { service: name, pool }, Date.now())),
+  );
+}
+
+/** Joins the parts of an entry; nothing listens yet. */
+function createParts(settings: Settings) {
   const log = createJsonLog(settings);
   const watcher = startInstanceWatcher(createInstanceClient(settings.platform.instances), log);
   const listEntries = () =>
     watcher.getInstances().filter(({ role, state }) => role === 'entry' && state === 'live');
-  const control = startControl(settings, log, listEntries);
-  const { follower, getServedConfig } = control;
   const table = createUpstreamTable();
-  const forward = createForward();
   const admission = createAdmission();
-  const startedAtMs = performance.now();
-  let isDraining = false;
-
-  const countEntries = () =>
-    Math.max(1, watcher.getInstances().filter(({ role }) => role === 'entry').length);
-  const applyCapacity = (config: Config) =>
-    config.services.forEach(({ name, pool }) => {
-      const values = resolveValues(config, { service: name, pool }, Date.now());
-      table.setLimits(name, values);
-      const slots = table.listCandidates(name).length * values.slots;
-      admission.setCapacity(name, Math.round(slots / countEntries()));
-    });
-  const subscription = combineLatest([follower.config$, watcher.instances$]).subscribe(
+  const shares = createShares(settings, admission, table);
+  const forward = createForward();
+  const countWork = table.countInFlight;
+  const listDuties = () => (settings.platform.pools === undefined ? [] : FLEET_DUTIES);
+  const control = startControl({ settings, log, listEntries, countWork, listDuties });
+  const fleet = startEntryFleet({ settings, log, control, watcher, countWork });
+  const subscription = combineLatest([control.follower.config$, watcher.instances$]).subscribe(
     ([{ config }, instances]) => {
       table.setInstances(instances);
       if (config === undefined) return;
-      applyCapacity(config);
-      const entries = instances.filter(({ role, state }) => role === 'entry' && state === 'live');
-      forward.setConnectionLimit(countConnectionShare(config.defaults.connections, entries.length));
+      setLimits(table, config);
+      shares.update(config, instances);
+      const { connections } = config.defaults;
+      forward.setConnectionLimit(countConnectionShare(connections, listEntries().length));
     },
   );
+  const stop = async () => {
+    subscription.unsubscribe();
+    await fleet?.stop();
+    await control.stop();
+    watcher.stop();
+    forward.close();
+  };
+  return { settings, log, watcher, table, admission, shares, forward, control, stop };
+}
+
+/** Starts an entry. Rejects when an address cannot be bound. */
+export async function startEntry(settings: Settings): Promise<Entry> {
+  const startedAtMs = performance.now();
+  const parts = createParts(settings);
+  const { log, table, admission, shares, control } = parts;
+  const getConfig = () => control.follower.getConfig().config;
+  let isDraining = false;
+  const isReady = () => !isDraining && control.getServedConfig() !== undefined;
+  const metrics = createMetrics({
+    getConfigVersion: () => control.follower.getConfig().version,
+    countUpstreams: (service) => table.listCandidates(service).length,
+    listServices: () => getConfig()?.services.map(({ name }) => name) ?? [],
+  });
   const handleRequest = createRequestHandler({
-    getConfig: getServedConfig,
-    listCandidates: table.listCandidates,
+    getConfig: control.getServedConfig,
+    listCandidates: shares.listFree,
     observeStart: table.observeStart,
     observeEnd: table.observeEnd,
     admission,
     isShedding: admission.isShedding,
     isDraining: () => isDraining,
-    forward,
+    forward: parts.forward,
     random: createRandom(process.pid),
     log,
   });
-  const getConfig = () => follower.getConfig().config;
-  const isReady = () => !isDraining && getServedConfig() !== undefined;
-  const metrics = createMetrics({
-    getConfigVersion: () => follower.getConfig().version,
-    countUpstreams: (service) => table.listCandidates(service).length,
-    listServices: () => getConfig()?.services.map(({ name }) => name) ?? [],
-  });
-  const getStatus = (): EntryStatus => ({
-    id: settings.id,
-    dataCentre: settings.dataCentre,
-    isReady: isReady(),
-    isDraining,
-    uptimeMs: performance.now() - startedAtMs,
-    configVersion: follower.getConfig().version,
-    configAuthor: follower.getConfig().author,
-    appliedOffset: follower.getNext(),
-    answers: metrics.countAnswers(),
-    peers: [],
-    upstreams: table.listStatus(),
-    leaving: watcher
-      .getInstances()
-      .filter(({ state }) => state === 'leaving')
-      .map(({ id }) => id),
-    refusals: metrics.listRefusals(),
-  });
   const callers = createCallerServer(
     observeAnswers(
       (request, response) => void handleRequest(request, response),
@@ -112,33 +112,48 @@
       metrics.observeAnswer,
     ),
   );
-  const operators = createOperatorServer({ key: settings.key, isReady, getStatus, metrics });
-  const stopSources = async () => {
-    subscription.unsubscribe();
-    await control.stop();
-    watcher.stop();
-    forward.close();
+  const openExchange = async (address: string) => startEntryExchange({ ...parts, address }, shares);
+  const openServers = async () => {
+    const peers = await control.openPeers();
+    const entryExchange = await openExchange(peers);
+    const { exchange } = entryExchange;
+    const sources = { ...parts, metrics, exchange, isReady, isDraining: () => isDraining };
+    const getStatus = () => buildStatus({ ...sources, startedAtMs });
+    const operators = createOperatorServer({ key: settings.key, isReady, getStatus, metrics });
+    const subscription = control.follower.config$.subscribe(({ config }) =>
+      exchange.setServices(config?.services.map(({ name }) => name) ?? []),
+    );
+    const stopExchange = async () => {
+      subscription.unsubscribe();
+      await entryExchange.stop();
+    };
+    const openRest = async () => ({
+      callers: await openServer(callers, settings.listen.callers),
+      operators: await openServer(operators, settings.listen.operators),
+    });
+    const addresses = await openRest().catch(async (error: unknown) => {
+      await stopExchange();
+      callers.close();
+      throw error;
+    });
+    return { exchange, operators, stopExchange, addresses: { peers, ...addresses } };
   };
-  const openServers = async () => ({
-    peers: await control.openPeers(),
-    callers: await openServer(callers, settings.listen.callers),
-    operators: await openServer(operators, settings.listen.operators),
-  });
-  const addresses = await openServers().catch(async (error: unknown) => {
-    await stopSources();
-    callers.close();
+  const servers = await openServers().catch(async (error: unknown) => {
+    await parts.stop();
     throw error;
   });
-  log.info({ event: 'started', ...addresses });
+  log.info({ event: 'started', ...servers.addresses });
 
   const stop = async () => {
     isDraining = true;
+    servers.exchange.leave();
     log.info({ event: 'draining', noticeMs: settings.drainNoticeMs });
     await waitMs(settings.drainNoticeMs);
     await closeServer(callers, settings.drainLimitMs);
-    await closeServer(operators, 0);
-    await stopSources();
+    await closeServer(servers.operators, 0);
+    await servers.stopExchange();
+    await parts.stop();
     log.info({ event: 'stopped' });
   };
-  return { addresses, stop };
+  return { addresses: servers.addresses, stop };
 }
--- a/packages/measure/src/lib/herd-fleet.ts
+++ b/packages/measure/src/lib/herd-fleet.ts
@@ -84,9 +84,9 @@
 }
 
 /** Makes the entry of one of the product's own instances in the instance list. */
-function makeEntryInstance(id: string, callers: string, peers: string): Instance {
-  const common = { location: LOCATION, state: 'live', attributes: { peers } } as const;
-  return { id, role: 'entry', address: callers, ...common };
+function makeEntryInstance(id: string, peers: string): Instance {
+  const common = { location: LOCATION, state: 'live', attributes: {} } as const;
+  return { id, role: 'entry', address: peers, ...common };
 }
 
 /** Waits until an entry is ready. */
@@ -121,7 +121,7 @@
     ids.map((id) => startEntryProcess({ id, platform, logLevel: 'info' })),
   );
   const own = entries.map(({ addresses }, index) =>
-    makeEntryInstance(ids[index] ?? '', addresses.callers, addresses.peers ?? ''),
+    makeEntryInstance(ids[index] ?? '', addresses.peers ?? ''),
   );
   list.setInstances([...instances, ...own]);
   const limit = options.baselineLimit === 'share' ? Math.ceil(slots / options.entries) : 0;
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -2,18 +2,20 @@
 import { CONFIG_MEASURE } from './config.js';
 import { CONTROL_MEASURE } from './control.js';
 import { FAULTS_MEASURE } from './faults.js';
+import { FLOOD_MEASURE } from './flood.js';
 import { HERD_MEASURE } from './herd.js';
 import type { Measure } from './measure.js';
-import { OVERHEAD_MEASURE } from './overhead.js';
 import { MOVES_MEASURE } from './moves.js';
+import { OVERHEAD_MEASURE } from './overhead.js';
 import { PLACEMENT_MEASURE } from './placement.js';
 import { SLOTS_MEASURE } from './slots.js';
 import { WAVE_MEASURE } from './wave.js';
 
 /** The measurements. */
 export const MEASURES: readonly Measure[] = [
-  HERD_MEASURE,
   OVERHEAD_MEASURE,
+  HERD_MEASURE,
+  FLOOD_MEASURE,
   FAULTS_MEASURE,
   CONFIG_MEASURE,
   WAVE_MEASURE,
--- a/packages/measure/src/lib/routing-fleet.ts
+++ b/packages/measure/src/lib/routing-fleet.ts
@@ -130,7 +130,7 @@
     const id = `entry-${started}`;
     const entry = { ...(await startEntryProcess({ id, platform })), id };
     entries.set(id, entry);
-    listInstance({ id, role: 'entry', address: entry.addresses.callers });
+    listInstance({ id, role: 'entry', address: entry.addresses.peers ?? '' });
     return entry;
   };
   const addUpstream = async () => {
--- a/packages/vanilladock/src/lib/placement/fold.ts
+++ b/packages/vanilladock/src/lib/placement/fold.ts
@@ -44,7 +44,7 @@
 export const QUEUED_MAX = 60_000;
 export const QUEUED_MAX_PER_TEAM = 5_000;
 
-/** Failed attempts after which a task is ended. */
+/** Attempts, failed or lapsed, of which the last failed, after which a task is ended. */
 export const ATTEMPTS_MAX = 3;
 
 /** Lapsed leases after which a task is ended, because it may be what stops its workers. */
@@ -63,12 +63,20 @@
 ): PlacementState {
   const entry = { ...end, team: task.team, workerId: task.lease?.workerId };
   const counted = addQuickCores(state, task, -1);
-  const finished = counted.finished.remove(task.taskId).set(task.taskId, entry);
-  return {
-    ...counted,
-    tasks: counted.tasks.remove(task.taskId),
-    finished: finished.size > FINISHED_KEPT ? finished.rest() : finished,
-  };
+  const finished = counted.finished.set(task.taskId, entry);
+  const key = { taskId: task.taskId, offset: end.offset };
+  const finishedOrder = counted.finishedOrder.push(key);
+  const tasks = counted.tasks.remove(task.taskId);
+  return dropOldest({ ...counted, tasks, finished, finishedOrder });
+}
+
+/** Forgets the task that ended first when too many are remembered. */
+function dropOldest(state: PlacementState): PlacementState {
+  const oldest = state.finishedOrder.first();
+  if (state.finishedOrder.size <= FINISHED_KEPT || oldest === undefined) return state;
+  const isNewest = state.finished.get(oldest.taskId)?.offset === oldest.offset;
+  const finished = isNewest ? state.finished.remove(oldest.taskId) : state.finished;
+  return { ...state, finished, finishedOrder: state.finishedOrder.shift() };
 }
 
 /** Estimates the cores that a submitted task needs. */
@@ -215,7 +223,9 @@
 ): { readonly result: TaskResult; readonly verdict: Verdict } | undefined {
   if (record.result === 'succeeded') return { result: 'succeeded', verdict: 'ran' };
   if (task.isCancelled) return { result: 'cancelled', verdict: 'may-have-run' };
-  if (task.failures >= ATTEMPTS_MAX) return { result: 'failed', verdict: 'ran' };
+  const isFailure = record.result === 'failed';
+  if (isFailure && task.failures + task.lapses >= ATTEMPTS_MAX)
+    return { result: 'failed', verdict: 'ran' };
   if (task.lapses >= LAPSES_MAX) return { result: 'lapsed', verdict: 'may-have-run' };
   return undefined;
 }
