--- a/packages/daemon/src/lib/fleet/join-plan.ts
+++ b/packages/daemon/src/lib/fleet/join-plan.ts
@@ -27,7 +27,7 @@
   readonly nowMs: number;
 }
 
-const JOINS_PER_ROUND = 200;
+const JOINS_PER_ROUND = 1_000;
 const POOL_ATTRIBUTE = 'pool';
 
 /** Finds the pool that an instance belongs to at first. */
--- a/packages/measure/src/lib/design-size.ts
+++ b/packages/measure/src/lib/design-size.ts
@@ -70,7 +70,7 @@
 }
 
 /** Builds the configuration of a fleet; `note` changes its text and one weight. */
-export function buildConfigText(size: FleetSize, note = 0): string {
+export function buildConfigText(size: FleetSize, note = 0, isFrozen = false): string {
   const urgencies = ['quick', 'heavy', 'patient'] as const;
   return stringify({
     dataCentres: makeList(size.dataCentres, (index) => ({
@@ -84,7 +84,7 @@
       urgency: urgencies[index % urgencies.length],
     })),
     teams: makeList(size.teams, (index) => ({ name: `team-${index}` })),
-    defaults: MEASURE_DEFAULTS,
+    defaults: { ...MEASURE_DEFAULTS, maintenanceFrozen: isFrozen },
     exceptions: [
       {
         scope: { team: 'team-0' },
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -1,6 +1,7 @@
 /** All measurements, in the order in which they are listed. */
 import { CONFIG_MEASURE } from './config.js';
 import { CONTROL_MEASURE } from './control.js';
+import { CONTROL_SLOPES_MEASURE } from './control-slopes.js';
 import { EXCHANGE_MEASURE } from './exchange.js';
 import { FAULTS_MEASURE } from './faults.js';
 import { FLOOD_MEASURE } from './flood.js';
@@ -9,6 +10,7 @@
 import { MOVES_MEASURE } from './moves.js';
 import { OVERHEAD_MEASURE } from './overhead.js';
 import { PLACEMENT_MEASURE } from './placement.js';
+import { SLOPES_MEASURE } from './slopes.js';
 import { SLOTS_MEASURE } from './slots.js';
 import { WAVE_MEASURE } from './wave.js';
 
@@ -23,6 +25,8 @@
   MOVES_MEASURE,
   PLACEMENT_MEASURE,
   CONTROL_MEASURE,
+  CONTROL_SLOPES_MEASURE,
   EXCHANGE_MEASURE,
+  SLOPES_MEASURE,
   SLOTS_MEASURE,
 ];
--- /dev/null
+++ b/packages/measure/src/lib/slopes/heap.ts
@@ -0,0 +1,13 @@
+/** Heap in use after a full garbage collection. */
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+
+/** Creates a reader of the heap in use, in bytes; it collects garbage first. */
+export function createHeapReader(): () => number {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  return () => {
+    collect();
+    return process.memoryUsage().heapUsed;
+  };
+}
