--- a/packages/daemon/src/lib/cli/demo.ts
+++ b/packages/daemon/src/lib/cli/demo.ts
@@ -1,90 +1,149 @@
 /**
- * The demo: embedded stand-ins and two entries in one process, a publication, and a few requests whose
- * answers and decisions are shown.
+ * The demo: embedded stand-ins and two entries in one process. It publishes a configuration, then lets
+ * callers go on while a maintenance wave takes every upstream out of service once.
  */
 import { readFileSync } from 'node:fs';
-import { startInstanceServer, startLogServer, startUpstream } from '@vanilladock/stand-ins';
+import {
+  startInstanceServer,
+  startLogServer,
+  startPoolServer,
+  startUpstream,
+  type PoolServer,
+} from '@vanilladock/stand-ins';
 import { parseConfig, type Instance } from 'vanilladock';
-import { startEntry } from '../entry.js';
+import { startEntry, type Entry } from '../entry.js';
 import { createLogClient } from '../platform/log-client.js';
-import { parseSettings } from '../settings.js';
+import { waitMs } from '../servers.js';
+import { parseSettings, type Settings } from '../settings.js';
 import { publishConfig } from './publish.js';
 
 const CONFIG_URL = new URL('../../../../../examples/smokehouse.yaml', import.meta.url);
-const UPSTREAMS_PER_SERVICE = 2;
+const DATA_CENTRES = ['hobart', 'kingston'] as const;
 const SLOTS = 8;
-const WORK_MS = 5;
+const WORK_MS = 20;
+const REBOOT_MS = 300;
+const CALL_PAUSE_MS = 400;
 const READY_POLL_MS = 20;
+const WAVE_LIMIT_MS = 60_000;
 
-const LOCATION = { region: 'tasmania', dataCentre: 'hobart', rack: 'r1' };
+/** What the callers of the demo saw. */
+interface CallCounts {
+  served: number;
+  failed: number;
+}
+
+/** Makes the line of an instance in the instance list. */
+function makeInstance(
+  fields: Pick<Instance, 'id' | 'role' | 'address'> & { readonly service?: string },
+  dataCentre: string,
+): Instance {
+  const location = { region: 'tasmania', dataCentre, rack: `${dataCentre}-1` };
+  return { ...fields, location, state: 'live', attributes: {} };
+}
 
-/** Starts the upstream stand-ins of the configured services. */
+/** Starts one upstream stand-in of each service in each data centre. */
 async function startUpstreams(services: readonly string[]) {
-  const names = services.flatMap((service) =>
-    Array.from({ length: UPSTREAMS_PER_SERVICE }, (_, index) => ({
-      service,
-      id: `${service}-${index}`,
-    })),
+  const places = services.flatMap((service) =>
+    DATA_CENTRES.map((dataCentre) => ({ service, dataCentre })),
   );
   return Promise.all(
-    names.map(async ({ service, id }) => {
+    places.map(async ({ service, dataCentre }) => {
       const upstream = await startUpstream({ service, slots: SLOTS, workMs: WORK_MS });
       const { address } = upstream;
-      const common = {
-        role: 'upstream',
-        state: 'live',
-        location: LOCATION,
-        attributes: {},
-      } as const;
-      const instance: Instance = { id, service, address, ...common };
+      const id = `${service}-${dataCentre}`;
+      const instance = makeInstance({ id, role: 'upstream', address, service }, dataCentre);
       return { upstream, instance };
     }),
   );
 }
 
+/** Builds the settings of the demo's entries. */
+function buildSettings(log: string, instances: string, pools: string): Settings {
+  const any = '"127.0.0.1:0"';
+  return parseSettings(
+    `{ id: entry, region: tasmania, dataCentre: hobart, rack: r1, key: demonstration-key-only,
+       drainNoticeMs: 0, fleet: { roundMs: 200, settleMs: 2500 },
+       listen: { callers: ${any}, operators: ${any}, peers: ${any} },
+       platform: { log: "${log}", instances: "${instances}", pools: "${pools}" } }`,
+  ).unwrap();
+}
+
 /** Waits until an entry says that it is ready. */
-async function waitForReady(operators: string): Promise<void> {
+async function waitForReady({ addresses }: Entry): Promise<void> {
   for (;;) {
-    const answer = await fetch(`http://${operators}/ready`);
+    const answer = await fetch(`http://${addresses.operators}/ready`);
     if (answer.ok) return;
-    await new Promise((resolve) => {
-      setTimeout(resolve, READY_POLL_MS);
+    await waitMs(READY_POLL_MS);
+  }
+}
+
+/** Sends requests to all services in turn through one entry until it is told to stop. */
+async function runCaller(
+  { addresses }: Entry,
+  services: readonly string[],
+  counts: CallCounts,
+  isCalling: () => boolean,
+): Promise<void> {
+  for (let index = 0; isCalling(); index += 1) {
+    const service = services[index % services.length];
+    const answer = await fetch(`http://${addresses.callers}/${service}/order`, {
+      method: 'POST',
+      body: 'two trays',
+      headers: { 'vanilladock-team': 'fishmongers' },
     });
+    await answer.text();
+    if (answer.ok) counts.served += 1;
+    else counts.failed += 1;
+    await waitMs(CALL_PAUSE_MS);
   }
 }
 
+/** Waits until every instance was restored after its reboot, or a time limit. */
+async function waitForWave(pools: PoolServer, count: number): Promise<number> {
+  const endMs = performance.now() + WAVE_LIMIT_MS;
+  const listRestored = () =>
+    new Set(
+      pools
+        .listOperations()
+        .filter(({ operation }) => operation === 'restore')
+        .map(({ instanceId }) => instanceId),
+    );
+  while (listRestored().size < count && performance.now() < endMs) await waitMs(READY_POLL_MS);
+  return listRestored().size;
+}
+
 /** Runs the demo; writes what happens to standard output and stops everything that it started. */
 export async function runDemo(): Promise<void> {
   const text = readFileSync(CONFIG_URL, 'utf8');
-  const config = parseConfig(text).unwrap();
+  const services = parseConfig(text)
+    .unwrap()
+    .services.map(({ name }) => name);
   const logServer = await startLogServer();
   const instanceServer = await startInstanceServer();
-  const upstreams = await startUpstreams(config.services.map(({ name }) => name));
-  instanceServer.setInstances(upstreams.map(({ instance }) => instance));
-  const settings = parseSettings(
-    `{ id: entry-1, region: tasmania, dataCentre: hobart, rack: r1, key: demonstration-key-only,
-       listen: { callers: "127.0.0.1:0", operators: "127.0.0.1:0", peers: "127.0.0.1:0" },
-       platform: { log: "${logServer.address}", instances: "${instanceServer.address}" } }`,
-  ).unwrap();
-  const entries = await Promise.all(
-    ['entry-1', 'entry-2'].map((id) => startEntry({ ...settings, id })),
+  const pools = await startPoolServer(instanceServer, { rebootMs: REBOOT_MS });
+  const upstreams = await startUpstreams(services);
+  const settings = buildSettings(logServer.address, instanceServer.address, pools.address);
+  const ids = ['entry-1', 'entry-2'];
+  const entries = await Promise.all(ids.map((id) => startEntry({ ...settings, id })));
+  const listed = entries.map(({ addresses }, index) =>
+    makeInstance({ id: ids[index] ?? '', role: 'entry', address: addresses.peers }, 'hobart'),
   );
+  pools.setInstances([...upstreams.map(({ instance }) => instance), ...listed]);
   const service = createLogClient(logServer.address);
   const fate = await publishConfig(service, { text, base: -1, by: 'demo' });
   process.stdout.write(`publication: ${JSON.stringify(fate)}\n`);
-  await Promise.all(entries.map(({ addresses }) => waitForReady(addresses.operators)));
-  const calls = config.services.flatMap(({ name }) =>
-    entries.map(async ({ addresses }) => {
-      const answer = await fetch(`http://${addresses.callers}/${name}/order`, {
-        method: 'POST',
-        body: 'two trays',
-        headers: { 'vanilladock-team': 'fishmongers' },
-      });
-      process.stdout.write(`${name}: ${answer.status} ${await answer.text()}\n`);
-    }),
+  await Promise.all(entries.map(waitForReady));
+
+  const counts: CallCounts = { served: 0, failed: 0 };
+  let isCalling = true;
+  const callers = entries.map((entry) => runCaller(entry, services, counts, () => isCalling));
+  const maintained = await waitForWave(pools, upstreams.length);
+  isCalling = false;
+  await Promise.all(callers);
+  process.stdout.write(
+    `wave: ${maintained} of ${upstreams.length} upstreams maintained; requests: ${counts.served} served, ${counts.failed} failed\n`,
   );
-  await Promise.all(calls);
   await Promise.all(entries.map(({ stop }) => stop()));
   await Promise.all(upstreams.map(({ upstream }) => upstream.close()));
-  await Promise.all([logServer.close(), instanceServer.close()]);
+  await Promise.all([logServer.close(), instanceServer.close(), pools.close()]);
 }
--- a/packages/daemon/src/lib/cli/status.ts
+++ b/packages/daemon/src/lib/cli/status.ts
@@ -1,6 +1,6 @@
 /** `status`: asks one or more entries' operators' ports what they see. */
 import type { EntryStatus } from '../operators/status.js';
-import { KEY_HEADER } from '../operators/operator-server.js';
+import { KEY_HEADER } from '../keys.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
 import type { Output } from './output.js';
 
--- a/packages/daemon/src/lib/operators/operator-server.ts
+++ b/packages/daemon/src/lib/operators/operator-server.ts
@@ -2,8 +2,8 @@
  * The operators' port. `/live` and `/ready` are open to probes; `/`, `/status.json` and `/metrics` ask
  * for the settings' key, in the header `vanilladock-key` or as the password of basic authentication.
  */
-import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { isSameKey, KEY_HEADER } from '../keys.js';
 import type { Metrics } from '../metrics.js';
 import { renderStatus } from './render-status.js';
 import type { EntryStatus } from './status.js';
@@ -16,9 +16,6 @@
   readonly metrics: Pick<Metrics, 'render' | 'contentType'>;
 }
 
-/** Header that carries the key. */
-export const KEY_HEADER = 'vanilladock-key';
-
 const BASIC_PREFIX = 'Basic ';
 const JSON_TYPE = 'application/json';
 const HTML_TYPE = 'text/html; charset=utf-8';
@@ -44,12 +41,6 @@
   return decoded.slice(decoded.indexOf(':') + 1);
 }
 
-/** Compares two keys in a time that does not depend on where they differ. */
-export function isSameKey(one: string, other: string): boolean {
-  const compute = (text: string) => createHash('sha256').update(text).digest();
-  return timingSafeEqual(compute(one), compute(other));
-}
-
 /** Answers a call without the right key. */
 function refuseKey(response: ServerResponse): void {
   response.setHeader('www-authenticate', 'Basic realm="vanilladock operators"');
--- a/packages/daemon/src/lib/peers/catch-up-client.ts
+++ b/packages/daemon/src/lib/peers/catch-up-client.ts
@@ -4,8 +4,8 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { DigestAt, StoredRecord } from 'vanilladock';
 import { observeCallBytes } from '../control-bytes.js';
+import { KEY_HEADER } from '../keys.js';
 import {
-  KEY_HEADER,
   type PeerHistory,
   type PeerNotice,
   type PeerRouter,
--- a/packages/daemon/src/lib/peers/catch-up-server.ts
+++ b/packages/daemon/src/lib/peers/catch-up-server.ts
@@ -2,17 +2,14 @@
  * Serves what this entry knows of the log to peers and operators, by tRPC over HTTP. Every call carries
  * the key of the settings file.
  */
-import { createHash, timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { initTRPC, TRPCError } from '@trpc/server';
 import { createHTTPHandler } from '@trpc/server/adapters/standalone';
 import { encodeFleetState, type DigestAt, type StoredRecord } from 'vanilladock';
 import { z } from 'zod';
+import { isSameKey, KEY_HEADER } from '../keys.js';
 import type { LogStore } from '../log-store.js';
 
-/** Header that carries the key. */
-export const KEY_HEADER = 'vanilladock-key';
-
 /** What an entry says of its progress. */
 export interface PeerStatus {
   readonly id: string;
@@ -58,12 +55,6 @@
 const INSTANCE_IDS = z.array(z.string().max(200)).max(1000);
 const NOTICE = z.object({ address: z.string().max(64), next: OFFSET });
 
-/** Says whether two keys are equal, in a time that tells nothing of either. */
-export function isSameKey(a: string, b: string): boolean {
-  const computeHash = (text: string) => createHash('sha256').update(text).digest();
-  return timingSafeEqual(computeHash(a), computeHash(b));
-}
-
 /** Builds the procedures. */
 function buildRouter(ports: CatchUpPorts) {
   const t = initTRPC.context<Context>().create({ isDev: false });
--- a/packages/measure/src/lib/control.ts
+++ b/packages/measure/src/lib/control.ts
@@ -1,6 +1,8 @@
 /**
- * What control costs: eight daemons at the design size without callers' requests, on an ordinary day
- * with a publication and a restart on the instance list, and then while a wave takes instances of all
+ * What control costs: eight daemons at the design size without callers' requests, first in a window
+ * without any change, then in one with publications and restarts on the instance list. The judged
+ * figures weigh the second by how often such changes come on an ordinary day; its own figures are
+ * reported beside them as `changes_*`. A third window is taken while a wave takes instances of all
  * pools at once, which happens only to a fleet that was never maintained. Bytes are the daemons' own
  * counters by cause. Added memory is against the same daemon before it knows of any fleet.
  */
@@ -21,13 +23,15 @@
 const ENTRIES = 8;
 const IDLE_MS = 4_000;
 const SETTLE_MS = 14_000;
-const WINDOW_MS = 20_000;
+const WINDOW_MS = 12_000;
 const WAVE_SETTLE_MS = 6_000;
 const WAVE_WINDOW_MS = 10_000;
-/** 730 publications a day, one each 118 s; the window holds one. */
-const PUBLICATIONS = 1;
-/** 355 instances a day leave and return, two changes each 243 s; the window holds one. */
-const LIST_CHANGES = 1;
+const PUBLICATIONS = 2;
+const LIST_CHANGES = 2;
+const PUBLICATIONS_A_DAY = 730;
+/** Each of 355 instances that fail or restart leaves the list and comes back. */
+const LIST_CHANGES_A_DAY = 710;
+const DAY_MS = 86_400_000;
 const MEMORY_SAMPLES = 10;
 const REBOOT_MS = 60_000;
 const MS_PER_SECOND = 1_000;
@@ -104,22 +108,23 @@
   if (answer.kind !== 'accepted') throw new Error(`publication ${note}: ${answer.kind}`);
 }
 
-/** Makes the changes of an ordinary window: restarts on the list and publications. */
+/** Makes publications and changes of the list, spread over a window. */
 async function runChanges(
   pools: Pick<InstanceServer, 'setInstances'>,
   fleet: readonly Instance[],
   logAddress: string,
   size: FleetSize,
 ): Promise<void> {
+  const pauseMs = WINDOW_MS / (LIST_CHANGES + PUBLICATIONS + 1);
   for (let index = 0; index < LIST_CHANGES; index += 1) {
-    await waitMs(WINDOW_MS / (2 * (LIST_CHANGES + PUBLICATIONS)));
-    pools.setInstances(fleet.filter((_, position) => position !== index));
+    await waitMs(pauseMs);
+    pools.setInstances(index % 2 === 0 ? fleet.slice(1) : fleet);
   }
   for (let index = 0; index < PUBLICATIONS; index += 1) {
-    await waitMs(WINDOW_MS / (2 * (LIST_CHANGES + PUBLICATIONS)));
+    await waitMs(pauseMs);
     await publishChange(logAddress, size, index + 1, true);
   }
-  await waitMs(WINDOW_MS / 2);
+  await waitMs(pauseMs);
 }
 
 /** Cost of one daemon over the window. */
@@ -153,11 +158,29 @@
   });
 }
 
-/** Takes the worst figures of the wave's window. */
-function makeWaveFigures(costs: readonly EntryCost[]): Figures {
+/** Weighs a window with changes by how many of them an ordinary day brings in the same time. */
+function makeOrdinaryCost(quiet: EntryCost, changing: EntryCost): EntryCost {
+  const expected = ((PUBLICATIONS_A_DAY + LIST_CHANGES_A_DAY) * WINDOW_MS) / DAY_MS;
+  const weight = expected / (PUBLICATIONS + LIST_CHANGES);
+  const toMix = (a: number, b: number) => a + Math.max(0, b - a) * weight;
+  const causes = new Map(
+    [...changing.causes].map(([cause, bytes]) => [
+      cause,
+      toMix(quiet.causes.get(cause) ?? 0, bytes),
+    ]),
+  );
+  return {
+    cpuFraction: toMix(quiet.cpuFraction, changing.cpuFraction),
+    bytesPerSecond: toMix(quiet.bytesPerSecond, changing.bytesPerSecond),
+    causes,
+  };
+}
+
+/** Takes the worst figures of one window under names of their own. */
+function makeWindowFigures(name: string, costs: readonly EntryCost[]): Figures {
   return {
-    wave_cpu_fraction: Number(Math.max(...costs.map((cost) => cost.cpuFraction)).toFixed(4)),
-    wave_bytes_per_s: Math.round(Math.max(...costs.map((cost) => cost.bytesPerSecond))),
+    [`${name}_cpu_fraction`]: Number(Math.max(...costs.map((cost) => cost.cpuFraction)).toFixed(4)),
+    [`${name}_bytes_per_s`]: Math.round(Math.max(...costs.map((cost) => cost.bytesPerSecond))),
   };
 }
 
@@ -210,19 +233,32 @@
     await publishChange(logServer.address, size, 0, true);
     log('fleet published; settling');
     await waitMs(SETTLE_MS);
-    const before = await Promise.all(entries.map(readEntry));
-    log(`measuring for ${WINDOW_MS / MS_PER_SECOND} s`);
+    const readAll = () => Promise.all(entries.map(readEntry));
+    log('measuring without changes');
+    const start = await readAll();
+    await waitMs(WINDOW_MS);
+    const middle = await readAll();
+    log('measuring with changes');
     await runChanges(pools, fleet, logServer.address, size);
-    const after = await Promise.all(entries.map(readEntry));
+    const end = await readAll();
     const loadedMb = await Promise.all(entries.map(({ pid }) => readMemory(pid)));
-    const figures = makeFigures(computeCosts(before, after), bareMb, loadedMb);
+    const quiet = computeCosts(start, middle);
+    const changing = computeCosts(middle, end);
+    const ordinary = quiet.flatMap((cost, index) => {
+      const other = changing[index];
+      return other === undefined ? [] : [makeOrdinaryCost(cost, other)];
+    });
     log('measuring while a wave takes instances of all pools');
     await publishChange(logServer.address, size, PUBLICATIONS + 1, false);
     await waitMs(WAVE_SETTLE_MS);
-    const beforeWave = await Promise.all(entries.map(readEntry));
+    const waveStart = await readAll();
     await waitMs(WAVE_WINDOW_MS);
-    const afterWave = await Promise.all(entries.map(readEntry));
-    return { ...figures, ...makeWaveFigures(computeCosts(beforeWave, afterWave)) };
+    const waveEnd = await readAll();
+    return {
+      ...makeFigures(ordinary, bareMb, loadedMb),
+      ...makeWindowFigures('changes', changing),
+      ...makeWindowFigures('wave', computeCosts(waveStart, waveEnd)),
+    };
   } finally {
     await Promise.all(entries.map((entry) => entry.stop()));
     await Promise.all([logServer.close(), instances.close(), pools.close()]);
--- a/packages/measure/src/lib/moves/core-run.ts
+++ b/packages/measure/src/lib/moves/core-run.ts
@@ -20,7 +20,11 @@
   type MoveWeights,
   type PolicyOf,
 } from 'vanilladock';
-import { createFleetState, foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import {
+  createCapacityState,
+  foldCapacity,
+  type CapacityState,
+} from 'vanilladock/lib/maintenance/capacity.js';
 import type { Body } from '../wave/log-client.js';
 import { addWork, computeKept, createQueue, serveWork } from './queue.js';
 import { DAY_S, type Trace } from './trace.js';
@@ -65,12 +69,12 @@
 
 /** Creates a log that folds at once. */
 function createLog() {
-  let state: FleetState = createFleetState();
+  let state: CapacityState = createCapacityState();
   let offset = -1;
   const append = (body: Body): number => {
     offset += 1;
     const head = { version: 1, id: `r${offset}`, by: 'entry-0', at: 0 } as const;
-    state = foldFleet(state, { offset, record: { ...head, ...body } }, getPolicy);
+    state = foldCapacity(state, { offset, record: { ...head, ...body } }, getPolicy);
     return offset;
   };
   return { append, getState: () => state };
--- a/packages/measure/src/lib/wave.ts
+++ b/packages/measure/src/lib/wave.ts
@@ -14,7 +14,11 @@
   type PolicyOf,
   type Random,
 } from 'vanilladock';
-import { createFleetState, foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import {
+  createCapacityState,
+  foldCapacity,
+  type CapacityState,
+} from 'vanilladock/lib/maintenance/capacity.js';
 import type { MeasureOptions } from './measure.js';
 import { computeBaselineMs, computeBoundMs } from './wave/bound.js';
 import { createFakeLog, createFakePlatform, type FakeLog } from './wave/platform.js';
@@ -66,7 +70,7 @@
 };
 
 /** Makes the state at the start: every instance in its pool, and all maintained at one time. */
-function makeFirstState(world: World, policyOf: PolicyOf): FleetState {
+function makeFirstState(world: World, policyOf: PolicyOf): CapacityState {
   const head = { version: 1, by: 'start', at: 0 } as const;
   const claim: LogRecord = {
     ...head,
@@ -87,8 +91,8 @@
   }));
   const state = [claim, ...joins].reduce(
     (folded, record, index) =>
-      foldFleet(folded, { offset: index - INSTANCES - 1, record }, policyOf),
-    createFleetState(),
+      foldCapacity(folded, { offset: index - INSTANCES - 1, record }, policyOf),
+    createCapacityState(),
   );
   const maintained = state.maintenance.maintained.withMutations((map) => {
     world.instances.forEach((_, id) => map.set(id, -FIRST_AGE_DAYS * DAY_MS));
@@ -97,7 +101,7 @@
 }
 
 /** Lists the membership of a state. */
-function listPools(state: FleetState): ReadonlyMap<string, string> {
+function listPools(state: CapacityState): ReadonlyMap<string, string> {
   const known = [...state.pools.memberships.keys()].map((id) => [id, getPool(state.pools, id)]);
   return new Map(known.filter((entry): entry is [string, string] => entry[1] !== undefined));
 }
@@ -147,11 +151,11 @@
 }
 
 /** Follows dates of maintenance; finds campaigns and the longest gap of each instance. */
-function createFollower(first: FleetState) {
+function createFollower(first: CapacityState) {
   const campaigns: Campaign[] = [];
   const gaps = new Map<string, number>();
   let previous = first;
-  const observe = (state: FleetState, nowMs: number): void => {
+  const observe = (state: CapacityState, nowMs: number): void => {
     const { maintained } = state.maintenance;
     if (maintained === previous.maintenance.maintained) return;
     maintained.forEach((atMs, id) => {
@@ -163,14 +167,14 @@
     });
     previous = state;
   };
-  const start = (state: FleetState, nowMs: number): void => {
+  const start = (state: CapacityState, nowMs: number): void => {
     campaigns.push({ startMs: nowMs, pools: listPools(state), endMs: nowMs });
   };
-  const isRunning = (state: FleetState): boolean => {
+  const isRunning = (state: CapacityState): boolean => {
     const startMs = campaigns.at(-1)?.startMs;
     return startMs !== undefined && state.maintenance.maintained.some((atMs) => atMs < startMs);
   };
-  const countKept = (state: FleetState, nowMs: number): number =>
+  const countKept = (state: CapacityState, nowMs: number): number =>
     [...state.pools.memberships.keys()].filter((id) => {
       const lastMs = state.maintenance.maintained.get(id) ?? -Infinity;
       return Math.max(gaps.get(id) ?? 0, nowMs - lastMs) <= INTERVAL_DAYS * DAY_MS;
@@ -179,7 +183,7 @@
 }
 
 /** Says whether some instance is due. */
-function isAnyDue(state: FleetState, nowMs: number): boolean {
+function isAnyDue(state: CapacityState, nowMs: number): boolean {
   const dueMs = nowMs - FIRST_AGE_DAYS * DAY_MS;
   return state.maintenance.maintained.some((atMs) => atMs <= dueMs);
 }
--- a/packages/measure/src/lib/wave/log-client.ts
+++ b/packages/measure/src/lib/wave/log-client.ts
@@ -13,7 +13,7 @@
   type LogRecord,
   type Random,
 } from 'vanilladock';
-import type { FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import type { CapacityState } from 'vanilladock/lib/maintenance/capacity.js';
 import type { FakeLog } from './platform.js';
 import { SECOND_MS } from './world.js';
 
@@ -32,7 +32,7 @@
   readonly send: (bodies: readonly Body[], nowMs: number) => void;
   /** Reads on, and appends what may be lost again; false while something is not yet read back. */
   readonly refresh: (nowMs: number) => boolean;
-  readonly getState: () => FleetState;
+  readonly getState: () => CapacityState;
   readonly isRouting: (nowMs: number) => boolean;
 }
 
--- a/packages/measure/src/lib/wave/maintenance-driver.ts
+++ b/packages/measure/src/lib/wave/maintenance-driver.ts
@@ -14,7 +14,7 @@
   type Random,
   type WaveDecision,
 } from 'vanilladock';
-import type { FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import type { CapacityState } from 'vanilladock/lib/maintenance/capacity.js';
 import type { Body } from './log-client.js';
 import type { FakePlatform } from './platform.js';
 import { SECOND_MS, type World } from './world.js';
@@ -37,7 +37,7 @@
 export interface MaintenanceDriver {
   /** Does a round under a fence; `handleStall` is called when the process stops with actions in hand. */
   readonly run: (
-    state: FleetState,
+    state: CapacityState,
     fence: number,
     nowMs: number,
     handleStall: () => void,
@@ -63,7 +63,7 @@
   let absences: Absences = createAbsences();
   let decisions: readonly WaveDecision[] = [];
   let stalled: readonly PermitAction[] = [];
-  let planned: { readonly state: FleetState; readonly atMs: number } | undefined;
+  let planned: { readonly state: CapacityState; readonly atMs: number } | undefined;
   const applyActions = (actions: readonly PermitAction[], nowMs: number): readonly Body[] =>
     actions.flatMap((action): readonly Body[] => {
       switch (action.kind) {
@@ -84,7 +84,7 @@
           return action satisfies never;
       }
     });
-  const decideActions = (state: FleetState, list: ListReading, nowMs: number) => {
+  const decideActions = (state: CapacityState, list: ListReading, nowMs: number) => {
     const ids = [...state.maintenance.permits.keys()];
     const work = new Map(ids.map((id) => [id, platform.countWork(id, nowMs)]));
     const isConfirmed = (permitId: string, operation: string) =>
@@ -97,7 +97,7 @@
     return step.actions;
   };
   const runPermits = (
-    state: FleetState,
+    state: CapacityState,
     list: ListReading,
     nowMs: number,
     handleStall: () => void,
@@ -114,7 +114,7 @@
     return [...bodies, ...applyActions(outcomes, nowMs)];
   };
   const planPermits = (
-    fleet: FleetState,
+    fleet: CapacityState,
     { instances }: ListReading,
     fence: number,
     nowMs: number,
@@ -132,7 +132,7 @@
     });
   };
   const planRecords = (
-    fleet: FleetState,
+    fleet: CapacityState,
     list: ListReading,
     fence: number,
     nowMs: number,
--- a/packages/measure/src/lib/wave/planner.ts
+++ b/packages/measure/src/lib/wave/planner.ts
@@ -14,7 +14,7 @@
   type Sightings,
   type WaveDecision,
 } from 'vanilladock';
-import type { FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import type { CapacityState } from 'vanilladock/lib/maintenance/capacity.js';
 import { createDuties } from './duties.js';
 import { createLogClient, type Body } from './log-client.js';
 import { createMaintenanceDriver, type MaintenanceSetting } from './maintenance-driver.js';
@@ -31,8 +31,8 @@
   readonly name: string;
   readonly step: (nowMs: number) => void;
   readonly pause: (untilMs: number) => void;
-  /** Membership by which the entry routes; undefined while it may not. */
-  readonly getRoutingState: (nowMs: number) => FleetState | undefined;
+  /** PoolMembership by which the entry routes; undefined while it may not. */
+  readonly getRoutingState: (nowMs: number) => CapacityState | undefined;
   readonly listDecisions: () => readonly WaveDecision[];
 }
 
@@ -41,7 +41,7 @@
 const SMALLEST_DONOR = 5;
 
 /** Picks a move at random, now and then. */
-function pickRelease({ pools }: FleetState, fence: number, random: Random): readonly Body[] {
+function pickRelease({ pools }: CapacityState, fence: number, random: Random): readonly Body[] {
   if (random() >= MOVE_SHARE) return [];
   const donors = [...pools.members].filter(([, ids]) => ids.size >= SMALLEST_DONOR);
   const [from, ids] = donors[pickInteger(random, donors.length)] ?? ['', undefined];
@@ -54,7 +54,7 @@
 /** Creates the moves duty of one planner. */
 function createMoves(random: Random) {
   let sightings: Sightings = createSightings();
-  return (state: FleetState, fence: number, nowMs: number): readonly Body[] => {
+  return (state: CapacityState, fence: number, nowMs: number): readonly Body[] => {
     const { pools } = state;
     sightings = observeAcknowledgements(sightings, pools, nowMs);
     const instanceId = pools.between.first('');
@@ -76,7 +76,7 @@
   const maintenance = createMaintenanceDriver(setting);
   const planMoves = createMoves(random);
   let pausedUntilMs = 0;
-  const plan = (state: FleetState, nowMs: number): readonly Body[] => {
+  const plan = (state: CapacityState, nowMs: number): readonly Body[] => {
     const waves = duties.getFence(MAINTENANCE_DUTY, state);
     const moves = duties.getFence(MOVES_DUTY, state);
     if (waves === undefined) maintenance.reset();
--- a/packages/measure/src/lib/wave/platform.ts
+++ b/packages/measure/src/lib/wave/platform.ts
@@ -9,7 +9,7 @@
   type PolicyOf,
   type Random,
 } from 'vanilladock';
-import { foldFleet, type FleetState } from 'vanilladock/lib/maintenance/fleet.js';
+import { foldCapacity, type CapacityState } from 'vanilladock/lib/maintenance/capacity.js';
 import { getRebootMs, MINUTE_MS, SECOND_MS, type Downtime, type World } from './world.js';
 
 /** What an append told its caller. */
@@ -30,20 +30,20 @@
   readonly append: (records: readonly LogRecord[], nowMs: number) => AppendAnswer;
   /** Gets the offset of the newest record stored by a time. */
   readonly getOffsetAt: (atMs: number) => number;
-  readonly getState: (offset: number) => FleetState;
+  readonly getState: (offset: number) => CapacityState;
   readonly getRecord: (offset: number) => LogRecord | undefined;
   readonly getNewest: () => number;
 }
 
 /** Creates a log over a first state. */
-export function createFakeLog(first: FleetState, policyOf: PolicyOf, random: Random): FakeLog {
-  const states = new Map<number, FleetState>([[-1, first]]);
+export function createFakeLog(first: CapacityState, policyOf: PolicyOf, random: Random): FakeLog {
+  const states = new Map<number, CapacityState>([[-1, first]]);
   const records = new Map<number, { readonly record: LogRecord; readonly atMs: number }>();
   let newest = -1;
   const appendOne = (record: LogRecord, atMs: number): void => {
     const state = states.get(newest) ?? first;
     newest += 1;
-    states.set(newest, foldFleet(state, { offset: newest, record }, policyOf));
+    states.set(newest, foldCapacity(state, { offset: newest, record }, policyOf));
     records.set(newest, { record, atMs });
     states.delete(newest - STATES_KEPT);
     records.delete(newest - STATES_KEPT);
--- a/packages/vanilladock/src/lib/log/domains.ts
+++ b/packages/vanilladock/src/lib/log/domains.ts
@@ -8,11 +8,7 @@
 import { createPlacementRules, createPolicyOf } from '../config/rules.js';
 import { createDutyState, foldDuty, isCurrentClaim, type DutyState } from '../duties/fold.js';
 import type { ClaimRecord } from '../duties/records.js';
-import {
-  createFleetState as createCapacityState,
-  foldFleet as foldCapacity,
-  type FleetState as CapacityState,
-} from '../maintenance/fleet.js';
+import { createCapacityState, foldCapacity, type CapacityState } from '../maintenance/capacity.js';
 import type { MaintenanceRecord } from '../maintenance/records.js';
 import { foldPlacement } from '../placement/fold.js';
 import type { PlacementRecord } from '../placement/records.js';
--- a/packages/vanilladock/src/lib/maintenance/candidates.ts
+++ b/packages/vanilladock/src/lib/maintenance/candidates.ts
@@ -5,7 +5,7 @@
 import { countMembers } from '../pools/fold.js';
 import type { Instance } from '../topology.js';
 import type { HoldReason } from './decisions.js';
-import type { FleetState } from './fleet.js';
+import type { CapacityState } from './capacity.js';
 import { countRoom } from './fold.js';
 import { computeBudget, DAY_MS, isWithinHours, type PolicyOf } from './policy.js';
 
@@ -37,7 +37,7 @@
 
 /** What the planner of waves decides from. */
 export interface WaveInput {
-  readonly fleet: FleetState;
+  readonly fleet: CapacityState;
   /** Every instance as last listed, also those that the newest list lacks. */
   readonly instances: ReadonlyMap<string, Instance>;
   readonly policyOf: PolicyOf;
@@ -47,7 +47,7 @@
 }
 
 /** One instance that is due. */
-export interface Candidate {
+export interface WaveCandidate {
   readonly instanceId: string;
   readonly pool: string;
   readonly dataCentre: string;
@@ -60,7 +60,7 @@
 export interface PoolBoard {
   readonly pool: string;
   /** Due instances that could stop now, in order. */
-  readonly candidates: readonly Candidate[];
+  readonly candidates: readonly WaveCandidate[];
   /** Due instances, with those that are lost or away. */
   readonly remaining: number;
   readonly budget: number;
@@ -74,7 +74,7 @@
   input: WaveInput,
   pool: string,
   { id, dueAtMs }: { readonly id: string; readonly dueAtMs: number },
-): Candidate | undefined {
+): WaveCandidate | undefined {
   const instance = input.instances.get(id);
   if (instance === undefined) return undefined;
   const { dataCentre, rack } = instance.location;
@@ -165,11 +165,11 @@
 function makeBoard(
   input: WaveInput,
   pool: string,
-  due: readonly Candidate[],
+  due: readonly WaveCandidate[],
   ranks: ReadonlyMap<string, number>,
 ): PoolBoard {
   const { permits, lost } = input.fleet.maintenance;
-  const getRank = ({ dataCentre }: Candidate) => ranks.get(dataCentre) ?? ranks.size;
+  const getRank = ({ dataCentre }: WaveCandidate) => ranks.get(dataCentre) ?? ranks.size;
   const candidates = due
     .filter(
       ({ instanceId: id }) =>
@@ -200,7 +200,7 @@
 }
 
 /** Orders data centres: the one whose first instance was due the longest ago comes first. */
-export function orderDataCentres(due: readonly Candidate[]): readonly string[] {
+export function orderDataCentres(due: readonly WaveCandidate[]): readonly string[] {
   const earliest = new globalThis.Map<string, number>();
   due.forEach(({ dataCentre, dueAtMs }) => {
     earliest.set(dataCentre, Math.min(dueAtMs, earliest.get(dataCentre) ?? Infinity));
--- a/packages/vanilladock/src/lib/maintenance/fleet.ts
+++ b/packages/vanilladock/src/lib/maintenance/capacity.ts
@@ -16,19 +16,19 @@
 import { computeBudget, type PolicyOf } from './policy.js';
 
 /** Pools and their maintenance. */
-export interface FleetState {
+export interface CapacityState {
   readonly pools: PoolState;
   readonly maintenance: MaintenanceState;
 }
 
 /** Creates the state before any record. */
-export function createFleetState(): FleetState {
+export function createCapacityState(): CapacityState {
   return { pools: createPoolState(), maintenance: createMaintenanceState() };
 }
 
 /** Says whether the budget of the pool that an instance leaves still holds without it. */
 export function isReleaseAllowed(
-  state: FleetState,
+  state: CapacityState,
   record: Pick<ReleaseRecord, 'instanceId' | 'from' | 'at'>,
   policyOf: PolicyOf,
 ): boolean {
@@ -55,7 +55,11 @@
  * removal, nor while its pool has permits that the budget of the smaller pool would not give; until
  * then it counts as lost.
  */
-function isRemovalAllowed(state: FleetState, record: RemovalRecord, policyOf: PolicyOf): boolean {
+function isRemovalAllowed(
+  state: CapacityState,
+  record: RemovalRecord,
+  policyOf: PolicyOf,
+): boolean {
   const { pools, maintenance } = state;
   const { instanceId, at } = record;
   if (maintenance.permits.has(instanceId)) return false;
@@ -69,10 +73,10 @@
 
 /** Folds a removal. */
 function foldRemoval(
-  state: FleetState,
+  state: CapacityState,
   placed: PlacedRecord<RemovalRecord>,
   policyOf: PolicyOf,
-): FleetState {
+): CapacityState {
   const { instanceId, id } = placed.record;
   if (!isRemovalAllowed(state, placed.record, policyOf)) return dropRecord(state, id);
   const pools = foldPool(state.pools, placed);
@@ -81,13 +85,17 @@
 }
 
 /** Makes a record void for good, also when it is appended again. */
-function dropRecord(state: FleetState, id: string): FleetState {
+function dropRecord(state: CapacityState, id: string): CapacityState {
   const recentIds = addRecentId(state.pools.recentIds, id);
   return { ...state, pools: { ...state.pools, recentIds } };
 }
 
 /** Folds one record of the log; kinds that concern neither half leave the state as it is. */
-export function foldFleet(state: FleetState, placed: PlacedRecord, policyOf: PolicyOf): FleetState {
+export function foldCapacity(
+  state: CapacityState,
+  placed: PlacedRecord,
+  policyOf: PolicyOf,
+): CapacityState {
   const { record, offset } = placed;
   const { pools, maintenance } = state;
   switch (record.kind) {
--- a/packages/vanilladock/src/lib/maintenance/executor.ts
+++ b/packages/vanilladock/src/lib/maintenance/executor.ts
@@ -8,7 +8,7 @@
  */
 import { Map } from 'immutable';
 import type { Instance } from '../topology.js';
-import type { FleetState } from './fleet.js';
+import type { CapacityState } from './capacity.js';
 import { countRoom, type OpenPermit } from './fold.js';
 import { isInLostDomain, isLive, listLostDomains, type ListReading } from './losses.js';
 import type { MaintenancePolicy, PolicyOf } from './policy.js';
@@ -213,7 +213,7 @@
 /** Decides the next step of every open permit; call it as long as the duty is held. */
 export function decidePermitActions(
   state: ExecutorState,
-  fleet: FleetState,
+  fleet: CapacityState,
   seen: ExecutorObservations,
   nowMs: number,
   settings: ExecutorSettings = EXECUTOR_SETTINGS,
--- a/packages/vanilladock/src/lib/maintenance/losses.ts
+++ b/packages/vanilladock/src/lib/maintenance/losses.ts
@@ -6,7 +6,7 @@
 import { Map } from 'immutable';
 import { getPool } from '../pools/fold.js';
 import type { Instance } from '../topology.js';
-import type { FleetState } from './fleet.js';
+import type { CapacityState } from './capacity.js';
 
 /** The platform's list as last read. */
 export interface ListReading {
@@ -39,7 +39,7 @@
 
 /** Plans what to record as lost and returned; `lostAfterMs` is the least absence of a loss. */
 export function planObservation(
-  fleet: FleetState,
+  fleet: CapacityState,
   absences: Absences,
   list: ListReading,
   lostAfterMs: number,
@@ -75,7 +75,7 @@
 
 /** Lists the data centres and racks of which at least half of the members are lost. */
 export function listLostDomains(
-  fleet: FleetState,
+  fleet: CapacityState,
   locations: ReadonlyMap<string, Instance>,
 ): ReadonlySet<string> {
   const lost = [...fleet.maintenance.lost.keys()].flatMap((id) => locations.get(id) ?? []);
--- a/packages/vanilladock/src/lib/maintenance/plan-waves.ts
+++ b/packages/vanilladock/src/lib/maintenance/plan-waves.ts
@@ -8,7 +8,7 @@
 import {
   listBoards,
   orderDataCentres,
-  type Candidate,
+  type WaveCandidate,
   type PoolBoard,
   type WaveInput,
 } from './candidates.js';
@@ -56,7 +56,7 @@
 }
 
 /** Finds the instance next in line after the chosen one, and why it waits. */
-function findRefused(board: PoolBoard, chosen: Candidate, isFull: boolean) {
+function findRefused(board: PoolBoard, chosen: WaveCandidate, isFull: boolean) {
   const index = board.candidates.indexOf(chosen);
   const next = board.candidates[index + 1];
   if (next === undefined) return undefined;
@@ -67,7 +67,7 @@
 
 /** Makes the decision to give a permit. */
 function makePermit(
-  candidate: Candidate,
+  candidate: WaveCandidate,
   wave: string,
   isCanary: boolean,
   refused: RefusedInstance | undefined,
@@ -93,7 +93,7 @@
   const openBoards = boards.filter(({ hold }) => hold === undefined);
   const decisions = [...choices].map(([dataCentre, choice]) => {
     if (choice.stopped !== undefined || isProven(choice, canaries)) return [];
-    const isFit = (candidate: Candidate): boolean => {
+    const isFit = (candidate: WaveCandidate): boolean => {
       const instance = input.instances.get(candidate.instanceId);
       if (candidate.dataCentre !== dataCentre || instance === undefined) return false;
       return !isInLostDomain(lostDomains, instance);
@@ -116,7 +116,7 @@
   canaryIds: ReadonlySet<string>,
 ): readonly WaveDecision[] {
   const { pool, remaining } = board;
-  const makeHold = (reason: HoldReason, next: Candidate | undefined): WaveDecision => {
+  const makeHold = (reason: HoldReason, next: WaveCandidate | undefined): WaveDecision => {
     const refused = next && { instanceId: next.instanceId, why: reason };
     return { kind: 'hold', pool, remaining, reason, refused };
   };
--- a/packages/vanilladock/src/lib/pools/fold.ts
+++ b/packages/vanilladock/src/lib/pools/fold.ts
@@ -12,7 +12,7 @@
 import type { AcknowledgementRecord, JoinRecord, PoolRecord, ReleaseRecord } from './records.js';
 
 /** Where an instance stands. */
-export type Membership =
+export type PoolMembership =
   | { readonly kind: 'member'; readonly pool: string; readonly offset: number }
   | {
       readonly kind: 'released';
@@ -32,9 +32,9 @@
   readonly firstOffset: number;
 }
 
-/** Membership of all instances, and what entries have acknowledged. */
+/** PoolMembership of all instances, and what entries have acknowledged. */
 export interface PoolState {
-  readonly memberships: Map<string, Membership>;
+  readonly memberships: Map<string, PoolMembership>;
   /** Instance ids of each pool. */
   readonly members: Map<string, Set<string>>;
   /** Ids of instances that are released or removed. */
@@ -68,7 +68,7 @@
 }
 
 /** Sets an instance's membership and keeps the index by pool. */
-function setMembership(state: PoolState, instanceId: string, next: Membership): PoolState {
+function setMembership(state: PoolState, instanceId: string, next: PoolMembership): PoolState {
   const previous = state.memberships.get(instanceId);
   let { members } = state;
   if (previous?.kind === 'member') {
--- a/packages/vanilladock/src/lib/pools/plan-moves.ts
+++ b/packages/vanilladock/src/lib/pools/plan-moves.ts
@@ -6,7 +6,7 @@
  * gives last, and takes back what lies idle elsewhere when that pays.
  */
 import type { Values } from '../config/schema.js';
-import { isReleaseAllowed, type FleetState } from '../maintenance/fleet.js';
+import { isReleaseAllowed, type CapacityState } from '../maintenance/capacity.js';
 import type { PolicyOf } from '../maintenance/policy.js';
 import type { Instance } from '../topology.js';
 import type { DemandState } from './demand.js';
@@ -48,7 +48,7 @@
 
 /** What the planner decides from. */
 export interface MoveInput {
-  readonly fleet: FleetState;
+  readonly fleet: CapacityState;
   readonly instances: ReadonlyMap<string, Instance>;
   readonly demand: DemandState;
   readonly weights: MoveWeights;
@@ -149,7 +149,7 @@
 }
 
 /** Says whether an instance is between pools. */
-function isMoveInProgress(fleet: FleetState): boolean {
+function isMoveInProgress(fleet: CapacityState): boolean {
   return fleet.pools.between.some((id) => fleet.pools.memberships.get(id)?.kind === 'released');
 }
 
--- a/packages/vanilladock/src/test/fleet-model.ts
+++ b/packages/vanilladock/src/test/fleet-model.ts
@@ -5,7 +5,11 @@
  */
 import { Map as ImmutableMap } from 'immutable';
 import type { LogRecord } from '../lib/log/record.js';
-import { createFleetState, foldFleet, type FleetState } from '../lib/maintenance/fleet.js';
+import {
+  createCapacityState,
+  foldCapacity,
+  type CapacityState,
+} from '../lib/maintenance/capacity.js';
 import { computeBudget, type PolicyOf } from '../lib/maintenance/policy.js';
 import { decideJoin, type Sighting } from '../lib/pools/barrier.js';
 import { MAINTENANCE_DUTY, MOVES_DUTY } from '../lib/pools/fences.js';
@@ -34,7 +38,7 @@
 
 export interface Model {
   readonly records: readonly LogRecord[];
-  readonly states: readonly FleetState[];
+  readonly states: readonly CapacityState[];
   readonly planners: readonly Planner[];
   readonly entries: readonly Entry[];
   readonly nowMs: number;
@@ -47,11 +51,11 @@
 const SETTINGS = { leaseMs: LEASE_MS, renewMs: 3, driftShare: 0 };
 export const getPolicy: PolicyOf = () => ({ ...POLICY, maxUnavailableShare: 0.5 });
 
-export const getFleet = (model: Model, applied = model.records.length - 1): FleetState =>
-  model.states[applied + 1] ?? createFleetState();
+export const getFleet = (model: Model, applied = model.records.length - 1): CapacityState =>
+  model.states[applied + 1] ?? createCapacityState();
 
 /** Leaves the fence or the barrier out of a record by filling in what the fold asks for. */
-const applyOmission = (record: LogRecord, state: FleetState, omission: Omission): LogRecord => {
+const applyOmission = (record: LogRecord, state: CapacityState, omission: Omission): LogRecord => {
   const fence =
     'instanceId' in record && 'fence' in record && omission === 'fence'
       ? {
@@ -83,7 +87,7 @@
   const record = applyOmission({ ...head, ...body }, state, omission);
   const policy: PolicyOf =
     omission === 'budget' ? () => ({ ...POLICY, maxUnavailableShare: 1 }) : getPolicy;
-  const next = foldFleet(state, { offset: model.records.length, record }, policy);
+  const next = foldCapacity(state, { offset: model.records.length, record }, policy);
   return { ...model, records: [...model.records, record], states: [...model.states, next] };
 };
 
@@ -91,7 +95,7 @@
 export const createModel = (planners: number, entries: number, size: number): Model => {
   const empty: Model = {
     records: [],
-    states: [createFleetState()],
+    states: [createCapacityState()],
     planners: [],
     entries: [],
     nowMs: 0,
--- a/packages/vanilladock/src/test/fleet-records.ts
+++ b/packages/vanilladock/src/test/fleet-records.ts
@@ -1,6 +1,10 @@
 /** Builders of records about pools and maintenance for tests. */
 import type { LogRecord, PlacedRecord } from '../lib/log/record.js';
-import { createFleetState, foldFleet, type FleetState } from '../lib/maintenance/fleet.js';
+import {
+  createCapacityState,
+  foldCapacity,
+  type CapacityState,
+} from '../lib/maintenance/capacity.js';
 import type { MaintenancePolicy, PolicyOf } from '../lib/maintenance/policy.js';
 
 export const POLICY: MaintenancePolicy = {
@@ -23,7 +27,7 @@
 /** A log with its folded state. */
 export interface FakeLog {
   readonly append: (body: Body) => number;
-  readonly getState: () => FleetState;
+  readonly getState: () => CapacityState;
   readonly records: readonly PlacedRecord[];
 }
 
@@ -31,13 +35,13 @@
 export const createFakeLog = (policy: Partial<MaintenancePolicy> = {}): FakeLog => {
   const getPolicy: PolicyOf = () => ({ ...POLICY, ...policy });
   const records: PlacedRecord[] = [];
-  let state = createFleetState();
+  let state = createCapacityState();
   const append = (body: Body): number => {
     const offset = records.length;
     const head = { version: 1, id: `r${offset}`, by: 'e1', at: 0 } as const;
     const placed = { offset, record: { ...head, ...body } as LogRecord };
     records.push(placed);
-    state = foldFleet(state, placed, getPolicy);
+    state = foldCapacity(state, placed, getPolicy);
     return offset;
   };
   return { append, records, getState: () => state };
