Count listed entries as sharers while an entry has yet to hear them

The entries' status during the rush showed 9 requests of each entry at every process of 8 slots: an entry that had just started, and had not yet heard its peers, took all slots. The service times it then learned were six times too long, so callers were told to come back up to a minute late. Ruled out: ejected upstreams (all healthy) and lost peers (5 live). Asking for the instance list every 2 s in place of 1 s had made the hearing later. Change: for 10 s after its start the entries of the instance list count as sharers without demand.

--- a/packages/daemon/src/lib/peers/peer-exchange-shares.ts
+++ b/packages/daemon/src/lib/peers/peer-exchange-shares.ts
@@ -41,12 +41,27 @@
     .map(({ id }) => id);
 }
 
-/** Creates the shares of an entry that knows of no peer. */
+/** Time after its start in which an entry may not have heard all the entries that are listed. */
+const INTRODUCTION_MS = 10_000;
+
+/** Lists the live entries of the instance list. */
+function listEntries(instances: readonly Instance[]): readonly string[] {
+  return instances
+    .filter(({ role, state }) => role === 'entry' && state === 'live')
+    .map(({ id }) => id);
+}
+
+/**
+ * Creates the shares of an entry that knows of no peer. Until it has had time to hear its peers, those
+ * that the instance list shows count as sharers without demand: an entry that starts in a rush must not
+ * take the slots that the others use.
+ */
 export function createEntryShares<T extends Candidate>(
   options: EntrySharesOptions<T>,
 ): EntryShares<T> {
   const { id: ownId, admission, listCandidates } = options;
   const demand = createFleetDemand(ownId);
+  const introducedAtMs = performance.now() + INTRODUCTION_MS;
   const ownSlots = new Map<string, ReadonlyMap<string, number>>();
   const getSlots = (service: string, process: string) => ownSlots.get(service)?.get(process) ?? 0;
   return {
@@ -56,14 +71,18 @@
       peers.forEach((peer) => demand.observe(peer.id, peer.demand));
       admission.setPeerDemand(teams, peerCount);
     },
-    update: (config, instances) =>
+    update: (config, instances) => {
+      if (performance.now() < introducedAtMs) {
+        listEntries(instances).forEach((id) => demand.observe(id, new Map()));
+      }
       config.services.forEach(({ name, pool }) => {
         const { slots } = resolveValues(config, { service: name, pool }, Date.now());
         const processes = listProcesses(instances, name);
         ownSlots.set(name, demand.computeOwnSlots(name, processes, slots));
         const places = listCandidates(name).reduce((sum, { id }) => sum + getSlots(name, id), 0);
         admission.setCapacity(name, places);
-      }),
+      });
+    },
     listFree: (service) => {
       const candidates = listCandidates(service);
       const free = candidates.filter(({ id, inFlight }) => inFlight < getSlots(service, id));
