Use one wait, one fairness index and one scaled size in the measurements

Cause: a read of the whole change found waitMs three times, Jain's index twice with the same body, and the scaling of the design size twice, in the measure package. Change: the daemon's waitMs, the core's computeJain and one makeScaledSize serve all; behaviour stays. The load measurements were not run again.

--- a/packages/measure/src/lib/control.ts
+++ b/packages/measure/src/lib/control.ts
@@ -6,6 +6,7 @@
  * pools at once, which happens only to a fleet that was never maintained. Bytes are the daemons' own
  * counters by cause. Added memory is against the same daemon before it knows of any fleet.
  */
+import { waitMs } from '@vanilladock/daemon/lib/servers.js';
 import { publishConfig, readConfigState } from '@vanilladock/daemon/lib/cli/publish.js';
 import { createLogClient } from '@vanilladock/daemon/lib/platform/log-client.js';
 import {
@@ -43,13 +44,6 @@
   readonly bytes: ReadonlyMap<string, number>;
 }
 
-/** Waits. */
-function waitMs(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 /** Reads the control bytes of a daemon by cause. */
 async function fetchBytes(entry: EntryProcess): Promise<ReadonlyMap<string, number>> {
   const answer = await fetch(`http://${entry.addresses.operators}/metrics`, {
--- a/packages/measure/src/lib/design-size.ts
+++ b/packages/measure/src/lib/design-size.ts
@@ -24,6 +24,21 @@
   regions: 3,
 };
 
+/** Parts of the design size at which slopes are measured. */
+export const SLOPE_SHARES = [0.25, 0.5, 0.75, 1] as const;
+
+/** Scales the numbers of workers, pools and teams of the design size. */
+export function makeScaledSize(share: number): FleetSize {
+  const toScale = (count: number) => Math.max(1, Math.round(count * share));
+  const { workers, pools, teams } = DESIGN_SIZE;
+  return {
+    ...DESIGN_SIZE,
+    workers: toScale(workers),
+    pools: toScale(pools),
+    teams: toScale(teams),
+  };
+}
+
 const WORKERS_PER_RACK = 4;
 
 /** Defaults of every configuration made here. */
--- a/packages/measure/src/lib/faults-drain.ts
+++ b/packages/measure/src/lib/faults-drain.ts
@@ -5,7 +5,8 @@
  */
 import { Agent } from 'node:http';
 import { sendCall, type FaultCall, type FaultResult } from './faults-call.js';
-import { isReady, waitMs, type Fleet, type FleetEntry } from './routing-fleet.js';
+import { waitMs } from '@vanilladock/daemon/lib/servers.js';
+import { isReady, type Fleet, type FleetEntry } from './routing-fleet.js';
 
 const CALLERS = 24;
 const READY_POLL_MS = 50;
--- a/packages/measure/src/lib/faults.ts
+++ b/packages/measure/src/lib/faults.ts
@@ -10,7 +10,8 @@
 import { runReplacements } from './faults-drain.js';
 import { countFaultCounts } from './faults-judge.js';
 import type { Measure } from './measure.js';
-import { startRoutingFleet, waitMs, type Fleet } from './routing-fleet.js';
+import { waitMs } from '@vanilladock/daemon/lib/servers.js';
+import { startRoutingFleet, type Fleet } from './routing-fleet.js';
 
 const ENTRIES = 3;
 const UPSTREAMS = 4;
--- a/packages/measure/src/lib/flood.ts
+++ b/packages/measure/src/lib/flood.ts
@@ -5,7 +5,8 @@
  */
 import type { CallPlan, CallResult } from '@vanilladock/stand-ins';
 import { URGENCIES } from 'vanilladock';
-import { runLoad, startFleet, waitMs, type Fleet, type FleetOptions } from './herd-fleet.js';
+import { waitMs } from '@vanilladock/daemon/lib/servers.js';
+import { runLoad, startFleet, type Fleet, type FleetOptions } from './herd-fleet.js';
 import type { Figures, Measure, MeasureOptions } from './measure.js';
 
 const FLEET: FleetOptions = {
--- a/packages/measure/src/lib/herd-fleet.ts
+++ b/packages/measure/src/lib/herd-fleet.ts
@@ -1,4 +1,5 @@
 /** A small fleet for the load measurements: stand-ins in this process, entries and callers apart. */
+import { waitMs } from '@vanilladock/daemon/lib/servers.js';
 import { readFileSync } from 'node:fs';
 import { publishConfig } from '@vanilladock/daemon/lib/cli/publish.js';
 import { createLogClient } from '@vanilladock/daemon/lib/platform/log-client.js';
@@ -57,13 +58,6 @@
 /** Slots of one upstream process. */
 export const SLOTS = 8;
 
-/** Waits on the runtime's clock. */
-export function waitMs(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 /** Builds the configuration of a fleet from the example's defaults. */
 function buildConfig({ services, teams }: FleetOptions): string {
   const example = parse(readFileSync(CONFIG, 'utf8')) as Record<string, unknown>;
@@ -175,10 +169,3 @@
     );
   return runs;
 }
-
-/** Computes Jain's index of fairness. */
-export function computeJain(values: readonly number[]): number {
-  const sum = values.reduce((total, value) => total + value, 0);
-  const squares = values.reduce((total, value) => total + value * value, 0);
-  return squares === 0 ? 1 : (sum * sum) / (values.length * squares);
-}
--- a/packages/measure/src/lib/herd.ts
+++ b/packages/measure/src/lib/herd.ts
@@ -3,14 +3,8 @@
  * obeys Retry-After. The baseline refuses with a fixed Retry-After and has no queues.
  */
 import { formatAttemptId, type CallPlan, type CallResult } from '@vanilladock/stand-ins';
-import {
-  computeJain,
-  countRuns,
-  runLoad,
-  startFleet,
-  type Fleet,
-  type FleetOptions,
-} from './herd-fleet.js';
+import { computeJain } from 'vanilladock/lib/pools/fairness.js';
+import { countRuns, runLoad, startFleet, type Fleet, type FleetOptions } from './herd-fleet.js';
 import type { Figures, Measure } from './measure.js';
 
 const FLEET: FleetOptions = {
--- a/packages/measure/src/lib/routing-fleet.ts
+++ b/packages/measure/src/lib/routing-fleet.ts
@@ -3,6 +3,7 @@
  * of their own, each upstream behind a fault-injecting proxy when asked for, and a published
  * configuration. Ledgers are files, so they outlast a killed upstream.
  */
+import { waitMs } from '@vanilladock/daemon/lib/servers.js';
 import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -77,13 +78,6 @@
   }
 }
 
-/** Resolves after a time in milliseconds. */
-export function waitMs(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** Waits until an entry is ready. */
 async function waitForReady(operators: string): Promise<void> {
   for (let tries = 0; tries < READY_POLLS; tries += 1) {
--- a/packages/measure/src/lib/slopes.ts
+++ b/packages/measure/src/lib/slopes.ts
@@ -14,7 +14,13 @@
   type FleetState,
   type StoredRecord,
 } from 'vanilladock';
-import { buildConfigText, buildWorkers, DESIGN_SIZE, type FleetSize } from './design-size.js';
+import {
+  makeScaledSize,
+  SLOPE_SHARES,
+  buildConfigText,
+  buildWorkers,
+  type FleetSize,
+} from './design-size.js';
 import type { Figures, Measure, MeasureOptions } from './measure.js';
 import { createHeapReader } from './slopes/heap.js';
 import {
@@ -24,7 +30,6 @@
   makeSubmissions,
 } from './slopes/records.js';
 
-const SHARES = [0.25, 0.5, 0.75, 1] as const;
 const TASKS_PER_TEAM = 20;
 const REPEATS = 20;
 const MICROSECONDS_PER_MS = 1_000;
@@ -44,18 +49,6 @@
   readonly snapshotMs: number;
 }
 
-/** Scales the design size. */
-function makeSize(share: number): FleetSize {
-  const toScale = (count: number) => Math.max(1, Math.round(count * share));
-  const { workers, pools, teams } = DESIGN_SIZE;
-  return {
-    ...DESIGN_SIZE,
-    workers: toScale(workers),
-    pools: toScale(pools),
-    teams: toScale(teams),
-  };
-}
-
 /** Measures the shortest of some runs, in milliseconds. */
 function measureMs(run: () => void): number {
   const times = Array.from({ length: REPEATS }, () => {
@@ -162,9 +155,9 @@
 /** Runs the measurement. */
 async function measureSlopes({ log }: MeasureOptions): Promise<Figures> {
   const readHeap = createHeapReader();
-  measureSize(makeSize(SHARES[0]), readHeap);
-  const points = SHARES.map((share) => {
-    const point = measureSize(makeSize(share), readHeap);
+  measureSize(makeScaledSize(SLOPE_SHARES[0]), readHeap);
+  const points = SLOPE_SHARES.map((share) => {
+    const point = measureSize(makeScaledSize(share), readHeap);
     log(JSON.stringify(point));
     return point;
   });
