--- /dev/null
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -0,0 +1,187 @@
+/**
+ * Claims duties and tells who holds them. Every instance sends heartbeats into one partition and reads
+ * it; a vacant duty is claimed by a conditional append there.
+ */
+import { BehaviorSubject } from 'rxjs';
+import {
+  chooseClaimants,
+  createClaimTable,
+  encodeClaim,
+  encodeDeparture,
+  encodeHeartbeat,
+  HEARTBEAT_MS,
+  MEMBER_TTL_MS,
+  type Claim,
+  type Member,
+} from 'vanilladock/lib/duties/claim-table.js';
+import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import type { JsonLog } from '../json-log.js';
+import { waitMs } from './clock.js';
+import { watchTopic } from './topic-follower.js';
+
+/** Partition of claims and heartbeats. */
+export const CLAIMS = { topic: 'keyed.claims', partition: 0 } as const;
+
+/** Claims of one instance. */
+export interface DutyClaims {
+  /** Duties that this instance holds. */
+  readonly held: BehaviorSubject<ReadonlyMap<string, Claim>>;
+  readonly findHolder: (duty: string) => { readonly claim: Claim; readonly member: Member } | undefined;
+  readonly listMembers: () => readonly Member[];
+  readonly start: () => void;
+  /** Gives up a duty after another holder's token was seen. */
+  readonly dropDuty: (duty: string, why: string) => void;
+  /** Releases every duty and stops claiming. */
+  readonly stop: () => Promise<void>;
+}
+
+/** Settings of the claims. */
+export interface ClaimOptions {
+  readonly store: KeyedStore;
+  readonly self: Member;
+  readonly listDuties: () => readonly string[];
+  readonly handleContact: () => void;
+  readonly log: JsonLog;
+}
+
+const TICK_MS = 250;
+
+/** Members are given this long to appear before the first claim. */
+const SETTLE_MS = 700;
+
+/** A vacant duty is claimed by anyone after this time. */
+const ANYONE_AFTER_MS = 900;
+
+/** Creates the claims of one instance. */
+export function createDutyClaims(options: ClaimOptions): DutyClaims {
+  const { store, self, listDuties, handleContact, log } = options;
+  const table = createClaimTable();
+  const held = new BehaviorSubject<ReadonlyMap<string, Claim>>(new Map());
+  const vacantSinceMs = new Map<string, number>();
+  let nextOffset: number | undefined;
+  let isStopped = false;
+  let startedMs = 0;
+
+  const setHeld = (duty: string, claim: Claim | undefined) => {
+    const next = new Map(held.value);
+    if (claim === undefined) next.delete(duty);
+    else next.set(duty, claim);
+    held.next(next);
+  };
+  const dropDuty = (duty: string, why: string) => {
+    if (!held.value.has(duty)) return;
+    log.warn({ event: 'duty-lost', duty, why, token: held.value.get(duty)?.token });
+    setHeld(duty, undefined);
+  };
+  const checkHeld = () => {
+    held.value.forEach((claim, duty) => {
+      const newest = table.findClaim(duty);
+      if (newest !== undefined && newest.token > claim.token) dropDuty(duty, 'superseded');
+    });
+  };
+  const claimDuty = async (duty: string) => {
+    if (nextOffset === undefined) return;
+    const previous = table.findClaim(duty);
+    const at = nextOffset;
+    const outcome = await store.append(CLAIMS, [encodeClaim(duty, self.id)], {
+      kind: 'end',
+      offset: at,
+    });
+    log.info({
+      event: 'duty-claim',
+      duty,
+      at,
+      outcome: outcome.kind,
+      previousHolder: previous?.holder,
+      previousToken: previous?.token,
+    });
+    if (outcome.kind !== 'stored' || isStopped) return;
+    setHeld(duty, { duty, holder: self.id, token: outcome.offset });
+  };
+  const listVacant = (nowMs: number) => {
+    const vacant = listDuties().filter((duty) => table.findLiveClaim(duty, nowMs) === undefined);
+    const seen = new Set(vacant);
+    [...vacantSinceMs.keys()].forEach((duty) => {
+      if (!seen.has(duty)) vacantSinceMs.delete(duty);
+    });
+    vacant.forEach((duty) => {
+      if (!vacantSinceMs.has(duty)) vacantSinceMs.set(duty, nowMs);
+    });
+    return vacant.filter((duty) => !held.value.has(duty));
+  };
+  const countHeld = (nowMs: number) => {
+    const counts = new Map<string, number>();
+    listDuties().forEach((duty) => {
+      const holder = table.findLiveClaim(duty, nowMs)?.holder;
+      if (holder !== undefined) counts.set(holder, (counts.get(holder) ?? 0) + 1);
+    });
+    return counts;
+  };
+  const claimVacant = async () => {
+    const nowMs = performance.now();
+    const vacant = listVacant(nowMs);
+    if (nowMs - startedMs < SETTLE_MS || vacant.length === 0) return;
+    const members = table.listMembers(nowMs);
+    const chosen = chooseClaimants(vacant, countHeld(nowMs), members);
+    const mine = vacant.find((duty) => {
+      const ageMs = nowMs - (vacantSinceMs.get(duty) ?? nowMs);
+      const isOpenToAll = ageMs > ANYONE_AFTER_MS * (1 + held.value.size);
+      return chosen.get(duty) === self.id || isOpenToAll;
+    });
+    if (mine !== undefined) await claimDuty(mine);
+  };
+  const runClaims = async () => {
+    while (!isStopped) {
+      checkHeld();
+      await claimVacant();
+      await waitMs(TICK_MS);
+    }
+  };
+  const runHeartbeats = async () => {
+    while (!isStopped) {
+      const sentMs = performance.now();
+      const outcome = await store.append(CLAIMS, [encodeHeartbeat(self)], { kind: 'none' });
+      if (outcome.kind === 'stored') handleContact();
+      await waitMs(Math.max(0, HEARTBEAT_MS - (performance.now() - sentMs)));
+    }
+  };
+  const subscription = watchTopic({
+    store,
+    where: CLAIMS,
+    pauseMs: TICK_MS,
+    pollMs: MEMBER_TTL_MS,
+    handleContact,
+    log,
+  });
+  return {
+    held,
+    findHolder: (duty) => {
+      const nowMs = performance.now();
+      const claim = held.value.get(duty) ?? table.findLiveClaim(duty, nowMs);
+      if (claim === undefined) return undefined;
+      const member = claim.holder === self.id ? self : table.findMember(claim.holder, nowMs);
+      return member === undefined ? undefined : { claim, member };
+    },
+    listMembers: () => table.listMembers(performance.now()),
+    start: () => {
+      startedMs = performance.now();
+      subscription.subscribe(({ records, next }) => {
+        records.forEach((record) => table.apply(record, performance.now()));
+        nextOffset = next;
+        checkHeld();
+      });
+      void runClaims();
+      void runHeartbeats();
+    },
+    dropDuty,
+    stop: async () => {
+      isStopped = true;
+      const releases = [...held.value.keys()].map((duty) => encodeClaim(duty, ''));
+      held.next(new Map());
+      const outcome = await store.append(CLAIMS, [...releases, encodeDeparture(self)], {
+        kind: 'none',
+      });
+      log.info({ event: 'duties-released', count: releases.length, outcome: outcome.kind });
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -0,0 +1,117 @@
+/**
+ * One instance of the system in front of pools of workers: claims duties, runs the planners of the
+ * pools that it holds, and answers requests about jobs for all of them.
+ */
+import { BehaviorSubject } from 'rxjs';
+import type { Member } from 'vanilladock/lib/duties/claim-table.js';
+import type { Advisor, FleetConfig } from 'vanilladock/lib/ports/fleet.js';
+import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import type { JsonLog } from '../json-log.js';
+import { createDutyClaims, type DutyClaims } from './duty-claims.js';
+import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
+import { createPeerClient, startPeerServer } from './peers.js';
+import { startPoolRunner, type PoolRunner } from './pool-runner.js';
+
+/** What an instance needs; the platform's adapter provides it. */
+export interface JobEntryOptions {
+  readonly self: Member;
+  readonly peerHost: string;
+  readonly peerPort: number;
+  readonly store: KeyedStore;
+  readonly storePartitions: number;
+  readonly workers: TaskWorkers;
+  readonly advisor: Advisor;
+  readonly config: BehaviorSubject<FleetConfig | undefined>;
+  /** Entries of all workers by id. */
+  readonly entries: BehaviorSubject<ReadonlyMap<string, WorkerEntry>>;
+  readonly statusMs: number;
+  readonly log: JsonLog;
+}
+
+/** A running instance. */
+export interface JobEntry {
+  readonly gateway: JobGateway;
+  readonly claims: DutyClaims;
+  readonly listRunners: () => ReadonlyMap<string, PoolRunner>;
+  /** Says whether the store or a peer has answered lately. */
+  readonly isInContact: () => boolean;
+  readonly noteStoreContact: () => void;
+  /** Releases duties; the gateway goes on through peers. */
+  readonly release: () => Promise<void>;
+  readonly close: () => void;
+}
+
+/** Without an answer of the store or a peer for this long, an instance is cut off. */
+const CONTACT_MS = 2_500;
+
+/** Starts an instance. */
+export async function startJobEntry(options: JobEntryOptions): Promise<JobEntry> {
+  const { self, config, log } = options;
+  const peers = createPeerClient();
+  const runners = new Map<string, PoolRunner>();
+  let lastStoreMs = -Infinity;
+  const noteStoreContact = () => {
+    lastStoreMs = performance.now();
+  };
+  const listDuties = () => config.value?.pools.map((pool) => makePoolDuty(pool.name)) ?? [];
+  const claims = createDutyClaims({
+    store: options.store,
+    self,
+    listDuties,
+    handleContact: noteStoreContact,
+    log,
+  });
+  const startRunner = (pool: string) => {
+    const duty = makePoolDuty(pool);
+    const claim = claims.held.value.get(duty);
+    if (claim === undefined || runners.has(pool)) return;
+    const runner = startPoolRunner({
+      ...options,
+      pool,
+      claim,
+      handleLost: (why) => {
+        runners.delete(pool);
+        claims.dropDuty(duty, why);
+      },
+    });
+    runners.set(pool, runner);
+  };
+  claims.held.subscribe((held) => {
+    [...runners].forEach(([pool, runner]) => {
+      const claim = held.get(makePoolDuty(pool));
+      if (claim?.token === runner.claim.token) return;
+      runners.delete(pool);
+      runner.stop();
+    });
+    config.value?.pools.forEach(({ name }) => startRunner(name));
+  });
+  const gateway = createJobGateway({
+    findRunner: (pool) => runners.get(pool),
+    findHolder: claims.findHolder,
+    selfId: self.id,
+    peers,
+  });
+  const server = await startPeerServer(options.peerHost, options.peerPort, gateway.answerLocally);
+  claims.start();
+  return {
+    gateway,
+    claims,
+    listRunners: () => runners,
+    isInContact: () => {
+      const lastMs = Math.max(lastStoreMs, peers.getLastContactMs());
+      return performance.now() - lastMs < CONTACT_MS;
+    },
+    noteStoreContact,
+    release: async () => {
+      runners.forEach((runner) => runner.stop());
+      runners.clear();
+      await claims.stop();
+    },
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+      peers.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -0,0 +1,36 @@
+/** Callers' requests about jobs and their answers, as the instances hand them to each other. */
+import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
+
+/** A request about a job, for the planner of its pool. */
+export type JobRequest =
+  | {
+      readonly kind: 'submit';
+      readonly pool: string;
+      readonly spec: JobSpec;
+      readonly policy: JobPolicy;
+    }
+  | { readonly kind: 'status'; readonly pool: string; readonly jobId: string }
+  | { readonly kind: 'cancel'; readonly pool: string; readonly jobId: string }
+  | { readonly kind: 'pending'; readonly pool: string; readonly route: string }
+  | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string };
+
+/** State of a job as its caller sees it. */
+export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+
+/** Answer to a request; a `refused` job has not run and never will. */
+export type JobReply =
+  | { readonly kind: 'accepted' }
+  | {
+      readonly kind: 'refused';
+      readonly why: string;
+      /** When a retry is likely to be admitted; undefined when it never is. */
+      readonly retryAfterMs: number | undefined;
+    }
+  | { readonly kind: 'state'; readonly state: JobState }
+  | { readonly kind: 'no-such-job' }
+  | { readonly kind: 'cancelled' }
+  | { readonly kind: 'pending'; readonly count: number }
+  /** Nothing was done; asking again later may help. */
+  | { readonly kind: 'unavailable'; readonly why: string; readonly retryAfterMs: number }
+  /** A submission or cancel may have taken effect. */
+  | { readonly kind: 'unknown'; readonly why: string };
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -0,0 +1,128 @@
+/**
+ * Renews the leases of one worker and brings in its lists: a long poll while tasks run there, so that
+ * each end is heard at once, and nothing while the worker is idle and known.
+ */
+import type { Moment } from 'vanilladock/lib/jobs/state.js';
+import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import { estimateWorkerMs, LEASE_MS } from 'vanilladock/lib/jobs/lease-clock.js';
+import type { TaskWorkers } from 'vanilladock/lib/ports/task-workers.js';
+import { readMoment } from './clock.js';
+
+/** What a loop needs. */
+export interface WorkerLoopOptions {
+  readonly workerId: string;
+  readonly planner: PoolPlanner;
+  readonly workers: TaskWorkers;
+  readonly fencingToken: number;
+  /** Called after each report with the number of its last new end, 0 when there is none. */
+  readonly handleReport: (workerId: string, at: Moment) => Promise<void>;
+  readonly handlePaces: (actions: ReturnType<PoolPlanner['observeReport']>) => void;
+  readonly handleFenced: () => void;
+}
+
+/** A loop that can be stopped. */
+export interface WorkerLoop {
+  readonly wake: () => void;
+  readonly stop: () => void;
+}
+
+/** The answer of a renewal waits this long for an end. */
+const POLL_MS = 700;
+
+/** Pause after a missing answer. */
+const RETRY_MS = 150;
+
+/** Pause between looks at an idle worker. */
+const IDLE_MS = 2_000;
+
+/** Missing answers after which a refused connection is taken as the end of the process. */
+const GONE_AFTER_MISSES = 2;
+
+/** Starts the loop of one worker. */
+export function startWorkerLoop(options: WorkerLoopOptions): WorkerLoop {
+  const { workerId, planner, workers, fencingToken } = options;
+  let isStopped = false;
+  let wakeUp: (() => void) | undefined;
+  let refusals = 0;
+
+  const pause = (ms: number) =>
+    new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      timer.unref();
+      wakeUp = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  const renew = async () => {
+    const worker = planner.table.workers.get(workerId);
+    if (worker === undefined) return;
+    const isBusy = worker.tasks.size > 0 || worker.strays.size > 0;
+    const sent = readMoment();
+    const leaseUntilMs =
+      worker.clock === undefined || !isBusy
+        ? undefined
+        : Math.round(estimateWorkerMs(worker.clock, sent.nowMs) + LEASE_MS);
+    if (leaseUntilMs !== undefined) {
+      planner.table.updateWorker(workerId, {
+        leaseUntilMs: Math.max(worker.leaseUntilMs, leaseUntilMs),
+      });
+    }
+    const outcome = await workers.renew(
+      { id: workerId, address: worker.entry.address },
+      {
+        fencingToken,
+        lastSeenEnd: worker.storedEnd,
+        leaseUntilMs,
+        waitMs: isBusy && worker.clock !== undefined ? POLL_MS : 0,
+      },
+    );
+    if (isStopped) return;
+    const at = readMoment();
+    switch (outcome.kind) {
+      case 'report': {
+        refusals = 0;
+        const timed = { report: outcome.report, sentMs: sent.nowMs, heardMs: at.nowMs };
+        options.handlePaces(planner.observeReport(workerId, timed, at));
+        await options.handleReport(workerId, at);
+        return;
+      }
+      case 'rejected':
+        if (outcome.why === 'fenced') options.handleFenced();
+        else if (outcome.why === 'other-life') planner.observeLifeEnd(workerId, 'other-life');
+        else planner.observeMiss(workerId, at);
+        await pause(RETRY_MS);
+        return;
+      case 'unknown':
+        refusals = outcome.isProcessGone ? refusals + 1 : 0;
+        if (refusals > GONE_AFTER_MISSES) planner.observeLifeEnd(workerId, 'process-gone');
+        else planner.observeMiss(workerId, at);
+        await pause(RETRY_MS);
+        return;
+      default:
+        outcome satisfies never;
+    }
+  };
+  const run = async () => {
+    while (!isStopped && planner.table.workers.has(workerId)) {
+      await renew();
+      const worker = planner.table.workers.get(workerId);
+      const isIdle =
+        worker !== undefined &&
+        worker.clock !== undefined &&
+        worker.misses === 0 &&
+        worker.storedEnd >= worker.lastEnd &&
+        worker.tasks.size + worker.strays.size === 0;
+      if (isIdle) await pause(IDLE_MS);
+    }
+  };
+  void run();
+  return {
+    wake: () => wakeUp?.(),
+    stop: () => {
+      isStopped = true;
+      wakeUp?.();
+    },
+  };
+}
+
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -0,0 +1,111 @@
+/** Applies the ends of runs to tasks, occurrences and jobs. */
+import type { RunEnd } from '../ports/task-workers.js';
+import type { PoolContext } from './pool-context.js';
+import type { Job, JobPhase, Moment, Task } from './state.js';
+
+/** One end of a run as a worker listed it. */
+export interface TaskEnd {
+  readonly workerId: string;
+  readonly run: number;
+  readonly how: RunEnd;
+  readonly checkpoint: string;
+}
+
+/** Puts a task back into the queue. */
+export function releaseTask(context: PoolContext, task: Task, notBeforeMs = 0): void {
+  if (task.state.kind !== 'assigned') return;
+  context.table.moveTask(task, { kind: 'waiting', notBeforeMs });
+}
+
+/** Ends a job and turns what still runs of it into strays. */
+export function closeJob(context: PoolContext, jobId: string, phase: JobPhase, at: Moment): void {
+  const { table, dirtyJobs, report } = context;
+  const job = table.jobs.get(jobId);
+  if (job === undefined || job.phase !== 'active') return;
+  const ageMs = Math.round(at.nowMs - job.arrivedMs);
+  const lateMs = Math.round(at.nowMs - job.objectiveAtMs);
+  report({ event: 'job-ended', job: jobId, phase, ageMs, lateMs });
+  table.dropTasks(table.listJobTasks(jobId));
+  table.updateJob(jobId, { phase, finishedMs: at.nowMs });
+  dirtyJobs.add(jobId);
+}
+
+/** Says whether every task of an occurrence is done. */
+function isOccurrenceDone(job: Job, number: number): boolean {
+  const occurrence = job.occurrences.get(number);
+  if (occurrence === undefined) return false;
+  return occurrence.steps.every(
+    (stepRun, index) => stepRun.done.size === job.record.spec.steps[index]?.count,
+  );
+}
+
+/** Closes an occurrence, and the job with its last one. */
+function closeOccurrence(context: PoolContext, job: Job, number: number, at: Moment): void {
+  const { table, dirtyJobs } = context;
+  const { id, repeatCount } = job.record.spec;
+  dirtyJobs.add(id);
+  job.finishedOccurrences.add(number);
+  if (job.finishedOccurrences.size >= Math.max(1, repeatCount)) {
+    closeJob(context, id, 'completed', at);
+    return;
+  }
+  table.dropTasks(table.listJobTasks(id).filter((task) => task.occurrence === number));
+  job.occurrences.delete(number);
+}
+
+/** Marks a task, or its whole gang, as done. */
+function applyDone(context: PoolContext, task: Task, at: Moment): void {
+  const { table, dirtyJobs } = context;
+  const job = table.jobs.get(task.jobId);
+  if (job === undefined) return;
+  const step = table.findStep(task);
+  const members = step.isGang
+    ? table
+        .listJobTasks(task.jobId)
+        .filter((t) => t.occurrence === task.occurrence && t.stepIndex === task.stepIndex)
+    : [task];
+  members.forEach((member) => table.moveTask(member, { kind: 'done' }));
+  dirtyJobs.add(task.jobId);
+  if (isOccurrenceDone(job, task.occurrence)) closeOccurrence(context, job, task.occurrence, at);
+}
+
+/** Counts a failed run, on the first task for a gang, and fails the job after its last attempt. */
+function applyFailure(context: PoolContext, task: Task, end: TaskEnd, at: Moment): void {
+  const { table, dirtyJobs } = context;
+  const job = table.jobs.get(task.jobId);
+  if (job === undefined) return;
+  const step = table.findStep(task);
+  const failures = task.failures + 1;
+  const avoid = [...new Set([...task.avoid, end.workerId])];
+  const current = table.moveTask(task, task.state, { failures, avoid });
+  dirtyJobs.add(task.jobId);
+  const members = step.isGang
+    ? table.listJobTasks(task.jobId).filter((t) => t.stepIndex === task.stepIndex)
+    : [current];
+  const total = members
+    .filter((member) => member.occurrence === task.occurrence)
+    .reduce((sum, member) => sum + member.failures, 0);
+  if (!step.isLasting && total >= job.record.policy.maxAttempts) {
+    closeJob(context, task.jobId, 'failed', at);
+  }
+}
+
+/** Applies one end of a run; ends of runs that the task no longer has count where they must. */
+export function applyEnd(context: PoolContext, task: Task, end: TaskEnd, at: Moment): void {
+  const { table } = context;
+  const { state } = task;
+  const isCurrent =
+    state.kind === 'assigned' && state.workerId === end.workerId && state.run === end.run;
+  const step = table.findStep(task);
+  const checkpoint = step.isCheckpointing && end.checkpoint !== '' ? end.checkpoint : task.checkpoint;
+  const lastRun = Math.max(task.lastRun, end.run);
+  const settled = table.moveTask(task, state, { checkpoint, lastRun });
+  if (state.kind === 'done') return;
+  if (end.how === 'done' && !step.isLasting) {
+    applyDone(context, settled, at);
+    return;
+  }
+  if (isCurrent) releaseTask(context, settled);
+  const released = table.findTask(task.key);
+  if (end.how === 'failed' && released !== undefined) applyFailure(context, released, end, at);
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -0,0 +1,209 @@
+/** Plans which waiting tasks start where. */
+import type { WorkerTarget } from '../ports/task-workers.js';
+import { estimateWorkerMs, LEASE_MS } from './lease-clock.js';
+import { chooseWorker, isOpen, type PlaceRequest } from './place.js';
+import type { PoolContext } from './pool-context.js';
+import { compareQueueKeys, makeQueueKey } from './queue-order.js';
+import { computeFootprint, computeRoom } from './room.js';
+import type { StepSpec } from './spec.js';
+import type { Assignment, Job, Moment, Occurrence, StepRun, Task, Worker } from './state.js';
+import type { TicketBook } from './tickets.js';
+
+/** A start to order. */
+export interface StartAction {
+  readonly kind: 'start';
+  readonly worker: WorkerTarget;
+  readonly jobId: string;
+  readonly taskKey: string;
+  readonly run: number;
+  readonly payload: string;
+  readonly leaseUntilMs: number;
+  readonly checkpoint: string;
+  readonly ticket: string | undefined;
+}
+
+/** Asks the advisor which workers may run a step. */
+export interface AdviseAction {
+  readonly kind: 'advise';
+  readonly jobId: string;
+  readonly stepKey: string;
+  readonly workerIds: readonly string[];
+}
+
+/** What planning starts depends on beside the tables. */
+export interface StartInputs {
+  readonly at: Moment;
+  /** Tasks of earlier planners may still run at workers that have not answered. */
+  readonly isInheritanceDoubtful: boolean;
+  readonly getMeanWork: (route: string) => number;
+  readonly tickets: TicketBook;
+}
+
+/** Where one step of one occurrence stands in the plan. */
+interface StepPlace {
+  readonly job: Job;
+  readonly occurrence: Occurrence;
+  readonly stepIndex: number;
+  readonly step: StepSpec;
+  readonly stepRun: StepRun;
+}
+
+/** Lists the steps of a job whose tasks may start. */
+function listReadySteps(job: Job): readonly StepPlace[] {
+  const { steps } = job.record.spec;
+  return [...job.occurrences.values()].flatMap((occurrence) =>
+    steps.flatMap((step, stepIndex) => {
+      const stepRun = occurrence.steps[stepIndex];
+      if (stepRun === undefined || stepRun.waiting.size === 0) return [];
+      const isReady = step.dependsOn.every(
+        (earlier) => occurrence.steps[earlier]?.done.size === steps[earlier]?.count,
+      );
+      return isReady ? [{ job, occurrence, stepIndex, step, stepRun }] : [];
+    }),
+  );
+}
+
+/** Finds the rack that the step's tasks already use. */
+function findSharedRack(context: PoolContext, stepRun: StepRun): string | undefined {
+  const [first] = stepRun.assigned.values();
+  return first === undefined ? undefined : context.table.workers.get(first)?.entry.rack;
+}
+
+/** Creates the planner of starts for one pass over the queue. */
+function createPass(context: PoolContext, inputs: StartInputs) {
+  const { table } = context;
+  const { at, tickets } = inputs;
+  const reserved = new Set<string>();
+  const starts: StartAction[] = [];
+  const advice: AdviseAction[] = [];
+
+  const listCandidates = (place: StepPlace): readonly Worker[] => {
+    const free = [...table.workers.values()].filter((worker) => !reserved.has(worker.entry.id));
+    if (place.job.record.policy.advice === undefined) return free;
+    const stepKey = `${place.job.record.spec.id}.${place.occurrence.number}.${place.stepIndex}`;
+    const openIds = free.filter((w) => isOpen(w, at.nowMs)).map((w) => w.entry.id);
+    const workerIds = tickets.takeQuestion(stepKey, openIds, at.nowMs);
+    const jobId = place.job.record.spec.id;
+    if (workerIds.length > 0) advice.push({ kind: 'advise', jobId, stepKey, workerIds });
+    return free.filter((w) => tickets.findTicket(stepKey, w.entry.id, at.nowMs) !== undefined);
+  };
+  const assign = (place: StepPlace, task: Task, worker: Worker, run: number): StartAction => {
+    const clock = worker.clock ?? { workerMs: 0, heardMs: at.nowMs };
+    const leaseUntilMs = Math.round(estimateWorkerMs(clock, at.nowMs) + LEASE_MS);
+    const state: Assignment = {
+      kind: 'assigned',
+      workerId: worker.entry.id,
+      run,
+      phase: 'starting',
+      sentMs: at.nowMs,
+      confirmedMs: undefined,
+      stopSentMs: undefined,
+      stopAnsweredMs: undefined,
+      leaseUntilMs,
+      percent: 0,
+      percentMs: at.nowMs,
+      load: 0,
+      pacePercent: 100,
+    };
+    table.moveTask(task, state, { lastRun: run });
+    table.updateWorker(worker.entry.id, {
+      leaseUntilMs: Math.max(worker.leaseUntilMs, leaseUntilMs),
+    });
+    const stepKey = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
+    return {
+      kind: 'start',
+      worker: { id: worker.entry.id, address: worker.entry.address },
+      jobId: task.jobId,
+      taskKey: task.key,
+      run,
+      payload: place.job.record.spec.payload,
+      leaseUntilMs,
+      checkpoint: place.step.isCheckpointing ? task.checkpoint : '',
+      ticket: tickets.findTicket(stepKey, worker.entry.id, at.nowMs),
+    };
+  };
+  const findWaiting = (place: StepPlace): readonly Task[] => {
+    const { id } = place.job.record.spec;
+    return [...place.stepRun.waiting]
+      .map((index) => table.findTask(`${id}.${place.occurrence.number}.${place.stepIndex}.${index}`))
+      .filter((task) => task !== undefined)
+      .filter((task) => task.state.kind === 'waiting' && task.state.notBeforeMs <= at.nowMs);
+  };
+  const makeRequest = (place: StepPlace, task: Task): PlaceRequest => ({
+    task,
+    step: place.step,
+    stepRun: place.stepRun,
+    footprint: computeFootprint(place.step),
+    rack: place.step.isSameRack ? findSharedRack(context, place.stepRun) : undefined,
+    nowMs: at.nowMs,
+  });
+  /** Keeps the emptiest worker free for a lasting task that fits nowhere yet. */
+  const reserveFor = (candidates: readonly Worker[]) => {
+    const open = candidates.filter((worker) => isOpen(worker, at.nowMs));
+    const [emptiest] = [...open].sort((a, b) => computeRoom(b).cores - computeRoom(a).cores);
+    if (emptiest !== undefined) reserved.add(emptiest.entry.id);
+  };
+  const placeGang = (place: StepPlace) => {
+    const waiting = findWaiting(place);
+    if (waiting.length < place.step.count) return;
+    const run = Math.max(...waiting.map((task) => task.lastRun)) + 1;
+    const candidates = listCandidates(place);
+    const planned: StartAction[] = [];
+    for (const task of waiting) {
+      const current = candidates.map((w) => table.workers.get(w.entry.id) ?? w);
+      const worker = chooseWorker(current, makeRequest(place, task));
+      if (worker === undefined) {
+        waiting.forEach((member) => {
+          const placed = table.findTask(member.key);
+          if (placed !== undefined) table.moveTask(placed, member.state, { lastRun: member.lastRun });
+        });
+        return;
+      }
+      planned.push(assign(place, task, worker, run));
+    }
+    starts.push(...planned);
+  };
+  const placeStep = (place: StepPlace) => {
+    const waiting = findWaiting(place);
+    if (waiting.length === 0) return;
+    const candidates = listCandidates(place);
+    for (const task of waiting) {
+      const current = candidates.map((w) => table.workers.get(w.entry.id) ?? w);
+      const worker = chooseWorker(current, makeRequest(place, task));
+      if (worker === undefined) {
+        if (place.step.isLasting) reserveFor(current);
+        return;
+      }
+      starts.push(assign(place, task, worker, task.lastRun + 1));
+    }
+  };
+  return {
+    placeJob: (job: Job) => {
+      const before = starts.length;
+      listReadySteps(job).forEach((place) => {
+        if (place.step.isGang) placeGang(place);
+        else placeStep(place);
+      });
+      if (starts.length > before && !job.hasStarted) {
+        table.updateJob(job.record.spec.id, { hasStarted: true });
+      }
+    },
+    listActions: () => [...starts, ...advice],
+  };
+}
+
+/** Plans starts for all jobs in the order of the queue, and marks the tasks as assigned. */
+export function planStarts(
+  context: PoolContext,
+  inputs: StartInputs,
+): readonly (StartAction | AdviseAction)[] {
+  const pass = createPass(context, inputs);
+  const { nowMs } = inputs.at;
+  const keys = [...context.table.jobs.values()]
+    .filter((job) => job.phase === 'active' && job.storedPhase !== 'none')
+    .filter((job) => !(job.isInherited && inputs.isInheritanceDoubtful))
+    .map((job) => makeQueueKey(job, inputs.getMeanWork(job.record.spec.route), nowMs));
+  keys.sort(compareQueueKeys);
+  keys.forEach(({ job }) => pass.placeJob(job));
+  return pass.listActions();
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -0,0 +1,251 @@
+/**
+ * Tables of the jobs, tasks and workers of one pool, with the transitions that keep them in step: a
+ * task is at one place at a time, and a worker's load is the sum of what it has.
+ */
+import { addResources } from '../placement/resources.js';
+import type { WorkerEntry } from '../ports/task-workers.js';
+import { computeObjectiveMs, computeTailChains, computeWork } from './estimate.js';
+import type { Progress } from './progress.js';
+import { makeTaskSuffix } from './progress.js';
+import { computeFootprint, NO_RESOURCES } from './room.js';
+import { isLastingJob, makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
+import type { Job, Moment, Occurrence, StepRun, Task, TaskState, Worker } from './state.js';
+
+/** How a job comes into memory. */
+export interface JobOrigin {
+  readonly progress: Progress | undefined;
+  /** Runs up to this number may have been used by earlier planners. */
+  readonly runBase: number;
+  readonly storedPhase: Job['storedPhase'];
+}
+
+/** The tables. */
+export interface TaskTable {
+  readonly jobs: ReadonlyMap<string, Job>;
+  readonly workers: ReadonlyMap<string, Worker>;
+  readonly findTask: (key: string) => Task | undefined;
+  readonly findStep: (task: Task) => StepSpec;
+  readonly findStepRun: (task: Task) => StepRun;
+  readonly listJobTasks: (jobId: string) => readonly Task[];
+  readonly addJob: (record: JobRecord, origin: JobOrigin, at: Moment) => Job;
+  readonly updateJob: (jobId: string, change: Partial<Job>) => Job;
+  readonly openOccurrence: (jobId: string, number: number) => void;
+  /** Removes the tasks of a finished job or occurrence; what still runs becomes a stray. */
+  readonly dropTasks: (tasks: readonly Task[]) => void;
+  readonly dropJob: (jobId: string) => void;
+  /** Puts a task into another state, with further changes. */
+  readonly moveTask: (task: Task, state: TaskState, change?: Partial<Task>) => Task;
+  readonly addWorker: (entry: WorkerEntry) => Worker;
+  readonly updateWorker: (workerId: string, change: Partial<Worker>) => void;
+  readonly dropWorker: (workerId: string) => void;
+  /** Recomputes what a worker's tasks and strays take. */
+  readonly refreshLoad: (workerId: string) => void;
+}
+
+/** Makes a step run with every task waiting. */
+function makeStepRun(step: StepSpec): StepRun {
+  const indices = Array.from({ length: step.count }, (_, index) => index);
+  return { waiting: new Set(indices), done: new Set(), assigned: new Map() };
+}
+
+/** Creates empty tables. */
+export function createTaskTable(): TaskTable {
+  const jobs = new Map<string, Job>();
+  const tasks = new Map<string, Task>();
+  const workers = new Map<string, Worker>();
+  const origins = new Map<string, JobOrigin>();
+
+  const getJob = (jobId: string): Job => {
+    const job = jobs.get(jobId);
+    if (job === undefined) throw new Error(`job ${jobId} is not in the table`);
+    return job;
+  };
+  const findStep = (task: Task): StepSpec => {
+    const step = getJob(task.jobId).record.spec.steps[task.stepIndex];
+    if (step === undefined) throw new Error(`task ${task.key} has no step`);
+    return step;
+  };
+  const findStepRun = (task: Task): StepRun => {
+    const stepRun = getJob(task.jobId).occurrences.get(task.occurrence)?.steps[task.stepIndex];
+    if (stepRun === undefined) throw new Error(`task ${task.key} has no step run`);
+    return stepRun;
+  };
+  const updateWorker = (workerId: string, change: Partial<Worker>) => {
+    const worker = workers.get(workerId);
+    if (worker !== undefined) workers.set(workerId, { ...worker, ...change });
+  };
+  const refreshLoad = (workerId: string) => {
+    const worker = workers.get(workerId);
+    if (worker === undefined) return;
+    let used = NO_RESOURCES;
+    worker.tasks.forEach((key) => {
+      const task = tasks.get(key);
+      if (task !== undefined) used = addResources(used, computeFootprint(findStep(task)));
+    });
+    worker.strays.forEach((stray) => {
+      used = addResources(used, stray.size);
+    });
+    workers.set(workerId, { ...worker, used });
+  };
+  const removeFromPlace = (task: Task) => {
+    const stepRun = findStepRun(task);
+    stepRun.waiting.delete(task.index);
+    stepRun.done.delete(task.index);
+    stepRun.assigned.delete(task.index);
+    if (task.state.kind === 'assigned') workers.get(task.state.workerId)?.tasks.delete(task.key);
+  };
+  const addToPlace = (task: Task) => {
+    const stepRun = findStepRun(task);
+    switch (task.state.kind) {
+      case 'waiting':
+        stepRun.waiting.add(task.index);
+        return;
+      case 'assigned':
+        stepRun.assigned.set(task.index, task.state.workerId);
+        workers.get(task.state.workerId)?.tasks.add(task.key);
+        return;
+      case 'done':
+        stepRun.done.add(task.index);
+        return;
+      default:
+        task.state satisfies never;
+    }
+  };
+  const moveTask = (task: Task, state: TaskState, change: Partial<Task> = {}): Task => {
+    const from = task.state.kind === 'assigned' ? task.state.workerId : undefined;
+    const to = state.kind === 'assigned' ? state.workerId : undefined;
+    const moved: Task = { ...task, ...change, state };
+    if (from !== to || task.state.kind !== state.kind) {
+      removeFromPlace(task);
+      tasks.set(task.key, moved);
+      addToPlace(moved);
+      if (from !== undefined) refreshLoad(from);
+      if (to !== undefined) refreshLoad(to);
+    } else {
+      tasks.set(task.key, moved);
+    }
+    return moved;
+  };
+  const openTask = (job: Job, occurrence: number, stepIndex: number, index: number) => {
+    const origin = origins.get(job.record.spec.id);
+    const key = makeTaskKey(job.record.spec.id, occurrence, stepIndex, index);
+    const suffix = makeTaskSuffix({ occurrence, stepIndex, index });
+    const task: Task = {
+      key,
+      jobId: job.record.spec.id,
+      occurrence,
+      stepIndex,
+      index,
+      failures: origin?.progress?.failures.get(suffix) ?? 0,
+      lastRun: origin?.runBase ?? 0,
+      checkpoint: '',
+      avoid: [],
+      state: { kind: 'waiting', notBeforeMs: 0 },
+    };
+    tasks.set(key, task);
+    if (origin?.progress?.done.has(suffix) === true) moveTask(task, { kind: 'done' });
+  };
+  const openOccurrence = (jobId: string, number: number) => {
+    const job = getJob(jobId);
+    if (job.occurrences.has(number)) return;
+    const { steps } = job.record.spec;
+    const occurrence: Occurrence = { number, steps: steps.map(makeStepRun) };
+    job.occurrences.set(number, occurrence);
+    steps.forEach((step, stepIndex) => {
+      for (let index = 0; index < step.count; index += 1) openTask(job, number, stepIndex, index);
+    });
+  };
+  const listJobTasks = (jobId: string): readonly Task[] => {
+    const job = jobs.get(jobId);
+    if (job === undefined) return [];
+    return [...job.occurrences.values()].flatMap((occurrence) =>
+      job.record.spec.steps.flatMap((step, stepIndex) =>
+        Array.from({ length: step.count }, (_, index) =>
+          tasks.get(makeTaskKey(jobId, occurrence.number, stepIndex, index)),
+        ).filter((task) => task !== undefined),
+      ),
+    );
+  };
+  const dropTask = (task: Task) => {
+    const { state } = task;
+    if (state.kind === 'assigned') {
+      const size = computeFootprint(findStep(task));
+      const stray = { run: state.run, size, stopSentMs: state.stopSentMs };
+      workers.get(state.workerId)?.strays.set(task.key, stray);
+    }
+    removeFromPlace(task);
+    tasks.delete(task.key);
+    if (state.kind === 'assigned') refreshLoad(state.workerId);
+  };
+  return {
+    jobs,
+    workers,
+    findTask: (key) => tasks.get(key),
+    findStep,
+    findStepRun,
+    listJobTasks,
+    addJob: (record, origin, { nowMs, wallMs }) => {
+      const ageMs = Math.max(0, wallMs - record.acceptedAtMs);
+      const arrivedMs = nowMs - ageMs;
+      const job: Job = {
+        record,
+        phase: origin.progress?.phase ?? 'active',
+        storedPhase: origin.storedPhase,
+        hasStarted: (origin.progress?.done.size ?? 0) > 0,
+        arrivedMs,
+        objectiveAtMs: arrivedMs + computeObjectiveMs(record.spec, record.policy),
+        workCoreSeconds: computeWork(record.spec),
+        tailChainsMs: computeTailChains(record.spec),
+        isLasting: isLastingJob(record.spec),
+        isInherited: origin.runBase > 0,
+        occurrences: new Map(),
+        finishedOccurrences: new Set(origin.progress?.occurrencesDone ?? []),
+        finishedMs: undefined,
+      };
+      jobs.set(record.spec.id, job);
+      origins.set(record.spec.id, origin);
+      if (job.phase === 'active' && record.spec.repeatCount === 0) {
+        openOccurrence(record.spec.id, 0);
+      }
+      return job;
+    },
+    updateJob: (jobId, change) => {
+      const job = { ...getJob(jobId), ...change };
+      jobs.set(jobId, job);
+      return job;
+    },
+    openOccurrence,
+    dropTasks: (list) => list.forEach(dropTask),
+    dropJob: (jobId) => {
+      jobs.delete(jobId);
+      origins.delete(jobId);
+    },
+    moveTask,
+    addWorker: (entry) => {
+      const worker: Worker = {
+        entry,
+        isListed: true,
+        isRecorded: false,
+        clock: undefined,
+        leaseUntilMs: 0,
+        lastEnd: 0,
+        storedEnd: 0,
+        answeredMs: 0,
+        misses: 0,
+        tasks: new Set(),
+        strays: new Map(),
+        used: NO_RESOURCES,
+        noStartBeforeMs: 0,
+        isEvacuating: false,
+        failedJobs: [],
+      };
+      workers.set(entry.id, worker);
+      return worker;
+    },
+    updateWorker,
+    dropWorker: (workerId) => {
+      workers.delete(workerId);
+    },
+    refreshLoad,
+  };
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,17 @@
+/** Bundles the platform's program into one file under target/, from sources, without a type check. */
+import { build } from 'esbuild';
+
+await build({
+  entryPoints: ['platform/src/lib/main.ts'],
+  outfile: 'target/vanilladock.mjs',
+  bundle: true,
+  platform: 'node',
+  format: 'esm',
+  target: 'node20',
+  minify: true,
+  conditions: ['source'],
+  banner: {
+    js: "import { createRequire } from 'node:module'; const require = createRequire(import.meta.url);",
+  },
+  logLevel: 'warning',
+});
