--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -1,6 +1,6 @@
 /**
- * Claims duties and tells who holds them. Every instance sends heartbeats into one partition and reads
- * it; a vacant duty is claimed by a conditional append there.
+ * Claims duties and tells who holds them. Every instance sends heartbeats into one partition; a vacant
+ * duty is claimed by a conditional append to another. Every instance reads both.
  */
 import { BehaviorSubject } from 'rxjs';
 import {
@@ -19,8 +19,11 @@
 import { waitMs } from './clock.js';
 import { watchTopic } from './topic-follower.js';
 
-/** Partition of claims and heartbeats. */
-export const CLAIMS = { topic: 'keyed.claims', partition: 0 } as const;
+/** Partition of claims: it grows only with them, so that a conditional append seldom fails. */
+const CLAIMS = { topic: 'keyed.claims', partition: 0 } as const;
+
+/** Partition of heartbeats. */
+const MEMBERS = { topic: 'keyed.claims', partition: 1 } as const;
 
 /** Claims of one instance. */
 export interface DutyClaims {
@@ -140,19 +143,14 @@
   const runHeartbeats = async () => {
     while (!isStopped) {
       const sentMs = performance.now();
-      const outcome = await store.append(CLAIMS, [encodeHeartbeat(self)], { kind: 'none' });
+      const outcome = await store.append(MEMBERS, [encodeHeartbeat(self)], { kind: 'none' });
       if (outcome.kind === 'stored') handleContact();
       await waitMs(Math.max(0, HEARTBEAT_MS - (performance.now() - sentMs)));
     }
   };
-  const subscription = watchTopic({
-    store,
-    where: CLAIMS,
-    pauseMs: TICK_MS,
-    pollMs: MEMBER_TTL_MS,
-    handleContact,
-    log,
-  });
+  const follow = { store, handleContact, log, pollMs: MEMBER_TTL_MS };
+  const newClaims = watchTopic({ ...follow, where: CLAIMS, pauseMs: 0 });
+  const heartbeats = watchTopic({ ...follow, where: MEMBERS, pauseMs: TICK_MS });
   return {
     held,
     findHolder: (duty) => {
@@ -165,7 +163,10 @@
     listMembers: () => table.listMembers(performance.now()),
     start: () => {
       startedMs = performance.now();
-      subscription.subscribe(({ records, next }) => {
+      heartbeats.subscribe(({ records }) => {
+        records.forEach((record) => table.apply(record, performance.now()));
+      });
+      newClaims.subscribe(({ records, next }) => {
         records.forEach((record) => table.apply(record, performance.now()));
         nextOffset = next;
         checkHeld();
@@ -178,9 +179,8 @@
       isStopped = true;
       const releases = [...held.value.keys()].map((duty) => encodeClaim(duty, ''));
       held.next(new Map());
-      const outcome = await store.append(CLAIMS, [...releases, encodeDeparture(self)], {
-        kind: 'none',
-      });
+      const outcome = await store.append(CLAIMS, releases, { kind: 'none' });
+      await store.append(MEMBERS, [encodeDeparture(self)], { kind: 'none' });
       log.info({ event: 'duties-released', count: releases.length, outcome: outcome.kind });
     },
   };
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/fenced-writer.ts
@@ -0,0 +1,90 @@
+/**
+ * Writes to one partition as its only producer under a fencing token. Writes go one at a time; one
+ * without an answer is repeated with its sequence number until the store has answered.
+ */
+import type { KeyedRecord, KeyedStore, PartitionName } from 'vanilladock/lib/ports/keyed-store.js';
+import type { JsonLog } from '../json-log.js';
+import { waitMs } from './clock.js';
+
+/** Outcome of one write: `refused` has not been stored, `lost` when another has taken over. */
+export type WriteOutcome = 'stored' | 'refused' | 'lost';
+
+/** What a writer needs. */
+export interface FencedWriterOptions {
+  readonly store: KeyedStore;
+  readonly where: PartitionName;
+  readonly producer: string;
+  /** The claim's token, as the producer's epoch. */
+  readonly token: number;
+  readonly log: JsonLog;
+}
+
+/** A writer. */
+export interface FencedWriter {
+  /** Fences off earlier holders; false when a later one has taken over. */
+  readonly fence: () => Promise<boolean>;
+  readonly write: (records: readonly KeyedRecord[]) => Promise<WriteOutcome>;
+  readonly close: () => void;
+}
+
+const RETRY_MS = 100;
+
+/** Creates a writer. */
+export function createFencedWriter(options: FencedWriterOptions): FencedWriter {
+  const { store, where, producer, token, log } = options;
+  let sequence = 0;
+  let isClosed = false;
+  let queue: Promise<unknown> = Promise.resolve();
+
+  const writeNow = async (records: readonly KeyedRecord[]): Promise<WriteOutcome> => {
+    let mayBeStored = false;
+    while (!isClosed) {
+      const guard = { kind: 'producer', producer, epoch: token, sequence } as const;
+      const outcome = await store.append(where, records, guard);
+      switch (outcome.kind) {
+        case 'stored':
+          sequence += 1;
+          return 'stored';
+        case 'fenced':
+          return 'lost';
+        case 'out-of-sequence':
+          log.error({ event: 'store-out-of-sequence', producer, sequence, ...outcome });
+          sequence = outcome.expected;
+          break;
+        case 'refused':
+          log.warn({ event: 'store-refused', producer, sequence, ...outcome, mayBeStored });
+          if (!mayBeStored) return 'refused';
+          break;
+        case 'unknown':
+          log.warn({ event: 'store-unanswered', producer, sequence, ...outcome });
+          mayBeStored = true;
+          break;
+        case 'end-moved':
+          return 'refused';
+        default:
+          return outcome satisfies never;
+      }
+      await waitMs(RETRY_MS);
+    }
+    return 'lost';
+  };
+  const write = (records: readonly KeyedRecord[]): Promise<WriteOutcome> => {
+    const written = queue.then(() => writeNow(records));
+    queue = written;
+    return written;
+  };
+  return {
+    fence: async () => {
+      while (!isClosed) {
+        const outcome = await write([]);
+        if (outcome !== 'refused') return outcome === 'stored';
+        await waitMs(RETRY_MS);
+      }
+      return false;
+    },
+    write,
+    close: () => {
+      isClosed = true;
+    },
+  };
+}
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -3,12 +3,13 @@
  * pools that it holds, and answers requests about jobs for all of them.
  */
 import { BehaviorSubject } from 'rxjs';
-import type { Member } from 'vanilladock/lib/duties/claim-table.js';
-import type { Advisor, FleetConfig } from 'vanilladock/lib/ports/fleet.js';
+import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
+import type { Advisor, Fleet, FleetConfig, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import type { JsonLog } from '../json-log.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
+import { FLEET_DUTY, startFleetRunner, type FleetRunner } from './fleet-runner.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
 import { createPeerClient, startPeerServer } from './peers.js';
 import { startPoolRunner, type PoolRunner } from './pool-runner.js';
@@ -22,7 +23,12 @@
   readonly storePartitions: number;
   readonly workers: TaskWorkers;
   readonly advisor: Advisor;
+  readonly fleet: Fleet;
   readonly config: BehaviorSubject<FleetConfig | undefined>;
+  readonly waves: BehaviorSubject<ReadonlyMap<number, WaveOrder>>;
+  readonly publishWave: (order: WaveOrder, state: 'running' | 'completed') => Promise<boolean>;
+  /** Another holder of the fleet duty may have given orders until this long before. */
+  readonly holderGapMs: number;
   /** Entries of all workers by id. */
   readonly entries: BehaviorSubject<ReadonlyMap<string, WorkerEntry>>;
   readonly statusMs: number;
@@ -54,7 +60,10 @@
   const noteStoreContact = () => {
     lastStoreMs = performance.now();
   };
-  const listDuties = () => config.value?.pools.map((pool) => makePoolDuty(pool.name)) ?? [];
+  const listDuties = () => {
+    const pools = config.value?.pools.map((pool) => makePoolDuty(pool.name)) ?? [];
+    return pools.length === 0 ? [] : [...pools, FLEET_DUTY];
+  };
   const claims = createDutyClaims({
     store: options.store,
     self,
@@ -77,7 +86,29 @@
     });
     runners.set(pool, runner);
   };
+  let fleetRunner: FleetRunner | undefined;
+  const updateFleetRunner = (claim: Claim | undefined) => {
+    if (fleetRunner?.claim.token === claim?.token) return;
+    fleetRunner?.stop();
+    fleetRunner =
+      claim === undefined
+        ? undefined
+        : startFleetRunner({
+            ...options,
+            claim,
+            holder: self.name,
+            gateway,
+            handleLost: (why) => claims.dropDuty(FLEET_DUTY, why),
+          });
+  };
+  const gateway = createJobGateway({
+    findRunner: (pool) => runners.get(pool),
+    findHolder: claims.findHolder,
+    selfId: self.id,
+    peers,
+  });
   claims.held.subscribe((held) => {
+    updateFleetRunner(held.get(FLEET_DUTY));
     [...runners].forEach(([pool, runner]) => {
       const claim = held.get(makePoolDuty(pool));
       if (claim?.token === runner.claim.token) return;
@@ -86,12 +117,6 @@
     });
     config.value?.pools.forEach(({ name }) => startRunner(name));
   });
-  const gateway = createJobGateway({
-    findRunner: (pool) => runners.get(pool),
-    findHolder: claims.findHolder,
-    selfId: self.id,
-    peers,
-  });
   const server = await startPeerServer(options.peerHost, options.peerPort, gateway.answerLocally);
   claims.start();
   return {
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -22,6 +22,8 @@
 /** Answers requests. */
 export interface JobGateway {
   readonly answer: (request: JobRequest) => Promise<JobReply>;
+  /** Answers a request with one try. */
+  readonly answerOnce: (request: JobRequest) => Promise<JobReply>;
   /** Answers a peer's request without passing it on. */
   readonly answerLocally: (request: JobRequest) => Promise<JobReply>;
 }
@@ -60,6 +62,7 @@
   };
   return {
     answerLocally,
+    answerOnce,
     answer: async (request) => {
       if (request.kind === 'submit') return answerOnce(request);
       const startedMs = performance.now();
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -12,7 +12,10 @@
   | { readonly kind: 'status'; readonly pool: string; readonly jobId: string }
   | { readonly kind: 'cancel'; readonly pool: string; readonly jobId: string }
   | { readonly kind: 'pending'; readonly pool: string; readonly route: string }
-  | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string };
+  /** Takes no new tasks onto a worker for a moment and moves its lasting ones away. */
+  | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string }
+  /** The worker's process was ended by an order. */
+  | { readonly kind: 'life-ended'; readonly pool: string; readonly workerId: string };
 
 /** State of a job as its caller sees it. */
 export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
@@ -30,6 +33,8 @@
   | { readonly kind: 'no-such-job' }
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'pending'; readonly count: number }
+  /** What a worker that is being emptied still has. */
+  | { readonly kind: 'content'; readonly lastingTasks: number; readonly batchTasks: number }
   /** Nothing was done; asking again later may help. */
   | { readonly kind: 'unavailable'; readonly why: string; readonly retryAfterMs: number }
   /** A submission or cancel may have taken effect. */
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -50,6 +50,7 @@
           resolve(reply);
         };
         const fail = (why: string, isProcessGone: boolean) => {
+          if (isSettled) return;
           silentUntilMs.set(peer.id, performance.now() + SILENT_PAUSE_MS);
           call.destroy();
           settle(
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -315,8 +315,13 @@
         }
         case 'pending':
           return { kind: 'pending', count: planner.countPending(request.route) };
-        case 'evacuate':
-          planner.setEvacuation(request.workerId, true);
+        case 'evacuate': {
+          const content = planner.evacuate(request.workerId, readMoment());
+          schedulePlan();
+          return { kind: 'content', ...content };
+        }
+        case 'life-ended':
+          planner.observeLifeEnd(request.workerId, 'ordered');
           schedulePlan();
           return { kind: 'accepted' };
         default:
--- a/packages/daemon/src/lib/jobs/pool-store.ts
+++ b/packages/daemon/src/lib/jobs/pool-store.ts
@@ -8,6 +8,7 @@
 import murmurHash from 'imurmurhash';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
+import { createFencedWriter, type FencedWriter } from './fenced-writer.js';
 
 /** Topics over which the pools' partitions are spread. */
 const TOPICS = 4;
@@ -31,15 +32,12 @@
   readonly jobs: readonly { readonly record: JobRecord; readonly progress: Progress | undefined }[];
 }
 
-/** Outcome of one write: `lost` when another planner has taken over. */
-export type WriteOutcome = 'stored' | 'refused' | 'lost';
-
 /** The store of one pool under one claim. */
 export interface PoolStore {
   /** Fences off earlier planners, then reads; undefined when the claim was superseded. */
   readonly load: () => Promise<StoredPool | undefined>;
   /** Writes records; repeats without a bound while the outcome is unknown. */
-  readonly write: (records: readonly KeyedRecord[]) => Promise<WriteOutcome>;
+  readonly write: FencedWriter['write'];
   readonly encodeMeta: (meta: PoolMeta) => KeyedRecord;
   readonly close: () => void;
 }
@@ -85,49 +83,11 @@
   log: JsonLog,
 ): PoolStore {
   const where = choosePartition(pool, partitions);
-  let sequence = 0;
+  const writer = createFencedWriter({ store, where, producer: pool, token, log });
   let isClosed = false;
-
-  const write = async (records: readonly KeyedRecord[]): Promise<WriteOutcome> => {
-    let mayBeStored = false;
-    while (!isClosed) {
-      const guard = { kind: 'producer', producer: pool, epoch: token, sequence } as const;
-      const outcome = await store.append(where, records, guard);
-      switch (outcome.kind) {
-        case 'stored':
-          sequence += 1;
-          return 'stored';
-        case 'fenced':
-          return 'lost';
-        case 'out-of-sequence':
-          log.error({ event: 'store-out-of-sequence', pool, sequence, expected: outcome.expected });
-          sequence = outcome.expected;
-          break;
-        case 'refused':
-          log.warn({ event: 'store-refused', pool, sequence, reason: outcome.reason, mayBeStored });
-          if (!mayBeStored) return 'refused';
-          break;
-        case 'unknown':
-          log.warn({ event: 'store-unanswered', pool, sequence, reason: outcome.reason });
-          mayBeStored = true;
-          break;
-        case 'end-moved':
-          return 'refused';
-        default:
-          return outcome satisfies never;
-      }
-      await waitMs(RETRY_MS);
-    }
-    return 'lost';
-  };
   return {
     load: async () => {
-      let fenced: WriteOutcome = 'refused';
-      while (fenced === 'refused') {
-        fenced = await write([]);
-        if (fenced === 'refused') await waitMs(RETRY_MS);
-      }
-      if (fenced === 'lost') return undefined;
+      if (!(await writer.fence())) return undefined;
       while (!isClosed) {
         const newest = await store.readNewest(where);
         if (newest.kind === 'records') return decodePool(pool, newest.records);
@@ -136,10 +96,11 @@
       }
       return undefined;
     },
-    write,
+    write: writer.write,
     encodeMeta: (meta) => ({ key: `${pool}${META_SUFFIX}`, value: JSON.stringify(meta) }),
     close: () => {
       isClosed = true;
+      writer.close();
     },
   };
 }
--- a/packages/vanilladock/src/lib/jobs/place.ts
+++ b/packages/vanilladock/src/lib/jobs/place.ts
@@ -42,7 +42,7 @@
     worker.entry.phase === 'ready' &&
     worker.clock !== undefined &&
     worker.misses === 0 &&
-    !worker.isEvacuating &&
+    worker.evacuateUntilMs <= nowMs &&
     worker.noStartBeforeMs <= nowMs &&
     worker.failedJobs.length < BARRED_AFTER_JOBS
   );
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -53,8 +53,8 @@
 }
 
 /** Says whether a worker is to be emptied. */
-export function isLeaving(worker: Worker): boolean {
-  return worker.isEvacuating || worker.entry.phase === 'draining';
+export function isLeaving(worker: Worker, nowMs: number): boolean {
+  return worker.evacuateUntilMs > nowMs || worker.entry.phase === 'draining';
 }
 
 /** Plans the stop of one assigned task, if one is due. */
@@ -69,7 +69,7 @@
   if (state.phase === 'stopping') {
     return isStopDue(state.stopSentMs, at.nowMs) ? 'unconfirmed' : undefined;
   }
-  const isCandidate = isLeaving(worker) && context.table.findStep(task).isLasting;
+  const isCandidate = isLeaving(worker, at.nowMs) && context.table.findStep(task).isLasting;
   if (!isCandidate || state.phase !== 'running') return undefined;
   return canMove(context, task, at.nowMs) ? 'evacuation' : undefined;
 }
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -16,6 +16,7 @@
 import type { DecisionEvent, PoolContext } from './pool-context.js';
 import { encodeProgress, type Progress } from './progress.js';
 import type { JobPolicy, JobRecord, JobSpec } from './spec.js';
+import type { WorkerContent } from '../waves/plan-wave.js';
 import type { Job, JobPhase, Moment, Worker } from './state.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketBook, type TicketBook } from './tickets.js';
@@ -64,7 +65,8 @@
   readonly observeLifeEnd: (workerId: string, why: string) => void;
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
   readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
-  readonly setEvacuation: (workerId: string, isEvacuating: boolean) => void;
+  /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has. */
+  readonly evacuate: (workerId: string, at: Moment) => WorkerContent;
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
   readonly plan: (at: Moment) => readonly PoolAction[];
   readonly takeStoreBatch: () => StoreBatch | undefined;
@@ -92,6 +94,9 @@
 
 const MS_PER_SECOND = 1000;
 
+/** An evacuation lapses when it is not asked for again within this time. */
+const EVACUATION_MS = 3_000;
+
 /** Extra wait for leases of an earlier planner beyond their length. */
 const INHERITED_SLACK_MS = 200;
 
@@ -375,7 +380,15 @@
       if (task.state.run !== action.run || outcome.kind !== 'accepted') return;
       table.moveTask(task, { ...task.state, stopAnsweredMs: at.nowMs });
     },
-    setEvacuation: (workerId, isEvacuating) => table.updateWorker(workerId, { isEvacuating }),
+    evacuate: (workerId, { nowMs }) => {
+      table.updateWorker(workerId, { evacuateUntilMs: nowMs + EVACUATION_MS });
+      const worker = table.workers.get(workerId);
+      if (worker === undefined) return { lastingTasks: 0, batchTasks: 0 };
+      const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
+      const lasting = tasks.filter((task) => table.findStep(task).isLasting);
+      const lastingTasks = lasting.length + worker.strays.size;
+      return { lastingTasks, batchTasks: tasks.length - lasting.length };
+    },
     markEndsStored: (workerId, bornMs, lastEnd) => {
       const worker = table.workers.get(workerId);
       if (worker === undefined || worker.entry.bornMs !== bornMs) return;
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -122,7 +122,8 @@
   readonly strays: Map<string, Stray>;
   readonly used: Resources;
   readonly noStartBeforeMs: number;
-  readonly isEvacuating: boolean;
+  /** No new tasks, and lasting ones are moved away, until this time. */
+  readonly evacuateUntilMs: number;
   /** Jobs whose tasks failed here since the last success. */
   readonly failedJobs: readonly string[];
 }
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -236,7 +236,7 @@
         strays: new Map(),
         used: NO_RESOURCES,
         noStartBeforeMs: 0,
-        isEvacuating: false,
+        evacuateUntilMs: 0,
         failedJobs: [],
       };
       workers.set(entry.id, worker);
