--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -25,9 +25,7 @@
 /** Takes a run into the table as found at the worker. */
 function adoptRun(context: PoolContext, worker: Worker, row: RunningTask, at: Moment): void {
   const task = context.table.findTask(row.taskKey);
-  const canAdopt =
-    task !== undefined && task.state.kind === 'waiting' && row.run >= task.lastRun;
-  if (!canAdopt) {
+  if (task === undefined || task.state.kind !== 'waiting') {
     const known = worker.strays.get(row.taskKey);
     if (known?.run === row.run) return;
     const size = task === undefined ? NO_RESOURCES : context.table.findStep(task).size;
@@ -49,7 +47,7 @@
     load: row.load,
     pacePercent: 100,
   };
-  context.table.moveTask(task, assignment, { lastRun: row.run });
+  context.table.moveTask(task, assignment, { lastRun: Math.max(task.lastRun, row.run) });
   context.table.updateJob(task.jobId, { hasStarted: true });
   context.report({
     event: 'run-adopted',
