--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -10,7 +10,6 @@
   encodeDeparture,
   encodeHeartbeat,
   HEARTBEAT_MS,
-  MEMBER_TTL_MS,
   type Claim,
   type Member,
 } from 'vanilladock/lib/duties/claim-table.js';
@@ -48,6 +47,7 @@
 }
 
 const TICK_MS = 250;
+const POLL_MS = 1_000;
 
 /** Members are given this long to appear before the first claim. */
 const SETTLE_MS = 700;
@@ -148,7 +148,7 @@
       await waitMs(Math.max(0, HEARTBEAT_MS - (performance.now() - sentMs)));
     }
   };
-  const follow = { store, handleContact, log, pollMs: MEMBER_TTL_MS };
+  const follow = { store, handleContact, log, pollMs: POLL_MS };
   const newClaims = watchTopic({ ...follow, where: CLAIMS, pauseMs: 0 });
   const heartbeats = watchTopic({ ...follow, where: MEMBERS, pauseMs: TICK_MS });
   return {
--- a/packages/daemon/src/lib/jobs/pool-store.ts
+++ b/packages/daemon/src/lib/jobs/pool-store.ts
@@ -11,7 +11,7 @@
 import { createFencedWriter, type FencedWriter } from './fenced-writer.js';
 
 /** Topics over which the pools' partitions are spread. */
-const TOPICS = 4;
+const TOPICS = 80;
 
 /** Key of what a pool keeps beside its jobs. */
 const META_SUFFIX = ':meta';
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -129,10 +129,14 @@
 /** Applies the ends that the worker lists and that are new. */
 function applyEnds(context: PoolContext, workerId: string, timed: TimedReport, at: Moment): void {
   const { table } = context;
-  timed.report.ended.forEach((row) => {
+  const appliedEnd = table.workers.get(workerId)?.lastEnd ?? 0;
+  const rows = timed.report.ended.filter((row) => row.number > appliedEnd);
+  table.updateWorker(workerId, {
+    lastEnd: Math.max(appliedEnd, ...rows.map((row) => row.number)),
+  });
+  rows.forEach((row) => {
     const worker = table.workers.get(workerId);
-    if (worker === undefined || row.number <= worker.lastEnd) return;
-    table.updateWorker(workerId, { lastEnd: row.number });
+    if (worker === undefined) return;
     if (worker.strays.get(row.taskKey)?.run === row.run) worker.strays.delete(row.taskKey);
     const task = table.findTask(row.taskKey);
     if (task === undefined) return;
