--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -318,7 +318,9 @@
         case 'evacuate': {
           const content = planner.evacuate(request.workerId, readMoment());
           schedulePlan();
-          return { kind: 'content', ...content };
+          return content === undefined
+            ? { kind: 'unavailable', why: 'worker-not-heard', retryAfterMs: RETRY_AFTER_MS }
+            : { kind: 'content', ...content };
         }
         case 'life-ended':
           planner.observeLifeEnd(request.workerId, 'ordered');
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -24,14 +24,12 @@
   return stopSentMs === undefined || nowMs - stopSentMs > REPEAT_STOP_MS;
 }
 
-/** Says whether a lasting task is fully at work. */
-function isAtWork(task: Task | undefined): boolean {
-  return (
-    task !== undefined &&
-    task.state.kind === 'assigned' &&
-    task.state.phase === 'running' &&
-    task.state.percent >= FULL_PERCENT
-  );
+/** Says whether a lasting task is fully at work, as far as its worker has said lately. */
+function isAtWork(context: PoolContext, task: Task | undefined): boolean {
+  if (task === undefined || task.state.kind !== 'assigned') return false;
+  const worker = context.table.workers.get(task.state.workerId);
+  const isHeard = worker !== undefined && worker.misses === 0;
+  return isHeard && task.state.phase === 'running' && task.state.percent >= FULL_PERCENT;
 }
 
 /** Counts the tasks of a lasting step that are not at work. */
@@ -39,7 +37,7 @@
   const { count } = context.table.findStep(task);
   const prefix = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
   const indices = Array.from({ length: count }, (_, index) => index);
-  return indices.filter((index) => !isAtWork(context.table.findTask(`${prefix}.${index}`))).length;
+  return indices.filter((index) => !isAtWork(context, context.table.findTask(`${prefix}.${index}`))).length;
 }
 
 /** Says whether a lasting task may be moved now: its step bears it and another worker has room. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -17,7 +17,7 @@
 import { encodeProgress, type Progress } from './progress.js';
 import type { JobPolicy, JobRecord, JobSpec } from './spec.js';
 import type { WorkerContent } from '../waves/plan-wave.js';
-import type { Job, JobPhase, Moment, Worker } from './state.js';
+import type { Job, JobPhase, Moment, Task, Worker } from './state.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketBook, type TicketBook } from './tickets.js';
 
@@ -65,8 +65,8 @@
   readonly observeLifeEnd: (workerId: string, why: string) => void;
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
   readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
-  /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has. */
-  readonly evacuate: (workerId: string, at: Moment) => WorkerContent;
+  /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has, once that is known. */
+  readonly evacuate: (workerId: string, at: Moment) => WorkerContent | undefined;
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
   readonly plan: (at: Moment) => readonly PoolAction[];
   readonly takeStoreBatch: () => StoreBatch | undefined;
@@ -125,6 +125,11 @@
   return sum;
 }
 
+/** Says whether a task has anything that must be stored. */
+function hasResult(task: Task): boolean {
+  return task.failures > 0 || task.state.kind === 'done';
+}
+
 /** Computes what admission knows of the pool. */
 function computePoolLoad(table: TaskTable, nowMs: number): PoolLoad {
   let cores = 0;
@@ -383,6 +388,8 @@
     evacuate: (workerId, { nowMs }) => {
       table.updateWorker(workerId, { evacuateUntilMs: nowMs + EVACUATION_MS });
       const worker = table.workers.get(workerId);
+      const isHeard = worker !== undefined && worker.clock !== undefined;
+      if (!isHeard && nowMs < doubtUntilMs) return undefined;
       if (worker === undefined) return { lastingTasks: 0, batchTasks: 0 };
       const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
       const lasting = tasks.filter((task) => table.findStep(task).isLasting);
@@ -421,10 +428,11 @@
         if (job === undefined) return [];
         phases.set(id, job.phase);
         const jobRecord = { key: makeJobKey(pool, id), value: JSON.stringify(job.record) };
-        const hasProgress = job.phase !== 'active' || job.hasStarted;
-        const value = encodeProgress(job, table.listJobTasks(id));
-        const progress = { key: makeProgressKey(pool, id), value };
-        return [...(newJobs.has(id) ? [jobRecord] : []), ...(hasProgress ? [progress] : [])];
+        const tasks = table.listJobTasks(id);
+        const isUntouched = job.phase === 'active' && !tasks.some(hasResult);
+        const progress = { key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) };
+        if (!newJobs.has(id)) return [progress];
+        return isUntouched ? [jobRecord] : [jobRecord, progress];
       });
       dirtyJobs.clear();
       newJobs.clear();
