--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -1,4 +1,5 @@
 /** Callers' requests about jobs and their answers, as the instances hand them to each other. */
+import type { PoolDemand } from 'vanilladock/lib/lending/plan-lending.js';
 import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
 
 /** A request about a job, for the planner of its pool. */
@@ -14,6 +15,7 @@
   | { readonly kind: 'pending'; readonly pool: string; readonly route: string }
   /** Takes no new tasks onto a worker for a moment and moves its lasting ones away. */
   | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string }
+  | { readonly kind: 'demand'; readonly pool: string }
   /** The worker's process was ended by an order. */
   | { readonly kind: 'life-ended'; readonly pool: string; readonly workerId: string };
 
@@ -35,6 +37,7 @@
   | { readonly kind: 'pending'; readonly count: number }
   /** What a worker that is being emptied still has. */
   | { readonly kind: 'content'; readonly lastingTasks: number; readonly batchTasks: number }
+  | { readonly kind: 'demand'; readonly demand: PoolDemand }
   /** Nothing was done; asking again later may help. */
   | { readonly kind: 'unavailable'; readonly why: string; readonly retryAfterMs: number }
   /** A submission or cancel may have taken effect. */
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -322,6 +322,8 @@
             ? { kind: 'unavailable', why: 'worker-not-heard', retryAfterMs: RETRY_AFTER_MS }
             : { kind: 'content', ...content };
         }
+        case 'demand':
+          return { kind: 'demand', demand: planner.getDemand(readMoment()) };
         case 'life-ended':
           planner.observeLifeEnd(request.workerId, 'ordered');
           schedulePlan();
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -4,6 +4,7 @@
 import { chooseWorker, isOpen, type PlaceRequest } from './place.js';
 import type { PoolContext } from './pool-context.js';
 import { compareQueueKeys, makeQueueKey } from './queue-order.js';
+import { listReadySteps } from './ready-steps.js';
 import { computeFootprint, computeRoom } from './room.js';
 import type { StepSpec } from './spec.js';
 import type { Assignment, Job, Moment, Occurrence, StepRun, Task, Worker } from './state.js';
@@ -48,17 +49,15 @@
   readonly stepRun: StepRun;
 }
 
-/** Lists the steps of a job whose tasks may start. */
-function listReadySteps(job: Job): readonly StepPlace[] {
-  const { steps } = job.record.spec;
+/** Lists the steps of a job with tasks that may start. */
+function listPlaces(job: Job): readonly StepPlace[] {
+  const { spec } = job.record;
   return [...job.occurrences.values()].flatMap((occurrence) =>
-    steps.flatMap((step, stepIndex) => {
+    listReadySteps(spec, occurrence).flatMap((stepIndex) => {
       const stepRun = occurrence.steps[stepIndex];
-      if (stepRun === undefined || stepRun.waiting.size === 0) return [];
-      const isReady = step.dependsOn.every(
-        (earlier) => occurrence.steps[earlier]?.done.size === steps[earlier]?.count,
-      );
-      return isReady ? [{ job, occurrence, stepIndex, step, stepRun }] : [];
+      const step = spec.steps[stepIndex];
+      if (step === undefined || stepRun === undefined || stepRun.waiting.size === 0) return [];
+      return [{ job, occurrence, stepIndex, step, stepRun }];
     }),
   );
 }
@@ -180,7 +179,7 @@
   return {
     placeJob: (job: Job) => {
       const before = starts.length;
-      listReadySteps(job).forEach((place) => {
+      listPlaces(job).forEach((place) => {
         if (place.step.isGang) placeGang(place);
         else placeStep(place);
       });
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -6,6 +6,7 @@
 import type { OrderOutcome, TaskReport, WorkerEntry } from '../ports/task-workers.js';
 import type { KeyedRecord } from '../ports/keyed-store.js';
 import { admitJob, type Admission, type PoolLoad } from './admit-job.js';
+import type { PoolDemand } from '../lending/plan-lending.js';
 import { closeJob, releaseTask } from './apply-ends.js';
 import { hasLeasePassed, LEASE_MS, CLOCK_DRIFT } from './lease-clock.js';
 import { observeReport } from './observe-report.js';
@@ -15,9 +16,13 @@
 import { planStops, type StopAction } from './plan-stops.js';
 import type { DecisionEvent, PoolContext } from './pool-context.js';
 import { encodeProgress, type Progress } from './progress.js';
-import type { JobPolicy, JobRecord, JobSpec } from './spec.js';
+import { createRateMeter } from './rate-meter.js';
+import { computeFootprint } from './room.js';
+import { computeWork } from './estimate.js';
+import { isLastingJob, type JobPolicy, type JobRecord, type JobSpec, type StepSpec } from './spec.js';
 import type { WorkerContent } from '../waves/plan-wave.js';
 import type { Job, JobPhase, Moment, Task, Worker } from './state.js';
+import { countDone, listReadySteps } from './ready-steps.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketBook, type TicketBook } from './tickets.js';
 
@@ -67,6 +72,8 @@
   readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
   /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has, once that is known. */
   readonly evacuate: (workerId: string, at: Moment) => WorkerContent | undefined;
+  /** Tells the pool's demand and what each of its workers has. */
+  readonly getDemand: (at: Moment) => PoolDemand;
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
   readonly plan: (at: Moment) => readonly PoolAction[];
   readonly takeStoreBatch: () => StoreBatch | undefined;
@@ -125,11 +132,43 @@
   return sum;
 }
 
+/** Describes a step for the log: its shape and whatever restricts its placement. */
+function describeStep(step: StepSpec): string {
+  const marks = [
+    step.isLasting ? 'lasting' : '',
+    step.isFilling ? 'filling' : '',
+    step.isGang ? 'gang' : '',
+    step.isCheckpointing ? 'checkpoints' : '',
+    step.maxPerWorker === undefined ? '' : `spread=${step.maxPerWorker}`,
+    step.maxUnavailable === undefined ? '' : `away=${step.maxUnavailable}`,
+    step.tailTargetMs === undefined ? '' : `tail=${step.tailTargetMs}`,
+    step.requiredLabel === undefined ? '' : `label=${step.requiredLabel}`,
+    step.dataRack === undefined ? '' : `rack=${step.dataRack}`,
+  ].filter((mark) => mark !== '');
+  const size = `${step.count}x${step.size.cores}c/${step.size.memoryMb}MB/${step.estimateMs}ms`;
+  return [size, ...marks].join(' ');
+}
+
 /** Says whether a task has anything that must be stored. */
 function hasResult(task: Task): boolean {
   return task.failures > 0 || task.state.kind === 'done';
 }
 
+/** Sums the cores of the batch tasks that run or could start. */
+function computeRunnableCores(table: TaskTable): number {
+  let sum = 0;
+  table.jobs.forEach((job) => {
+    if (job.phase !== 'active' || job.isLasting) return;
+    job.occurrences.forEach((occurrence) =>
+      listReadySteps(job.record.spec, occurrence).forEach((index) => {
+        const open = (job.record.spec.steps[index]?.count ?? 0) - countDone(occurrence, index);
+        sum += open * (job.record.spec.steps[index]?.size.cores ?? 0);
+      }),
+    );
+  });
+  return sum;
+}
+
 /** Computes what admission knows of the pool. */
 function computePoolLoad(table: TaskTable, nowMs: number): PoolLoad {
   let cores = 0;
@@ -153,6 +192,7 @@
   const tickets = createTicketBook();
   const dirtyJobs = new Set<string>();
   const newJobs = new Set<string>();
+  const arrivals = createRateMeter();
   const meanWork = new Map<string, { readonly sum: number; readonly count: number }>();
   const unheard = new Set(options.inheritedWorkers);
   const doubtUntilMs =
@@ -255,10 +295,13 @@
     submit: (spec, policy, at) => {
       if (table.jobs.has(spec.id)) return 'known';
       const load = computePoolLoad(table, at.nowMs);
+      if (!isLastingJob(spec)) arrivals.add(computeWork(spec), at.nowMs);
       const admission = admitJob(spec, policy, load);
       options.report({
         event: admission.kind === 'admitted' ? 'job-admitted' : 'job-refused',
         job: spec.id,
+        route: spec.route,
+        steps: spec.steps.map(describeStep),
         ...(admission.kind === 'refused' ? admission : {}),
         backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
         cores: load.cores,
@@ -396,6 +439,28 @@
       const lastingTasks = lasting.length + worker.strays.size;
       return { lastingTasks, batchTasks: tasks.length - lasting.length };
     },
+    getDemand: ({ nowMs }) => {
+      let lastingCores = 0;
+      const workers = [...table.workers.values()].map((worker) => {
+        const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
+        const lasting = tasks.filter((task) => table.findStep(task).isLasting);
+        lasting.forEach((task) => {
+          lastingCores += computeFootprint(table.findStep(task)).cores;
+        });
+        return {
+          workerId: worker.entry.id,
+          lastingTasks: lasting.length + worker.strays.size,
+          batchTasks: tasks.length - lasting.length,
+        };
+      });
+      return {
+        pool,
+        arrivalCores: arrivals.getRate(nowMs),
+        runnableCores: computeRunnableCores(table),
+        lastingCores,
+        workers,
+      };
+    },
     markEndsStored: (workerId, bornMs, lastEnd) => {
       const worker = table.workers.get(workerId);
       if (worker === undefined || worker.entry.bornMs !== bornMs) return;
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/rate-meter.ts
@@ -0,0 +1,31 @@
+/** Meters a rate over the last second or so, with exponential decay. */
+
+/** A meter. */
+export interface RateMeter {
+  readonly add: (amount: number, nowMs: number) => void;
+  /** Amount a second. */
+  readonly getRate: (nowMs: number) => number;
+}
+
+const WINDOW_MS = 1_000;
+const MS_PER_SECOND = 1_000;
+
+/** Creates a meter at rest. */
+export function createRateMeter(): RateMeter {
+  let sum = 0;
+  let sinceMs = 0;
+  const decayTo = (nowMs: number) => {
+    sum *= Math.exp(-(nowMs - sinceMs) / WINDOW_MS);
+    sinceMs = nowMs;
+  };
+  return {
+    add: (amount, nowMs) => {
+      decayTo(nowMs);
+      sum += amount;
+    },
+    getRate: (nowMs) => {
+      decayTo(nowMs);
+      return (sum * MS_PER_SECOND) / WINDOW_MS;
+    },
+  };
+}
--- a/packages/vanilladock/src/lib/ports/fleet.ts
+++ b/packages/vanilladock/src/lib/ports/fleet.ts
@@ -49,6 +49,7 @@
   readonly state: 'up' | 'moving' | 'maintenance' | 'down';
   readonly dataCentre: string;
   readonly labels: readonly string[];
+  readonly cores: number;
   /** Id of its worker; undefined while there is none. */
   readonly workerId: string | undefined;
 }
