--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -26,7 +26,7 @@
 
 /** Claims of one instance. */
 export interface DutyClaims {
-  /** Duties that this instance holds. */
+  /** Duties that this instance holds. Holders of others are as last read while the store is away. */
   readonly held: BehaviorSubject<ReadonlyMap<string, Claim>>;
   readonly findHolder: (duty: string) => { readonly claim: Claim; readonly member: Member } | undefined;
   readonly listMembers: () => readonly Member[];
@@ -49,6 +49,9 @@
 const TICK_MS = 250;
 const POLL_MS = 1_000;
 
+/** Pause after a claim, by which the record of it has been read. */
+const CLAIM_RETRY_MS = 30;
+
 /** Members are given this long to appear before the first claim. */
 const SETTLE_MS = 700;
 
@@ -82,8 +85,9 @@
       if (newest !== undefined && newest.token > claim.token) dropDuty(duty, 'superseded');
     });
   };
-  const claimDuty = async (duty: string) => {
-    if (nextOffset === undefined) return;
+  /** Says whether another claim came first, so that it is worth looking again at once. */
+  const claimDuty = async (duty: string): Promise<boolean> => {
+    if (nextOffset === undefined) return false;
     const previous = table.findClaim(duty);
     const at = nextOffset;
     const outcome = await store.append(CLAIMS, [encodeClaim(duty, self.id)], {
@@ -98,8 +102,10 @@
       previousHolder: previous?.holder,
       previousToken: previous?.token,
     });
-    if (outcome.kind !== 'stored' || isStopped) return;
+    if (outcome.kind === 'end-moved') return true;
+    if (outcome.kind !== 'stored' || isStopped) return false;
     setHeld(duty, { duty, holder: self.id, token: outcome.offset });
+    return true;
   };
   const listVacant = (nowMs: number) => {
     const vacant = listDuties().filter((duty) => table.findLiveClaim(duty, nowMs) === undefined);
@@ -120,10 +126,10 @@
     });
     return counts;
   };
-  const claimVacant = async () => {
+  const claimVacant = async (): Promise<boolean> => {
     const nowMs = performance.now();
     const vacant = listVacant(nowMs);
-    if (nowMs - startedMs < SETTLE_MS || vacant.length === 0) return;
+    if (nowMs - startedMs < SETTLE_MS || vacant.length === 0) return false;
     const members = table.listMembers(nowMs);
     const chosen = chooseClaimants(vacant, countHeld(nowMs), members);
     const mine = vacant.find((duty) => {
@@ -131,13 +137,13 @@
       const isOpenToAll = ageMs > ANYONE_AFTER_MS * (1 + held.value.size);
       return chosen.get(duty) === self.id || isOpenToAll;
     });
-    if (mine !== undefined) await claimDuty(mine);
+    return mine !== undefined && claimDuty(mine);
   };
   const runClaims = async () => {
     while (!isStopped) {
       checkHeld();
-      await claimVacant();
-      await waitMs(TICK_MS);
+      const isMoving = await claimVacant();
+      await waitMs(isMoving ? CLAIM_RETRY_MS : TICK_MS);
     }
   };
   const runHeartbeats = async () => {
@@ -151,19 +157,21 @@
   const follow = { store, handleContact, log, pollMs: POLL_MS };
   const newClaims = watchTopic({ ...follow, where: CLAIMS, pauseMs: 0 });
   const heartbeats = watchTopic({ ...follow, where: MEMBERS, pauseMs: TICK_MS });
+  let contactMs = 0;
   return {
     held,
     findHolder: (duty) => {
-      const nowMs = performance.now();
+      const nowMs = Math.min(performance.now(), contactMs);
       const claim = held.value.get(duty) ?? table.findLiveClaim(duty, nowMs);
       if (claim === undefined) return undefined;
       const member = claim.holder === self.id ? self : table.findMember(claim.holder, nowMs);
       return member === undefined ? undefined : { claim, member };
     },
-    listMembers: () => table.listMembers(performance.now()),
+    listMembers: () => table.listMembers(Math.min(performance.now(), contactMs)),
     start: () => {
       startedMs = performance.now();
       heartbeats.subscribe(({ records }) => {
+        contactMs = performance.now();
         records.forEach((record) => table.apply(record, performance.now()));
       });
       newClaims.subscribe(({ records, next }) => {
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -42,7 +42,7 @@
   readonly stop: () => void;
 }
 
-const TICK_MS = 400;
+const TICK_MS = 250;
 const IDLE_TICK_MS = 1_000;
 
 /** Orders under one claim have tokens of their own between those of two claims. */
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -104,6 +104,7 @@
   const gateway = createJobGateway({
     findRunner: (pool) => runners.get(pool),
     findHolder: claims.findHolder,
+    listMembers: claims.listMembers,
     selfId: self.id,
     peers,
   });
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -15,6 +15,7 @@
   readonly findHolder: (
     duty: string,
   ) => { readonly claim: Claim; readonly member: Member } | undefined;
+  readonly listMembers: () => readonly Member[];
   readonly selfId: string;
   readonly peers: PeerClient;
 }
@@ -43,7 +44,7 @@
 
 /** Creates the gateway. */
 export function createJobGateway(options: GatewayOptions): JobGateway {
-  const { findRunner, findHolder, selfId, peers } = options;
+  const { findRunner, findHolder, listMembers, selfId, peers } = options;
   const refuse = (why: string): JobReply => ({
     kind: 'unavailable',
     why,
@@ -51,14 +52,30 @@
   });
   const answerLocally = async (request: JobRequest): Promise<JobReply> => {
     const runner = findRunner(request.pool);
-    return runner === undefined ? refuse('not-the-planner') : runner.answer(request);
+    if (runner !== undefined) return runner.answer(request);
+    const holder = findHolder(makePoolDuty(request.pool));
+    return holder === undefined || holder.member.id === selfId
+      ? refuse('not-the-planner')
+      : { kind: 'elsewhere', holder: holder.member };
+  };
+  const askPeer = (peer: Member, request: JobRequest) =>
+    peers.send(peer, request, request.kind === 'submit' ? SUBMIT_TIMEOUT_MS : ASK_TIMEOUT_MS);
+  /** Finds whom to ask: the planner as known here, else any peer, which may know it. */
+  const findPeer = (pool: string): Member | undefined => {
+    const holder = findHolder(makePoolDuty(pool))?.member;
+    if (holder !== undefined && holder.id !== selfId) return holder;
+    const others = listMembers().filter((member) => member.id !== selfId);
+    return others[Math.floor(Math.random() * others.length)];
   };
   const answerOnce = async (request: JobRequest): Promise<JobReply> => {
     if (findRunner(request.pool) !== undefined) return answerLocally(request);
-    const holder = findHolder(makePoolDuty(request.pool));
-    if (holder === undefined || holder.member.id === selfId) return refuse('no-planner');
-    const timeoutMs = request.kind === 'submit' ? SUBMIT_TIMEOUT_MS : ASK_TIMEOUT_MS;
-    return peers.send(holder.member, request, timeoutMs);
+    const peer = findPeer(request.pool);
+    if (peer === undefined) return refuse('no-planner');
+    const reply = await askPeer(peer, request);
+    if (reply.kind !== 'elsewhere') return reply;
+    if (reply.holder.id === selfId || reply.holder.id === peer.id) return refuse('no-planner');
+    const second = await askPeer(reply.holder, request);
+    return second.kind === 'elsewhere' ? refuse('no-planner') : second;
   };
   return {
     answerLocally,
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -1,4 +1,5 @@
 /** Callers' requests about jobs and their answers, as the instances hand them to each other. */
+import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PoolDemand } from 'vanilladock/lib/lending/plan-lending.js';
 import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
 
@@ -38,6 +39,8 @@
   /** What a worker that is being emptied still has. */
   | { readonly kind: 'content'; readonly lastingTasks: number; readonly batchTasks: number }
   | { readonly kind: 'demand'; readonly demand: PoolDemand }
+  /** Nothing was done; another instance plans the pool. */
+  | { readonly kind: 'elsewhere'; readonly holder: Member }
   /** Nothing was done; asking again later may help. */
   | { readonly kind: 'unavailable'; readonly why: string; readonly retryAfterMs: number }
   /** A submission or cancel may have taken effect. */
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -133,11 +133,11 @@
   };
   const recordWorkers = async () => {
     if (planner === undefined) return;
-    const ids = planner.listWorkersToRecord();
-    if (ids.length === 0) return;
-    const known = new Set(meta.workers.filter((id) => options.entries.value.has(id)));
-    ids.forEach((id) => known.add(id));
-    const next = { ...meta, workers: [...known] };
+    const ids = planner.listLeaseHolders();
+    const recorded = new Set(meta.workers);
+    planner.markWorkersRecorded(ids.filter((id) => recorded.has(id)));
+    if (ids.length === recorded.size && ids.every((id) => recorded.has(id))) return;
+    const next = { ...meta, workers: ids };
     const outcome = await store.write([store.encodeMeta(next)]);
     if (outcome !== 'stored') return;
     meta = next;
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -79,7 +79,8 @@
   readonly takeStoreBatch: () => StoreBatch | undefined;
   /** Forgets submissions that the store has refused, and keeps the rest of the batch to store. */
   readonly dropUnstored: (batch: StoreBatch) => void;
-  readonly listWorkersToRecord: () => readonly string[];
+  /** Lists the workers that may hold leases, or are about to. */
+  readonly listLeaseHolders: () => readonly string[];
   readonly markWorkersRecorded: (ids: readonly string[]) => void;
 }
 
@@ -93,6 +94,9 @@
 /** Pause before a task is tried again after a rejection. */
 const RETRY_START_MS = 100;
 
+/** Batch jobs after which a pool's demand is taken as known. */
+const JOBS_OF_A_PEAK = 8;
+
 /** Pause of a worker that reported itself unhealthy. */
 const UNHEALTHY_PAUSE_MS = 500;
 
@@ -154,6 +158,15 @@
   return task.failures > 0 || task.state.kind === 'done';
 }
 
+/** Says whether the pool has had a peak: enough batch jobs to judge its demand by. */
+function hasBatchWork(table: TaskTable): boolean {
+  let count = 0;
+  table.jobs.forEach((job) => {
+    if (!job.isLasting) count += 1;
+  });
+  return count >= JOBS_OF_A_PEAK;
+}
+
 /** Sums the cores of the batch tasks that run or could start. */
 function computeRunnableCores(table: TaskTable): number {
   let sum = 0;
@@ -458,6 +471,7 @@
         arrivalCores: arrivals.getRate(nowMs),
         runnableCores: computeRunnableCores(table),
         lastingCores,
+        hasPeaked: hasBatchWork(table),
         workers,
       };
     },
@@ -470,6 +484,7 @@
       expireSilent(at.nowMs);
       openDueOccurrences(at.wallMs);
       forgetFinished(at.nowMs);
+      if (at.nowMs > doubtUntilMs) unheard.clear();
       table.workers.forEach((worker, id) => {
         const isPast = at.nowMs - worker.answeredMs > BARRED_MS && worker.tasks.size === 0;
         if (worker.failedJobs.length > 0 && isPast) table.updateWorker(id, { failedJobs: [] });
@@ -518,8 +533,7 @@
       });
       batch.jobIds.filter((id) => table.jobs.has(id)).forEach((id) => dirtyJobs.add(id));
     },
-    listWorkersToRecord: () =>
-      [...table.workers.values()].filter((w) => !w.isRecorded).map((w) => w.entry.id),
+    listLeaseHolders: () => [...new Set([...table.workers.keys(), ...unheard])],
     markWorkersRecorded: (ids) => ids.forEach((id) => table.updateWorker(id, { isRecorded: true })),
   };
 }
--- a/packages/vanilladock/src/lib/jobs/queue-order.ts
+++ b/packages/vanilladock/src/lib/jobs/queue-order.ts
@@ -3,6 +3,7 @@
  * more than its pool holds. Lasting work goes first, then jobs that can still meet their objective,
  * those with the most value for the core-seconds left first, then late jobs by their arrival.
  */
+import { countDone } from './ready-steps.js';
 import type { Job } from './state.js';
 
 /** Classes of urgency, first to last. */
@@ -14,6 +15,17 @@
 const BASE_VALUE = 0.3;
 const WORK_VALUE = 0.7;
 
+/** A job counts as at most this many mean jobs. */
+const MAX_SHARE = 4;
+
+/** Work below this is taken as this. */
+const LEAST_CORE_SECONDS = 0.05;
+
+/** Part of the estimated chain that is left at least, as estimates are rough. */
+const CERTAIN_PART = 0.7;
+
+const MS_PER_SECOND = 1000;
+
 /** A job's place in the queue. */
 export interface QueueKey {
   readonly job: Job;
@@ -23,26 +35,47 @@
   readonly weight: number;
 }
 
+/** What is left of a job. */
+interface Remainder {
+  readonly coreSeconds: number;
+  readonly chainMs: number;
+}
+
+/** Computes what is left of a job: the work of tasks not done, and the longest chain of steps. */
+function computeRemainder(job: Job): Remainder {
+  const { steps } = job.record.spec;
+  let coreSeconds = 0;
+  let chainMs = 0;
+  job.occurrences.forEach((occurrence) =>
+    steps.forEach((step, index) => {
+      const left = step.count - countDone(occurrence, index);
+      if (left === 0) return;
+      coreSeconds += (left * step.size.cores * step.estimateMs) / MS_PER_SECOND;
+      chainMs = Math.max(chainMs, job.tailChainsMs[index] ?? 0);
+    }),
+  );
+  return { coreSeconds, chainMs };
+}
+
 /** Classifies a job by what its caller still gains from it. */
-export function classifyJob(job: Job, nowMs: number): QueueClass {
+function classifyJob(job: Job, remainder: Remainder, nowMs: number): QueueClass {
   if (job.isLasting) return 'lasting';
-  const chainMs = Math.max(0, ...job.tailChainsMs);
-  const chainLeftMs = job.hasStarted ? 0 : chainMs;
-  return nowMs + chainLeftMs <= job.objectiveAtMs ? 'on-time' : 'late';
+  return nowMs + remainder.chainMs * CERTAIN_PART <= job.objectiveAtMs ? 'on-time' : 'late';
 }
 
-/** Computes the value of a job for each core-second, against the mean work of its kind. */
-function computeValueDensity(job: Job, meanWork: number): number {
-  const work = Math.max(job.workCoreSeconds, Number.EPSILON);
-  return (BASE_VALUE + WORK_VALUE * (work / Math.max(meanWork, Number.EPSILON))) / work;
+/** Computes the value of a job for each core-second left, against the mean work of its kind. */
+function computeValueDensity(job: Job, remainder: Remainder, meanWork: number): number {
+  const share = job.workCoreSeconds / Math.max(meanWork, LEAST_CORE_SECONDS);
+  const value = BASE_VALUE + WORK_VALUE * Math.min(share, MAX_SHARE);
+  return value / Math.max(remainder.coreSeconds, LEAST_CORE_SECONDS);
 }
 
 /** Makes the queue key of a job. */
 export function makeQueueKey(job: Job, meanWork: number, nowMs: number): QueueKey {
-  const queueClass = classifyJob(job, nowMs);
-  const isStarted = job.hasStarted ? 1 : 0;
+  const remainder = computeRemainder(job);
+  const queueClass = classifyJob(job, remainder, nowMs);
   const weight =
-    queueClass === 'on-time' ? isStarted + computeValueDensity(job, meanWork) : -job.arrivedMs;
+    queueClass === 'on-time' ? computeValueDensity(job, remainder, meanWork) : -job.arrivedMs;
   return { job, queueClass, priority: job.record.policy.priority, weight };
 }
 
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -21,6 +21,8 @@
   readonly runnableCores: number;
   /** Cores of lasting tasks. */
   readonly lastingCores: number;
+  /** Whether any batch work has arrived yet; before, the operators' sizes are kept. */
+  readonly hasPeaked: boolean;
   readonly workers: readonly LentWorker[];
 }
 
@@ -69,17 +71,14 @@
 const HEADROOM = 1.15;
 
 /** Least instances of a pool, so that the loss of one leaves others. */
-const MIN_INSTANCES = 3;
+const MIN_INSTANCES = 4;
 
 /** A pool gives instances back after it has had more than it needs for this long. */
-const SURPLUS_MS = 2_500;
+const SURPLUS_MS = 3_000;
 
 /** Most instances that one plan moves. */
 const MAX_MOVES = 12;
 
-/** Instances that a pool keeps beyond its need before it gives any to standby. */
-const SPARE_INSTANCES = 0;
-
 /** Computes how many instances a pool needs for its demand. */
 export function computeNeed(demand: PoolDemand, coresPerInstance: number): number {
   const batchCores = Math.max(demand.arrivalCores, demand.runnableCores * AT_ONCE);
@@ -144,8 +143,8 @@
     }
   });
   pools.forEach((demand) => {
-    const surplus = (balance.get(demand.pool) ?? 0) - SPARE_INSTANCES;
-    if (surplus <= 0) {
+    const surplus = balance.get(demand.pool) ?? 0;
+    if (surplus <= 0 || !demand.hasPeaked) {
       surplusSinceMs.delete(demand.pool);
       return;
     }
