--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -80,6 +80,20 @@
         surplusSinceMs,
         nowMs: performance.now(),
       });
+      if (plan.moves.length > 0) {
+        log.info({
+          event: 'lending-plan',
+          moves: plan.moves.length,
+          pools: [...demands.values()].map((demand) => ({
+            pool: demand.pool,
+            workers: demand.workers.length,
+            incoming: incoming.get(demand.pool) ?? 0,
+            arrivalCores: Math.round(demand.arrivalCores),
+            runnableCores: Math.round(demand.runnableCores),
+            lastingCores: Math.round(demand.lastingCores),
+          })),
+        });
+      }
       plan.empty.forEach(({ pool, workerId }) => {
         if (workerId !== undefined) void emptyInstance(pool, workerId);
       });
--- a/packages/vanilladock/src/lib/jobs/place.ts
+++ b/packages/vanilladock/src/lib/jobs/place.ts
@@ -1,7 +1,8 @@
 /**
  * Chooses a worker for a task. Load pattern: peaks of many small batch tasks beside a few lasting
- * ones. Lasting tasks are spread, so that the loss of a worker costs few of them; batch tasks go to the
- * least loaded worker that fits, near their data where that is not full.
+ * ones, on a pool that grows and shrinks with its demand. Lasting tasks are spread, so that the loss of
+ * a worker costs few of them; batch tasks go to the fullest worker that fits, near their data where that
+ * has room, so that workers fall empty and can be lent when the peak is over.
  */
 import type { Resources } from '../ports/workers.js';
 import { computeCoreShare, hasRoom } from './room.js';
@@ -73,8 +74,9 @@
   const { task, step, stepRun, rack } = request;
   const wantedRack = rack ?? step.dataRack;
   const isRemote = wantedRack !== undefined && worker.entry.rack !== wantedRack;
+  const coreShare = computeCoreShare(worker);
   return (
-    computeCoreShare(worker) +
+    (step.isLasting ? coreShare : 1 - coreShare) +
     (isRemote ? REMOTE_PENALTY : 0) +
     (task.avoid.includes(worker.entry.id) ? AVOIDED_PENALTY : 0) +
     (step.isLasting ? SIBLING_PENALTY * countOnWorker(stepRun, worker.entry.id) : 0) +
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -71,7 +71,7 @@
 const HEADROOM = 1.15;
 
 /** Least instances of a pool, so that the loss of one leaves others. */
-const MIN_INSTANCES = 4;
+const MIN_INSTANCES = 3;
 
 /** A pool gives instances back after it has had more than it needs for this long. */
 const SURPLUS_MS = 3_000;
@@ -99,6 +99,12 @@
   return [...instances].sort((a, b) => weigh(a) - weigh(b));
 }
 
+/** Says whether an instance carries lasting tasks, or is not known. */
+function hasLasting(instance: LendableInstance, demand: PoolDemand): boolean {
+  const content = demand.workers.find((worker) => worker.workerId === instance.workerId);
+  return content === undefined || content.lastingTasks > 0;
+}
+
 /** Says whether an instance carries nothing. */
 function isEmpty(instance: LendableInstance, demand: PoolDemand | undefined): boolean {
   const content = demand?.workers.find((worker) => worker.workerId === instance.workerId);
@@ -128,6 +134,14 @@
       .filter((instance) => isEmpty(instance, demand))
       .slice(0, surplus);
   });
+  const occupied = pools.flatMap((demand) => {
+    const surplus = balance.get(demand.pool) ?? 0;
+    if (surplus <= 0) return [];
+    const own = movable.filter((instance) => instance.pool === demand.pool);
+    return orderByContent(own, demand)
+      .slice(0, surplus)
+      .filter((instance) => !spare.includes(instance) && !hasLasting(instance, demand));
+  });
   const sources = [...free, ...spare];
   const needy = pools
     .filter((demand) => (balance.get(demand.pool) ?? 0) < 0)
@@ -136,7 +150,10 @@
     let missing = -(balance.get(demand.pool) ?? 0);
     while (missing > 0 && moves.length < MAX_MOVES) {
       const source = sources.shift();
-      if (source === undefined) return;
+      if (source === undefined) {
+        empty.push(...occupied.splice(0, missing));
+        return;
+      }
       const { id, workerId, pool } = source;
       moves.push({ instance: id, workerId, from: pool, to: demand.pool });
       missing -= 1;
