--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -22,7 +22,7 @@
 }
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'node_modules/**', 'reports/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', 'node_modules/**', 'reports/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
@@ -30,7 +30,7 @@
   ...extensions.base.typescript,
   ...configs.base.typescript,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
     },
@@ -70,7 +70,7 @@
     },
   },
   {
-    files: ['packages/*/src/test/**/*.ts'],
+    files: ['packages/*/src/test/**/*.ts', 'platform/src/test/**/*.ts'],
     rules: { 'jsdoc/require-jsdoc': 'off', 'max-lines': 'off' },
   },
   restrictImports(
@@ -97,6 +97,13 @@
   ),
   restrictImports(
     ['packages/daemon/src/lib/**/*.ts'],
-    ['@vanilladock/measure', '@vanilladock/measure/*', 'node:child_process', '**/test/**'],
+    [
+      '@vanilladock/platform',
+      '@vanilladock/platform/*',
+      '@vanilladock/measure',
+      '@vanilladock/measure/*',
+      'node:child_process',
+      '**/test/**',
+    ],
   ),
 );
--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -28,7 +28,9 @@
 export interface DutyClaims {
   /** Duties that this instance holds. Holders of others are as last read while the store is away. */
   readonly held: BehaviorSubject<ReadonlyMap<string, Claim>>;
-  readonly findHolder: (duty: string) => { readonly claim: Claim; readonly member: Member } | undefined;
+  readonly findHolder: (
+    duty: string,
+  ) => { readonly claim: Claim; readonly member: Member } | undefined;
   readonly listMembers: () => readonly Member[];
   readonly start: () => void;
   /** Gives up a duty after another holder's token was seen. */
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -32,7 +32,7 @@
 /** What the parts of the duty share. */
 export interface FleetDuty extends FleetRunnerOptions {
   readonly takeFence: () => FleetFence;
-  readonly lose: (why: string) => void;
+  readonly handleLoss: (why: string) => void;
   readonly isStopped: () => boolean;
 }
 
@@ -60,7 +60,7 @@
     isStopped = true;
     ledger.close();
   };
-  const lose = (why: string) => {
+  const handleLoss = (why: string) => {
     if (isStopped) return;
     stop();
     options.handleLost(why);
@@ -70,7 +70,7 @@
     orders += 1;
     return { holder, token: claim.token * ORDERS_PER_CLAIM + orders };
   };
-  const duty: FleetDuty = { ...options, takeFence, lose, isStopped: () => isStopped };
+  const duty: FleetDuty = { ...options, takeFence, handleLoss, isStopped: () => isStopped };
   const waveRunner = createWaveRunner(duty, ledger);
   const lender = createLender(duty);
   const runTick = async () => {
@@ -85,7 +85,7 @@
   };
   const run = async () => {
     if (!(await ledger.load())) {
-      lose('ledger-fenced');
+      handleLoss('ledger-fenced');
       return;
     }
     await waitMs(Math.max(0, options.holderGapMs - (performance.now() - startedMs)));
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -2,7 +2,7 @@
  * One instance of the system in front of pools of workers: claims duties, runs the planners of the
  * pools that it holds, and answers requests about jobs for all of them.
  */
-import { BehaviorSubject } from 'rxjs';
+import type { BehaviorSubject } from 'rxjs';
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { Advisor, Fleet, FleetConfig, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
@@ -42,7 +42,7 @@
   readonly listRunners: () => ReadonlyMap<string, PoolRunner>;
   /** Says whether the store or a peer has answered lately. */
   readonly isInContact: () => boolean;
-  readonly noteStoreContact: () => void;
+  readonly recordStoreContact: () => void;
   /** Releases duties; the gateway goes on through peers. */
   readonly release: () => Promise<void>;
   readonly close: () => void;
@@ -57,7 +57,7 @@
   const peers = createPeerClient();
   const runners = new Map<string, PoolRunner>();
   let lastStoreMs = -Infinity;
-  const noteStoreContact = () => {
+  const recordStoreContact = () => {
     lastStoreMs = performance.now();
   };
   const listDuties = () => {
@@ -68,7 +68,7 @@
     store: options.store,
     self,
     listDuties,
-    handleContact: noteStoreContact,
+    handleContact: recordStoreContact,
     log,
   });
   const startRunner = (pool: string) => {
@@ -128,7 +128,7 @@
       const lastMs = Math.max(lastStoreMs, peers.getLastContactMs());
       return performance.now() - lastMs < CONTACT_MS;
     },
-    noteStoreContact,
+    recordStoreContact,
     release: async () => {
       runners.forEach((runner) => runner.stop());
       runners.clear();
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -58,7 +58,7 @@
       ? refuse('not-the-planner')
       : { kind: 'elsewhere', holder: holder.member };
   };
-  const askPeer = (peer: Member, request: JobRequest) =>
+  const sendToPeer = (peer: Member, request: JobRequest) =>
     peers.send(peer, request, request.kind === 'submit' ? SUBMIT_TIMEOUT_MS : ASK_TIMEOUT_MS);
   /** Finds whom to ask: the planner as known here, else any peer, which may know it. */
   const findPeer = (pool: string): Member | undefined => {
@@ -71,10 +71,10 @@
     if (findRunner(request.pool) !== undefined) return answerLocally(request);
     const peer = findPeer(request.pool);
     if (peer === undefined) return refuse('no-planner');
-    const reply = await askPeer(peer, request);
+    const reply = await sendToPeer(peer, request);
     if (reply.kind !== 'elsewhere') return reply;
     if (reply.holder.id === selfId || reply.holder.id === peer.id) return refuse('no-planner');
-    const second = await askPeer(reply.holder, request);
+    const second = await sendToPeer(reply.holder, request);
     return second.kind === 'elsewhere' ? refuse('no-planner') : second;
   };
   return {
--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -17,7 +17,7 @@
 
 /** Creates the lender. */
 export function createLender(duty: FleetDuty): Lender {
-  const { fleet, config, gateway, log, takeFence, lose, isStopped } = duty;
+  const { fleet, config, gateway, log, takeFence, handleLoss, isStopped } = duty;
   const surplusSinceMs = new Map<string, number>();
   /** Orders without a known outcome, by instance. */
   const open = new Map<string, LendingMove>();
@@ -31,26 +31,26 @@
     );
     return new Map(demands.map((demand) => [demand.pool, demand]));
   };
-  const move = async (order: LendingMove) => {
+  const sendMove = async (order: LendingMove) => {
     const fence = takeFence();
     open.set(order.instance, order);
     const outcome = await fleet.moveInstance(order.instance, order.to, fence);
     log.info({ event: 'instance-move', ...order, token: fence.token, outcome });
     if (outcome.kind === 'unknown') return;
     open.delete(order.instance);
-    if (outcome.kind === 'rejected' && outcome.why === 'fenced') lose('fleet-fenced');
+    if (outcome.kind === 'rejected' && outcome.why === 'fenced') handleLoss('fleet-fenced');
     if (outcome.kind !== 'done' || order.workerId === undefined) return;
     void gateway.answerOnce({ kind: 'life-ended', pool: order.from, workerId: order.workerId });
   };
   /** Takes an instance out of placement; says whether it is empty now. */
-  const emptyInstance = async (pool: string, workerId: string): Promise<boolean> => {
+  const drainInstance = async (pool: string, workerId: string): Promise<boolean> => {
     const reply = await gateway.answerOnce({ kind: 'evacuate', pool, workerId });
     return reply.kind === 'content' && reply.lastingTasks + reply.batchTasks === 0;
   };
-  const moveWhenEmpty = async (order: LendingMove, standbyPool: string) => {
+  const sendMoveWhenEmpty = async (order: LendingMove, standbyPool: string) => {
     const { workerId, from } = order;
     const isOff = from === standbyPool || workerId === undefined;
-    if (isOff || (await emptyInstance(from, workerId))) await move(order);
+    if (isOff || (await drainInstance(from, workerId))) await sendMove(order);
   };
   return {
     run: async (instances, held) => {
@@ -95,11 +95,11 @@
         });
       }
       plan.empty.forEach(({ pool, workerId }) => {
-        if (workerId !== undefined) void emptyInstance(pool, workerId);
+        if (workerId !== undefined) void drainInstance(pool, workerId);
       });
       await Promise.all([
-        ...again.map(move),
-        ...plan.moves.map((order) => moveWhenEmpty(order, standbyPool)),
+        ...again.map(sendMove),
+        ...plan.moves.map((order) => sendMoveWhenEmpty(order, standbyPool)),
       ]);
     },
   };
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -43,7 +43,7 @@
           path: JOBS_PATH,
           headers: { 'content-type': 'application/json', 'content-length': body.length },
         });
-        const settle = (reply: JobReply) => {
+        const handleOutcome = (reply: JobReply) => {
           if (isSettled) return;
           isSettled = true;
           clearTimeout(timer);
@@ -53,7 +53,7 @@
           if (isSettled) return;
           silentUntilMs.set(peer.id, performance.now() + SILENT_PAUSE_MS);
           call.destroy();
-          settle(
+          handleOutcome(
             isProcessGone
               ? { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS }
               : { kind: 'unknown', why },
@@ -72,7 +72,7 @@
           message.once('end', () => {
             if (!message.complete || message.statusCode !== HTTP_OK) return;
             lastContactMs = performance.now();
-            settle(JSON.parse(Buffer.concat(chunks).toString('utf8')) as JobReply);
+            handleOutcome(JSON.parse(Buffer.concat(chunks).toString('utf8')) as JobReply);
           });
         });
         call.end(body);
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/pool-keeper.ts
@@ -0,0 +1,100 @@
+/** Stores what a pool's planner must keep, one write at a time, everything that is due in each. */
+import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import type { PoolMeta, PoolStore } from './pool-store.js';
+
+/** What a keeper needs. */
+export interface PoolKeeperOptions {
+  readonly store: PoolStore;
+  readonly getPlanner: () => PoolPlanner | undefined;
+  /** Called when something stored lets the plan go on. */
+  readonly schedulePlan: () => void;
+  /** Called when another planner has taken over the pool. */
+  readonly handleLost: () => void;
+}
+
+/** A keeper. */
+export interface PoolKeeper {
+  readonly setMeta: (meta: PoolMeta) => void;
+  readonly writeDirty: () => Promise<void>;
+  /** Resolves to whether everything that was dirty at the call is stored. */
+  readonly waitStored: () => Promise<boolean>;
+  readonly stop: () => void;
+}
+
+/** Creates a keeper. */
+export function createPoolKeeper(options: PoolKeeperOptions): PoolKeeper {
+  const { store, getPlanner, schedulePlan, handleLost } = options;
+  const waiters: ((isStored: boolean) => void)[] = [];
+  let meta: PoolMeta = { generation: 0, workers: [] };
+  let isWriting = false;
+  let isStopped = false;
+
+  const recordWorkers = async () => {
+    const planner = getPlanner();
+    if (planner === undefined) return;
+    const ids = planner.listLeaseHolders();
+    const recorded = new Set(meta.workers);
+    planner.markWorkersRecorded(ids.filter((id) => recorded.has(id)));
+    if (ids.length === recorded.size && ids.every((id) => recorded.has(id))) return;
+    const next = { ...meta, workers: ids };
+    const outcome = await store.write([store.encodeMeta(next)]);
+    if (outcome !== 'stored') return;
+    meta = next;
+    planner.markWorkersRecorded(ids);
+    schedulePlan();
+  };
+  const writeOnce = async (): Promise<'stored' | 'idle' | 'failed'> => {
+    const planner = getPlanner();
+    const batch = planner?.takeStoreBatch();
+    if (planner === undefined || batch === undefined) return 'idle';
+    const outcome = await store.write(batch.records);
+    switch (outcome) {
+      case 'stored':
+        batch.handleStored();
+        schedulePlan();
+        return 'stored';
+      case 'refused':
+        planner.dropUnstored(batch);
+        return 'failed';
+      case 'lost':
+        handleLost();
+        return 'failed';
+      default:
+        return outcome satisfies never;
+    }
+  };
+  const writeDirty = async () => {
+    if (isWriting || isStopped) return;
+    isWriting = true;
+    await recordWorkers();
+    let result: Awaited<ReturnType<typeof writeOnce>> = 'stored';
+    while (result === 'stored' && !isStopped) {
+      const waiting = waiters.splice(0);
+      result = await writeOnce();
+      const isStored = result !== 'failed';
+      waiting.forEach((resolve) => resolve(isStored));
+    }
+    isWriting = false;
+    if (waiters.length > 0) setImmediate(() => void writeDirty());
+  };
+  const waitStored = () =>
+    new Promise<boolean>((resolve) => {
+      if (isStopped) {
+        resolve(false);
+        return;
+      }
+      waiters.push(resolve);
+      void writeDirty();
+    });
+  return {
+    setMeta: (next) => {
+      meta = next;
+    },
+    writeDirty,
+    waitStored,
+    stop: () => {
+      isStopped = true;
+      waiters.splice(0).forEach((resolve) => resolve(false));
+    },
+  };
+}
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -4,14 +4,20 @@
  */
 import type { BehaviorSubject, Subscription } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
-import { createPoolPlanner, type PoolAction, type PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import {
+  createPoolPlanner,
+  type PoolAction,
+  type PoolPlanner,
+} from 'vanilladock/lib/jobs/pool-planner.js';
 import type { Advisor } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
+import { answerRequest, RETRY_AFTER_MS } from './answer-request.js';
 import type { JobReply, JobRequest } from './job-request.js';
-import { createPoolStore, type PoolMeta } from './pool-store.js';
+import { createPoolKeeper } from './pool-keeper.js';
+import { createPoolStore } from './pool-store.js';
 import { startWorkerLoop, type WorkerLoop } from './worker-loop.js';
 
 /** What a runner needs. */
@@ -46,19 +52,14 @@
 /** A plan is made at least this often, for what becomes due with time. */
 const PLAN_EVERY_MS = 250;
 
-const RETRY_AFTER_MS = 1_000;
-
 /** Starts the planner of a pool. */
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, workers, advisor, log } = options;
   const store = createPoolStore(options.store, pool, claim.token, options.storePartitions, log);
   const loops = new Map<string, WorkerLoop>();
-  const waiters: ((isStored: boolean) => void)[] = [];
   let planner: PoolPlanner | undefined;
-  let meta: PoolMeta = { generation: 0, workers: [] };
   let isStopped = false;
   let isPlanDue = false;
-  let isWriting = false;
   let ticker: NodeJS.Timeout | undefined;
   let subscription: Subscription | undefined;
 
@@ -69,10 +70,10 @@
     clearInterval(ticker);
     subscription?.unsubscribe();
     loops.forEach((loop) => loop.stop());
-    waiters.splice(0).forEach((resolve) => resolve(false));
+    keeper.stop();
     log.info({ event: 'pool-released', pool, token: claim.token });
   };
-  const lose = (why: string) => {
+  const handleLoss = (why: string) => {
     if (isStopped) return;
     stop();
     options.handleLost(why);
@@ -82,15 +83,21 @@
     isPlanDue = true;
     setTimeout(runPlan, PLAN_DELAY_MS);
   };
-  const carryOut = async (action: PoolAction) => {
+  const runAction = async (action: PoolAction) => {
     if (planner === undefined) return;
     const fencingToken = claim.token;
     switch (action.kind) {
       case 'start': {
         const { worker, taskKey, run } = action;
         const outcome = await workers.startTask(worker, { ...action, fencingToken });
-        log.info({ event: 'run-start', task: taskKey, run, worker: worker.id, outcome: outcome.kind });
-        if (outcome.kind === 'rejected' && outcome.why === 'fenced') lose('worker-fenced');
+        log.info({
+          event: 'run-start',
+          task: taskKey,
+          run,
+          worker: worker.id,
+          outcome: outcome.kind,
+        });
+        if (outcome.kind === 'rejected' && outcome.why === 'fenced') handleLoss('worker-fenced');
         if (isStopped) return;
         planner.observeStart(action, outcome, readMoment());
         if (outcome.kind === 'accepted') loops.get(worker.id)?.wake();
@@ -100,7 +107,14 @@
       case 'stop': {
         const { worker, taskKey, run, why } = action;
         const outcome = await workers.stopTask(worker, { taskKey, run, fencingToken });
-        log.info({ event: 'run-stop', task: taskKey, run, worker: worker.id, why, outcome: outcome.kind });
+        log.info({
+          event: 'run-stop',
+          task: taskKey,
+          run,
+          worker: worker.id,
+          why,
+          outcome: outcome.kind,
+        });
         if (isStopped) return;
         planner.observeStop(action, outcome, readMoment());
         loops.get(worker.id)?.wake();
@@ -109,12 +123,24 @@
       case 'pace': {
         const { worker, taskKey, run, percent } = action;
         const outcome = await workers.pace(worker, { taskKey, run, percent, fencingToken });
-        log.info({ event: 'run-pace', task: taskKey, run, worker: worker.id, percent, outcome: outcome.kind });
+        log.info({
+          event: 'run-pace',
+          task: taskKey,
+          run,
+          worker: worker.id,
+          percent,
+          outcome: outcome.kind,
+        });
         return;
       }
       case 'advise': {
         const outcome = await advisor.advise(action.stepKey, action.workerIds);
-        log.info({ event: 'advice', step: action.stepKey, asked: action.workerIds.length, outcome: outcome.kind });
+        log.info({
+          event: 'advice',
+          step: action.stepKey,
+          asked: action.workerIds.length,
+          outcome: outcome.kind,
+        });
         if (outcome.kind !== 'advice' || isStopped) return;
         const { nowMs } = readMoment();
         planner.tickets.addAnswer(action.stepKey, outcome.tickets, nowMs + outcome.validMs, nowMs);
@@ -128,72 +154,22 @@
   const runPlan = () => {
     isPlanDue = false;
     if (planner === undefined || isStopped) return;
-    planner.plan(readMoment()).forEach((action) => void carryOut(action));
-    void writeDirty();
-  };
-  const recordWorkers = async () => {
-    if (planner === undefined) return;
-    const ids = planner.listLeaseHolders();
-    const recorded = new Set(meta.workers);
-    planner.markWorkersRecorded(ids.filter((id) => recorded.has(id)));
-    if (ids.length === recorded.size && ids.every((id) => recorded.has(id))) return;
-    const next = { ...meta, workers: ids };
-    const outcome = await store.write([store.encodeMeta(next)]);
-    if (outcome !== 'stored') return;
-    meta = next;
-    planner.markWorkersRecorded(ids);
-    schedulePlan();
-  };
-  const writeOnce = async (): Promise<'stored' | 'idle' | 'failed'> => {
-    const batch = planner?.takeStoreBatch();
-    if (planner === undefined || batch === undefined) return 'idle';
-    const outcome = await store.write(batch.records);
-    switch (outcome) {
-      case 'stored':
-        batch.handleStored();
-        schedulePlan();
-        return 'stored';
-      case 'refused':
-        planner.dropUnstored(batch);
-        return 'failed';
-      case 'lost':
-        lose('store-fenced');
-        return 'failed';
-      default:
-        return outcome satisfies never;
-    }
-  };
-  const writeDirty = async () => {
-    if (isWriting || isStopped) return;
-    isWriting = true;
-    await recordWorkers();
-    let result: Awaited<ReturnType<typeof writeOnce>> = 'stored';
-    while (result === 'stored' && !isStopped) {
-      const waiting = waiters.splice(0);
-      result = await writeOnce();
-      const isStored = result !== 'failed';
-      waiting.forEach((resolve) => resolve(isStored));
-    }
-    isWriting = false;
-    if (waiters.length > 0) setImmediate(() => void writeDirty());
+    planner.plan(readMoment()).forEach((action) => void runAction(action));
+    void keeper.writeDirty();
   };
-  /** Resolves to whether everything that was dirty at the call is stored. */
-  const waitStored = () =>
-    new Promise<boolean>((resolve) => {
-      if (isStopped) {
-        resolve(false);
-        return;
-      }
-      waiters.push(resolve);
-      void writeDirty();
-    });
+  const keeper = createPoolKeeper({
+    store,
+    getPlanner: () => planner,
+    schedulePlan,
+    handleLost: () => handleLoss('store-fenced'),
+  });
   const handleReport = async (workerId: string) => {
     const worker = planner?.table.workers.get(workerId);
     schedulePlan();
     if (worker === undefined || worker.lastEnd <= worker.storedEnd) return;
     const { lastEnd, entry } = worker;
     const isStored = await Promise.race([
-      waitStored(),
+      keeper.waitStored(),
       waitMs(STORE_PATIENCE_MS).then(() => false),
     ]);
     if (isStored) planner?.markEndsStored(workerId, entry.bornMs, lastEnd);
@@ -212,8 +188,8 @@
         workers,
         fencingToken: claim.token,
         handleReport,
-        handlePaces: (paces) => paces.forEach((pace) => void carryOut(pace)),
-        handleFenced: () => lose('worker-fenced'),
+        handlePaces: (paces) => paces.forEach((pace) => void runAction(pace)),
+        handleFenced: () => handleLoss('worker-fenced'),
       });
       loops.set(workerId, loop);
     });
@@ -229,17 +205,18 @@
     const startedMs = performance.now();
     const found = await store.load();
     if (found === undefined) {
-      lose('store-fenced');
+      handleLoss('store-fenced');
       return;
     }
-    meta = { generation: found.meta.generation + 1, workers: found.meta.workers };
+    const meta = { generation: found.meta.generation + 1, workers: found.meta.workers };
+    keeper.setMeta(meta);
     let outcome = await store.write([store.encodeMeta(meta)]);
     while (outcome === 'refused') {
       await waitMs(PLAN_EVERY_MS);
       outcome = await store.write([store.encodeMeta(meta)]);
     }
     if (outcome === 'lost' || isStopped) {
-      lose('store-fenced');
+      handleLoss('store-fenced');
       return;
     }
     const at = readMoment();
@@ -268,33 +245,6 @@
     }, PLAN_EVERY_MS);
     ticker.unref();
   };
-  const submit = async (
-    active: PoolPlanner,
-    request: Extract<JobRequest, { kind: 'submit' }>,
-  ): Promise<JobReply> => {
-    const { id } = request.spec;
-    const admission = active.submit(request.spec, request.policy, readMoment());
-    if (admission !== 'known' && admission.kind === 'refused') {
-      return { kind: 'refused', why: admission.why, retryAfterMs: admission.retryAfterMs };
-    }
-    if (admission !== 'known' || !active.isStored(id)) await waitStored();
-    if (isStopped) return { kind: 'unknown', why: 'the planner has lost its pool' };
-    if (active.table.jobs.get(id) === undefined) {
-      return { kind: 'unavailable', why: 'store-refused', retryAfterMs: RETRY_AFTER_MS };
-    }
-    const isKept = active.table.jobs.get(id)?.storedPhase !== 'none';
-    return isKept ? { kind: 'accepted' } : { kind: 'unknown', why: 'the store has not answered' };
-  };
-  const cancel = async (active: PoolPlanner, jobId: string): Promise<JobReply> => {
-    const answer = active.cancel(jobId, readMoment());
-    if (answer === 'unknown') return { kind: 'no-such-job' };
-    if (answer === 'ended' && active.isStored(jobId)) return { kind: 'cancelled' };
-    schedulePlan();
-    await waitStored();
-    return active.isStored(jobId) && !isStopped
-      ? { kind: 'cancelled' }
-      : { kind: 'unknown', why: 'the store has not answered' };
-  };
   void load();
   return {
     claim,
@@ -304,33 +254,10 @@
       if (planner === undefined || isStopped) {
         return { kind: 'unavailable', why: 'pool-loading', retryAfterMs: RETRY_AFTER_MS };
       }
-      switch (request.kind) {
-        case 'submit':
-          return submit(planner, request);
-        case 'cancel':
-          return cancel(planner, request.jobId);
-        case 'status': {
-          const state = planner.getAnswer(request.jobId);
-          return state === 'unknown' ? { kind: 'no-such-job' } : { kind: 'state', state };
-        }
-        case 'pending':
-          return { kind: 'pending', count: planner.countPending(request.route) };
-        case 'evacuate': {
-          const content = planner.evacuate(request.workerId, readMoment());
-          schedulePlan();
-          return content === undefined
-            ? { kind: 'unavailable', why: 'worker-not-heard', retryAfterMs: RETRY_AFTER_MS }
-            : { kind: 'content', ...content };
-        }
-        case 'demand':
-          return { kind: 'demand', demand: planner.getDemand(readMoment()) };
-        case 'life-ended':
-          planner.observeLifeEnd(request.workerId, 'ordered');
-          schedulePlan();
-          return { kind: 'accepted' };
-        default:
-          return request satisfies never;
-      }
+      return answerRequest(
+        { planner, waitStored: keeper.waitStored, isStopped: () => isStopped, schedulePlan },
+        request,
+      );
     },
     stop,
   };
--- a/packages/daemon/src/lib/jobs/topic-follower.ts
+++ b/packages/daemon/src/lib/jobs/topic-follower.ts
@@ -39,22 +39,22 @@
   const { store, where, pauseMs, pollMs, handleContact, log } = options;
   return new Observable<TopicEvent>((subscriber) => {
     let isLost = false;
-    const noteContact = () => {
+    const recordContact = () => {
       handleContact();
       if (isLost) log.info({ event: 'dependency-regained', dependency: 'store', ...where });
       isLost = false;
     };
-    const noteLoss = (reason: string) => {
+    const recordLoss = (reason: string) => {
       if (!isLost) log.warn({ event: 'dependency-lost', dependency: 'store', ...where, reason });
       isLost = true;
     };
     const readSnapshot = async (): Promise<number | undefined> => {
       const newest = await store.readNewest(where);
       if (newest.kind === 'unavailable') {
-        noteLoss(newest.reason);
+        recordLoss(newest.reason);
         return undefined;
       }
-      noteContact();
+      recordContact();
       const next = newest.end;
       subscriber.next({ kind: 'snapshot', records: newest.records, next });
       return next;
@@ -63,17 +63,17 @@
       const read = await store.read(where, from, pollMs);
       switch (read.kind) {
         case 'records':
-          noteContact();
+          recordContact();
           if (read.records.length > 0 || read.next !== from) {
             subscriber.next({ kind: 'records', records: read.records, next: read.next });
           }
           return read.next;
         case 'trimmed':
-          noteContact();
+          recordContact();
           log.warn({ event: 'history-gone', ...where, from, first: read.first });
           return undefined;
         case 'unavailable':
-          noteLoss(read.reason);
+          recordLoss(read.reason);
           await waitMs(RETRY_MS);
           return from;
         default:
--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -24,7 +24,8 @@
 
 /** Creates the runner of all waves. */
 export function createWaveRunner(duty: FleetDuty, ledger: WaveLedger): WaveRunner {
-  const { fleet, config, waves, publishWave, gateway, log, takeFence, lose, isStopped } = duty;
+  const { fleet, config, waves, publishWave, gateway, log, takeFence, handleLoss, isStopped } =
+    duty;
   const memories = new Map<number, WaveMemory>();
 
   const getMemory = (wave: number): WaveMemory => {
@@ -41,10 +42,10 @@
   };
   const write = async (order: WaveOrder, id: string, step: WaveStep): Promise<boolean> => {
     const outcome = await ledger.write(order.wave, id, step);
-    if (outcome === 'lost') lose('ledger-fenced');
+    if (outcome === 'lost') handleLoss('ledger-fenced');
     return outcome === 'stored';
   };
-  const emptyInstance = async (memory: WaveMemory, instance: FleetInstance) => {
+  const drainInstance = async (memory: WaveMemory, instance: FleetInstance) => {
     const { id, pool, workerId } = instance;
     if (workerId === undefined) return;
     if (!memory.emptyingSinceMs.has(id)) memory.emptyingSinceMs.set(id, performance.now());
@@ -75,7 +76,7 @@
         await write(order, id, { kind: 'begun', atMs: performance.now() });
         return;
       case 'rejected':
-        if (outcome.why === 'fenced') lose('fleet-fenced');
+        if (outcome.why === 'fenced') handleLoss('fleet-fenced');
         else if (outcome.why === 'busy') await ledger.clear(order.wave, id);
         else await write(order, id, { kind: 'done' });
         return;
@@ -108,7 +109,7 @@
     const toTakeDown = plan.takeDown.map(find).filter((found) => found !== undefined);
     await Promise.all(toTakeDown.map((instance) => takeDown(order, memory, instance)));
     if (isStopped()) return;
-    await Promise.all(toEmpty.map((instance) => emptyInstance(memory, instance)));
+    await Promise.all(toEmpty.map((instance) => drainInstance(memory, instance)));
     const state = plan.isComplete ? 'completed' : 'running';
     if (memory.published === state || !(await publishWave(order, state))) return;
     log.info({ event: 'wave-status', wave: order.wave, state });
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -45,7 +45,7 @@
   let wakeUp: (() => void) | undefined;
   let refusals = 0;
 
-  const pause = (ms: number) =>
+  const waitOrWake = (ms: number) =>
     new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, ms);
       timer.unref();
@@ -91,13 +91,13 @@
         if (outcome.why === 'fenced') options.handleFenced();
         else if (outcome.why === 'other-life') planner.observeLifeEnd(workerId, 'other-life');
         else planner.observeMiss(workerId, at);
-        await pause(RETRY_MS);
+        await waitOrWake(RETRY_MS);
         return;
       case 'unknown':
         refusals = outcome.isProcessGone ? refusals + 1 : 0;
         if (refusals > GONE_AFTER_MISSES) planner.observeLifeEnd(workerId, 'process-gone');
         else planner.observeMiss(workerId, at);
-        await pause(RETRY_MS);
+        await waitOrWake(RETRY_MS);
         return;
       default:
         outcome satisfies never;
@@ -113,7 +113,7 @@
         worker.misses === 0 &&
         worker.storedEnd >= worker.lastEnd &&
         worker.tasks.size + worker.strays.size === 0;
-      if (isIdle) await pause(IDLE_MS);
+      if (isIdle) await waitOrWake(IDLE_MS);
     }
   };
   void run();
@@ -125,4 +125,3 @@
     },
   };
 }
-
--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -97,7 +97,8 @@
   const isCurrent =
     state.kind === 'assigned' && state.workerId === end.workerId && state.run === end.run;
   const step = table.findStep(task);
-  const checkpoint = step.isCheckpointing && end.checkpoint !== '' ? end.checkpoint : task.checkpoint;
+  const checkpoint =
+    step.isCheckpointing && end.checkpoint !== '' ? end.checkpoint : task.checkpoint;
   const lastRun = Math.max(task.lastRun, end.run);
   const settled = table.moveTask(task, state, { checkpoint, lastRun });
   if (state.kind === 'done') return;
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -0,0 +1,79 @@
+/** Applies the outcomes of orders; one without an answer leaves the run in doubt until it is listed. */
+import type { OrderOutcome } from '../ports/task-workers.js';
+import { releaseTask } from './apply-ends.js';
+import type { StartAction } from './plan-starts.js';
+import type { StopAction } from './plan-stops.js';
+import type { PoolContext } from './pool-context.js';
+import type { Moment } from './state.js';
+import type { TicketBook } from './tickets.js';
+
+/** Pause before a task is tried again after a rejection. */
+const RETRY_START_MS = 100;
+
+/** Pause of a worker that reported itself unhealthy. */
+const UNHEALTHY_PAUSE_MS = 500;
+
+/** Applies the outcome of a start. */
+export function observeStart(
+  context: PoolContext,
+  tickets: TicketBook,
+  action: StartAction,
+  outcome: OrderOutcome,
+  at: Moment,
+): void {
+  const { table } = context;
+  const task = table.findTask(action.taskKey);
+  const isSame =
+    task !== undefined && task.state.kind === 'assigned' && task.state.run === action.run;
+  const worker = table.workers.get(action.worker.id);
+  if (outcome.kind !== 'accepted') {
+    context.report({
+      event: 'start-not-confirmed',
+      task: action.taskKey,
+      run: action.run,
+      worker: action.worker.id,
+      outcome: outcome.kind,
+      why: outcome.kind === 'rejected' ? outcome.why : undefined,
+    });
+  }
+  if (!isSame || task.state.kind !== 'assigned') return;
+  const { state } = task;
+  switch (outcome.kind) {
+    case 'accepted': {
+      const confirmedMs = state.confirmedMs ?? at.nowMs;
+      const phase = state.phase === 'starting' ? 'running' : state.phase;
+      table.moveTask(task, { ...state, phase, confirmedMs, percentMs: at.nowMs });
+      return;
+    }
+    case 'rejected':
+      if (state.confirmedMs !== undefined) return;
+      releaseTask(context, task, at.nowMs + RETRY_START_MS);
+      if (outcome.why === 'unhealthy' && worker !== undefined) {
+        table.updateWorker(worker.entry.id, { noStartBeforeMs: at.nowMs + UNHEALTHY_PAUSE_MS });
+      }
+      if (outcome.why === 'no-ticket') {
+        const stepKey = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
+        tickets.dropTicket(stepKey, action.worker.id);
+      }
+      return;
+    case 'unknown':
+      if (state.phase === 'starting') table.moveTask(task, { ...state, phase: 'stopping' });
+      return;
+    default:
+      outcome satisfies never;
+  }
+}
+
+/** Applies the outcome of a stop. */
+export function observeStop(
+  context: PoolContext,
+  action: StopAction,
+  outcome: OrderOutcome,
+  at: Moment,
+): void {
+  const { table } = context;
+  const task = table.findTask(action.taskKey);
+  if (task === undefined || task.state.kind !== 'assigned') return;
+  if (task.state.run !== action.run || outcome.kind !== 'accepted') return;
+  table.moveTask(task, { ...task.state, stopAnsweredMs: at.nowMs });
+}
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -23,7 +23,7 @@
 }
 
 /** Takes a run into the table as found at the worker. */
-function adoptRun(context: PoolContext, worker: Worker, row: RunningTask, at: Moment): void {
+function takeRun(context: PoolContext, worker: Worker, row: RunningTask, at: Moment): void {
   const task = context.table.findTask(row.taskKey);
   if (task === undefined || task.state.kind !== 'waiting') {
     const known = worker.strays.get(row.taskKey);
@@ -72,7 +72,8 @@
     percentMs: hasRisen || state.confirmedMs === undefined ? at.nowMs : state.percentMs,
     load: row.load,
   };
-  const checkpoint = step.isCheckpointing && row.checkpoint !== '' ? row.checkpoint : task.checkpoint;
+  const checkpoint =
+    step.isCheckpointing && row.checkpoint !== '' ? row.checkpoint : task.checkpoint;
   context.table.moveTask(task, next, { checkpoint });
   const isStalled = at.nowMs - next.percentMs > STALL_MS;
   const canStall = !step.isLasting && !step.isFilling && !step.isGang && next.phase === 'running';
@@ -119,7 +120,7 @@
 }
 
 /** Notes the result of a run for the judgement on its worker. */
-function noteResult(context: PoolContext, workerId: string, jobId: string, hasFailed: boolean) {
+function recordResult(context: PoolContext, workerId: string, jobId: string, hasFailed: boolean) {
   const worker = context.table.workers.get(workerId);
   if (worker === undefined) return;
   const failedJobs = hasFailed ? [...new Set([...worker.failedJobs, jobId])] : [];
@@ -141,7 +142,7 @@
     const task = table.findTask(row.taskKey);
     if (task === undefined) return;
     if (row.how === 'done' || row.how === 'failed') {
-      noteResult(context, workerId, task.jobId, row.how === 'failed');
+      recordResult(context, workerId, task.jobId, row.how === 'failed');
     }
     context.report({
       event: 'run-ended',
@@ -151,7 +152,12 @@
       how: row.how,
       number: row.number,
     });
-    applyEnd(context, task, { workerId, run: row.run, how: row.how, checkpoint: row.checkpoint }, at);
+    applyEnd(
+      context,
+      task,
+      { workerId, run: row.run, how: row.how, checkpoint: row.checkpoint },
+      at,
+    );
   });
 }
 
@@ -180,7 +186,7 @@
       task.state.workerId === workerId &&
       task.state.run === row.run;
     if (isKnown) refreshRun(context, task, row, at);
-    else adoptRun(context, worker, row, at);
+    else takeRun(context, worker, row, at);
   });
   if (report.ended.length < MAX_LISTED_ENDS) releaseMissing(context, worker, timed);
   table.refreshLoad(workerId);
--- a/packages/vanilladock/src/lib/jobs/place.ts
+++ b/packages/vanilladock/src/lib/jobs/place.ts
@@ -85,10 +85,7 @@
 }
 
 /** Chooses the worker with the lowest cost that is open, eligible and has room. */
-export function chooseWorker(
-  workers: Iterable<Worker>,
-  request: PlaceRequest,
-): Worker | undefined {
+export function chooseWorker(workers: Iterable<Worker>, request: PlaceRequest): Worker | undefined {
   let best: Worker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -124,7 +124,9 @@
   const findWaiting = (place: StepPlace): readonly Task[] => {
     const { id } = place.job.record.spec;
     return [...place.stepRun.waiting]
-      .map((index) => table.findTask(`${id}.${place.occurrence.number}.${place.stepIndex}.${index}`))
+      .map((index) =>
+        table.findTask(`${id}.${place.occurrence.number}.${place.stepIndex}.${index}`),
+      )
       .filter((task) => task !== undefined)
       .filter((task) => task.state.kind === 'waiting' && task.state.notBeforeMs <= at.nowMs);
   };
@@ -137,7 +139,7 @@
     nowMs: at.nowMs,
   });
   /** Keeps the emptiest worker free for a lasting task that fits nowhere yet. */
-  const reserveFor = (candidates: readonly Worker[]) => {
+  const setReserve = (candidates: readonly Worker[]) => {
     const open = candidates.filter((worker) => isOpen(worker, at.nowMs));
     const [emptiest] = [...open].sort((a, b) => computeRoom(b).cores - computeRoom(a).cores);
     if (emptiest !== undefined) reserved.add(emptiest.entry.id);
@@ -154,7 +156,8 @@
       if (worker === undefined) {
         waiting.forEach((member) => {
           const placed = table.findTask(member.key);
-          if (placed !== undefined) table.moveTask(placed, member.state, { lastRun: member.lastRun });
+          if (placed !== undefined)
+            table.moveTask(placed, member.state, { lastRun: member.lastRun });
         });
         return;
       }
@@ -170,7 +173,7 @@
       const current = candidates.map((w) => table.workers.get(w.entry.id) ?? w);
       const worker = chooseWorker(current, makeRequest(place, task));
       if (worker === undefined) {
-        if (place.step.isLasting) reserveFor(current);
+        if (place.step.isLasting) setReserve(current);
         return;
       }
       starts.push(assign(place, task, worker, task.lastRun + 1));
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -37,11 +37,12 @@
   const { count } = context.table.findStep(task);
   const prefix = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
   const indices = Array.from({ length: count }, (_, index) => index);
-  return indices.filter((index) => !isAtWork(context, context.table.findTask(`${prefix}.${index}`))).length;
+  return indices.filter((index) => !isAtWork(context, context.table.findTask(`${prefix}.${index}`)))
+    .length;
 }
 
 /** Says whether a lasting task may be moved now: its step bears it and another worker has room. */
-function canMove(context: PoolContext, task: Task, nowMs: number): boolean {
+function isMovable(context: PoolContext, task: Task, nowMs: number): boolean {
   const step = context.table.findStep(task);
   if (countAway(context, task) >= Math.max(1, step.maxUnavailable ?? 1)) return false;
   const stepRun = context.table.findStepRun(task);
@@ -69,7 +70,7 @@
   }
   const isCandidate = isLeaving(worker, at.nowMs) && context.table.findStep(task).isLasting;
   if (!isCandidate || state.phase !== 'running') return undefined;
-  return canMove(context, task, at.nowMs) ? 'evacuation' : undefined;
+  return isMovable(context, task, at.nowMs) ? 'evacuation' : undefined;
 }
 
 /** Plans all stops that are due and marks them as sent. */
--- a/packages/vanilladock/src/lib/jobs/rate-meter.ts
+++ b/packages/vanilladock/src/lib/jobs/rate-meter.ts
@@ -14,17 +14,17 @@
 export function createRateMeter(): RateMeter {
   let sum = 0;
   let sinceMs = 0;
-  const decayTo = (nowMs: number) => {
+  const updateTo = (nowMs: number) => {
     sum *= Math.exp(-(nowMs - sinceMs) / WINDOW_MS);
     sinceMs = nowMs;
   };
   return {
     add: (amount, nowMs) => {
-      decayTo(nowMs);
+      updateTo(nowMs);
       sum += amount;
     },
     getRate: (nowMs) => {
-      decayTo(nowMs);
+      updateTo(nowMs);
       return (sum * MS_PER_SECOND) / WINDOW_MS;
     },
   };
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/worker-lives.ts
@@ -0,0 +1,140 @@
+/**
+ * Lives of a pool's workers: which there are, which have ended, and which may still run tasks of an
+ * earlier planner.
+ */
+import type { WorkerEntry } from '../ports/task-workers.js';
+import { releaseTask } from './apply-ends.js';
+import { CLOCK_DRIFT, hasLeasePassed, LEASE_MS } from './lease-clock.js';
+import type { PoolContext } from './pool-context.js';
+import type { Moment, Worker } from './state.js';
+
+/** What a successor knows of its predecessor's workers. */
+export interface LivesOptions {
+  /** Workers that may hold leases from an earlier planner. */
+  readonly inheritedWorkers: readonly string[];
+  readonly startedMs: number;
+}
+
+/** Lives of workers. */
+export interface WorkerLives {
+  readonly observeEntries: (entries: readonly WorkerEntry[], at: Moment) => void;
+  readonly observeMiss: (workerId: string, at: Moment) => void;
+  readonly observeLifeEnd: (workerId: string, why: string) => void;
+  readonly observeNewLife: (worker: Worker, bornMs: number) => void;
+  readonly markHeard: (workerId: string) => void;
+  /** Takes back the tasks of silent workers whose leases have surely passed. */
+  readonly releaseSilent: (nowMs: number) => void;
+  /** Says whether leases of an earlier planner may last. */
+  readonly isWithinDoubt: (nowMs: number) => boolean;
+  /** Says whether a worker that may hold such a lease has not been heard yet. */
+  readonly isInheritanceDoubtful: (nowMs: number) => boolean;
+  readonly listLeaseHolders: () => readonly string[];
+}
+
+/** Extra wait for leases of an earlier planner beyond their length. */
+const INHERITED_SLACK_MS = 200;
+
+/** Creates the lives of a pool's workers. */
+export function createWorkerLives(context: PoolContext, options: LivesOptions): WorkerLives {
+  const { table, report } = context;
+  const unheard = new Set(options.inheritedWorkers);
+  const doubtUntilMs = options.startedMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_SLACK_MS;
+
+  const dropWorker = (worker: Worker, why: string) => {
+    report({
+      event: 'worker-lost',
+      worker: worker.entry.id,
+      why,
+      tasks: worker.tasks.size,
+      silentMs: worker.misses,
+    });
+    [...worker.tasks].forEach((key) => {
+      const task = table.findTask(key);
+      if (task !== undefined) releaseTask(context, task);
+    });
+    table.dropWorker(worker.entry.id);
+    unheard.delete(worker.entry.id);
+  };
+  const observeLifeEnd = (workerId: string, why: string) => {
+    const worker = table.workers.get(workerId);
+    if (worker !== undefined) dropWorker(worker, why);
+    unheard.delete(workerId);
+  };
+  const observeEntry = (entry: WorkerEntry) => {
+    const known = table.workers.get(entry.id);
+    if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
+      if (known.entry.bornMs > entry.bornMs) return;
+      dropWorker(known, 'new-life');
+    }
+    if (table.workers.has(entry.id)) table.updateWorker(entry.id, { entry, isListed: true });
+    else {
+      table.addWorker(entry);
+      report({
+        event: 'worker-seen',
+        worker: entry.id,
+        bornMs: entry.bornMs,
+        address: entry.address,
+        rack: entry.rack,
+        phase: entry.phase,
+      });
+    }
+  };
+  const releaseSilent = (nowMs: number) => {
+    [...table.workers.values()].forEach((worker) => {
+      const isSilent =
+        worker.misses > 0 && hasLeasePassed(worker.clock, worker.leaseUntilMs, nowMs);
+      const hasLeft = !worker.isListed && worker.tasks.size === 0;
+      if (isSilent && (worker.tasks.size > 0 || worker.strays.size > 0)) {
+        [...worker.tasks].forEach((key) => {
+          const task = table.findTask(key);
+          if (task !== undefined) releaseTask(context, task);
+        });
+        worker.strays.clear();
+        table.refreshLoad(worker.entry.id);
+        report({ event: 'worker-leases-passed', worker: worker.entry.id });
+      }
+      if (hasLeft && (worker.misses > 0 || worker.strays.size === 0)) {
+        table.dropWorker(worker.entry.id);
+      }
+    });
+  };
+  return {
+    observeEntries: (entries, { nowMs }) => {
+      entries.forEach(observeEntry);
+      const ids = new Set(entries.map((entry) => entry.id));
+      table.workers.forEach((worker, id) => {
+        if (ids.has(id) || !worker.isListed) return;
+        table.updateWorker(id, { isListed: false });
+        report({
+          event: 'worker-unlisted',
+          worker: id,
+          answeredAgoMs: Math.round(nowMs - worker.answeredMs),
+        });
+      });
+    },
+    observeMiss: (workerId, { nowMs }) => {
+      const worker = table.workers.get(workerId);
+      if (worker === undefined) return;
+      const answeredAgoMs = Math.round(nowMs - worker.answeredMs);
+      if (worker.misses === 0) {
+        report({ event: 'worker-silent', worker: workerId, answeredAgoMs });
+      }
+      table.updateWorker(workerId, { misses: worker.misses + 1 });
+    },
+    observeLifeEnd,
+    observeNewLife: (worker, bornMs) => {
+      dropWorker(worker, 'new-life');
+      table.addWorker({ ...worker.entry, bornMs });
+    },
+    markHeard: (workerId) => {
+      unheard.delete(workerId);
+    },
+    releaseSilent: (nowMs) => {
+      if (nowMs > doubtUntilMs) unheard.clear();
+      releaseSilent(nowMs);
+    },
+    isWithinDoubt: (nowMs) => nowMs < doubtUntilMs,
+    isInheritanceDoubtful: (nowMs) => unheard.size > 0 && nowMs < doubtUntilMs,
+    listLeaseHolders: () => [...new Set([...table.workers.keys(), ...unheard])],
+  };
+}
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -92,11 +92,11 @@
   demand: PoolDemand | undefined,
 ): readonly LendableInstance[] {
   const contents = new Map(demand?.workers.map((worker) => [worker.workerId, worker]));
-  const weigh = (instance: LendableInstance) => {
+  const computeContent = (instance: LendableInstance) => {
     const content = contents.get(instance.workerId ?? '');
     return content === undefined ? Infinity : content.lastingTasks * 1_000 + content.batchTasks;
   };
-  return [...instances].sort((a, b) => weigh(a) - weigh(b));
+  return [...instances].sort((a, b) => computeContent(a) - computeContent(b));
 }
 
 /** Says whether an instance carries lasting tasks, or is not known. */
@@ -121,7 +121,10 @@
     (incoming.get(pool) ?? 0);
   const pools = [...demands.values()].filter((demand) => demand.pool !== standbyPool);
   const balance = new Map(
-    pools.map((demand) => [demand.pool, countOf(demand.pool) - computeNeed(demand, coresPerInstance)]),
+    pools.map((demand) => [
+      demand.pool,
+      countOf(demand.pool) - computeNeed(demand, coresPerInstance),
+    ]),
   );
   const moves: LendingMove[] = [];
   const empty: LendableInstance[] = [];
--- a/packages/vanilladock/src/lib/ports/fleet.ts
+++ b/packages/vanilladock/src/lib/ports/fleet.ts
@@ -85,7 +85,11 @@
 
 /** Answer of the advisor. */
 export type AdviceOutcome =
-  | { readonly kind: 'advice'; readonly tickets: ReadonlyMap<string, string>; readonly validMs: number }
+  | {
+      readonly kind: 'advice';
+      readonly tickets: ReadonlyMap<string, string>;
+      readonly validMs: number;
+    }
   | { readonly kind: 'unavailable'; readonly reason: string };
 
 /** Says which workers may run a step. */
--- a/packages/vanilladock/src/lib/waves/plan-wave.ts
+++ b/packages/vanilladock/src/lib/waves/plan-wave.ts
@@ -71,7 +71,9 @@
 function computePoolLimits(instances: ReadonlyMap<string, FleetInstance>): Map<string, number> {
   const sizes = new Map<string, number>();
   instances.forEach(({ pool }) => sizes.set(pool, (sizes.get(pool) ?? 0) + 1));
-  return new Map([...sizes].map(([pool, size]) => [pool, Math.max(1, Math.floor(size * POOL_SHARE))]));
+  return new Map(
+    [...sizes].map(([pool, size]) => [pool, Math.max(1, Math.floor(size * POOL_SHARE))]),
+  );
 }
 
 /** Plans the next actions of a wave. */
@@ -81,9 +83,7 @@
   const finished = present.filter((id) => {
     const step = steps.get(id);
     return (
-      step?.kind === 'begun' &&
-      instances.get(id)?.state === 'up' &&
-      nowMs - step.atMs > SETTLED_MS
+      step?.kind === 'begun' && instances.get(id)?.state === 'up' && nowMs - step.atMs > SETTLED_MS
     );
   });
   const isOpen = (id: string) => steps.get(id) === undefined;
