--- /dev/null
+++ b/packages/vanilladock/src/test/claim-table.test.ts
@@ -0,0 +1,64 @@
+/** Tests of claims, heartbeats and the choice of claimants. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import {
+  chooseClaimants,
+  createClaimTable,
+  encodeClaim,
+  encodeDeparture,
+  encodeHeartbeat,
+  MEMBER_TTL_MS,
+  type Member,
+} from '../lib/duties/claim-table.js';
+
+const test = suite('claim table');
+
+const makeMember = (name: string, cores = 1, life = 1): Member => ({
+  id: `${name}~${life}`,
+  name,
+  address: `10.0.0.1:${life}`,
+  cores,
+});
+
+test('a claim holds while its holder is heard', () => {
+  const table = createClaimTable();
+  table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
+  table.apply({ ...encodeClaim('d', 'a~1'), offset: 7 }, 0);
+  assert.is(table.findLiveClaim('d', 10)?.token, 7);
+  assert.is(table.findLiveClaim('d', MEMBER_TTL_MS + 1), undefined);
+});
+
+test('a restarted holder does not hold the claim of its earlier life', () => {
+  const table = createClaimTable();
+  table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
+  table.apply({ ...encodeClaim('d', 'a~1'), offset: 1 }, 0);
+  table.apply({ ...encodeHeartbeat(makeMember('a', 1, 2)), offset: 2 }, 5);
+  assert.is(table.findLiveClaim('d', 10), undefined);
+});
+
+test('the newest claim wins whatever the order in which records are read', () => {
+  const table = createClaimTable();
+  table.apply({ ...encodeHeartbeat(makeMember('b')), offset: 0 }, 0);
+  table.apply({ ...encodeClaim('d', 'b~1'), offset: 9 }, 0);
+  table.apply({ ...encodeClaim('d', 'a~1'), offset: 3 }, 0);
+  assert.is(table.findLiveClaim('d', 1)?.holder, 'b~1');
+});
+
+test('released duties and departed members are vacant at once', () => {
+  const table = createClaimTable();
+  table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
+  table.apply({ ...encodeClaim('d', 'a~1'), offset: 1 }, 0);
+  table.apply({ ...encodeClaim('d', ''), offset: 2 }, 1);
+  assert.is(table.findLiveClaim('d', 2), undefined);
+  table.apply({ ...encodeDeparture(makeMember('a')), offset: 3 }, 2);
+  assert.equal(table.listMembers(3), []);
+});
+
+test('vacant duties go to the members with the least load for their cores', () => {
+  const members = [makeMember('small', 0.3), makeMember('big', 1.2), makeMember('mid', 0.6)];
+  const chosen = chooseClaimants(['d1', 'd2', 'd3'], new Map(), members);
+  assert.not([...chosen.values()].includes('small~1'));
+  assert.is([...chosen.values()].filter((id) => id === 'big~1').length, 2);
+});
+
+test.run();
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -0,0 +1,332 @@
+/** Tests of a pool's planner without input or output. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { LEASE_MS } from '../../lib/jobs/lease-clock.js';
+import type { PoolAction } from '../../lib/jobs/pool-planner.js';
+import {
+  createHarness,
+  makeEnd,
+  makeEntry,
+  makeJob,
+  makeRow,
+  makeStep,
+  POLICY,
+  WALL_MS,
+} from './planner-harness.js';
+
+const test = suite('pool planner');
+
+const listStops = (actions: readonly PoolAction[]) =>
+  actions.flatMap((action) => (action.kind === 'stop' ? [action.taskKey] : []));
+
+test('starts nothing of a job before it is stored', () => {
+  const { planner, addWorkers, at, planStarts, store } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  planner.submit(makeJob('a'), POLICY, at(1));
+  assert.is(planStarts(2).length, 0);
+  store();
+  assert.is(planStarts(3).length, 1);
+});
+
+test('takes a repeated submission as known', () => {
+  const { planner, submit, at } = createHarness();
+  submit(makeJob('a'), 0);
+  assert.is(planner.submit(makeJob('a'), POLICY, at(5)), 'known');
+});
+
+test('shows a job as completed only when its ends are stored', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report, store } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a'), 1);
+  accept(planStarts(2), 3);
+  report('w1', 10, [], [makeEnd(1, 'a.0.0.0', 1)]);
+  assert.is(planner.getAnswer('a'), 'running');
+  store();
+  assert.is(planner.getAnswer('a'), 'completed');
+});
+
+test('starts a step only after all tasks of the steps that it depends on', () => {
+  const { addWorkers, submit, planStarts, accept, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ count: 2 }), makeStep({ dependsOn: [0] })]), 1);
+  const first = planStarts(2);
+  accept(first, 3);
+  assert.equal(
+    first.map((start) => start.taskKey),
+    ['a.0.0.0', 'a.0.0.1'],
+  );
+  report('w1', 10, [makeRow('a.0.0.1', 1)], [makeEnd(1, 'a.0.0.0', 1)]);
+  assert.is(planStarts(11).length, 0);
+  report('w1', 20, [], [makeEnd(2, 'a.0.0.1', 1)]);
+  assert.equal(
+    planStarts(21).map((start) => start.taskKey),
+    ['a.0.1.0'],
+  );
+});
+
+test('fails a job after the last attempt of a task and tries another worker before', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report, store } = createHarness();
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  submit(makeJob('a'), 1);
+  const [first] = planStarts(2);
+  accept([first!], 3);
+  report(first!.worker.id, 10, [], [makeEnd(1, 'a.0.0.0', 1, 'failed')]);
+  const [second] = planStarts(11);
+  assert.is.not(second!.worker.id, first!.worker.id);
+  assert.is(second!.run, 2);
+  accept([second!], 12);
+  report(second!.worker.id, 20, [], [makeEnd(1, 'a.0.0.0', 2, 'failed')]);
+  store();
+  assert.is(planner.getAnswer('a'), 'failed');
+});
+
+test('restarts a lasting task however it ends', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ isLasting: true })]), 1);
+  accept(planStarts(2), 3);
+  report('w1', 10, [], [makeEnd(1, 'a.0.0.0', 1, 'done')]);
+  const [again] = planStarts(11);
+  assert.is(again!.run, 2);
+  accept([again!], 12);
+  report('w1', 20, [], [makeEnd(2, 'a.0.0.0', 2, 'failed')]);
+  assert.is(planStarts(21)[0]!.run, 3);
+  assert.is(planner.getAnswer('a'), 'running');
+});
+
+test('stores the ends of a job that it inherited before any of its tasks was seen to run', () => {
+  const { planner, at, addWorkers, report, store, readProgress } = createHarness({ runBase: 100 });
+  const spec = makeJob('a', [makeStep({ count: 2 })]);
+  planner.loadJob({ spec, policy: POLICY, acceptedAtMs: WALL_MS }, undefined, at(0));
+  addWorkers(0, makeEntry('w1'));
+  report('w1', 5, [], [makeEnd(1, 'a.0.0.0', 1)]);
+  store();
+  assert.ok(readProgress('a')?.done.has('0.0.0'));
+});
+
+test('adopts a run of an earlier planner whatever its number', () => {
+  const { planner, at, addWorkers, report, planStarts } = createHarness({ runBase: 200 });
+  const spec = makeJob('a', [makeStep({ isLasting: true })]);
+  planner.loadJob({ spec, policy: POLICY, acceptedAtMs: WALL_MS }, undefined, at(0));
+  addWorkers(0, makeEntry('w1'));
+  report('w1', 5, [makeRow('a.0.0.0', 101, { percent: 100 })]);
+  const actions = planner.plan(at(6));
+  assert.equal(listStops(actions), []);
+  assert.is(planStarts(7).length, 0);
+});
+
+test('counts every end of a report whatever their order', () => {
+  const { addWorkers, submit, planStarts, accept, report, store, readProgress } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ count: 3 })]), 1);
+  accept(planStarts(2), 3);
+  report('w1', 10, [makeRow('a.0.0.2', 1)], [makeEnd(2, 'a.0.0.1', 1), makeEnd(1, 'a.0.0.0', 1)]);
+  store();
+  assert.is(readProgress('a')?.done.size, 2);
+});
+
+test('uses workers that an earlier planner had recorded, and waits for those not heard', () => {
+  const { planner, at, addWorkers, planStarts } = createHarness({
+    runBase: 100,
+    inheritedWorkers: ['w1', 'gone'],
+  });
+  const spec = makeJob('a');
+  planner.loadJob({ spec, policy: POLICY, acceptedAtMs: WALL_MS }, undefined, at(0));
+  addWorkers(0, makeEntry('w1'));
+  assert.is(planStarts(10).length, 0);
+  assert.equal([...planner.listLeaseHolders()].sort(), ['gone', 'w1']);
+  const [start] = planStarts(2 * LEASE_MS);
+  assert.is(start!.run, 101);
+  assert.equal(planner.listLeaseHolders(), ['w1']);
+});
+
+test('starts a task without an answer elsewhere only after the worker is known not to have it', () => {
+  const { planner, addWorkers, submit, planStarts, at, report } = createHarness();
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  submit(makeJob('a'), 1);
+  const [start] = planStarts(2);
+  planner.observeStart(start!, { kind: 'unknown', isProcessGone: false }, at(400));
+  const [stop] = planner.plan(at(401));
+  assert.is(stop!.kind, 'stop');
+  assert.is(planStarts(402).length, 0);
+  report(start!.worker.id, 410, [], [], 405);
+  assert.is(planStarts(411).length, 0, 'the stop was not answered yet');
+  if (stop!.kind === 'stop') planner.observeStop(stop, { kind: 'accepted', clockMs: 420 }, at(420));
+  report(start!.worker.id, 431, [], [], 430);
+  assert.is(planStarts(432).length, 1);
+});
+
+test('takes back the tasks of a silent worker only when its lease has surely passed', () => {
+  const { planner, addWorkers, submit, planStarts, accept, at, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a'), 1);
+  accept(planStarts(2), 3);
+  report('w1', 10, [makeRow('a.0.0.0', 1)]);
+  planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], at(20));
+  planner.markWorkersRecorded(['w22']);
+  report('w22', 20);
+  planner.observeMiss('w1', at(600));
+  assert.is(planStarts(LEASE_MS).length, 0);
+  assert.is(planStarts(LEASE_MS + 200).length, 1);
+});
+
+test('stops what runs of a cancelled job, also when it shows up late', () => {
+  const { planner, addWorkers, submit, planStarts, accept, at, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a'), 1);
+  accept(planStarts(2), 3);
+  planner.cancel('a', at(10));
+  assert.equal(listStops(planner.plan(at(11))), ['a.0.0.0']);
+  report('w1', 20, [], [makeEnd(1, 'a.0.0.0', 1, 'stopped')]);
+  report('w1', 4000, [makeRow('a.0.0.0', 1)]);
+  assert.equal(listStops(planner.plan(at(4001))), ['a.0.0.0']);
+});
+
+test('moves lasting tasks off a worker one at a time, within what their step bears', () => {
+  const { planner, addWorkers, submit, planStarts, accept, at, report } = createHarness();
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  submit(makeJob('a', [makeStep({ count: 4, isLasting: true, maxUnavailable: 1 })]), 1);
+  const starts = planStarts(2);
+  accept(starts, 3);
+  const rowsOf = (id: string) =>
+    starts
+      .filter((start) => start.worker.id === id)
+      .map((start) => makeRow(start.taskKey, 1, { percent: 100 }));
+  report('w1', 10, rowsOf('w1'));
+  report('w22', 10, rowsOf('w22'));
+  assert.equal(planner.evacuate('w1', at(11)), { lastingTasks: 2, batchTasks: 0 });
+  assert.is(listStops(planner.plan(at(12))).length, 1);
+  assert.is(listStops(planner.plan(at(13))).length, 0);
+});
+
+test('does not call a worker empty that it has not heard since it took over', () => {
+  const { planner, at } = createHarness({ inheritedWorkers: ['w1'] });
+  assert.is(planner.evacuate('w1', at(10)), undefined);
+  planner.observeWorkers([makeEntry('w1')], at(20));
+  assert.is(planner.evacuate('w1', at(30)), undefined);
+});
+
+test('keeps new tasks off draining, unheard, evacuated and unrecorded workers', () => {
+  const { planner, addWorkers, submit, planStarts, at } = createHarness();
+  addWorkers(0, makeEntry('w1', { phase: 'draining' }), makeEntry('w22'));
+  planner.observeWorkers(
+    [makeEntry('w1', { phase: 'draining' }), makeEntry('w22'), makeEntry('w333')],
+    at(1),
+  );
+  planner.evacuate('w22', at(2));
+  submit(makeJob('a'), 3);
+  assert.is(planStarts(4).length, 0);
+});
+
+test('starts a gang whole or not at all, under one run number', () => {
+  const { addWorkers, submit, planStarts } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ count: 5, isGang: true })]), 1);
+  assert.is(planStarts(2).length, 0);
+  const roomy = createHarness();
+  roomy.addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  roomy.submit(makeJob('a', [makeStep({ count: 5, isGang: true })]), 1);
+  const starts = roomy.planStarts(2);
+  assert.is(starts.length, 5);
+  assert.equal([...new Set(starts.map((start) => start.run))], [1]);
+});
+
+test('one end of a gang stands for all of them', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report, store } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ count: 2, isGang: true })]), 1);
+  accept(planStarts(2), 3);
+  report('w1', 10, [makeRow('a.0.0.1', 1)], [makeEnd(1, 'a.0.0.0', 1)]);
+  store();
+  assert.is(planner.getAnswer('a'), 'completed');
+});
+
+test('keeps to labels and to the limit of a step on one worker', () => {
+  const { addWorkers, submit, planStarts } = createHarness();
+  addWorkers(0, makeEntry('w1', { labels: ['b'] }), makeEntry('w22'));
+  submit(makeJob('a', [makeStep({ count: 3, requiredLabel: 'a', maxPerWorker: 2 })]), 1);
+  const starts = planStarts(2);
+  assert.equal(
+    starts.map((start) => start.worker.id),
+    ['w22', 'w22'],
+  );
+});
+
+test('starts tasks of a route with advice only under a ticket', () => {
+  const { planner, addWorkers, submit, planStarts, at } = createHarness();
+  const advice = { decideMs: 1, perWorkerMs: 1, validMs: 1000 };
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  submit(makeJob('a'), 1, { ...POLICY, advice });
+  const [question] = planner.plan(at(2));
+  assert.is(question!.kind, 'advise');
+  planner.tickets.addAnswer('a.0.0', new Map([['w22', 't']]), 1000, 3);
+  const [start] = planStarts(4);
+  assert.is(start!.worker.id, 'w22');
+  assert.is(start!.ticket, 't');
+});
+
+test('starts each occurrence when it is due and completes after the last', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report, store } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', undefined, { repeatCount: 2, startAtMs: WALL_MS + 100, intervalMs: 50 }), 1);
+  assert.is(planStarts(99).length, 0);
+  const [first] = planStarts(101);
+  assert.is(first!.taskKey, 'a.0.0.0');
+  accept([first!], 102);
+  const [second] = planStarts(151);
+  assert.is(second!.taskKey, 'a.1.0.0');
+  accept([second!], 152);
+  report('w1', 160, [], [makeEnd(1, 'a.0.0.0', 1), makeEnd(2, 'a.1.0.0', 1)]);
+  store();
+  assert.is(planner.getAnswer('a'), 'completed');
+});
+
+test('moves a task whose progress stands still', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a'), 1);
+  accept(planStarts(2), 3);
+  report('w1', 10, [makeRow('a.0.0.0', 1, { percent: 20 })]);
+  report('w1', 1000, [makeRow('a.0.0.0', 1, { percent: 20 })]);
+  assert.equal(listStops(planner.plan(at(1001))), []);
+  report('w1', 1700, [makeRow('a.0.0.0', 1, { percent: 20 })]);
+  assert.equal(listStops(planner.plan(at(1701))), ['a.0.0.0']);
+});
+
+test('paces filling tasks down when a lasting task beside them nears its target', () => {
+  const { addWorkers, submit, planStarts, accept, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(
+    makeJob('a', [makeStep({ isLasting: true, tailTargetMs: 100 }), makeStep({ isFilling: true })]),
+    1,
+  );
+  accept(planStarts(2), 3);
+  const fill = makeRow('a.0.1.0', 1);
+  const [slow] = report('w1', 10, [makeRow('a.0.0.0', 1, { load: 120 }), fill]);
+  assert.is(slow!.kind === 'pace' && slow!.percent, 25);
+  const [raised] = report('w1', 500, [makeRow('a.0.0.0', 1, { load: 40 }), fill]);
+  assert.is(raised!.kind === 'pace' && raised!.percent, 45);
+});
+
+test('forgets a submission that the store refused', () => {
+  const { planner, at } = createHarness();
+  planner.submit(makeJob('a'), POLICY, at(0));
+  const batch = planner.takeStoreBatch();
+  planner.dropUnstored(batch!);
+  assert.is(planner.getAnswer('a'), 'unknown');
+  assert.is(planner.takeStoreBatch(), undefined);
+});
+
+test('a worker that fails tasks of several jobs gets no more for a while', () => {
+  const { addWorkers, submit, planStarts, accept, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  ['a', 'b', 'c', 'd'].forEach((id) => submit(makeJob(id), 1));
+  const starts = planStarts(2);
+  accept(starts, 3);
+  const ends = starts.map((start, index) => makeEnd(index + 1, start.taskKey, 1, 'failed'));
+  report('w1', 10, [], ends);
+  assert.is(planStarts(200).length, 0);
+  assert.is(planStarts(4_200).length, 4);
+});
+
+test.run();
--- /dev/null
+++ b/packages/vanilladock/src/test/lending/plan-lending.test.ts
@@ -0,0 +1,110 @@
+/** Replays of queues that peak by turns against the lending of instances. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import {
+  planLending,
+  type LendableInstance,
+  type PoolDemand,
+} from '../../lib/lending/plan-lending.js';
+
+const test = suite('lending');
+
+const makeInstances = (pool: string, count: number): readonly LendableInstance[] =>
+  Array.from({ length: count }, (_, index) => ({
+    id: `${pool}-${index}`,
+    pool,
+    workerId: `w-${pool}-${index}`,
+    isUp: true,
+    cores: 10,
+    isHeld: false,
+  }));
+
+const makeDemand = (pool: string, count: number, change: Partial<PoolDemand> = {}): PoolDemand => ({
+  pool,
+  arrivalCores: 0,
+  runnableCores: 0,
+  lastingCores: 0,
+  hasPeaked: true,
+  workers: Array.from({ length: count }, (_, index) => ({
+    workerId: `w-${pool}-${index}`,
+    lastingTasks: 0,
+    batchTasks: 0,
+  })),
+  ...change,
+});
+
+const plan = (
+  demands: readonly PoolDemand[],
+  instances: readonly LendableInstance[],
+  surplusSinceMs = new Map<string, number>(),
+  nowMs = 0,
+) =>
+  planLending({
+    demands: new Map(demands.map((demand) => [demand.pool, demand])),
+    instances,
+    standbyPool: 'misc',
+    incoming: new Map(),
+    surplusSinceMs,
+    nowMs,
+  });
+
+test('a pool at its peak gets standby instances first, then empty ones of idle pools', () => {
+  const demands = [makeDemand('a', 4, { arrivalCores: 70 }), makeDemand('b', 6)];
+  const instances = [
+    ...makeInstances('a', 4),
+    ...makeInstances('b', 6),
+    ...makeInstances('misc', 2),
+  ];
+  const { moves } = plan(demands, instances);
+  assert.equal(
+    moves.map(({ from, to }) => `${from}>${to}`),
+    ['misc>a', 'misc>a', 'b>a', 'b>a', 'b>a'],
+  );
+});
+
+test('instances with lasting tasks stay, those with batch tasks are emptied first', () => {
+  const workers = [
+    { workerId: 'w-b-0', lastingTasks: 1, batchTasks: 0 },
+    { workerId: 'w-b-1', lastingTasks: 0, batchTasks: 3 },
+    ...[2, 3, 4].map((index) => ({
+      workerId: `w-b-${index}`,
+      lastingTasks: 1,
+      batchTasks: 0,
+    })),
+  ];
+  const demands = [makeDemand('a', 3, { arrivalCores: 70 }), makeDemand('b', 5, { workers })];
+  const { moves, empty } = plan(demands, [...makeInstances('a', 3), ...makeInstances('b', 5)]);
+  assert.equal(moves, []);
+  assert.equal(
+    empty.map(({ id }) => id),
+    ['b-1'],
+  );
+});
+
+test('a pool gives instances back only after it has had more than it needs for a while', () => {
+  const since = new Map<string, number>();
+  const demands = [makeDemand('a', 5)];
+  const instances = makeInstances('a', 5);
+  assert.is(plan(demands, instances, since, 0).moves.length, 0);
+  assert.is(plan(demands, instances, since, 2_000).moves.length, 0);
+  const { moves } = plan(demands, instances, since, 3_500);
+  assert.equal(
+    moves.map(({ to }) => to),
+    ['misc', 'misc'],
+  );
+});
+
+test('a pool whose demand is not known yet keeps the size that operators gave it', () => {
+  const since = new Map<string, number>();
+  const demands = [makeDemand('a', 5, { hasPeaked: false })];
+  plan(demands, makeInstances('a', 5), since, 0);
+  assert.is(plan(demands, makeInstances('a', 5), since, 60_000).moves.length, 0);
+});
+
+test('instances held for maintenance are left alone', () => {
+  const demands = [makeDemand('a', 3, { arrivalCores: 90 })];
+  const held = makeInstances('misc', 3).map((instance) => ({ ...instance, isHeld: true }));
+  assert.is(plan(demands, [...makeInstances('a', 3), ...held]).moves.length, 0);
+});
+
+test.run();
--- /dev/null
+++ b/packages/vanilladock/src/test/waves/plan-wave.test.ts
@@ -0,0 +1,74 @@
+/** Tests of the plan of a maintenance wave. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { FleetInstance } from '../../lib/ports/fleet.js';
+import { planWave, type WaveInputs, type WaveStep } from '../../lib/waves/plan-wave.js';
+
+const test = suite('wave plan');
+
+const makeInstance = (id: string, pool: string, state: FleetInstance['state'] = 'up') => ({
+  id,
+  pool,
+  state,
+  dataCentre: 'hobart',
+  labels: [],
+  cores: 8,
+  workerId: `w-${id}`,
+});
+const IDS = ['a1', 'a2', 'a3', 'a4', 'b1'];
+const EMPTY = { lastingTasks: 0, batchTasks: 0 };
+
+const makeInputs = (change: Partial<WaveInputs> = {}): WaveInputs => ({
+  order: { wave: 1, instances: IDS, durationMs: 20_000, maxConcurrent: 2 },
+  instances: new Map(IDS.map((id) => [id, makeInstance(id, id.slice(0, 1))])),
+  steps: new Map(),
+  contents: new Map(),
+  emptyingSinceMs: new Map(),
+  standbyPools: new Set(),
+  nowMs: 10_000,
+  ...change,
+});
+
+test('empties a part of each pool and takes nothing down that is not known to be empty', () => {
+  const plan = planWave(makeInputs());
+  assert.equal(plan.empty, ['a1', 'b1']);
+  assert.equal(plan.takeDown, []);
+});
+
+test('takes empty instances down within the limit, counting those whose order may still act', () => {
+  const contents = new Map(IDS.map((id) => [id, EMPTY]));
+  const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
+  const plan = planWave(makeInputs({ contents, steps }));
+  assert.equal(plan.takeDown, ['a1', 'b1']);
+  const full = new Map<string, WaveStep>([
+    ['a1', { kind: 'begun', atMs: 9_900 }],
+    ['a2', { kind: 'begun', atMs: 9_900 }],
+  ]);
+  assert.equal(planWave(makeInputs({ contents, steps: full })).takeDown, []);
+});
+
+test('never takes an instance down under a lasting task, however long it takes', () => {
+  const contents = new Map([['a1', { lastingTasks: 1, batchTasks: 0 }]]);
+  const emptyingSinceMs = new Map([['a1', 0]]);
+  assert.equal(planWave(makeInputs({ contents, emptyingSinceMs })).takeDown, []);
+});
+
+test('waits a bounded time for batch tasks', () => {
+  const contents = new Map([['a1', { lastingTasks: 0, batchTasks: 2 }]]);
+  const early = planWave(makeInputs({ contents, emptyingSinceMs: new Map([['a1', 9_000]]) }));
+  assert.equal(early.takeDown, []);
+  const later = planWave(makeInputs({ contents, emptyingSinceMs: new Map([['a1', 1_000]]) }));
+  assert.equal(later.takeDown, ['a1']);
+});
+
+test('is complete only when every instance that stays has been maintained', () => {
+  const done = new Map<string, WaveStep>(IDS.slice(1).map((id) => [id, { kind: 'done' }]));
+  assert.not(planWave(makeInputs({ steps: done })).isComplete);
+  const begun = new Map<string, WaveStep>([...done, ['a1', { kind: 'begun', atMs: 0 }]]);
+  assert.ok(planWave(makeInputs({ steps: begun })).isComplete);
+  const gone = new Map(makeInputs().instances);
+  gone.delete('a1');
+  assert.ok(planWave(makeInputs({ steps: done, instances: gone })).isComplete);
+});
+
+test.run();
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -14,8 +14,8 @@
 
 /** Lists the compiled test files of all packages. */
 function listTestFiles(filters) {
-  return readdirSync('packages')
-    .map((name) => join('packages', name, 'dist', 'test'))
+  return [...readdirSync('packages').map((name) => join('packages', name)), 'platform']
+    .map((folder) => join(folder, 'dist', 'test'))
     .filter((folder) => existsSync(folder))
     .flatMap((folder) =>
       readdirSync(folder, { recursive: true }).map((file) => join(folder, String(file))),
--- a/scripts/write-architecture.mjs
+++ b/scripts/write-architecture.mjs
@@ -7,11 +7,16 @@
 
 const MAP = 'docs/ARCHITECTURE.md';
 const MARK = '<!-- The map below is written by scripts/write-architecture.mjs. -->';
-const PACKAGES = ['vanilladock', 'daemon', 'stand-ins', 'measure'];
+const PACKAGES = ['vanilladock', 'daemon', 'stand-ins', 'measure', 'platform'];
+
+/** Gives the folder of a package's modules. */
+function getRoot(name) {
+  return name === 'platform' ? join(name, 'src', 'lib') : join('packages', name, 'src', 'lib');
+}
 
 /** Lists the modules of a package. */
 function listModules(name) {
-  const root = join('packages', name, 'src', 'lib');
+  const root = getRoot(name);
   return readdirSync(root, { recursive: true })
     .map((file) => join(root, String(file)))
     .filter((file) => file.endsWith('.ts'))
@@ -30,7 +35,7 @@
 
 /** Renders the map of one package. */
 function renderPackage(name) {
-  const root = join('packages', name, 'src', 'lib');
+  const root = getRoot(name);
   const lines = listModules(name).map(
     (file) => `- \`${relative(root, file)}\`: ${readSentence(file)}`,
   );
