--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -35,15 +35,11 @@
 /** Pause between looks at an idle worker. */
 const IDLE_MS = 2_000;
 
-/** Missing answers after which a refused connection is taken as the end of the process. */
-const GONE_AFTER_MISSES = 2;
-
 /** Starts the loop of one worker. */
 export function startWorkerLoop(options: WorkerLoopOptions): WorkerLoop {
   const { workerId, planner, workers, fencingToken } = options;
   let isStopped = false;
   let wakeUp: (() => void) | undefined;
-  let refusals = 0;
 
   const waitOrWake = (ms: number) =>
     new Promise<void>((resolve) => {
@@ -81,7 +77,6 @@
     const at = readMoment();
     switch (outcome.kind) {
       case 'report': {
-        refusals = 0;
         const timed = { report: outcome.report, sentMs: sent.nowMs, heardMs: at.nowMs };
         options.handlePaces(planner.observeReport(workerId, timed, at));
         await options.handleReport(workerId, at);
@@ -94,9 +89,7 @@
         await waitOrWake(RETRY_MS);
         return;
       case 'unknown':
-        refusals = outcome.isProcessGone ? refusals + 1 : 0;
-        if (refusals > GONE_AFTER_MISSES) planner.observeLifeEnd(workerId, 'process-gone');
-        else planner.observeMiss(workerId, at);
+        planner.observeMiss(workerId, at);
         await waitOrWake(RETRY_MS);
         return;
       default:
--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -75,17 +75,18 @@
   const job = table.jobs.get(task.jobId);
   if (job === undefined) return;
   const step = table.findStep(task);
-  const failures = task.failures + 1;
+  if (task.failedRuns.includes(end.run)) return;
+  const failedRuns = [...task.failedRuns, end.run];
   const avoid = [...new Set([...task.avoid, end.workerId])];
-  const current = table.moveTask(task, task.state, { failures, avoid });
+  const current = table.moveTask(task, task.state, { failedRuns, avoid });
   dirtyJobs.add(task.jobId);
   const members = step.isGang
     ? table.listJobTasks(task.jobId).filter((t) => t.stepIndex === task.stepIndex)
     : [current];
-  const total = members
+  const failed = members
     .filter((member) => member.occurrence === task.occurrence)
-    .reduce((sum, member) => sum + member.failures, 0);
-  if (!step.isLasting && total >= job.record.policy.maxAttempts) {
+    .flatMap((member) => member.failedRuns);
+  if (!step.isLasting && new Set(failed).size >= job.record.policy.maxAttempts) {
     closeJob(context, task.jobId, 'failed', at);
   }
 }
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -6,8 +6,8 @@
   readonly phase: JobPhase;
   /** Tasks done, as `occurrence.step.index`. */
   readonly done: readonly string[];
-  /** Failed runs by task. */
-  readonly failures: Readonly<Record<string, number>>;
+  /** Numbers of failed runs by task. */
+  readonly failedRuns: Readonly<Record<string, readonly number[]>>;
   readonly occurrencesDone: readonly number[];
 }
 
@@ -15,7 +15,7 @@
 export interface Progress {
   readonly phase: JobPhase;
   readonly done: ReadonlySet<string>;
-  readonly failures: ReadonlyMap<string, number>;
+  readonly failedRuns: ReadonlyMap<string, readonly number[]>;
   readonly occurrencesDone: ReadonlySet<number>;
 }
 
@@ -27,14 +27,14 @@
 /** Encodes the progress of a job; finished jobs keep their phase only. */
 export function encodeProgress(job: Job, tasks: readonly Task[]): string {
   const isActive = job.phase === 'active';
-  const failed = tasks.filter((task) => task.failures > 0 && task.state.kind !== 'done');
+  const failed = tasks.filter((task) => task.failedRuns.length > 0 && task.state.kind !== 'done');
   const stored: StoredProgress = {
     phase: job.phase,
     done: isActive
       ? tasks.filter((task) => task.state.kind === 'done').map((task) => makeTaskSuffix(task))
       : [],
-    failures: isActive
-      ? Object.fromEntries(failed.map((task) => [makeTaskSuffix(task), task.failures]))
+    failedRuns: isActive
+      ? Object.fromEntries(failed.map((task) => [makeTaskSuffix(task), task.failedRuns]))
       : {},
     occurrencesDone: isActive ? [...job.finishedOccurrences] : [],
   };
@@ -47,7 +47,7 @@
   return {
     phase: stored.phase,
     done: new Set(stored.done),
-    failures: new Map(Object.entries(stored.failures)),
+    failedRuns: new Map(Object.entries(stored.failedRuns)),
     occurrencesDone: new Set(stored.occurrencesDone),
   };
 }
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -45,7 +45,8 @@
   readonly occurrence: number;
   readonly stepIndex: number;
   readonly index: number;
-  readonly failures: number;
+  /** Numbers of its failed runs; an end that is listed again after a take-over counts once. */
+  readonly failedRuns: readonly number[];
   readonly lastRun: number;
   readonly checkpoint: string;
   /** Workers on which it failed or stood still. */
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -35,7 +35,7 @@
 
 /** Says whether a task has anything that must be stored. */
 function hasResult(task: Task): boolean {
-  return task.failures > 0 || task.state.kind === 'done';
+  return task.failedRuns.length > 0 || task.state.kind === 'done';
 }
 
 /** Creates the queue of a pool; `dirtyJobs` names the jobs that have changed. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -136,7 +136,7 @@
       occurrence,
       stepIndex,
       index,
-      failures: origin?.progress?.failures.get(suffix) ?? 0,
+      failedRuns: origin?.progress?.failedRuns.get(suffix) ?? [],
       lastRun: origin?.runBase ?? 0,
       checkpoint: '',
       avoid: [],
--- a/packages/vanilladock/src/lib/ports/task-workers.ts
+++ b/packages/vanilladock/src/lib/ports/task-workers.ts
@@ -84,13 +84,13 @@
 export type OrderOutcome =
   | { readonly kind: 'accepted'; readonly clockMs: number }
   | { readonly kind: 'rejected'; readonly why: Rejection }
-  | { readonly kind: 'unknown'; readonly isProcessGone: boolean };
+  | { readonly kind: 'unknown' };
 
 /** Outcome of a renewal. */
 export type RenewOutcome =
   | { readonly kind: 'report'; readonly report: TaskReport }
   | { readonly kind: 'rejected'; readonly why: Rejection }
-  | { readonly kind: 'unknown'; readonly isProcessGone: boolean };
+  | { readonly kind: 'unknown' };
 
 /** Renews a worker's lease and asks for its lists. */
 export interface RenewOrder {
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -16,6 +16,9 @@
 
 const test = suite('pool planner');
 
+const listStopActions = (actions: readonly PoolAction[]) =>
+  actions.flatMap((action) => (action.kind === 'stop' ? [action] : []));
+
 const listStops = (actions: readonly PoolAction[]) =>
   actions.flatMap((action) => (action.kind === 'stop' ? [action.taskKey] : []));
 
@@ -104,6 +107,21 @@
   assert.ok(readProgress('a')?.done.has('0.0.0'));
 });
 
+test('counts a failed run once, also when it is listed again after a take-over', () => {
+  const first = createHarness();
+  first.addWorkers(0, makeEntry('w1'));
+  first.submit(makeJob('a'), 1);
+  first.accept(first.planStarts(2), 3);
+  first.report('w1', 10, [], [makeEnd(1, 'a.0.0.0', 1, 'failed')]);
+  first.store();
+  const second = createHarness({ runBase: 100 });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  second.planner.loadJob(record, first.readProgress('a'), second.at(0));
+  second.addWorkers(0, makeEntry('w1'));
+  second.report('w1', 5, [], [makeEnd(1, 'a.0.0.0', 1, 'failed')]);
+  assert.is(second.planStarts(6)[0]!.run, 101);
+});
+
 test('adopts a run of an earlier planner whatever its number', () => {
   const { planner, at, addWorkers, report, planStarts } = createHarness({ runBase: 200 });
   const spec = makeJob('a', [makeStep({ isLasting: true })]);
@@ -145,13 +163,12 @@
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
   submit(makeJob('a'), 1);
   const [start] = planStarts(2);
-  planner.observeStart(start!, { kind: 'unknown', isProcessGone: false }, at(400));
-  const [stop] = planner.plan(at(401));
-  assert.is(stop!.kind, 'stop');
+  planner.observeStart(start!, { kind: 'unknown' }, at(400));
+  const [stop] = listStopActions(planner.plan(at(401)));
   assert.is(planStarts(402).length, 0);
   report(start!.worker.id, 410, [], [], 405);
   assert.is(planStarts(411).length, 0, 'the stop was not answered yet');
-  if (stop!.kind === 'stop') planner.observeStop(stop, { kind: 'accepted', clockMs: 420 }, at(420));
+  planner.observeStop(stop!, { kind: 'accepted', clockMs: 420 }, at(420));
   report(start!.worker.id, 431, [], [], 430);
   assert.is(planStarts(432).length, 1);
 });
