--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -111,8 +111,8 @@
     statusMs: 60_000,
   });
   const stored = new Map<string, string>();
-  const at = (nowMs: number) => ({ nowMs, wallMs: WALL_MS + nowMs });
-  const store = () => {
+  const makeMoment = (nowMs: number) => ({ nowMs, wallMs: WALL_MS + nowMs });
+  const writeBatch = () => {
     const batch = planner.takeStoreBatch();
     batch?.records.forEach(({ key, value }) => {
       if (value !== undefined) stored.set(key, value);
@@ -123,28 +123,30 @@
     planner.observeReport(
       workerId,
       { report: { bornMs: 1, clockMs: nowMs, running, ended }, sentMs, heardMs: nowMs },
-      at(nowMs),
+      makeMoment(nowMs),
     );
   return {
     planner,
     stored,
-    at,
-    store,
+    at: makeMoment,
+    store: writeBatch,
     report,
     addWorkers: (nowMs, ...entries) => {
-      planner.observeWorkers(entries, at(nowMs));
+      planner.observeWorkers(entries, makeMoment(nowMs));
       planner.markWorkersRecorded(entries.map(({ id }) => id));
       entries.forEach(({ id }) => report(id, nowMs));
     },
     submit: (spec, nowMs, policy = POLICY) => {
-      planner.submit(spec, policy, at(nowMs));
-      store();
+      planner.submit(spec, policy, makeMoment(nowMs));
+      writeBatch();
     },
     planStarts: (nowMs) =>
-      planner.plan(at(nowMs)).flatMap((action) => (action.kind === 'start' ? [action] : [])),
+      planner
+        .plan(makeMoment(nowMs))
+        .flatMap((action) => (action.kind === 'start' ? [action] : [])),
     accept: (starts, nowMs) =>
       starts.forEach((start) =>
-        planner.observeStart(start, { kind: 'accepted', clockMs: nowMs }, at(nowMs)),
+        planner.observeStart(start, { kind: 'accepted', clockMs: nowMs }, makeMoment(nowMs)),
       ),
     readProgress: (jobId) => {
       const text = stored.get(`${POOL}:${jobId}:p`);
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -205,12 +205,12 @@
   submit(makeJob('a', [makeStep({ count: 4, isLasting: true, maxUnavailable: 1 })]), 1);
   const starts = planStarts(2);
   accept(starts, 3);
-  const rowsOf = (id: string) =>
+  const listRows = (id: string) =>
     starts
       .filter((start) => start.worker.id === id)
       .map((start) => makeRow(start.taskKey, 1, { percent: 100 }));
-  report('w1', 10, rowsOf('w1'));
-  report('w22', 10, rowsOf('w22'));
+  report('w1', 10, listRows('w1'));
+  report('w22', 10, listRows('w22'));
   assert.equal(planner.evacuate('w1', at(11)), { lastingTasks: 2, batchTasks: 0 });
   assert.is(listStops(planner.plan(at(12))).length, 1);
   assert.is(listStops(planner.plan(at(13))).length, 0);
