--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -76,7 +76,7 @@
         : { kind: 'content', ...content };
     }
     case 'demand':
-      return { kind: 'demand', demand: planner.getDemand(readMoment()) };
+      return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
     case 'life-ended':
       planner.observeLifeEnd(request.workerId, 'ordered');
       schedulePlan();
--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -55,7 +55,7 @@
 const CLAIM_RETRY_MS = 30;
 
 /** Members are given this long to appear before the first claim. */
-const SETTLE_MS = 700;
+const SETTLE_MS = 450;
 
 /** A vacant duty is claimed by anyone after this time. */
 const ANYONE_AFTER_MS = 900;
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -16,7 +16,8 @@
   | { readonly kind: 'pending'; readonly pool: string; readonly route: string }
   /** Takes no new tasks onto a worker for a moment and moves its lasting ones away. */
   | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string }
-  | { readonly kind: 'demand'; readonly pool: string }
+  /** Asks for a pool's demand and tells the cores that lending can bring it to. */
+  | { readonly kind: 'demand'; readonly pool: string; readonly reachableCores: number }
   /** The worker's process was ended by an order. */
   | { readonly kind: 'life-ended'; readonly pool: string; readonly workerId: string };
 
--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -19,12 +19,15 @@
 export function createLender(duty: FleetDuty): Lender {
   const { fleet, config, gateway, log, takeFence, handleLoss, isStopped } = duty;
   const surplusSinceMs = new Map<string, number>();
+  let reachable: ReadonlyMap<string, number> = new Map();
   /** Orders without a known outcome, by instance. */
   const open = new Map<string, LendingMove>();
 
   const listDemands = async (pools: readonly string[]) => {
     const replies = await Promise.all(
-      pools.map((pool) => gateway.answerOnce({ kind: 'demand', pool })),
+      pools.map((pool) =>
+        gateway.answerOnce({ kind: 'demand', pool, reachableCores: reachable.get(pool) ?? 0 }),
+      ),
     );
     const demands = replies.flatMap((reply): readonly PoolDemand[] =>
       reply.kind === 'demand' ? [reply.demand] : [],
@@ -80,6 +83,7 @@
         surplusSinceMs,
         nowMs: performance.now(),
       });
+      reachable = plan.reachableCores;
       if (plan.moves.length > 0) {
         log.info({
           event: 'lending-plan',
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -55,8 +55,10 @@
     if (worker === undefined) return;
     const isBusy = worker.tasks.size > 0 || worker.strays.size > 0;
     const sent = readMoment();
+    // A renewal without an answer may have been carried out: while the worker is silent, no renewal
+    // extends its lease, so that the lease passes for sure and its tasks can run elsewhere.
     const leaseUntilMs =
-      worker.clock === undefined || !isBusy
+      worker.clock === undefined || !isBusy || worker.misses > 0
         ? undefined
         : Math.round(estimateWorkerMs(worker.clock, sent.nowMs) + LEASE_MS);
     if (leaseUntilMs !== undefined) {
--- /dev/null
+++ b/packages/daemon/src/test/worker-loop.test.ts
@@ -0,0 +1,119 @@
+/** Tests of the loop that renews the leases of one worker. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { createPoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import { LEASE_MS } from 'vanilladock/lib/jobs/lease-clock.js';
+import type { RenewOrder, RenewOutcome, TaskWorkers } from 'vanilladock/lib/ports/task-workers.js';
+import { startWorkerLoop } from '../lib/jobs/worker-loop.js';
+
+const test = suite('worker loop');
+
+const ENTRY = {
+  id: 'w1',
+  bornMs: 1,
+  address: '10.0.0.1:1',
+  pool: 'stalls',
+  instance: 'm1',
+  rack: undefined,
+  labels: [],
+  capacity: { cores: 4, memoryMb: 100, accelerators: 0 },
+  phase: 'ready',
+} as const;
+const STEP = {
+  count: 1,
+  size: { cores: 1, memoryMb: 1, accelerators: 0 },
+  estimateMs: 1000,
+  dependsOn: [],
+  isCheckpointing: false,
+  isGang: false,
+  isSameRack: false,
+  requiredLabel: undefined,
+  dataRack: undefined,
+  maxPerWorker: undefined,
+  isSpeculative: false,
+  isLasting: true,
+  image: '',
+  tailTargetMs: undefined,
+  isFilling: false,
+  maxUnavailable: undefined,
+};
+const POLICY = {
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 1,
+  targetLatencyMs: 1,
+  advice: undefined,
+};
+const SPEC = {
+  id: 'a',
+  route: 'r',
+  payload: '',
+  steps: [STEP],
+  repeatCount: 0,
+  startAtMs: 0,
+  intervalMs: 0,
+};
+
+const waitFor = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+test('renewals of a silent worker extend no lease, so that its tasks are free in bounded time', async () => {
+  const planner = createPoolPlanner('stalls', {
+    report: () => {},
+    runBase: 0,
+    inheritedWorkers: [],
+    startedMs: 0,
+    statusMs: 1000,
+  });
+  const makeMoment = () => ({ nowMs: performance.now(), wallMs: Date.now() });
+  const orders: RenewOrder[] = [];
+  let isSilent = false;
+  const renew = async (_: unknown, order: RenewOrder): Promise<RenewOutcome> => {
+    orders.push(order);
+    if (isSilent) return { kind: 'unknown' };
+    await waitFor(5);
+    const running = [...(planner.table.workers.get('w1')?.tasks ?? [])].map((taskKey) => ({
+      taskKey,
+      run: 1,
+      checkpoint: '',
+      percent: 100,
+      load: 0,
+    }));
+    const clockMs = Math.round(performance.now());
+    return { kind: 'report', report: { bornMs: 1, clockMs, running, ended: [] } };
+  };
+  planner.observeWorkers([ENTRY], makeMoment());
+  planner.markWorkersRecorded(['w1']);
+  const loop = startWorkerLoop({
+    workerId: 'w1',
+    planner,
+    workers: { renew } as unknown as TaskWorkers,
+    fencingToken: 1,
+    handleReport: async () => {},
+    handlePaces: () => {},
+    handleFenced: () => {},
+  });
+  await waitFor(30);
+  planner.submit(SPEC, POLICY, makeMoment());
+  planner.takeStoreBatch()?.handleStored();
+  planner.plan(makeMoment()).forEach((action) => {
+    if (action.kind !== 'start') return;
+    planner.observeStart(action, { kind: 'accepted', clockMs: 0 }, makeMoment());
+  });
+  loop.wake();
+  await waitFor(50);
+  assert.ok(orders.at(-1)!.leaseUntilMs !== undefined);
+  isSilent = true;
+  const silentFrom = orders.length + 1;
+  await waitFor(600);
+  loop.stop();
+  const late = orders.slice(silentFrom + 1);
+  assert.ok(late.length > 0);
+  assert.ok(late.every(({ leaseUntilMs }) => leaseUntilMs === undefined));
+  const { leaseUntilMs } = planner.table.workers.get('w1')!;
+  assert.ok(leaseUntilMs <= performance.now() + LEASE_MS);
+});
+
+test.run();
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -60,8 +60,8 @@
   readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
   /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has, once that is known. */
   readonly evacuate: (workerId: string, at: Moment) => WorkerContent | undefined;
-  /** Tells the pool's demand and what each of its workers has. */
-  readonly getDemand: (at: Moment) => PoolDemand;
+  /** Tells the pool's demand and what each of its workers has; takes in what lending can bring. */
+  readonly getDemand: (reachableCores: number, at: Moment) => PoolDemand;
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
   readonly plan: (at: Moment) => readonly PoolAction[];
   readonly takeStoreBatch: () => StoreBatch | undefined;
@@ -82,6 +82,12 @@
 /** A worker that failed tasks of several jobs is tried again after this time. */
 const BARRED_MS = 4_000;
 
+/** What lending can bring is known for this long. */
+const REACHABLE_MS = 3_000;
+
+/** Part of it that admission counts on, as moves take their time. */
+const REACHABLE_PART = 0.7;
+
 /** An evacuation lapses when it is not asked for again within this time. */
 const EVACUATION_MS = 3_000;
 
@@ -92,6 +98,7 @@
   const dirtyJobs = new Set<string>();
   const storeQueue = createStoreQueue(pool, table, dirtyJobs);
   const arrivals = createRateMeter();
+  let reachable = { cores: 0, untilMs: 0 };
   const meanWork = new Map<string, { readonly sum: number; readonly count: number }>();
   const context: PoolContext = { table, dirtyJobs, report: options.report };
   const lives = createWorkerLives(context, options);
@@ -132,7 +139,9 @@
     },
     submit: (spec, policy, at) => {
       if (table.jobs.has(spec.id)) return 'known';
-      const load = computePoolLoad(table, at.nowMs);
+      const open = computePoolLoad(table, at.nowMs);
+      const lent = at.nowMs < reachable.untilMs ? reachable.cores * REACHABLE_PART : 0;
+      const load = { ...open, cores: Math.max(open.cores, lent) };
       if (!isLastingJob(spec)) arrivals.add(computeWork(spec), at.nowMs);
       const admission = admitJob(spec, policy, load);
       options.report({
@@ -212,7 +221,10 @@
       const lastingTasks = lasting.length + worker.strays.size;
       return { lastingTasks, batchTasks: tasks.length - lasting.length };
     },
-    getDemand: ({ nowMs }) => computeDemand(pool, table, arrivals.getRate(nowMs)),
+    getDemand: (reachableCores, { nowMs }) => {
+      reachable = { cores: reachableCores, untilMs: nowMs + REACHABLE_MS };
+      return computeDemand(pool, table, arrivals.getRate(nowMs));
+    },
     markEndsStored: (workerId, bornMs, lastEnd) => {
       const worker = table.workers.get(workerId);
       if (worker === undefined || worker.entry.bornMs !== bornMs) return;
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -62,6 +62,8 @@
 export interface LendingPlan {
   readonly moves: readonly LendingMove[];
   readonly empty: readonly LendableInstance[];
+  /** Cores that each pool has or could be lent now. */
+  readonly reachableCores: ReadonlyMap<string, number>;
 }
 
 /** Part of the runnable tasks that are to run at once; the others wait for their turn. */
@@ -116,16 +118,17 @@
   const { demands, standbyPool, incoming, surplusSinceMs, nowMs } = inputs;
   const movable = inputs.instances.filter((instance) => instance.isUp && !instance.isHeld);
   const coresPerInstance = Math.max(1, ...inputs.instances.map((instance) => instance.cores));
-  const countOf = (pool: string) =>
+  const countUp = (pool: string) =>
     inputs.instances.filter((instance) => instance.pool === pool && instance.isUp).length +
     (incoming.get(pool) ?? 0);
   const pools = [...demands.values()].filter((demand) => demand.pool !== standbyPool);
   const balance = new Map(
     pools.map((demand) => [
       demand.pool,
-      countOf(demand.pool) - computeNeed(demand, coresPerInstance),
+      countUp(demand.pool) - computeNeed(demand, coresPerInstance),
     ]),
   );
+  const computeSurplus = (pool: string) => Math.max(0, balance.get(pool) ?? 0);
   const moves: LendingMove[] = [];
   const empty: LendableInstance[] = [];
   const free = movable.filter((instance) => instance.pool === standbyPool);
@@ -183,5 +186,12 @@
         } else empty.push(instance);
       });
   });
-  return { moves, empty };
+  const lendable = free.length + pools.reduce((sum, { pool }) => sum + computeSurplus(pool), 0);
+  const reachableCores = new Map(
+    pools.map(({ pool }) => [
+      pool,
+      (countUp(pool) + lendable - computeSurplus(pool)) * coresPerInstance,
+    ]),
+  );
+  return { moves, empty, reachableCores };
 }
