--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -1,7 +1,8 @@
 /**
  * Answers callers' requests about jobs: at the pool's planner when this instance runs it, else through
- * the peer that does. A submission that cannot reach the planner is refused at once; questions and
- * cancels, which may be repeated without harm, are tried again for a moment.
+ * the peer that does. A submission that cannot reach a planner is refused after the short time that a
+ * planned hand-over takes; questions and cancels, which may be repeated without harm, are tried again
+ * for a moment.
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import { waitMs } from './clock.js';
@@ -35,13 +36,19 @@
 }
 
 const RETRY_AFTER_MS = 1_000;
-const SUBMIT_TIMEOUT_MS = 1_500;
+const SUBMIT_TIMEOUT_MS = 1_000;
 const ASK_TIMEOUT_MS = 700;
 
 /** How long a repeatable request looks for a planner. */
 const ASK_PATIENCE_MS = 1_800;
 const ASK_PAUSE_MS = 150;
 
+/** How long a submission waits for a planner that is being replaced. */
+const HANDOVER_PATIENCE_MS = 300;
+
+/** How long a submission that may be stored is asked about. */
+const SUBMIT_PATIENCE_MS = 2_200;
+
 /** Creates the gateway. */
 export function createJobGateway(options: GatewayOptions): JobGateway {
   const { findRunner, findHolder, listMembers, selfId, peers } = options;
@@ -77,11 +84,31 @@
     const second = await sendToPeer(reply.holder, request);
     return second.kind === 'elsewhere' ? refuse('no-planner') : second;
   };
+  /**
+   * Answers a submission. One without an answer may be stored, so from then on only its acceptance is
+   * an answer: asking again with the same id is harmless, a refusal could be untrue.
+   */
+  const answerSubmission = async (request: JobRequest): Promise<JobReply> => {
+    const startedMs = performance.now();
+    let mayBeStored = false;
+    for (;;) {
+      const reply = await answerOnce(request);
+      const ageMs = performance.now() - startedMs;
+      if (reply.kind === 'unknown') mayBeStored = true;
+      const isRefusal = reply.kind === 'refused' || reply.kind === 'unavailable';
+      const isWorthWaiting = reply.kind === 'unavailable' && ageMs <= HANDOVER_PATIENCE_MS;
+      if (isRefusal && !mayBeStored && !isWorthWaiting) return reply;
+      if (!isRefusal && reply.kind !== 'unknown') return reply;
+      if (ageMs > SUBMIT_PATIENCE_MS)
+        return { kind: 'unknown', why: 'no planner has confirmed it' };
+      await waitMs(ASK_PAUSE_MS);
+    }
+  };
   return {
     answerLocally,
     answerOnce,
     answer: async (request) => {
-      if (request.kind === 'submit') return answerOnce(request);
+      if (request.kind === 'submit') return answerSubmission(request);
       const startedMs = performance.now();
       for (;;) {
         const reply = await answerOnce(request);
--- /dev/null
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -0,0 +1,81 @@
+/** Tests of how the gateway answers when planners change or keep silent. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { createJobGateway } from '../lib/jobs/job-gateway.js';
+import type { JobReply, JobRequest } from '../lib/jobs/job-request.js';
+
+const test = suite('job gateway');
+
+/** Timers of the gateway do not keep a process alive. */
+let keepAlive: NodeJS.Timeout;
+test.before(() => {
+  keepAlive = setInterval(() => {}, 1_000);
+});
+test.after(() => clearInterval(keepAlive));
+
+const PEER = { id: 'b~1', name: 'b', address: '10.0.0.2:1', cores: 1 };
+const OTHER = { id: 'c~1', name: 'c', address: '10.0.0.3:1', cores: 1 };
+const SUBMIT = { kind: 'submit', pool: 'stalls', spec: { id: 'a' } } as unknown as JobRequest;
+const UNAVAILABLE: JobReply = { kind: 'unavailable', why: 'pool-loading', retryAfterMs: 1_000 };
+const REFUSED: JobReply = { kind: 'refused', why: 'backlog', retryAfterMs: 1_000 };
+
+const openGateway = (replies: readonly JobReply[], isKnown = true) => {
+  const asked: string[] = [];
+  const gateway = createJobGateway({
+    findRunner: () => undefined,
+    findHolder: () =>
+      isKnown
+        ? { claim: { duty: 'pool/stalls', holder: PEER.id, token: 1 }, member: PEER }
+        : undefined,
+    listMembers: () => [PEER, OTHER],
+    selfId: 'a~1',
+    peers: {
+      send: async (peer) => {
+        asked.push(peer.id);
+        return replies[Math.min(asked.length, replies.length) - 1]!;
+      },
+      getLastContactMs: () => 0,
+      close: () => {},
+    },
+  });
+  return { gateway, asked };
+};
+
+test('a refusal is passed on at once', async () => {
+  const { gateway, asked } = openGateway([REFUSED]);
+  assert.equal(await gateway.answer(SUBMIT), REFUSED);
+  assert.is(asked.length, 1);
+});
+
+test('after a missing answer only acceptance is final, as a refusal could be untrue', async () => {
+  const { gateway } = openGateway([
+    { kind: 'unknown', why: 'peer-timeout' },
+    REFUSED,
+    UNAVAILABLE,
+    { kind: 'accepted' },
+  ]);
+  assert.is((await gateway.answer(SUBMIT)).kind, 'accepted');
+});
+
+test('a submission that nobody confirms ends as unknown, never as refused', async () => {
+  const { gateway } = openGateway([{ kind: 'unknown', why: 'peer-timeout' }, REFUSED]);
+  assert.is((await gateway.answer(SUBMIT)).kind, 'unknown');
+});
+
+test('a short hand-over is waited for, a longer one is told', async () => {
+  const short = openGateway([UNAVAILABLE, { kind: 'accepted' }]);
+  assert.is((await short.gateway.answer(SUBMIT)).kind, 'accepted');
+  const long = openGateway([UNAVAILABLE]);
+  assert.equal(await long.gateway.answer(SUBMIT), UNAVAILABLE);
+});
+
+test('a peer that knows the planner redirects to it', async () => {
+  const { gateway, asked } = openGateway([
+    { kind: 'elsewhere', holder: OTHER },
+    { kind: 'accepted' },
+  ]);
+  assert.is((await gateway.answer(SUBMIT)).kind, 'accepted');
+  assert.equal(asked, ['b~1', 'c~1']);
+});
+
+test.run();
