--- a/packages/daemon/src/lib/jobs/pool-keeper.ts
+++ b/packages/daemon/src/lib/jobs/pool-keeper.ts
@@ -18,15 +18,21 @@
   readonly writeDirty: () => Promise<void>;
   /** Resolves to whether everything that was dirty at the call is stored. */
   readonly waitStored: () => Promise<boolean>;
+  /** Says whether a write has been waiting for the store's answer for so long that more would be held. */
+  readonly isStoreAway: () => boolean;
   readonly stop: () => void;
 }
 
+/** A write without an answer for this long means that the store is away. */
+const STORE_AWAY_MS = 600;
+
 /** Creates a keeper. */
 export function createPoolKeeper(options: PoolKeeperOptions): PoolKeeper {
   const { store, getPlanner, schedulePlan, handleLost } = options;
   const waiters: ((isStored: boolean) => void)[] = [];
   let meta: PoolMeta = { generation: 0, workers: [] };
   let isWriting = false;
+  let writingSinceMs: number | undefined;
   let isStopped = false;
 
   const recordWorkers = async () => {
@@ -47,7 +53,9 @@
     const planner = getPlanner();
     const batch = planner?.takeStoreBatch();
     if (planner === undefined || batch === undefined) return 'idle';
+    writingSinceMs = performance.now();
     const outcome = await store.write(batch.records);
+    writingSinceMs = undefined;
     switch (outcome) {
       case 'stored':
         batch.handleStored();
@@ -92,6 +100,8 @@
     },
     writeDirty,
     waitStored,
+    isStoreAway: () =>
+      writingSinceMs !== undefined && performance.now() - writingSinceMs > STORE_AWAY_MS,
     stop: () => {
       isStopped = true;
       waiters.splice(0).forEach((resolve) => resolve(false));
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -255,7 +255,13 @@
         return { kind: 'unavailable', why: 'pool-loading', retryAfterMs: RETRY_AFTER_MS };
       }
       return answerRequest(
-        { planner, waitStored: keeper.waitStored, isStopped: () => isStopped, schedulePlan },
+        {
+          planner,
+          waitStored: keeper.waitStored,
+          isStoreAway: keeper.isStoreAway,
+          isStopped: () => isStopped,
+          schedulePlan,
+        },
         request,
       );
     },
