--- a/packages/vanilladock/src/lib/jobs/pool-figures.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-figures.ts
@@ -67,6 +67,16 @@
   return { backlogCoreSeconds: computeBacklog(table), cores, largestWorker };
 }
 
+/** Computes how many workers the spread of lasting steps needs, and one more to move a task to. */
+function computeMinWorkers(table: TaskTable): number {
+  const needs = [...table.jobs.values()]
+    .filter((job) => job.phase === 'active' && job.isLasting)
+    .flatMap((job) => job.record.spec.steps)
+    .filter((step) => step.isLasting)
+    .map((step) => Math.ceil(step.count / (step.maxPerWorker ?? step.count)) + 1);
+  return Math.max(0, ...needs);
+}
+
 /** Computes what lending knows of the pool. */
 export function computeDemand(pool: string, table: TaskTable, arrivalCores: number): PoolDemand {
   let lastingCores = 0;
@@ -87,6 +97,7 @@
     arrivalCores,
     runnableCores: computeRunnableCores(table),
     lastingCores,
+    minWorkers: computeMinWorkers(table),
     hasPeaked: hasBatchWork(table),
     workers,
   };
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -21,6 +21,8 @@
   readonly runnableCores: number;
   /** Cores of lasting tasks. */
   readonly lastingCores: number;
+  /** Workers that the lasting tasks need by their spread, and one more to move a task to. */
+  readonly minWorkers: number;
   /** Whether any batch work has arrived yet; before, the operators' sizes are kept. */
   readonly hasPeaked: boolean;
   readonly workers: readonly LentWorker[];
@@ -85,7 +87,7 @@
 export function computeNeed(demand: PoolDemand, coresPerInstance: number): number {
   const batchCores = Math.max(demand.arrivalCores, demand.runnableCores * AT_ONCE);
   const cores = batchCores * HEADROOM + demand.lastingCores;
-  return Math.max(MIN_INSTANCES, Math.ceil(cores / coresPerInstance));
+  return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
 }
 
 /** Orders a pool's instances by what a move would disturb, the emptiest first. */
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -216,6 +216,12 @@
   assert.is(listStops(planner.plan(at(13))).length, 0);
 });
 
+test('asks for a worker more than the spread of its lasting tasks needs', () => {
+  const { planner, submit, at } = createHarness();
+  submit(makeJob('a', [makeStep({ count: 5, maxPerWorker: 2, isLasting: true })]), 1);
+  assert.is(planner.getDemand(0, at(2)).minWorkers, 4);
+});
+
 test('does not call a worker empty that it has not heard since it took over', () => {
   const { planner, at } = createHarness({ inheritedWorkers: ['w1'] });
   assert.is(planner.evacuate('w1', at(10)), undefined);
--- a/packages/vanilladock/src/test/lending/plan-lending.test.ts
+++ b/packages/vanilladock/src/test/lending/plan-lending.test.ts
@@ -24,6 +24,7 @@
   arrivalCores: 0,
   runnableCores: 0,
   lastingCores: 0,
+  minWorkers: 0,
   hasPeaked: true,
   workers: Array.from({ length: count }, (_, index) => ({
     workerId: `w-${pool}-${index}`,
@@ -101,6 +102,12 @@
   assert.is(plan(demands, makeInstances('a', 5), since, 60_000).moves.length, 0);
 });
 
+test('a pool keeps a worker more than the spread of its lasting tasks needs', () => {
+  const since = new Map<string, number>([['a', 0]]);
+  const demands = [makeDemand('a', 6, { minWorkers: 4 })];
+  assert.is(plan(demands, makeInstances('a', 6), since, 60_000).moves.length, 2);
+});
+
 test('instances held for maintenance are left alone', () => {
   const demands = [makeDemand('a', 3, { arrivalCores: 90 })];
   const held = makeInstances('misc', 3).map((instance) => ({ ...instance, isHeld: true }));
