--- a/packages/vanilladock/src/lib/jobs/rate-meter.ts
+++ b/packages/vanilladock/src/lib/jobs/rate-meter.ts
@@ -7,7 +7,7 @@
   readonly getRate: (nowMs: number) => number;
 }
 
-const WINDOW_MS = 1_000;
+const WINDOW_MS = 700;
 const MS_PER_SECOND = 1_000;
 
 /** Creates a meter at rest. */
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -69,7 +69,7 @@
 }
 
 /** Part of the runnable tasks that are to run at once; the others wait for their turn. */
-const AT_ONCE = 0.65;
+const AT_ONCE = 0.9;
 
 /** Room kept free beyond the demand. */
 const HEADROOM = 1.15;
