--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -57,6 +57,12 @@
 /** Members are given this long to appear before the first claim. */
 const SETTLE_MS = 450;
 
+/** Heartbeats that were not read for this long say nothing about who lives. */
+const GAP_MS = 1_200;
+
+/** After such a gap, members are given this long to be heard again before any claim. */
+const SETTLE_AFTER_GAP_MS = 900;
+
 /** A vacant duty is claimed by anyone after this time. */
 const ANYONE_AFTER_MS = 900;
 
@@ -69,6 +75,8 @@
   let nextOffset: number | undefined;
   let isStopped = false;
   let startedMs = 0;
+  let settledFromMs = 0;
+  let contactMs = 0;
 
   const setHeld = (duty: string, claim: Claim | undefined) => {
     const next = new Map(held.value);
@@ -92,7 +100,7 @@
     if (nextOffset === undefined) return false;
     const previous = table.findClaim(duty);
     const at = nextOffset;
-    const outcome = await store.append(CLAIMS, [encodeClaim(duty, self.id)], {
+    const outcome = await store.append(CLAIMS, [encodeClaim(duty, self)], {
       kind: 'end',
       offset: at,
     });
@@ -131,7 +139,8 @@
   const claimVacant = async (): Promise<boolean> => {
     const nowMs = performance.now();
     const vacant = listVacant(nowMs);
-    if (nowMs - startedMs < SETTLE_MS || vacant.length === 0) return false;
+    const isSettled = nowMs - startedMs >= SETTLE_MS && nowMs >= settledFromMs;
+    if (!isSettled || nowMs - contactMs > GAP_MS || vacant.length === 0) return false;
     const members = table.listMembers(nowMs);
     const chosen = chooseClaimants(vacant, countHeld(nowMs), members);
     const mine = vacant.find((duty) => {
@@ -159,7 +168,6 @@
   const follow = { store, handleContact, log, pollMs: POLL_MS };
   const newClaims = watchTopic({ ...follow, where: CLAIMS, pauseMs: 0 });
   const heartbeats = watchTopic({ ...follow, where: MEMBERS, pauseMs: TICK_MS });
-  let contactMs = 0;
   return {
     held,
     findHolder: (duty) => {
@@ -172,8 +180,11 @@
     listMembers: () => table.listMembers(Math.min(performance.now(), contactMs)),
     start: () => {
       startedMs = performance.now();
+      contactMs = startedMs;
       heartbeats.subscribe(({ records }) => {
-        contactMs = performance.now();
+        const nowMs = performance.now();
+        if (nowMs - contactMs > GAP_MS) settledFromMs = nowMs + SETTLE_AFTER_GAP_MS;
+        contactMs = nowMs;
         records.forEach((record) => table.apply(record, performance.now()));
       });
       newClaims.subscribe(({ records, next }) => {
@@ -187,7 +198,7 @@
     dropDuty,
     stop: async () => {
       isStopped = true;
-      const releases = [...held.value.keys()].map((duty) => encodeClaim(duty, ''));
+      const releases = [...held.value.keys()].map((duty) => encodeClaim(duty, undefined));
       held.next(new Map());
       const outcome = await store.append(CLAIMS, releases, { kind: 'none' });
       await store.append(MEMBERS, [encodeDeparture(self)], { kind: 'none' });
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -45,9 +45,12 @@
 const DUTY_PREFIX = 'duty/';
 const MEMBER_PREFIX = 'member/';
 
-/** Encodes a claim, or with an empty holder the release of a duty. */
-export function encodeClaim(duty: string, holder: string): KeyedRecord {
-  return { key: `${DUTY_PREFIX}${duty}`, value: JSON.stringify({ holder }) };
+/** Encodes a claim, or without a member the release of a duty. */
+export function encodeClaim(duty: string, member: Member | undefined): KeyedRecord {
+  return {
+    key: `${DUTY_PREFIX}${duty}`,
+    value: JSON.stringify({ holder: member?.id ?? '', member }),
+  };
 }
 
 /** Encodes a heartbeat. */
@@ -69,6 +72,12 @@
     const found = [...members.values()].find(({ member }) => member.id === id);
     return found !== undefined && isAlive(found.heardMs, nowMs) ? found.member : undefined;
   };
+  /** A claim is a sign of life of its holder, unless a later life of it is known. */
+  const observeClaimant = (member: Member, nowMs: number) => {
+    const found = members.get(member.name);
+    if (found !== undefined && found.member.id !== member.id) return;
+    members.set(member.name, { member, heardMs: nowMs });
+  };
   return {
     apply: ({ key, value, offset }, nowMs) => {
       if (key.startsWith(MEMBER_PREFIX)) {
@@ -79,11 +88,14 @@
       }
       if (!key.startsWith(DUTY_PREFIX) || value === undefined) return;
       const duty = key.slice(DUTY_PREFIX.length);
-      const { holder } = JSON.parse(value) as { readonly holder: string };
+      const { holder, member } = JSON.parse(value) as {
+        readonly holder: string;
+        readonly member?: Member;
+      };
       const known = claims.get(duty);
-      if (known === undefined || known.token < offset) {
-        claims.set(duty, { duty, holder, token: offset });
-      }
+      if (known !== undefined && known.token >= offset) return;
+      claims.set(duty, { duty, holder, token: offset });
+      if (member !== undefined) observeClaimant(member, nowMs);
     },
     listMembers: (nowMs) =>
       [...members.values()]
--- a/packages/vanilladock/src/test/claim-table.test.ts
+++ b/packages/vanilladock/src/test/claim-table.test.ts
@@ -23,7 +23,7 @@
 test('a claim holds while its holder is heard', () => {
   const table = createClaimTable();
   table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
-  table.apply({ ...encodeClaim('d', 'a~1'), offset: 7 }, 0);
+  table.apply({ ...encodeClaim('d', makeMember('a')), offset: 7 }, 0);
   assert.is(table.findLiveClaim('d', 10)?.token, 7);
   assert.is(table.findLiveClaim('d', MEMBER_TTL_MS + 1), undefined);
 });
@@ -31,7 +31,7 @@
 test('a restarted holder does not hold the claim of its earlier life', () => {
   const table = createClaimTable();
   table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
-  table.apply({ ...encodeClaim('d', 'a~1'), offset: 1 }, 0);
+  table.apply({ ...encodeClaim('d', makeMember('a')), offset: 1 }, 0);
   table.apply({ ...encodeHeartbeat(makeMember('a', 1, 2)), offset: 2 }, 5);
   assert.is(table.findLiveClaim('d', 10), undefined);
 });
@@ -39,16 +39,27 @@
 test('the newest claim wins whatever the order in which records are read', () => {
   const table = createClaimTable();
   table.apply({ ...encodeHeartbeat(makeMember('b')), offset: 0 }, 0);
-  table.apply({ ...encodeClaim('d', 'b~1'), offset: 9 }, 0);
-  table.apply({ ...encodeClaim('d', 'a~1'), offset: 3 }, 0);
+  table.apply({ ...encodeClaim('d', makeMember('b')), offset: 9 }, 0);
+  table.apply({ ...encodeClaim('d', makeMember('a')), offset: 3 }, 0);
   assert.is(table.findLiveClaim('d', 1)?.holder, 'b~1');
 });
 
+test('a claim is a sign of life of its holder, but not over a later life of it', () => {
+  const table = createClaimTable();
+  table.apply({ ...encodeClaim('d', makeMember('a')), offset: 1 }, 0);
+  assert.is(table.findLiveClaim('d', 10)?.token, 1, 'although no heartbeat was read yet');
+  assert.is(table.findMember('a~1', 10)?.address, makeMember('a').address);
+  const restarted = createClaimTable();
+  restarted.apply({ ...encodeHeartbeat(makeMember('a', 1, 2)), offset: 0 }, 0);
+  restarted.apply({ ...encodeClaim('d', makeMember('a')), offset: 1 }, 5);
+  assert.is(restarted.findLiveClaim('d', 10), undefined);
+});
+
 test('released duties and departed members are vacant at once', () => {
   const table = createClaimTable();
   table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
-  table.apply({ ...encodeClaim('d', 'a~1'), offset: 1 }, 0);
-  table.apply({ ...encodeClaim('d', ''), offset: 2 }, 1);
+  table.apply({ ...encodeClaim('d', makeMember('a')), offset: 1 }, 0);
+  table.apply({ ...encodeClaim('d', undefined), offset: 2 }, 1);
   assert.is(table.findLiveClaim('d', 2), undefined);
   table.apply({ ...encodeDeparture(makeMember('a')), offset: 3 }, 2);
   assert.equal(table.listMembers(3), []);
