--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -14,7 +14,7 @@
   readonly planner: PoolPlanner;
   readonly workers: TaskWorkers;
   readonly fencingToken: number;
-  /** Called after each report with the number of its last new end, 0 when there is none. */
+  /** Called after each report; resolves when the next renewal may be sent. */
   readonly handleReport: (workerId: string, at: Moment) => Promise<void>;
   readonly handlePaces: (actions: ReturnType<PoolPlanner['observeReport']>) => void;
   readonly handleFenced: () => void;
