Write once what stood twice on the platform path

Cause: a reading of the whole change. Two HTTP clients (peers had their own), three parsers of an address, two loops that fence and read a partition, two types of a timed report, two makers of an assignment, the work formula in three places, names of steps and tasks spelled out in five, a worker's content counted twice, waiting for the store with a time limit in two, and a status that hung on the text of a reason. Change: one of each. Each write of progress no longer encodes the whole job record beside it. Unread fields and accessors are gone. No assertion changed; test inputs name the cause of a refusal. Texts that changed: reasons of peers read peer-CODE, store-unreadable names the producer.

--- a/platform/src/lib/http-client.ts
+++ b/packages/daemon/src/lib/http-client.ts
@@ -1,8 +1,9 @@
 /**
- * The one HTTP client towards the platform and its workers. Every call has a time limit; a connection
- * on which a call got no answer is closed, so that a silent one is never used twice.
+ * The one HTTP client towards the platform, its workers and peers. Every call has a time limit; a
+ * connection on which a call got no answer is closed, so that a silent one is never used twice.
  */
 import { Agent, request as requestHttp, type IncomingMessage } from 'node:http';
+import { parseAddress } from './address.js';
 
 /** A call to send. */
 export interface HttpCall {
@@ -29,15 +30,17 @@
   readonly close: () => void;
 }
 
-const IDLE_CONNECTION_MS = 10_000;
-const MAX_CONNECTIONS_PER_LANE = 8;
-
-/** Takes host and port apart. */
-function parseAddress(address: string): { readonly host: string; readonly port: number } {
-  const colon = address.lastIndexOf(':');
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+/** Limits of the connections to one address. */
+export interface ConnectionLimits {
+  readonly maxPerLane: number;
+  readonly maxIdlePerLane: number;
+  /** Idle connections are closed after this time; undefined keeps them. */
+  readonly idleMs: number | undefined;
 }
 
+/** Limits towards servers that are called by many. */
+const DEFAULT_LIMITS: ConnectionLimits = { maxPerLane: 8, maxIdlePerLane: 8, idleMs: 10_000 };
+
 /** Collects a whole body; a short one ends the answer as none. */
 function readBody(message: IncomingMessage, finish: (body: Buffer | undefined) => void): void {
   const chunks: Buffer[] = [];
@@ -48,13 +51,13 @@
 }
 
 /** Creates the client. */
-export function createHttpClient(): HttpClient {
+export function createHttpClient(limits: ConnectionLimits = DEFAULT_LIMITS): HttpClient {
   const options = {
     keepAlive: true,
-    maxSockets: MAX_CONNECTIONS_PER_LANE,
-    maxFreeSockets: MAX_CONNECTIONS_PER_LANE,
-    timeout: IDLE_CONNECTION_MS,
+    maxSockets: limits.maxPerLane,
+    maxFreeSockets: limits.maxIdlePerLane,
     scheduling: 'lifo' as const,
+    ...(limits.idleMs === undefined ? {} : { timeout: limits.idleMs }),
   };
   const agents = { calls: new Agent(options), polls: new Agent(options) };
   return {
--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -1,13 +1,13 @@
 /** Answers requests about jobs from a pool's planner; what changes a job is answered when it is stored. */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
-import { readMoment, waitMs } from './clock.js';
+import { readMoment } from './clock.js';
 import type { JobReply, JobRequest } from './job-request.js';
 
 /** What answers are made from. */
 export interface AnswerContext {
   readonly planner: PoolPlanner;
-  /** Resolves to whether everything that was dirty at the call is stored. */
-  readonly waitStored: () => Promise<boolean>;
+  /** Resolves to whether everything that was dirty at the call is stored within the time. */
+  readonly waitStored: (patienceMs: number) => Promise<boolean>;
   readonly isStoreAway: () => boolean;
   readonly isStopped: () => boolean;
   readonly schedulePlan: () => void;
@@ -22,11 +22,6 @@
 /** Over this time callers are spread that were refused while the store was away. */
 const STORE_RETURN_MS = 2_000;
 
-/** Waits for the store a bounded time, after which the answer is that nothing is known. */
-function waitStoredFor(waitStored: AnswerContext['waitStored']): Promise<boolean> {
-  return Promise.race([waitStored(), waitMs(STORE_PATIENCE_MS).then(() => false)]);
-}
-
 /** Takes in a submission; accepted only when it is stored. */
 async function submitJob(
   context: AnswerContext,
@@ -37,13 +32,14 @@
   if (context.isStoreAway() && planner.getAnswer(id) === 'unknown') {
     // Spread over the store's return, so that callers do not come back in the same moment.
     const retryAfterMs = RETRY_AFTER_MS + Math.random() * STORE_RETURN_MS;
-    return { kind: 'refused', why: 'store-away', retryAfterMs };
+    return { kind: 'refused', cause: 'store', why: 'store-away', retryAfterMs };
   }
   const admission = planner.submit(request.spec, request.policy, readMoment());
   if (admission !== 'known' && admission.kind === 'refused') {
-    return { kind: 'refused', why: admission.why, retryAfterMs: admission.retryAfterMs };
+    const { why, retryAfterMs } = admission;
+    return { kind: 'refused', cause: 'queue', why, retryAfterMs };
   }
-  if (admission !== 'known' || !planner.isStored(id)) await waitStoredFor(waitStored);
+  if (admission !== 'known' || !planner.isStored(id)) await waitStored(STORE_PATIENCE_MS);
   if (isStopped()) return { kind: 'unknown', why: 'the planner has lost its pool' };
 
   if (planner.table.jobs.get(id) === undefined) {
@@ -62,7 +58,7 @@
   if (answer === 'ended' && planner.isStored(jobId)) return { kind: 'cancelled' };
 
   schedulePlan();
-  await waitStoredFor(waitStored);
+  await waitStored(STORE_PATIENCE_MS);
   return planner.isStored(jobId) && !isStopped()
     ? { kind: 'cancelled' }
     : { kind: 'unknown', why: 'the store has not answered' };
--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -26,8 +26,9 @@
 
 /** Claims of one instance. */
 export interface DutyClaims {
-  /** Duties that this instance holds. Holders of others are as last read while the store is away. */
+  /** Duties that this instance holds. */
   readonly held: BehaviorSubject<ReadonlyMap<string, Claim>>;
+  /** Finds a duty's holder, as last read while the store is away. */
   readonly findHolder: (
     duty: string,
   ) => { readonly claim: Claim; readonly member: Member } | undefined;
--- a/packages/daemon/src/lib/jobs/fenced-writer.ts
+++ b/packages/daemon/src/lib/jobs/fenced-writer.ts
@@ -1,5 +1,5 @@
 /**
- * Writes to one partition as its only producer under a fencing token. Writes go one at a time; one
+ * Reads and writes one partition as its only producer under a fencing token. Writes go one at a time; one
  * without an answer is repeated with its sequence number until the store has answered.
  */
 import type { KeyedRecord, KeyedStore, PartitionName } from 'vanilladock/lib/ports/keyed-store.js';
@@ -21,8 +21,8 @@
 
 /** A writer. */
 export interface FencedWriter {
-  /** Fences off earlier holders; false when a later one has taken over. */
-  readonly fence: () => Promise<boolean>;
+  /** Fences off earlier holders, then reads; undefined when a later one has taken over. */
+  readonly load: () => Promise<readonly KeyedRecord[] | undefined>;
   readonly write: (records: readonly KeyedRecord[]) => Promise<WriteOutcome>;
   readonly close: () => void;
 }
@@ -73,14 +73,24 @@
     queue = written;
     return written;
   };
+  const claimEpoch = async (): Promise<boolean> => {
+    while (!isClosed) {
+      const outcome = await write([]);
+      if (outcome !== 'refused') return outcome === 'stored';
+      await waitMs(RETRY_MS);
+    }
+    return false;
+  };
   return {
-    fence: async () => {
+    load: async () => {
+      if (!(await claimEpoch())) return undefined;
       while (!isClosed) {
-        const outcome = await write([]);
-        if (outcome !== 'refused') return outcome === 'stored';
+        const newest = await store.readNewest(where);
+        if (newest.kind === 'records') return newest.records;
+        log.warn({ event: 'store-unreadable', producer, reason: newest.reason });
         await waitMs(RETRY_MS);
       }
-      return false;
+      return undefined;
     },
     write,
     close: () => {
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -39,7 +39,6 @@
 export interface JobEntry {
   readonly gateway: JobGateway;
   readonly claims: DutyClaims;
-  readonly listRunners: () => ReadonlyMap<string, PoolRunner>;
   /** Says whether the store or a peer has answered lately. */
   readonly isInContact: () => boolean;
   readonly recordStoreContact: () => void;
@@ -123,7 +122,6 @@
   return {
     gateway,
     claims,
-    listRunners: () => runners,
     isInContact: () => {
       const lastMs = Math.max(lastStoreMs, peers.getLastContactMs());
       return performance.now() - lastMs < CONTACT_MS;
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -29,6 +29,8 @@
   | { readonly kind: 'accepted' }
   | {
       readonly kind: 'refused';
+      /** What stands in the way: the queue's own backlog or limits, or the store. */
+      readonly cause: 'queue' | 'store';
       readonly why: string;
       /** When a retry is likely to be admitted; undefined when it never is. */
       readonly retryAfterMs: number | undefined;
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -2,8 +2,9 @@
  * Calls among instances: a request about a job goes to the instance that plans its pool, as JSON over
  * HTTP on a port of their own. A peer that did not answer in time is left alone for a moment.
  */
-import { Agent, createServer, request as requestHttp, type Server } from 'node:http';
+import { createServer, type Server } from 'node:http';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
+import { createHttpClient, encodeJsonBody, JSON_HEADERS } from '../http-client.js';
 import type { JobReply, JobRequest } from './job-request.js';
 
 /** Calls to peers. */
@@ -20,65 +21,40 @@
 const HTTP_OK = 200;
 const MAX_BODY_BYTES = 1_048_576;
 
+/** Peers answer many calls at once and are few, so their connections are kept and not limited. */
+const CONNECTIONS = { maxPerLane: Infinity, maxIdlePerLane: 32, idleMs: undefined };
+
 /** Creates the client. */
 export function createPeerClient(): PeerClient {
-  const agent = new Agent({ keepAlive: true, scheduling: 'lifo', maxFreeSockets: 32 });
+  const http = createHttpClient(CONNECTIONS);
   const silentUntilMs = new Map<string, number>();
   let lastContactMs = -Infinity;
   return {
-    send: (peer, request, timeoutMs) =>
-      new Promise((resolve) => {
-        if ((silentUntilMs.get(peer.id) ?? 0) > performance.now()) {
-          resolve({ kind: 'unavailable', why: 'peer-silent', retryAfterMs: RETRY_AFTER_MS });
-          return;
-        }
-        const body = Buffer.from(JSON.stringify(request), 'utf8');
-        const colon = peer.address.lastIndexOf(':');
-        let isSettled = false;
-        const call = requestHttp({
-          agent,
-          host: peer.address.slice(0, colon),
-          port: Number(peer.address.slice(colon + 1)),
-          method: 'POST',
-          path: JOBS_PATH,
-          headers: { 'content-type': 'application/json', 'content-length': body.length },
-        });
-        const handleOutcome = (reply: JobReply) => {
-          if (isSettled) return;
-          isSettled = true;
-          clearTimeout(timer);
-          resolve(reply);
-        };
-        const fail = (why: string, isProcessGone: boolean) => {
-          if (isSettled) return;
-          silentUntilMs.set(peer.id, performance.now() + SILENT_PAUSE_MS);
-          call.destroy();
-          handleOutcome(
-            isProcessGone
-              ? { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS }
-              : { kind: 'unknown', why },
-          );
-        };
-        const timer = setTimeout(() => fail('peer-timeout', false), timeoutMs);
-        call.once('socket', (socket) => socket.setNoDelay(true));
-        call.on('error', (error: NodeJS.ErrnoException) =>
-          fail(error.code ?? error.message, error.code === 'ECONNREFUSED'),
-        );
-        call.once('response', (message) => {
-          const chunks: Buffer[] = [];
-          message.on('data', (chunk: Buffer) => chunks.push(chunk));
-          message.once('error', () => fail('peer-reset', false));
-          message.once('close', () => fail('peer-reset', false));
-          message.once('end', () => {
-            if (!message.complete || message.statusCode !== HTTP_OK) return;
-            lastContactMs = performance.now();
-            handleOutcome(JSON.parse(Buffer.concat(chunks).toString('utf8')) as JobReply);
-          });
-        });
-        call.end(body);
-      }),
+    send: async (peer, request, timeoutMs) => {
+      if ((silentUntilMs.get(peer.id) ?? 0) > performance.now()) {
+        return { kind: 'unavailable', why: 'peer-silent', retryAfterMs: RETRY_AFTER_MS };
+      }
+      const outcome = await http.send({
+        address: peer.address,
+        method: 'POST',
+        path: JOBS_PATH,
+        headers: JSON_HEADERS,
+        body: encodeJsonBody(request),
+        timeoutMs,
+      });
+      if (outcome.kind === 'answer' && outcome.status === HTTP_OK) {
+        lastContactMs = performance.now();
+        return JSON.parse(outcome.body.toString('utf8')) as JobReply;
+      }
+      silentUntilMs.set(peer.id, performance.now() + SILENT_PAUSE_MS);
+      if (outcome.kind === 'answer') return { kind: 'unknown', why: `peer-${outcome.status}` };
+      const why = `peer-${outcome.reason}`;
+      return outcome.isRefused
+        ? { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS }
+        : { kind: 'unknown', why };
+    },
     getLastContactMs: () => lastContactMs,
-    close: () => agent.destroy(),
+    close: http.close,
   };
 }
 
--- a/packages/daemon/src/lib/jobs/pool-keeper.ts
+++ b/packages/daemon/src/lib/jobs/pool-keeper.ts
@@ -16,8 +16,8 @@
 export interface PoolKeeper {
   readonly setMeta: (meta: PoolMeta) => void;
   readonly writeDirty: () => Promise<void>;
-  /** Resolves to whether everything that was dirty at the call is stored. */
-  readonly waitStored: () => Promise<boolean>;
+  /** Resolves to whether everything that was dirty at the call is stored within the time. */
+  readonly waitStored: (patienceMs: number) => Promise<boolean>;
   /** Says whether a write has been waiting for the store's answer for so long that more would be held. */
   readonly isStoreAway: () => boolean;
   readonly stop: () => void;
@@ -85,13 +85,14 @@
     isWriting = false;
     if (waiters.length > 0) setImmediate(() => void writeDirty());
   };
-  const waitStored = () =>
+  const waitStored = (patienceMs: number) =>
     new Promise<boolean>((resolve) => {
       if (isStopped) {
         resolve(false);
         return;
       }
       waiters.push(resolve);
+      setTimeout(() => resolve(false), patienceMs).unref();
       void writeDirty();
     });
   return {
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -37,8 +37,6 @@
 /** A running planner. */
 export interface PoolRunner {
   readonly claim: Claim;
-  readonly isReady: () => boolean;
-  readonly planner: () => PoolPlanner | undefined;
   readonly answer: (request: JobRequest) => Promise<JobReply>;
   readonly stop: () => void;
 }
@@ -52,6 +50,9 @@
 /** A plan is made at least this often, for what becomes due with time. */
 const PLAN_EVERY_MS = 250;
 
+/** An end that cannot be stored in this time is left to the next report. */
+const STORE_PATIENCE_MS = 300;
+
 /** Starts the planner of a pool. */
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, workers, advisor, log } = options;
@@ -168,10 +169,7 @@
     schedulePlan();
     if (worker === undefined || worker.lastEnd <= worker.storedEnd) return;
     const { lastEnd, entry } = worker;
-    const isStored = await Promise.race([
-      keeper.waitStored(),
-      waitMs(STORE_PATIENCE_MS).then(() => false),
-    ]);
+    const isStored = await keeper.waitStored(STORE_PATIENCE_MS);
     if (isStored) planner?.markEndsStored(workerId, entry.bornMs, lastEnd);
   };
   const openLoops = () => {
@@ -248,8 +246,6 @@
   void load();
   return {
     claim,
-    isReady: () => planner !== undefined && !isStopped,
-    planner: () => planner,
     answer: async (request) => {
       if (planner === undefined || isStopped) {
         return { kind: 'unavailable', why: 'pool-loading', retryAfterMs: RETRY_AFTER_MS };
@@ -268,6 +264,3 @@
     stop,
   };
 }
-
-/** An end that cannot be stored in this time is left to the next report. */
-const STORE_PATIENCE_MS = 300;
--- a/packages/daemon/src/lib/jobs/pool-store.ts
+++ b/packages/daemon/src/lib/jobs/pool-store.ts
@@ -7,7 +7,6 @@
 import type { JobRecord } from 'vanilladock/lib/jobs/spec.js';
 import murmurHash from 'imurmurhash';
 import type { JsonLog } from '../json-log.js';
-import { waitMs } from './clock.js';
 import { createFencedWriter, type FencedWriter } from './fenced-writer.js';
 
 /** Topics over which the pools' partitions are spread. */
@@ -16,8 +15,6 @@
 /** Key of what a pool keeps beside its jobs. */
 const META_SUFFIX = ':meta';
 
-const RETRY_MS = 100;
-
 /** What a pool keeps beside its jobs. */
 export interface PoolMeta {
   /** Number of planners that the pool has had. */
@@ -84,23 +81,13 @@
 ): PoolStore {
   const where = choosePartition(pool, partitions);
   const writer = createFencedWriter({ store, where, producer: pool, token, log });
-  let isClosed = false;
   return {
     load: async () => {
-      if (!(await writer.fence())) return undefined;
-      while (!isClosed) {
-        const newest = await store.readNewest(where);
-        if (newest.kind === 'records') return decodePool(pool, newest.records);
-        log.warn({ event: 'store-unreadable', pool, reason: newest.reason });
-        await waitMs(RETRY_MS);
-      }
-      return undefined;
+      const records = await writer.load();
+      return records === undefined ? undefined : decodePool(pool, records);
     },
     write: writer.write,
     encodeMeta: (meta) => ({ key: `${pool}${META_SUFFIX}`, value: JSON.stringify(meta) }),
-    close: () => {
-      isClosed = true;
-      writer.close();
-    },
+    close: writer.close,
   };
 }
--- a/packages/daemon/src/lib/jobs/wave-ledger.ts
+++ b/packages/daemon/src/lib/jobs/wave-ledger.ts
@@ -5,14 +5,12 @@
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { WaveStep } from 'vanilladock/lib/waves/plan-wave.js';
 import type { JsonLog } from '../json-log.js';
-import { waitMs } from './clock.js';
 import { createFencedWriter, type WriteOutcome } from './fenced-writer.js';
 
 /** Partition of the ledger. */
 const LEDGER = { topic: 'keyed.fleet', partition: 0 } as const;
 
 const PRODUCER = 'fleet';
-const RETRY_MS = 200;
 const STEP_KEY = /^wave\/(\d+)\/(.+)$/;
 const COMPLETED_KEY = /^completed\/(\d+)$/;
 
@@ -34,7 +32,6 @@
   const writer = createFencedWriter({ store, where: LEDGER, producer: PRODUCER, token, log });
   const steps = new Map<number, Map<string, WaveStep>>();
   const completed = new Set<number>();
-  let isClosed = false;
   const getSteps = (wave: number) => {
     const known = steps.get(wave) ?? new Map<string, WaveStep>();
     steps.set(wave, known);
@@ -53,19 +50,11 @@
   const makeKey = (wave: number, instance: string) => `wave/${wave}/${instance}`;
   return {
     load: async () => {
-      if (!(await writer.fence())) return false;
-      while (!isClosed) {
-        const newest = await store.readNewest(LEDGER);
-        if (newest.kind === 'records') {
-          newest.records.forEach(({ key, value }) => {
-            if (value !== undefined) apply(key, value);
-          });
-          return true;
-        }
-        log.warn({ event: 'store-unreadable', topic: LEDGER.topic, reason: newest.reason });
-        await waitMs(RETRY_MS);
-      }
-      return false;
+      const records = await writer.load();
+      records?.forEach(({ key, value }) => {
+        if (value !== undefined) apply(key, value);
+      });
+      return records !== undefined;
     },
     listSteps: getSteps,
     isCompleted: (wave) => completed.has(wave),
@@ -81,9 +70,6 @@
       return outcome;
     },
     complete: (wave) => writer.write([{ key: `completed/${wave}`, value: '1' }]),
-    close: () => {
-      isClosed = true;
-      writer.close();
-    },
+    close: writer.close,
   };
 }
--- a/packages/daemon/src/lib/request/connection-pool.ts
+++ b/packages/daemon/src/lib/request/connection-pool.ts
@@ -6,6 +6,7 @@
 import { Agent } from 'node:http';
 import { connect, type Socket } from 'node:net';
 import { Err, Ok, type Result } from 'ts-results-es';
+import { parseAddress } from '../address.js';
 
 /** An open connection that carries one request. */
 export interface Connection {
@@ -71,9 +72,7 @@
 
 /** Creates an empty pool for an upstream at `ip:port`. */
 export function createConnectionPool(address: string, firstLimit: number): ConnectionPool {
-  const separator = address.lastIndexOf(':');
-  const host = address.slice(0, separator);
-  const port = Number(address.slice(separator + 1));
+  const { host, port } = parseAddress(address);
   const open = new Set<Slot>();
   const opening = new Set<Socket>();
   const idle: Slot[] = [];
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -17,7 +17,12 @@
 const OTHER = { id: 'c~1', name: 'c', address: '10.0.0.3:1', cores: 1 };
 const SUBMIT = { kind: 'submit', pool: 'stalls', spec: { id: 'a' } } as unknown as JobRequest;
 const UNAVAILABLE: JobReply = { kind: 'unavailable', why: 'pool-loading', retryAfterMs: 1_000 };
-const REFUSED: JobReply = { kind: 'refused', why: 'backlog', retryAfterMs: 1_000 };
+const REFUSED: JobReply = {
+  kind: 'refused',
+  cause: 'queue',
+  why: 'backlog',
+  retryAfterMs: 1_000,
+};
 
 const openGateway = (replies: readonly JobReply[], isKnown = true) => {
   const asked: string[] = [];
--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -1,6 +1,7 @@
 /** Applies the ends of runs to tasks, occurrences and jobs. */
 import type { RunEnd } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
+import { isStepDone } from './ready-steps.js';
 import type { Job, JobPhase, Moment, Task } from './state.js';
 
 /** One end of a run as a worker listed it. */
@@ -34,9 +35,8 @@
 function isOccurrenceDone(job: Job, number: number): boolean {
   const occurrence = job.occurrences.get(number);
   if (occurrence === undefined) return false;
-  return occurrence.steps.every(
-    (stepRun, index) => stepRun.done.size === job.record.spec.steps[index]?.count,
-  );
+  const { spec } = job.record;
+  return spec.steps.every((_, index) => isStepDone(spec, occurrence, index));
 }
 
 /** Closes an occurrence, and the job with its last one. */
--- a/packages/vanilladock/src/lib/jobs/estimate.ts
+++ b/packages/vanilladock/src/lib/jobs/estimate.ts
@@ -1,14 +1,16 @@
 /** Estimates of a job: its work, its longest chain of steps, and its latency objective. */
-import type { JobPolicy, JobSpec } from './spec.js';
+import type { JobPolicy, JobSpec, StepSpec } from './spec.js';
 
 const MS_PER_SECOND = 1000;
 
+/** Computes the work of some tasks of a step in core-seconds. */
+export function computeStepWork(step: StepSpec, count: number): number {
+  return (count * step.size.cores * step.estimateMs) / MS_PER_SECOND;
+}
+
 /** Computes a job's work in core-seconds, from the estimates of its steps. */
 export function computeWork(spec: JobSpec): number {
-  return spec.steps.reduce(
-    (sum, step) => sum + (step.count * step.size.cores * step.estimateMs) / MS_PER_SECOND,
-    0,
-  );
+  return spec.steps.reduce((sum, step) => sum + computeStepWork(step, step.count), 0);
 }
 
 /**
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -4,6 +4,7 @@
 import type { StartAction } from './plan-starts.js';
 import type { StopAction } from './plan-stops.js';
 import type { PoolContext } from './pool-context.js';
+import { makeStepKey } from './spec.js';
 import type { Moment } from './state.js';
 import type { TicketBook } from './tickets.js';
 
@@ -52,7 +53,7 @@
         table.updateWorker(worker.entry.id, { noStartBeforeMs: at.nowMs + UNHEALTHY_PAUSE_MS });
       }
       if (outcome.why === 'no-ticket') {
-        const stepKey = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
+        const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
         tickets.dropTicket(stepKey, action.worker.id);
       }
       return;
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -7,7 +7,7 @@
 import { hasLeasePassed } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './room.js';
-import type { Assignment, Moment, Task, Worker } from './state.js';
+import { makeAssignment, type Assignment, type Moment, type Task, type Worker } from './state.js';
 
 /** Longest list of ends in one report; a full one may leave later ends out. */
 const MAX_LISTED_ENDS = 500;
@@ -32,21 +32,14 @@
     worker.strays.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
     return;
   }
-  const assignment: Assignment = {
-    kind: 'assigned',
-    workerId: worker.entry.id,
-    run: row.run,
+  const assignment = makeAssignment(worker.entry.id, row.run, {
     phase: 'running',
-    sentMs: at.nowMs,
     confirmedMs: at.nowMs,
-    stopSentMs: undefined,
-    stopAnsweredMs: undefined,
     leaseUntilMs: worker.leaseUntilMs,
     percent: row.percent,
     percentMs: at.nowMs,
     load: row.load,
-    pacePercent: 100,
-  };
+  });
   context.table.moveTask(task, assignment, { lastRun: Math.max(task.lastRun, row.run) });
   context.table.updateJob(task.jobId, { hasStarted: true });
   context.report({
--- a/packages/vanilladock/src/lib/jobs/pace.ts
+++ b/packages/vanilladock/src/lib/jobs/pace.ts
@@ -5,7 +5,7 @@
  */
 import type { WorkerTarget } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
-import type { Assignment, Moment, Worker } from './state.js';
+import { FULL_PERCENT, type Assignment, type Moment, type Worker } from './state.js';
 
 /** A pace to order. */
 export interface PaceAction {
@@ -16,8 +16,6 @@
   readonly percent: number;
 }
 
-const FULL_PERCENT = 100;
-
 /** Share of the target above which filling tasks slow down, and below which they speed up. */
 const SLOW_ABOVE = 0.9;
 const RAISE_BELOW = 0.7;
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -6,15 +6,22 @@
 import { compareQueueKeys, makeQueueKey } from './queue-order.js';
 import { listReadySteps } from './ready-steps.js';
 import { computeFootprint, computeRoom } from './room.js';
-import type { StepSpec } from './spec.js';
-import type { Assignment, Job, Moment, Occurrence, StepRun, Task, Worker } from './state.js';
+import { makeStepKey, makeTaskKey, type StepSpec } from './spec.js';
+import {
+  makeAssignment,
+  type Job,
+  type Moment,
+  type Occurrence,
+  type StepRun,
+  type Task,
+  type Worker,
+} from './state.js';
 import type { TicketBook } from './tickets.js';
 
 /** A start to order. */
 export interface StartAction {
   readonly kind: 'start';
   readonly worker: WorkerTarget;
-  readonly jobId: string;
   readonly taskKey: string;
   readonly run: number;
   readonly payload: string;
@@ -26,7 +33,6 @@
 /** Asks the advisor which workers may run a step. */
 export interface AdviseAction {
   readonly kind: 'advise';
-  readonly jobId: string;
   readonly stepKey: string;
   readonly workerIds: readonly string[];
 }
@@ -79,40 +85,28 @@
   const listCandidates = (place: StepPlace): readonly Worker[] => {
     const free = [...table.workers.values()].filter((worker) => !reserved.has(worker.entry.id));
     if (place.job.record.policy.advice === undefined) return free;
-    const stepKey = `${place.job.record.spec.id}.${place.occurrence.number}.${place.stepIndex}`;
+    const stepKey = makeStepKey(place.job.record.spec.id, place.occurrence.number, place.stepIndex);
     const openIds = free.filter((w) => isOpen(w, at.nowMs)).map((w) => w.entry.id);
     const workerIds = tickets.takeQuestion(stepKey, openIds, at.nowMs);
-    const jobId = place.job.record.spec.id;
-    if (workerIds.length > 0) advice.push({ kind: 'advise', jobId, stepKey, workerIds });
+    if (workerIds.length > 0) advice.push({ kind: 'advise', stepKey, workerIds });
     return free.filter((w) => tickets.findTicket(stepKey, w.entry.id, at.nowMs) !== undefined);
   };
   const assign = (place: StepPlace, task: Task, worker: Worker, run: number): StartAction => {
     const clock = worker.clock ?? { workerMs: 0, heardMs: at.nowMs };
     const leaseUntilMs = Math.round(estimateWorkerMs(clock, at.nowMs) + LEASE_MS);
-    const state: Assignment = {
-      kind: 'assigned',
-      workerId: worker.entry.id,
-      run,
+    const state = makeAssignment(worker.entry.id, run, {
       phase: 'starting',
-      sentMs: at.nowMs,
-      confirmedMs: undefined,
-      stopSentMs: undefined,
-      stopAnsweredMs: undefined,
       leaseUntilMs,
-      percent: 0,
       percentMs: at.nowMs,
-      load: 0,
-      pacePercent: 100,
-    };
+    });
     table.moveTask(task, state, { lastRun: run });
     table.updateWorker(worker.entry.id, {
       leaseUntilMs: Math.max(worker.leaseUntilMs, leaseUntilMs),
     });
-    const stepKey = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
+    const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
     return {
       kind: 'start',
       worker: { id: worker.entry.id, address: worker.entry.address },
-      jobId: task.jobId,
       taskKey: task.key,
       run,
       payload: place.job.record.spec.payload,
@@ -125,7 +119,7 @@
     const { id } = place.job.record.spec;
     return [...place.stepRun.waiting]
       .map((index) =>
-        table.findTask(`${id}.${place.occurrence.number}.${place.stepIndex}.${index}`),
+        table.findTask(makeTaskKey(id, place.occurrence.number, place.stepIndex, index)),
       )
       .filter((task) => task !== undefined)
       .filter((task) => task.state.kind === 'waiting' && task.state.notBeforeMs <= at.nowMs);
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -3,7 +3,8 @@
 import { chooseWorker } from './place.js';
 import type { PoolContext } from './pool-context.js';
 import { computeFootprint } from './room.js';
-import type { Assignment, Moment, Task, Worker } from './state.js';
+import { makeTaskKey } from './spec.js';
+import { FULL_PERCENT, type Assignment, type Moment, type Task, type Worker } from './state.js';
 
 /** A stop to order. */
 export interface StopAction {
@@ -17,8 +18,6 @@
 /** A stop whose effect is not listed yet is repeated after this time. */
 const REPEAT_STOP_MS = 500;
 
-const FULL_PERCENT = 100;
-
 /** Says whether a stop is due. */
 function isStopDue(stopSentMs: number | undefined, nowMs: number): boolean {
   return stopSentMs === undefined || nowMs - stopSentMs > REPEAT_STOP_MS;
@@ -35,10 +34,14 @@
 /** Counts the tasks of a lasting step that are not at work. */
 function countAway(context: PoolContext, task: Task): number {
   const { count } = context.table.findStep(task);
-  const prefix = `${task.jobId}.${task.occurrence}.${task.stepIndex}`;
   const indices = Array.from({ length: count }, (_, index) => index);
-  return indices.filter((index) => !isAtWork(context, context.table.findTask(`${prefix}.${index}`)))
-    .length;
+  return indices.filter(
+    (index) =>
+      !isAtWork(
+        context,
+        context.table.findTask(makeTaskKey(task.jobId, task.occurrence, task.stepIndex, index)),
+      ),
+  ).length;
 }
 
 /** Says whether a lasting task may be moved now: its step bears it and another worker has room. */
--- a/packages/vanilladock/src/lib/jobs/pool-figures.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-figures.ts
@@ -1,26 +1,27 @@
 /** Figures of a pool: its backlog for admission, and its demand for lending. */
 import type { PoolDemand } from '../lending/plan-lending.js';
+import type { WorkerContent } from '../waves/plan-wave.js';
 import type { PoolLoad } from './admit-job.js';
 import { isOpen } from './place.js';
-import { countDone, listReadySteps } from './ready-steps.js';
+import { computeWorkLeft, countDone, listReadySteps } from './ready-steps.js';
 import { computeFootprint } from './room.js';
+import type { JobSpec } from './spec.js';
+import type { Occurrence, Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
 
 /** Batch jobs after which a pool's demand is taken as known. */
 const JOBS_OF_A_PEAK = 8;
 
-const MS_PER_SECOND = 1000;
-
-/** Sums the core-seconds of batch work that has not ended. */
-function computeBacklog(table: TaskTable): number {
+/** Sums a figure of every occurrence of the pool's batch jobs. */
+function sumBatch(
+  table: TaskTable,
+  compute: (spec: JobSpec, occurrence: Occurrence) => number,
+): number {
   let sum = 0;
   table.jobs.forEach((job) => {
     if (job.phase !== 'active' || job.isLasting) return;
     job.occurrences.forEach((occurrence) => {
-      job.record.spec.steps.forEach((step, index) => {
-        const done = occurrence.steps[index]?.done.size ?? 0;
-        sum += ((step.count - done) * step.size.cores * step.estimateMs) / MS_PER_SECOND;
-      });
+      sum += compute(job.record.spec, occurrence);
     });
   });
   return sum;
@@ -35,19 +36,13 @@
   return count >= JOBS_OF_A_PEAK;
 }
 
-/** Sums the cores of the batch tasks that run or could start. */
-function computeRunnableCores(table: TaskTable): number {
-  let sum = 0;
-  table.jobs.forEach((job) => {
-    if (job.phase !== 'active' || job.isLasting) return;
-    job.occurrences.forEach((occurrence) =>
-      listReadySteps(job.record.spec, occurrence).forEach((index) => {
-        const open = (job.record.spec.steps[index]?.count ?? 0) - countDone(occurrence, index);
-        sum += open * (job.record.spec.steps[index]?.size.cores ?? 0);
-      }),
-    );
-  });
-  return sum;
+/** Sums the cores of an occurrence's tasks that run or could start. */
+function computeRunnableCores(spec: JobSpec, occurrence: Occurrence): number {
+  const ready = new Set(listReadySteps(spec, occurrence));
+  return spec.steps.reduce((sum, step, index) => {
+    const left = ready.has(index) ? step.count - countDone(occurrence, index) : 0;
+    return sum + left * step.size.cores;
+  }, 0);
 }
 
 /** Computes what admission knows of the pool. */
@@ -64,7 +59,7 @@
       accelerators: Math.max(capacity.accelerators, largestWorker?.accelerators ?? 0),
     };
   });
-  return { backlogCoreSeconds: computeBacklog(table), cores, largestWorker };
+  return { backlogCoreSeconds: sumBatch(table, computeWorkLeft), cores, largestWorker };
 }
 
 /** Computes how many workers the spread of lasting steps needs, and one more to move a task to. */
@@ -77,28 +72,35 @@
   return Math.max(0, ...needs);
 }
 
+/** Counts what a worker has; a run that no task accounts for counts as lasting, as it may be. */
+export function computeContent(table: TaskTable, worker: Worker): WorkerContent {
+  const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
+  const lasting = tasks.filter((task) => table.findStep(task).isLasting).length;
+  return { lastingTasks: lasting + worker.strays.size, batchTasks: tasks.length - lasting };
+}
+
+/** Sums the cores of the lasting tasks that workers have. */
+function computeLastingCores(table: TaskTable): number {
+  return [...table.workers.values()]
+    .flatMap((worker) => [...worker.tasks])
+    .flatMap((key) => table.findTask(key) ?? [])
+    .map((task) => table.findStep(task))
+    .filter((step) => step.isLasting)
+    .reduce((sum, step) => sum + computeFootprint(step).cores, 0);
+}
+
 /** Computes what lending knows of the pool. */
 export function computeDemand(pool: string, table: TaskTable, arrivalCores: number): PoolDemand {
-  let lastingCores = 0;
-  const workers = [...table.workers.values()].map((worker) => {
-    const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
-    const lasting = tasks.filter((task) => table.findStep(task).isLasting);
-    lasting.forEach((task) => {
-      lastingCores += computeFootprint(table.findStep(task)).cores;
-    });
-    return {
-      workerId: worker.entry.id,
-      lastingTasks: lasting.length + worker.strays.size,
-      batchTasks: tasks.length - lasting.length,
-    };
-  });
   return {
     pool,
     arrivalCores,
-    runnableCores: computeRunnableCores(table),
-    lastingCores,
+    runnableCores: sumBatch(table, computeRunnableCores),
+    lastingCores: computeLastingCores(table),
     minWorkers: computeMinWorkers(table),
     hasPeaked: hasBatchWork(table),
-    workers,
+    workers: [...table.workers.values()].map((worker) => ({
+      workerId: worker.entry.id,
+      ...computeContent(table, worker),
+    })),
   };
 }
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -4,18 +4,18 @@
  * outcomes. What must survive the planner is handed out as records to store.
  */
 import type { PoolDemand } from '../lending/plan-lending.js';
-import type { OrderOutcome, TaskReport, WorkerEntry } from '../ports/task-workers.js';
+import type { OrderOutcome, WorkerEntry } from '../ports/task-workers.js';
 import type { WorkerContent } from '../waves/plan-wave.js';
 import { admitJob, type Admission } from './admit-job.js';
 import { closeJob } from './apply-ends.js';
 import { computeWork } from './estimate.js';
 import { observeStart, observeStop } from './observe-orders.js';
-import { observeReport } from './observe-report.js';
+import { observeReport, type TimedReport } from './observe-report.js';
 import { planPaces, type PaceAction } from './pace.js';
 import { planStarts, type AdviseAction, type StartAction } from './plan-starts.js';
 import { planStops, type StopAction } from './plan-stops.js';
 import type { DecisionEvent, PoolContext } from './pool-context.js';
-import { computeDemand, computePoolLoad } from './pool-figures.js';
+import { computeContent, computeDemand, computePoolLoad } from './pool-figures.js';
 import type { Progress } from './progress.js';
 import { createRateMeter } from './rate-meter.js';
 import { renderStep } from './render-step.js';
@@ -53,7 +53,11 @@
   readonly isStored: (jobId: string) => boolean;
   readonly countPending: (route: string) => number;
   readonly observeWorkers: (entries: readonly WorkerEntry[], at: Moment) => void;
-  readonly observeReport: (workerId: string, timed: TimedLife, at: Moment) => readonly PaceAction[];
+  readonly observeReport: (
+    workerId: string,
+    timed: TimedReport,
+    at: Moment,
+  ) => readonly PaceAction[];
   readonly observeMiss: (workerId: string, at: Moment) => void;
   readonly observeLifeEnd: (workerId: string, why: string) => void;
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
@@ -72,13 +76,6 @@
   readonly markWorkersRecorded: (ids: readonly string[]) => void;
 }
 
-/** A report with the times of its call. */
-export interface TimedLife {
-  readonly report: TaskReport;
-  readonly sentMs: number;
-  readonly heardMs: number;
-}
-
 /** A worker that failed tasks of several jobs is tried again after this time. */
 const BARRED_MS = 4_000;
 
@@ -216,10 +213,7 @@
       const isHeard = worker !== undefined && worker.clock !== undefined;
       if (!isHeard && lives.isWithinDoubt(nowMs)) return undefined;
       if (worker === undefined) return { lastingTasks: 0, batchTasks: 0 };
-      const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
-      const lasting = tasks.filter((task) => table.findStep(task).isLasting);
-      const lastingTasks = lasting.length + worker.strays.size;
-      return { lastingTasks, batchTasks: tasks.length - lasting.length };
+      return computeContent(table, worker);
     },
     getDemand: (reachableCores, { nowMs }) => {
       reachable = { cores: reachableCores, untilMs: nowMs + REACHABLE_MS };
--- a/packages/vanilladock/src/lib/jobs/queue-order.ts
+++ b/packages/vanilladock/src/lib/jobs/queue-order.ts
@@ -3,7 +3,7 @@
  * more than its pool holds. Lasting work goes first, then jobs that can still meet their objective,
  * those with the most value for the core-seconds left first, then late jobs by their arrival.
  */
-import { countDone } from './ready-steps.js';
+import { computeWorkLeft, isStepDone } from './ready-steps.js';
 import type { Job } from './state.js';
 
 /** Classes of urgency, first to last. */
@@ -24,8 +24,6 @@
 /** Part of the estimated chain that is left at least, as estimates are rough. */
 const CERTAIN_PART = 0.7;
 
-const MS_PER_SECOND = 1000;
-
 /** A job's place in the queue. */
 export interface QueueKey {
   readonly job: Job;
@@ -43,17 +41,15 @@
 
 /** Computes what is left of a job: the work of tasks not done, and the longest chain of steps. */
 function computeRemainder(job: Job): Remainder {
-  const { steps } = job.record.spec;
+  const { spec } = job.record;
   let coreSeconds = 0;
   let chainMs = 0;
-  job.occurrences.forEach((occurrence) =>
-    steps.forEach((step, index) => {
-      const left = step.count - countDone(occurrence, index);
-      if (left === 0) return;
-      coreSeconds += (left * step.size.cores * step.estimateMs) / MS_PER_SECOND;
-      chainMs = Math.max(chainMs, job.tailChainsMs[index] ?? 0);
-    }),
-  );
+  job.occurrences.forEach((occurrence) => {
+    coreSeconds += computeWorkLeft(spec, occurrence);
+    job.tailChainsMs.forEach((tailMs, index) => {
+      if (!isStepDone(spec, occurrence, index)) chainMs = Math.max(chainMs, tailMs);
+    });
+  });
   return { coreSeconds, chainMs };
 }
 
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -77,7 +77,12 @@
   return spec.steps.some((step) => step.isLasting);
 }
 
-/** Makes the name of a task: job, occurrence, step and index. */
+/** Makes the name of a step: job, occurrence and step. */
+export function makeStepKey(id: string, occurrence: number, step: number): string {
+  return `${id}.${occurrence}.${step}`;
+}
+
+/** Makes the name of a task: its step and its index. */
 export function makeTaskKey(id: string, occurrence: number, step: number, index: number): string {
-  return `${id}.${occurrence}.${step}.${index}`;
+  return `${makeStepKey(id, occurrence, step)}.${index}`;
 }
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -3,6 +3,9 @@
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { JobRecord } from './spec.js';
 
+/** A lasting task that is fully at work, and a task that is not paced. */
+export const FULL_PERCENT = 100;
+
 /** Times of one moment: the steady clock for durations, the wall clock for dates. */
 export interface Moment {
   readonly nowMs: number;
@@ -15,8 +18,6 @@
   readonly workerId: string;
   readonly run: number;
   readonly phase: 'starting' | 'running' | 'stopping';
-  /** When the start was ordered. */
-  readonly sentMs: number;
   /** When the worker's answer or list confirmed the run. */
   readonly confirmedMs: number | undefined;
   /** When the last stop was sent, and when one was answered. */
@@ -32,6 +33,26 @@
   readonly pacePercent: number;
 }
 
+/** Makes an assignment that nothing was heard or ordered of yet but what is given. */
+export function makeAssignment(
+  workerId: string,
+  run: number,
+  known: Pick<Assignment, 'phase' | 'leaseUntilMs' | 'percentMs'> & Partial<Assignment>,
+): Assignment {
+  return {
+    kind: 'assigned',
+    workerId,
+    run,
+    confirmedMs: undefined,
+    stopSentMs: undefined,
+    stopAnsweredMs: undefined,
+    percent: 0,
+    load: 0,
+    pacePercent: FULL_PERCENT,
+    ...known,
+  };
+}
+
 /** Where a task stands. */
 export type TaskState =
   | { readonly kind: 'waiting'; readonly notBeforeMs: number }
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -58,12 +58,15 @@
         const job = table.jobs.get(id);
         if (job === undefined) return [];
         phases.set(id, job.phase);
-        const jobRecord = { key: makeJobKey(pool, id), value: JSON.stringify(job.record) };
         const tasks = table.listJobTasks(id);
-        const isUntouched = job.phase === 'active' && !tasks.some(hasResult);
-        const progress = { key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) };
-        if (!newJobs.has(id)) return [progress];
-        return isUntouched ? [jobRecord] : [jobRecord, progress];
+        const isNew = newJobs.has(id);
+        const isUntouched = isNew && job.phase === 'active' && !tasks.some(hasResult);
+        return [
+          ...(isNew ? [{ key: makeJobKey(pool, id), value: JSON.stringify(job.record) }] : []),
+          ...(isUntouched
+            ? []
+            : [{ key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) }]),
+        ];
       });
       dirtyJobs.clear();
       newJobs.clear();
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -4,12 +4,11 @@
  * exceeds its cores gets instances, from standby first, then from pools that have more than they need; a
  * pool that has had more than it needs for a while gives instances back to standby, where they are off.
  */
+import type { WorkerContent } from '../waves/plan-wave.js';
 
 /** What a worker has, as its pool's planner says. */
-export interface LentWorker {
+export interface LentWorker extends WorkerContent {
   readonly workerId: string;
-  readonly lastingTasks: number;
-  readonly batchTasks: number;
 }
 
 /** Demand of a pool, as its planner says. */
