Lend first for work that can be on time, and move as many as the fleet takes

Ruled out: processor time (busiest instance 0.35 of 1.35 cores), orders without an answer (98 of 21,723). Change: demand tells the cores of jobs that can still meet their objective; they are served first, also with what another pool needs only for late work. Moves a tick follow the fleet's stated rate. planLending is cut into balances, stock, gifts and returns.

--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -25,12 +25,16 @@
   readonly gateway: JobGateway;
   /** Another holder may have given orders until this long before. */
   readonly holderGapMs: number;
+  /** Orders for instances that the fleet takes in a second. */
+  readonly fleetOrdersPerSecond: number;
   readonly log: JsonLog;
   readonly handleLost: (why: string) => void;
 }
 
 /** What the parts of the duty share. */
 export interface FleetDuty extends FleetRunnerOptions {
+  /** Pause between two looks at the fleet. */
+  readonly tickMs: number;
   readonly takeFence: () => FleetFence;
   readonly handleLoss: (why: string) => void;
   readonly isStopped: () => boolean;
@@ -70,7 +74,13 @@
     orders += 1;
     return { holder, token: claim.token * ORDERS_PER_CLAIM + orders };
   };
-  const duty: FleetDuty = { ...options, takeFence, handleLoss, isStopped: () => isStopped };
+  const duty: FleetDuty = {
+    ...options,
+    tickMs: TICK_MS,
+    takeFence,
+    handleLoss,
+    isStopped: () => isStopped,
+  };
   const waveRunner = createWaveRunner(duty, ledger);
   const lender = createLender(duty);
   const runTick = async () => {
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -29,6 +29,8 @@
   readonly publishWave: (order: WaveOrder, state: 'running' | 'completed') => Promise<boolean>;
   /** Another holder of the fleet duty may have given orders until this long before. */
   readonly holderGapMs: number;
+  /** Orders for instances that the fleet takes in a second. */
+  readonly fleetOrdersPerSecond: number;
   /** Entries of all workers by id. */
   readonly entries: BehaviorSubject<ReadonlyMap<string, WorkerEntry>>;
   readonly statusMs: number;
--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -15,9 +15,16 @@
   ) => Promise<void>;
 }
 
+/** Part of the orders that the fleet takes; the rest is left to waves and repeats. */
+const ORDER_SHARE = 0.9;
+
+const MS_PER_SECOND = 1_000;
+
 /** Creates the lender. */
 export function createLender(duty: FleetDuty): Lender {
   const { fleet, config, gateway, log, takeFence, handleLoss, isStopped } = duty;
+  const ordersPerTick = (duty.fleetOrdersPerSecond * duty.tickMs) / MS_PER_SECOND;
+  const maxMoves = Math.max(1, Math.floor(ordersPerTick * ORDER_SHARE));
   const surplusSinceMs = new Map<string, number>();
   let reachable: ReadonlyMap<string, number> = new Map();
   /** Orders without a known outcome, by instance. */
@@ -82,6 +89,7 @@
         incoming,
         surplusSinceMs,
         nowMs: performance.now(),
+        maxMoves,
       });
       reachable = plan.reachableCores;
       if (plan.moves.length > 0) {
@@ -94,6 +102,7 @@
             incoming: incoming.get(demand.pool) ?? 0,
             arrivalCores: Math.round(demand.arrivalCores),
             runnableCores: Math.round(demand.runnableCores),
+            onTimeCores: Math.round(demand.onTimeCores),
             lastingCores: Math.round(demand.lastingCores),
           })),
         });
--- a/packages/vanilladock/src/lib/jobs/pool-figures.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-figures.ts
@@ -3,23 +3,25 @@
 import type { WorkerContent } from '../waves/plan-wave.js';
 import type { PoolLoad } from './admit-job.js';
 import { isOpen } from './place.js';
+import { isOnTime } from './queue-order.js';
 import { computeWorkLeft, countDone, listReadySteps } from './ready-steps.js';
 import { computeFootprint } from './room.js';
 import type { JobSpec } from './spec.js';
-import type { Occurrence, Worker } from './state.js';
+import type { Job, Occurrence, Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
 
 /** Batch jobs after which a pool's demand is taken as known. */
 const JOBS_OF_A_PEAK = 8;
 
-/** Sums a figure of every occurrence of the pool's batch jobs. */
+/** Sums a figure of every occurrence of the pool's batch jobs, or of those that fit. */
 function sumBatch(
   table: TaskTable,
   compute: (spec: JobSpec, occurrence: Occurrence) => number,
+  isFit: (job: Job) => boolean = () => true,
 ): number {
   let sum = 0;
   table.jobs.forEach((job) => {
-    if (job.phase !== 'active' || job.isLasting) return;
+    if (job.phase !== 'active' || job.isLasting || !isFit(job)) return;
     job.occurrences.forEach((occurrence) => {
       sum += compute(job.record.spec, occurrence);
     });
@@ -90,11 +92,17 @@
 }
 
 /** Computes what lending knows of the pool. */
-export function computeDemand(pool: string, table: TaskTable, arrivalCores: number): PoolDemand {
+export function computeDemand(
+  pool: string,
+  table: TaskTable,
+  arrivalCores: number,
+  nowMs: number,
+): PoolDemand {
   return {
     pool,
     arrivalCores,
     runnableCores: sumBatch(table, computeRunnableCores),
+    onTimeCores: sumBatch(table, computeRunnableCores, (job) => isOnTime(job, nowMs)),
     lastingCores: computeLastingCores(table),
     minWorkers: computeMinWorkers(table),
     hasPeaked: hasBatchWork(table),
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -217,7 +217,7 @@
     },
     getDemand: (reachableCores, { nowMs }) => {
       reachable = { cores: reachableCores, untilMs: nowMs + REACHABLE_MS };
-      return computeDemand(pool, table, arrivals.getRate(nowMs));
+      return computeDemand(pool, table, arrivals.getRate(nowMs), nowMs);
     },
     markEndsStored: (workerId, bornMs, lastEnd) => {
       const worker = table.workers.get(workerId);
--- a/packages/vanilladock/src/lib/jobs/queue-order.ts
+++ b/packages/vanilladock/src/lib/jobs/queue-order.ts
@@ -59,6 +59,11 @@
   return nowMs + remainder.chainMs * CERTAIN_PART <= job.objectiveAtMs ? 'on-time' : 'late';
 }
 
+/** Says whether a job can still meet its objective. */
+export function isOnTime(job: Job, nowMs: number): boolean {
+  return classifyJob(job, computeRemainder(job), nowMs) === 'on-time';
+}
+
 /** Computes the value of a job for each core-second left, against the mean work of its kind. */
 function computeValueDensity(job: Job, remainder: Remainder, meanWork: number): number {
   const share = job.workCoreSeconds / Math.max(meanWork, LEAST_CORE_SECONDS);
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -1,7 +1,8 @@
 /**
  * Plans moves of instances between pools and the standby pool. Load pattern: queues peak by turns, each
  * asks for five times its mean for some seconds and next to nothing in between. A pool whose demand
- * exceeds its cores gets instances, from standby first, then from pools that have more than they need; a
+ * exceeds its cores gets instances, from standby first, then from pools that have more than they need.
+ * Work that can still meet its objective comes before late work of all pools, which is worth little. A
  * pool that has had more than it needs for a while gives instances back to standby, where they are off.
  */
 import type { WorkerContent } from '../waves/plan-wave.js';
@@ -18,6 +19,8 @@
   readonly arrivalCores: number;
   /** Cores of the batch tasks that run or could start now. */
   readonly runnableCores: number;
+  /** The part of them whose jobs can still meet their objectives. */
+  readonly onTimeCores: number;
   /** Cores of lasting tasks. */
   readonly lastingCores: number;
   /** Workers that the lasting tasks need by their spread, and one more to move a task to. */
@@ -49,6 +52,8 @@
   /** Since when a pool has had more than it needs. */
   readonly surplusSinceMs: Map<string, number>;
   readonly nowMs: number;
+  /** Most moves of this plan. */
+  readonly maxMoves: number;
 }
 
 /** A move to order. */
@@ -79,14 +84,20 @@
 /** A pool gives instances back after it has had more than it needs for this long. */
 const SURPLUS_MS = 3_000;
 
-/** Most instances that one plan moves. */
-const MAX_MOVES = 12;
+/** Instances that a pool needs: for work that can meet its objective, and for all of its work. */
+export interface PoolNeed {
+  readonly urgent: number;
+  readonly whole: number;
+}
 
 /** Computes how many instances a pool needs for its demand. */
-export function computeNeed(demand: PoolDemand, coresPerInstance: number): number {
-  const batchCores = Math.max(demand.arrivalCores, demand.runnableCores * AT_ONCE);
-  const cores = batchCores * HEADROOM + demand.lastingCores;
-  return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
+export function computeNeed(demand: PoolDemand, coresPerInstance: number): PoolNeed {
+  const countFor = (runnableCores: number) => {
+    const batchCores = Math.max(demand.arrivalCores, runnableCores * AT_ONCE);
+    const cores = batchCores * HEADROOM + demand.lastingCores;
+    return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
+  };
+  return { urgent: countFor(demand.onTimeCores), whole: countFor(demand.runnableCores) };
 }
 
 /** Orders a pool's instances by what a move would disturb, the emptiest first. */
@@ -114,85 +125,155 @@
   return content !== undefined && content.lastingTasks + content.batchTasks === 0;
 }
 
-/** Plans the moves of one moment. */
-export function planLending(inputs: LendingInputs): LendingPlan {
-  const { demands, standbyPool, incoming, surplusSinceMs, nowMs } = inputs;
-  const movable = inputs.instances.filter((instance) => instance.isUp && !instance.isHeld);
-  const coresPerInstance = Math.max(1, ...inputs.instances.map((instance) => instance.cores));
-  const countUp = (pool: string) =>
-    inputs.instances.filter((instance) => instance.pool === pool && instance.isUp).length +
-    (incoming.get(pool) ?? 0);
-  const pools = [...demands.values()].filter((demand) => demand.pool !== standbyPool);
-  const balance = new Map(
-    pools.map((demand) => [
-      demand.pool,
-      countUp(demand.pool) - computeNeed(demand, coresPerInstance),
-    ]),
-  );
-  const computeSurplus = (pool: string) => Math.max(0, balance.get(pool) ?? 0);
+/** A pool with what it has and needs. */
+interface PoolBalance {
+  readonly demand: PoolDemand;
+  readonly up: number;
+  readonly need: PoolNeed;
+  /** Instances that may be moved, the emptiest first. */
+  readonly own: readonly LendableInstance[];
+}
+
+/** Weighs what every pool has, instances on their way to it included, against what it needs. */
+function computeBalances(inputs: LendingInputs): readonly PoolBalance[] {
+  const { demands, instances, incoming, standbyPool } = inputs;
+  const coresPerInstance = Math.max(1, ...instances.map((instance) => instance.cores));
+  return [...demands.values()]
+    .filter((demand) => demand.pool !== standbyPool)
+    .map((demand) => {
+      const up = instances.filter(({ pool, isUp }) => pool === demand.pool && isUp);
+      const movable = up.filter((instance) => !instance.isHeld);
+      return {
+        demand,
+        up: up.length + (incoming.get(demand.pool) ?? 0),
+        need: computeNeed(demand, coresPerInstance),
+        own: orderByContent(movable, demand),
+      };
+    });
+}
+
+/** Instances that one plan can still give away. */
+interface Stock {
+  /** Takes an empty instance out of standby, or of a pool that has more than it needs. */
+  readonly takeEmpty: (rank: keyof PoolNeed) => LendableInstance | undefined;
+  /** Takes an instance with batch tasks, which is to be emptied first. */
+  readonly takeOccupied: (rank: keyof PoolNeed) => LendableInstance | undefined;
+}
+
+/** Creates the stock of one plan. */
+function createStock(free: readonly LendableInstance[], balances: readonly PoolBalance[]): Stock {
+  const taken = new Set<string>();
+  const given = new Map<string, number>();
+  const standby = [...free];
+  const takeFrom = (
+    rank: keyof PoolNeed,
+    isFit: (instance: LendableInstance, demand: PoolDemand) => boolean,
+  ) => {
+    for (const { demand, up, need, own } of balances) {
+      const count = given.get(demand.pool) ?? 0;
+      const instance =
+        up - need[rank] > count
+          ? own.find((one) => !taken.has(one.id) && isFit(one, demand))
+          : undefined;
+      if (instance !== undefined) {
+        taken.add(instance.id);
+        given.set(demand.pool, count + 1);
+        return instance;
+      }
+    }
+    return undefined;
+  };
+  /** For urgent work a pool gives what it needs only for late work, after what nobody needs. */
+  const takeFor = (
+    rank: keyof PoolNeed,
+    isFit: (instance: LendableInstance, demand: PoolDemand) => boolean,
+  ) => takeFrom('whole', isFit) ?? (rank === 'urgent' ? takeFrom(rank, isFit) : undefined);
+  return {
+    takeEmpty: (rank) => standby.shift() ?? takeFor(rank, isEmpty),
+    takeOccupied: (rank) => takeFor(rank, (instance, demand) => !hasLasting(instance, demand)),
+  };
+}
+
+/** Gives instances to the pools that miss some, those that miss most first; urgent work comes first. */
+function planGifts(balances: readonly PoolBalance[], stock: Stock, maxMoves: number) {
   const moves: LendingMove[] = [];
   const empty: LendableInstance[] = [];
-  const free = movable.filter((instance) => instance.pool === standbyPool);
-  const spare = pools.flatMap((demand) => {
-    const surplus = balance.get(demand.pool) ?? 0;
-    if (surplus <= 0) return [];
-    const own = movable.filter((instance) => instance.pool === demand.pool);
-    return orderByContent(own, demand)
-      .filter((instance) => isEmpty(instance, demand))
-      .slice(0, surplus);
-  });
-  const occupied = pools.flatMap((demand) => {
-    const surplus = balance.get(demand.pool) ?? 0;
-    if (surplus <= 0) return [];
-    const own = movable.filter((instance) => instance.pool === demand.pool);
-    return orderByContent(own, demand)
-      .slice(0, surplus)
-      .filter((instance) => !spare.includes(instance) && !hasLasting(instance, demand));
-  });
-  const sources = [...free, ...spare];
-  const needy = pools
-    .filter((demand) => (balance.get(demand.pool) ?? 0) < 0)
-    .sort((a, b) => (balance.get(a.pool) ?? 0) - (balance.get(b.pool) ?? 0));
-  needy.forEach((demand) => {
-    let missing = -(balance.get(demand.pool) ?? 0);
-    while (missing > 0 && moves.length < MAX_MOVES) {
-      const source = sources.shift();
-      if (source === undefined) {
-        empty.push(...occupied.splice(0, missing));
-        return;
+  const received = new Map<string, number>();
+  const giveFor = (rank: keyof PoolNeed) => {
+    const needy = balances
+      .map(({ demand: { pool }, up, need }) => ({
+        pool,
+        missing: need[rank] - up - (received.get(pool) ?? 0),
+      }))
+      .filter(({ missing }) => missing > 0)
+      .sort((a, b) => b.missing - a.missing);
+    needy.forEach(({ pool, missing }) => {
+      for (let count = 0; count < missing && moves.length < maxMoves; count += 1) {
+        const source = stock.takeEmpty(rank);
+        const occupied = source === undefined ? stock.takeOccupied(rank) : undefined;
+        if (source !== undefined) {
+          moves.push(makeMove(source, pool));
+          received.set(pool, (received.get(pool) ?? 0) + 1);
+        } else if (occupied !== undefined) empty.push(occupied);
+        else return;
       }
-      const { id, workerId, pool } = source;
-      moves.push({ instance: id, workerId, from: pool, to: demand.pool });
-      missing -= 1;
-    }
-  });
-  pools.forEach((demand) => {
-    const surplus = balance.get(demand.pool) ?? 0;
+    });
+  };
+  giveFor('urgent');
+  giveFor('whole');
+  return { moves, empty };
+}
+
+/** Makes the move of an instance to a pool. */
+function makeMove({ id, workerId, pool }: LendableInstance, to: string): LendingMove {
+  return { instance: id, workerId, from: pool, to };
+}
+
+/** Gives back to standby what pools have had beyond their needs for a while. */
+function planReturns(
+  inputs: LendingInputs,
+  balances: readonly PoolBalance[],
+  isTaken: (instance: LendableInstance) => boolean,
+): readonly LendableInstance[] {
+  const { surplusSinceMs, nowMs } = inputs;
+  return balances.flatMap(({ demand, up, need, own }) => {
+    const surplus = up - need.whole;
     if (surplus <= 0 || !demand.hasPeaked) {
       surplusSinceMs.delete(demand.pool);
-      return;
+      return [];
     }
     const sinceMs = surplusSinceMs.get(demand.pool) ?? nowMs;
     surplusSinceMs.set(demand.pool, sinceMs);
-    if (nowMs - sinceMs < SURPLUS_MS) return;
-    const own = movable.filter((instance) => instance.pool === demand.pool);
-    const taken = new Set(moves.map((move) => move.instance));
-    orderByContent(own, demand)
-      .filter((instance) => !taken.has(instance.id))
-      .slice(0, surplus)
-      .forEach((instance) => {
-        const { id, workerId, pool } = instance;
-        if (isEmpty(instance, demand) && moves.length < MAX_MOVES) {
-          moves.push({ instance: id, workerId, from: pool, to: standbyPool });
-        } else empty.push(instance);
-      });
+    if (nowMs - sinceMs < SURPLUS_MS) return [];
+    return own.filter((instance) => !isTaken(instance)).slice(0, surplus);
   });
-  const lendable = free.length + pools.reduce((sum, { pool }) => sum + computeSurplus(pool), 0);
-  const reachableCores = new Map(
-    pools.map(({ pool }) => [
-      pool,
-      (countUp(pool) + lendable - computeSurplus(pool)) * coresPerInstance,
-    ]),
+}
+
+/** Plans the moves of one moment. */
+export function planLending(inputs: LendingInputs): LendingPlan {
+  const { demands, standbyPool, maxMoves } = inputs;
+  const balances = computeBalances(inputs);
+  const free = inputs.instances.filter(
+    ({ pool, isUp, isHeld }) => pool === standbyPool && isUp && !isHeld,
   );
-  return { moves, empty, reachableCores };
+  const gifts = planGifts(balances, createStock(free, balances), maxMoves);
+  const moved = new Set(gifts.moves.map(({ instance }) => instance));
+  const returns = planReturns(inputs, balances, ({ id }) => moved.has(id));
+  const isOff = (instance: LendableInstance) => isEmpty(instance, demands.get(instance.pool));
+  const room = Math.max(0, maxMoves - gifts.moves.length);
+  const returned = returns.filter(isOff).slice(0, room);
+  const left = new Set(returned);
+  const coresPerInstance = Math.max(1, ...inputs.instances.map((instance) => instance.cores));
+  const computeSurplus = ({ up, need }: PoolBalance) => Math.max(0, up - need.urgent);
+  const lendable = balances.reduce((sum, balance) => sum + computeSurplus(balance), free.length);
+  return {
+    moves: [...gifts.moves, ...returned.map((instance) => makeMove(instance, standbyPool))],
+    empty: [...gifts.empty, ...returns.filter((instance) => !left.has(instance))],
+    reachableCores: new Map(
+      balances.map((balance) => [
+        balance.demand.pool,
+        (balance.up + lendable - computeSurplus(balance)) * coresPerInstance,
+      ]),
+    ),
+  };
 }
--- a/packages/vanilladock/src/test/lending/plan-lending.test.ts
+++ b/packages/vanilladock/src/test/lending/plan-lending.test.ts
@@ -7,6 +7,8 @@
   type PoolDemand,
 } from '../../lib/lending/plan-lending.js';
 
+const MAX_MOVES = 12;
+
 const test = suite('lending');
 
 const makeInstances = (pool: string, count: number): readonly LendableInstance[] =>
@@ -23,6 +25,7 @@
   pool,
   arrivalCores: 0,
   runnableCores: 0,
+  onTimeCores: 0,
   lastingCores: 0,
   minWorkers: 0,
   hasPeaked: true,
@@ -47,6 +50,7 @@
     incoming: new Map(),
     surplusSinceMs,
     nowMs,
+    maxMoves: MAX_MOVES,
   });
 
 test('a pool at its peak gets standby instances first, then empty ones of idle pools', () => {
@@ -108,6 +112,45 @@
   assert.is(plan(demands, makeInstances('a', 6), since, 60_000).moves.length, 2);
 });
 
+test('late work keeps instances only as long as no other pool has work that can be on time', () => {
+  const late = { runnableCores: 900, onTimeCores: 0 };
+  const instances = [...makeInstances('a', 3), ...makeInstances('b', 10)];
+  const calm = plan([makeDemand('a', 3), makeDemand('b', 10, late)], instances);
+  assert.equal(calm.moves, []);
+  const demands = [makeDemand('a', 3, { arrivalCores: 70 }), makeDemand('b', 10, late)];
+  assert.equal(
+    plan(demands, instances).moves.map(({ from, to }) => `${from}>${to}`),
+    Array.from({ length: 6 }, () => 'b>a'),
+  );
+});
+
+test('instances that late work keeps busy are emptied for work that can be on time', () => {
+  const busy = { runnableCores: 900, onTimeCores: 0 };
+  const workers = makeDemand('b', 6).workers.map((worker) => ({ ...worker, batchTasks: 2 }));
+  const demands = [
+    makeDemand('a', 3, { arrivalCores: 34 }),
+    makeDemand('b', 6, { ...busy, workers }),
+  ];
+  const { moves, empty } = plan(demands, [...makeInstances('a', 3), ...makeInstances('b', 6)]);
+  assert.equal(moves, []);
+  assert.equal(
+    empty.map(({ id }) => id),
+    ['b-0'],
+  );
+});
+
+test('a plan moves no more than it may, and empties nothing because of that', () => {
+  const demands = [makeDemand('a', 3, { arrivalCores: 900 }), makeDemand('b', 6)];
+  const instances = [
+    ...makeInstances('a', 3),
+    ...makeInstances('b', 6),
+    ...makeInstances('misc', 20),
+  ];
+  const { moves, empty } = plan(demands, instances);
+  assert.is(moves.length, MAX_MOVES);
+  assert.equal(empty, []);
+});
+
 test('instances held for maintenance are left alone', () => {
   const demands = [makeDemand('a', 3, { arrivalCores: 90 })];
   const held = makeInstances('misc', 3).map((instance) => ({ ...instance, isHeld: true }));
