Count memory in what a pool needs, and keep workers for tasks that fit nowhere

Ruled out: the job's state (step 2 was ready from 54.1 s), the planner (it planned until the end). Seen beside: each of 201 workers that a move had ended was taken up again by its old entry and asked for seconds, which also wrote the pool's record of lease holders. Change: cores and memory both count, by the scarcer; a pool with tasks that could run somewhere and fit nowhere needs one instance more than it has; the entry of a life that an order has ended names no worker. Tests: memory and unplaced tasks in demand, one more instance at a time, entries of ended lives.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -1,5 +1,6 @@
 /** Answers requests about jobs from a pool's planner; what changes a job is answered when it is stored. */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import { ORDERED_END } from 'vanilladock/lib/jobs/worker-lives.js';
 import { readMoment } from './clock.js';
 import type { JobReply, JobRequest } from './job-request.js';
 
@@ -91,7 +92,7 @@
     case 'demand':
       return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
     case 'life-ended':
-      planner.observeLifeEnd(request.workerId, 'ordered');
+      planner.observeLifeEnd(request.workerId, ORDERED_END);
       schedulePlan();
       return { kind: 'accepted' };
     default:
--- a/packages/vanilladock/src/lib/jobs/pool-figures.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-figures.ts
@@ -5,23 +5,23 @@
 import { isOpen } from './place.js';
 import { isOnTime } from './queue-order.js';
 import { computeWorkLeft, countDone, listReadySteps } from './ready-steps.js';
-import { computeFootprint } from './room.js';
-import type { JobSpec } from './spec.js';
+import type { Resources } from '../ports/workers.js';
+import { computeFootprint, NO_RESOURCES } from './room.js';
+import { makeTaskKey, type JobSpec, type StepSpec } from './spec.js';
 import type { Job, Occurrence, Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
 
 /** Batch jobs after which a pool's demand is taken as known. */
 const JOBS_OF_A_PEAK = 8;
 
-/** Sums a figure of every occurrence of the pool's batch jobs, or of those that fit. */
+/** Sums a figure of every occurrence of the pool's batch jobs. */
 function sumBatch(
   table: TaskTable,
   compute: (spec: JobSpec, occurrence: Occurrence) => number,
-  isFit: (job: Job) => boolean = () => true,
 ): number {
   let sum = 0;
   table.jobs.forEach((job) => {
-    if (job.phase !== 'active' || job.isLasting || !isFit(job)) return;
+    if (job.phase !== 'active' || job.isLasting) return;
     job.occurrences.forEach((occurrence) => {
       sum += compute(job.record.spec, occurrence);
     });
@@ -38,30 +38,87 @@
   return count >= JOBS_OF_A_PEAK;
 }
 
-/** Sums the cores of an occurrence's tasks that run or could start. */
-function computeRunnableCores(spec: JobSpec, occurrence: Occurrence): number {
-  const ready = new Set(listReadySteps(spec, occurrence));
-  return spec.steps.reduce((sum, step, index) => {
-    const left = ready.has(index) ? step.count - countDone(occurrence, index) : 0;
-    return sum + left * step.size.cores;
-  }, 0);
+/** Sums sizes, each times a count. */
+function sumSizes(parts: readonly { readonly size: Resources; readonly count: number }[]) {
+  return parts.reduce(
+    (sum, { size, count }) => ({
+      cores: sum.cores + size.cores * count,
+      memoryMb: sum.memoryMb + size.memoryMb * count,
+      accelerators: sum.accelerators + size.accelerators * count,
+    }),
+    NO_RESOURCES,
+  );
 }
 
-/** Computes what admission knows of the pool. */
-export function computePoolLoad(table: TaskTable, nowMs: number): PoolLoad {
-  let cores = 0;
-  let largestWorker: PoolLoad['largestWorker'];
-  table.workers.forEach((worker) => {
-    if (!worker.isListed) return;
-    const { capacity } = worker.entry;
-    if (isOpen(worker, nowMs)) cores += capacity.cores;
-    largestWorker = {
-      cores: Math.max(capacity.cores, largestWorker?.cores ?? 0),
-      memoryMb: Math.max(capacity.memoryMb, largestWorker?.memoryMb ?? 0),
-      accelerators: Math.max(capacity.accelerators, largestWorker?.accelerators ?? 0),
+/** Sums what a job's batch tasks take that run or could start. */
+function computeRunnable({ record: { spec }, occurrences }: Job): Resources {
+  return sumSizes(
+    [...occurrences.values()].flatMap((occurrence) =>
+      listReadySteps(spec, occurrence).flatMap((index) => {
+        const step = spec.steps[index];
+        if (step === undefined) return [];
+        return [{ size: step.size, count: step.count - countDone(occurrence, index) }];
+      }),
+    ),
+  );
+}
+
+/** Finds the largest capacity of the workers that are listed. */
+function findLargestWorker(table: TaskTable): Resources | undefined {
+  let largest: Resources | undefined;
+  table.workers.forEach(({ isListed, entry: { capacity } }) => {
+    if (!isListed) return;
+    largest = {
+      cores: Math.max(capacity.cores, largest?.cores ?? 0),
+      memoryMb: Math.max(capacity.memoryMb, largest?.memoryMb ?? 0),
+      accelerators: Math.max(capacity.accelerators, largest?.accelerators ?? 0),
     };
   });
-  return { backlogCoreSeconds: sumBatch(table, computeWorkLeft), cores, largestWorker };
+  return largest;
+}
+
+/** Counts memory as the cores that lie beside it on a worker, so that the scarcer of both decides. */
+function computeTakenCores(table: TaskTable, taken: Resources): number {
+  const worker = findLargestWorker(table);
+  if (worker === undefined || worker.memoryMb === 0) return taken.cores;
+  return Math.max(taken.cores, (taken.memoryMb / worker.memoryMb) * worker.cores);
+}
+
+/** Says whether a task of the step could run at some worker, if that had room. */
+function isRunnableSomewhere(table: TaskTable, { requiredLabel }: StepSpec): boolean {
+  if (requiredLabel === undefined) return true;
+  return [...table.workers.values()].some(({ entry }) => entry.labels.includes(requiredLabel));
+}
+
+/** Says whether tasks that could start wait for room; plans follow every change at once. */
+function hasUnplaced(table: TaskTable, nowMs: number): boolean {
+  const isWaiting = (key: string) => {
+    const state = table.findTask(key)?.state;
+    return state?.kind === 'waiting' && state.notBeforeMs <= nowMs;
+  };
+  return [...table.jobs.values()]
+    .filter((job) => job.phase === 'active' && job.storedPhase !== 'none')
+    .some(({ record: { spec }, occurrences }) =>
+      [...occurrences.values()].some((occurrence) =>
+        listReadySteps(spec, occurrence)
+          .filter((index) => isRunnableSomewhere(table, spec.steps[index]!))
+          .some((index) =>
+            [...(occurrence.steps[index]?.waiting ?? [])].some((task) =>
+              isWaiting(makeTaskKey(spec.id, occurrence.number, index, task)),
+            ),
+          ),
+      ),
+    );
+}
+
+/** Computes what admission knows of the pool. */
+export function computePoolLoad(table: TaskTable, nowMs: number): PoolLoad {
+  const open = [...table.workers.values()].filter((worker) => isOpen(worker, nowMs));
+  return {
+    backlogCoreSeconds: sumBatch(table, computeWorkLeft),
+    cores: open.reduce((sum, worker) => sum + worker.entry.capacity.cores, 0),
+    largestWorker: findLargestWorker(table),
+  };
 }
 
 /** Computes how many workers the spread of lasting steps needs, and one more to move a task to. */
@@ -81,14 +138,16 @@
   return { lastingTasks: lasting + worker.strays.size, batchTasks: tasks.length - lasting };
 }
 
-/** Sums the cores of the lasting tasks that workers have. */
-function computeLastingCores(table: TaskTable): number {
-  return [...table.workers.values()]
-    .flatMap((worker) => [...worker.tasks])
-    .flatMap((key) => table.findTask(key) ?? [])
-    .map((task) => table.findStep(task))
-    .filter((step) => step.isLasting)
-    .reduce((sum, step) => sum + computeFootprint(step).cores, 0);
+/** Sums what the lasting tasks take that workers have. */
+function computeLasting(table: TaskTable): Resources {
+  return sumSizes(
+    [...table.workers.values()]
+      .flatMap((worker) => [...worker.tasks])
+      .flatMap((key) => table.findTask(key) ?? [])
+      .map((task) => table.findStep(task))
+      .filter((step) => step.isLasting)
+      .map((step) => ({ size: computeFootprint(step), count: 1 })),
+  );
 }
 
 /** Computes what lending knows of the pool. */
@@ -98,14 +157,22 @@
   arrivalCores: number,
   nowMs: number,
 ): PoolDemand {
+  const batch = [...table.jobs.values()].filter((job) => job.phase === 'active' && !job.isLasting);
+  const onTime = batch.filter((job) => isOnTime(job, nowMs));
+  const computeCores = (jobs: readonly Job[]) =>
+    computeTakenCores(
+      table,
+      sumSizes(jobs.map((job) => ({ size: computeRunnable(job), count: 1 }))),
+    );
   return {
     pool,
     arrivalCores,
-    runnableCores: sumBatch(table, computeRunnableCores),
-    onTimeCores: sumBatch(table, computeRunnableCores, (job) => isOnTime(job, nowMs)),
-    lastingCores: computeLastingCores(table),
+    runnableCores: computeCores(batch),
+    onTimeCores: computeCores(onTime),
+    lastingCores: computeTakenCores(table, computeLasting(table)),
     minWorkers: computeMinWorkers(table),
     hasPeaked: hasBatchWork(table),
+    hasUnplaced: hasUnplaced(table, nowMs),
     workers: [...table.workers.values()].map((worker) => ({
       workerId: worker.entry.id,
       ...computeContent(table, worker),
--- a/packages/vanilladock/src/lib/jobs/worker-lives.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-lives.ts
@@ -31,6 +31,9 @@
   readonly listLeaseHolders: () => readonly string[];
 }
 
+/** Why a life ended that an order for its instance has ended. */
+export const ORDERED_END = 'ordered';
+
 /** Extra wait for leases of an earlier planner beyond their length. */
 const INHERITED_SLACK_MS = 200;
 
@@ -38,6 +41,7 @@
 export function createWorkerLives(context: PoolContext, options: LivesOptions): WorkerLives {
   const { table, report } = context;
   const unheard = new Set(options.inheritedWorkers);
+  const endedLives = new Map<string, number>();
   const doubtUntilMs = options.startedMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_SLACK_MS;
 
   const dropWorker = (worker: Worker, why: string) => {
@@ -57,10 +61,16 @@
   };
   const observeLifeEnd = (workerId: string, why: string) => {
     const worker = table.workers.get(workerId);
-    if (worker !== undefined) dropWorker(worker, why);
+    if (worker !== undefined) {
+      if (why === ORDERED_END) endedLives.set(workerId, worker.entry.bornMs);
+      dropWorker(worker, why);
+    }
     unheard.delete(workerId);
   };
+  /** The entry of a life that an order has ended stays listed for some seconds. */
+  const isOver = ({ id, bornMs }: WorkerEntry) => bornMs > 0 && endedLives.get(id) === bornMs;
   const observeEntry = (entry: WorkerEntry) => {
+    if (isOver(entry)) return;
     const known = table.workers.get(entry.id);
     if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
       if (known.entry.bornMs > entry.bornMs) return;
@@ -102,6 +112,7 @@
     observeEntries: (entries, { nowMs }) => {
       entries.forEach(observeEntry);
       const ids = new Set(entries.map((entry) => entry.id));
+      [...endedLives.keys()].filter((id) => !ids.has(id)).forEach((id) => endedLives.delete(id));
       table.workers.forEach((worker, id) => {
         if (ids.has(id) || !worker.isListed) return;
         table.updateWorker(id, { isListed: false });
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -17,7 +17,7 @@
   readonly pool: string;
   /** Core-seconds of work that arrived in the last second, refused work included. */
   readonly arrivalCores: number;
-  /** Cores of the batch tasks that run or could start now. */
+  /** Cores of the batch tasks that run or could start now; memory counts as the cores beside it. */
   readonly runnableCores: number;
   /** The part of them whose jobs can still meet their objectives. */
   readonly onTimeCores: number;
@@ -28,6 +28,8 @@
   /** Whether any batch work has arrived yet; before, the operators' sizes are kept. */
   readonly hasPeaked: boolean;
   readonly workers: readonly LentWorker[];
+  /** Whether tasks that could start wait because no worker that takes work has room for them. */
+  readonly hasUnplaced: boolean;
 }
 
 /** An instance that may be moved. */
@@ -90,14 +92,22 @@
   readonly whole: number;
 }
 
-/** Computes how many instances a pool needs for its demand. */
-export function computeNeed(demand: PoolDemand, coresPerInstance: number): PoolNeed {
+/** Computes how many instances a pool needs for its demand; more than it has, if tasks fit nowhere. */
+export function computeNeed(
+  demand: PoolDemand,
+  coresPerInstance: number,
+  upCount: number,
+): PoolNeed {
   const countFor = (runnableCores: number) => {
     const batchCores = Math.max(demand.arrivalCores, runnableCores * AT_ONCE);
     const cores = batchCores * HEADROOM + demand.lastingCores;
     return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
   };
-  return { urgent: countFor(demand.onTimeCores), whole: countFor(demand.runnableCores) };
+  const least = demand.hasUnplaced ? upCount + 1 : 0;
+  return {
+    urgent: countFor(demand.onTimeCores),
+    whole: Math.max(countFor(demand.runnableCores), least),
+  };
 }
 
 /** Orders a pool's instances by what a move would disturb, the emptiest first. */
@@ -146,7 +156,7 @@
       return {
         demand,
         up: up.length + (incoming.get(demand.pool) ?? 0),
-        need: computeNeed(demand, coresPerInstance),
+        need: computeNeed(demand, coresPerInstance, up.length),
         own: orderByContent(movable, demand),
       };
     });
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -1,5 +1,6 @@
 /** Tests of a pool's planner without input or output. */
 import * as assert from 'uvu/assert';
+import { ORDERED_END } from '../../lib/jobs/worker-lives.js';
 import { suite } from 'uvu';
 import { LEASE_MS } from '../../lib/jobs/lease-clock.js';
 import type { PoolAction } from '../../lib/jobs/pool-planner.js';
@@ -216,6 +217,46 @@
   assert.is(listStops(planner.plan(at(13))).length, 0);
 });
 
+test('demand counts memory where it is the scarcer, and says when a task fits nowhere', () => {
+  const { planner, addWorkers, submit, planStarts, accept, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  const size = { cores: 1, memoryMb: 600, accelerators: 0 };
+  submit(makeJob('a', [makeStep({ size })]), 1);
+  accept(planStarts(2), 3);
+  assert.is(planner.getDemand(0, at(4)).runnableCores, 2.4);
+  assert.not(planner.getDemand(0, at(4)).hasUnplaced);
+  submit(makeJob('b', [makeStep({ size })]), 5);
+  assert.is(planStarts(6).length, 0);
+  assert.ok(planner.getDemand(0, at(7)).hasUnplaced);
+});
+
+test('a task that no worker may run does not ask for more of them', () => {
+  const { planner, addWorkers, submit, planStarts, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ requiredLabel: 'z' })]), 1);
+  assert.is(planStarts(2).length, 0);
+  assert.not(planner.getDemand(0, at(3)).hasUnplaced);
+});
+
+test('demand tells what can still be on time', () => {
+  const { planner, addWorkers, submit, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ count: 9 })]), 1);
+  assert.is(planner.getDemand(0, at(2)).onTimeCores, 9);
+  assert.is(planner.getDemand(0, at(60_000)).onTimeCores, 0);
+  assert.is(planner.getDemand(0, at(60_000)).runnableCores, 9);
+});
+
+test('the entry of a life that an order has ended names no worker, and the next life does', () => {
+  const { planner, addWorkers, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  planner.observeLifeEnd('w1', ORDERED_END);
+  planner.observeWorkers([makeEntry('w1')], at(10));
+  assert.is(planner.table.workers.size, 0);
+  planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], at(20));
+  assert.is(planner.table.workers.size, 1);
+});
+
 test('asks for a worker more than the spread of its lasting tasks needs', () => {
   const { planner, submit, at } = createHarness();
   submit(makeJob('a', [makeStep({ count: 5, maxPerWorker: 2, isLasting: true })]), 1);
--- a/packages/vanilladock/src/test/lending/plan-lending.test.ts
+++ b/packages/vanilladock/src/test/lending/plan-lending.test.ts
@@ -29,6 +29,7 @@
   lastingCores: 0,
   minWorkers: 0,
   hasPeaked: true,
+  hasUnplaced: false,
   workers: Array.from({ length: count }, (_, index) => ({
     workerId: `w-${pool}-${index}`,
     lastingTasks: 0,
@@ -151,6 +152,18 @@
   assert.equal(empty, []);
 });
 
+test('a pool with tasks that fit nowhere keeps what it has and gets one more at a time', () => {
+  const since = new Map<string, number>([['a', 0]]);
+  const demands = [makeDemand('a', 8, { hasUnplaced: true })];
+  const instances = [...makeInstances('a', 8), ...makeInstances('misc', 4)];
+  const { moves, empty } = plan(demands, instances, since, 60_000);
+  assert.equal(
+    moves.map(({ from, to }) => `${from}>${to}`),
+    ['misc>a'],
+  );
+  assert.equal(empty, []);
+});
+
 test('instances held for maintenance are left alone', () => {
   const demands = [makeDemand('a', 3, { arrivalCores: 90 })];
   const held = makeInstances('misc', 3).map((instance) => ({ ...instance, isHeld: true }));
