End lives by the fleet's list, and empty a machine again before an order is repeated

Three ways were found by which an order can meet a lasting task, and each is closed: a worker that is to be emptied and whose entry the planner has not read yet took tasks afterwards; the content of an earlier worker of the same machine counted for its present one; a repeated order did not empty the machine again. Change: lives end when the fleet's next list shows it; evacuation holds for workers whose entry comes later; contents are kept by worker and for one tick; repeated orders wait until the machine is empty. The test that counted an unanswered order as repeatable at once now gives it an empty worker, as the rule asks for one.

--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -7,6 +7,7 @@
 import { waitMs } from './clock.js';
 import type { JobGateway } from './job-gateway.js';
 import { createLender } from './lender.js';
+import { createLifeEnds, type LifeEnds } from './life-ends.js';
 import { createWaveLedger } from './wave-ledger.js';
 import { createWaveRunner } from './wave-runner.js';
 
@@ -35,6 +36,7 @@
 export interface FleetDuty extends FleetRunnerOptions {
   /** Pause between two looks at the fleet. */
   readonly tickMs: number;
+  readonly lifeEnds: LifeEnds;
   readonly takeFence: () => FleetFence;
   readonly handleLoss: (why: string) => void;
   readonly isStopped: () => boolean;
@@ -74,8 +76,10 @@
     orders += 1;
     return { holder, token: claim.token * ORDERS_PER_CLAIM + orders };
   };
+  const lifeEnds = createLifeEnds(options.gateway);
   const duty: FleetDuty = {
     ...options,
+    lifeEnds,
     tickMs: TICK_MS,
     takeFence,
     handleLoss,
@@ -90,6 +94,7 @@
       return IDLE_TICK_MS;
     }
     const instances = new Map(listed.map((instance) => [instance.id, instance]));
+    lifeEnds.handleList(instances);
     await Promise.all([waveRunner.run(instances), lender.run(instances, waveRunner.listHeld())]);
     return TICK_MS;
   };
--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -49,8 +49,8 @@
     if (outcome.kind === 'unknown') return;
     open.delete(order.instance);
     if (outcome.kind === 'rejected' && outcome.why === 'fenced') handleLoss('fleet-fenced');
-    if (outcome.kind !== 'done' || order.workerId === undefined) return;
-    void gateway.answerOnce({ kind: 'life-ended', pool: order.from, workerId: order.workerId });
+    const { instance: id, from: pool, workerId } = order;
+    if (outcome.kind === 'done') duty.lifeEnds.add({ id, pool, workerId });
   };
   /** Takes an instance out of placement; says whether it is empty now. */
   const drainInstance = async (pool: string, workerId: string): Promise<boolean> => {
--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -24,8 +24,18 @@
 
 /** Creates the runner of all waves. */
 export function createWaveRunner(duty: FleetDuty, ledger: WaveLedger): WaveRunner {
-  const { fleet, config, waves, publishWave, gateway, log, takeFence, handleLoss, isStopped } =
-    duty;
+  const {
+    fleet,
+    config,
+    waves,
+    publishWave,
+    gateway,
+    lifeEnds,
+    log,
+    takeFence,
+    handleLoss,
+    isStopped,
+  } = duty;
   const memories = new Map<number, WaveMemory>();
 
   const getMemory = (wave: number): WaveMemory => {
@@ -50,10 +60,13 @@
     if (workerId === undefined) return;
     if (!memory.emptyingSinceMs.has(id)) memory.emptyingSinceMs.set(id, performance.now());
     const reply = await gateway.answerOnce({ kind: 'evacuate', pool, workerId });
-    if (reply.kind === 'content') memory.contents.set(id, reply);
-    else memory.contents.delete(id);
+    if (reply.kind === 'content') memory.contents.set(workerId, reply);
   };
-  const takeDown = async (order: WaveOrder, memory: WaveMemory, instance: FleetInstance) => {
+  const takeDown = async (
+    order: WaveOrder,
+    instance: FleetInstance,
+    content: WorkerContent | undefined,
+  ) => {
     const { id, pool, workerId } = instance;
     if (!(await write(order, id, { kind: 'ordered', atMs: performance.now() }))) return;
     const fence = takeFence();
@@ -65,14 +78,12 @@
       pool,
       worker: workerId,
       token: fence.token,
-      content: memory.contents.get(id),
+      content,
       outcome,
     });
     switch (outcome.kind) {
       case 'done':
-        if (workerId !== undefined) {
-          void gateway.answerOnce({ kind: 'life-ended', pool, workerId });
-        }
+        lifeEnds.add(instance);
         await write(order, id, { kind: 'begun', atMs: performance.now() });
         return;
       case 'rejected':
@@ -92,22 +103,31 @@
   const runWave = async (order: WaveOrder, instances: ReadonlyMap<string, FleetInstance>) => {
     const memory = getMemory(order.wave);
     const standby = config.value?.pools.filter((pool) => pool.isStandby) ?? [];
+    const contents = new Map(memory.contents);
     const plan = planWave({
       order,
       instances,
       steps: ledger.listSteps(order.wave),
-      contents: memory.contents,
+      contents,
       emptyingSinceMs: memory.emptyingSinceMs,
       standbyPools: new Set(standby.map((pool) => pool.name)),
       nowMs: performance.now(),
     });
     memory.held.clear();
+    memory.contents.clear();
+    [...memory.emptyingSinceMs.keys()]
+      .filter((id) => !plan.empty.includes(id))
+      .forEach((id) => memory.emptyingSinceMs.delete(id));
     [...plan.empty, ...plan.takeDown].forEach((id) => memory.held.add(id));
     const find = (id: string) => instances.get(id);
     for (const id of plan.finished) await write(order, id, { kind: 'done' });
     const toEmpty = plan.empty.map(find).filter((found) => found !== undefined);
     const toTakeDown = plan.takeDown.map(find).filter((found) => found !== undefined);
-    await Promise.all(toTakeDown.map((instance) => takeDown(order, memory, instance)));
+    await Promise.all(
+      toTakeDown.map((instance) =>
+        takeDown(order, instance, contents.get(instance.workerId ?? '')),
+      ),
+    );
     if (isStopped()) return;
     await Promise.all(toEmpty.map((instance) => drainInstance(memory, instance)));
     const state = plan.isComplete ? 'completed' : 'running';
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -85,9 +85,6 @@
 /** Part of it that admission counts on, as moves take their time. */
 const REACHABLE_PART = 0.7;
 
-/** An evacuation lapses when it is not asked for again within this time. */
-const EVACUATION_MS = 3_000;
-
 /** Creates the planner of a pool. */
 export function createPoolPlanner(pool: string, options: PlannerOptions): PoolPlanner {
   const table = createTaskTable();
@@ -207,8 +204,9 @@
     observeLifeEnd: lives.observeLifeEnd,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
-    evacuate: (workerId, { nowMs }) => {
-      table.updateWorker(workerId, { evacuateUntilMs: nowMs + EVACUATION_MS });
+    evacuate: (workerId, at) => {
+      const { nowMs } = at;
+      lives.markLeaving(workerId, at);
       const worker = table.workers.get(workerId);
       const isHeard = worker !== undefined && worker.clock !== undefined;
       if (!isHeard && lives.isWithinDoubt(nowMs)) return undefined;
--- a/packages/vanilladock/src/lib/jobs/worker-lives.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-lives.ts
@@ -20,6 +20,8 @@
   readonly observeEntries: (entries: readonly WorkerEntry[], at: Moment) => void;
   readonly observeMiss: (workerId: string, at: Moment) => void;
   readonly observeLifeEnd: (workerId: string, why: string) => void;
+  /** Keeps a worker free of new tasks for a while, also one whose entry comes later. */
+  readonly markLeaving: (workerId: string, at: Moment) => void;
   readonly observeNewLife: (worker: Worker, bornMs: number) => void;
   readonly markHeard: (workerId: string) => void;
   /** Takes back the tasks of silent workers whose leases have surely passed. */
@@ -34,6 +36,9 @@
 /** Why a life ended that an order for its instance has ended. */
 export const ORDERED_END = 'ordered';
 
+/** An order to empty a worker holds for this long after it was last given. */
+const EVACUATION_MS = 3_000;
+
 /** Extra wait for leases of an earlier planner beyond their length. */
 const INHERITED_SLACK_MS = 200;
 
@@ -42,6 +47,8 @@
   const { table, report } = context;
   const unheard = new Set(options.inheritedWorkers);
   const endedLives = new Map<string, number>();
+  /** Until when workers take no task, by id; some have no entry yet. */
+  const leavingUntilMs = new Map<string, number>();
   const doubtUntilMs = options.startedMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_SLACK_MS;
 
   const dropWorker = (worker: Worker, why: string) => {
@@ -79,6 +86,7 @@
     if (table.workers.has(entry.id)) table.updateWorker(entry.id, { entry, isListed: true });
     else {
       table.addWorker(entry);
+      table.updateWorker(entry.id, { evacuateUntilMs: leavingUntilMs.get(entry.id) ?? 0 });
       report({
         event: 'worker-seen',
         worker: entry.id,
@@ -133,6 +141,14 @@
       table.updateWorker(workerId, { misses: worker.misses + 1 });
     },
     observeLifeEnd,
+    markLeaving: (workerId, { nowMs }) => {
+      const untilMs = nowMs + EVACUATION_MS;
+      [...leavingUntilMs]
+        .filter(([, endMs]) => endMs < nowMs)
+        .forEach(([id]) => leavingUntilMs.delete(id));
+      leavingUntilMs.set(workerId, untilMs);
+      table.updateWorker(workerId, { evacuateUntilMs: untilMs });
+    },
     observeNewLife: (worker, bornMs) => {
       dropWorker(worker, 'new-life');
       table.addWorker({ ...worker.entry, bornMs });
--- a/packages/vanilladock/src/lib/waves/plan-wave.ts
+++ b/packages/vanilladock/src/lib/waves/plan-wave.ts
@@ -22,7 +22,7 @@
   readonly order: WaveOrder;
   readonly instances: ReadonlyMap<string, FleetInstance>;
   readonly steps: ReadonlyMap<string, WaveStep>;
-  /** Content of the workers that are being emptied, by instance. */
+  /** Content of the workers that are being emptied, by worker. */
   readonly contents: ReadonlyMap<string, WorkerContent>;
   /** When the emptying of an instance began. */
   readonly emptyingSinceMs: ReadonlyMap<string, number>;
@@ -61,7 +61,7 @@
   const instance = inputs.instances.get(id);
   if (instance === undefined) return false;
   if (instance.workerId === undefined || inputs.standbyPools.has(instance.pool)) return true;
-  const content = inputs.contents.get(id);
+  const content = inputs.contents.get(instance.workerId);
   if (content === undefined || content.lastingTasks > 0) return false;
   const sinceMs = inputs.emptyingSinceMs.get(id) ?? inputs.nowMs;
   return content.batchTasks === 0 || inputs.nowMs - sinceMs > BATCH_PATIENCE_MS;
@@ -88,16 +88,18 @@
   });
   const isOpen = (id: string) => steps.get(id) === undefined;
   const away = order.instances.filter((id) => isAway(steps.get(id)) && !finished.includes(id));
-  const again = away.filter((id) => steps.get(id)?.kind === 'ordered' && instances.has(id));
+  const isUp = (id: string) => instances.get(id)?.state === 'up';
+  // An order without a known outcome is repeated; the machine may hold work again meanwhile.
+  const again = away.filter((id) => steps.get(id)?.kind === 'ordered' && isUp(id));
   const limits = computePoolLimits(instances);
   const taken = new Map<string, number>();
   away.forEach((id) => {
     const pool = instances.get(id)?.pool;
     if (pool !== undefined) taken.set(pool, (taken.get(pool) ?? 0) + 1);
   });
-  const empty = present.filter((id) => {
+  const opened = present.filter((id) => {
     const instance = instances.get(id);
-    if (instance === undefined || !isOpen(id) || instance.state !== 'up') return false;
+    if (instance === undefined || !isOpen(id) || !isUp(id)) return false;
     const count = taken.get(instance.pool) ?? 0;
     const isOff = inputs.standbyPools.has(instance.pool);
     if (!isOff && count >= (limits.get(instance.pool) ?? 1)) return false;
@@ -105,12 +107,12 @@
     return true;
   });
   const room = Math.max(0, order.maxConcurrent - away.length);
-  const next = empty.filter((id) => isReadyToGo(inputs, id)).slice(0, room);
+  const next = opened.filter((id) => isReadyToGo(inputs, id)).slice(0, room);
   const isDone = (id: string) =>
     !instances.has(id) || steps.get(id)?.kind === 'done' || finished.includes(id);
   return {
-    empty,
-    takeDown: [...again, ...next],
+    empty: [...again, ...opened],
+    takeDown: [...again.filter((id) => isReadyToGo(inputs, id)), ...next],
     finished,
     isComplete: instances.size > 0 && order.instances.every(isDone),
   };
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -257,6 +257,15 @@
   assert.is(planner.table.workers.size, 1);
 });
 
+test('a worker that was to be emptied before its entry was read takes no task', () => {
+  const { planner, addWorkers, submit, planStarts, at } = createHarness();
+  assert.equal(planner.evacuate('w1', at(10_000)), { lastingTasks: 0, batchTasks: 0 });
+  addWorkers(10_010, makeEntry('w1'));
+  submit(makeJob('a'), 10_011);
+  assert.is(planStarts(10_012).length, 0);
+  assert.is(planStarts(14_000).length, 1);
+});
+
 test('asks for a worker more than the spread of its lasting tasks needs', () => {
   const { planner, submit, at } = createHarness();
   submit(makeJob('a', [makeStep({ count: 5, maxPerWorker: 2, isLasting: true })]), 1);
--- a/packages/vanilladock/src/test/waves/plan-wave.test.ts
+++ b/packages/vanilladock/src/test/waves/plan-wave.test.ts
@@ -36,7 +36,7 @@
 });
 
 test('takes empty instances down within the limit, counting those whose order may still act', () => {
-  const contents = new Map(IDS.map((id) => [id, EMPTY]));
+  const contents = new Map(IDS.map((id) => [`w-${id}`, EMPTY]));
   const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
   const plan = planWave(makeInputs({ contents, steps }));
   assert.equal(plan.takeDown, ['a1', 'b1']);
@@ -48,13 +48,37 @@
 });
 
 test('never takes an instance down under a lasting task, however long it takes', () => {
-  const contents = new Map([['a1', { lastingTasks: 1, batchTasks: 0 }]]);
+  const contents = new Map([['w-a1', { lastingTasks: 1, batchTasks: 0 }]]);
   const emptyingSinceMs = new Map([['a1', 0]]);
   assert.equal(planWave(makeInputs({ contents, emptyingSinceMs })).takeDown, []);
 });
 
+test('empties an instance again whose order has no known outcome, before it repeats the order', () => {
+  const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
+  const contents = new Map([['w-a1', { lastingTasks: 1, batchTasks: 0 }]]);
+  const plan = planWave(makeInputs({ contents, steps }));
+  assert.equal(plan.empty, ['a1', 'b1']);
+  assert.equal(plan.takeDown, []);
+});
+
+test('lets an instance alone that is down by an order without a known outcome', () => {
+  const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
+  const instances = new Map(makeInputs().instances);
+  instances.set('a1', makeInstance('a1', 'a', 'maintenance'));
+  const plan = planWave(makeInputs({ steps, instances }));
+  assert.equal(plan.empty, ['b1']);
+  assert.equal(plan.takeDown, []);
+});
+
+test('the content of an earlier worker says nothing about the one that an instance has now', () => {
+  const contents = new Map([['w-a1', EMPTY]]);
+  const instances = new Map(makeInputs().instances);
+  instances.set('a1', { ...makeInstance('a1', 'a'), workerId: 'w-later' });
+  assert.equal(planWave(makeInputs({ contents, instances })).takeDown, []);
+});
+
 test('waits a bounded time for batch tasks', () => {
-  const contents = new Map([['a1', { lastingTasks: 0, batchTasks: 2 }]]);
+  const contents = new Map([['w-a1', { lastingTasks: 0, batchTasks: 2 }]]);
   const early = planWave(makeInputs({ contents, emptyingSinceMs: new Map([['a1', 9_000]]) }));
   assert.equal(early.takeDown, []);
   const later = planWave(makeInputs({ contents, emptyingSinceMs: new Map([['a1', 1_000]]) }));
