Record new workers while a pool is under load

Cause: a worker takes tasks only when the pool's record names it as one that may hold a lease. Ruled out: memory (128 GB a worker, tasks of 3 to 18), spread limits, processor time (0.27 of 1.35 cores at most), lending, which had brought the workers in time. Change: the record of lease holders is looked at before each write. Test: the keeper under steady load, red before.

--- a/packages/daemon/src/lib/jobs/pool-keeper.ts
+++ b/packages/daemon/src/lib/jobs/pool-keeper.ts
@@ -74,9 +74,10 @@
   const writeDirty = async () => {
     if (isWriting || isStopped) return;
     isWriting = true;
-    await recordWorkers();
     let result: Awaited<ReturnType<typeof writeOnce>> = 'stored';
     while (result === 'stored' && !isStopped) {
+      // Under load there is always something to write, and new workers wait for their record.
+      await recordWorkers();
       const waiting = waiters.splice(0);
       result = await writeOnce();
       const isStored = result !== 'failed';
--- /dev/null
+++ b/packages/daemon/src/test/pool-keeper.test.ts
@@ -0,0 +1,46 @@
+/** The keeper of a pool under steady load. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import { createPoolKeeper } from '../lib/jobs/pool-keeper.js';
+import type { PoolStore } from '../lib/jobs/pool-store.js';
+
+const WRITES = 40;
+const NEW_WORKER_AT = 5;
+
+const test = suite('pool keeper');
+
+test('new workers are recorded while there is always something to write', async () => {
+  let writes = 0;
+  const recorded: { readonly id: string; readonly atWrite: number }[] = [];
+  const planner = {
+    takeStoreBatch: () =>
+      writes < WRITES
+        ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
+        : undefined,
+    listLeaseHolders: () => (writes < NEW_WORKER_AT ? ['w1'] : ['w1', 'w2']),
+    markWorkersRecorded: (ids: readonly string[]) =>
+      ids
+        .filter((id) => !recorded.some((known) => known.id === id))
+        .forEach((id) => recorded.push({ id, atWrite: writes })),
+  };
+  const store = {
+    write: () => {
+      writes += 1;
+      return Promise.resolve('stored' as const);
+    },
+    encodeMeta: () => ({ key: 'stalls:meta', value: '' }),
+  };
+  const keeper = createPoolKeeper({
+    store: store as unknown as PoolStore,
+    getPlanner: () => planner as unknown as PoolPlanner,
+    schedulePlan: () => {},
+    handleLost: () => {},
+  });
+  await keeper.writeDirty();
+  const second = recorded.find(({ id }) => id === 'w2');
+  assert.ok(second !== undefined, 'the new worker was never recorded');
+  assert.ok(second.atWrite <= NEW_WORKER_AT + 3, `recorded after write ${second.atWrite}`);
+});
+
+test.run();
