--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -266,6 +266,21 @@
   assert.is(planStarts(14_000).length, 1);
 });
 
+test('tasks that all want one rack spill over to others when that is full', () => {
+  const { addWorkers, submit, planStarts } = createHarness();
+  addWorkers(
+    0,
+    makeEntry('w1', { rack: 'r1-1' }),
+    makeEntry('w22', { rack: 'r1-2', labels: ['a', 'r1-2'] }),
+  );
+  submit(makeJob('a', [makeStep({ count: 7, dataRack: 'r1-2' })]), 1);
+  const targets = planStarts(2).map(({ worker }) => worker.id);
+  assert.equal(
+    ['w1', 'w22'].map((id) => targets.filter((target) => target === id).length),
+    [3, 4],
+  );
+});
+
 test('asks for a worker more than the spread of its lasting tasks needs', () => {
   const { planner, submit, at } = createHarness();
   submit(makeJob('a', [makeStep({ count: 5, maxPerWorker: 2, isLasting: true })]), 1);
