--- a/scripts/write-architecture.mjs
+++ b/scripts/write-architecture.mjs
@@ -7,10 +7,11 @@
 
 const MAP = 'docs/ARCHITECTURE.md';
 const MARK = '<!-- The map below is written by scripts/write-architecture.mjs. -->';
-const PACKAGES = ['vanilladock', 'daemon', 'stand-ins', 'measure', 'platform'];
+const PACKAGES = ['vanilladock', 'daemon', 'stand-ins', 'measure', 'platform', 'soak'];
 
-/** Gives the folder of a package's modules. */
+/** Gives the folder of a package's modules; the soak lies beside the platform's. */
 function getRoot(name) {
+  if (name === 'soak') return join('platform', 'src', 'soak');
   return name === 'platform' ? join(name, 'src', 'lib') : join('packages', name, 'src', 'lib');
 }
 
