Look contents, waiting tasks and record kinds up in one place

Cause: lending searched the workers of a pool for each instance and each try of a move; whether tasks wait was asked by a loop of its own beside that of the planner; the largest worker was sought three times for one answer; the kinds of records stood in the codec and in the domains. Change: an instance carries its worker's content through a plan; waiting-tasks.ts serves starts and demand; the codec takes its kinds from the domains; the ends of a life have a type instead of a constant beside it.

--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -4,19 +4,18 @@
 import { chooseWorker, isOpen, type PlaceRequest } from './place.js';
 import type { PoolContext } from './pool-context.js';
 import { compareQueueKeys, makeQueueKey } from './queue-order.js';
-import { listReadySteps } from './ready-steps.js';
 import { computeFootprint, computeRoom } from './room.js';
-import { makeStepKey, makeTaskKey, type StepSpec } from './spec.js';
+import { makeStepKey } from './spec.js';
 import {
   makeAssignment,
   type Job,
   type Moment,
-  type Occurrence,
   type StepRun,
   type Task,
   type Worker,
 } from './state.js';
 import type { TicketBook } from './tickets.js';
+import { listPlaces, listWaiting, type StepPlace } from './waiting-tasks.js';
 
 /** A start to order. */
 export interface StartAction {
@@ -46,28 +45,6 @@
   readonly tickets: TicketBook;
 }
 
-/** Where one step of one occurrence stands in the plan. */
-interface StepPlace {
-  readonly job: Job;
-  readonly occurrence: Occurrence;
-  readonly stepIndex: number;
-  readonly step: StepSpec;
-  readonly stepRun: StepRun;
-}
-
-/** Lists the steps of a job with tasks that may start. */
-function listPlaces(job: Job): readonly StepPlace[] {
-  const { spec } = job.record;
-  return [...job.occurrences.values()].flatMap((occurrence) =>
-    listReadySteps(spec, occurrence).flatMap((stepIndex) => {
-      const stepRun = occurrence.steps[stepIndex];
-      const step = spec.steps[stepIndex];
-      if (step === undefined || stepRun === undefined || stepRun.waiting.size === 0) return [];
-      return [{ job, occurrence, stepIndex, step, stepRun }];
-    }),
-  );
-}
-
 /** Finds the rack that the step's tasks already use. */
 function findSharedRack(context: PoolContext, stepRun: StepRun): string | undefined {
   const [first] = stepRun.assigned.values();
@@ -115,15 +92,6 @@
       ticket: tickets.findTicket(stepKey, worker.entry.id, at.nowMs),
     };
   };
-  const findWaiting = (place: StepPlace): readonly Task[] => {
-    const { id } = place.job.record.spec;
-    return [...place.stepRun.waiting]
-      .map((index) =>
-        table.findTask(makeTaskKey(id, place.occurrence.number, place.stepIndex, index)),
-      )
-      .filter((task) => task !== undefined)
-      .filter((task) => task.state.kind === 'waiting' && task.state.notBeforeMs <= at.nowMs);
-  };
   const makeRequest = (place: StepPlace, task: Task): PlaceRequest => ({
     task,
     step: place.step,
@@ -139,7 +107,7 @@
     if (emptiest !== undefined) reserved.add(emptiest.entry.id);
   };
   const placeGang = (place: StepPlace) => {
-    const waiting = findWaiting(place);
+    const waiting = listWaiting(table, place, at.nowMs);
     if (waiting.length < place.step.count) return;
     const run = Math.max(...waiting.map((task) => task.lastRun)) + 1;
     const candidates = listCandidates(place);
@@ -160,7 +128,7 @@
     starts.push(...planned);
   };
   const placeStep = (place: StepPlace) => {
-    const waiting = findWaiting(place);
+    const waiting = listWaiting(table, place, at.nowMs);
     if (waiting.length === 0) return;
     const candidates = listCandidates(place);
     for (const task of waiting) {
--- a/packages/vanilladock/src/lib/jobs/pool-figures.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-figures.ts
@@ -7,9 +7,10 @@
 import { computeWorkLeft, countDone, listReadySteps } from './ready-steps.js';
 import type { Resources } from '../ports/workers.js';
 import { computeFootprint, NO_RESOURCES } from './room.js';
-import { makeTaskKey, type JobSpec, type StepSpec } from './spec.js';
+import type { JobSpec, StepSpec } from './spec.js';
 import type { Job, Occurrence, Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
+import { listPlaces, listWaiting, type StepPlace } from './waiting-tasks.js';
 
 /** Batch jobs after which a pool's demand is taken as known. */
 const JOBS_OF_A_PEAK = 8;
@@ -78,8 +79,7 @@
 }
 
 /** Counts memory as the cores that lie beside it on a worker, so that the scarcer of both decides. */
-function computeTakenCores(table: TaskTable, taken: Resources): number {
-  const worker = findLargestWorker(table);
+function computeTakenCores(worker: Resources | undefined, taken: Resources): number {
   if (worker === undefined || worker.memoryMb === 0) return taken.cores;
   return Math.max(taken.cores, (taken.memoryMb / worker.memoryMb) * worker.cores);
 }
@@ -92,23 +92,11 @@
 
 /** Says whether tasks that could start wait for room; plans follow every change at once. */
 function hasUnplaced(table: TaskTable, nowMs: number): boolean {
-  const isWaiting = (key: string) => {
-    const state = table.findTask(key)?.state;
-    return state?.kind === 'waiting' && state.notBeforeMs <= nowMs;
-  };
+  const isUnplaced = (place: StepPlace) =>
+    isRunnableSomewhere(table, place.step) && listWaiting(table, place, nowMs).length > 0;
   return [...table.jobs.values()]
     .filter((job) => job.phase === 'active' && job.storedPhase !== 'none')
-    .some(({ record: { spec }, occurrences }) =>
-      [...occurrences.values()].some((occurrence) =>
-        listReadySteps(spec, occurrence)
-          .filter((index) => isRunnableSomewhere(table, spec.steps[index]!))
-          .some((index) =>
-            [...(occurrence.steps[index]?.waiting ?? [])].some((task) =>
-              isWaiting(makeTaskKey(spec.id, occurrence.number, index, task)),
-            ),
-          ),
-      ),
-    );
+    .some((job) => listPlaces(job).some(isUnplaced));
 }
 
 /** Computes what admission knows of the pool. */
@@ -159,9 +147,10 @@
 ): PoolDemand {
   const batch = [...table.jobs.values()].filter((job) => job.phase === 'active' && !job.isLasting);
   const onTime = batch.filter((job) => isOnTime(job, nowMs));
+  const largest = findLargestWorker(table);
   const computeCores = (jobs: readonly Job[]) =>
     computeTakenCores(
-      table,
+      largest,
       sumSizes(jobs.map((job) => ({ size: computeRunnable(job), count: 1 }))),
     );
   return {
@@ -169,7 +158,7 @@
     arrivalCores,
     runnableCores: computeCores(batch),
     onTimeCores: computeCores(onTime),
-    lastingCores: computeTakenCores(table, computeLasting(table)),
+    lastingCores: computeTakenCores(largest, computeLasting(table)),
     minWorkers: computeMinWorkers(table),
     hasPeaked: hasBatchWork(table),
     hasUnplaced: hasUnplaced(table, nowMs),
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -24,7 +24,7 @@
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketBook, type TicketBook } from './tickets.js';
-import { createWorkerLives, type LivesOptions } from './worker-lives.js';
+import { createWorkerLives, type LifeEnd, type LivesOptions } from './worker-lives.js';
 
 /** Something for the daemon to carry out. */
 export type PoolAction = StartAction | StopAction | PaceAction | AdviseAction;
@@ -59,7 +59,7 @@
     at: Moment,
   ) => readonly PaceAction[];
   readonly observeMiss: (workerId: string, at: Moment) => void;
-  readonly observeLifeEnd: (workerId: string, why: string) => void;
+  readonly observeLifeEnd: (workerId: string, why: LifeEnd) => void;
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
   readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
   /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has, once that is known. */
--- a/packages/vanilladock/src/lib/jobs/worker-lives.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-lives.ts
@@ -19,7 +19,7 @@
 export interface WorkerLives {
   readonly observeEntries: (entries: readonly WorkerEntry[], at: Moment) => void;
   readonly observeMiss: (workerId: string, at: Moment) => void;
-  readonly observeLifeEnd: (workerId: string, why: string) => void;
+  readonly observeLifeEnd: (workerId: string, why: LifeEnd) => void;
   /** Keeps a worker free of new tasks for a while, also one whose entry comes later. */
   readonly markLeaving: (workerId: string, at: Moment) => void;
   readonly observeNewLife: (worker: Worker, bornMs: number) => void;
@@ -33,8 +33,8 @@
   readonly listLeaseHolders: () => readonly string[];
 }
 
-/** Why a life ended that an order for its instance has ended. */
-export const ORDERED_END = 'ordered';
+/** Why a life ended: an order for its instance ended it, or another life answers at its address. */
+export type LifeEnd = 'ordered' | 'other-life';
 
 /** An order to empty a worker holds for this long after it was last given. */
 const EVACUATION_MS = 3_000;
@@ -66,10 +66,10 @@
     table.dropWorker(worker.entry.id);
     unheard.delete(worker.entry.id);
   };
-  const observeLifeEnd = (workerId: string, why: string) => {
+  const observeLifeEnd = (workerId: string, why: LifeEnd) => {
     const worker = table.workers.get(workerId);
     if (worker !== undefined) {
-      if (why === ORDERED_END) endedLives.set(workerId, worker.entry.bornMs);
+      if (why === 'ordered') endedLives.set(workerId, worker.entry.bornMs);
       dropWorker(worker, why);
     }
     unheard.delete(workerId);
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -110,28 +110,34 @@
   };
 }
 
-/** Orders a pool's instances by what a move would disturb, the emptiest first. */
-function orderByContent(
+/** An instance of a pool with what its worker has; undefined when that is not known. */
+interface OwnInstance extends LendableInstance {
+  readonly content: WorkerContent | undefined;
+}
+
+/** Weight of a lasting task beside a batch task, when the emptiest instances are looked for. */
+const LASTING_WEIGHT = 1_000;
+
+/** Lists a pool's instances with their contents, the emptiest first. */
+function listOwn(
   instances: readonly LendableInstance[],
-  demand: PoolDemand | undefined,
-): readonly LendableInstance[] {
-  const contents = new Map(demand?.workers.map((worker) => [worker.workerId, worker]));
-  const computeContent = (instance: LendableInstance) => {
-    const content = contents.get(instance.workerId ?? '');
-    return content === undefined ? Infinity : content.lastingTasks * 1_000 + content.batchTasks;
-  };
-  return [...instances].sort((a, b) => computeContent(a) - computeContent(b));
+  demand: PoolDemand,
+): readonly OwnInstance[] {
+  const contents = new Map(demand.workers.map((worker) => [worker.workerId, worker]));
+  const computeWeight = ({ content }: OwnInstance) =>
+    content === undefined ? Infinity : content.lastingTasks * LASTING_WEIGHT + content.batchTasks;
+  return instances
+    .map((instance) => ({ ...instance, content: contents.get(instance.workerId ?? '') }))
+    .sort((a, b) => computeWeight(a) - computeWeight(b));
 }
 
 /** Says whether an instance carries lasting tasks, or is not known. */
-function hasLasting(instance: LendableInstance, demand: PoolDemand): boolean {
-  const content = demand.workers.find((worker) => worker.workerId === instance.workerId);
+function hasLasting({ content }: OwnInstance): boolean {
   return content === undefined || content.lastingTasks > 0;
 }
 
 /** Says whether an instance carries nothing. */
-function isEmpty(instance: LendableInstance, demand: PoolDemand | undefined): boolean {
-  const content = demand?.workers.find((worker) => worker.workerId === instance.workerId);
+function isEmpty({ content }: OwnInstance): boolean {
   return content !== undefined && content.lastingTasks + content.batchTasks === 0;
 }
 
@@ -141,13 +147,12 @@
   readonly up: number;
   readonly need: PoolNeed;
   /** Instances that may be moved, the emptiest first. */
-  readonly own: readonly LendableInstance[];
+  readonly own: readonly OwnInstance[];
 }
 
 /** Weighs what every pool has, instances on their way to it included, against what it needs. */
-function computeBalances(inputs: LendingInputs): readonly PoolBalance[] {
+function computeBalances(inputs: LendingInputs, coresPerInstance: number): readonly PoolBalance[] {
   const { demands, instances, incoming, standbyPool } = inputs;
-  const coresPerInstance = Math.max(1, ...instances.map((instance) => instance.cores));
   return [...demands.values()]
     .filter((demand) => demand.pool !== standbyPool)
     .map((demand) => {
@@ -157,7 +162,7 @@
         demand,
         up: up.length + (incoming.get(demand.pool) ?? 0),
         need: computeNeed(demand, coresPerInstance, up.length),
-        own: orderByContent(movable, demand),
+        own: listOwn(movable, demand),
       };
     });
 }
@@ -175,16 +180,11 @@
   const taken = new Set<string>();
   const given = new Map<string, number>();
   const standby = [...free];
-  const takeFrom = (
-    rank: keyof PoolNeed,
-    isFit: (instance: LendableInstance, demand: PoolDemand) => boolean,
-  ) => {
+  const takeFrom = (rank: keyof PoolNeed, isFit: (instance: OwnInstance) => boolean) => {
     for (const { demand, up, need, own } of balances) {
       const count = given.get(demand.pool) ?? 0;
       const instance =
-        up - need[rank] > count
-          ? own.find((one) => !taken.has(one.id) && isFit(one, demand))
-          : undefined;
+        up - need[rank] > count ? own.find((one) => !taken.has(one.id) && isFit(one)) : undefined;
       if (instance !== undefined) {
         taken.add(instance.id);
         given.set(demand.pool, count + 1);
@@ -194,13 +194,11 @@
     return undefined;
   };
   /** For urgent work a pool gives what it needs only for late work, after what nobody needs. */
-  const takeFor = (
-    rank: keyof PoolNeed,
-    isFit: (instance: LendableInstance, demand: PoolDemand) => boolean,
-  ) => takeFrom('whole', isFit) ?? (rank === 'urgent' ? takeFrom(rank, isFit) : undefined);
+  const takeFor = (rank: keyof PoolNeed, isFit: (instance: OwnInstance) => boolean) =>
+    takeFrom('whole', isFit) ?? (rank === 'urgent' ? takeFrom(rank, isFit) : undefined);
   return {
     takeEmpty: (rank) => standby.shift() ?? takeFor(rank, isEmpty),
-    takeOccupied: (rank) => takeFor(rank, (instance, demand) => !hasLasting(instance, demand)),
+    takeOccupied: (rank) => takeFor(rank, (instance) => !hasLasting(instance)),
   };
 }
 
@@ -244,7 +242,7 @@
   inputs: LendingInputs,
   balances: readonly PoolBalance[],
   isTaken: (instance: LendableInstance) => boolean,
-): readonly LendableInstance[] {
+): readonly OwnInstance[] {
   const { surplusSinceMs, nowMs } = inputs;
   return balances.flatMap(({ demand, up, need, own }) => {
     const surplus = up - need.whole;
@@ -261,19 +259,18 @@
 
 /** Plans the moves of one moment. */
 export function planLending(inputs: LendingInputs): LendingPlan {
-  const { demands, standbyPool, maxMoves } = inputs;
-  const balances = computeBalances(inputs);
+  const { standbyPool, maxMoves } = inputs;
+  const coresPerInstance = Math.max(1, ...inputs.instances.map((instance) => instance.cores));
+  const balances = computeBalances(inputs, coresPerInstance);
   const free = inputs.instances.filter(
     ({ pool, isUp, isHeld }) => pool === standbyPool && isUp && !isHeld,
   );
   const gifts = planGifts(balances, createStock(free, balances), maxMoves);
   const moved = new Set(gifts.moves.map(({ instance }) => instance));
   const returns = planReturns(inputs, balances, ({ id }) => moved.has(id));
-  const isOff = (instance: LendableInstance) => isEmpty(instance, demands.get(instance.pool));
   const room = Math.max(0, maxMoves - gifts.moves.length);
-  const returned = returns.filter(isOff).slice(0, room);
+  const returned = returns.filter(isEmpty).slice(0, room);
   const left = new Set(returned);
-  const coresPerInstance = Math.max(1, ...inputs.instances.map((instance) => instance.cores));
   const computeSurplus = ({ up, need }: PoolBalance) => Math.max(0, up - need.urgent);
   const lendable = balances.reduce((sum, balance) => sum + computeSurplus(balance), free.length);
   return {
--- a/packages/vanilladock/src/lib/log/codec.ts
+++ b/packages/vanilladock/src/lib/log/codec.ts
@@ -2,27 +2,17 @@
  * Text form of records in the log: one JSON object each. Records of an unknown kind or a newer
  * version are reported as unknown and skipped, never fatal.
  */
+import { DOMAINS } from './domains.js';
 import type { LogRecord } from './record.js';
 
 const KNOWN_VERSION = 1;
 
-/** Every kind of record that this version understands. */
-export const RECORD_KINDS: ReadonlySet<string> = new Set<LogRecord['kind']>([
-  'config.publication',
-  'log.snapshot',
-  'duty.claim',
-  'pool.release',
-  'pool.acknowledgement',
-  'pool.join',
-  'pool.removal',
-  'maintenance.permit',
-  'maintenance.outcome',
-  'maintenance.observation',
-  'task.submission',
-  'task.lease',
-  'task.outcome',
-  'task.cancellation',
-  'worker.quarantine',
+const SNAPSHOT_KIND: LogRecord['kind'] = 'log.snapshot';
+
+/** Every kind of record that this version understands: snapshots, and what some domain folds. */
+export const RECORD_KINDS: ReadonlySet<string> = new Set([
+  SNAPSHOT_KIND,
+  ...Object.values(DOMAINS).flatMap(({ kinds }) => kinds),
 ]);
 
 /** Encodes a record for the log. */
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -1,6 +1,5 @@
 /** Tests of a pool's planner without input or output. */
 import * as assert from 'uvu/assert';
-import { ORDERED_END } from '../../lib/jobs/worker-lives.js';
 import { suite } from 'uvu';
 import { LEASE_MS } from '../../lib/jobs/lease-clock.js';
 import type { PoolAction } from '../../lib/jobs/pool-planner.js';
@@ -250,7 +249,7 @@
 test('the entry of a life that an order has ended names no worker, and the next life does', () => {
   const { planner, addWorkers, at } = createHarness();
   addWorkers(0, makeEntry('w1'));
-  planner.observeLifeEnd('w1', ORDERED_END);
+  planner.observeLifeEnd('w1', 'ordered');
   planner.observeWorkers([makeEntry('w1')], at(10));
   assert.is(planner.table.workers.size, 0);
   planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], at(20));
