Keep latencies, options and the time to come back in one copy

Cause: two modules built the same histograms and quantiles; an instance's options repeated those of its runners; the time to come back stood in three modules; the caller client had a wait of its own; a wave's contents were copied before they were cleared. Change: latencies.ts, PoolSources and FleetSources, RETRY_AFTER_MS beside the replies; no behaviour meant.

--- a/packages/daemon/src/lib/caller-client.ts
+++ b/packages/daemon/src/lib/caller-client.ts
@@ -7,6 +7,7 @@
 import { request as openRequest, type IncomingHttpHeaders } from 'node:http';
 import { isRetryable, type Verdict } from 'vanilladock';
 import { HEADERS } from './request/context.js';
+import { waitMs } from './servers.js';
 
 /** One request of a caller. */
 export interface CallerRequest {
@@ -127,13 +128,6 @@
   return earlier?.verdict === 'may-have-run' ? { ...later, verdict: 'may-have-run' } : later;
 }
 
-/** Waits a time in milliseconds. */
-function waitMs(timeMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, timeMs);
-  });
-}
-
 /** Sends a request, and again as long as that is allowed and its deadline has not passed. */
 export async function sendRequest(request: CallerRequest): Promise<CallerAnswer> {
   const id = request.requestId ?? randomUUID();
--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -1,8 +1,7 @@
 /** Answers requests about jobs from a pool's planner; what changes a job is answered when it is stored. */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
-import { ORDERED_END } from 'vanilladock/lib/jobs/worker-lives.js';
 import { readMoment } from './clock.js';
-import type { JobReply, JobRequest } from './job-request.js';
+import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 
 /** What answers are made from. */
 export interface AnswerContext {
@@ -14,9 +13,6 @@
   readonly schedulePlan: () => void;
 }
 
-/** When a request that could not be served now is worth repeating. */
-export const RETRY_AFTER_MS = 1_000;
-
 /** How long an answer waits for the store. */
 const STORE_PATIENCE_MS = 900;
 
@@ -92,7 +88,7 @@
     case 'demand':
       return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
     case 'life-ended':
-      planner.observeLifeEnd(request.workerId, ORDERED_END);
+      planner.observeLifeEnd(request.workerId, 'ordered');
       schedulePlan();
       return { kind: 'accepted' };
     default:
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -14,21 +14,25 @@
 /** Name of the duty. */
 export const FLEET_DUTY = 'fleet';
 
-/** What the runner needs. */
-export interface FleetRunnerOptions {
-  readonly claim: Claim;
-  readonly holder: string;
+/** What the runner is given by its instance, whoever holds the duty. */
+export interface FleetSources {
   readonly store: KeyedStore;
   readonly fleet: Fleet;
   readonly config: BehaviorSubject<FleetConfig | undefined>;
   readonly waves: BehaviorSubject<ReadonlyMap<number, WaveOrder>>;
   readonly publishWave: (order: WaveOrder, state: 'running' | 'completed') => Promise<boolean>;
-  readonly gateway: JobGateway;
   /** Another holder may have given orders until this long before. */
   readonly holderGapMs: number;
   /** Orders for instances that the fleet takes in a second. */
   readonly fleetOrdersPerSecond: number;
   readonly log: JsonLog;
+}
+
+/** What the runner needs. */
+export interface FleetRunnerOptions extends FleetSources {
+  readonly claim: Claim;
+  readonly holder: string;
+  readonly gateway: JobGateway;
   readonly handleLost: (why: string) => void;
 }
 
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -2,39 +2,23 @@
  * One instance of the system in front of pools of workers: claims duties, runs the planners of the
  * pools that it holds, and answers requests about jobs for all of them.
  */
-import type { BehaviorSubject } from 'rxjs';
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
-import type { Advisor, Fleet, FleetConfig, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
-import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
-import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
-import type { JsonLog } from '../json-log.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
-import { FLEET_DUTY, startFleetRunner, type FleetRunner } from './fleet-runner.js';
+import {
+  FLEET_DUTY,
+  startFleetRunner,
+  type FleetRunner,
+  type FleetSources,
+} from './fleet-runner.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
 import { createPeerClient, startPeerServer } from './peers.js';
-import { startPoolRunner, type PoolRunner } from './pool-runner.js';
+import { startPoolRunner, type PoolRunner, type PoolSources } from './pool-runner.js';
 
 /** What an instance needs; the platform's adapter provides it. */
-export interface JobEntryOptions {
+export interface JobEntryOptions extends PoolSources, FleetSources {
   readonly self: Member;
   readonly peerHost: string;
   readonly peerPort: number;
-  readonly store: KeyedStore;
-  readonly storePartitions: number;
-  readonly workers: TaskWorkers;
-  readonly advisor: Advisor;
-  readonly fleet: Fleet;
-  readonly config: BehaviorSubject<FleetConfig | undefined>;
-  readonly waves: BehaviorSubject<ReadonlyMap<number, WaveOrder>>;
-  readonly publishWave: (order: WaveOrder, state: 'running' | 'completed') => Promise<boolean>;
-  /** Another holder of the fleet duty may have given orders until this long before. */
-  readonly holderGapMs: number;
-  /** Orders for instances that the fleet takes in a second. */
-  readonly fleetOrdersPerSecond: number;
-  /** Entries of all workers by id. */
-  readonly entries: BehaviorSubject<ReadonlyMap<string, WorkerEntry>>;
-  readonly statusMs: number;
-  readonly log: JsonLog;
 }
 
 /** A running instance. */
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -6,7 +6,7 @@
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import { waitMs } from './clock.js';
-import type { JobReply, JobRequest } from './job-request.js';
+import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import type { PeerClient } from './peers.js';
 import type { PoolRunner } from './pool-runner.js';
 
@@ -35,7 +35,6 @@
   return `pool/${pool}`;
 }
 
-const RETRY_AFTER_MS = 1_000;
 const SUBMIT_TIMEOUT_MS = 1_000;
 const ASK_TIMEOUT_MS = 700;
 
--- a/packages/daemon/src/lib/jobs/job-metrics.ts
+++ b/packages/daemon/src/lib/jobs/job-metrics.ts
@@ -1,6 +1,6 @@
 /** Counters and latency histograms of an instance that plans jobs, in the text format of Prometheus. */
-import { build, type Histogram } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
+import { createLatencies } from '../latencies.js';
 
 /** Metrics of one instance. */
 export interface JobMetrics {
@@ -10,20 +10,13 @@
 }
 
 const QUANTILES = [0.5, 0.9, 0.99] as const;
-const PERCENT = 100;
-const MICROSECONDS_PER_MS = 1000;
-const HIGHEST_MICROSECONDS = 60_000_000;
-
-/** Creates an empty histogram of microseconds. */
-function createHistogram(): Histogram {
-  return build({ highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2 });
-}
+const HIGHEST_SECONDS = 60;
 
 /** Creates the metrics. */
 export function createJobMetrics(): JobMetrics {
   const registry = new Registry();
   const registers = [registry];
-  const histograms = new Map<string, Histogram>();
+  const latencies = createLatencies(QUANTILES, HIGHEST_SECONDS);
   const requests = new Counter({
     name: 'vanilladock_job_requests_total',
     help: 'Answered requests about jobs by kind and outcome.',
@@ -50,19 +43,13 @@
   return {
     observeRequest: (kind, outcome, durationMs) => {
       requests.inc({ kind, outcome });
-      const histogram = histograms.get(kind) ?? createHistogram();
-      histograms.set(kind, histogram);
-      const microseconds = Math.round(durationMs * MICROSECONDS_PER_MS);
-      histogram.recordValue(Math.min(microseconds, HIGHEST_MICROSECONDS));
+      latencies.observe(kind, durationMs);
     },
     observeDecision: (event) => decisions.inc({ event }),
     render: () => {
       memory.set(process.memoryUsage.rss());
-      histograms.forEach((histogram, kind) =>
-        QUANTILES.forEach((quantile) => {
-          const value = histogram.getValueAtPercentile(quantile * PERCENT);
-          latency.set({ kind, quantile }, value / MICROSECONDS_PER_MS / MICROSECONDS_PER_MS);
-        }),
+      latencies.forEachQuantile((kind, quantile, seconds) =>
+        latency.set({ kind, quantile }, seconds),
       );
       return registry.metrics();
     },
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -3,6 +3,9 @@
 import type { PoolDemand } from 'vanilladock/lib/lending/plan-lending.js';
 import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
 
+/** When a request that could not be served now is worth repeating. */
+export const RETRY_AFTER_MS = 1_000;
+
 /** A request about a job, for the planner of its pool. */
 export type JobRequest =
   | {
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -5,7 +5,7 @@
 import { createServer, type Server } from 'node:http';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createHttpClient, encodeJsonBody, JSON_HEADERS } from '../http-client.js';
-import type { JobReply, JobRequest } from './job-request.js';
+import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 
 /** Calls to peers. */
 export interface PeerClient {
@@ -17,7 +17,6 @@
 
 const JOBS_PATH = '/jobs';
 const SILENT_PAUSE_MS = 700;
-const RETRY_AFTER_MS = 1_000;
 const HTTP_OK = 200;
 const MAX_BODY_BYTES = 1_048_576;
 
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -14,23 +14,28 @@
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
-import { answerRequest, RETRY_AFTER_MS } from './answer-request.js';
-import type { JobReply, JobRequest } from './job-request.js';
+import { answerRequest } from './answer-request.js';
+import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import { createPoolKeeper } from './pool-keeper.js';
 import { createPoolStore } from './pool-store.js';
 import { startWorkerLoop, type WorkerLoop } from './worker-loop.js';
 
-/** What a runner needs. */
-export interface PoolRunnerOptions {
-  readonly pool: string;
-  readonly claim: Claim;
+/** What every runner is given by its instance, whichever pools it holds. */
+export interface PoolSources {
   readonly store: KeyedStore;
   readonly storePartitions: number;
   readonly workers: TaskWorkers;
   readonly advisor: Advisor;
+  /** Entries of all workers by id. */
   readonly entries: BehaviorSubject<ReadonlyMap<string, WorkerEntry>>;
   readonly statusMs: number;
   readonly log: JsonLog;
+}
+
+/** What a runner needs. */
+export interface PoolRunnerOptions extends PoolSources {
+  readonly pool: string;
+  readonly claim: Claim;
   readonly handleLost: (why: string) => void;
 }
 
--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -10,7 +10,8 @@
 /** What the duty remembers of one wave. */
 interface WaveMemory {
   readonly emptyingSinceMs: Map<string, number>;
-  readonly contents: Map<string, WorkerContent>;
+  /** Contents of workers by id, as told since the last plan. */
+  contents: Map<string, WorkerContent>;
   readonly held: Set<string>;
   published: 'none' | 'running' | 'completed';
 }
@@ -103,7 +104,7 @@
   const runWave = async (order: WaveOrder, instances: ReadonlyMap<string, FleetInstance>) => {
     const memory = getMemory(order.wave);
     const standby = config.value?.pools.filter((pool) => pool.isStandby) ?? [];
-    const contents = new Map(memory.contents);
+    const { contents } = memory;
     const plan = planWave({
       order,
       instances,
@@ -114,7 +115,7 @@
       nowMs: performance.now(),
     });
     memory.held.clear();
-    memory.contents.clear();
+    memory.contents = new Map();
     [...memory.emptyingSinceMs.keys()]
       .filter((id) => !plan.empty.includes(id))
       .forEach((id) => memory.emptyingSinceMs.delete(id));
--- a/packages/daemon/src/lib/metrics.ts
+++ b/packages/daemon/src/lib/metrics.ts
@@ -2,9 +2,9 @@
  * Metrics of one entry: counts of answers and refusals, and latency quantiles from high dynamic range
  * histograms, shown in the text format of Prometheus.
  */
-import { build, type Histogram } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
 import { controlMeter } from './control-bytes.js';
+import { createLatencies } from './latencies.js';
 
 /** One finished request as metrics see it. */
 export interface AnswerObservation {
@@ -42,25 +42,17 @@
 }
 
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
-const PERCENT = 100;
-const MICROSECONDS_PER_MS = 1000;
-const MICROSECONDS_PER_SECOND = 1_000_000;
-const HIGHEST_MICROSECONDS = 86_400 * MICROSECONDS_PER_SECOND;
+const HIGHEST_SECONDS = 86_400;
 
 /** Code of an answer that came from an upstream. */
 export const OK_CODE = 'ok';
 
-/** Creates an empty histogram of microseconds. */
-function createHistogram(): Histogram {
-  return build({ highestTrackableValue: HIGHEST_MICROSECONDS, numberOfSignificantValueDigits: 2 });
-}
-
 /** Creates the metrics of one entry. */
 export function createMetrics(sources: MetricSources): Metrics {
   const registry = new Registry();
   const registers = [registry];
   const refusals = new Map<string, RefusalCount>();
-  const histograms = new Map<string, Histogram>();
+  const latencies = createLatencies(QUANTILES, HIGHEST_SECONDS);
   let answers = 0;
   const requests = new Counter({
     name: 'vanilladock_requests_total',
@@ -80,11 +72,8 @@
     labelNames: ['service', 'quantile'] as const,
     registers,
     collect() {
-      histograms.forEach((histogram, service) =>
-        QUANTILES.forEach((quantile) => {
-          const value = histogram.getValueAtPercentile(quantile * PERCENT);
-          this.set({ service, quantile }, value / MICROSECONDS_PER_SECOND);
-        }),
+      latencies.forEachQuantile((service, quantile, seconds) =>
+        this.set({ service, quantile }, seconds),
       );
     },
   });
@@ -132,18 +121,12 @@
     refusals.set(key, { team, urgency, code, count });
     refused.inc({ team, urgency, code });
   };
-  const addLatency = ({ service, durationMs }: AnswerObservation) => {
-    const histogram = histograms.get(service) ?? createHistogram();
-    histograms.set(service, histogram);
-    const microseconds = Math.round(durationMs * MICROSECONDS_PER_MS);
-    histogram.recordValue(Math.min(microseconds, HIGHEST_MICROSECONDS));
-  };
   return {
     observeAnswer: (observation) => {
-      const { service, urgency, code } = observation;
+      const { service, urgency, code, durationMs } = observation;
       answers += 1;
       requests.inc({ service, urgency, code });
-      if (code === OK_CODE) addLatency(observation);
+      if (code === OK_CODE) latencies.observe(service, durationMs);
       else addRefusal(observation);
     },
     listRefusals: () => [...refusals.values()],
