--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -73,6 +73,7 @@
   const table = createClaimTable();
   const held = new BehaviorSubject<ReadonlyMap<string, Claim>>(new Map());
   const vacantSinceMs = new Map<string, number>();
+  const droppedTokens = new Map<string, number>();
   let nextOffset: number | undefined;
   let isStopped = false;
   let startedMs = 0;
@@ -86,10 +87,29 @@
     held.next(next);
   };
   const dropDuty = (duty: string, why: string) => {
-    if (!held.value.has(duty)) return;
-    log.warn({ event: 'duty-lost', duty, why, token: held.value.get(duty)?.token });
+    const claim = held.value.get(duty);
+    if (claim === undefined) return;
+    log.warn({ event: 'duty-lost', duty, why, token: claim.token });
+    droppedTokens.set(duty, claim.token);
     setHeld(duty, undefined);
   };
+  /** Takes a duty up, unless this claim on it is held or was given up already. */
+  const takeDuty = (claim: Claim) => {
+    const known = Math.max(
+      held.value.get(claim.duty)?.token ?? -1,
+      droppedTokens.get(claim.duty) ?? -1,
+    );
+    if (isStopped || claim.token <= known) return;
+    log.info({ event: 'duty-held', ...claim });
+    setHeld(claim.duty, claim);
+  };
+  /** Takes up claims of this instance whose answers were lost. */
+  const takeOwnClaims = () => {
+    listDuties().forEach((duty) => {
+      const newest = table.findClaim(duty);
+      if (newest?.holder === self.id) takeDuty(newest);
+    });
+  };
   const checkHeld = () => {
     held.value.forEach((claim, duty) => {
       const newest = table.findClaim(duty);
@@ -118,7 +138,7 @@
       return nextOffset !== at;
     }
     if (outcome.kind !== 'stored' || isStopped) return false;
-    setHeld(duty, { duty, holder: self.id, token: outcome.offset });
+    takeDuty({ duty, holder: self.id, token: outcome.offset });
     return true;
   };
   const listVacant = (nowMs: number) => {
@@ -195,6 +215,7 @@
         records.forEach((record) => table.apply(record, performance.now()));
         nextOffset = next;
         checkHeld();
+        takeOwnClaims();
       });
       void runClaims();
       void runHeartbeats();
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -43,4 +43,43 @@
   assert.ok(claims <= 8, `${claims} claims in two seconds`);
 });
 
+// Guards against a pool without a planner: its claim was stored, but the answer to it was lost.
+test('a claim without an answer is taken up when it is read back', async () => {
+  const clock = install({ now: 0 });
+  const claims: { key: string; value: string | undefined; offset: number }[] = [];
+  const store: KeyedStore = {
+    append: ({ partition }, records) => {
+      if (partition !== 0) return Promise.resolve({ kind: 'stored', offset: 1, end: 2 });
+      claims.push(...records.map((record) => ({ ...record, offset: claims.length })));
+      return Promise.resolve({ kind: 'unknown', reason: 'timeout' });
+    },
+    read: async ({ partition }, from) => {
+      if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
+      await new Promise((resolve) => {
+        setTimeout(resolve, 100);
+      });
+      const end = claims.length;
+      return { kind: 'records', records: claims.slice(from), next: end, end };
+    },
+    readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
+  };
+  const duties = createDutyClaims({
+    store,
+    self: SELF,
+    listDuties: () => ['pool/stalls'],
+    handleContact: () => {},
+    log: SILENT_LOG,
+  });
+  duties.start();
+  await clock.tickAsync(2 * SECOND_MS);
+  const held = duties.held.value.get('pool/stalls');
+  duties.dropDuty('pool/stalls', 'worker-fenced');
+  await clock.tickAsync(SECOND_MS);
+  const heldAgain = duties.held.value.get('pool/stalls');
+  void duties.stop();
+  clock.uninstall();
+  assert.is(held?.token, 0, 'the instance holds the claim that the store has');
+  assert.is(heldAgain, undefined, 'a claim that was given up is not taken up again');
+});
+
 test.run();
