--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -13,9 +13,13 @@
   type Claim,
   type Member,
 } from 'vanilladock/lib/duties/claim-table.js';
+import type { DutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
-import { waitMs } from './clock.js';
+import { readMoment, waitMs } from './clock.js';
+import { createDutyAuthority } from './duty-authority.js';
+import { createDutyNotices } from './duty-notices.js';
+import type { SentNotice } from './peers.js';
 import { watchTopic } from './topic-follower.js';
 
 /** Partition of claims: it grows only with them, so that a conditional append seldom fails. */
@@ -33,6 +37,12 @@
     duty: string,
   ) => { readonly claim: Claim; readonly member: Member } | undefined;
   readonly listMembers: () => readonly Member[];
+  /** Says whether orders may be given under a claim now. */
+  readonly isInForce: (claim: Claim) => boolean;
+  /** Takes in a holder's notice and says what is known of its duties. */
+  readonly answerNotice: (notice: SentNotice) => DutyView;
+  /** Resolves to whether the holder before a claim of this instance has surely stopped. */
+  readonly askPredecessor: (claim: Claim) => Promise<boolean>;
   readonly start: () => void;
   /** Gives up a duty after another holder's token was seen. */
   readonly dropDuty: (duty: string, why: string) => void;
@@ -46,12 +56,24 @@
   readonly self: Member;
   readonly listDuties: () => readonly string[];
   readonly handleContact: () => void;
+  /** Steady time of the store's last answer. */
+  readonly getStoreContactMs: () => number;
+  readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
   readonly log: JsonLog;
 }
 
+/** A claim that was sent, with the claim that it follows. */
+interface SentClaim {
+  readonly at: number;
+  readonly previous: Claim | undefined;
+}
+
 const TICK_MS = 250;
 const POLL_MS = 1_000;
 
+/** A holder looks this often for newer claims, so that its authority never lapses on a calm store. */
+const HOLDER_POLL_MS = 500;
+
 /** Pause after a claim, by which the record of it has been read unless the store is slow. */
 const CLAIM_RETRY_MS = 30;
 
@@ -69,11 +91,14 @@
 
 /** Creates the claims of one instance. */
 export function createDutyClaims(options: ClaimOptions): DutyClaims {
-  const { store, self, listDuties, handleContact, log } = options;
+  const { store, self, listDuties, handleContact, log, getStoreContactMs } = options;
   const table = createClaimTable();
   const held = new BehaviorSubject<ReadonlyMap<string, Claim>>(new Map());
   const vacantSinceMs = new Map<string, number>();
   const droppedTokens = new Map<string, number>();
+  const sentClaims = new Map<string, SentClaim>();
+  /** Claims sent whose outcome is not known. */
+  const openClaims = new Set<string>();
   let nextOffset: number | undefined;
   let isStopped = false;
   let startedMs = 0;
@@ -121,6 +146,9 @@
     if (nextOffset === undefined) return false;
     const previous = table.findClaim(duty);
     const at = nextOffset;
+    const sent = readMoment();
+    sentClaims.set(duty, { at, previous });
+    openClaims.add(duty);
     const outcome = await store.append(CLAIMS, [encodeClaim(duty, self)], {
       kind: 'end',
       offset: at,
@@ -133,12 +161,16 @@
       previousHolder: previous?.holder,
       previousToken: previous?.token,
     });
+    if (outcome.kind !== 'unknown' && outcome.kind !== 'stored') openClaims.delete(duty);
     if (outcome.kind === 'end-moved') {
       await waitMs(CLAIM_RETRY_MS);
       return nextOffset !== at;
     }
     if (outcome.kind !== 'stored' || isStopped) return false;
-    takeDuty({ duty, holder: self.id, token: outcome.offset });
+    const claim = { duty, holder: self.id, token: outcome.offset };
+    authority.observeClaim(claim, sent);
+    takeDuty(claim);
+    openClaims.delete(duty);
     return true;
   };
   const listVacant = (nowMs: number) => {
@@ -185,15 +217,48 @@
     while (!isStopped) {
       const sentMs = performance.now();
       const outcome = await store.append(MEMBERS, [encodeHeartbeat(self)], { kind: 'none' });
-      if (outcome.kind === 'stored') handleContact();
+      if (outcome.kind === 'stored') {
+        handleContact();
+        authority.observeHeartbeat(sentMs);
+      }
       await waitMs(Math.max(0, HEARTBEAT_MS - (performance.now() - sentMs)));
     }
   };
   const follow = { store, handleContact, log, pollMs: POLL_MS };
-  const newClaims = watchTopic({ ...follow, where: CLAIMS, pauseMs: 0 });
+  const newClaims = watchTopic({
+    ...follow,
+    where: CLAIMS,
+    pauseMs: 0,
+    getPollMs: () => (held.value.size > 0 ? HOLDER_POLL_MS : POLL_MS),
+    handleRead: (sent) => authority.observeRead(sent),
+  });
   const heartbeats = watchTopic({ ...follow, where: MEMBERS, pauseMs: TICK_MS });
+  const listMembers = () => table.listMembers(Math.min(performance.now(), contactMs));
+  const notices = createDutyNotices({
+    self,
+    table,
+    held,
+    openClaims,
+    findPrevious: (duty) => sentClaims.get(duty)?.previous,
+    sendNotice: options.sendNotice,
+    getStoreContactMs,
+    dropDuty,
+    isStopped: () => isStopped,
+    log,
+  });
+  const authority = createDutyAuthority({
+    listHeld: () => [...held.value.values()],
+    listPeers: () => listMembers().filter(({ id }) => id !== self.id),
+    sendNotice: notices.send,
+    getStoreContactMs,
+    dropDuty,
+    log,
+  });
   return {
     held,
+    isInForce: authority.isInForce,
+    answerNotice: notices.answer,
+    askPredecessor: notices.askPredecessor,
     findHolder: (duty) => {
       const nowMs = Math.min(performance.now(), contactMs);
       const claim = held.value.get(duty) ?? table.findLiveClaim(duty, nowMs);
@@ -201,7 +266,7 @@
       const member = claim.holder === self.id ? self : table.findMember(claim.holder, nowMs);
       return member === undefined ? undefined : { claim, member };
     },
-    listMembers: () => table.listMembers(Math.min(performance.now(), contactMs)),
+    listMembers,
     start: () => {
       startedMs = performance.now();
       contactMs = startedMs;
@@ -214,15 +279,20 @@
       newClaims.subscribe(({ records, next }) => {
         records.forEach((record) => table.apply(record, performance.now()));
         nextOffset = next;
+        sentClaims.forEach(({ at }, duty) => {
+          if (next > at) openClaims.delete(duty);
+        });
         checkHeld();
         takeOwnClaims();
       });
       void runClaims();
       void runHeartbeats();
+      authority.start();
     },
     dropDuty,
     stop: async () => {
       isStopped = true;
+      authority.stop();
       const releases = [...held.value.keys()].map((duty) => encodeClaim(duty, undefined));
       held.next(new Map());
       const outcome = await store.append(CLAIMS, releases, { kind: 'none' });
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -54,6 +54,8 @@
     self,
     listDuties,
     handleContact: recordStoreContact,
+    getStoreContactMs: () => lastStoreMs,
+    sendNotice: peers.sendNotice,
     log,
   });
   const startRunner = (pool: string) => {
@@ -64,6 +66,8 @@
       ...options,
       pool,
       claim,
+      isInForce: () => claims.isInForce(claim),
+      askPredecessor: () => claims.askPredecessor(claim),
       handleLost: (why) => {
         runners.delete(pool);
         claims.dropDuty(duty, why);
@@ -103,7 +107,10 @@
     });
     config.value?.pools.forEach(({ name }) => startRunner(name));
   });
-  const server = await startPeerServer(options.peerHost, options.peerPort, gateway.answerLocally);
+  const server = await startPeerServer(options.peerHost, options.peerPort, {
+    answer: gateway.answerLocally,
+    answerNotice: claims.answerNotice,
+  });
   claims.start();
   return {
     gateway,
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -3,12 +3,19 @@
  * HTTP on a port of their own. A peer that did not answer in time is left alone for a moment.
  */
 import { createServer, type Server } from 'node:http';
+import type { DutyNotice, DutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createHttpClient, encodeJsonBody, JSON_HEADERS } from '../http-client.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 
+/** A notice with its sender. */
+export interface SentNotice extends DutyNotice {
+  readonly member: Member;
+}
+
 /** Calls to peers. */
 export interface PeerClient {
+  readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
   readonly send: (peer: Member, request: JobRequest, timeoutMs: number) => Promise<JobReply>;
   /** Steady time of the last answer of any peer. */
   readonly getLastContactMs: () => number;
@@ -16,6 +23,8 @@
 }
 
 const JOBS_PATH = '/jobs';
+const DUTIES_PATH = '/duties';
+const NOTICE_TIMEOUT_MS = 400;
 const SILENT_PAUSE_MS = 700;
 const HTTP_OK = 200;
 const MAX_BODY_BYTES = 1_048_576;
@@ -29,6 +38,19 @@
   const silentUntilMs = new Map<string, number>();
   let lastContactMs = -Infinity;
   return {
+    sendNotice: async (peer, notice) => {
+      const outcome = await http.send({
+        address: peer.address,
+        method: 'POST',
+        path: DUTIES_PATH,
+        headers: JSON_HEADERS,
+        body: encodeJsonBody(notice),
+        timeoutMs: NOTICE_TIMEOUT_MS,
+      });
+      if (outcome.kind !== 'answer' || outcome.status !== HTTP_OK) return { kind: 'silent' };
+      const view = JSON.parse(outcome.body.toString('utf8')) as DutyView;
+      return { kind: 'answered', view };
+    },
     send: async (peer, request, timeoutMs) => {
       if ((silentUntilMs.get(peer.id) ?? 0) > performance.now()) {
         return { kind: 'unavailable', why: 'peer-silent', retryAfterMs: RETRY_AFTER_MS };
@@ -57,11 +79,17 @@
   };
 }
 
+/** What answers peers' calls. */
+export interface PeerAnswers {
+  readonly answer: (request: JobRequest) => Promise<JobReply>;
+  readonly answerNotice: (notice: SentNotice) => DutyView;
+}
+
 /** Starts the server for peers' calls. */
 export function startPeerServer(
   host: string,
   port: number,
-  answer: (request: JobRequest) => Promise<JobReply>,
+  { answer, answerNotice }: PeerAnswers,
 ): Promise<Server> {
   const server = createServer((request, response) => {
     const chunks: Buffer[] = [];
@@ -72,11 +100,13 @@
       else chunks.push(chunk);
     });
     request.once('end', () => {
-      const asked = JSON.parse(Buffer.concat(chunks).toString('utf8')) as JobRequest;
-      void answer(asked).then((reply) => {
+      const asked = JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+      const sendReply = (reply: JobReply | DutyView) => {
         response.writeHead(HTTP_OK, { 'content-type': 'application/json' });
         response.end(JSON.stringify(reply));
-      });
+      };
+      if (request.url === DUTIES_PATH) sendReply(answerNotice(asked as SentNotice));
+      else void answer(asked as JobRequest).then(sendReply);
     });
   });
   server.keepAliveTimeout = 30_000;
--- a/packages/daemon/src/lib/jobs/pool-keeper.ts
+++ b/packages/daemon/src/lib/jobs/pool-keeper.ts
@@ -41,8 +41,10 @@
     const ids = planner.listLeaseHolders();
     const recorded = new Set(meta.workers);
     planner.markWorkersRecorded(ids.filter((id) => recorded.has(id)));
-    if (ids.length === recorded.size && ids.every((id) => recorded.has(id))) return;
-    const next = { ...meta, workers: ids };
+    const isSettled = planner.isSettled(performance.now());
+    const isSame = ids.length === recorded.size && ids.every((id) => recorded.has(id));
+    if (isSame && isSettled === meta.isSettled) return;
+    const next = { ...meta, workers: ids, isSettled };
     const outcome = await store.write([store.encodeMeta(next)]);
     if (outcome !== 'stored') return;
     meta = next;
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -36,6 +36,10 @@
 export interface PoolRunnerOptions extends PoolSources {
   readonly pool: string;
   readonly claim: Claim;
+  /** Says whether orders may be given under the claim now. */
+  readonly isInForce: () => boolean;
+  /** Resolves to whether the planner before this one has surely stopped. */
+  readonly askPredecessor: () => Promise<boolean>;
   readonly handleLost: (why: string) => void;
 }
 
@@ -160,7 +164,9 @@
   const runPlan = () => {
     isPlanDue = false;
     if (planner === undefined || isStopped) return;
-    planner.plan(readMoment()).forEach((action) => void runAction(action));
+    if (options.isInForce()) {
+      planner.plan(readMoment()).forEach((action) => void runAction(action));
+    }
     void keeper.writeDirty();
   };
   const keeper = createPoolKeeper({
@@ -190,8 +196,11 @@
         planner: active,
         workers,
         fencingToken: claim.token,
+        isInForce: options.isInForce,
         handleReport,
-        handlePaces: (paces) => paces.forEach((pace) => void runAction(pace)),
+        handlePaces: (paces) => {
+          if (options.isInForce()) paces.forEach((pace) => void runAction(pace));
+        },
         handleFenced: () => handleLoss('worker-fenced'),
       });
       loops.set(workerId, loop);
@@ -204,14 +213,27 @@
     openLoops();
     schedulePlan();
   };
+  /** Ends the wait for the predecessor's orders as soon as that has surely stopped. */
+  const waitPredecessor = async (asked: Promise<boolean>, isLastSettled: boolean) => {
+    const hasStopped = await asked;
+    // One that had not heard all workers yet may itself have followed a planner that still orders.
+    if (hasStopped && isLastSettled) planner?.observePredecessorStopped(readMoment());
+    loops.forEach((loop) => loop.wake());
+    schedulePlan();
+  };
   const load = async () => {
     const startedMs = performance.now();
+    const predecessor = options.askPredecessor();
     const found = await store.load();
     if (found === undefined) {
       handleLoss('store-fenced');
       return;
     }
-    const meta = { generation: found.meta.generation + 1, workers: found.meta.workers };
+    const meta = {
+      generation: found.meta.generation + 1,
+      workers: found.meta.workers,
+      isSettled: false,
+    };
     keeper.setMeta(meta);
     let outcome = await store.write([store.encodeMeta(meta)]);
     while (outcome === 'refused') {
@@ -227,10 +249,11 @@
       report: (event) => log.info({ pool, ...event }),
       runBase: found.meta.generation * RUNS_PER_GENERATION,
       inheritedWorkers: found.meta.workers,
-      startedMs: at.nowMs,
+      claimedMs: startedMs,
       statusMs: options.statusMs,
     });
     const active = planner;
+    void waitPredecessor(predecessor, found.meta.isSettled !== false);
     found.jobs.forEach(({ record, progress }) => active.loadJob(record, progress, at));
     log.info({
       event: 'pool-taken',
--- a/packages/daemon/src/lib/jobs/pool-store.ts
+++ b/packages/daemon/src/lib/jobs/pool-store.ts
@@ -21,6 +21,8 @@
   readonly generation: number;
   /** Workers that may hold leases. */
   readonly workers: readonly string[];
+  /** Says whether the newest planner has heard all workers of the one before; missing in old records. */
+  readonly isSettled?: boolean;
 }
 
 /** Everything that the store has of a pool. */
--- a/packages/daemon/src/lib/jobs/topic-follower.ts
+++ b/packages/daemon/src/lib/jobs/topic-follower.ts
@@ -9,7 +9,8 @@
   PartitionName,
   StoredKeyedRecord,
 } from 'vanilladock/lib/ports/keyed-store.js';
-import { waitMs } from './clock.js';
+import type { Moment } from 'vanilladock/lib/jobs/state.js';
+import { readMoment, waitMs } from './clock.js';
 
 /** What a follower hears: records in order; a snapshot names every key that there is. */
 export interface TopicEvent {
@@ -27,8 +28,12 @@
   readonly pauseMs: number;
   /** How long a read waits for a record. */
   readonly pollMs: number;
+  /** How long the next read waits, where that changes. */
+  readonly getPollMs?: () => number;
   /** Called after every answer of the store. */
   readonly handleContact: () => void;
+  /** Called when everything has been taken in that was stored when a read was sent. */
+  readonly handleRead?: (sent: Moment) => void;
   readonly log: JsonLog;
 }
 
@@ -49,6 +54,7 @@
       isLost = true;
     };
     const readSnapshot = async (): Promise<number | undefined> => {
+      const sent = readMoment();
       const newest = await store.readNewest(where);
       if (newest.kind === 'unavailable') {
         recordLoss(newest.reason);
@@ -57,16 +63,19 @@
       recordContact();
       const next = newest.end;
       subscriber.next({ kind: 'snapshot', records: newest.records, next });
+      options.handleRead?.(sent);
       return next;
     };
     const readOn = async (from: number): Promise<number | undefined> => {
-      const read = await store.read(where, from, pollMs);
+      const sent = readMoment();
+      const read = await store.read(where, from, options.getPollMs?.() ?? pollMs);
       switch (read.kind) {
         case 'records':
           recordContact();
           if (read.records.length > 0 || read.next !== from) {
             subscriber.next({ kind: 'records', records: read.records, next: read.next });
           }
+          if (read.next >= read.end) options.handleRead?.(sent);
           return read.next;
         case 'trimmed':
           recordContact();
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -14,6 +14,8 @@
   readonly planner: PoolPlanner;
   readonly workers: TaskWorkers;
   readonly fencingToken: number;
+  /** Says whether orders may be given under the claim now. */
+  readonly isInForce: () => boolean;
   /** Called after each report; resolves when the next renewal may be sent. */
   readonly handleReport: (workerId: string, at: Moment) => Promise<void>;
   readonly handlePaces: (actions: ReturnType<PoolPlanner['observeReport']>) => void;
@@ -56,9 +58,10 @@
     const isBusy = worker.tasks.size > 0 || worker.strays.size > 0;
     const sent = readMoment();
     // A renewal without an answer may have been carried out: while the worker is silent, no renewal
-    // extends its lease, so that the lease passes for sure and its tasks can run elsewhere.
+    // extends its lease, so that the lease passes for sure and its tasks can run elsewhere. Nor does
+    // one of a holder that may have been superseded, as its successor waits for the leases to pass.
     const leaseUntilMs =
-      worker.clock === undefined || !isBusy || worker.misses > 0
+      worker.clock === undefined || !isBusy || worker.misses > 0 || !options.isInForce()
         ? undefined
         : Math.round(estimateWorkerMs(worker.clock, sent.nowMs) + LEASE_MS);
     if (leaseUntilMs !== undefined) {
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -33,6 +33,8 @@
     self: SELF,
     listDuties: () => ['pool/stalls'],
     handleContact: () => {},
+    getStoreContactMs: () => 0,
+    sendNotice: () => Promise.resolve({ kind: 'silent' }),
     log: SILENT_LOG,
   });
   duties.start();
@@ -68,6 +70,8 @@
     self: SELF,
     listDuties: () => ['pool/stalls'],
     handleContact: () => {},
+    getStoreContactMs: () => 0,
+    sendNotice: () => Promise.resolve({ kind: 'silent' }),
     log: SILENT_LOG,
   });
   duties.start();
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -35,6 +35,7 @@
     listMembers: () => [PEER, OTHER],
     selfId: 'a~1',
     peers: {
+      sendNotice: () => Promise.resolve({ kind: 'silent' }),
       send: async (peer) => {
         asked.push(peer.id);
         return replies[Math.min(asked.length, replies.length) - 1]!;
--- a/packages/daemon/src/test/pool-keeper.test.ts
+++ b/packages/daemon/src/test/pool-keeper.test.ts
@@ -18,6 +18,7 @@
       writes < WRITES
         ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
         : undefined,
+    isSettled: () => true,
     listLeaseHolders: () => (writes < NEW_WORKER_AT ? ['w1'] : ['w1', 'w2']),
     markWorkersRecorded: (ids: readonly string[]) =>
       ids
--- a/packages/daemon/src/test/worker-loop.test.ts
+++ b/packages/daemon/src/test/worker-loop.test.ts
@@ -59,20 +59,21 @@
     setTimeout(resolve, ms);
   });
 
-test('renewals of a silent worker extend no lease, so that its tasks are free in bounded time', async () => {
+/** Starts a loop at a worker that runs one task; `renew` may be made silent, the claim may lapse. */
+const openLoop = async () => {
   const planner = createPoolPlanner('stalls', {
     report: () => {},
     runBase: 0,
     inheritedWorkers: [],
-    startedMs: 0,
+    claimedMs: 0,
     statusMs: 1000,
   });
   const makeMoment = () => ({ nowMs: performance.now(), wallMs: Date.now() });
   const orders: RenewOrder[] = [];
-  let isSilent = false;
+  const state = { isSilent: false, isInForce: true };
   const renew = async (_: unknown, order: RenewOrder): Promise<RenewOutcome> => {
     orders.push(order);
-    if (isSilent) return { kind: 'unknown' };
+    if (state.isSilent) return { kind: 'unknown' };
     await waitFor(5);
     const running = [...(planner.table.workers.get('w1')?.tasks ?? [])].map((taskKey) => ({
       taskKey,
@@ -91,6 +92,7 @@
     planner,
     workers: { renew } as unknown as TaskWorkers,
     fencingToken: 1,
+    isInForce: () => state.isInForce,
     handleReport: async () => {},
     handlePaces: () => {},
     handleFenced: () => {},
@@ -104,8 +106,13 @@
   });
   loop.wake();
   await waitFor(50);
+  return { planner, orders, state, loop };
+};
+
+test('renewals of a silent worker extend no lease, so that its tasks are free in bounded time', async () => {
+  const { planner, orders, state, loop } = await openLoop();
   assert.ok(orders.at(-1)!.leaseUntilMs !== undefined);
-  isSilent = true;
+  state.isSilent = true;
   const silentFrom = orders.length + 1;
   await waitFor(600);
   loop.stop();
@@ -116,4 +123,17 @@
   assert.ok(leaseUntilMs <= performance.now() + LEASE_MS);
 });
 
+// Guards against a task that runs twice: its lease is extended by a holder that a successor cannot reach.
+test('a holder whose claim is not confirmed extends no lease, and still looks at its workers', async () => {
+  const { orders, state, loop } = await openLoop();
+  assert.ok(orders.at(-1)!.leaseUntilMs !== undefined);
+  state.isInForce = false;
+  const lapsedFrom = orders.length;
+  await waitFor(50);
+  loop.stop();
+  const late = orders.slice(lapsedFrom);
+  assert.ok(late.length > 0);
+  assert.ok(late.every(({ leaseUntilMs }) => leaseUntilMs === undefined));
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -28,8 +28,12 @@
 /** Table of claims and members. */
 export interface ClaimTable {
   readonly apply: (record: StoredKeyedRecord, nowMs: number) => void;
+  /** Notes a sign of life that a member sent itself; a later life that is known goes before it. */
+  readonly observeMember: (member: Member, heardMs: number) => void;
   readonly listMembers: (nowMs: number) => readonly Member[];
   readonly findMember: (id: string, nowMs: number) => Member | undefined;
+  /** Finds a member whether it was heard lately or not; undefined when it left or has a later life. */
+  readonly findKnownMember: (id: string) => Member | undefined;
   /** Finds the newest claim of a duty, whether its holder lives or not. */
   readonly findClaim: (duty: string) => Claim | undefined;
   /** Finds the claim of a duty whose holder lives. */
@@ -72,11 +76,10 @@
     const found = [...members.values()].find(({ member }) => member.id === id);
     return found !== undefined && isAlive(found.heardMs, nowMs) ? found.member : undefined;
   };
-  /** A claim is a sign of life of its holder, unless a later life of it is known. */
-  const observeClaimant = (member: Member, nowMs: number) => {
+  const observeMember = (member: Member, heardMs: number) => {
     const found = members.get(member.name);
     if (found !== undefined && found.member.id !== member.id) return;
-    members.set(member.name, { member, heardMs: nowMs });
+    members.set(member.name, { member, heardMs: Math.max(heardMs, found?.heardMs ?? -Infinity) });
   };
   return {
     apply: ({ key, value, offset }, nowMs) => {
@@ -95,13 +98,16 @@
       const known = claims.get(duty);
       if (known !== undefined && known.token >= offset) return;
       claims.set(duty, { duty, holder, token: offset });
-      if (member !== undefined) observeClaimant(member, nowMs);
+      // A claim is a sign of life of its holder.
+      if (member !== undefined) observeMember(member, nowMs);
     },
+    observeMember,
     listMembers: (nowMs) =>
       [...members.values()]
         .filter(({ heardMs }) => isAlive(heardMs, nowMs))
         .map(({ member }) => member),
     findMember,
+    findKnownMember: (id) => [...members.values()].find(({ member }) => member.id === id)?.member,
     findClaim: (duty) => claims.get(duty),
     findLiveClaim: (duty, nowMs) => {
       const claim = claims.get(duty);
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -60,6 +60,10 @@
   ) => readonly PaceAction[];
   readonly observeMiss: (workerId: string, at: Moment) => void;
   readonly observeLifeEnd: (workerId: string, why: LifeEnd) => void;
+  /** Notes that the planner before this one gives no more orders. */
+  readonly observePredecessorStopped: (at: Moment) => void;
+  /** Says whether no order of an earlier planner can take effect any more. */
+  readonly isSettled: (nowMs: number) => boolean;
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
   readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
   /** Keeps new tasks off a worker for a moment, moves its lasting ones, and says what it has, once that is known. */
@@ -197,11 +201,13 @@
       }
       if (worker.misses > 0) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, workerId, timed, at);
-      lives.markHeard(workerId);
+      lives.markHeard(workerId, timed.sentMs);
       return planPaces(context, workerId, at);
     },
     observeMiss: lives.observeMiss,
     observeLifeEnd: lives.observeLifeEnd,
+    observePredecessorStopped: ({ nowMs }) => lives.observePredecessorStopped(nowMs),
+    isSettled: (nowMs) => !lives.isInheritanceDoubtful(nowMs),
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
     evacuate: (workerId, at) => {
@@ -230,10 +236,11 @@
         const isPast = at.nowMs - worker.answeredMs > BARRED_MS && worker.tasks.size === 0;
         if (worker.failedJobs.length > 0 && isPast) table.updateWorker(id, { failedJobs: [] });
       });
+      const isInheritanceDoubtful = lives.isInheritanceDoubtful(at.nowMs);
       const stops = planStops(context, at);
       const starts = planStarts(context, {
         at,
-        isInheritanceDoubtful: lives.isInheritanceDoubtful(at.nowMs),
+        isInheritanceDoubtful,
         getMeanWork,
         tickets,
       });
--- a/packages/vanilladock/src/lib/jobs/worker-lives.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-lives.ts
@@ -3,6 +3,7 @@
  * earlier planner.
  */
 import type { WorkerEntry } from '../ports/task-workers.js';
+import { SUCCESSION_MS } from '../duties/authority.js';
 import { releaseTask } from './apply-ends.js';
 import { CLOCK_DRIFT, hasLeasePassed, LEASE_MS } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
@@ -12,7 +13,8 @@
 export interface LivesOptions {
   /** Workers that may hold leases from an earlier planner. */
   readonly inheritedWorkers: readonly string[];
-  readonly startedMs: number;
+  /** When the successor's claim was known to be stored, or later. */
+  readonly claimedMs: number;
 }
 
 /** Lives of workers. */
@@ -23,12 +25,15 @@
   /** Keeps a worker free of new tasks for a while, also one whose entry comes later. */
   readonly markLeaving: (workerId: string, at: Moment) => void;
   readonly observeNewLife: (worker: Worker, bornMs: number) => void;
-  readonly markHeard: (workerId: string) => void;
+  /** Notes a report; one that was asked for before the earlier planner had stopped settles nothing. */
+  readonly markHeard: (workerId: string, sentMs: number) => void;
   /** Takes back the tasks of silent workers whose leases have surely passed. */
   readonly releaseSilent: (nowMs: number) => void;
+  /** Notes that the planner before this one gives no more orders. */
+  readonly observePredecessorStopped: (nowMs: number) => void;
   /** Says whether leases of an earlier planner may last. */
   readonly isWithinDoubt: (nowMs: number) => boolean;
-  /** Says whether a worker that may hold such a lease has not been heard yet. */
+  /** Says whether an earlier planner may still give orders, or a worker with such a lease was not heard yet. */
   readonly isInheritanceDoubtful: (nowMs: number) => boolean;
   readonly listLeaseHolders: () => readonly string[];
 }
@@ -49,7 +54,9 @@
   const endedLives = new Map<string, number>();
   /** Until when workers take no task, by id; some have no entry yet. */
   const leavingUntilMs = new Map<string, number>();
-  const doubtUntilMs = options.startedMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_SLACK_MS;
+  let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
+  const getDoubtUntilMs = () =>
+    predecessorUntilMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_SLACK_MS;
 
   const dropWorker = (worker: Worker, why: string) => {
     report({
@@ -153,15 +160,19 @@
       dropWorker(worker, 'new-life');
       table.addWorker({ ...worker.entry, bornMs });
     },
-    markHeard: (workerId) => {
-      unheard.delete(workerId);
+    markHeard: (workerId, sentMs) => {
+      if (sentMs >= predecessorUntilMs) unheard.delete(workerId);
     },
     releaseSilent: (nowMs) => {
-      if (nowMs > doubtUntilMs) unheard.clear();
+      if (nowMs > getDoubtUntilMs()) unheard.clear();
       releaseSilent(nowMs);
     },
-    isWithinDoubt: (nowMs) => nowMs < doubtUntilMs,
-    isInheritanceDoubtful: (nowMs) => unheard.size > 0 && nowMs < doubtUntilMs,
+    observePredecessorStopped: (nowMs) => {
+      predecessorUntilMs = Math.min(predecessorUntilMs, nowMs);
+    },
+    isWithinDoubt: (nowMs) => nowMs < getDoubtUntilMs(),
+    isInheritanceDoubtful: (nowMs) =>
+      nowMs < predecessorUntilMs || (unheard.size > 0 && nowMs < getDoubtUntilMs()),
     listLeaseHolders: () => [...new Set([...table.workers.keys(), ...unheard])],
   };
 }
--- /dev/null
+++ b/packages/vanilladock/src/test/duties-authority.test.ts
@@ -0,0 +1,54 @@
+/** For how long a holder may give orders, and what a round of notices confirms. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import {
+  AUTHORITY_MS,
+  decideRound,
+  hasAuthority,
+  SUCCESSION_MS,
+  type PeerOutcome,
+} from '../lib/duties/authority.js';
+
+const HELD = [
+  { duty: 'pool/stalls', holder: 'a~1', token: 4 },
+  { duty: 'pool/kilns', holder: 'a~1', token: 5 },
+];
+const KNOWS_NOTHING: PeerOutcome = { kind: 'answered', view: { newer: [], claiming: [] } };
+const START = { nowMs: 0, wallMs: 1_000_000 };
+const WORKER_CALL_MS = 400;
+
+const test = suite('authority');
+
+test('a round confirms what no peer knows or sends a newer claim on', () => {
+  const newer = { duty: 'pool/stalls', holder: 'b~1', token: 9 };
+  const knows: PeerOutcome = { kind: 'answered', view: { newer: [newer], claiming: [] } };
+  const claims: PeerOutcome = {
+    kind: 'answered',
+    view: { newer: [], claiming: ['pool/stalls'] },
+  };
+  assert.equal(decideRound(HELD, [KNOWS_NOTHING]).confirmed, ['pool/stalls', 'pool/kilns']);
+  assert.equal(decideRound(HELD, [KNOWS_NOTHING, knows]), {
+    confirmed: ['pool/kilns'],
+    superseded: [newer],
+  });
+  assert.equal(decideRound(HELD, [claims]), { confirmed: ['pool/kilns'], superseded: [] });
+});
+
+// Guards against a task that runs twice: the peer that does not answer may be the new holder.
+test('a silent peer leaves everything unconfirmed', () => {
+  assert.equal(decideRound(HELD, [KNOWS_NOTHING, { kind: 'silent' }]).confirmed, []);
+});
+
+test('authority ends by the clock that has moved further', () => {
+  assert.is(hasAuthority(undefined, START), false);
+  assert.is(hasAuthority(START, { nowMs: AUTHORITY_MS - 1, wallMs: START.wallMs }), true);
+  assert.is(hasAuthority(START, { nowMs: AUTHORITY_MS, wallMs: START.wallMs }), false);
+  const woken = { nowMs: 10, wallMs: START.wallMs + AUTHORITY_MS };
+  assert.is(hasAuthority(START, woken), false, 'after a suspension');
+});
+
+test('a successor waits until the last order of the holder before it has ended', () => {
+  assert.ok(SUCCESSION_MS >= AUTHORITY_MS + WORKER_CALL_MS);
+});
+
+test.run();
--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -101,15 +101,22 @@
 }
 
 export function createHarness(
-  options: { readonly runBase?: number; readonly inheritedWorkers?: readonly string[] } = {},
+  options: {
+    readonly runBase?: number;
+    readonly inheritedWorkers?: readonly string[];
+    /** The planner before this one may still give orders. */
+    readonly hasPredecessor?: boolean;
+  } = {},
 ): Harness {
   const planner = createPoolPlanner(POOL, {
     report: () => {},
     runBase: options.runBase ?? 0,
     inheritedWorkers: options.inheritedWorkers ?? [],
-    startedMs: 0,
+    claimedMs: 0,
     statusMs: 60_000,
   });
+  if (options.hasPredecessor !== true)
+    planner.observePredecessorStopped({ nowMs: 0, wallMs: WALL_MS });
   const stored = new Map<string, string>();
   const makeMoment = (nowMs: number) => ({ nowMs, wallMs: WALL_MS + nowMs });
   const writeBatch = () => {
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -158,6 +158,23 @@
   assert.equal(planner.listLeaseHolders(), ['w1']);
 });
 
+// Guards against a task that runs twice: an older planner without the store starts it at a reborn worker.
+test('waits for a planner before it that may still give orders, and hears all workers again', () => {
+  const { planner, at, addWorkers, report, planStarts } = createHarness({
+    runBase: 100,
+    inheritedWorkers: ['w1'],
+    hasPredecessor: true,
+  });
+  const spec = makeJob('a');
+  planner.loadJob({ spec, policy: POLICY, acceptedAtMs: WALL_MS }, undefined, at(0));
+  addWorkers(10, makeEntry('w1'));
+  assert.is(planStarts(20).length, 0, 'the planner before may have started it');
+  planner.observePredecessorStopped(at(30));
+  assert.is(planStarts(40).length, 0, 'the worker was heard before the planner had stopped');
+  report('w1', 60, [], [], 50);
+  assert.is(planStarts(70).length, 1);
+});
+
 test('starts a task without an answer elsewhere only after the worker is known not to have it', () => {
   const { planner, addWorkers, submit, planStarts, at, report } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
