--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -80,6 +80,9 @@
 /** Members are given this long to appear before the first claim. */
 const SETTLE_MS = 450;
 
+/** Heartbeats are read more often than this from a store that is neither slow nor away. */
+const CONTACT_GAP_MS = 600;
+
 /** Heartbeats that were not read for this long say nothing about who lives. */
 const GAP_MS = 1_200;
 
@@ -104,6 +107,7 @@
   let startedMs = 0;
   let settledFromMs = 0;
   let contactMs = 0;
+  let heardSinceMs = 0;
 
   const setHeld = (duty: string, claim: Claim | undefined) => {
     const next = new Map(held.value);
@@ -242,6 +246,8 @@
     findPrevious: (duty) => sentClaims.get(duty)?.previous,
     sendNotice: options.sendNotice,
     getStoreContactMs,
+    getHeardSinceMs: () =>
+      performance.now() - contactMs > CONTACT_GAP_MS ? performance.now() : heardSinceMs,
     dropDuty,
     isStopped: () => isStopped,
     log,
@@ -272,7 +278,11 @@
       contactMs = startedMs;
       heartbeats.subscribe(({ records }) => {
         const nowMs = performance.now();
-        if (nowMs - contactMs > GAP_MS) settledFromMs = nowMs + SETTLE_AFTER_GAP_MS;
+        if (nowMs - contactMs > CONTACT_GAP_MS) heardSinceMs = nowMs;
+        if (nowMs - contactMs > GAP_MS) {
+          settledFromMs = nowMs + SETTLE_AFTER_GAP_MS;
+          vacantSinceMs.clear();
+        }
         contactMs = nowMs;
         records.forEach((record) => table.apply(record, performance.now()));
       });
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -26,6 +26,8 @@
   readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
   /** Steady time of the store's last answer. */
   readonly getStoreContactMs: () => number;
+  /** Steady time since when this instance has heard of members without a gap. */
+  readonly getHeardSinceMs: () => number;
   readonly dropDuty: (duty: string, why: string) => void;
   readonly isStopped: () => boolean;
   readonly log: JsonLog;
@@ -58,7 +60,11 @@
   };
   return {
     send,
-    answer: ({ held: named }) => {
+    answer: ({ member, storeAgeMs, held: named }) => {
+      // A holder that is cut off counts as heard when the store last answered it; while the store is slow
+      // or away for this instance as well, that says nothing about the holder.
+      const heardMs = Math.max(performance.now() - storeAgeMs, options.getHeardSinceMs());
+      table.observeMember(member, heardMs);
       named.forEach(({ duty, token }) => {
         const own = held.value.get(duty);
         if (own !== undefined && own.token < token) dropDuty(duty, 'holder-told');
--- a/packages/daemon/src/test/connections.test.ts
+++ b/packages/daemon/src/test/connections.test.ts
@@ -7,6 +7,8 @@
 import { createConnectionPool, FRESH_IDLE_MS } from '../lib/request/connection-pool.js';
 import { startHarness, waitFor } from './routing-harness.js';
 
+const LONG_ANSWER_BYTES = 40_000;
+
 const test = suite('connections');
 
 test('when kept connections go silent, an idempotent request is answered over a fresh one', async () => {
@@ -220,4 +222,36 @@
   });
 });
 
+/** Starts an upstream that answers each request's head with raw bytes. */
+const startRawUpstream = async (makeAnswer: (id: string) => Buffer) => {
+  const server = createServer((socket) => {
+    socket.on('data', (bytes) => {
+      const id = /vanilladock-request-id: *(\S+)/i.exec(bytes.toString('latin1'))?.[1] ?? '';
+      socket.write(makeAnswer(id));
+    });
+    socket.on('error', () => {});
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return { server, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+};
+
+// Guards against a wrong answer that looks whole: an answer to no request lies in the middle of it.
+test('an answer that is longer than it declared is not passed on as whole', async () => {
+  const harness = await startHarness({ upstreams: 1 });
+  const stray = 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray';
+  const raw = await startRawUpstream((id) => {
+    const body = Buffer.alloc(LONG_ANSWER_BYTES, `${id}\n`).toString();
+    const head = `HTTP/1.1 200 OK\r\nVanilladock-Request-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n`;
+    const middle = body.length / 2;
+    return Buffer.from(`${head}${body.slice(0, middle)}${stray}${body.slice(middle)}`);
+  });
+  harness.setAddress(0, raw.address);
+  const result = await harness.call({ id: 'mixed' });
+  assert.ok(result.status !== 200 || !result.isWhole, 'the caller takes it for whole');
+  raw.server.close();
+  await harness.close();
+});
+
 test.run();
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -2,6 +2,7 @@
 import { install, type Clock } from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
+import { SUCCESSION_MS } from 'vanilladock/lib/duties/authority.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type {
   KeyedRecord,
@@ -12,6 +13,7 @@
 
 const DUTY = 'pool/stalls';
 const SECOND_MS = 1_000;
+const READ_MS = 10;
 const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
 const NEVER = new Promise<never>(() => {});
 
@@ -49,7 +51,10 @@
       return append(partition, records);
     },
     read: async ({ partition }, from, waitMs) => {
-      await waitFor(partitions[partition]!.length > from ? 4 : waitMs);
+      const startedMs = performance.now();
+      const isIdle = () => partitions[partition]!.length <= from;
+      do await waitFor(READ_MS);
+      while (isIdle() && performance.now() - startedMs < waitMs);
       if (world.isStoreAway.has(name)) return { kind: 'unavailable', reason: 'status 503' };
       handleContact();
       const { length } = partitions[partition]!;
@@ -122,6 +127,30 @@
 
 const test = suite('duty authority');
 
+// Guards against lasting tasks that are ended one after the other by ever new holders under a slow store.
+test('a store that takes no heartbeats of a holder takes no duty from it, as its peers hear it', () =>
+  runCase(async ({ world, findHolder, listClaims, isInForce }, holder, clock) => {
+    world.lostHeartbeats.add(holder);
+    await clock.tickAsync(10 * SECOND_MS);
+    assert.is(findHolder(), holder);
+    assert.is(listClaims(), 1, 'no other instance has claimed');
+    assert.is(isInForce(holder), true);
+  }));
+
+// Guards against weak instances that take every duty in the moment in which the store is back.
+test('holders keep their duties when the store returns to the others first', () =>
+  runCase(async ({ world, findHolder, listClaims }, holder, clock) => {
+    ['a', 'b', 'c'].forEach((name) => world.isStoreAway.add(name));
+    await clock.tickAsync(5 * SECOND_MS);
+    world.isStoreAway.clear();
+    world.isStoreAway.add(holder);
+    await clock.tickAsync(SECOND_MS);
+    world.isStoreAway.clear();
+    await clock.tickAsync(5 * SECOND_MS);
+    assert.is(findHolder(), holder);
+    assert.is(listClaims(), 1, 'no other instance has claimed');
+  }));
+
 test('work goes on while the store is away for all and every peer answers', () =>
   runCase(async ({ world, isInForce }, holder, clock) => {
     ['a', 'b', 'c'].forEach((name) => world.isStoreAway.add(name));
@@ -134,7 +163,7 @@
   runCase(async ({ world, isInForce }, holder, clock) => {
     ['a', 'b', 'c'].forEach((name) => world.isStoreAway.add(name));
     world.silentPeers.add(['a', 'b', 'c'].find((name) => name !== holder)!);
-    await clock.tickAsync(2 * SECOND_MS);
+    await clock.tickAsync(SUCCESSION_MS);
     assert.is(isInForce(holder), false);
   }));
 
--- a/packages/vanilladock/src/lib/duties/authority.ts
+++ b/packages/vanilladock/src/lib/duties/authority.ts
@@ -7,10 +7,10 @@
 import type { Claim } from './claim-table.js';
 
 /** A holder may give orders for this long after it asked for what confirmed its claim. */
-export const AUTHORITY_MS = 1_200;
+export const AUTHORITY_MS = 2_000;
 
 /** A successor takes the orders of a holder that it cannot reach as ended this long after its claim. */
-export const SUCCESSION_MS = 1_800;
+export const SUCCESSION_MS = 2_600;
 
 /** What a holder tells its peers; it is a sign of life as well. */
 export interface DutyNotice {
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -15,6 +15,13 @@
   readonly why: 'not-wanted' | 'unconfirmed' | 'evacuation';
 }
 
+/** What planning stops depends on beside the tables. */
+export interface StopInputs {
+  readonly at: Moment;
+  /** Which tasks of inherited jobs are at work is not known yet. */
+  readonly isInheritanceDoubtful: boolean;
+}
+
 /** A stop whose effect is not listed yet is repeated after this time. */
 const REPEAT_STOP_MS = 500;
 
@@ -64,7 +71,7 @@
   context: PoolContext,
   worker: Worker,
   task: Task,
-  at: Moment,
+  { at, isInheritanceDoubtful }: StopInputs,
 ): StopAction['why'] | undefined {
   const { state } = task;
   if (state.kind !== 'assigned') return undefined;
@@ -73,11 +80,13 @@
   }
   const isCandidate = isLeaving(worker, at.nowMs) && context.table.findStep(task).isLasting;
   if (!isCandidate || state.phase !== 'running') return undefined;
+  if (isInheritanceDoubtful && context.table.jobs.get(task.jobId)?.isInherited) return undefined;
   return isMovable(context, task, at.nowMs) ? 'evacuation' : undefined;
 }
 
 /** Plans all stops that are due and marks them as sent. */
-export function planStops(context: PoolContext, at: Moment): readonly StopAction[] {
+export function planStops(context: PoolContext, inputs: StopInputs): readonly StopAction[] {
+  const { at } = inputs;
   const stops: StopAction[] = [];
   [...context.table.workers.values()].forEach((worker) => {
     const target = { id: worker.entry.id, address: worker.entry.address };
@@ -89,7 +98,7 @@
     [...worker.tasks].forEach((key) => {
       const task = context.table.findTask(key);
       if (task === undefined || task.state.kind !== 'assigned') return;
-      const why = planTaskStop(context, worker, task, at);
+      const why = planTaskStop(context, worker, task, inputs);
       if (why === undefined) return;
       const state: Assignment = { ...task.state, phase: 'stopping', stopSentMs: at.nowMs };
       context.table.moveTask(task, state);
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -237,7 +237,7 @@
         if (worker.failedJobs.length > 0 && isPast) table.updateWorker(id, { failedJobs: [] });
       });
       const isInheritanceDoubtful = lives.isInheritanceDoubtful(at.nowMs);
-      const stops = planStops(context, at);
+      const stops = planStops(context, { at, isInheritanceDoubtful });
       const starts = planStarts(context, {
         at,
         isInheritanceDoubtful,
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -175,6 +175,24 @@
   assert.is(planStarts(70).length, 1);
 });
 
+// Guards against more lasting tasks away than their step bears, after planners changed in quick succession.
+test('moves no inherited lasting task before all workers were heard', () => {
+  const { planner, at, addWorkers, report } = createHarness({
+    runBase: 100,
+    inheritedWorkers: ['w1', 'w22', 'unheard'],
+  });
+  const steps = [makeStep({ count: 3, isLasting: true, maxUnavailable: 2 })];
+  const record = { spec: makeJob('a', steps), policy: POLICY, acceptedAtMs: WALL_MS };
+  planner.loadJob(record, undefined, at(0));
+  addWorkers(1, makeEntry('w1'), makeEntry('w22'));
+  const rows = [0, 1].map((index) => makeRow(`a.0.0.${index}`, 1, { percent: 100 }));
+  report('w1', 5, rows);
+  planner.evacuate('w1', at(6));
+  assert.equal(listStops(planner.plan(at(7))), []);
+  planner.observeLifeEnd('unheard', 'ordered');
+  assert.is(listStops(planner.plan(at(8))).length, 1);
+});
+
 test('starts a task without an answer elsewhere only after the worker is known not to have it', () => {
   const { planner, addWorkers, submit, planStarts, at, report } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
