--- a/packages/daemon/src/lib/request/answer-stream.ts
+++ b/packages/daemon/src/lib/request/answer-stream.ts
@@ -15,11 +15,19 @@
   else socket.resetAndDestroy();
 }
 
+/** What passing an answer on depends on beside the answer. */
+export interface AnswerContext {
+  /** Whether the caller's connection closes after the answer. */
+  readonly isClosing: boolean;
+  /** Whether bytes beyond the answer came on its connection. */
+  readonly hasExcess: () => boolean;
+}
+
 /** Passes an answer on; resolves when the upstream's part is over. */
 export function sendAnswer(
   answer: IncomingMessage,
   response: ServerResponse,
-  isClosing: boolean,
+  { isClosing, hasExcess }: AnswerContext,
 ): Promise<StreamEnd> {
   return new Promise((resolve) => {
     const headers = buildAnswerHeaders(answer);
@@ -30,13 +38,18 @@
       resolve('cut');
     };
     answer.on('data', (chunk: Buffer) => {
+      // The last bytes would make the answer whole for the caller.
+      if (hasExcess()) {
+        resolve('cut');
+        return;
+      }
       if (!response.write(chunk)) answer.pause();
     });
     response.on('drain', () => answer.resume());
     answer.on('error', handleCut);
     answer.once('close', handleCut);
     answer.once('end', () => {
-      if (!answer.complete) {
+      if (!answer.complete || hasExcess()) {
         resolve('cut');
         return;
       }
--- a/packages/daemon/src/lib/request/attempt.ts
+++ b/packages/daemon/src/lib/request/attempt.ts
@@ -35,6 +35,8 @@
   readonly hasSent: () => boolean;
   /** Stops the attempt by destroying its connection. */
   readonly cancel: () => void;
+  /** Whether bytes beyond the answer came on its connection, so that its body may hold foreign ones. */
+  readonly hasExcess: () => boolean;
   /** Whether the request was sent whole; before that the connection cannot be used again. */
   readonly isSentWhole: () => boolean;
 }
@@ -158,20 +160,30 @@
   const { socket, agent } = connection;
   const before = socket.bytesWritten;
   let outgoing: ClientRequest | undefined;
+  let hasAnswered = false;
+  let hasExcess = false;
   const hasSent = () => socket.bytesWritten !== before;
   const result = new Promise<AttemptResult>((resolve) => {
-    const fail = (error: Error) =>
+    const fail = (error: Error) => {
+      // Node reports what it cannot parse behind a whole answer as an error of the request.
+      hasExcess ||= hasAnswered;
       resolve({
         kind: 'failed',
         failure: makeReset(hasSent(), error.message),
         isUpstreamFault: !connection.isReused,
       });
+    };
     try {
       const { method, path, headers } = head;
       outgoing = sendRequest({ agent, method, path, headers });
       outgoing.on('error', fail);
-      outgoing.on('close', () => fail(new Error('closed without an answer')));
-      outgoing.on('response', (answer) => resolve(classifyAnswer(answer, head, connection)));
+      outgoing.on('close', () => {
+        if (!hasAnswered) fail(new Error('closed without an answer'));
+      });
+      outgoing.on('response', (answer) => {
+        hasAnswered = true;
+        resolve(classifyAnswer(answer, head, connection));
+      });
       sendBody(outgoing);
     } catch (error) {
       connection.destroy();
@@ -183,6 +195,7 @@
     result,
     hasSent,
     cancel: () => connection.destroy(),
+    hasExcess: () => hasExcess,
     isSentWhole: () => outgoing?.writableFinished === true,
   };
 }
--- a/packages/daemon/src/lib/request/forward.ts
+++ b/packages/daemon/src/lib/request/forward.ts
@@ -176,7 +176,9 @@
   const stopped = new Promise<'stopped'>((resolve) => {
     guard.setHandler(() => resolve('stopped'));
   });
-  const end = await Promise.race([sendAnswer(answer, response, exchange.isClosing), stopped]);
+  const { isClosing } = exchange;
+  const sent = sendAnswer(answer, response, { isClosing, hasExcess: attempt.hasExcess });
+  const end = await Promise.race([sent, stopped]);
   switch (end) {
     case 'whole':
       if (!attempt.isSentWhole()) attempt.cancel();
--- a/packages/daemon/src/test/connections.test.ts
+++ b/packages/daemon/src/test/connections.test.ts
@@ -249,9 +249,9 @@
   });
   harness.setAddress(0, raw.address);
   const result = await harness.call({ id: 'mixed' });
-  assert.ok(result.status !== 200 || !result.isWhole, 'the caller takes it for whole');
   raw.server.close();
   await harness.close();
+  assert.ok(result.status !== 200 || !result.isWhole, 'the caller takes it for whole');
 });
 
 test.run();
--- a/packages/measure/src/lib/faults-call.ts
+++ b/packages/measure/src/lib/faults-call.ts
@@ -1,5 +1,11 @@
 /** Requests of the measurement of faults: each has an id of its own and an answer that can be checked. */
-import { request as sendRequest, type Agent, type ClientRequest } from 'node:http';
+import {
+  request as sendRequest,
+  type Agent,
+  type ClientRequest,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+} from 'node:http';
 import { buildAnswerBody } from '@vanilladock/stand-ins';
 import { FLEET_SERVICE } from './routing-fleet.js';
 
@@ -25,16 +31,45 @@
   readonly isWhole: boolean;
   /** Whether the answer is the one that belongs to the request. */
   readonly isRight: boolean;
+  /** What tells one kind of wrong answer from another; undefined when the answer is right. */
+  readonly difference?: AnswerDifference;
+}
+
+/** How an answer differs from the expected one. */
+export interface AnswerDifference {
+  readonly receivedBytes: number;
+  readonly expectedBytes: number;
+  /** Place of the first byte that differs. */
+  readonly firstByte: number;
+  /** What was received from there on. */
+  readonly excerpt: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly hasEnded: boolean;
 }
 
 const CALL_LIMIT_MS = 20_000;
 const LEAVE_AFTER_MS = 5;
 
-/** Says whether a body is the answer that belongs to a call. */
-function isExpectedBody(call: FaultCall, body: Buffer): boolean {
-  if (call.answerBytes > 0) return body.equals(buildAnswerBody(call.id, call.answerBytes));
-  const { id, bodyBytes: length } = call;
-  return body.toString() === JSON.stringify({ service: FLEET_SERVICE, id, length });
+const EXCERPT_BYTES = 200;
+
+/** Builds the answer that belongs to a call. */
+function buildExpectedBody({ id, answerBytes, bodyBytes: length }: FaultCall): Buffer {
+  if (answerBytes > 0) return buildAnswerBody(id, answerBytes);
+  return Buffer.from(JSON.stringify({ service: FLEET_SERVICE, id, length }));
+}
+
+/** Finds how an answer differs from the expected one. */
+function findDifference(answer: IncomingMessage, body: Buffer, expected: Buffer): AnswerDifference {
+  const differs = body.findIndex((byte, index) => byte !== expected[index]);
+  const firstByte = differs < 0 ? body.length : differs;
+  return {
+    receivedBytes: body.length,
+    expectedBytes: expected.length,
+    firstByte,
+    excerpt: body.subarray(firstByte, firstByte + EXCERPT_BYTES).toString('latin1'),
+    headers: answer.headers,
+    hasEnded: answer.readableEnded,
+  };
 }
 
 /** Writes the body in the way of this caller. */
@@ -81,15 +116,19 @@
       const chunks: Buffer[] = [];
       answer.on('data', (chunk: Buffer) => chunks.push(chunk));
       answer.on('error', () => {});
-      answer.on('close', () =>
+      answer.on('close', () => {
+        const body = Buffer.concat(chunks);
+        const expected = buildExpectedBody(call);
+        const isRight = body.equals(expected);
         resolve({
           call,
           status: answer.statusCode ?? 0,
           verdict: answer.headers['vanilladock-verdict'] as string | undefined,
           isWhole: answer.complete,
-          isRight: isExpectedBody(call, Buffer.concat(chunks)),
-        }),
-      );
+          isRight,
+          ...(isRight ? {} : { difference: findDifference(answer, body, expected) }),
+        });
+      });
     });
     sendBody(outgoing, call);
   });
