--- /dev/null
+++ b/packages/daemon/src/test/pool-runner.test.ts
@@ -0,0 +1,169 @@
+/** Planners of one pool that follow each other over a store and a worker in memory, on a paused clock. */
+import { install } from '@sinonjs/fake-timers';
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { BehaviorSubject } from 'rxjs';
+import type { JobSpec, StepSpec } from 'vanilladock/lib/jobs/spec.js';
+import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
+import type { EndedTask, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import { startPoolRunner } from '../lib/jobs/pool-runner.js';
+
+const SECOND_MS = 1_000;
+const CALL_MS = 5;
+const TASK_MS = 50;
+const POOL = 'stalls';
+const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
+const NEVER = new Promise<never>(() => {});
+
+const ENTRY: WorkerEntry = {
+  id: 'w1',
+  bornMs: 1,
+  address: '10.0.0.1:1',
+  pool: POOL,
+  instance: 'm1',
+  rack: undefined,
+  labels: [],
+  capacity: { cores: 4, memoryMb: 1_000, accelerators: 0 },
+  phase: 'ready',
+};
+const STEP: StepSpec = {
+  count: 2,
+  size: { cores: 1, memoryMb: 1, accelerators: 0 },
+  estimateMs: TASK_MS,
+  dependsOn: [],
+  isCheckpointing: false,
+  isGang: false,
+  isSameRack: false,
+  requiredLabel: undefined,
+  dataRack: undefined,
+  maxPerWorker: undefined,
+  isSpeculative: false,
+  isLasting: false,
+  image: '',
+  tailTargetMs: undefined,
+  isFilling: false,
+  maxUnavailable: undefined,
+};
+const SPEC: JobSpec = {
+  id: 'a',
+  route: 'r',
+  payload: '',
+  steps: [STEP, { ...STEP, count: 1, dependsOn: [0] }],
+  repeatCount: 0,
+  startAtMs: 0,
+  intervalMs: 0,
+};
+const POLICY = {
+  priority: 0,
+  maxAttempts: 2,
+  stretch: 10,
+  targetLatencyMs: 9_000,
+  advice: undefined,
+};
+
+const waitFor = (ms: number) =>
+  new Promise<void>((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** A store that answers no append of the epochs in `silentEpochs`. */
+const createStore = () => {
+  const records: StoredKeyedRecord[] = [];
+  const silentEpochs = new Set<number>();
+  const store: KeyedStore = {
+    append: async (_, added, guard) => {
+      await waitFor(CALL_MS);
+      if (guard.kind === 'producer' && silentEpochs.has(guard.epoch)) return NEVER;
+      const offset = records.length;
+      added.forEach((record) => records.push({ ...record, offset: records.length }));
+      return { kind: 'stored', offset, end: records.length };
+    },
+    read: () => NEVER,
+    readNewest: async () => {
+      await waitFor(CALL_MS);
+      const newest = new Map(records.map((record) => [record.key, record]));
+      return { kind: 'records', records: [...newest.values()], end: records.length };
+    },
+  };
+  return { store, silentEpochs };
+};
+
+/** A worker that forgets the ends that a planner says it has stored. */
+const createWorker = () => {
+  const starts: string[] = [];
+  const running = new Map<string, number>();
+  let ended: readonly EndedTask[] = [];
+  let lastNumber = 0;
+  const workers = {
+    startTask: async (_: unknown, { taskKey, run }: { taskKey: string; run: number }) => {
+      await waitFor(CALL_MS);
+      starts.push(taskKey);
+      running.set(taskKey, run);
+      setTimeout(() => {
+        running.delete(taskKey);
+        lastNumber += 1;
+        ended = [...ended, { number: lastNumber, taskKey, run, how: 'done', checkpoint: '' }];
+      }, TASK_MS);
+      return { kind: 'accepted', clockMs: performance.now() };
+    },
+    renew: async (_: unknown, { lastSeenEnd, waitMs }: { lastSeenEnd: number; waitMs: number }) => {
+      await waitFor(Math.max(CALL_MS, Math.min(waitMs, TASK_MS)));
+      ended = ended.filter(({ number }) => number > lastSeenEnd);
+      const rows = [...running].map(([taskKey, run]) => ({
+        taskKey,
+        run,
+        checkpoint: '',
+        percent: 10,
+        load: 0,
+      }));
+      const report = { bornMs: 1, clockMs: performance.now(), running: rows, ended };
+      return { kind: 'report', report };
+    },
+  };
+  return { starts, workers: workers as unknown as TaskWorkers };
+};
+
+const test = suite('pool runner');
+
+// Guards against a task that runs twice: an end that only a planner which died had taken in.
+test('a third planner starts nothing again that the second took in and did not store', async () => {
+  const clock = install({ now: 0 });
+  const { store, silentEpochs } = createStore();
+  const { starts, workers } = createWorker();
+  const startRunner = (token: number) =>
+    startPoolRunner({
+      store,
+      storePartitions: 8,
+      workers,
+      advisor: { advise: () => NEVER },
+      entries: new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map([['w1', ENTRY]])),
+      statusMs: 60 * SECOND_MS,
+      log: SILENT_LOG,
+      pool: POOL,
+      claim: { duty: `pool/${POOL}`, holder: `${token}`, token },
+      isInForce: () => true,
+      askPredecessor: () => Promise.resolve(true),
+      handleLost: () => {},
+    });
+  const first = startRunner(1);
+  await clock.tickAsync(SECOND_MS);
+  const accepted = first.answer({ kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY });
+  await clock.tickAsync(2 * CALL_MS);
+  assert.equal(await accepted, { kind: 'accepted' });
+  silentEpochs.add(1);
+  await clock.tickAsync(4 * CALL_MS);
+  first.stop();
+  const second = startRunner(2);
+  await clock.tickAsync(8 * CALL_MS);
+  silentEpochs.add(2);
+  await clock.tickAsync(SECOND_MS);
+  second.stop();
+  startRunner(3);
+  await clock.tickAsync(3 * SECOND_MS);
+  clock.uninstall();
+  const firstStep = starts.filter((key) => key.startsWith('a.0.0.'));
+  assert.equal([...firstStep].sort(), ['a.0.0.0', 'a.0.0.1']);
+  assert.ok(starts.includes('a.0.1.0'), 'the second step was started');
+});
+
+test.run();
