--- a/packages/daemon/src/lib/jobs/duty-authority.ts
+++ b/packages/daemon/src/lib/jobs/duty-authority.ts
@@ -40,8 +40,11 @@
   readonly stop: () => void;
 }
 
-/** Peers are asked when the store has confirmed nothing, or stored no heartbeat, for this long. */
-const ASK_AFTER_MS = 700;
+/** Peers are told that a holder lives when the store has stored no heartbeat for this long. */
+const HEARTBEAT_LATE_MS = 800;
+
+/** Peers are asked when nothing has confirmed the claims for this long: twice the poll of a holder, and some. */
+const READ_LATE_MS = 1_300;
 
 const ASK_EVERY_MS = 300;
 
@@ -94,8 +97,8 @@
   const run = async () => {
     while (!isStopped) {
       const nowMs = performance.now();
-      const isDue = nowMs - Math.min(readMs, heartbeatMs) > ASK_AFTER_MS;
-      if (isDue && listHeld().length > 0) await runRound();
+      const isLate = nowMs - heartbeatMs > HEARTBEAT_LATE_MS || nowMs - readMs > READ_LATE_MS;
+      if (isLate && listHeld().length > 0) await runRound();
       await waitMs(ASK_EVERY_MS);
     }
   };
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -33,6 +33,7 @@
     silentPeers: new Set<string>(),
   };
   const fleet = new Map<string, DutyClaims>();
+  let notices = 0;
   const append = (partition: number, records: readonly KeyedRecord[]) => {
     const log = partitions[partition]!;
     const offset = log.length;
@@ -87,6 +88,7 @@
       handleContact,
       getStoreContactMs: () => contactMs,
       sendNotice: async (peer, notice) => {
+        notices += 1;
         await waitFor(1);
         const to = fleet.get(peer.name);
         const isSilent = world.silentPeers.has(peer.name) || world.silentPeers.has(name);
@@ -100,11 +102,12 @@
   });
   const findHolder = () => names.find((name) => fleet.get(name)!.held.value.has(DUTY));
   const listClaims = () => partitions[0]!.length;
+  const countNotices = () => notices;
   const isInForce = (name: string) => {
     const claim = fleet.get(name)!.held.value.get(DUTY);
     return claim !== undefined && fleet.get(name)!.isInForce(claim);
   };
-  return { world, fleet, findHolder, listClaims, isInForce };
+  return { world, fleet, findHolder, listClaims, countNotices, isInForce };
 };
 
 type Fleet = ReturnType<typeof openFleet>;
@@ -127,6 +130,14 @@
 
 const test = suite('duty authority');
 
+test('a holder sends no notices while the store is calm', () =>
+  runCase(async ({ countNotices, isInForce }, holder, clock) => {
+    const before = countNotices();
+    await clock.tickAsync(10 * SECOND_MS);
+    assert.is(countNotices(), before);
+    assert.is(isInForce(holder), true);
+  }));
+
 // Guards against lasting tasks that are ended one after the other by ever new holders under a slow store.
 test('a store that takes no heartbeats of a holder takes no duty from it, as its peers hear it', () =>
   runCase(async ({ world, findHolder, listClaims, isInForce }, holder, clock) => {
