--- a/packages/daemon/src/lib/jobs/duty-authority.ts
+++ b/packages/daemon/src/lib/jobs/duty-authority.ts
@@ -85,7 +85,10 @@
     const outcomes = await Promise.all(listPeers().map((peer) => sendNotice(peer, notice)));
     const { confirmed: duties, superseded } = decideRound(held, outcomes);
     duties.forEach((duty) => recordConfirmed(duty, sent));
-    superseded.forEach(({ duty }) => dropDuty(duty, 'peer-knows-newer'));
+    superseded.forEach(({ duty, token }) => {
+      const own = listHeld().find((claim) => claim.duty === duty);
+      if (own !== undefined && own.token < token) dropDuty(duty, 'peer-knows-newer');
+    });
     logRound({
       peers: outcomes.length,
       silent: outcomes.filter(({ kind }) => kind === 'silent').length,
--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -20,6 +20,7 @@
 import { createDutyAuthority } from './duty-authority.js';
 import { createDutyNotices } from './duty-notices.js';
 import type { SentNotice } from './peers.js';
+import { createVacancies } from './vacancies.js';
 import { watchTopic } from './topic-follower.js';
 
 /** Partition of claims: it grows only with them, so that a conditional append seldom fails. */
@@ -97,8 +98,7 @@
   const { store, self, listDuties, handleContact, log, getStoreContactMs } = options;
   const table = createClaimTable();
   const held = new BehaviorSubject<ReadonlyMap<string, Claim>>(new Map());
-  const vacantSinceMs = new Map<string, number>();
-  const droppedTokens = new Map<string, number>();
+  const vacancies = createVacancies({ listDuties, table });
   const sentClaims = new Map<string, SentClaim>();
   /** Claims sent whose outcome is not known. */
   const openClaims = new Set<string>();
@@ -119,16 +119,13 @@
     const claim = held.value.get(duty);
     if (claim === undefined) return;
     log.warn({ event: 'duty-lost', duty, why, token: claim.token });
-    droppedTokens.set(duty, claim.token);
+    vacancies.observeDrop(claim);
     setHeld(duty, undefined);
   };
   /** Takes a duty up, unless this claim on it is held or was given up already. */
   const takeDuty = (claim: Claim) => {
-    const known = Math.max(
-      held.value.get(claim.duty)?.token ?? -1,
-      droppedTokens.get(claim.duty) ?? -1,
-    );
-    if (isStopped || claim.token <= known) return;
+    const isKnown = claim.token <= (held.value.get(claim.duty)?.token ?? -1);
+    if (isStopped || isKnown || vacancies.wasDropped(claim)) return;
     log.info({ event: 'duty-held', ...claim });
     setHeld(claim.duty, claim);
   };
@@ -177,17 +174,6 @@
     openClaims.delete(duty);
     return true;
   };
-  const listVacant = (nowMs: number) => {
-    const vacant = listDuties().filter((duty) => table.findLiveClaim(duty, nowMs) === undefined);
-    const seen = new Set(vacant);
-    [...vacantSinceMs.keys()].forEach((duty) => {
-      if (!seen.has(duty)) vacantSinceMs.delete(duty);
-    });
-    vacant.forEach((duty) => {
-      if (!vacantSinceMs.has(duty)) vacantSinceMs.set(duty, nowMs);
-    });
-    return vacant.filter((duty) => !held.value.has(duty));
-  };
   const countHeld = (nowMs: number) => {
     const counts = new Map<string, number>();
     listDuties().forEach((duty) => {
@@ -198,13 +184,13 @@
   };
   const claimVacant = async (): Promise<boolean> => {
     const nowMs = performance.now();
-    const vacant = listVacant(nowMs);
+    const vacant = vacancies.list(nowMs).filter((duty) => !held.value.has(duty));
     const isSettled = nowMs - startedMs >= SETTLE_MS && nowMs >= settledFromMs;
     if (!isSettled || nowMs - contactMs > GAP_MS || vacant.length === 0) return false;
     const members = table.listMembers(nowMs);
     const chosen = chooseClaimants(vacant, countHeld(nowMs), members);
     const mine = vacant.find((duty) => {
-      const ageMs = nowMs - (vacantSinceMs.get(duty) ?? nowMs);
+      const ageMs = vacancies.getAgeMs(duty, nowMs);
       const isOpenToAll = ageMs > ANYONE_AFTER_MS * (1 + held.value.size);
       return chosen.get(duty) === self.id || isOpenToAll;
     });
@@ -281,7 +267,7 @@
         if (nowMs - contactMs > CONTACT_GAP_MS) heardSinceMs = nowMs;
         if (nowMs - contactMs > GAP_MS) {
           settledFromMs = nowMs + SETTLE_AFTER_GAP_MS;
-          vacantSinceMs.clear();
+          vacancies.restart();
         }
         contactMs = nowMs;
         records.forEach((record) => table.apply(record, performance.now()));
