--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -10,11 +10,11 @@
   StoredKeyedRecord,
 } from 'vanilladock/lib/ports/keyed-store.js';
 import { createDutyClaims, type DutyClaims } from '../lib/jobs/duty-claims.js';
+import { SILENT_LOG } from './job-fixtures.js';
 
 const DUTY = 'pool/stalls';
 const SECOND_MS = 1_000;
 const READ_MS = 10;
-const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
 const NEVER = new Promise<never>(() => {});
 
 const makeMember = (name: string): Member => ({ id: `${name}~1`, name, address: name, cores: 1 });
@@ -162,6 +162,19 @@
     assert.is(listClaims(), 1, 'no other instance has claimed');
   }));
 
+test('a step of the wall clock costs a holder its authority only until the next read', () =>
+  runCase(async ({ isInForce, findHolder }, holder, clock) => {
+    clock.setSystemTime(Date.now() + 4 * SECOND_MS);
+    assert.is(isInForce(holder), false, 'the machine may have been suspended');
+    await clock.tickAsync(SECOND_MS);
+    assert.is(isInForce(holder), true);
+    clock.setSystemTime(Date.now() - 4 * SECOND_MS);
+    assert.is(isInForce(holder), true);
+    await clock.tickAsync(5 * SECOND_MS);
+    assert.is(findHolder(), holder);
+    assert.is(isInForce(holder), true);
+  }));
+
 test('work goes on while the store is away for all and every peer answers', () =>
   runCase(async ({ world, isInForce }, holder, clock) => {
     ['a', 'b', 'c'].forEach((name) => world.isStoreAway.add(name));
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -4,13 +4,27 @@
 import { suite } from 'uvu';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import { createDutyClaims } from '../lib/jobs/duty-claims.js';
+import { SILENT_LOG } from './job-fixtures.js';
 
 const SELF = { id: 'entry-0~1', name: 'entry-0', address: '127.0.0.1:1', cores: 1 };
 const SECOND_MS = 1_000;
-const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
 
 const HEARTBEAT = { key: 'member/entry-0', value: JSON.stringify(SELF), offset: 1 };
 
+const startDuties = (store: KeyedStore) => {
+  const duties = createDutyClaims({
+    store,
+    self: SELF,
+    listDuties: () => ['pool/stalls'],
+    handleContact: () => {},
+    getStoreContactMs: () => 0,
+    sendNotice: () => Promise.resolve({ kind: 'silent' }),
+    log: SILENT_LOG,
+  });
+  duties.start();
+  return duties;
+};
+
 const test = suite('duty claims');
 
 test('a claim that another one came before waits until that one was read', async () => {
@@ -28,16 +42,7 @@
         : Promise.resolve({ kind: 'records', records: [HEARTBEAT], next: 2, end: 2 }),
     readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 6 }),
   };
-  const duties = createDutyClaims({
-    store,
-    self: SELF,
-    listDuties: () => ['pool/stalls'],
-    handleContact: () => {},
-    getStoreContactMs: () => 0,
-    sendNotice: () => Promise.resolve({ kind: 'silent' }),
-    log: SILENT_LOG,
-  });
-  duties.start();
+  const duties = startDuties(store);
   await clock.tickAsync(2 * SECOND_MS);
   void duties.stop();
   clock.uninstall();
@@ -65,16 +70,7 @@
     },
     readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
   };
-  const duties = createDutyClaims({
-    store,
-    self: SELF,
-    listDuties: () => ['pool/stalls'],
-    handleContact: () => {},
-    getStoreContactMs: () => 0,
-    sendNotice: () => Promise.resolve({ kind: 'silent' }),
-    log: SILENT_LOG,
-  });
-  duties.start();
+  const duties = startDuties(store);
   await clock.tickAsync(2 * SECOND_MS);
   const held = duties.held.value.get('pool/stalls');
   duties.dropDuty('pool/stalls', 'worker-fenced');
--- a/packages/daemon/src/test/pool-runner.test.ts
+++ b/packages/daemon/src/test/pool-runner.test.ts
@@ -3,63 +3,19 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { BehaviorSubject } from 'rxjs';
-import type { JobSpec, StepSpec } from 'vanilladock/lib/jobs/spec.js';
 import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { EndedTask, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
+import { ENTRY, POLICY, POOL, SILENT_LOG, SPEC, STEP } from './job-fixtures.js';
 
 const SECOND_MS = 1_000;
 const CALL_MS = 5;
 const TASK_MS = 50;
-const POOL = 'stalls';
-const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
 const NEVER = new Promise<never>(() => {});
 
-const ENTRY: WorkerEntry = {
-  id: 'w1',
-  bornMs: 1,
-  address: '10.0.0.1:1',
-  pool: POOL,
-  instance: 'm1',
-  rack: undefined,
-  labels: [],
-  capacity: { cores: 4, memoryMb: 1_000, accelerators: 0 },
-  phase: 'ready',
-};
-const STEP: StepSpec = {
-  count: 2,
-  size: { cores: 1, memoryMb: 1, accelerators: 0 },
-  estimateMs: TASK_MS,
-  dependsOn: [],
-  isCheckpointing: false,
-  isGang: false,
-  isSameRack: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  maxPerWorker: undefined,
-  isSpeculative: false,
-  isLasting: false,
-  image: '',
-  tailTargetMs: undefined,
-  isFilling: false,
-  maxUnavailable: undefined,
-};
-const SPEC: JobSpec = {
-  id: 'a',
-  route: 'r',
-  payload: '',
-  steps: [STEP, { ...STEP, count: 1, dependsOn: [0] }],
-  repeatCount: 0,
-  startAtMs: 0,
-  intervalMs: 0,
-};
-const POLICY = {
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 10,
-  targetLatencyMs: 9_000,
-  advice: undefined,
-};
+const TWO = { ...STEP, count: 2, estimateMs: TASK_MS };
+const CHAIN = { ...SPEC, steps: [TWO, { ...TWO, count: 1, dependsOn: [0] }] };
+const PATIENT = { ...POLICY, stretch: 10, targetLatencyMs: 9_000 };
 
 const waitFor = (ms: number) =>
   new Promise<void>((resolve) => {
@@ -147,7 +103,7 @@
     });
   const first = startRunner(1);
   await clock.tickAsync(SECOND_MS);
-  const accepted = first.answer({ kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY });
+  const accepted = first.answer({ kind: 'submit', pool: POOL, spec: CHAIN, policy: PATIENT });
   await clock.tickAsync(2 * CALL_MS);
   assert.equal(await accepted, { kind: 'accepted' });
   silentEpochs.add(1);
--- a/packages/daemon/src/test/worker-loop.test.ts
+++ b/packages/daemon/src/test/worker-loop.test.ts
@@ -5,54 +5,11 @@
 import { LEASE_MS } from 'vanilladock/lib/jobs/lease-clock.js';
 import type { RenewOrder, RenewOutcome, TaskWorkers } from 'vanilladock/lib/ports/task-workers.js';
 import { startWorkerLoop } from '../lib/jobs/worker-loop.js';
+import { ENTRY, POLICY, POOL, SPEC, STEP } from './job-fixtures.js';
 
 const test = suite('worker loop');
 
-const ENTRY = {
-  id: 'w1',
-  bornMs: 1,
-  address: '10.0.0.1:1',
-  pool: 'stalls',
-  instance: 'm1',
-  rack: undefined,
-  labels: [],
-  capacity: { cores: 4, memoryMb: 100, accelerators: 0 },
-  phase: 'ready',
-} as const;
-const STEP = {
-  count: 1,
-  size: { cores: 1, memoryMb: 1, accelerators: 0 },
-  estimateMs: 1000,
-  dependsOn: [],
-  isCheckpointing: false,
-  isGang: false,
-  isSameRack: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  maxPerWorker: undefined,
-  isSpeculative: false,
-  isLasting: true,
-  image: '',
-  tailTargetMs: undefined,
-  isFilling: false,
-  maxUnavailable: undefined,
-};
-const POLICY = {
-  priority: 0,
-  maxAttempts: 2,
-  stretch: 1,
-  targetLatencyMs: 1,
-  advice: undefined,
-};
-const SPEC = {
-  id: 'a',
-  route: 'r',
-  payload: '',
-  steps: [STEP],
-  repeatCount: 0,
-  startAtMs: 0,
-  intervalMs: 0,
-};
+const LASTING = { ...SPEC, steps: [{ ...STEP, isLasting: true }] };
 
 const waitFor = (ms: number) =>
   new Promise((resolve) => {
@@ -61,7 +18,7 @@
 
 /** Starts a loop at a worker that runs one task; `renew` may be made silent, the claim may lapse. */
 const openLoop = async () => {
-  const planner = createPoolPlanner('stalls', {
+  const planner = createPoolPlanner(POOL, {
     report: () => {},
     runBase: 0,
     inheritedWorkers: [],
@@ -98,7 +55,7 @@
     handleFenced: () => {},
   });
   await waitFor(30);
-  planner.submit(SPEC, POLICY, makeMoment());
+  planner.submit(LASTING, POLICY, makeMoment());
   planner.takeStoreBatch()?.handleStored();
   planner.plan(makeMoment()).forEach((action) => {
     if (action.kind !== 'start') return;
