--- a/packages/vanilladock/src/lib/placement/plan-pool.ts
+++ b/packages/vanilladock/src/lib/placement/plan-pool.ts
@@ -134,7 +134,7 @@
   );
 }
 
-/** Grants a task whose room was reserved, once that room is free. */
+/** Grants a task whose room was reserved, once that room is free; passes it by until then. */
 function takeReserved(context: PlanContext, pool: PoolRoom, task: TaskState): Look | undefined {
   const reservation = context.memory.reservations.get(task.taskId);
   const room = reservation && pool.rooms.get(reservation.workerId);
@@ -154,13 +154,13 @@
   if (heldCores + size.cores > context.input.rules.getQuotaCores(task.team)) return PASSED;
   if (isInReserve(pool, task, size)) return PASSED;
   const reserved = takeReserved(context, pool, task);
-  if (reserved !== undefined) return reserved;
+  if (reserved?.kind === 'granted') return reserved;
   const chosen = pickWorker(pool, task, size);
   if (chosen !== undefined) {
     addToRoom(pool, chosen.best.worker.id, size, task.urgency === 'quick');
     return takeWorker(context, pool, task, size, chosen);
   }
-  if (task.urgency !== 'quick') return PASSED;
+  if (task.urgency !== 'quick' || reserved !== undefined) return PASSED;
   return { kind: 'passed', decisions: planCheckpoints(context, pool, task, size) };
 }
 
--- a/packages/vanilladock/src/test/placement-plan.test.ts
+++ b/packages/vanilladock/src/test/placement-plan.test.ts
@@ -149,6 +149,30 @@
   assert.is(listGrants(second)[0]?.taskId, 'q');
 });
 
+// Guards against urgent work that waits for a checkpoint while another worker has room.
+test('quick work whose room is being freed takes room that comes free elsewhere first', () => {
+  const size = makeSize(1, 8_000);
+  const state = foldAll([
+    makeSubmission('t', { urgency: 'patient' }),
+    makeLease('t', { workerId: 'a', size }),
+    makeSubmission('u', { urgency: 'patient' }),
+    makeLease('u', { workerId: 'b', size }),
+    makeSubmission('q', { urgency: 'quick', declared: makeSize(1, 4_000) }),
+  ]);
+  const planner = createPlanner('e');
+  const running = [...makeReports(['a'], 1_000, [makeRunning('t', 1)])];
+  const alsoRunning = [...makeReports(['b'], 1_000, [makeRunning('u', 3)])];
+  const reports = new Map([...running, ...alsoRunning]);
+  const [checkpoint] = listCommands(planner.plan(makeInput(state, { reports })), 'checkpoint');
+  assert.ok(checkpoint?.kind === 'checkpoint');
+  const [ended, freed] = checkpoint.lease.taskId === 't' ? ['u', 'b'] : ['t', 'a'];
+  const offset = ended === 'u' ? 3 : 1;
+  const later = foldAll([makeOutcome(ended, offset, 'succeeded')], makeRules(100), state, 5);
+  const [grant] = listGrants(planner.plan(makeInput(later, { reports, nowMs: 2_000 })));
+  assert.is(grant?.taskId, 'q');
+  assert.is(grant?.workerId, freed);
+});
+
 test('a task that fits no worker of its pool is refused with its shape', () => {
   const state = foldAll([makeSubmission('t', { declared: makeSize(9) })]);
   const decision = createPlanner('e').plan(makeInput(state))[0];
