--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -30,16 +30,20 @@
   return stopSentMs === undefined || nowMs - stopSentMs > REPEAT_STOP_MS;
 }
 
+/** What a worker said this long ago says nothing about its tasks any more; it is asked more often. */
+const REPORT_FRESH_MS = 1_500;
+
 /** Says whether a lasting task is fully at work, as far as its worker has said lately. */
-function isAtWork(context: PoolContext, task: Task | undefined): boolean {
+function isAtWork(context: PoolContext, task: Task | undefined, nowMs: number): boolean {
   if (task === undefined || task.state.kind !== 'assigned') return false;
   const worker = context.table.workers.get(task.state.workerId);
-  const isHeard = worker !== undefined && worker.misses === 0;
+  const isHeard =
+    worker !== undefined && worker.misses === 0 && nowMs - worker.answeredMs <= REPORT_FRESH_MS;
   return isHeard && task.state.phase === 'running' && task.state.percent >= FULL_PERCENT;
 }
 
 /** Counts the tasks of a lasting step that are not at work. */
-function countAway(context: PoolContext, task: Task): number {
+function countAway(context: PoolContext, task: Task, nowMs: number): number {
   const { count } = context.table.findStep(task);
   const indices = Array.from({ length: count }, (_, index) => index);
   return indices.filter(
@@ -47,6 +51,7 @@
       !isAtWork(
         context,
         context.table.findTask(makeTaskKey(task.jobId, task.occurrence, task.stepIndex, index)),
+        nowMs,
       ),
   ).length;
 }
@@ -54,7 +59,7 @@
 /** Says whether a lasting task may be moved now: its step bears it and another worker has room. */
 function isMovable(context: PoolContext, task: Task, nowMs: number): boolean {
   const step = context.table.findStep(task);
-  if (countAway(context, task) >= Math.max(1, step.maxUnavailable ?? 1)) return false;
+  if (countAway(context, task, nowMs) >= Math.max(1, step.maxUnavailable ?? 1)) return false;
   const stepRun = context.table.findStepRun(task);
   const footprint = computeFootprint(step);
   const request = { task, step, stepRun, footprint, rack: undefined, nowMs };
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -193,6 +193,29 @@
   assert.is(listStops(planner.plan(at(8))).length, 1);
 });
 
+// Guards against more lasting tasks away than their step bears: a planner that was too slow to renew
+// their leases still takes them as at work.
+test('moves no lasting task while its siblings were not heard of lately', () => {
+  const { planner, at, addWorkers, submit, planStarts, accept, report } = createHarness();
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'), makeEntry('w333'));
+  submit(makeJob('a', [makeStep({ count: 3, isLasting: true, maxUnavailable: 1 })]), 1);
+  const starts = planStarts(2);
+  accept(starts, 3);
+  const reportAll = (nowMs: number, ids: readonly string[]) =>
+    ids.forEach((id) => {
+      const rows = starts
+        .filter(({ worker }) => worker.id === id)
+        .map(({ taskKey, run }) => makeRow(taskKey, run, { percent: 100 }));
+      report(id, nowMs, rows);
+    });
+  reportAll(10, ['w1', 'w22', 'w333']);
+  reportAll(3_000, ['w1']);
+  planner.evacuate('w1', at(3_001));
+  assert.equal(listStops(planner.plan(at(3_002))), []);
+  reportAll(3_010, ['w22', 'w333']);
+  assert.is(listStops(planner.plan(at(3_020))).length, 1);
+});
+
 test('starts a task without an answer elsewhere only after the worker is known not to have it', () => {
   const { planner, addWorkers, submit, planStarts, at, report } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
