--- a/packages/daemon/src/lib/jobs/duty-authority.ts
+++ b/packages/daemon/src/lib/jobs/duty-authority.ts
@@ -17,8 +17,11 @@
 /** What authority is kept with. */
 export interface DutyAuthorityOptions {
   readonly listHeld: () => readonly Claim[];
-  /** Peers that may have claimed, as far as known. */
-  readonly listPeers: () => readonly Member[];
+  /** Peers that were heard lately, and those that were heard in a longer time. */
+  readonly listPeers: () => {
+    readonly alive: readonly Member[];
+    readonly known: readonly Member[];
+  };
   readonly sendNotice: (peer: Member, notice: DutyNotice) => Promise<PeerOutcome>;
   /** Steady time of the store's last answer. */
   readonly getStoreContactMs: () => number;
@@ -82,7 +85,14 @@
     const held = listHeld();
     const sent = readMoment();
     const notice = { storeAgeMs: Math.max(0, sent.nowMs - getStoreContactMs()), held };
-    const outcomes = await Promise.all(listPeers().map((peer) => sendNotice(peer, notice)));
+    const { alive, known } = listPeers();
+    const aliveIds = new Set(alive.map(({ id }) => id));
+    const outcomes = await Promise.all(
+      known.map(async (peer) => ({
+        ...(await sendNotice(peer, notice)),
+        wasAlive: aliveIds.has(peer.id),
+      })),
+    );
     const { confirmed: duties, superseded } = decideRound(held, outcomes);
     duties.forEach((duty) => recordConfirmed(duty, sent));
     superseded.forEach(({ duty, token }) => {
--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -90,7 +90,7 @@
 /** After such a gap, members are given this long to be heard again before any claim. */
 const SETTLE_AFTER_GAP_MS = 900;
 
-/** A vacant duty is claimed by anyone after this time. */
+/** A vacant duty is claimed by anyone after this time, by those with fewer cores later. */
 const ANYONE_AFTER_MS = 900;
 
 /** Creates the claims of one instance. */
@@ -188,10 +188,12 @@
     const isSettled = nowMs - startedMs >= SETTLE_MS && nowMs >= settledFromMs;
     if (!isSettled || nowMs - contactMs > GAP_MS || vacant.length === 0) return false;
     const members = table.listMembers(nowMs);
+    const cores = table.listKnownMembers(nowMs).map((member) => member.cores);
+    const openAfterMs = (ANYONE_AFTER_MS * Math.max(self.cores, ...cores)) / self.cores;
     const chosen = chooseClaimants(vacant, countHeld(nowMs), members);
     const mine = vacant.find((duty) => {
       const ageMs = vacancies.getAgeMs(duty, nowMs);
-      const isOpenToAll = ageMs > ANYONE_AFTER_MS * (1 + held.value.size);
+      const isOpenToAll = ageMs > openAfterMs * (1 + held.value.size);
       return chosen.get(duty) === self.id || isOpenToAll;
     });
     return mine !== undefined && claimDuty(mine);
@@ -224,6 +226,7 @@
   });
   const heartbeats = watchTopic({ ...follow, where: MEMBERS, pauseMs: TICK_MS });
   const listMembers = () => table.listMembers(Math.min(performance.now(), contactMs));
+  const listOthers = (members: readonly Member[]) => members.filter(({ id }) => id !== self.id);
   const notices = createDutyNotices({
     self,
     table,
@@ -240,7 +243,10 @@
   });
   const authority = createDutyAuthority({
     listHeld: () => [...held.value.values()],
-    listPeers: () => listMembers().filter(({ id }) => id !== self.id),
+    listPeers: () => ({
+      alive: listOthers(listMembers()),
+      known: listOthers(table.listKnownMembers(Math.min(performance.now(), contactMs))),
+    }),
     sendNotice: notices.send,
     getStoreContactMs,
     dropDuty,
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -48,8 +48,11 @@
 /** Creates the notices of an instance. */
 export function createDutyNotices(options: DutyNoticeOptions): DutyNotices {
   const { self, table, held, openClaims, findPrevious, dropDuty, isStopped, log } = options;
-  const send = (peer: Member, notice: DutyNotice) =>
-    options.sendNotice(peer, { ...notice, member: self });
+  const send = async (peer: Member, notice: DutyNotice) => {
+    const outcome = await options.sendNotice(peer, { ...notice, member: self });
+    if (outcome.kind === 'answered') table.observeMember(peer, performance.now());
+    return outcome;
+  };
   const findNewer = ({ duty, token }: Claim): readonly Claim[] => {
     const newest = held.value.get(duty) ?? table.findClaim(duty);
     return newest !== undefined && newest.token > token ? [newest] : [];
--- a/packages/vanilladock/src/lib/duties/authority.ts
+++ b/packages/vanilladock/src/lib/duties/authority.ts
@@ -31,6 +31,9 @@
 export type PeerOutcome =
   { readonly kind: 'answered'; readonly view: DutyView } | { readonly kind: 'silent' };
 
+/** Outcome of a notice to a peer that was believed alive, or that was not heard for a while. */
+export type RoundOutcome = PeerOutcome & { readonly wasAlive: boolean };
+
 /** What a round of notices tells of the held duties. */
 export interface RoundResult {
   /** Duties on which no peer knows or sends a newer claim. */
@@ -39,15 +42,18 @@
   readonly superseded: readonly Claim[];
 }
 
-/** Judges a round of notices to every peer that was believed alive. */
-export function decideRound(held: readonly Claim[], outcomes: readonly PeerOutcome[]): RoundResult {
+/** Judges a round of notices; every peer that was believed alive must have answered. */
+export function decideRound(
+  held: readonly Claim[],
+  outcomes: readonly RoundOutcome[],
+): RoundResult {
   const views = outcomes.flatMap((outcome) => (outcome.kind === 'answered' ? [outcome.view] : []));
   const superseded = views.flatMap(({ newer }) => newer);
   const inDoubt = new Set([
     ...superseded.map(({ duty }) => duty),
     ...views.flatMap(({ claiming }) => claiming),
   ]);
-  const haveAllAnswered = views.length === outcomes.length;
+  const haveAllAnswered = !outcomes.some(({ kind, wasAlive }) => kind === 'silent' && wasAlive);
   const confirmed = haveAllAnswered
     ? held.map(({ duty }) => duty).filter((duty) => !inDoubt.has(duty))
     : [];
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -31,6 +31,8 @@
   /** Notes a sign of life that a member sent itself; a later life that is known goes before it. */
   readonly observeMember: (member: Member, heardMs: number) => void;
   readonly listMembers: (nowMs: number) => readonly Member[];
+  /** Lists the members that were heard in a longer time, of which some may be gone. */
+  readonly listKnownMembers: (nowMs: number) => readonly Member[];
   readonly findMember: (id: string, nowMs: number) => Member | undefined;
   /** Finds a member whether it was heard lately or not; undefined when it left or has a later life. */
   readonly findKnownMember: (id: string) => Member | undefined;
@@ -43,6 +45,9 @@
 /** A member without a heartbeat for this long is taken as gone. */
 export const MEMBER_TTL_MS = 1_800;
 
+/** A member without a heartbeat for this long is not told anything any more. */
+const KNOWN_TTL_MS = 30_000;
+
 /** Time between heartbeats. */
 export const HEARTBEAT_MS = 500;
 
@@ -72,6 +77,10 @@
   const claims = new Map<string, Claim>();
   const members = new Map<string, { readonly member: Member; readonly heardMs: number }>();
   const isAlive = (heardMs: number, nowMs: number) => nowMs - heardMs <= MEMBER_TTL_MS;
+  const listHeard = (nowMs: number, ttlMs: number) =>
+    [...members.values()]
+      .filter(({ heardMs }) => nowMs - heardMs <= ttlMs)
+      .map(({ member }) => member);
   const findMember = (id: string, nowMs: number) => {
     const found = [...members.values()].find(({ member }) => member.id === id);
     return found !== undefined && isAlive(found.heardMs, nowMs) ? found.member : undefined;
@@ -102,10 +111,8 @@
       if (member !== undefined) observeMember(member, nowMs);
     },
     observeMember,
-    listMembers: (nowMs) =>
-      [...members.values()]
-        .filter(({ heardMs }) => isAlive(heardMs, nowMs))
-        .map(({ member }) => member),
+    listMembers: (nowMs) => listHeard(nowMs, MEMBER_TTL_MS),
+    listKnownMembers: (nowMs) => listHeard(nowMs, KNOWN_TTL_MS),
     findMember,
     findKnownMember: (id) => [...members.values()].find(({ member }) => member.id === id)?.member,
     findClaim: (duty) => claims.get(duty),
