Log why a queue stands and by what proof a run counts as ended

What callers saw: jobs of one queue showed as queued for about 50 s, and three tasks ran twice at once. What the log said of it: nothing.

The change is observation only; what is started, stopped or stored, and when, stays the same. - queue-stands, at most every 2 s for a pool, once tasks have waited 2 s without a planned start: workers by reason of exclusion, steps that would fit, reserved workers, steps without a ticket, inheritance, free and used capacity, unstored ends, the oldest job. queue-moves ends it. - worker-excluded and worker-included, one line per change, with the inputs.

Existing events and fields keep their names.

The cost of the new checks was not measured; a plan looks once at each worker, and tasks that wait are counted at most every 250 ms and only if the plan starts nothing.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -94,7 +94,7 @@
     case 'demand':
       return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
     case 'life-ended':
-      planner.observeIncarnationEnd(request.workerId, 'ordered');
+      planner.observeIncarnationEnd(request.workerId, 'ordered', readMoment());
       schedulePlan();
       return { kind: 'accepted' };
     default:
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -17,9 +17,10 @@
 import { readMoment, waitMs } from './clock.js';
 import { answerRequest } from './answer-request.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
+import { createPlanPauseLog } from './plan-pause-log.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
 import { createPoolStore } from './pool-store.js';
-import { startWorkerLoop, type WorkerLoop } from './worker-loop.js';
+import { createWorkerLoops } from './worker-loops.js';
 
 /** Dependencies that the instance provides to the runner of every pool. */
 export interface PoolSources {
@@ -71,7 +72,7 @@
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, workers, advisor, log } = options;
   const store = createPoolStore(options.store, pool, claim.token, options.storePartitions, log);
-  const loops = new Map<string, WorkerLoop>();
+  const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, performance.now());
   let planner: PoolPlanner | undefined;
   let isStopped = false;
   let isPlanScheduled = false;
@@ -84,7 +85,7 @@
     store.close();
     clearInterval(ticker);
     subscription?.unsubscribe();
-    loops.forEach((loop) => loop.stop());
+    loops.stop();
     stateWriter.stop();
     log.info({ event: 'pool-released', pool, token: claim.token });
   };
@@ -110,12 +111,13 @@
           task: taskKey,
           run,
           worker: worker.id,
+          token: fencingToken,
           outcome: outcome.kind,
         });
         if (outcome.kind === 'rejected' && outcome.why === 'fenced') handleLoss('worker-fenced');
         if (isStopped) return;
         planner.observeStart(action, outcome, readMoment());
-        if (outcome.kind === 'accepted') loops.get(worker.id)?.wake();
+        if (outcome.kind === 'accepted') loops.wake(worker.id);
         else schedulePlan();
         return;
       }
@@ -127,12 +129,13 @@
           task: taskKey,
           run,
           worker: worker.id,
+          token: fencingToken,
           why,
           outcome: outcome.kind,
         });
         if (isStopped) return;
         planner.observeStop(action, outcome, readMoment());
-        loops.get(worker.id)?.wake();
+        loops.wake(worker.id);
         return;
       }
       case 'pace': {
@@ -170,7 +173,11 @@
     isPlanScheduled = false;
     if (planner === undefined || isStopped) return;
     if (options.isInForce()) {
-      planner.plan(readMoment()).forEach((action) => void runAction(action));
+      const at = readMoment();
+      pauseLog.observePlan(at.nowMs);
+      planner.plan(at).forEach((action) => void runAction(action));
+    } else {
+      pauseLog.observeSkip(performance.now());
     }
     void stateWriter.writeDirty();
   };
@@ -188,34 +195,23 @@
     const isStored = await stateWriter.waitStored(END_STORE_TIMEOUT_MS);
     if (isStored) planner?.markEndsStored(workerId, entry.bornMs, lastEnd);
   };
-  const updateLoops = () => {
-    if (planner === undefined) return;
-    const active = planner;
-    [...loops.keys()].forEach((id) => {
-      if (!active.table.workers.has(id)) loops.delete(id);
-    });
-    active.table.workers.forEach((_, workerId) => {
-      if (loops.has(workerId)) return;
-      const loop = startWorkerLoop({
-        workerId,
-        planner: active,
-        workers,
-        fencingToken: claim.token,
-        isInForce: options.isInForce,
-        handleReport,
-        handlePaces: (paces) => {
-          if (options.isInForce()) paces.forEach((pace) => void runAction(pace));
-        },
-        handleFenced: () => handleLoss('worker-fenced'),
-      });
-      loops.set(workerId, loop);
-    });
-  };
+  const loops = createWorkerLoops({
+    pool,
+    log,
+    workers,
+    fencingToken: claim.token,
+    isInForce: options.isInForce,
+    handleReport,
+    handlePaces: (paces) => {
+      if (options.isInForce()) paces.forEach((pace) => void runAction(pace));
+    },
+    handleFenced: () => handleLoss('worker-fenced'),
+  });
   const observeEntries = (entries: ReadonlyMap<string, WorkerEntry>) => {
     if (planner === undefined) return;
     const ownEntries = [...entries.values()].filter((entry) => entry.pool === pool);
     planner.observeWorkers(ownEntries, readMoment());
-    updateLoops();
+    loops.update(planner);
     schedulePlan();
   };
   /** Ends the wait for the predecessor's orders as soon as it is known to have stopped. */
@@ -224,7 +220,7 @@
     // A predecessor that did not have the reports of all workers yet may itself have succeeded a
     // planner that still gives orders.
     if (hasStopped && isPredecessorSettled) planner?.observePredecessorStopped(readMoment());
-    loops.forEach((loop) => loop.wake());
+    loops.wakeAll();
     schedulePlan();
   };
   const load = async () => {
@@ -272,7 +268,7 @@
     });
     subscription = options.entries.subscribe(observeEntries);
     ticker = setInterval(() => {
-      updateLoops();
+      loops.update(active);
       schedulePlan();
     }, PLAN_INTERVAL_MS);
     ticker.unref();
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -24,12 +24,17 @@
   readonly handleFenced: () => void;
 }
 
+/** Why a loop ended: it was stopped, or the planner no longer has the worker. */
+export type WorkerLoopEnd = 'stopped' | 'worker-gone';
+
 /** Renewal loop of one worker. */
 export interface WorkerLoop {
   /** Ends the current pause, so that the next renewal is sent at once; else has no effect. */
   readonly wake: () => void;
   /** Ends the loop; the reply to a renewal in progress is ignored. */
   readonly stop: () => void;
+  /** Resolves once the loop sends no more renewals. */
+  readonly ended: Promise<WorkerLoopEnd>;
 }
 
 /** Longest time that a worker delays its reply to a renewal while it waits for a task to end. */
@@ -99,7 +104,7 @@
       case 'rejected':
         if (outcome.why === 'fenced') options.handleFenced();
         else if (outcome.why === 'other-life')
-          planner.observeIncarnationEnd(workerId, 'other-life');
+          planner.observeIncarnationEnd(workerId, 'other-life', receivedAt);
         else planner.observeMissedReport(workerId, receivedAt);
         await waitOrWake(RETRY_MS);
         return;
@@ -111,7 +116,7 @@
         outcome satisfies never;
     }
   };
-  const run = async () => {
+  const run = async (): Promise<WorkerLoopEnd> => {
     while (!isStopped && planner.table.workers.has(workerId)) {
       await renew();
       const worker = planner.table.workers.get(workerId);
@@ -123,9 +128,10 @@
         worker.tasks.size + worker.orphanedRuns.size === 0;
       if (isIdle) await waitOrWake(IDLE_PAUSE_MS);
     }
+    return isStopped ? 'stopped' : 'worker-gone';
   };
-  void run();
   return {
+    ended: run(),
     wake: () => endPause?.(),
     stop: () => {
       isStopped = true;
--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -8,6 +8,7 @@
 import { computeUsedCoreShare, hasFreeCapacity } from './free-capacity.js';
 import type { StepSpec } from './spec.js';
 import type { StepRun, Task, Worker } from './state.js';
+import { explainExclusion } from './worker-exclusion.js';
 
 /** Cost of running on another rack than the data; 1 corresponds to the load of a full worker. */
 const REMOTE_PENALTY = 0.5;
@@ -20,9 +21,6 @@
 /** For lasting tasks, cost of each task of the same step on the worker. */
 const SIBLING_PENALTY = 2;
 
-/** A worker gets no new tasks after tasks of this many different jobs failed without a success. */
-export const FAILED_JOBS_LIMIT = 4;
-
 /** Cost of each job with a failed task on the worker since the last success there. */
 const FAILED_JOB_PENALTY = 0.3;
 
@@ -39,22 +37,9 @@
   readonly nowMs: number;
 }
 
-/**
- * Says whether a worker accepts new tasks at all, whatever its free capacity. It must be listed,
- * have reported, be recorded as a lease holder, and not be draining, unresponsive, paused or
- * failing.
- */
+/** Says whether a worker accepts new tasks at all, whatever its free capacity. */
 export function isAcceptingTasks(worker: Worker, nowMs: number): boolean {
-  return (
-    worker.isListed &&
-    worker.isRecorded &&
-    worker.entry.phase === 'ready' &&
-    worker.clock !== undefined &&
-    worker.missedReports === 0 &&
-    worker.evacuateUntilMs <= nowMs &&
-    worker.noStartBeforeMs <= nowMs &&
-    worker.failedJobs.length < FAILED_JOBS_LIMIT
-  );
+  return explainExclusion(worker, nowMs) === undefined;
 }
 
 /** Counts the tasks of a step that are assigned to a worker. */
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/exclusion-log.ts
@@ -0,0 +1,82 @@
+/** Logs when a worker stops or starts to accept new tasks, with the reason and its inputs. */
+import type { PoolContext } from './pool-context.js';
+import type { Worker } from './state.js';
+import { explainExclusion, type Exclusion } from './worker-exclusion.js';
+
+/** Log of the exclusions of a pool's workers. */
+export interface ExclusionLog {
+  /** Logs the changes since the last call, one line for each worker that has changed. */
+  readonly observeWorkers: (nowMs: number) => void;
+}
+
+/** Whether a worker accepts tasks, or why not, and since when on the monotonic clock. */
+interface Acceptance {
+  readonly why: Exclusion | undefined;
+  readonly sinceMs: number;
+}
+
+/** Makes the log fields of the inputs that led to an exclusion; times are in milliseconds. */
+function makeInputFields(
+  { table }: PoolContext,
+  worker: Worker,
+  why: Exclusion,
+  nowMs: number,
+): Readonly<Record<string, unknown>> {
+  const { missedReports } = worker;
+  const reportAgeMs =
+    worker.clock === undefined ? undefined : Math.round(nowMs - worker.lastReportMs);
+  switch (why) {
+    case 'unrecorded':
+    case 'draining':
+      return {};
+    case 'unlisted':
+    case 'no-report':
+    case 'unresponsive':
+      return { reportAgeMs, missedReports };
+    case 'evacuating':
+      return { forMs: Math.round(worker.evacuateUntilMs - nowMs) };
+    case 'unhealthy':
+      return { forMs: Math.round(worker.noStartBeforeMs - nowMs) };
+    case 'failing': {
+      const failedJobs = worker.failedJobs.map((job) => {
+        const arrivedMs = table.jobs.get(job)?.arrivedMs;
+        return { job, ageMs: arrivedMs === undefined ? undefined : Math.round(nowMs - arrivedMs) };
+      });
+      return { failedJobs, reportAgeMs };
+    }
+    default:
+      return why satisfies never;
+  }
+}
+
+/** Creates the log of a pool. */
+export function createExclusionLog(context: PoolContext): ExclusionLog {
+  const { table, report } = context;
+  const acceptances = new Map<string, Acceptance>();
+
+  const logChange = (worker: Worker, why: Exclusion | undefined, nowMs: number) => {
+    const { id, bornMs } = worker.entry;
+    const previous = acceptances.get(id);
+    acceptances.set(id, { why, sinceMs: nowMs });
+    if (why !== undefined) {
+      const inputs = makeInputFields(context, worker, why, nowMs);
+      report({ event: 'worker-excluded', worker: id, bornMs, why, ...inputs });
+      return;
+    }
+    const excludedMs = previous === undefined ? 0 : Math.round(nowMs - previous.sinceMs);
+    report({ event: 'worker-included', worker: id, bornMs, why: previous?.why, excludedMs });
+  };
+  return {
+    observeWorkers: (nowMs) => {
+      table.workers.forEach((worker, id) => {
+        const why = explainExclusion(worker, nowMs);
+        const known = acceptances.get(id);
+        if (known === undefined || known.why !== why) logChange(worker, why, nowMs);
+      });
+      if (acceptances.size === table.workers.size) return;
+      [...acceptances.keys()]
+        .filter((id) => !table.workers.has(id))
+        .forEach((id) => acceptances.delete(id));
+    },
+  };
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
@@ -0,0 +1,24 @@
+/** Opens occurrences of repeating jobs when they are due, and drops jobs that ended long ago. */
+import type { TaskTable } from './task-table.js';
+
+/** Opens the occurrences that are due at the wall time `wallMs`. */
+export function openDueOccurrences(table: TaskTable, wallMs: number): void {
+  table.jobs.forEach((job) => {
+    const { id, repeatCount, startAtMs, intervalMs } = job.record.spec;
+    if (job.phase !== 'active' || repeatCount === 0) return;
+    const dueCount = Math.floor((wallMs - startAtMs) / Math.max(1, intervalMs)) + 1;
+    for (let number = 0; number < Math.min(dueCount, repeatCount); number += 1) {
+      if (!job.finishedOccurrences.has(number)) table.openOccurrence(id, number);
+    }
+  });
+}
+
+/**
+ * Drops the jobs whose end is stored and more than `statusMs` ago at the monotonic time `nowMs`.
+ */
+export function dropFinishedJobs(table: TaskTable, statusMs: number, nowMs: number): void {
+  table.jobs.forEach((job, id) => {
+    const isExpired = job.finishedMs !== undefined && nowMs - job.finishedMs > statusMs;
+    if (isExpired && job.storedPhase === job.phase) table.dropJob(id);
+  });
+}
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -3,10 +3,10 @@
  * shows whether the worker has it.
  */
 import type { OrderOutcome } from '../ports/task-workers.js';
-import { releaseTask } from './apply-ends.js';
 import type { StartAction } from './plan-starts.js';
 import type { StopAction } from './plan-stops.js';
 import type { PoolContext } from './pool-context.js';
+import { releaseUnendedRun } from './run-release.js';
 import { makeStepKey } from './spec.js';
 import type { Moment } from './state.js';
 import type { TicketRegistry } from './tickets.js';
@@ -55,7 +55,12 @@
     }
     case 'rejected':
       if (state.confirmedMs !== undefined) return;
-      releaseTask(context, task, at.nowMs + START_RETRY_MS);
+      releaseUnendedRun(
+        context,
+        task,
+        { proof: 'start-rejected', why: outcome.why },
+        { nowMs: at.nowMs, notBeforeMs: at.nowMs + START_RETRY_MS },
+      );
       if (outcome.why === 'unhealthy' && worker !== undefined) {
         table.updateWorker(worker.entry.id, { noStartBeforeMs: at.nowMs + UNHEALTHY_PAUSE_MS });
       }
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -4,10 +4,11 @@
  * end return to the queue.
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
-import { applyEnd, releaseTask } from './apply-ends.js';
-import { hasLeaseExpired } from './lease-clock.js';
+import { applyEnd } from './apply-ends.js';
+import { computeEarliestWorkerMs, hasLeaseExpired } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './free-capacity.js';
+import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
 import { makeAssignment, type Assignment, type Moment, type Task, type Worker } from './state.js';
 
 /** Maximum number of ends in one report; a report that reaches it may omit later ends. */
@@ -23,6 +24,29 @@
   readonly receivedMs: number;
 }
 
+/** Records a run that belongs to no task, or whose task is done or assigned to another run. */
+function recordOrphan(
+  context: PoolContext,
+  worker: Worker,
+  row: RunningTask,
+  task: Task | undefined,
+): void {
+  const knownOrphan = worker.orphanedRuns.get(row.taskKey);
+  if (knownOrphan?.run === row.run) return;
+  const size = task === undefined ? NO_RESOURCES : context.table.findStep(task).size;
+  worker.orphanedRuns.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
+  const other = task?.state.kind === 'assigned' ? task.state : undefined;
+  context.report({
+    event: 'run-orphaned',
+    task: row.taskKey,
+    run: row.run,
+    worker: worker.entry.id,
+    bornMs: worker.entry.bornMs,
+    otherRun: other?.run,
+    otherWorker: other?.workerId,
+  });
+}
+
 /** Records a run that the table does not have: adopts it for a waiting task, else as an orphan. */
 function recordUnknownRun(
   context: PoolContext,
@@ -32,10 +56,7 @@
 ): void {
   const task = context.table.findTask(row.taskKey);
   if (task === undefined || task.state.kind !== 'waiting') {
-    const knownOrphan = worker.orphanedRuns.get(row.taskKey);
-    if (knownOrphan?.run === row.run) return;
-    const size = task === undefined ? NO_RESOURCES : context.table.findStep(task).size;
-    worker.orphanedRuns.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
+    recordOrphan(context, worker, row, task);
     return;
   }
   const assignment = makeAssignment(worker.entry.id, row.run, {
@@ -46,14 +67,19 @@
     lastProgressMs: at.nowMs,
     load: row.load,
   });
-  context.table.moveTask(task, assignment, { lastRun: Math.max(task.lastRun, row.run) });
+  context.table.moveTask(task, makeAdopted(assignment), {
+    lastRun: Math.max(task.lastRun, row.run),
+  });
   context.table.updateJob(task.jobId, { hasStarted: true });
   context.report({
     event: 'run-adopted',
     task: row.taskKey,
     run: row.run,
     worker: worker.entry.id,
+    bornMs: worker.entry.bornMs,
     percent: row.percent,
+    leaseUntilMs: worker.leaseUntilMs,
+    clockMs: worker.clock?.workerMs,
   });
 }
 
@@ -91,13 +117,30 @@
 }
 
 /**
- * Says whether a run that a report does not list cannot be running, or still start, on the worker.
+ * Finds the proof that a run that a report does not list cannot be running, or still start, on the
+ * worker; undefined if there is none.
  */
-function isConfirmedGone(assignment: Assignment, worker: Worker, timed: TimedReport): boolean {
+function findProof(
+  assignment: Assignment,
+  { clock }: Worker,
+  { sentMs, receivedMs }: TimedReport,
+): ReleaseProof | undefined {
   const { confirmedMs, stopAnsweredMs, leaseUntilMs } = assignment;
-  if (confirmedMs !== undefined && confirmedMs < timed.sentMs) return true;
-  if (stopAnsweredMs !== undefined && stopAnsweredMs < timed.sentMs) return true;
-  return confirmedMs === undefined && hasLeaseExpired(worker.clock, leaseUntilMs, timed.receivedMs);
+  const sentAgoMs = Math.round(receivedMs - sentMs);
+  if (confirmedMs !== undefined && confirmedMs < sentMs) {
+    const confirmedAgoMs = Math.round(receivedMs - confirmedMs);
+    return { proof: 'missing-in-report', confirmedAgoMs, sentAgoMs };
+  }
+  if (stopAnsweredMs !== undefined && stopAnsweredMs < sentMs) {
+    const stopAnsweredAgoMs = Math.round(receivedMs - stopAnsweredMs);
+    return { proof: 'stop-answered', stopAnsweredAgoMs, sentAgoMs };
+  }
+  if (confirmedMs !== undefined || !hasLeaseExpired(clock, leaseUntilMs, receivedMs)) {
+    return undefined;
+  }
+  const earliestWorkerMs =
+    clock === undefined ? undefined : Math.round(computeEarliestWorkerMs(clock, receivedMs));
+  return { proof: 'start-late', leaseUntilMs, earliestWorkerMs };
 }
 
 /**
@@ -108,7 +151,8 @@
   [...worker.tasks].forEach((key) => {
     const task = context.table.findTask(key);
     if (task === undefined || task.state.kind !== 'assigned' || listed.has(key)) return;
-    if (!isConfirmedGone(task.state, worker, timed)) return;
+    const proof = findProof(task.state, worker, timed);
+    if (proof === undefined) return;
     context.report({
       event: 'run-missing',
       task: key,
@@ -116,7 +160,7 @@
       worker: worker.entry.id,
       phase: task.state.phase,
     });
-    releaseTask(context, task);
+    releaseUnendedRun(context, task, proof, { nowMs: timed.receivedMs });
   });
   [...worker.orphanedRuns.keys()].forEach((key) => {
     if (!listed.has(key)) worker.orphanedRuns.delete(key);
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -40,6 +40,15 @@
   readonly workerIds: readonly string[];
 }
 
+/** Actions of one pass over the queue, and what the pass could not use. */
+export interface StartPlan {
+  readonly actions: readonly (StartAction | AdviseAction)[];
+  /** Number of workers reserved for lasting tasks that fit nowhere yet. */
+  readonly reserved: number;
+  /** Number of steps for which no accepting worker has a ticket of the advisor. */
+  readonly ticketless: number;
+}
+
 /** Inputs for planning starts, in addition to the tables. */
 export interface StartInputs {
   readonly at: Moment;
@@ -63,6 +72,7 @@
   const reserved = new Set<string>();
   const starts: StartAction[] = [];
   const advice: AdviseAction[] = [];
+  let ticketless = 0;
 
   const listCandidates = (startable: StartableStep): readonly Worker[] => {
     const free = [...table.workers.values()].filter((worker) => !reserved.has(worker.entry.id));
@@ -75,7 +85,9 @@
     const acceptingIds = free.filter((w) => isAcceptingTasks(w, at.nowMs)).map((w) => w.entry.id);
     const workerIds = tickets.takeQuery(stepKey, acceptingIds, at.nowMs);
     if (workerIds.length > 0) advice.push({ kind: 'advise', stepKey, workerIds });
-    return free.filter((w) => tickets.findTicket(stepKey, w.entry.id, at.nowMs) !== undefined);
+    const hasTicket = (id: string) => tickets.findTicket(stepKey, id, at.nowMs) !== undefined;
+    if (acceptingIds.length > 0 && !acceptingIds.some(hasTicket)) ticketless += 1;
+    return free.filter((w) => hasTicket(w.entry.id));
   };
   const assignTask = (
     startable: StartableStep,
@@ -168,7 +180,11 @@
         table.updateJob(job.record.spec.id, { hasStarted: true });
       }
     },
-    listActions: () => [...starts, ...advice],
+    getPlan: (): StartPlan => ({
+      actions: [...starts, ...advice],
+      reserved: reserved.size,
+      ticketless,
+    }),
   };
 }
 
@@ -177,10 +193,7 @@
  * tasks as assigned. Inherited jobs wait while the inheritance is uncertain. The tasks of a gang
  * start all at once or not at all.
  */
-export function planStarts(
-  context: PoolContext,
-  inputs: StartInputs,
-): readonly (StartAction | AdviseAction)[] {
+export function planStarts(context: PoolContext, inputs: StartInputs): StartPlan {
   const startPass = createStartPass(context, inputs);
   const { nowMs } = inputs.at;
   const keys = [...context.table.jobs.values()]
@@ -189,5 +202,5 @@
     .map((job) => makeQueueKey(job, inputs.getMeanWork(job.record.spec.route), nowMs));
   keys.sort(compareQueueKeys);
   keys.forEach(({ job }) => startPass.placeJob(job));
-  return startPass.listActions();
+  return startPass.getPlan();
 }
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -10,6 +10,8 @@
 import { admitJob, type Admission } from './admit-job.js';
 import { closeJob } from './apply-ends.js';
 import { computeWork } from './estimate.js';
+import { createExclusionLog } from './exclusion-log.js';
+import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
 import { observeStart, observeStop } from './observe-orders.js';
 import { observeReport, type TimedReport } from './observe-report.js';
 import { planPaces, type PaceAction } from './pace.js';
@@ -22,6 +24,7 @@
 import { renderStep } from './render-step.js';
 import { isLastingJob, type JobPolicy, type JobRecord, type JobSpec } from './spec.js';
 import type { Job, Moment } from './state.js';
+import { createStandingQueueWatch } from './standing-queue.js';
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketRegistry, type TicketRegistry } from './tickets.js';
@@ -82,8 +85,11 @@
   ) => readonly PaceAction[];
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
-  /** Drops a worker whose incarnation has ended, and requeues its tasks. */
-  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd) => void;
+  /**
+   * Drops a worker whose incarnation has ended, and requeues its tasks. Without `at`, ages are left
+   * out of the log.
+   */
+  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd, at?: Moment) => void;
   /** Records that the preceding planner sends no orders after `at`. */
   readonly observePredecessorStopped: (at: Moment) => void;
   /** Says whether orders of earlier planners can no longer take effect. */
@@ -135,6 +141,8 @@
   const meanWork = new Map<string, { readonly sum: number; readonly count: number }>();
   const context: PoolContext = { table, dirtyJobs, report: options.report };
   const incarnations = createWorkerIncarnations(context, options);
+  const exclusionLog = createExclusionLog(context);
+  const standingQueue = createStandingQueueWatch(context);
 
   const recordWork = (job: Job) => {
     const { route } = job.record.spec;
@@ -145,22 +153,6 @@
     const known = meanWork.get(route);
     return known === undefined ? 1 : known.sum / known.count;
   };
-  const openDueOccurrences = (wallMs: number) => {
-    table.jobs.forEach((job) => {
-      const { id, repeatCount, startAtMs, intervalMs } = job.record.spec;
-      if (job.phase !== 'active' || repeatCount === 0) return;
-      const dueCount = Math.floor((wallMs - startAtMs) / Math.max(1, intervalMs)) + 1;
-      for (let number = 0; number < Math.min(dueCount, repeatCount); number += 1) {
-        if (!job.finishedOccurrences.has(number)) table.openOccurrence(id, number);
-      }
-    });
-  };
-  const dropFinished = (nowMs: number) => {
-    table.jobs.forEach((job, id) => {
-      const isExpired = job.finishedMs !== undefined && nowMs - job.finishedMs > options.statusMs;
-      if (isExpired && job.storedPhase === job.phase) table.dropJob(id);
-    });
-  };
   return {
     table,
     tickets,
@@ -232,7 +224,7 @@
       if (worker === undefined) return [];
       const { bornMs } = timed.report;
       if (bornMs !== undefined && bornMs !== worker.entry.bornMs) {
-        incarnations.observeNewIncarnation(worker, bornMs);
+        incarnations.observeNewIncarnation(worker, bornMs, at);
         return [];
       }
       if (worker.missedReports > 0) options.report({ event: 'worker-regained', worker: workerId });
@@ -266,23 +258,28 @@
     },
     plan: (at) => {
       incarnations.releaseUnresponsive(at.nowMs);
-      openDueOccurrences(at.wallMs);
-      dropFinished(at.nowMs);
+      openDueOccurrences(table, at.wallMs);
+      dropFinishedJobs(table, options.statusMs, at.nowMs);
       table.workers.forEach((worker, id) => {
         const isCooldownOver =
           at.nowMs - worker.lastReportMs > FAILED_JOBS_RESET_MS && worker.tasks.size === 0;
         if (worker.failedJobs.length > 0 && isCooldownOver)
           table.updateWorker(id, { failedJobs: [] });
       });
+      exclusionLog.observeWorkers(at.nowMs);
       const isInheritanceUncertain = incarnations.isInheritanceUncertain(at.nowMs);
       const stops = planStops(context, { at, isInheritanceUncertain });
-      const starts = planStarts(context, {
-        at,
+      const inputs = { at, isInheritanceUncertain, getMeanWork, tickets };
+      const { actions, reserved, ticketless } = planStarts(context, inputs);
+      standingQueue.observePlan({
+        nowMs: at.nowMs,
+        starts: actions.filter(({ kind }) => kind === 'start').length,
+        reserved,
+        ticketless,
         isInheritanceUncertain,
-        getMeanWork,
-        tickets,
+        ...incarnations.countIgnored(),
       });
-      return [...stops, ...starts];
+      return [...stops, ...actions];
     },
     takeStoreBatch: storeQueue.takeBatch,
     dropUnstored: storeQueue.dropUnstored,
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
@@ -0,0 +1,52 @@
+/** Explains why a worker gets no new tasks, whatever its free capacity. */
+import type { Worker } from './state.js';
+import type { TaskTable } from './task-table.js';
+
+/**
+ * Why a worker gets no new tasks. `unlisted`: the list of registered workers omits it.
+ * `unrecorded`: it is not stored as a possible lease holder. `draining`: it is shutting down.
+ * `no-report`: it has not reported yet. `unresponsive`: its newest report is missing. `evacuating`:
+ * its tasks have to leave. `unhealthy`: it rejected a start as unhealthy. `failing`: tasks of too
+ * many jobs failed there without a success.
+ */
+export type Exclusion =
+  | 'unlisted'
+  | 'unrecorded'
+  | 'draining'
+  | 'no-report'
+  | 'unresponsive'
+  | 'evacuating'
+  | 'unhealthy'
+  | 'failing';
+
+/** Number of workers by the reason of their exclusion, and of those that accept tasks. */
+export type ExclusionCounts = Readonly<Partial<Record<Exclusion | 'accepting', number>>>;
+
+/** A worker gets no new tasks after tasks of this many different jobs failed without a success. */
+const FAILED_JOBS_LIMIT = 4;
+
+/**
+ * Explains why a worker gets no new tasks at the monotonic time `nowMs`; undefined if it accepts
+ * them. Of several reasons, the first in the order of `Exclusion` is returned.
+ */
+export function explainExclusion(worker: Worker, nowMs: number): Exclusion | undefined {
+  if (!worker.isListed) return 'unlisted';
+  if (!worker.isRecorded) return 'unrecorded';
+  if (worker.entry.phase !== 'ready') return 'draining';
+  if (worker.clock === undefined) return 'no-report';
+  if (worker.missedReports > 0) return 'unresponsive';
+  if (worker.evacuateUntilMs > nowMs) return 'evacuating';
+  if (worker.noStartBeforeMs > nowMs) return 'unhealthy';
+  if (worker.failedJobs.length >= FAILED_JOBS_LIMIT) return 'failing';
+  return undefined;
+}
+
+/** Counts the workers of a pool by the reason of their exclusion; omits counts of 0. */
+export function countExclusions(table: TaskTable, nowMs: number): ExclusionCounts {
+  const counts: Partial<Record<Exclusion | 'accepting', number>> = {};
+  table.workers.forEach((worker) => {
+    const reason = explainExclusion(worker, nowMs) ?? 'accepting';
+    counts[reason] = (counts[reason] ?? 0) + 1;
+  });
+  return counts;
+}
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -4,10 +4,10 @@
  */
 import type { WorkerEntry } from '../ports/task-workers.js';
 import { SUCCESSION_MS } from '../duties/authority.js';
-import { releaseTask } from './apply-ends.js';
-import { CLOCK_DRIFT, hasLeaseExpired, LEASE_MS } from './lease-clock.js';
+import { CLOCK_DRIFT, computeEarliestWorkerMs, hasLeaseExpired, LEASE_MS } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
-import type { Moment, Worker } from './state.js';
+import { isAdopted, releaseUnendedRun, type IncarnationEndCause } from './run-release.js';
+import type { Moment, Task, Worker } from './state.js';
 
 /** What a planner inherits from its predecessor. */
 export interface InheritanceOptions {
@@ -34,15 +34,15 @@
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
   /**
    * Drops a worker whose incarnation has ended, and requeues its tasks; an inherited worker no
-   * longer counts as a lease holder.
+   * longer counts as a lease holder. Without `at`, ages are left out of the log.
    */
-  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd) => void;
+  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd, at?: Moment) => void;
   /** Keeps new tasks off a worker for a limited time, also one whose entry is received later. */
   readonly recordEvacuation: (workerId: string, at: Moment) => void;
   /**
    * Requeues a worker's tasks and replaces it by its new incarnation, which started at `bornMs`.
    */
-  readonly observeNewIncarnation: (worker: Worker, bornMs: number) => void;
+  readonly observeNewIncarnation: (worker: Worker, bornMs: number, at: Moment) => void;
   /**
    * Records that a worker reported what it runs; ignored if the report was requested (`sentMs`)
    * before the earlier planner had stopped.
@@ -62,6 +62,14 @@
    * it has not reported yet.
    */
   readonly isInheritanceUncertain: (nowMs: number) => boolean;
+  /**
+   * Counts the workers that may hold a lease from an earlier planner and have not reported, and
+   * those that are ignored because their incarnation was ended by an order.
+   */
+  readonly countIgnored: () => {
+    readonly unreportedWorkers: number;
+    readonly endedWorkers: number;
+  };
   /** Lists the known workers, and the inherited ones that may still hold a lease, by id. */
   readonly listLeaseHolders: () => readonly string[];
 }
@@ -69,7 +77,7 @@
 /**
  * Why an incarnation ended: by an order for its instance, or another one responds at its address.
  */
-export type IncarnationEnd = 'ordered' | 'other-life';
+export type IncarnationEnd = Exclude<IncarnationEndCause, 'new-life'>;
 
 /** How long an evacuation order remains in effect after it was last given. */
 const EVACUATION_ORDER_TTL_MS = 3_000;
@@ -91,38 +99,63 @@
   const getUncertainUntilMs = () =>
     predecessorUntilMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_LEASE_MARGIN_MS;
 
-  const dropWorker = (worker: Worker, why: string) => {
+  const listTasks = (worker: Worker): readonly Task[] =>
+    [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
+  const countAdopted = (tasks: readonly Task[]) =>
+    tasks.filter(({ state }) => state.kind === 'assigned' && isAdopted(state)).length;
+  const computeReportAge = (worker: Worker, nowMs: number | undefined) =>
+    worker.clock === undefined || nowMs === undefined
+      ? undefined
+      : Math.round(nowMs - worker.lastReportMs);
+  /** Drops a worker whose incarnation has ended; its new one started at `newBornMs`, if known. */
+  const dropWorker = (
+    worker: Worker,
+    why: IncarnationEndCause,
+    newBornMs: number | undefined,
+    nowMs: number | undefined,
+  ) => {
     report({
       event: 'worker-lost',
       worker: worker.entry.id,
+      bornMs: worker.entry.bornMs,
+      newBornMs,
       why,
       tasks: worker.tasks.size,
       silentMs: worker.missedReports,
+      reportAgeMs: computeReportAge(worker, nowMs),
     });
-    [...worker.tasks].forEach((key) => {
-      const task = table.findTask(key);
-      if (task !== undefined) releaseTask(context, task);
+    listTasks(worker).forEach((task) => {
+      releaseUnendedRun(context, task, { proof: 'incarnation-ended', why, newBornMs }, { nowMs });
     });
     table.dropWorker(worker.entry.id);
     unreportedIds.delete(worker.entry.id);
   };
-  const observeIncarnationEnd = (workerId: string, why: IncarnationEnd) => {
+  const observeIncarnationEnd = (workerId: string, why: IncarnationEnd, at?: Moment) => {
     const worker = table.workers.get(workerId);
+    report({
+      event: 'incarnation-end-notified',
+      worker: workerId,
+      why,
+      bornMs: worker?.entry.bornMs,
+      outcome: worker === undefined ? 'unknown-worker' : 'worker-dropped',
+      wasUnreported: unreportedIds.has(workerId),
+      reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, at?.nowMs),
+    });
     if (worker !== undefined) {
       if (why === 'ordered') endedIncarnations.set(workerId, worker.entry.bornMs);
-      dropWorker(worker, why);
+      dropWorker(worker, why, undefined, at?.nowMs);
     }
     unreportedIds.delete(workerId);
   };
   // The entry of an incarnation that was ended by an order remains listed for some seconds.
   const hasIncarnationEnded = ({ id, bornMs }: WorkerEntry) =>
     bornMs > 0 && endedIncarnations.get(id) === bornMs;
-  const observeEntry = (entry: WorkerEntry) => {
+  const observeEntry = (entry: WorkerEntry, nowMs: number) => {
     if (hasIncarnationEnded(entry)) return;
     const known = table.workers.get(entry.id);
     if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
       if (known.entry.bornMs > entry.bornMs) return;
-      dropWorker(known, 'new-life');
+      dropWorker(known, 'new-life', entry.bornMs, nowMs);
     }
     if (table.workers.has(entry.id)) table.updateWorker(entry.id, { entry, isListed: true });
     else {
@@ -138,19 +171,42 @@
       });
     }
   };
+  /** Requeues the tasks of a worker whose lease has expired. */
+  const releaseExpired = (worker: Worker, nowMs: number) => {
+    const { clock, leaseUntilMs, missedReports } = worker;
+    const tasks = listTasks(worker);
+    const earliestWorkerMs =
+      clock === undefined ? undefined : Math.round(computeEarliestWorkerMs(clock, nowMs));
+    const reportAgeMs = Math.round(nowMs - worker.lastReportMs);
+    report({
+      event: 'worker-leases-passed',
+      worker: worker.entry.id,
+      bornMs: worker.entry.bornMs,
+      leaseUntilMs,
+      earliestWorkerMs,
+      reportAgeMs,
+      missedReports,
+      adopted: countAdopted(tasks),
+    });
+    const proof = 'lease-expired';
+    tasks.forEach((task) => {
+      releaseUnendedRun(
+        context,
+        task,
+        { proof, leaseUntilMs, earliestWorkerMs, reportAgeMs, missedReports },
+        { nowMs },
+      );
+    });
+  };
   const releaseUnresponsive = (nowMs: number) => {
     [...table.workers.values()].forEach((worker) => {
       const isUnresponsive =
         worker.missedReports > 0 && hasLeaseExpired(worker.clock, worker.leaseUntilMs, nowMs);
       const hasLeft = !worker.isListed && worker.tasks.size === 0;
       if (isUnresponsive && (worker.tasks.size > 0 || worker.orphanedRuns.size > 0)) {
-        [...worker.tasks].forEach((key) => {
-          const task = table.findTask(key);
-          if (task !== undefined) releaseTask(context, task);
-        });
+        releaseExpired(worker, nowMs);
         worker.orphanedRuns.clear();
         table.refreshUsedCapacity(worker.entry.id);
-        report({ event: 'worker-leases-passed', worker: worker.entry.id });
       }
       if (hasLeft && (worker.missedReports > 0 || worker.orphanedRuns.size === 0)) {
         table.dropWorker(worker.entry.id);
@@ -159,7 +215,7 @@
   };
   return {
     observeEntries: (entries, { nowMs }) => {
-      entries.forEach(observeEntry);
+      entries.forEach((entry) => observeEntry(entry, nowMs));
       const ids = new Set(entries.map((entry) => entry.id));
       [...endedIncarnations.keys()]
         .filter((id) => !ids.has(id))
@@ -192,8 +248,8 @@
       evacuateUntilMsById.set(workerId, untilMs);
       table.updateWorker(workerId, { evacuateUntilMs: untilMs });
     },
-    observeNewIncarnation: (worker, bornMs) => {
-      dropWorker(worker, 'new-life');
+    observeNewIncarnation: (worker, bornMs, { nowMs }) => {
+      dropWorker(worker, 'new-life', bornMs, nowMs);
       table.addWorker({ ...worker.entry, bornMs });
     },
     recordReport: (workerId, sentMs) => {
@@ -209,6 +265,10 @@
     isWithinUncertaintyWindow: (nowMs) => nowMs < getUncertainUntilMs(),
     isInheritanceUncertain: (nowMs) =>
       nowMs < predecessorUntilMs || (unreportedIds.size > 0 && nowMs < getUncertainUntilMs()),
+    countIgnored: () => ({
+      unreportedWorkers: unreportedIds.size,
+      endedWorkers: endedIncarnations.size,
+    }),
     listLeaseHolders: () => [...new Set([...table.workers.keys(), ...unreportedIds])],
   };
 }
--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -6,6 +6,7 @@
   type PoolAction,
   type PoolPlanner,
 } from '../../lib/jobs/pool-planner.js';
+import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
 import { decodeProgress, type Progress } from '../../lib/jobs/progress.js';
 import type { StartAction } from '../../lib/jobs/plan-starts.js';
 import type { JobPolicy, JobSpec, StepSpec } from '../../lib/jobs/spec.js';
@@ -108,10 +109,12 @@
     readonly inheritedWorkers?: readonly string[];
     /** Whether the preceding planner may still send orders. */
     readonly hasPredecessor?: boolean;
+    /** Receives the entries of the decision log. */
+    readonly report?: (event: DecisionEvent) => void;
   } = {},
 ): Harness {
   const planner = createPoolPlanner(POOL, {
-    report: () => {},
+    report: options.report ?? (() => {}),
     runBase: options.runBase ?? 0,
     inheritedWorkers: options.inheritedWorkers ?? [],
     claimedMs: 0,
