Answer malformed and failing calls of peers instead of ending the process

What callers saw: nothing by itself; one malformed body on the port for peers, or one request whose handler fails, ends the whole process with every pool that it plans (an uncaught exception or an unhandled rejection ends Node 20). Cause: JSON.parse in the handler of the body's end, and a reply without a catch. A peer's answer that is not JSON ended the asking process in the same way. Ruled out: a handler for uncaught exceptions in the process, which would hide other faults. Change: a body that is not a JSON object is answered with 400, a failing handler with 500, each with a log line; an answer that is not JSON counts as none (a notice) or as one that may have run (a request). Why it works: the caller of a peer already treats any status but 200 as an unknown outcome.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -118,6 +118,7 @@
   const server = await startPeerServer(options.peerHost, options.peerPort, {
     answer: gateway.answerLocally,
     answerNotice: claims.answerNotice,
+    log,
   });
   claims.start();
   return {
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -6,7 +6,8 @@
 import { createServer, type Server } from 'node:http';
 import type { DutyNotice, PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
-import { createHttpClient, encodeJsonBody, JSON_HEADERS } from '../http-client.js';
+import { createHttpClient, encodeJsonBody, JSON_HEADERS, parseJsonBody } from '../http-client.js';
+import type { JsonLog } from '../json-log.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 
 /** A duty notice with its sender. */
@@ -16,7 +17,7 @@
 
 /** Client for calls to peers. */
 export interface PeerClient {
-  /** Sends a notice; without an answer of status 200, resolves to `silent`. */
+  /** Sends a notice; without a JSON answer of status 200, resolves to `silent`. */
   readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
   /**
    * Sends a request. A failed call resolves to `unavailable` if the peer cannot have received it or
@@ -38,6 +39,8 @@
 /** Time for which an unresponsive peer is sent no requests. */
 const UNRESPONSIVE_PAUSE_MS = 700;
 const HTTP_OK = 200;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_SERVER_ERROR = 500;
 const MAX_BODY_BYTES = 1_048_576;
 
 /** Peers are few and serve many concurrent calls, so their connections are kept and not limited. */
@@ -59,8 +62,8 @@
         timeoutMs: NOTICE_TIMEOUT_MS,
       });
       if (outcome.kind !== 'answer' || outcome.status !== HTTP_OK) return { kind: 'silent' };
-      const view = JSON.parse(outcome.body.toString('utf8')) as PeerDutyView;
-      return { kind: 'answered', view };
+      const view = parseJsonBody(outcome.body) as PeerDutyView | undefined;
+      return view === undefined ? { kind: 'silent' } : { kind: 'answered', view };
     },
     send: async (peer, request, timeoutMs) => {
       if ((unresponsiveUntilMs.get(peer.id) ?? 0) > performance.now()) {
@@ -76,7 +79,8 @@
       });
       if (outcome.kind === 'answer' && outcome.status === HTTP_OK) {
         lastContactMs = performance.now();
-        return JSON.parse(outcome.body.toString('utf8')) as JobReply;
+        const reply = parseJsonBody(outcome.body) as JobReply | undefined;
+        return reply ?? { kind: 'unknown', why: 'peer-malformed' };
       }
       unresponsiveUntilMs.set(peer.id, performance.now() + UNRESPONSIVE_PAUSE_MS);
       if (outcome.kind === 'answer') return { kind: 'unknown', why: `peer-${outcome.status}` };
@@ -90,10 +94,40 @@
   };
 }
 
-/** Handlers of peers' calls. */
+/** Handlers of peers' calls, and the log of calls that were not answered with status 200. */
 export interface PeerHandlers {
   readonly answer: (request: JobRequest) => Promise<JobReply>;
   readonly answerNotice: (notice: SentNotice) => PeerDutyView;
+  readonly log: JsonLog;
+}
+
+/** Status and value of the answer to a peer's call; undefined for an empty body. */
+interface PeerAnswer {
+  readonly status: number;
+  readonly value: JobReply | PeerDutyView | undefined;
+}
+
+/**
+ * Answers a call with the parsed body. A body that is not a JSON object is answered with 400, and a
+ * call whose handler fails with 500, which leaves open whether it took effect.
+ */
+async function answerCall(
+  path: string | undefined,
+  body: unknown,
+  { answer, answerNotice, log }: PeerHandlers,
+): Promise<PeerAnswer> {
+  if (typeof body !== 'object' || body === null) {
+    log.warn({ event: 'peer-call-malformed', path });
+    return { status: HTTP_BAD_REQUEST, value: undefined };
+  }
+  try {
+    const value =
+      path === DUTIES_PATH ? answerNotice(body as SentNotice) : await answer(body as JobRequest);
+    return { status: HTTP_OK, value };
+  } catch (error) {
+    log.error({ event: 'peer-call-failed', path, reason: String(error) });
+    return { status: HTTP_SERVER_ERROR, value: undefined };
+  }
 }
 
 /**
@@ -103,7 +137,7 @@
 export function startPeerServer(
   host: string,
   port: number,
-  { answer, answerNotice }: PeerHandlers,
+  handlers: PeerHandlers,
 ): Promise<Server> {
   const server = createServer((request, response) => {
     const chunks: Buffer[] = [];
@@ -114,13 +148,11 @@
       else chunks.push(chunk);
     });
     request.once('end', () => {
-      const body = JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
-      const sendReply = (reply: JobReply | PeerDutyView) => {
-        response.writeHead(HTTP_OK, { 'content-type': 'application/json' });
-        response.end(JSON.stringify(reply));
-      };
-      if (request.url === DUTIES_PATH) sendReply(answerNotice(body as SentNotice));
-      else void answer(body as JobRequest).then(sendReply);
+      const body = parseJsonBody(Buffer.concat(chunks));
+      void answerCall(request.url, body, handlers).then(({ status, value }) => {
+        response.writeHead(status, JSON_HEADERS);
+        response.end(JSON.stringify(value));
+      });
     });
   });
   server.keepAliveTimeout = 30_000;
