Go on with rounds of the fleet duties after one that fails

What callers saw: nothing by itself; an instance of the product's own interface whose round fails once ends its process, or with a handler for rejections would never plan a move or maintenance again. Cause: the mark that a round runs was cleared only when the round resolved. Evidence: fleet-runner.test.ts failed before with the rejection of the round at runner.ts. Change: the mark is cleared in any case, and a line `round-failed` gives the reason. After: the test passes, three rounds of three run.

--- a/packages/daemon/src/lib/fleet/runner.ts
+++ b/packages/daemon/src/lib/fleet/runner.ts
@@ -131,8 +131,13 @@
   const handleRound = async () => {
     if (isBusy || isReadBackPending()) return;
     isBusy = true;
-    await runRound();
-    isBusy = false;
+    try {
+      await runRound();
+    } catch (error) {
+      options.log.error({ event: 'round-failed', duty: 'fleet', reason: String(error) });
+    } finally {
+      isBusy = false;
+    }
   };
   const subscription = store.records$.subscribe(acknowledgements.observeRecord);
   const timer = setInterval(() => void handleRound(), options.times.roundMs);
