Give authority to a claim, not to whoever holds its duty

An instance that loses a pool and takes it again has two generations of planners. `isInForce` looked up the last confirmation by the name of the duty, so a part of the first generation that was still at work, such as a renewal loop, found its lost claim in force again and extended leases under the old token, while the second generation counts such leases from the moment at which the first had stopped.

A claim is in force only while it is held itself: the held claim of the duty must have its token.

Ruled out: confirmations that arrive for the lost claim. They carry the time at which they were sent, which is before the new claim, and an earlier time never replaces a later one. Orders that still wait in the HTTP client when the pool is lost carry leases that were computed before, are dropped after 400 ms, and are rejected by each worker that the second generation has called.

The test failed before: the lost claim was in force as soon as it was dropped (expected false, got true).

--- a/packages/daemon/src/lib/jobs/duty-authority.ts
+++ b/packages/daemon/src/lib/jobs/duty-authority.ts
@@ -35,8 +35,9 @@
 /** Authority of one instance. */
 export interface DutyAuthority {
   /**
-   * Says whether orders may be given under a claim now: false when no confirmation is recent enough
-   * or there was none. Authority can return with a later confirmation; each change is logged.
+   * Says whether orders may be given under a claim now: false when it is not held, or no longer,
+   * and when no confirmation is recent enough or there was none. Authority over a held claim can
+   * return with a later confirmation; each change is logged.
    */
   readonly isInForce: (claim: Claim) => boolean;
   /** Records that a claim of this instance was stored; `sent` is when it was sent or read. */
@@ -78,6 +79,8 @@
     const previous = confirmedAt.get(duty);
     if (previous === undefined || previous.nowMs < sent.nowMs) confirmedAt.set(duty, sent);
   };
+  const isHeld = ({ duty, token }: Claim) =>
+    listHeld().some((held) => held.duty === duty && held.token === token);
   const logChange = (claim: Claim, isInForce: boolean) => {
     const { duty, token } = claim;
     if (isInForce !== lapsed.has(duty)) return;
@@ -131,6 +134,7 @@
   };
   return {
     isInForce: (claim) => {
+      if (!isHeld(claim)) return false;
       const isInForce = hasAuthority(confirmedAt.get(claim.duty), readMoment());
       logChange(claim, isInForce);
       return isInForce;
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -161,6 +161,27 @@
     assert.is(listClaims(), 1, 'no other instance has claimed');
   }));
 
+// Guards against a task that runs twice, as a loop of the lost pool extends leases under its token.
+test('a claim that was lost is not in force when the same instance holds the duty again', async () => {
+  const clock = install({ now: 0 });
+  const { fleet } = openFleet(['a']);
+  const claims = fleet.get('a')!;
+  await clock.tickAsync(3 * SECOND_MS);
+  const lost = claims.held.value.get(DUTY)!;
+  const wasInForce = claims.isInForce(lost);
+  claims.dropDuty(DUTY, 'worker-fenced');
+  const isInForceOnceDropped = claims.isInForce(lost);
+  await clock.tickAsync(5 * SECOND_MS);
+  const current = claims.held.value.get(DUTY)!;
+  const areInForce = [lost, current].map(claims.isInForce);
+  void claims.stop();
+  clock.uninstall();
+  assert.is(wasInForce, true);
+  assert.ok(current.token > lost.token);
+  assert.is(isInForceOnceDropped, false);
+  assert.equal(areInForce, [false, true]);
+});
+
 // Guards against weak instances that claim every duty at the moment when the store recovers.
 test('holders keep their duties when the store recovers for the others first', () =>
   runCase(async ({ faults, findHolder, listClaims }, holder, clock) => {
