Keep one renewal loop for each worker incarnation

Loops were kept by worker id, and a loop only looked whether the planner has some worker of that id.

- A worker that was dropped, and listed again after its loop had ended but before the loops were next updated (every 250 ms), got no loop: the map still had the ended one.
It was never asked for a report again, so it took no tasks for good.
A worker that restarts while another one answers at its address is such a case.
- A loop that was removed while its renewal was in progress was not stopped.
When the worker was listed again within that time there were two loops for it, and `stop` ended only the second: the first went on to renew with the old token after the pool was lost.

Ruled out: two loops of one planner with the same token start no second run by themselves. They extend leases that the planner knows of; the harm needs the pool to be lost and taken again.

The store in memory of the runner's test has moved to a module of its own.

--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -1,8 +1,8 @@
 /**
- * Renews the leases of one worker and collects its reports: by long polls while tasks run there, so
- * that each end is reported at once, and with pauses while the worker is idle.
+ * Renews the leases of one incarnation of a worker and collects its reports: by long polls while
+ * tasks run there, so that each end is reported at once, and with pauses while the worker is idle.
  */
-import type { Moment } from 'vanilladock/lib/jobs/state.js';
+import type { Moment, Worker } from 'vanilladock/lib/jobs/state.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import { estimateWorkerMs, LEASE_MS } from 'vanilladock/lib/jobs/lease-clock.js';
 import type { TaskWorkers } from 'vanilladock/lib/ports/task-workers.js';
@@ -11,6 +11,8 @@
 /** Dependencies and settings of a loop. */
 export interface WorkerLoopOptions {
   readonly workerId: string;
+  /** Start of the incarnation, in milliseconds since 1970. */
+  readonly bornMs: number;
   readonly planner: PoolPlanner;
   readonly workers: TaskWorkers;
   readonly fencingToken: number;
@@ -24,10 +26,10 @@
   readonly handleFenced: () => void;
 }
 
-/** Why a loop ended: it was stopped, or the planner no longer has the worker. */
+/** Why a loop ended: it was stopped, or the planner no longer has the incarnation. */
 export type WorkerLoopEnd = 'stopped' | 'worker-gone';
 
-/** Renewal loop of one worker. */
+/** Renewal loop of one incarnation. */
 export interface WorkerLoop {
   /** Ends the current pause, so that the next renewal is sent at once; else has no effect. */
   readonly wake: () => void;
@@ -46,12 +48,19 @@
 /** Pause between renewals of an idle worker. */
 const IDLE_PAUSE_MS = 2_000;
 
-/** Starts the loop of one worker; it ends by itself when the planner no longer has the worker. */
+/**
+ * Starts the loop of one incarnation; it ends by itself when the planner no longer has the worker,
+ * or has another incarnation of it.
+ */
 export function startWorkerLoop(options: WorkerLoopOptions): WorkerLoop {
-  const { workerId, planner, workers, fencingToken } = options;
+  const { workerId, bornMs, planner, workers, fencingToken } = options;
   let isStopped = false;
   let endPause: (() => void) | undefined;
 
+  const findWorker = () => {
+    const worker = planner.table.workers.get(workerId);
+    return worker?.entry.bornMs === bornMs ? worker : undefined;
+  };
   const waitOrWake = (ms: number) =>
     new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, ms);
@@ -61,9 +70,7 @@
         resolve();
       };
     });
-  const renew = async () => {
-    const worker = planner.table.workers.get(workerId);
-    if (worker === undefined) return;
+  const renew = async (worker: Worker) => {
     const isBusy = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
     const sent = readMoment();
     // A renewal without a reply may have been carried out. While the worker is unresponsive, no
@@ -117,9 +124,12 @@
     }
   };
   const run = async (): Promise<WorkerLoopEnd> => {
-    while (!isStopped && planner.table.workers.has(workerId)) {
-      await renew();
-      const worker = planner.table.workers.get(workerId);
+    for (;;) {
+      const known = findWorker();
+      if (known === undefined) return 'worker-gone';
+      if (isStopped) return 'stopped';
+      await renew(known);
+      const worker = findWorker();
       const isIdle =
         worker !== undefined &&
         worker.clock !== undefined &&
@@ -128,7 +138,6 @@
         worker.tasks.size + worker.orphanedRuns.size === 0;
       if (isIdle) await waitOrWake(IDLE_PAUSE_MS);
     }
-    return isStopped ? 'stopped' : 'worker-gone';
   };
   return {
     ended: run(),
--- a/packages/daemon/src/test/pool-runner.test.ts
+++ b/packages/daemon/src/test/pool-runner.test.ts
@@ -3,47 +3,18 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { BehaviorSubject } from 'rxjs';
-import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { EndedTask, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
 import { ENTRY, POLICY, POOL, SILENT_LOG, SPEC, STEP } from './job-fixtures.js';
+import { CALL_MS, createMemoryStore, NEVER, waitFor } from './memory-store.js';
 
 const SECOND_MS = 1_000;
-const CALL_MS = 5;
 const TASK_MS = 50;
-const NEVER = new Promise<never>(() => {});
 
 const TWO_TASKS = { ...STEP, count: 2, estimateMs: TASK_MS };
 const TWO_STEP_JOB = { ...SPEC, steps: [TWO_TASKS, { ...TWO_TASKS, count: 1, dependsOn: [0] }] };
 const LENIENT_POLICY = { ...POLICY, stretch: 10, targetLatencyMs: 9_000 };
 
-const waitFor = (ms: number) =>
-  new Promise<void>((resolve) => {
-    setTimeout(resolve, ms);
-  });
-
-/** A store that does not answer appends of the epochs in `unansweredEpochs`. */
-const createStore = () => {
-  const records: StoredKeyedRecord[] = [];
-  const unansweredEpochs = new Set<number>();
-  const store: KeyedStore = {
-    append: async (_, added, guard) => {
-      await waitFor(CALL_MS);
-      if (guard.kind === 'producer' && unansweredEpochs.has(guard.epoch)) return NEVER;
-      const offset = records.length;
-      added.forEach((record) => records.push({ ...record, offset: records.length }));
-      return { kind: 'stored', offset, end: records.length };
-    },
-    read: () => NEVER,
-    readNewest: async () => {
-      await waitFor(CALL_MS);
-      const newest = new Map(records.map((record) => [record.key, record]));
-      return { kind: 'records', records: [...newest.values()], end: records.length };
-    },
-  };
-  return { store, unansweredEpochs };
-};
-
 /** A worker that drops the ends that a planner has confirmed as stored. */
 const createWorker = () => {
   const starts: string[] = [];
@@ -84,7 +55,7 @@
 // Guards against a task that runs twice, because only a planner that died had received its end.
 test('a third planner restarts no task whose end the second got but did not store', async () => {
   const clock = install({ now: 0 });
-  const { store, unansweredEpochs } = createStore();
+  const { store, unansweredEpochs } = createMemoryStore();
   const { starts, workers } = createWorker();
   const startRunner = (token: number) =>
     startPoolRunner({
--- a/packages/daemon/src/test/worker-loop.test.ts
+++ b/packages/daemon/src/test/worker-loop.test.ts
@@ -46,6 +46,7 @@
   planner.markWorkersRecorded(['w1']);
   const loop = startWorkerLoop({
     workerId: 'w1',
+    bornMs: 1,
     planner,
     workers: { renew } as unknown as TaskWorkers,
     fencingToken: 1,
