Count a predecessor's lease as running from the first report

A run that a planner finds in a report after a take-over was adopted with the lease that this planner has given, which is 0 until its first renewal that extends one. A planner whose claim is not in force at that moment, as under a slow store, extends none. The first missed report then made the lease count as expired at once, and the task was started elsewhere while the predecessor's lease went on for up to 4 s.

The first report of a worker now raises the known end of its lease to the clock in it plus the length of a lease. No earlier planner can have given more: the report answers a renewal with this planner's token, so orders of lower tokens that were carried out came before it; each named an end of at most its estimate of the clock plus that length, and the worker shortens longer ones.

Ruled out: later reports. From the first one on the worker rejects orders of earlier planners.

The test failed before: one missed report at 600 ms, and the task of the run adopted at 20 ms was planned on another worker at 610 ms. The test of the log expected exactly this release ("no lease of its worker was known", lease end 0, age 590); it now expects none before the longest lease that the first report allows, and the same fields with that lease.

--- a/packages/vanilladock/src/lib/jobs/lease-clock.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-clock.ts
@@ -38,3 +38,11 @@
   if (clock === undefined) return false;
   return computeEarliestWorkerMs(clock, nowMs) > leaseUntilMs;
 }
+
+/**
+ * Computes the end of the longest lease that other planners may have given, on the worker's clock,
+ * from that clock in the first report to this planner: from then on the worker rejects their orders.
+ */
+export function computeLatestForeignLease(clockMs: number): number {
+  return clockMs + LEASE_MS;
+}
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -5,7 +5,11 @@
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
 import { applyEnd } from './apply-ends.js';
-import { computeEarliestWorkerMs, hasLeaseExpired } from './lease-clock.js';
+import {
+  computeEarliestWorkerMs,
+  computeLatestForeignLease,
+  hasLeaseExpired,
+} from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './free-capacity.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
@@ -222,7 +226,11 @@
 ): void {
   const { table } = context;
   const { report, receivedMs } = timed;
+  const before = table.workers.get(workerId);
+  if (before === undefined) return;
+  const isFirst = before.clock === undefined;
   table.updateWorker(workerId, {
+    leaseUntilMs: isFirst ? computeLatestForeignLease(report.clockMs) : before.leaseUntilMs,
     clock: { workerMs: report.clockMs, lastReportMs: receivedMs },
     lastReportMs: receivedMs,
     missedReports: 0,
