Reserve workers only for lasting tasks that could start there

Cause, by replay: in every plan each lasting step that fits nowhere reserved the emptiest accepting worker, whether or not that worker could ever run it. With as many such steps as workers, no other job started, for as long as they fitted nowhere. That this is what stood on the users' machines is not shown: the planner's lines are missing. Ruled out: the queue's order does not block, since a job that fits nowhere is passed over.

--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -4,7 +4,8 @@
 import { chooseWorker, isAcceptingTasks, type PlacementRequest } from './choose-worker.js';
 import type { PoolContext } from './pool-context.js';
 import { compareQueueKeys, makeQueueKey } from './queue-order.js';
-import { computeFootprint, computeFreeCapacity } from './free-capacity.js';
+import { computeFootprint } from './free-capacity.js';
+import { createReservations } from './reservations.js';
 import { makeStepKey } from './spec.js';
 import {
   makeAssignment,
@@ -69,13 +70,15 @@
 function createStartPass(context: PoolContext, inputs: StartInputs) {
   const { table } = context;
   const { at, tickets } = inputs;
-  const reserved = new Set<string>();
+  const reservations = createReservations(table, at.nowMs);
   const starts: StartAction[] = [];
   const advice: AdviseAction[] = [];
   let ticketless = 0;
 
   const listCandidates = (startable: StartableStep): readonly Worker[] => {
-    const free = [...table.workers.values()].filter((worker) => !reserved.has(worker.entry.id));
+    const free = [...table.workers.values()].filter(
+      (worker) => !reservations.isReserved(worker.entry.id),
+    );
     if (startable.job.record.policy.advice === undefined) return free;
     const stepKey = makeStepKey(
       startable.job.record.spec.id,
@@ -126,14 +129,6 @@
     rack: startable.step.isSameRack ? findSharedRack(context, startable.stepRun) : undefined,
     nowMs: at.nowMs,
   });
-  /** Reserves the worker with the most free cores for a lasting task that fits nowhere yet. */
-  const addReservation = (candidates: readonly Worker[]) => {
-    const accepting = candidates.filter((worker) => isAcceptingTasks(worker, at.nowMs));
-    const [leastUsed] = [...accepting].sort(
-      (a, b) => computeFreeCapacity(b).cores - computeFreeCapacity(a).cores,
-    );
-    if (leastUsed !== undefined) reserved.add(leastUsed.entry.id);
-  };
   const placeGang = (startable: StartableStep) => {
     const waiting = listWaitingTasks(table, startable, at.nowMs);
     if (waiting.length < startable.step.count) return;
@@ -161,9 +156,10 @@
     const candidates = listCandidates(startable);
     for (const task of waiting) {
       const current = candidates.map((w) => table.workers.get(w.entry.id) ?? w);
-      const worker = chooseWorker(current, makeRequest(startable, task));
+      const request = makeRequest(startable, task);
+      const worker = chooseWorker(current, request);
       if (worker === undefined) {
-        if (startable.step.isLasting) addReservation(current);
+        if (startable.step.isLasting) reservations.add(current, request);
         return;
       }
       starts.push(assignTask(startable, task, worker, task.lastRun + 1));
@@ -182,7 +178,7 @@
     },
     getPlan: (): StartPlan => ({
       actions: [...starts, ...advice],
-      reserved: reserved.size,
+      reserved: reservations.count(),
       ticketless,
     }),
   };
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/pool-simulation.ts
@@ -0,0 +1,165 @@
+/**
+ * Plays a pool's planner against simulated workers in virtual time. Their reports arrive as the
+ * daemon requests them: a busy worker answers a long poll at each end, an idle one is polled with
+ * pauses.
+ */
+import type { StartAction } from '../../lib/jobs/plan-starts.js';
+import type { JobPolicy, JobSpec } from '../../lib/jobs/spec.js';
+import type { EndedTask, OrderOutcome, WorkerEntry } from '../../lib/ports/task-workers.js';
+import { createHarness, makeRow, POLICY, type Harness } from './planner-harness.js';
+
+/** How a run ends by itself, and after what time. */
+export interface PlannedEnd {
+  readonly how: 'done' | 'failed';
+  readonly afterMs: number;
+}
+
+/** A start that the planner ordered. */
+export interface StartRecord {
+  readonly jobId: string;
+  readonly taskKey: string;
+  readonly workerId: string;
+  readonly atMs: number;
+}
+
+export interface SimulationOptions {
+  readonly workers: readonly WorkerEntry[];
+  /** Decides how a run ends; undefined for one that lasts until it is stopped. */
+  readonly decideEnd: (start: StartRecord) => PlannedEnd | undefined;
+  /** Answers a start order; by default it is accepted. */
+  readonly answerStart?: (start: StartRecord) => OrderOutcome;
+}
+
+export interface PoolSimulation {
+  readonly harness: Harness;
+  readonly starts: readonly StartRecord[];
+  /** Advances the time to `untilMs`. */
+  readonly runUntil: (untilMs: number) => void;
+  readonly submit: (spec: JobSpec, policy?: JobPolicy) => void;
+  /** Replaces the list of registered workers; those that are omitted stop to answer. */
+  readonly setWorkers: (entries: readonly WorkerEntry[]) => void;
+  /** Gets the time at which the first task of a job was started. */
+  readonly getFirstStartMs: (jobId: string) => number | undefined;
+}
+
+interface SimulatedRun {
+  readonly taskKey: string;
+  readonly run: number;
+  readonly startedMs: number;
+  readonly end: PlannedEnd | undefined;
+}
+
+interface SimulatedWorker {
+  readonly runs: Map<string, SimulatedRun>;
+  ended: readonly EndedTask[];
+  lastNumber: number;
+  nextReportMs: number;
+}
+
+const STEP_MS = 10;
+const PLAN_INTERVAL_MS = 250;
+const POLL_MS = 700;
+const IDLE_PAUSE_MS = 2_000;
+const FULL_PERCENT = 100;
+const MAX_ENDS_PER_REPORT = 500;
+
+export function createPoolSimulation(options: SimulationOptions): PoolSimulation {
+  const harness = createHarness();
+  const { planner, at } = harness;
+  const starts: StartRecord[] = [];
+  const workers = new Map<string, SimulatedWorker>();
+  let nowMs = 0;
+  let nextPlanMs = 0;
+
+  const setWorkers = (entries: readonly WorkerEntry[]) => {
+    const ids = new Set(entries.map(({ id }) => id));
+    [...workers.keys()].filter((id) => !ids.has(id)).forEach((id) => workers.delete(id));
+    entries
+      .filter(({ id }) => !workers.has(id))
+      .forEach(({ id }) => {
+        workers.set(id, { runs: new Map(), ended: [], lastNumber: 0, nextReportMs: nowMs });
+      });
+    planner.observeWorkers(entries, at(nowMs));
+    planner.markWorkersRecorded([...ids]);
+  };
+  const recordEnd = (
+    worker: SimulatedWorker,
+    { taskKey, run }: SimulatedRun,
+    how: EndedTask['how'],
+  ) => {
+    worker.runs.delete(taskKey);
+    worker.lastNumber += 1;
+    const end: EndedTask = { number: worker.lastNumber, taskKey, run, how, checkpoint: '' };
+    worker.ended = [...worker.ended, end];
+    worker.nextReportMs = nowMs;
+  };
+  const computePercent = ({ startedMs, end }: SimulatedRun) =>
+    end === undefined || end.how === 'failed'
+      ? Math.min(FULL_PERCENT, nowMs - startedMs)
+      : Math.floor((FULL_PERCENT * (nowMs - startedMs)) / end.afterMs);
+  const sendReport = (id: string, worker: SimulatedWorker) => {
+    const storedEnd = planner.table.workers.get(id)?.storedEnd ?? 0;
+    worker.ended = worker.ended.filter(({ number }) => number > storedEnd);
+    const rows = [...worker.runs.values()].map((run) =>
+      makeRow(run.taskKey, run.run, { percent: computePercent(run) }),
+    );
+    harness.report(id, nowMs, rows, worker.ended.slice(0, MAX_ENDS_PER_REPORT));
+    harness.store();
+    planner.markEndsStored(id, 1, planner.table.workers.get(id)?.lastEnd ?? 0);
+    const known = planner.table.workers.get(id);
+    const isBusy = known !== undefined && known.tasks.size + known.orphanedRuns.size > 0;
+    worker.nextReportMs = nowMs + (isBusy ? POLL_MS : IDLE_PAUSE_MS);
+    nextPlanMs = nowMs;
+  };
+  const startRun = (action: StartAction) => {
+    const { taskKey, run, worker } = action;
+    const jobId = taskKey.slice(0, taskKey.indexOf('.'));
+    const start = { jobId, taskKey, workerId: worker.id, atMs: nowMs };
+    starts.push(start);
+    const outcome = options.answerStart?.(start) ?? { kind: 'accepted', clockMs: nowMs };
+    planner.observeStart(action, outcome, at(nowMs));
+    const simulated = workers.get(worker.id);
+    if (outcome.kind !== 'accepted' || simulated === undefined) return;
+    const end = options.decideEnd(start);
+    simulated.runs.set(taskKey, { taskKey, run, startedMs: nowMs, end });
+    simulated.nextReportMs = Math.min(simulated.nextReportMs, nowMs + STEP_MS);
+  };
+  const runPlan = () => {
+    nextPlanMs = nowMs + PLAN_INTERVAL_MS;
+    planner.plan(at(nowMs)).forEach((action) => {
+      if (action.kind === 'start') startRun(action);
+      if (action.kind !== 'stop') return;
+      planner.observeStop(action, { kind: 'accepted', clockMs: nowMs }, at(nowMs));
+      const worker = workers.get(action.worker.id);
+      const run = worker?.runs.get(action.taskKey);
+      if (worker !== undefined && run !== undefined) recordEnd(worker, run, 'stopped');
+    });
+  };
+  const runStep = () => {
+    workers.forEach((worker) => {
+      [...worker.runs.values()].forEach((run) => {
+        if (run.end !== undefined && nowMs >= run.startedMs + run.end.afterMs) {
+          recordEnd(worker, run, run.end.how);
+        }
+      });
+    });
+    workers.forEach((worker, id) => {
+      if (nowMs >= worker.nextReportMs) sendReport(id, worker);
+    });
+    if (nowMs >= nextPlanMs) runPlan();
+  };
+  setWorkers(options.workers);
+  return {
+    harness,
+    starts,
+    setWorkers,
+    runUntil: (untilMs) => {
+      for (; nowMs < untilMs; nowMs += STEP_MS) runStep();
+    },
+    submit: (spec, policy = POLICY) => {
+      harness.submit(spec, nowMs, policy);
+      nextPlanMs = nowMs;
+    },
+    getFirstStartMs: (jobId) => starts.find((start) => start.jobId === jobId)?.atMs,
+  };
+}
