Metrics and pages of standing queues

The metrics named no pool: a queue could stand for 50 s while every counter looked as usual, and the operations page had no way from "queued" or "ran twice" to a cause.

- Gauges for each pool planned here: workers by reason of exclusion, waiting tasks, seconds for which the queue stands, seconds without a plan for want of authority.
They are computed when the metrics are read; a pool that is released leaves them.
- vanilladock_released_runs_total by proof.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -12,7 +12,12 @@
 } from './fleet-runner.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
 import { createPeerClient, startPeerServer } from './peers.js';
-import { startPoolRunner, type PoolRunner, type PoolSources } from './pool-runner.js';
+import {
+  startPoolRunner,
+  type PoolFigures,
+  type PoolRunner,
+  type PoolSources,
+} from './pool-runner.js';
 
 /** Dependencies and addresses of an instance; the platform's adapter provides them. */
 export interface JobEntryOptions extends PoolSources, FleetSources {
@@ -30,6 +35,8 @@
   readonly claims: DutyClaims;
   /** Says whether the store or a peer has answered recently. */
   readonly isInContact: () => boolean;
+  /** Lists the figures of the pools that this instance plans. */
+  readonly listPoolFigures: () => readonly PoolFigures[];
   /** Records a response of the store that the caller received outside of the claims. */
   readonly recordStoreContact: () => void;
   /** Releases all duties; the gateway keeps answering through peers. */
@@ -127,6 +134,7 @@
       const lastContactMs = Math.max(lastStoreContactMs, peers.getLastContactMs());
       return performance.now() - lastContactMs < CONTACT_TIMEOUT_MS;
     },
+    listPoolFigures: () => [...runners.values()].flatMap((runner) => runner.getFigures() ?? []),
     recordStoreContact,
     release: async () => {
       runners.forEach((runner) => runner.stop());
--- a/packages/daemon/src/lib/jobs/job-metrics.ts
+++ b/packages/daemon/src/lib/jobs/job-metrics.ts
@@ -1,19 +1,71 @@
 /** Counters and latency quantiles of an instance that plans jobs, in Prometheus' text format. */
 import { Counter, Gauge, Registry } from 'prom-client';
+import type { EventLoopDelays } from '../event-loop-watch.js';
+import type { LogFields } from '../json-log.js';
 import { createLatencies } from '../latencies.js';
+import type { PoolFigures } from './pool-runner.js';
+
+/** Figures that are read when the metrics are rendered. */
+export interface InstanceFigures {
+  /** Figures of the pools that this instance plans. */
+  readonly pools: readonly PoolFigures[];
+  readonly eventLoop: EventLoopDelays;
+}
 
 /** Metrics of one instance. */
 export interface JobMetrics {
   /** Counts an answered request and records how long its answer took. */
   readonly observeRequest: (kind: string, outcome: string, durationMs: number) => void;
-  /** Counts a logged decision by the name of its event. */
-  readonly observeDecision: (event: string) => void;
+  /** Counts a logged decision by the name of its event, and a released run by its proof. */
+  readonly observeDecision: (fields: LogFields) => void;
   /** Resolves to the metrics as Prometheus text; durations are in seconds. */
-  readonly render: () => Promise<string>;
+  readonly render: (figures: InstanceFigures) => Promise<string>;
 }
 
 const QUANTILES = [0.5, 0.9, 0.99] as const;
 const HIGHEST_SECONDS = 60;
+const MS_PER_SECOND = 1_000;
+
+/** Creates the gauges of the pools that an instance plans; returns how they are set. */
+function createPoolGauges(registers: Registry[]): (pools: readonly PoolFigures[]) => void {
+  const workers = new Gauge({
+    name: 'vanilladock_pool_workers',
+    help: 'Workers of the pools planned here that accept tasks, or by why they get none.',
+    labelNames: ['pool', 'state'] as const,
+    registers,
+  });
+  const labelNames = ['pool'] as const;
+  const waitingTasks = new Gauge({
+    name: 'vanilladock_pool_waiting_tasks',
+    help: 'Tasks that could start, of the pools planned here.',
+    labelNames,
+    registers,
+  });
+  const standing = new Gauge({
+    name: 'vanilladock_pool_standing_seconds',
+    help: 'Time for which tasks have waited without a planned start.',
+    labelNames,
+    registers,
+  });
+  const paused = new Gauge({
+    name: 'vanilladock_pool_paused_seconds',
+    help: 'Time for which no plan was made because the claim is not in force.',
+    labelNames,
+    registers,
+  });
+  return (pools) => {
+    [workers, waitingTasks, standing, paused].forEach((gauge) => gauge.reset());
+    pools.forEach((figures) => {
+      const { pool } = figures;
+      Object.entries(figures.workers).forEach(([state, count]) =>
+        workers.set({ pool, state }, count),
+      );
+      waitingTasks.set({ pool }, figures.waitingTasks);
+      standing.set({ pool }, figures.standingMs / MS_PER_SECOND);
+      paused.set({ pool }, figures.pausedMs / MS_PER_SECOND);
+    });
+  };
+}
 
 /** Creates the metrics. */
 export function createJobMetrics(): JobMetrics {
@@ -38,6 +90,19 @@
     labelNames: ['kind', 'quantile'] as const,
     registers,
   });
+  const releasedRuns = new Counter({
+    name: 'vanilladock_released_runs_total',
+    help: 'Runs without a reported end that were returned to the queue, by proof.',
+    labelNames: ['proof'] as const,
+    registers,
+  });
+  const eventLoop = new Gauge({
+    name: 'vanilladock_event_loop_late_seconds',
+    help: 'Quantiles of the delay of a timer of this process since the last reading.',
+    labelNames: ['quantile'] as const,
+    registers,
+  });
+  const setPools = createPoolGauges(registers);
   const memory = new Gauge({
     name: 'vanilladock_resident_bytes',
     help: 'Resident memory of this process.',
@@ -48,9 +113,15 @@
       requests.inc({ kind, outcome });
       latencies.observe(kind, durationMs);
     },
-    observeDecision: (event) => decisions.inc({ event }),
-    render: () => {
+    observeDecision: ({ event, proof }) => {
+      decisions.inc({ event });
+      if (event === 'run-released') releasedRuns.inc({ proof: String(proof) });
+    },
+    render: (figures) => {
       memory.set(process.memoryUsage.rss());
+      setPools(figures.pools);
+      eventLoop.set({ quantile: 0.99 }, figures.eventLoop.p99Ms / MS_PER_SECOND);
+      eventLoop.set({ quantile: 1 }, figures.eventLoop.maxMs / MS_PER_SECOND);
       latencies.forEachQuantile((kind, quantile, seconds) =>
         latency.set({ kind, quantile }, seconds),
       );
--- a/packages/daemon/src/lib/jobs/plan-pause-log.ts
+++ b/packages/daemon/src/lib/jobs/plan-pause-log.ts
@@ -14,6 +14,8 @@
   readonly observePlan: (nowMs: number) => void;
   /** Records that a due plan was left out. */
   readonly observeSkip: (nowMs: number) => void;
+  /** Returns the time since the last plan; 0 if no due plan was left out since then. */
+  readonly getPausedMs: (nowMs: number) => number;
 }
 
 /** A planner without plans for this long counts as paused. */
@@ -26,6 +28,7 @@
 export function createPlanPauseLog(options: PlanPauseOptions, startedMs: number): PlanPauseLog {
   const { pool, token, log } = options;
   let lastPlanMs = startedMs;
+  let isPaused = false;
   /** When the last line about the present pause was written; undefined while plans are made. */
   let loggedMs: number | undefined;
   return {
@@ -35,14 +38,17 @@
         log.info({ event: 'plans-resumed', pool, token, pausedMs });
       }
       loggedMs = undefined;
+      isPaused = false;
       lastPlanMs = nowMs;
     },
     observeSkip: (nowMs) => {
+      isPaused = true;
       const pausedMs = nowMs - lastPlanMs;
       const isLogDue = loggedMs === undefined || nowMs - loggedMs >= LOG_INTERVAL_MS;
       if (pausedMs < PAUSED_AFTER_MS || !isLogDue) return;
       loggedMs = nowMs;
       log.warn({ event: 'plans-paused', pool, token, pausedMs: Math.round(pausedMs) });
     },
+    getPausedMs: (nowMs) => (isPaused ? nowMs - lastPlanMs : 0),
   };
 }
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -5,17 +5,16 @@
  */
 import type { BehaviorSubject, Subscription } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
-import {
-  createPoolPlanner,
-  type PoolAction,
-  type PoolPlanner,
-} from 'vanilladock/lib/jobs/pool-planner.js';
+import { createPoolPlanner, type PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import type { QueueFigures } from 'vanilladock/lib/jobs/standing-queue.js';
+import type { ExclusionCounts } from 'vanilladock/lib/jobs/worker-exclusion.js';
 import type { Advisor } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import type { JsonLog } from '../json-log.js';
-import { readMoment, waitMs } from './clock.js';
+import { createActionRunner } from './action-runner.js';
 import { answerRequest } from './answer-request.js';
+import { readMoment, waitMs } from './clock.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import { createPlanPauseLog } from './plan-pause-log.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
@@ -48,11 +47,21 @@
   readonly handleLost: (why: string) => void;
 }
 
+/** Figures of a pool for the metrics. */
+export interface PoolFigures extends QueueFigures {
+  readonly pool: string;
+  readonly workers: ExclusionCounts;
+  /** How long no plan was made because the claim is not in force; 0 while plans are made. */
+  readonly pausedMs: number;
+}
+
 /** A running planner of one pool. */
 export interface PoolRunner {
   readonly claim: Claim;
   /** Answers a request; `unavailable` while the stored state is loading and after a stop. */
   readonly answer: (request: JobRequest) => Promise<JobReply>;
+  /** Returns the present figures; undefined while the stored state is loading. */
+  readonly getFigures: () => PoolFigures | undefined;
   readonly stop: () => void;
 }
 
@@ -99,76 +108,17 @@
     isPlanScheduled = true;
     setTimeout(runPlan, PLAN_DELAY_MS);
   };
-  const runAction = async (action: PoolAction) => {
-    if (planner === undefined) return;
-    const fencingToken = claim.token;
-    switch (action.kind) {
-      case 'start': {
-        const { worker, taskKey, run } = action;
-        const outcome = await workers.startTask(worker, { ...action, fencingToken });
-        log.info({
-          event: 'run-start',
-          task: taskKey,
-          run,
-          worker: worker.id,
-          token: fencingToken,
-          outcome: outcome.kind,
-        });
-        if (outcome.kind === 'rejected' && outcome.why === 'fenced') handleLoss('worker-fenced');
-        if (isStopped) return;
-        planner.observeStart(action, outcome, readMoment());
-        if (outcome.kind === 'accepted') loops.wake(worker.id);
-        else schedulePlan();
-        return;
-      }
-      case 'stop': {
-        const { worker, taskKey, run, why } = action;
-        const outcome = await workers.stopTask(worker, { taskKey, run, fencingToken });
-        log.info({
-          event: 'run-stop',
-          task: taskKey,
-          run,
-          worker: worker.id,
-          token: fencingToken,
-          why,
-          outcome: outcome.kind,
-        });
-        if (isStopped) return;
-        planner.observeStop(action, outcome, readMoment());
-        loops.wake(worker.id);
-        return;
-      }
-      case 'pace': {
-        const { worker, taskKey, run, percent } = action;
-        const outcome = await workers.pace(worker, { taskKey, run, percent, fencingToken });
-        log.info({
-          event: 'run-pace',
-          task: taskKey,
-          run,
-          worker: worker.id,
-          percent,
-          outcome: outcome.kind,
-        });
-        return;
-      }
-      case 'advise': {
-        const outcome = await advisor.advise(action.stepKey, action.workerIds);
-        log.info({
-          event: 'advice',
-          step: action.stepKey,
-          asked: action.workerIds.length,
-          outcome: outcome.kind,
-        });
-        if (outcome.kind !== 'advice' || isStopped) return;
-        const { nowMs } = readMoment();
-        planner.tickets.addAnswer(action.stepKey, outcome.tickets, nowMs + outcome.validMs, nowMs);
-        schedulePlan();
-        return;
-      }
-      default:
-        action satisfies never;
-    }
-  };
+  const runAction = createActionRunner({
+    workers,
+    advisor,
+    fencingToken: claim.token,
+    log,
+    getPlanner: () => planner,
+    isStopped: () => isStopped,
+    wakeLoop: (workerId) => loops.wake(workerId),
+    schedulePlan,
+    handleFenced: () => handleLoss('worker-fenced'),
+  });
   const runPlan = () => {
     isPlanScheduled = false;
     if (planner === undefined || isStopped) return;
@@ -291,6 +241,11 @@
         request,
       );
     },
+    getFigures: () => {
+      const nowMs = performance.now();
+      const pausedMs = pauseLog.getPausedMs(nowMs);
+      return planner === undefined ? undefined : { pool, pausedMs, ...planner.getFigures(nowMs) };
+    },
     stop,
   };
 }
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -74,11 +74,18 @@
   );
   assert.equal(listLines('queue-stands'), []);
   assert.equal(listLines('plans-resumed'), []);
+  const figures = runner.getFigures()!;
+  assert.is(figures.pool, POOL);
+  assert.equal(figures.workers, { accepting: 1 });
+  assert.is(figures.waitingTasks, 1);
+  assert.ok(figures.pausedMs >= 4 * SECOND_MS);
   state.isInForce = true;
   await clock.tickAsync(SECOND_MS);
   const [resumed, ...others] = listLines('plans-resumed');
   assert.ok(Number(resumed!.pausedMs) >= 5 * SECOND_MS);
   assert.equal(others, []);
+  assert.is(runner.getFigures()!.pausedMs, 0);
+  assert.is(runner.getFigures()!.waitingTasks, 0);
   runner.stop();
   clock.uninstall();
 });
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -24,7 +24,7 @@
 import { renderStep } from './render-step.js';
 import { isLastingJob, type JobPolicy, type JobRecord, type JobSpec } from './spec.js';
 import type { Job, Moment } from './state.js';
-import { createStandingQueueWatch } from './standing-queue.js';
+import { createStandingQueueWatch, type QueueFigures } from './standing-queue.js';
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketRegistry, type TicketRegistry } from './tickets.js';
@@ -33,6 +33,7 @@
   type IncarnationEnd,
   type InheritanceOptions,
 } from './worker-incarnations.js';
+import { countExclusions, type ExclusionCounts } from './worker-exclusion.js';
 
 /** Action for the daemon to execute. */
 export type PoolAction = StartAction | StopAction | PaceAction | AdviseAction;
@@ -109,6 +110,8 @@
   readonly getDemand: (reachableCores: number, at: Moment) => PoolDemand;
   /** Records that a worker's ends up to `lastEnd` are stored; ignored for other incarnations. */
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
+  /** Returns the figures of the queue, and the number of workers by the reason of exclusion. */
+  readonly getFigures: (nowMs: number) => QueueFigures & { readonly workers: ExclusionCounts };
   /** Plans starts, stops and queries, records them as sent, and opens due occurrences. */
   readonly plan: (at: Moment) => readonly PoolAction[];
   /** Removes and returns what has to be stored now; undefined if there is nothing. */
@@ -256,6 +259,10 @@
       if (worker === undefined || worker.entry.bornMs !== bornMs) return;
       table.updateWorker(workerId, { storedEnd: Math.max(worker.storedEnd, lastEnd) });
     },
+    getFigures: (nowMs) => ({
+      workers: countExclusions(table, nowMs),
+      ...standingQueue.getFigures(nowMs),
+    }),
     plan: (at) => {
       incarnations.releaseUnresponsive(at.nowMs);
       openDueOccurrences(table, at.wallMs);
--- a/packages/vanilladock/src/lib/jobs/standing-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/standing-queue.ts
@@ -26,10 +26,19 @@
   readonly endedWorkers: number;
 }
 
+/** Figures of a queue for the metrics. */
+export interface QueueFigures {
+  /** Number of tasks of stored jobs that could start, in a retry delay or not. */
+  readonly waitingTasks: number;
+  /** How long tasks have waited without a planned start; 0 if none wait. */
+  readonly standingMs: number;
+}
+
 /** Watch of one pool's queue. */
 export interface StandingQueueWatch {
   /** Takes in a plan; logs while the queue stands, and once when it moves again. */
   readonly observePlan: (summary: PlanSummary) => void;
+  readonly getFigures: (nowMs: number) => QueueFigures;
 }
 
 /** A queue stands if no start was planned for this long though tasks wait. */
@@ -55,6 +64,11 @@
     .filter(({ steps }) => steps.length > 0);
 }
 
+/** Counts the waiting tasks of steps. */
+function countTasks(steps: readonly StartableStep[]): number {
+  return steps.reduce((sum, { stepRun }) => sum + stepRun.waiting.size, 0);
+}
+
 /** Compares footprints by cores, then by memory. */
 function compareFootprints(a: Resources, b: Resources): number {
   return a.cores - b.cores || a.memoryMb - b.memoryMb;
@@ -72,7 +86,7 @@
   const isFitting = ({ step }: StartableStep) =>
     accepting.some((worker) => hasFreeCapacity(worker, computeFootprint(step)));
   return {
-    waitingTasks: steps.reduce((sum, { stepRun }) => sum + stepRun.waiting.size, 0),
+    waitingTasks: countTasks(steps),
     waitingJobs: jobs.length,
     waitingSteps: steps.length,
     waitingGangs: steps.filter(({ step }) => step.isGang).length,
@@ -154,5 +168,9 @@
       loggedMs = nowMs;
       logStanding(summary, jobs, standingMs);
     },
+    getFigures: (nowMs) => ({
+      waitingTasks: countTasks(listWaitingJobs(context).flatMap(({ steps }) => steps)),
+      standingMs: sinceMs === undefined ? 0 : nowMs - sinceMs,
+    }),
   };
 }
--- a/packages/vanilladock/src/test/jobs/run-release.test.ts
+++ b/packages/vanilladock/src/test/jobs/run-release.test.ts
@@ -127,10 +127,11 @@
   });
   const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
   planner.loadJob(record, undefined, at(0));
-  addWorkers(0, makeEntry('w1'));
+  addWorkers(0, makeEntry('w1'), makeEntry('w2'));
   report('w1', 20, [makeRow(TASK, 7, { percent: 10 })]);
   planner.observeMissedReport('w1', at(600));
   planner.plan(at(610));
+  report('w1', 700, [makeRow(TASK, 7, { percent: 10 })]);
   const findEvent = (name: string) => events.find(({ event }) => event === name)!;
   assert.equal(findEvent('run-adopted'), {
     event: 'run-adopted',
@@ -149,6 +150,8 @@
   assert.is(released.isAdopted, true);
   assert.is(released.phase, 'running');
   assert.is(released.ageMs, 590);
+  assert.is(findEvent('run-orphaned').otherRun, 101);
+  assert.is(findEvent('run-orphaned').otherWorker, 'w2');
 });
 
 test('a released run that is reported again beside its successor leaves a line with both', () => {
--- a/packages/vanilladock/src/test/jobs/standing-queue-log.test.ts
+++ b/packages/vanilladock/src/test/jobs/standing-queue-log.test.ts
@@ -222,12 +222,22 @@
     harness.listEvents('queue-stands').map(({ standingMs }) => standingMs),
     [2_000, 4_000, 6_000, 8_000, 10_000],
   );
+  assert.equal(harness.planner.getFigures(10_100), {
+    workers: {},
+    waitingTasks: 1,
+    standingMs: 10_090,
+  });
   harness.addWorkers(10_100, makeEntry('w1'));
   planFor(harness, 10_110, 14_110);
   assert.is(harness.listEvents('queue-stands').length, 5);
   assert.equal(harness.listEvents('queue-moves'), [
     { event: 'queue-moves', standingMs: 10_100, starts: 1 },
   ]);
+  assert.equal(harness.planner.getFigures(14_200), {
+    workers: { accepting: 1 },
+    waitingTasks: 0,
+    standingMs: 0,
+  });
 });
 
 test('writes nothing while no task waits, or while starts are planned', () => {
