--- a/packages/vanilladock/src/test/jobs/run-release.test.ts
+++ b/packages/vanilladock/src/test/jobs/run-release.test.ts
@@ -127,7 +127,7 @@
   });
   const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
   planner.loadJob(record, undefined, at(0));
-  addWorkers(0, makeEntry('w1'));
+  addWorkers(0, makeEntry('w1'), makeEntry('w2'));
   report('w1', 20, [makeRow(TASK, 7, { percent: 10 })]);
   planner.observeMissedReport('w1', at(600));
   planner.plan(at(610));
@@ -151,6 +151,9 @@
   assert.is(released.isAdopted, true);
   assert.is(released.phase, 'running');
   assert.is(released.ageMs, 5_000);
+  report('w1', 5_030, [makeRow(TASK, 7, { percent: 10 })]);
+  assert.is(findEvent('run-orphaned').otherRun, 101);
+  assert.is(findEvent('run-orphaned').otherWorker, 'w2');
 });
 
 test('a released run that is reported again beside its successor leaves a line with both', () => {
