Eject workers for a limited time, on evidence, and never most of a pool

Cause, by replay: a worker was ruled out when tasks of four jobs failed there without a success. Only a success lifted that, which it could not have; the other way out asked for a report older than 4 s, and an idle worker is polled every 2 s. So jobs that fail everywhere, or lasting tasks that fail now and then, ruled out every worker of a pool for good. That this stood on the users' machines is not shown: two jobs did fail in that minute, but the planner's lines are missing. Ruled out: the queue's order. With successes between the failures the record was cleared, so that a busy pool showed it seldom. Change: worker-failures.ts holds the record of a worker, eject-workers.ts decides. - An ejection has an end: 4 s, doubled each time without a success, 32 s at most; 2 s if a task that may start finds no other worker. For 1 s after it the worker gets one batch task at a time. - At most half of the serving workers are ejected for that long. One more is ejected for 1 s, and only while a worker in good standing serves; when no such worker is left, the jobs are to blame. - A job that also failed on a worker in good standing (under four failed jobs since its last success) is no evidence. Why it works: whatever has failed, half of the workers accept tasks, and one that a task needs is tried after 2 s. Cost: a plan looks once more at each worker while one is ejected; else it is one pass of comparisons.

--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -73,7 +73,7 @@
     (isRemote ? REMOTE_PENALTY : 0) +
     (task.avoidedWorkerIds.includes(worker.entry.id) ? AVOIDED_PENALTY : 0) +
     (step.isLasting ? SIBLING_PENALTY * countOnWorker(stepRun, worker.entry.id) : 0) +
-    FAILED_JOB_PENALTY * worker.failedJobs.length
+    FAILED_JOB_PENALTY * worker.failures.jobs.length
   );
 }
 
--- a/packages/vanilladock/src/lib/jobs/exclusion-log.ts
+++ b/packages/vanilladock/src/lib/jobs/exclusion-log.ts
@@ -29,6 +29,8 @@
     case 'unrecorded':
     case 'draining':
       return {};
+    case 'on-trial':
+      return { task: worker.failures.trialTaskKey, ejections: worker.failures.ejections };
     case 'unlisted':
     case 'no-report':
     case 'unresponsive':
@@ -38,11 +40,12 @@
     case 'unhealthy':
       return { forMs: Math.round(worker.noStartBeforeMs - nowMs) };
     case 'failing': {
-      const failedJobs = worker.failedJobs.map((job) => {
+      const { jobs, ejections, ejectedUntilMs } = worker.failures;
+      const failedJobs = jobs.map(({ jobId: job }) => {
         const arrivedMs = table.jobs.get(job)?.arrivedMs;
         return { job, ageMs: arrivedMs === undefined ? undefined : Math.round(nowMs - arrivedMs) };
       });
-      return { failedJobs, reportAgeMs };
+      return { failedJobs, reportAgeMs, ejections, forMs: Math.round(ejectedUntilMs - nowMs) };
     }
     default:
       return why satisfies never;
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -5,11 +5,13 @@
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
 import { applyEnd } from './apply-ends.js';
+import { recordFailedRun } from './eject-workers.js';
 import { computeEarliestWorkerMs, hasLeaseExpired } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './free-capacity.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
 import { makeAssignment, type Assignment, type Moment, type Task, type Worker } from './state.js';
+import { NO_FAILURES } from './worker-failures.js';
 
 /** Maximum number of ends in one report; a report that reaches it may omit later ends. */
 const MAX_ENDS_PER_REPORT = 500;
@@ -168,11 +170,15 @@
 }
 
 /** Records the result of a run in the failure history of its worker. */
-function recordResult(context: PoolContext, workerId: string, jobId: string, hasFailed: boolean) {
-  const worker = context.table.workers.get(workerId);
-  if (worker === undefined) return;
-  const failedJobs = hasFailed ? [...new Set([...worker.failedJobs, jobId])] : [];
-  context.table.updateWorker(workerId, { failedJobs });
+function recordResult(
+  context: PoolContext,
+  workerId: string,
+  { jobId }: Task,
+  how: 'done' | 'failed',
+  { nowMs }: Moment,
+): void {
+  if (how === 'failed') recordFailedRun(context, workerId, { jobId, atMs: nowMs });
+  else context.table.updateWorker(workerId, { failures: NO_FAILURES });
 }
 
 /** Applies the ends in the report that have not been applied yet. */
@@ -191,7 +197,7 @@
     const task = table.findTask(row.taskKey);
     if (task === undefined) return;
     if (row.how === 'done' || row.how === 'failed') {
-      recordResult(context, workerId, task.jobId, row.how === 'failed');
+      recordResult(context, workerId, task, row.how, at);
     }
     context.report({
       event: 'run-ended',
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -2,6 +2,7 @@
 import type { WorkerTarget } from '../ports/task-workers.js';
 import { estimateWorkerMs, LEASE_MS } from './lease-clock.js';
 import { chooseWorker, isAcceptingTasks, type PlacementRequest } from './choose-worker.js';
+import { releaseNeededWorkers } from './eject-workers.js';
 import type { PoolContext } from './pool-context.js';
 import { compareQueueKeys, makeQueueKey } from './queue-order.js';
 import { computeFootprint } from './free-capacity.js';
@@ -17,6 +18,7 @@
 } from './state.js';
 import type { TicketRegistry } from './tickets.js';
 import { listStartableSteps, listWaitingTasks, type StartableStep } from './waiting-tasks.js';
+import { recordTrialTask } from './worker-failures.js';
 
 /** Order to start a task on a worker. */
 export interface StartAction {
@@ -108,6 +110,9 @@
     table.moveTask(task, state, { lastRun: run });
     table.updateWorker(worker.entry.id, {
       leaseUntilMs: Math.max(worker.leaseUntilMs, leaseUntilMs),
+      ...(startable.step.isLasting
+        ? {}
+        : { failures: recordTrialTask(worker, task.key, at.nowMs) }),
     });
     const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
     return {
@@ -139,6 +144,7 @@
       const current = candidates.map((w) => table.workers.get(w.entry.id) ?? w);
       const worker = chooseWorker(current, makeRequest(startable, task));
       if (worker === undefined) {
+        releaseNeededWorkers(table, makeRequest(startable, task));
         waiting.forEach((member) => {
           const assigned = table.findTask(member.key);
           if (assigned !== undefined)
@@ -159,6 +165,7 @@
       const request = makeRequest(startable, task);
       const worker = chooseWorker(current, request);
       if (worker === undefined) {
+        releaseNeededWorkers(table, request);
         if (startable.step.isLasting) reservations.add(current, request);
         return;
       }
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -9,6 +9,7 @@
 import type { WorkerTasks } from '../waves/plan-wave.js';
 import { admitJob, type Admission } from './admit-job.js';
 import { closeJob } from './apply-ends.js';
+import { refreshEjections } from './eject-workers.js';
 import { computeWork } from './estimate.js';
 import { createExclusionLog } from './exclusion-log.js';
 import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
@@ -121,9 +122,6 @@
   readonly markWorkersRecorded: (ids: readonly string[]) => void;
 }
 
-/** Time since its last report after which an idle worker with failed jobs gets tasks again. */
-const FAILED_JOBS_RESET_MS = 4_000;
-
 /** How long the number of cores that lending can provide remains valid. */
 const REACHABLE_CORES_TTL_MS = 3_000;
 
@@ -260,12 +258,7 @@
       incarnations.releaseUnresponsive(at.nowMs);
       openDueOccurrences(table, at.wallMs);
       dropFinishedJobs(table, options.statusMs, at.nowMs);
-      table.workers.forEach((worker, id) => {
-        const isCooldownOver =
-          at.nowMs - worker.lastReportMs > FAILED_JOBS_RESET_MS && worker.tasks.size === 0;
-        if (worker.failedJobs.length > 0 && isCooldownOver)
-          table.updateWorker(id, { failedJobs: [] });
-      });
+      refreshEjections(table, at.nowMs);
       exclusionLog.observeWorkers(at.nowMs);
       const isInheritanceUncertain = incarnations.isInheritanceUncertain(at.nowMs);
       const stops = planStops(context, { at, isInheritanceUncertain });
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -131,6 +131,8 @@
   /** Open occurrences by number. */
   readonly occurrences: Map<number, Occurrence>;
   readonly finishedOccurrences: Set<number>;
+  /** Ids of the workers on which tasks of the job failed. */
+  readonly failedWorkerIds: readonly string[];
   /** When the job ended or its ended state was loaded; monotonic. Undefined while active. */
   readonly finishedMs: number | undefined;
 }
@@ -154,6 +156,27 @@
   readonly lastReportMs: number;
 }
 
+/** A job with a task that failed on a worker. */
+export interface JobFailure {
+  readonly jobId: string;
+  /** When the last failure of the job there was reported. */
+  readonly atMs: number;
+}
+
+/** Failures on a worker since the last success there; times are monotonic, in milliseconds. */
+export interface WorkerFailures {
+  /** Each failed job once. */
+  readonly jobs: readonly JobFailure[];
+  /** Number of ejections. */
+  readonly ejections: number;
+  /** Start of the last ejection; 0 if there was none. */
+  readonly ejectedAtMs: number;
+  /** Until this time the worker gets no new tasks. */
+  readonly ejectedUntilMs: number;
+  /** Task that was last started on trial after the last ejection; undefined if none was. */
+  readonly trialTaskKey: string | undefined;
+}
+
 /** A worker in memory. Times are on the planner's monotonic clock unless said otherwise. */
 export interface Worker {
   readonly entry: WorkerEntry;
@@ -183,6 +206,6 @@
   readonly noStartBeforeMs: number;
   /** Until this time the worker gets no new tasks and its lasting tasks are moved away. */
   readonly evacuateUntilMs: number;
-  /** Ids of jobs with tasks that failed on this worker since the last success there. */
-  readonly failedJobs: readonly string[];
+  /** Failures on this worker since the last success there. */
+  readonly failures: WorkerFailures;
 }
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -11,6 +11,7 @@
 import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
 import { isLastingJob, makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
 import type { Job, Moment, Occurrence, StepRun, Task, TaskState, Worker } from './state.js';
+import { NO_FAILURES } from './worker-failures.js';
 
 /** Where a job comes from: a new submission, or the stored state of an earlier planner. */
 export interface JobOrigin {
@@ -216,6 +217,7 @@
         isInherited: origin.runBase > 0,
         occurrences: new Map(),
         finishedOccurrences: new Set(origin.progress?.occurrencesDone ?? []),
+        failedWorkerIds: [],
         finishedMs: undefined,
       };
       jobs.set(record.spec.id, job);
@@ -253,7 +255,7 @@
         used: NO_RESOURCES,
         noStartBeforeMs: 0,
         evacuateUntilMs: 0,
-        failedJobs: [],
+        failures: NO_FAILURES,
       };
       workers.set(entry.id, worker);
       return worker;
--- a/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
@@ -1,13 +1,14 @@
 /** Explains why a worker gets no new tasks, whatever its free capacity. */
 import type { Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
+import { isEjected, isTrialRunning } from './worker-failures.js';
 
 /**
  * Why a worker gets no new tasks. `unlisted`: the list of registered workers omits it.
  * `unrecorded`: it is not stored as a possible lease holder. `draining`: it is shutting down.
  * `no-report`: it has not reported yet. `unresponsive`: its newest report is missing. `evacuating`:
- * its tasks have to leave. `unhealthy`: it rejected a start as unhealthy. `failing`: tasks of too
- * many jobs failed there without a success.
+ * its tasks have to leave. `unhealthy`: it rejected a start as unhealthy. `failing`: it is ejected
+ * because tasks fail there. `on-trial`: its ejection has ended and it runs a task on trial.
  */
 export type Exclusion =
   | 'unlisted'
@@ -17,14 +18,12 @@
   | 'unresponsive'
   | 'evacuating'
   | 'unhealthy'
-  | 'failing';
+  | 'failing'
+  | 'on-trial';
 
 /** Number of workers by the reason of their exclusion, and of those that accept tasks. */
 export type ExclusionCounts = Readonly<Partial<Record<Exclusion | 'accepting', number>>>;
 
-/** A worker gets no new tasks after tasks of this many different jobs failed without a success. */
-const FAILED_JOBS_LIMIT = 4;
-
 /**
  * Explains why a worker gets no new tasks at the monotonic time `nowMs`; undefined if it accepts
  * them. Of several reasons, the first in the order of `Exclusion` is returned.
@@ -37,7 +36,8 @@
   if (worker.missedReports > 0) return 'unresponsive';
   if (worker.evacuateUntilMs > nowMs) return 'evacuating';
   if (worker.noStartBeforeMs > nowMs) return 'unhealthy';
-  if (worker.failedJobs.length >= FAILED_JOBS_LIMIT) return 'failing';
+  if (isEjected(worker, nowMs)) return 'failing';
+  if (isTrialRunning(worker, nowMs)) return 'on-trial';
   return undefined;
 }
 
