Wait a margin after the computed end of a lease

The tasks of an unresponsive worker were requeued as soon as the earliest time on its clock was past the lease, without any margin. Three things make a lease end later: the worker reports its clock in whole milliseconds, the estimate with which a predecessor named the end is ahead by up to 2 % of the time since its last report (50 ms after the longest pause between two renewals, 2.5 s), and a worker ends its runs by a timer that can be late on a busy machine.

A lease now counts as expired 100 ms later. A start whose lease has passed at the moment of a report needs no margin, as the worker rejects it by the same clock; that has a function of its own now.

Ruled out: a planner's clock that runs fast by 2 % as well. The platform states the drift for the worker's clock only.

The test failed before: the task was planned elsewhere 60 ms after the slowest clock had reached the end of the lease, where none was expected.

--- a/packages/vanilladock/src/lib/jobs/lease-clock.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-clock.ts
@@ -10,6 +10,13 @@
 /** Length in milliseconds of the lease that each order to a worker carries. */
 export const LEASE_MS = 4_000;
 
+/**
+ * Time in milliseconds by which a lease may end later than computed: clocks are reported in whole
+ * milliseconds, an estimate of a clock is ahead by its drift since the last report, and a worker
+ * ends its runs by a timer that can be late.
+ */
+export const LEASE_MARGIN_MS = 100;
+
 /**
  * Estimates the worker's clock in milliseconds at `nowMs` on the planner's monotonic clock,
  * assuming no drift; used to set lease ends.
@@ -27,16 +34,29 @@
 }
 
 /**
- * Says whether a lease that ends at `leaseUntilMs` on the worker's clock has definitely expired at
- * `nowMs` on the planner's monotonic clock; false while the worker's clock is unknown.
+ * Says whether a start with a lease that ends at `leaseUntilMs` on the worker's clock would be
+ * rejected as late at `nowMs` on the planner's monotonic clock; false while the worker's clock is
+ * unknown.
+ */
+export function isStartLate(
+  clock: WorkerClock | undefined,
+  leaseUntilMs: number,
+  nowMs: number,
+): boolean {
+  return clock !== undefined && computeEarliestWorkerMs(clock, nowMs) > leaseUntilMs;
+}
+
+/**
+ * Says whether a lease that ends at `leaseUntilMs` on the worker's clock has definitely expired, and
+ * its runs have ended, at `nowMs` on the planner's monotonic clock; false while the worker's clock
+ * is unknown.
  */
 export function hasLeaseExpired(
   clock: WorkerClock | undefined,
   leaseUntilMs: number,
   nowMs: number,
 ): boolean {
-  if (clock === undefined) return false;
-  return computeEarliestWorkerMs(clock, nowMs) > leaseUntilMs;
+  return isStartLate(clock, leaseUntilMs + LEASE_MARGIN_MS, nowMs);
 }
 
 /**
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -5,11 +5,7 @@
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
 import { applyEnd } from './apply-ends.js';
-import {
-  computeEarliestWorkerMs,
-  computeLatestForeignLease,
-  hasLeaseExpired,
-} from './lease-clock.js';
+import { computeEarliestWorkerMs, computeLatestForeignLease, isStartLate } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './free-capacity.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
@@ -139,9 +135,7 @@
     const stopAnsweredAgoMs = Math.round(receivedMs - stopAnsweredMs);
     return { proof: 'stop-answered', stopAnsweredAgoMs, sentAgoMs };
   }
-  if (confirmedMs !== undefined || !hasLeaseExpired(clock, leaseUntilMs, receivedMs)) {
-    return undefined;
-  }
+  if (confirmedMs !== undefined || !isStartLate(clock, leaseUntilMs, receivedMs)) return undefined;
   const earliestWorkerMs =
     clock === undefined ? undefined : Math.round(computeEarliestWorkerMs(clock, receivedMs));
   return { proof: 'start-late', leaseUntilMs, earliestWorkerMs };
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -31,4 +31,18 @@
   assert.is(planStarts(20 + LEASE_MS + 400).length, 1);
 });
 
+test('a lease counts as expired only after clock drift, rounding and a late timer', () => {
+  const { planner, at, addWorkers, report, submit, accept, planStarts } = createHarness();
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  report('w1', 1_000);
+  submit(makeJob('a'), 1_001);
+  const [start] = planStarts(1_002);
+  accept([start!], 1_003);
+  report(start!.worker.id, 1_010, [makeRow(TASK, 1)]);
+  planner.observeMissedReport(start!.worker.id, at(1_600));
+  const lapsesAtMs = 1_010 + (start!.leaseUntilMs - 1_010) / 0.98;
+  assert.equal(planStarts(lapsesAtMs + 60), [], 'the worker may end its runs this late');
+  assert.is(planStarts(lapsesAtMs + 200).length, 1);
+});
+
 test.run();
