Move the inheritance and the losses of workers to modules of their own

No change of behaviour, in preparation of the next commits: `inheritance.ts` tracks until when tasks of an earlier planner may run unseen, `worker-loss.ts` requeues the tasks of lost workers and logs the proof.

--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -11,6 +11,7 @@
 import { closeJob } from './apply-ends.js';
 import { computeWork } from './estimate.js';
 import { createExclusionLog } from './exclusion-log.js';
+import { createInheritance, type InheritanceOptions } from './inheritance.js';
 import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
 import { observeStart, observeStop } from './observe-orders.js';
 import { observeReport, type TimedReport } from './observe-report.js';
@@ -28,11 +29,7 @@
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketRegistry, type TicketRegistry } from './tickets.js';
-import {
-  createWorkerIncarnations,
-  type IncarnationEnd,
-  type InheritanceOptions,
-} from './worker-incarnations.js';
+import { createWorkerIncarnations, type IncarnationEnd } from './worker-incarnations.js';
 
 /** Action for the daemon to execute. */
 export type PoolAction = StartAction | StopAction | PaceAction | AdviseAction;
@@ -140,7 +137,8 @@
   let reachable = { cores: 0, untilMs: 0 };
   const meanWork = new Map<string, { readonly sum: number; readonly count: number }>();
   const context: PoolContext = { table, dirtyJobs, report: options.report };
-  const incarnations = createWorkerIncarnations(context, options);
+  const inheritance = createInheritance(options);
+  const incarnations = createWorkerIncarnations(context, inheritance);
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
 
@@ -229,13 +227,13 @@
       }
       if (worker.missedReports > 0) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, workerId, timed, at);
-      incarnations.recordReport(workerId, timed.sentMs);
+      inheritance.recordReport(workerId, timed.sentMs);
       return planPaces(context, workerId, at);
     },
     observeMissedReport: incarnations.observeMissedReport,
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
-    observePredecessorStopped: ({ nowMs }) => incarnations.observePredecessorStopped(nowMs),
-    isSettled: (nowMs) => !incarnations.isInheritanceUncertain(nowMs),
+    observePredecessorStopped: ({ nowMs }) => inheritance.observePredecessorStopped(nowMs),
+    isSettled: (nowMs) => !inheritance.isUncertain(nowMs),
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
     evacuate: (workerId, at) => {
@@ -243,7 +241,7 @@
       incarnations.recordEvacuation(workerId, at);
       const worker = table.workers.get(workerId);
       const hasReported = worker !== undefined && worker.clock !== undefined;
-      if (!hasReported && incarnations.isWithinUncertaintyWindow(nowMs)) return undefined;
+      if (!hasReported && inheritance.isWithinUncertaintyWindow(nowMs)) return undefined;
       if (worker === undefined) return { lastingTasks: 0, batchTasks: 0 };
       return countWorkerTasks(table, worker);
     },
@@ -257,6 +255,7 @@
       table.updateWorker(workerId, { storedEnd: Math.max(worker.storedEnd, lastEnd) });
     },
     plan: (at) => {
+      inheritance.expire(at.nowMs);
       incarnations.releaseUnresponsive(at.nowMs);
       openDueOccurrences(table, at.wallMs);
       dropFinishedJobs(table, options.statusMs, at.nowMs);
@@ -267,7 +266,7 @@
           table.updateWorker(id, { failedJobs: [] });
       });
       exclusionLog.observeWorkers(at.nowMs);
-      const isInheritanceUncertain = incarnations.isInheritanceUncertain(at.nowMs);
+      const isInheritanceUncertain = inheritance.isUncertain(at.nowMs);
       const stops = planStops(context, { at, isInheritanceUncertain });
       const inputs = { at, isInheritanceUncertain, getMeanWork, tickets };
       const { actions, reserved, ticketless } = planStarts(context, inputs);
@@ -277,7 +276,8 @@
         reserved,
         ticketless,
         isInheritanceUncertain,
-        ...incarnations.countIgnored(),
+        unreportedWorkers: inheritance.listUnreported().length,
+        endedWorkers: incarnations.countEnded(),
       });
       return [...stops, ...actions];
     },
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -1,24 +1,18 @@
-/**
- * Tracks the incarnations of a pool's workers: which exist, which have ended, and which may still
- * run tasks of an earlier planner.
- */
+/** Tracks the incarnations of a pool's workers: which exist, and which have ended. */
 import type { WorkerEntry } from '../ports/task-workers.js';
-import { SUCCESSION_MS } from '../duties/authority.js';
-import { CLOCK_DRIFT, computeEarliestWorkerMs, hasLeaseExpired, LEASE_MS } from './lease-clock.js';
+import type { Inheritance } from './inheritance.js';
+import { hasLeaseExpired } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
-import { isAdopted, releaseUnendedRun, type IncarnationEndCause } from './run-release.js';
-import type { Moment, Task, Worker } from './state.js';
-
-/** What a planner inherits from its predecessor. */
-export interface InheritanceOptions {
-  /** Ids of the workers that may hold leases from an earlier planner. */
-  readonly inheritedWorkers: readonly string[];
-  /**
-   * When this planner's claim was known to be stored, or any later time; monotonic, in
-   * milliseconds.
-   */
-  readonly claimedMs: number;
-}
+import type { IncarnationEndCause } from './run-release.js';
+import type { Moment, Worker } from './state.js';
+import {
+  computeReportAge,
+  listWorkerTasks,
+  releaseEnded,
+  releaseExpired,
+  reportLoss,
+  type WorkerLoss,
+} from './worker-loss.js';
 
 /**
  * Tracker of worker incarnations. Times are monotonic, in milliseconds, except `bornMs`, which is
@@ -43,33 +37,13 @@
    * Requeues a worker's tasks and replaces it by its new incarnation, which started at `bornMs`.
    */
   readonly observeNewIncarnation: (worker: Worker, bornMs: number, at: Moment) => void;
-  /**
-   * Records that a worker reported what it runs; ignored if the report was requested (`sentMs`)
-   * before the earlier planner had stopped.
-   */
-  readonly recordReport: (workerId: string, sentMs: number) => void;
   /**
    * Requeues the tasks of unresponsive workers whose leases have definitely expired, and drops
    * unlisted workers without tasks.
    */
   readonly releaseUnresponsive: (nowMs: number) => void;
-  /** Records that the preceding planner sends no orders after `nowMs`. */
-  readonly observePredecessorStopped: (nowMs: number) => void;
-  /** Says whether leases from an earlier planner may still be valid. */
-  readonly isWithinUncertaintyWindow: (nowMs: number) => boolean;
-  /**
-   * Says whether an earlier planner may still send orders, or a worker that may hold a lease from
-   * it has not reported yet.
-   */
-  readonly isInheritanceUncertain: (nowMs: number) => boolean;
-  /**
-   * Counts the workers that may hold a lease from an earlier planner and have not reported, and
-   * those that are ignored because their incarnation was ended by an order.
-   */
-  readonly countIgnored: () => {
-    readonly unreportedWorkers: number;
-    readonly endedWorkers: number;
-  };
+  /** Counts the workers that are ignored because their incarnation was ended by an order. */
+  readonly countEnded: () => number;
   /** Lists the known workers, and the inherited ones that may still hold a lease, by id. */
   readonly listLeaseHolders: () => readonly string[];
 }
@@ -82,53 +56,20 @@
 /** How long an evacuation order remains in effect after it was last given. */
 const EVACUATION_ORDER_TTL_MS = 3_000;
 
-/** Additional wait for leases of an earlier planner, beyond their length. */
-const INHERITED_LEASE_MARGIN_MS = 200;
-
 /** Creates the tracker of a pool's worker incarnations. */
 export function createWorkerIncarnations(
   context: PoolContext,
-  options: InheritanceOptions,
+  inheritance: Inheritance,
 ): WorkerIncarnations {
   const { table, report } = context;
-  const unreportedIds = new Set(options.inheritedWorkers);
   const endedIncarnations = new Map<string, number>();
   /** End of each worker's evacuation by worker id; some workers have no entry yet. */
   const evacuateUntilMsById = new Map<string, number>();
-  let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
-  const getUncertainUntilMs = () =>
-    predecessorUntilMs + LEASE_MS / (1 - CLOCK_DRIFT) + INHERITED_LEASE_MARGIN_MS;
-
-  const listTasks = (worker: Worker): readonly Task[] =>
-    [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
-  const countAdopted = (tasks: readonly Task[]) =>
-    tasks.filter(({ state }) => state.kind === 'assigned' && isAdopted(state)).length;
-  const computeReportAge = (worker: Worker, nowMs: number | undefined) =>
-    worker.clock === undefined || nowMs === undefined
-      ? undefined
-      : Math.round(nowMs - worker.lastReportMs);
-  /** Drops a worker whose incarnation has ended; its new one started at `newBornMs`, if known. */
-  const dropWorker = (
-    worker: Worker,
-    why: IncarnationEndCause,
-    newBornMs: number | undefined,
-    nowMs: number | undefined,
-  ) => {
-    report({
-      event: 'worker-lost',
-      worker: worker.entry.id,
-      bornMs: worker.entry.bornMs,
-      newBornMs,
-      why,
-      tasks: worker.tasks.size,
-      silentMs: worker.missedReports,
-      reportAgeMs: computeReportAge(worker, nowMs),
-    });
-    listTasks(worker).forEach((task) => {
-      releaseUnendedRun(context, task, { proof: 'incarnation-ended', why, newBornMs }, { nowMs });
-    });
+  const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number | undefined) => {
+    reportLoss(context, worker, loss, nowMs);
+    releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
     table.dropWorker(worker.entry.id);
-    unreportedIds.delete(worker.entry.id);
+    inheritance.removeWorker(worker.entry.id);
   };
   const observeIncarnationEnd = (workerId: string, why: IncarnationEnd, at?: Moment) => {
     const worker = table.workers.get(workerId);
@@ -138,14 +79,14 @@
       why,
       bornMs: worker?.entry.bornMs,
       outcome: worker === undefined ? 'unknown-worker' : 'worker-dropped',
-      wasUnreported: unreportedIds.has(workerId),
+      wasUnreported: inheritance.listUnreported().includes(workerId),
       reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, at?.nowMs),
     });
     if (worker !== undefined) {
       if (why === 'ordered') endedIncarnations.set(workerId, worker.entry.bornMs);
-      dropWorker(worker, why, undefined, at?.nowMs);
+      dropWorker(worker, { why, newBornMs: undefined }, at?.nowMs);
     }
-    unreportedIds.delete(workerId);
+    inheritance.removeWorker(workerId);
   };
   // The entry of an incarnation that was ended by an order remains listed for some seconds.
   const hasIncarnationEnded = ({ id, bornMs }: WorkerEntry) =>
@@ -155,7 +96,7 @@
     const known = table.workers.get(entry.id);
     if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
       if (known.entry.bornMs > entry.bornMs) return;
-      dropWorker(known, 'new-life', entry.bornMs, nowMs);
+      dropWorker(known, { why: 'new-life', newBornMs: entry.bornMs }, nowMs);
     }
     if (table.workers.has(entry.id)) table.updateWorker(entry.id, { entry, isListed: true });
     else {
@@ -171,42 +112,13 @@
       });
     }
   };
-  /** Requeues the tasks of a worker whose lease has expired. */
-  const releaseExpired = (worker: Worker, nowMs: number) => {
-    const { clock, leaseUntilMs, missedReports } = worker;
-    const tasks = listTasks(worker);
-    const earliestWorkerMs =
-      clock === undefined ? undefined : Math.round(computeEarliestWorkerMs(clock, nowMs));
-    const reportAgeMs = Math.round(nowMs - worker.lastReportMs);
-    report({
-      event: 'worker-leases-passed',
-      worker: worker.entry.id,
-      bornMs: worker.entry.bornMs,
-      leaseUntilMs,
-      earliestWorkerMs,
-      reportAgeMs,
-      missedReports,
-      adopted: countAdopted(tasks),
-    });
-    const proof = 'lease-expired';
-    tasks.forEach((task) => {
-      releaseUnendedRun(
-        context,
-        task,
-        { proof, leaseUntilMs, earliestWorkerMs, reportAgeMs, missedReports },
-        { nowMs },
-      );
-    });
-  };
   const releaseUnresponsive = (nowMs: number) => {
     [...table.workers.values()].forEach((worker) => {
       const isUnresponsive =
         worker.missedReports > 0 && hasLeaseExpired(worker.clock, worker.leaseUntilMs, nowMs);
       const hasLeft = !worker.isListed && worker.tasks.size === 0;
       if (isUnresponsive && (worker.tasks.size > 0 || worker.orphanedRuns.size > 0)) {
-        releaseExpired(worker, nowMs);
-        worker.orphanedRuns.clear();
-        table.refreshUsedCapacity(worker.entry.id);
+        releaseExpired(context, worker, nowMs);
       }
       if (hasLeft && (worker.missedReports > 0 || worker.orphanedRuns.size === 0)) {
         table.dropWorker(worker.entry.id);
@@ -249,26 +161,13 @@
       table.updateWorker(workerId, { evacuateUntilMs: untilMs });
     },
     observeNewIncarnation: (worker, bornMs, { nowMs }) => {
-      dropWorker(worker, 'new-life', bornMs, nowMs);
+      dropWorker(worker, { why: 'new-life', newBornMs: bornMs }, nowMs);
       table.addWorker({ ...worker.entry, bornMs });
     },
-    recordReport: (workerId, sentMs) => {
-      if (sentMs >= predecessorUntilMs) unreportedIds.delete(workerId);
-    },
-    releaseUnresponsive: (nowMs) => {
-      if (nowMs > getUncertainUntilMs()) unreportedIds.clear();
-      releaseUnresponsive(nowMs);
-    },
-    observePredecessorStopped: (nowMs) => {
-      predecessorUntilMs = Math.min(predecessorUntilMs, nowMs);
-    },
-    isWithinUncertaintyWindow: (nowMs) => nowMs < getUncertainUntilMs(),
-    isInheritanceUncertain: (nowMs) =>
-      nowMs < predecessorUntilMs || (unreportedIds.size > 0 && nowMs < getUncertainUntilMs()),
-    countIgnored: () => ({
-      unreportedWorkers: unreportedIds.size,
-      endedWorkers: endedIncarnations.size,
-    }),
-    listLeaseHolders: () => [...new Set([...table.workers.keys(), ...unreportedIds])],
+    releaseUnresponsive,
+    countEnded: () => endedIncarnations.size,
+    listLeaseHolders: () => [
+      ...new Set([...table.workers.keys(), ...inheritance.listUnreported()]),
+    ],
   };
 }
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -0,0 +1,85 @@
+/** Requeues the tasks of workers that are lost, and logs by what proof their runs have ended. */
+import { computeEarliestWorkerMs } from './lease-clock.js';
+import type { PoolContext } from './pool-context.js';
+import { isAdopted, releaseUnendedRun, type IncarnationEndCause } from './run-release.js';
+import type { Task, Worker } from './state.js';
+
+/** Why a worker is lost, and the start of its new incarnation in ms since 1970, if known. */
+export interface WorkerLoss {
+  readonly why: IncarnationEndCause;
+  readonly newBornMs: number | undefined;
+}
+
+/** Computes the age of a worker's last report in milliseconds; undefined before the first one. */
+export function computeReportAge(worker: Worker, nowMs: number | undefined): number | undefined {
+  return worker.clock === undefined || nowMs === undefined
+    ? undefined
+    : Math.round(nowMs - worker.lastReportMs);
+}
+
+/** Lists the tasks that are assigned to a worker. */
+export function listWorkerTasks({ table }: PoolContext, worker: Worker): readonly Task[] {
+  return [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
+}
+
+/** Logs that the incarnation of a worker has ended; without `nowMs`, ages are left out. */
+export function reportLoss(
+  context: PoolContext,
+  worker: Worker,
+  { why, newBornMs }: WorkerLoss,
+  nowMs: number | undefined,
+): void {
+  context.report({
+    event: 'worker-lost',
+    worker: worker.entry.id,
+    bornMs: worker.entry.bornMs,
+    newBornMs,
+    why,
+    tasks: worker.tasks.size,
+    silentMs: worker.missedReports,
+    reportAgeMs: computeReportAge(worker, nowMs),
+  });
+}
+
+/** Requeues tasks whose runs have ended with the incarnation of their worker. */
+export function releaseEnded(
+  context: PoolContext,
+  tasks: readonly Task[],
+  loss: WorkerLoss,
+  nowMs: number | undefined,
+): void {
+  tasks.forEach((task) => {
+    releaseUnendedRun(context, task, { proof: 'incarnation-ended', ...loss }, { nowMs });
+  });
+}
+
+/** Requeues the tasks of a worker whose lease has expired, and forgets its orphaned runs. */
+export function releaseExpired(context: PoolContext, worker: Worker, nowMs: number): void {
+  const { clock, leaseUntilMs, missedReports } = worker;
+  const tasks = listWorkerTasks(context, worker);
+  const earliestWorkerMs =
+    clock === undefined ? undefined : Math.round(computeEarliestWorkerMs(clock, nowMs));
+  const reportAgeMs = Math.round(nowMs - worker.lastReportMs);
+  const adopted = tasks.filter(({ state }) => state.kind === 'assigned' && isAdopted(state));
+  context.report({
+    event: 'worker-leases-passed',
+    worker: worker.entry.id,
+    bornMs: worker.entry.bornMs,
+    leaseUntilMs,
+    earliestWorkerMs,
+    reportAgeMs,
+    missedReports,
+    adopted: adopted.length,
+  });
+  const proof = 'lease-expired';
+  tasks.forEach((task) => {
+    releaseUnendedRun(
+      context,
+      task,
+      { proof, leaseUntilMs, earliestWorkerMs, reportAgeMs, missedReports },
+      { nowMs },
+    );
+  });
+  worker.orphanedRuns.clear();
+  context.table.refreshUsedCapacity(worker.entry.id);
+}
