Take a notice of an ended worker as a hint, not as proof

The fleet duty notifies the planner when an order has ended a worker's process. The notice names the worker only, and a worker may start again under its id. When the notice came after the new incarnation was known, the planner dropped that one: its tasks were requeued while they ran, and as the start of the new incarnation was remembered as ended, its entries were ignored for good, so a worker that responds was never used again.

The notice now counts as a missed report. The worker gets no new tasks and no longer leases, and it is asked for a report at once. A report ends the hint. Without one, its tasks are requeued when its lease has expired, and it is dropped when it has no tasks. Its entry is then ignored for 2 s instead of for good, after which it is called again if it is still listed. An incarnation that was dropped as another worker responds at its address is called again too, where it waited for the next change of any entry.

Cost: machines that are moved or maintained are drained before, so that they are dropped by the first missed report as they were by the notice. Tasks on a machine that ended beside them wait for the lease, as those of a crashed one do; a test has them requeued within 4.4 s of the last renewal.

Failed before, on the planner: "a late notice of an end does not requeue the tasks of the next incarnation" planned the task on the other worker 10 ms after the notice, "a worker that responds after a notice of its end is used again" got no start.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -12,6 +12,8 @@
   readonly isStoreUnavailable: () => boolean;
   /** Says whether the runner has stopped or lost the pool, so that nothing more is stored. */
   readonly isStopped: () => boolean;
+  /** Requests a report of a worker at once, unless one is awaited. */
+  readonly wakeWorker: (workerId: string) => void;
   /** Requests a plan soon, for changes that the request made. */
   readonly schedulePlan: () => void;
 }
@@ -94,7 +96,8 @@
     case 'demand':
       return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
     case 'life-ended':
-      planner.observeIncarnationEnd(request.workerId, 'ordered', readMoment());
+      planner.observeEndNotice(request.workerId, readMoment());
+      context.wakeWorker(request.workerId);
       schedulePlan();
       return { kind: 'accepted' };
     default:
--- a/packages/daemon/src/lib/jobs/incarnation-ends.ts
+++ b/packages/daemon/src/lib/jobs/incarnation-ends.ts
@@ -1,7 +1,8 @@
 /**
  * Notifies planners of the worker incarnations that orders for instances have ended. An order is
  * also answered as done when an earlier one was carried out already; the present incarnation then
- * continues. Only the fleet's next list shows that an incarnation has ended.
+ * continues. Only the fleet's next list shows that an incarnation has ended. It names no incarnation
+ * and the worker may start again under its id, so for the planner the notice is only a hint.
  */
 import type { FleetInstance } from 'vanilladock/lib/ports/fleet.js';
 import type { JobGateway } from './job-gateway.js';
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -22,7 +22,7 @@
   | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string }
   /** Queries a pool's demand and states the cores that lending can bring the pool to. */
   | { readonly kind: 'demand'; readonly pool: string; readonly reachableCores: number }
-  /** Reports that an order has ended the worker's process. */
+  /** Reports that an order has ended a process of the worker, which may have started again since. */
   | { readonly kind: 'life-ended'; readonly pool: string; readonly workerId: string };
 
 /** State of a job as its caller sees it. */
@@ -30,7 +30,7 @@
 
 /** Reply to a request; a `refused` job has not run and never will. */
 export type JobReply =
-  /** The submitted job is stored, or the report of an ended worker was taken. */
+  /** The submitted job is stored, or the notice of an ended worker was taken. */
   | { readonly kind: 'accepted' }
   | {
       readonly kind: 'refused';
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -286,6 +286,7 @@
           waitStored: stateWriter.waitStored,
           isStoreUnavailable: stateWriter.isStoreUnavailable,
           isStopped: () => isStopped,
+          wakeWorker: loops.wake,
           schedulePlan,
         },
         request,
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -110,8 +110,7 @@
       }
       case 'rejected':
         if (outcome.why === 'fenced') options.handleFenced();
-        else if (outcome.why === 'other-life')
-          planner.observeIncarnationEnd(workerId, 'other-life', receivedAt);
+        else if (outcome.why === 'other-life') planner.observeIncarnationEnd(workerId, receivedAt);
         else planner.observeMissedReport(workerId, receivedAt);
         await waitOrWake(RETRY_MS);
         return;
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -131,7 +131,7 @@
   assert.is(notified!.pool, POOL);
   assert.is(notified!.worker, 'w1');
   assert.is(notified!.bornMs, 1);
-  assert.is(notified!.outcome, 'worker-dropped');
+  assert.is(notified!.outcome, 'report-requested');
   runner.stop();
   clock.uninstall();
 });
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -29,7 +29,7 @@
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketRegistry, type TicketRegistry } from './tickets.js';
-import { createWorkerIncarnations, type IncarnationEnd } from './worker-incarnations.js';
+import { createWorkerIncarnations } from './worker-incarnations.js';
 
 /** Action for the daemon to execute. */
 export type PoolAction = StartAction | StopAction | PaceAction | AdviseAction;
@@ -82,11 +82,13 @@
   ) => readonly PaceAction[];
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
+  /** Drops a worker, and requeues its tasks, because another worker responds at its address. */
+  readonly observeIncarnationEnd: (workerId: string, at: Moment) => void;
   /**
-   * Drops a worker whose incarnation has ended, and requeues its tasks. Without `at`, ages are left
-   * out of the log.
+   * Counts a notice that some incarnation of a worker has ended as a missed report: only a report,
+   * or the end of its lease, shows whether that was the present one.
    */
-  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd, at?: Moment) => void;
+  readonly observeEndNotice: (workerId: string, at: Moment) => void;
   /** Records that the preceding planner sends no orders after `at`. */
   readonly observePredecessorStopped: (at: Moment) => void;
   /** Says whether orders of earlier planners can no longer take effect. */
@@ -227,11 +229,13 @@
       }
       if (worker.missedReports > 0) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, workerId, timed, at);
+      incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
       return planPaces(context, workerId, at);
     },
     observeMissedReport: incarnations.observeMissedReport,
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
+    observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: ({ nowMs }) => inheritance.observePredecessorStopped(nowMs),
     isSettled: (nowMs) => !inheritance.isUncertain(nowMs),
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -1,5 +1,6 @@
 /** Tracks the incarnations of a pool's workers: which exist, and which have ended. */
 import type { WorkerEntry } from '../ports/task-workers.js';
+import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
 import { hasLeaseExpired } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
@@ -27,10 +28,18 @@
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
   /**
-   * Drops a worker whose incarnation has ended, and requeues its tasks; an inherited worker no
-   * longer counts as a lease holder. Without `at`, ages are left out of the log.
+   * Drops a worker, and requeues its tasks, because another worker responds at its address; an
+   * inherited worker no longer counts as a lease holder.
    */
-  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd, at?: Moment) => void;
+  readonly observeIncarnationEnd: (workerId: string, at: Moment) => void;
+  /**
+   * Counts a notice that an order has ended some incarnation of a worker as a missed report. If the
+   * worker does not report either, its tasks are requeued once its lease has expired, and it is
+   * dropped when it has none.
+   */
+  readonly observeEndNotice: (workerId: string, at: Moment) => void;
+  /** Records that a worker has reported; one that was requested before a notice is no answer to it. */
+  readonly recordReport: (workerId: string, sentMs: number) => void;
   /** Keeps new tasks off a worker for a limited time, also one whose entry is received later. */
   readonly recordEvacuation: (workerId: string, at: Moment) => void;
   /**
@@ -42,17 +51,12 @@
    * unlisted workers without tasks.
    */
   readonly releaseUnresponsive: (nowMs: number) => void;
-  /** Counts the workers that are ignored because their incarnation was ended by an order. */
+  /** Counts the workers that are ignored because their incarnation seems to have ended. */
   readonly countEnded: () => number;
   /** Lists the known workers, and the inherited ones that may still hold a lease, by id. */
   readonly listLeaseHolders: () => readonly string[];
 }
 
-/**
- * Why an incarnation ended: by an order for its instance, or another one responds at its address.
- */
-export type IncarnationEnd = Exclude<IncarnationEndCause, 'new-life'>;
-
 /** How long an evacuation order remains in effect after it was last given. */
 const EVACUATION_ORDER_TTL_MS = 3_000;
 
@@ -62,37 +66,39 @@
   inheritance: Inheritance,
 ): WorkerIncarnations {
   const { table, report } = context;
-  const endedIncarnations = new Map<string, number>();
+  const ended = createEndedIncarnations();
+  let listedEntries: readonly WorkerEntry[] = [];
+  /** When the last notice of an end was received that no report has answered, by worker id. */
+  const endNoticedMs = new Map<string, number>();
   /** End of each worker's evacuation by worker id; some workers have no entry yet. */
   const evacuateUntilMsById = new Map<string, number>();
-  const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number | undefined) => {
+
+  const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number) => {
     reportLoss(context, worker, loss, nowMs);
     releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
     table.dropWorker(worker.entry.id);
+    endNoticedMs.delete(worker.entry.id);
     inheritance.removeWorker(worker.entry.id);
   };
-  const observeIncarnationEnd = (workerId: string, why: IncarnationEnd, at?: Moment) => {
+  const reportEnd = (
+    workerId: string,
+    why: Exclude<IncarnationEndCause, 'new-life'>,
+    nowMs: number,
+  ) => {
     const worker = table.workers.get(workerId);
+    const outcome = why === 'ordered' ? 'report-requested' : 'worker-dropped';
     report({
       event: 'incarnation-end-notified',
       worker: workerId,
       why,
       bornMs: worker?.entry.bornMs,
-      outcome: worker === undefined ? 'unknown-worker' : 'worker-dropped',
+      outcome: worker === undefined ? 'unknown-worker' : outcome,
       wasUnreported: inheritance.listUnreported().includes(workerId),
-      reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, at?.nowMs),
+      reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, nowMs),
     });
-    if (worker !== undefined) {
-      if (why === 'ordered') endedIncarnations.set(workerId, worker.entry.bornMs);
-      dropWorker(worker, { why, newBornMs: undefined }, at?.nowMs);
-    }
-    inheritance.removeWorker(workerId);
   };
-  // The entry of an incarnation that was ended by an order remains listed for some seconds.
-  const hasIncarnationEnded = ({ id, bornMs }: WorkerEntry) =>
-    bornMs > 0 && endedIncarnations.get(id) === bornMs;
   const observeEntry = (entry: WorkerEntry, nowMs: number) => {
-    if (hasIncarnationEnded(entry)) return;
+    if (ended.has(entry, nowMs)) return;
     const known = table.workers.get(entry.id);
     if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
       if (known.entry.bornMs > entry.bornMs) return;
@@ -112,26 +118,36 @@
       });
     }
   };
+  /** Drops a worker without tasks that has left or, by a notice and a missed report, has ended. */
+  const dropEmpty = (worker: Worker, nowMs: number) => {
+    const { id } = worker.entry;
+    const hasOrphans = worker.orphanedRuns.size > 0;
+    if (worker.tasks.size > 0 || (hasOrphans && worker.missedReports === 0)) return;
+    // The notice itself counts as one missed report.
+    const hasEnded = endNoticedMs.has(id) && worker.missedReports > 1 && !hasOrphans;
+    if (hasEnded) {
+      ended.addUnresponsive(worker.entry, nowMs);
+      dropWorker(worker, { why: 'ordered', newBornMs: undefined }, nowMs);
+    } else if (!worker.isListed) table.dropWorker(id);
+  };
   const releaseUnresponsive = (nowMs: number) => {
     [...table.workers.values()].forEach((worker) => {
+      const hasRuns = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
       const isUnresponsive =
         worker.missedReports > 0 && hasLeaseExpired(worker.clock, worker.leaseUntilMs, nowMs);
-      const hasLeft = !worker.isListed && worker.tasks.size === 0;
-      if (isUnresponsive && (worker.tasks.size > 0 || worker.orphanedRuns.size > 0)) {
-        releaseExpired(context, worker, nowMs);
-      }
-      if (hasLeft && (worker.missedReports > 0 || worker.orphanedRuns.size === 0)) {
-        table.dropWorker(worker.entry.id);
-      }
+      if (hasRuns && isUnresponsive) releaseExpired(context, worker, nowMs);
+      dropEmpty(worker, nowMs);
     });
+    listedEntries
+      .filter(({ id }) => !table.workers.has(id))
+      .forEach((entry) => observeEntry(entry, nowMs));
   };
   return {
     observeEntries: (entries, { nowMs }) => {
+      listedEntries = entries;
       entries.forEach((entry) => observeEntry(entry, nowMs));
       const ids = new Set(entries.map((entry) => entry.id));
-      [...endedIncarnations.keys()]
-        .filter((id) => !ids.has(id))
-        .forEach((id) => endedIncarnations.delete(id));
+      ended.retain(ids);
       table.workers.forEach((worker, id) => {
         if (ids.has(id) || !worker.isListed) return;
         table.updateWorker(id, { isListed: false });
@@ -151,7 +167,24 @@
       }
       table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
     },
-    observeIncarnationEnd,
+    observeIncarnationEnd: (workerId, { nowMs }) => {
+      reportEnd(workerId, 'other-life', nowMs);
+      const worker = table.workers.get(workerId);
+      if (worker !== undefined) {
+        dropWorker(worker, { why: 'other-life', newBornMs: undefined }, nowMs);
+      }
+      inheritance.removeWorker(workerId);
+    },
+    observeEndNotice: (workerId, { nowMs }) => {
+      reportEnd(workerId, 'ordered', nowMs);
+      const worker = table.workers.get(workerId);
+      if (worker === undefined) return;
+      endNoticedMs.set(workerId, nowMs);
+      table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
+    },
+    recordReport: (workerId, sentMs) => {
+      if (sentMs >= (endNoticedMs.get(workerId) ?? Infinity)) endNoticedMs.delete(workerId);
+    },
     recordEvacuation: (workerId, { nowMs }) => {
       const untilMs = nowMs + EVACUATION_ORDER_TTL_MS;
       [...evacuateUntilMsById]
@@ -165,7 +198,7 @@
       table.addWorker({ ...worker.entry, bornMs });
     },
     releaseUnresponsive,
-    countEnded: () => endedIncarnations.size,
+    countEnded: () => ended.count(),
     listLeaseHolders: () => [
       ...new Set([...table.workers.keys(), ...inheritance.listUnreported()]),
     ],
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -5,13 +5,52 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { LEASE_MS } from '../../lib/jobs/lease-clock.js';
-import { createHarness, makeEntry, makeJob, makeRow, POLICY, WALL_MS } from './planner-harness.js';
+import type { EndedTask, RunningTask } from '../../lib/ports/task-workers.js';
+import {
+  createHarness,
+  makeEntry,
+  makeJob,
+  makeRow,
+  POLICY,
+  WALL_MS,
+  type Harness,
+} from './planner-harness.js';
 
 const test = suite('double run');
 
 const RECORD = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
 const TASK = 'a.0.0.0';
 
+/** A report of the worker's incarnation `bornMs`, whose clock started at `clockStartMs`. */
+interface BornReport {
+  readonly bornMs: number;
+  readonly running?: readonly RunningTask[];
+  readonly ended?: readonly EndedTask[];
+  readonly sentMs?: number;
+  readonly clockStartMs?: number;
+}
+
+const reportBorn = (harness: Harness, workerId: string, nowMs: number, source: BornReport) => {
+  const { bornMs, running = [], ended = [], sentMs = nowMs, clockStartMs = 0 } = source;
+  const report = { bornMs, clockMs: nowMs - clockStartMs, running, ended };
+  harness.planner.observeReport(workerId, { report, sentMs, receivedMs: nowMs }, harness.at(nowMs));
+};
+
+/** Starts the task of job `a` on `w1`, the only worker by then; `w22` can take it afterwards. */
+const startOnFirst = () => {
+  const harness = createHarness();
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(RECORD.spec, 1);
+  const [start] = harness.planStarts(2);
+  const addSecond = (nowMs: number, firstBornMs = 1) => {
+    const entries = [makeEntry('w1', { bornMs: firstBornMs }), makeEntry('w22')];
+    harness.planner.observeWorkers(entries, harness.at(nowMs));
+    harness.planner.markWorkersRecorded(['w22']);
+    harness.report('w22', nowMs);
+  };
+  return { ...harness, harness, start: start!, addSecond };
+};
+
 /** Loads job `a` in a planner that took over from another one; `w22` has reported. */
 const takeOver = () => {
   const harness = createHarness({ runBase: 100, inheritedWorkers: ['w1', 'w22'] });
@@ -31,6 +70,49 @@
   assert.is(planStarts(20 + LEASE_MS + 400).length, 1);
 });
 
+test('a late notice of an end does not requeue the tasks of the next incarnation', () => {
+  const { planner, at, harness, start, accept, addSecond, planStarts } = startOnFirst();
+  accept([start], 3);
+  reportBorn(harness, 'w1', 10, { bornMs: 1, running: [makeRow(TASK, 1)] });
+  addSecond(20);
+  planner.observeEndNotice('w1', at(30));
+  assert.equal(planStarts(40), []);
+  reportBorn(harness, 'w1', 50, { bornMs: 1, running: [makeRow(TASK, 1)] });
+  assert.equal(planStarts(60), []);
+});
+
+test('a worker that responds after a notice of its end is used again', () => {
+  const { planner, at, addWorkers, report, submit, planStarts } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  planner.observeEndNotice('w1', at(10));
+  submit(makeJob('a'), 11);
+  assert.equal(planStarts(12), [], 'not before the worker has responded');
+  planner.observeWorkers([makeEntry('w1')], at(13));
+  report('w1', 20);
+  assert.is(planStarts(21).length, 1);
+});
+
+test('a worker that was given up after a notice and a missed report is called again', () => {
+  const { planner, at, addWorkers } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  planner.observeEndNotice('w1', at(10));
+  planner.observeMissedReport('w1', at(20));
+  planner.plan(at(30));
+  assert.is(planner.table.workers.size, 0);
+  planner.plan(at(2_100));
+  assert.is(planner.table.workers.size, 1);
+});
+
+test('tasks on a machine that has ended are requeued within the lease time', () => {
+  const { planner, at, harness, start, accept, addSecond, planStarts } = startOnFirst();
+  accept([start], 3);
+  reportBorn(harness, 'w1', 10, { bornMs: 1, running: [makeRow(TASK, 1)] });
+  addSecond(20);
+  planner.observeEndNotice('w1', at(30));
+  planner.observeMissedReport('w1', at(40));
+  assert.is(planStarts(10 + LEASE_MS + 400).length, 1);
+});
+
 test('a lease counts as expired only after clock drift, rounding and a late timer', () => {
   const { planner, at, addWorkers, report, submit, accept, planStarts } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
