Let only a later incarnation of a worker replace the present one

Two answers were taken to be about the present incarnation of a worker though they may be about an earlier one: a report with any other start time replaced the present incarnation, also a late one of the incarnation before; and a 421, which says that another worker is at the address that was called, dropped whichever incarnation the planner had by then. Both requeued the present incarnation's tasks while they ran.

The incarnations of one id follow each other in time. So a report of another incarnation is of a later one if it was requested after the present one was known, and proves nothing if it was requested before; the next report decides. This needs no comparison of start times, which come from the wall clock of the worker's machine: a worker whose clock was set back between two lives is followed too, and the incarnation that it replaced is remembered, so that its entry does not bring it back. A rejection names the incarnation that was asked. The first report of a new incarnation is applied, where it was only used to replace the worker.

Failed before: "a late report of an earlier incarnation does not replace the present one" and "a late rejection for an earlier incarnation does not end the present one" each planned the task on the other worker 10 ms later; after a clock set back the stale entry brought the old incarnation back (expected 1, got 2).

--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -110,7 +110,8 @@
       }
       case 'rejected':
         if (outcome.why === 'fenced') options.handleFenced();
-        else if (outcome.why === 'other-life') planner.observeIncarnationEnd(workerId, receivedAt);
+        else if (outcome.why === 'other-life')
+          planner.observeIncarnationEnd(workerId, bornMs, receivedAt);
         else planner.observeMissedReport(workerId, receivedAt);
         await waitOrWake(RETRY_MS);
         return;
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -72,8 +72,8 @@
   /** Applies the complete list of registered workers. */
   readonly observeWorkers: (entries: readonly WorkerEntry[], at: Moment) => void;
   /**
-   * Applies a worker's report and returns the pace changes to order. A report of another
-   * incarnation only replaces the worker; one of an unknown worker is ignored.
+   * Applies a worker's report and returns the pace changes to order. Ignores a report of an unknown
+   * worker, and one of another incarnation that may be an earlier one.
    */
   readonly observeReport: (
     workerId: string,
@@ -82,8 +82,11 @@
   ) => readonly PaceAction[];
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
-  /** Drops a worker, and requeues its tasks, because another worker responds at its address. */
-  readonly observeIncarnationEnd: (workerId: string, at: Moment) => void;
+  /**
+   * Drops a worker, and requeues its tasks, because another worker responds at the address of its
+   * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
+   */
+  readonly observeIncarnationEnd: (workerId: string, bornMs: number, at: Moment) => void;
   /**
    * Counts a notice that some incarnation of a worker has ended as a missed report: only a report,
    * or the end of its lease, shows whether that was the present one.
@@ -220,14 +223,9 @@
     },
     observeWorkers: incarnations.observeEntries,
     observeReport: (workerId, timed, at) => {
-      const worker = table.workers.get(workerId);
-      if (worker === undefined) return [];
-      const { bornMs } = timed.report;
-      if (bornMs !== undefined && bornMs !== worker.entry.bornMs) {
-        incarnations.observeNewIncarnation(worker, bornMs, at);
-        return [];
-      }
-      if (worker.missedReports > 0) options.report({ event: 'worker-regained', worker: workerId });
+      if (!incarnations.observeReporter(workerId, timed, at)) return [];
+      const hasMissedReports = (table.workers.get(workerId)?.missedReports ?? 0) > 0;
+      if (hasMissedReports) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, workerId, timed, at);
       incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
@@ -281,7 +279,7 @@
         ticketless,
         isInheritanceUncertain,
         unreportedWorkers: inheritance.listUnreported().length,
-        endedWorkers: incarnations.countEnded(),
+        endedWorkers: incarnations.countEnded(at.nowMs),
       });
       return [...stops, ...actions];
     },
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -3,6 +3,7 @@
 import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
 import { hasLeaseExpired } from './lease-clock.js';
+import type { TimedReport } from './observe-report.js';
 import type { PoolContext } from './pool-context.js';
 import type { IncarnationEndCause } from './run-release.js';
 import type { Moment, Worker } from './state.js';
@@ -28,10 +29,11 @@
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
   /**
-   * Drops a worker, and requeues its tasks, because another worker responds at its address; an
-   * inherited worker no longer counts as a lease holder.
+   * Drops a worker, and requeues its tasks, because another worker responds at the address of its
+   * incarnation that started at `bornMs`; ignored if it has another incarnation by now. An inherited
+   * worker no longer counts as a lease holder.
    */
-  readonly observeIncarnationEnd: (workerId: string, at: Moment) => void;
+  readonly observeIncarnationEnd: (workerId: string, bornMs: number, at: Moment) => void;
   /**
    * Counts a notice that an order has ended some incarnation of a worker as a missed report. If the
    * worker does not report either, its tasks are requeued once its lease has expired, and it is
@@ -43,16 +45,17 @@
   /** Keeps new tasks off a worker for a limited time, also one whose entry is received later. */
   readonly recordEvacuation: (workerId: string, at: Moment) => void;
   /**
-   * Requeues a worker's tasks and replaces it by its new incarnation, which started at `bornMs`.
+   * Says whether a report is from the present incarnation of a known worker. A later incarnation
+   * becomes the present one first; a report that may be from an earlier one does not.
    */
-  readonly observeNewIncarnation: (worker: Worker, bornMs: number, at: Moment) => void;
+  readonly observeReporter: (workerId: string, timed: TimedReport, at: Moment) => boolean;
   /**
    * Requeues the tasks of unresponsive workers whose leases have definitely expired, and drops
    * unlisted workers without tasks.
    */
   readonly releaseUnresponsive: (nowMs: number) => void;
   /** Counts the workers that are ignored because their incarnation seems to have ended. */
-  readonly countEnded: () => number;
+  readonly countEnded: (nowMs: number) => number;
   /** Lists the known workers, and the inherited ones that may still hold a lease, by id. */
   readonly listLeaseHolders: () => readonly string[];
 }
@@ -68,6 +71,8 @@
   const { table, report } = context;
   const ended = createEndedIncarnations();
   let listedEntries: readonly WorkerEntry[] = [];
+  /** When the present incarnation of each worker was first known, by worker id. */
+  const knownSinceMs = new Map<string, number>();
   /** When the last notice of an end was received that no report has answered, by worker id. */
   const endNoticedMs = new Map<string, number>();
   /** End of each worker's evacuation by worker id; some workers have no entry yet. */
@@ -97,25 +102,32 @@
       reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, nowMs),
     });
   };
+  const addWorker = (entry: WorkerEntry, nowMs: number) => {
+    table.addWorker(entry);
+    table.updateWorker(entry.id, { evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0 });
+    knownSinceMs.set(entry.id, nowMs);
+    report({
+      event: 'worker-seen',
+      worker: entry.id,
+      bornMs: entry.bornMs,
+      address: entry.address,
+      rack: entry.rack,
+      phase: entry.phase,
+    });
+  };
+  /** Replaces a worker by its next incarnation. */
+  const restartWorker = (worker: Worker, entry: WorkerEntry, nowMs: number) => {
+    dropWorker(worker, { why: 'new-life', newBornMs: entry.bornMs }, nowMs);
+    ended.addReplaced(worker.entry);
+    addWorker(entry, nowMs);
+  };
   const observeEntry = (entry: WorkerEntry, nowMs: number) => {
     if (ended.has(entry, nowMs)) return;
     const known = table.workers.get(entry.id);
-    if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
-      if (known.entry.bornMs > entry.bornMs) return;
-      dropWorker(known, { why: 'new-life', newBornMs: entry.bornMs }, nowMs);
-    }
-    if (table.workers.has(entry.id)) table.updateWorker(entry.id, { entry, isListed: true });
-    else {
-      table.addWorker(entry);
-      table.updateWorker(entry.id, { evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0 });
-      report({
-        event: 'worker-seen',
-        worker: entry.id,
-        bornMs: entry.bornMs,
-        address: entry.address,
-        rack: entry.rack,
-        phase: entry.phase,
-      });
+    if (known === undefined) addWorker(entry, nowMs);
+    else if (known.entry.bornMs < entry.bornMs) restartWorker(known, entry, nowMs);
+    else if (known.entry.bornMs === entry.bornMs) {
+      table.updateWorker(entry.id, { entry, isListed: true });
     }
   };
   /** Drops a worker without tasks that has left or, by a notice and a missed report, has ended. */
@@ -167,13 +179,12 @@
       }
       table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
     },
-    observeIncarnationEnd: (workerId, { nowMs }) => {
-      reportEnd(workerId, 'other-life', nowMs);
+    observeIncarnationEnd: (workerId, bornMs, { nowMs }) => {
       const worker = table.workers.get(workerId);
-      if (worker !== undefined) {
-        dropWorker(worker, { why: 'other-life', newBornMs: undefined }, nowMs);
-      }
-      inheritance.removeWorker(workerId);
+      if (worker?.entry.bornMs !== bornMs) return;
+      reportEnd(workerId, 'other-life', nowMs);
+      ended.addUnresponsive(worker.entry, nowMs);
+      dropWorker(worker, { why: 'other-life', newBornMs: undefined }, nowMs);
     },
     observeEndNotice: (workerId, { nowMs }) => {
       reportEnd(workerId, 'ordered', nowMs);
@@ -193,12 +204,18 @@
       evacuateUntilMsById.set(workerId, untilMs);
       table.updateWorker(workerId, { evacuateUntilMs: untilMs });
     },
-    observeNewIncarnation: (worker, bornMs, { nowMs }) => {
-      dropWorker(worker, { why: 'new-life', newBornMs: bornMs }, nowMs);
-      table.addWorker({ ...worker.entry, bornMs });
+    observeReporter: (workerId, { report: { bornMs }, sentMs }, { nowMs }) => {
+      const worker = table.workers.get(workerId);
+      if (worker === undefined) return false;
+      if (bornMs === undefined || bornMs === worker.entry.bornMs) return true;
+      // Incarnations follow each other, so one that answers a request sent after the present one
+      // was known is a later one, even if the wall clock of its machine was set back.
+      if (sentMs < (knownSinceMs.get(workerId) ?? 0)) return false;
+      restartWorker(worker, { ...worker.entry, bornMs }, nowMs);
+      return true;
     },
     releaseUnresponsive,
-    countEnded: () => ended.count(),
+    countEnded: ended.countUnresponsive,
     listLeaseHolders: () => [
       ...new Set([...table.workers.keys(), ...inheritance.listUnreported()]),
     ],
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -113,6 +113,49 @@
   assert.is(planStarts(10 + LEASE_MS + 400).length, 1);
 });
 
+/** Restarts `w1` and starts the task of job `a` on its second incarnation. */
+const startOnSecondIncarnation = () => {
+  const harness = createHarness();
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], harness.at(20));
+  harness.planner.markWorkersRecorded(['w1']);
+  reportBorn(harness, 'w1', 30, { bornMs: 2, clockStartMs: 15 });
+  harness.submit(RECORD.spec, 31);
+  harness.accept(harness.planStarts(32), 33);
+  harness.planner.observeWorkers(
+    [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')],
+    harness.at(34),
+  );
+  harness.planner.markWorkersRecorded(['w22']);
+  harness.report('w22', 35);
+  const row = makeRow(TASK, 1);
+  reportBorn(harness, 'w1', 40, { bornMs: 2, running: [row], clockStartMs: 15 });
+  return harness;
+};
+
+test('a late report of an earlier incarnation does not replace the present one', () => {
+  const harness = startOnSecondIncarnation();
+  reportBorn(harness, 'w1', 50, { bornMs: 1, sentMs: 10 });
+  assert.equal(harness.planStarts(60), []);
+  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 2);
+});
+
+test('a late rejection for an earlier incarnation does not end the present one', () => {
+  const harness = startOnSecondIncarnation();
+  harness.planner.observeIncarnationEnd('w1', 1, harness.at(50));
+  assert.equal(harness.planStarts(60), []);
+});
+
+test('a worker is followed into an incarnation whose wall clock was set back', () => {
+  const harness = startOnSecondIncarnation();
+  reportBorn(harness, 'w1', 50, { bornMs: 1, sentMs: 45, clockStartMs: 42 });
+  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 1);
+  assert.is(harness.planStarts(60).length, 1);
+  const entries = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
+  harness.planner.observeWorkers(entries, harness.at(70));
+  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 1);
+});
+
 test('a lease counts as expired only after clock drift, rounding and a late timer', () => {
   const { planner, at, addWorkers, report, submit, accept, planStarts } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
--- a/packages/vanilladock/src/test/jobs/run-release.test.ts
+++ b/packages/vanilladock/src/test/jobs/run-release.test.ts
@@ -223,7 +223,7 @@
 test('another worker at the address of a worker leaves a line, and releases its runs', () => {
   const { accept, start, planner, listEvents, at } = openStarted();
   accept([start], CONFIRMED_MS);
-  planner.observeIncarnationEnd('w1', at(50));
+  planner.observeIncarnationEnd('w1', 1, at(50));
   const [notified] = listEvents('incarnation-end-notified');
   assert.is(notified!.why, 'other-life');
   assert.is(notified!.outcome, 'worker-dropped');
