Settle an inherited worker only by a report

After a take-over, tasks of inherited jobs wait until every worker that may hold a lease of the predecessor has reported. A worker of which a newer incarnation was seen, or at whose address another one responds, was taken off that list at once, as its leases had ended with it. But the predecessor may have known the newer incarnation and started tasks there: the planner knows no more than the entries that it has read. With that worker off the list the tasks were started elsewhere before its first report.

Only a report takes a worker off the list now, or the end of the time for which such leases can be valid.

Failed before: with the entry of the newer incarnation read at 10 ms, the inherited task was planned on the other worker at 11 ms; the restarted worker reported at 20 ms that it runs it.

--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -20,8 +20,6 @@
    * before the earlier planner had stopped.
    */
   readonly recordReport: (workerId: string, sentMs: number) => void;
-  /** Records that a worker holds no lease from an earlier planner. */
-  readonly removeWorker: (workerId: string) => void;
   /** Records that no lease from an earlier planner is valid any more, once that is certain. */
   readonly expire: (nowMs: number) => void;
   /** Records that the preceding planner sends no orders after `nowMs`. */
@@ -50,7 +48,6 @@
     recordReport: (workerId, sentMs) => {
       if (sentMs >= predecessorUntilMs) unreportedIds.delete(workerId);
     },
-    removeWorker: (workerId) => void unreportedIds.delete(workerId),
     expire: (nowMs) => {
       if (nowMs > getUncertainUntilMs()) unreportedIds.clear();
     },
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -30,8 +30,7 @@
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
   /**
    * Drops a worker, and requeues its tasks, because another worker responds at the address of its
-   * incarnation that started at `bornMs`; ignored if it has another incarnation by now. An inherited
-   * worker no longer counts as a lease holder.
+   * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
    */
   readonly observeIncarnationEnd: (workerId: string, bornMs: number, at: Moment) => void;
   /**
@@ -83,7 +82,6 @@
     releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
     table.dropWorker(worker.entry.id);
     endNoticedMs.delete(worker.entry.id);
-    inheritance.removeWorker(worker.entry.id);
   };
   const reportEnd = (
     workerId: string,
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -156,6 +156,15 @@
   assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 1);
 });
 
+test('an inherited worker that has restarted settles the inheritance only by a report', () => {
+  const harness = takeOver();
+  const entries = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
+  harness.planner.observeWorkers(entries, harness.at(10));
+  assert.equal(harness.planStarts(11), []);
+  reportBorn(harness, 'w1', 20, { bornMs: 2, running: [makeRow(TASK, 1)] });
+  assert.equal(harness.planStarts(21), []);
+});
+
 test('a lease counts as expired only after clock drift, rounding and a late timer', () => {
   const { planner, at, addWorkers, report, submit, accept, planStarts } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
