--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -236,6 +236,7 @@
           waitStored: stateWriter.waitStored,
           isStoreUnavailable: stateWriter.isStoreUnavailable,
           isStopped: () => isStopped,
+          wakeWorker: loops.wake,
           schedulePlan,
         },
         request,
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -111,7 +111,7 @@
       case 'rejected':
         if (outcome.why === 'fenced') options.handleFenced();
         else if (outcome.why === 'other-life')
-          planner.observeIncarnationEnd(workerId, 'other-life', receivedAt);
+          planner.observeIncarnationEnd(workerId, bornMs, receivedAt);
         else planner.observeMissedReport(workerId, receivedAt);
         await waitOrWake(RETRY_MS);
         return;
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -30,7 +30,7 @@
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketRegistry, type TicketRegistry } from './tickets.js';
-import { createWorkerIncarnations, type IncarnationEnd } from './worker-incarnations.js';
+import { createWorkerIncarnations } from './worker-incarnations.js';
 import { countExclusions, type ExclusionCounts } from './worker-exclusion.js';
 
 /** Action for the daemon to execute. */
@@ -74,8 +74,8 @@
   /** Applies the complete list of registered workers. */
   readonly observeWorkers: (entries: readonly WorkerEntry[], at: Moment) => void;
   /**
-   * Applies a worker's report and returns the pace changes to order. A report of another
-   * incarnation only replaces the worker; one of an unknown worker is ignored.
+   * Applies a worker's report and returns the pace changes to order. Ignores a report of an unknown
+   * worker, and one of another incarnation that may be an earlier one.
    */
   readonly observeReport: (
     workerId: string,
@@ -85,10 +85,15 @@
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
   /**
-   * Drops a worker whose incarnation has ended, and requeues its tasks. Without `at`, ages are left
-   * out of the log.
+   * Drops a worker, and requeues its tasks, because another worker responds at the address of its
+   * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
    */
-  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd, at?: Moment) => void;
+  readonly observeIncarnationEnd: (workerId: string, bornMs: number, at: Moment) => void;
+  /**
+   * Counts a notice that some incarnation of a worker has ended as a missed report: only a report,
+   * or the end of its lease, shows whether that was the present one.
+   */
+  readonly observeEndNotice: (workerId: string, at: Moment) => void;
   /** Records that the preceding planner sends no orders after `at`. */
   readonly observePredecessorStopped: (at: Moment) => void;
   /** Says whether orders of earlier planners can no longer take effect. */
@@ -219,20 +224,17 @@
     },
     observeWorkers: incarnations.observeEntries,
     observeReport: (workerId, timed, at) => {
-      const worker = table.workers.get(workerId);
-      if (worker === undefined) return [];
-      const { bornMs } = timed.report;
-      if (bornMs !== undefined && bornMs !== worker.entry.bornMs) {
-        incarnations.observeNewIncarnation(worker, bornMs, at);
-        return [];
-      }
-      if (worker.missedReports > 0) options.report({ event: 'worker-regained', worker: workerId });
+      if (!incarnations.observeReporter(workerId, timed, at)) return [];
+      const hasMissedReports = (table.workers.get(workerId)?.missedReports ?? 0) > 0;
+      if (hasMissedReports) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, workerId, timed, at);
+      incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
       return planPaces(context, workerId, at);
     },
     observeMissedReport: incarnations.observeMissedReport,
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
+    observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: ({ nowMs }) => inheritance.observePredecessorStopped(nowMs),
     isSettled: (nowMs) => !inheritance.isUncertain(nowMs),
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
@@ -277,7 +279,7 @@
         ticketless,
         isInheritanceUncertain,
         unreportedWorkers: inheritance.listUnreported().length,
-        endedWorkers: incarnations.countEnded(),
+        endedWorkers: incarnations.countEnded(at.nowMs),
       });
       return [...stops, ...actions];
     },
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -1,7 +1,9 @@
 /** Tracks the incarnations of a pool's workers: which exist, and which have ended. */
 import type { WorkerEntry } from '../ports/task-workers.js';
+import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
 import { hasLeaseExpired } from './lease-clock.js';
+import type { TimedReport } from './observe-report.js';
 import type { PoolContext } from './pool-context.js';
 import type { IncarnationEndCause } from './run-release.js';
 import type { Moment, Worker } from './state.js';
@@ -27,32 +29,36 @@
   /** Counts a report that was requested but not received; no effect on an unknown worker. */
   readonly observeMissedReport: (workerId: string, at: Moment) => void;
   /**
-   * Drops a worker whose incarnation has ended, and requeues its tasks; an inherited worker no
-   * longer counts as a lease holder. Without `at`, ages are left out of the log.
+   * Drops a worker, and requeues its tasks, because another worker responds at the address of its
+   * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
    */
-  readonly observeIncarnationEnd: (workerId: string, why: IncarnationEnd, at?: Moment) => void;
+  readonly observeIncarnationEnd: (workerId: string, bornMs: number, at: Moment) => void;
+  /**
+   * Counts a notice that an order has ended some incarnation of a worker as a missed report. If the
+   * worker does not report either, its tasks are requeued once its lease has expired, and it is
+   * dropped when it has none.
+   */
+  readonly observeEndNotice: (workerId: string, at: Moment) => void;
+  /** Records that a worker has reported; one that was requested before a notice is no answer to it. */
+  readonly recordReport: (workerId: string, sentMs: number) => void;
   /** Keeps new tasks off a worker for a limited time, also one whose entry is received later. */
   readonly recordEvacuation: (workerId: string, at: Moment) => void;
   /**
-   * Requeues a worker's tasks and replaces it by its new incarnation, which started at `bornMs`.
+   * Says whether a report is from the present incarnation of a known worker. A later incarnation
+   * becomes the present one first; a report that may be from an earlier one does not.
    */
-  readonly observeNewIncarnation: (worker: Worker, bornMs: number, at: Moment) => void;
+  readonly observeReporter: (workerId: string, timed: TimedReport, at: Moment) => boolean;
   /**
    * Requeues the tasks of unresponsive workers whose leases have definitely expired, and drops
    * unlisted workers without tasks.
    */
   readonly releaseUnresponsive: (nowMs: number) => void;
-  /** Counts the workers that are ignored because their incarnation was ended by an order. */
-  readonly countEnded: () => number;
+  /** Counts the workers that are ignored because their incarnation seems to have ended. */
+  readonly countEnded: (nowMs: number) => number;
   /** Lists the known workers, and the inherited ones that may still hold a lease, by id. */
   readonly listLeaseHolders: () => readonly string[];
 }
 
-/**
- * Why an incarnation ended: by an order for its instance, or another one responds at its address.
- */
-export type IncarnationEnd = Exclude<IncarnationEndCause, 'new-life'>;
-
 /** How long an evacuation order remains in effect after it was last given. */
 const EVACUATION_ORDER_TTL_MS = 3_000;
 
@@ -62,76 +68,96 @@
   inheritance: Inheritance,
 ): WorkerIncarnations {
   const { table, report } = context;
-  const endedIncarnations = new Map<string, number>();
+  const ended = createEndedIncarnations();
+  let listedEntries: readonly WorkerEntry[] = [];
+  /** When the present incarnation of each worker was first known, by worker id. */
+  const knownSinceMs = new Map<string, number>();
+  /** When the last notice of an end was received that no report has answered, by worker id. */
+  const endNoticedMs = new Map<string, number>();
   /** End of each worker's evacuation by worker id; some workers have no entry yet. */
   const evacuateUntilMsById = new Map<string, number>();
-  const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number | undefined) => {
+
+  const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number) => {
     reportLoss(context, worker, loss, nowMs);
     releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
     table.dropWorker(worker.entry.id);
-    inheritance.removeWorker(worker.entry.id);
+    endNoticedMs.delete(worker.entry.id);
   };
-  const observeIncarnationEnd = (workerId: string, why: IncarnationEnd, at?: Moment) => {
+  const reportEnd = (
+    workerId: string,
+    why: Exclude<IncarnationEndCause, 'new-life'>,
+    nowMs: number,
+  ) => {
     const worker = table.workers.get(workerId);
+    const outcome = why === 'ordered' ? 'report-requested' : 'worker-dropped';
     report({
       event: 'incarnation-end-notified',
       worker: workerId,
       why,
       bornMs: worker?.entry.bornMs,
-      outcome: worker === undefined ? 'unknown-worker' : 'worker-dropped',
+      outcome: worker === undefined ? 'unknown-worker' : outcome,
       wasUnreported: inheritance.listUnreported().includes(workerId),
-      reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, at?.nowMs),
+      reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, nowMs),
     });
-    if (worker !== undefined) {
-      if (why === 'ordered') endedIncarnations.set(workerId, worker.entry.bornMs);
-      dropWorker(worker, { why, newBornMs: undefined }, at?.nowMs);
-    }
-    inheritance.removeWorker(workerId);
   };
-  // The entry of an incarnation that was ended by an order remains listed for some seconds.
-  const hasIncarnationEnded = ({ id, bornMs }: WorkerEntry) =>
-    bornMs > 0 && endedIncarnations.get(id) === bornMs;
+  const addWorker = (entry: WorkerEntry, nowMs: number) => {
+    table.addWorker(entry);
+    table.updateWorker(entry.id, { evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0 });
+    knownSinceMs.set(entry.id, nowMs);
+    report({
+      event: 'worker-seen',
+      worker: entry.id,
+      bornMs: entry.bornMs,
+      address: entry.address,
+      rack: entry.rack,
+      phase: entry.phase,
+    });
+  };
+  /** Replaces a worker by its next incarnation. */
+  const restartWorker = (worker: Worker, entry: WorkerEntry, nowMs: number) => {
+    dropWorker(worker, { why: 'new-life', newBornMs: entry.bornMs }, nowMs);
+    ended.addReplaced(worker.entry);
+    addWorker(entry, nowMs);
+  };
   const observeEntry = (entry: WorkerEntry, nowMs: number) => {
-    if (hasIncarnationEnded(entry)) return;
+    if (ended.has(entry, nowMs)) return;
     const known = table.workers.get(entry.id);
-    if (known !== undefined && known.entry.bornMs !== entry.bornMs) {
-      if (known.entry.bornMs > entry.bornMs) return;
-      dropWorker(known, { why: 'new-life', newBornMs: entry.bornMs }, nowMs);
-    }
-    if (table.workers.has(entry.id)) table.updateWorker(entry.id, { entry, isListed: true });
-    else {
-      table.addWorker(entry);
-      table.updateWorker(entry.id, { evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0 });
-      report({
-        event: 'worker-seen',
-        worker: entry.id,
-        bornMs: entry.bornMs,
-        address: entry.address,
-        rack: entry.rack,
-        phase: entry.phase,
-      });
+    if (known === undefined) addWorker(entry, nowMs);
+    else if (known.entry.bornMs < entry.bornMs) restartWorker(known, entry, nowMs);
+    else if (known.entry.bornMs === entry.bornMs) {
+      table.updateWorker(entry.id, { entry, isListed: true });
     }
   };
+  /** Drops a worker without tasks that has left or, by a notice and a missed report, has ended. */
+  const dropEmpty = (worker: Worker, nowMs: number) => {
+    const { id } = worker.entry;
+    const hasOrphans = worker.orphanedRuns.size > 0;
+    if (worker.tasks.size > 0 || (hasOrphans && worker.missedReports === 0)) return;
+    // The notice itself counts as one missed report.
+    const hasEnded = endNoticedMs.has(id) && worker.missedReports > 1 && !hasOrphans;
+    if (hasEnded) {
+      ended.addUnresponsive(worker.entry, nowMs);
+      dropWorker(worker, { why: 'ordered', newBornMs: undefined }, nowMs);
+    } else if (!worker.isListed) table.dropWorker(id);
+  };
   const releaseUnresponsive = (nowMs: number) => {
     [...table.workers.values()].forEach((worker) => {
+      const hasRuns = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
       const isUnresponsive =
         worker.missedReports > 0 && hasLeaseExpired(worker.clock, worker.leaseUntilMs, nowMs);
-      const hasLeft = !worker.isListed && worker.tasks.size === 0;
-      if (isUnresponsive && (worker.tasks.size > 0 || worker.orphanedRuns.size > 0)) {
-        releaseExpired(context, worker, nowMs);
-      }
-      if (hasLeft && (worker.missedReports > 0 || worker.orphanedRuns.size === 0)) {
-        table.dropWorker(worker.entry.id);
-      }
+      if (hasRuns && isUnresponsive) releaseExpired(context, worker, nowMs);
+      dropEmpty(worker, nowMs);
     });
+    listedEntries
+      .filter(({ id }) => !table.workers.has(id))
+      .forEach((entry) => observeEntry(entry, nowMs));
   };
   return {
     observeEntries: (entries, { nowMs }) => {
+      listedEntries = entries;
       entries.forEach((entry) => observeEntry(entry, nowMs));
       const ids = new Set(entries.map((entry) => entry.id));
-      [...endedIncarnations.keys()]
-        .filter((id) => !ids.has(id))
-        .forEach((id) => endedIncarnations.delete(id));
+      ended.retain(ids);
       table.workers.forEach((worker, id) => {
         if (ids.has(id) || !worker.isListed) return;
         table.updateWorker(id, { isListed: false });
@@ -151,7 +177,23 @@
       }
       table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
     },
-    observeIncarnationEnd,
+    observeIncarnationEnd: (workerId, bornMs, { nowMs }) => {
+      const worker = table.workers.get(workerId);
+      if (worker?.entry.bornMs !== bornMs) return;
+      reportEnd(workerId, 'other-life', nowMs);
+      ended.addUnresponsive(worker.entry, nowMs);
+      dropWorker(worker, { why: 'other-life', newBornMs: undefined }, nowMs);
+    },
+    observeEndNotice: (workerId, { nowMs }) => {
+      reportEnd(workerId, 'ordered', nowMs);
+      const worker = table.workers.get(workerId);
+      if (worker === undefined) return;
+      endNoticedMs.set(workerId, nowMs);
+      table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
+    },
+    recordReport: (workerId, sentMs) => {
+      if (sentMs >= (endNoticedMs.get(workerId) ?? Infinity)) endNoticedMs.delete(workerId);
+    },
     recordEvacuation: (workerId, { nowMs }) => {
       const untilMs = nowMs + EVACUATION_ORDER_TTL_MS;
       [...evacuateUntilMsById]
@@ -160,12 +202,18 @@
       evacuateUntilMsById.set(workerId, untilMs);
       table.updateWorker(workerId, { evacuateUntilMs: untilMs });
     },
-    observeNewIncarnation: (worker, bornMs, { nowMs }) => {
-      dropWorker(worker, { why: 'new-life', newBornMs: bornMs }, nowMs);
-      table.addWorker({ ...worker.entry, bornMs });
+    observeReporter: (workerId, { report: { bornMs }, sentMs }, { nowMs }) => {
+      const worker = table.workers.get(workerId);
+      if (worker === undefined) return false;
+      if (bornMs === undefined || bornMs === worker.entry.bornMs) return true;
+      // Incarnations follow each other, so one that answers a request sent after the present one
+      // was known is a later one, even if the wall clock of its machine was set back.
+      if (sentMs < (knownSinceMs.get(workerId) ?? 0)) return false;
+      restartWorker(worker, { ...worker.entry, bornMs }, nowMs);
+      return true;
     },
     releaseUnresponsive,
-    countEnded: () => endedIncarnations.size,
+    countEnded: ended.countUnresponsive,
     listLeaseHolders: () => [
       ...new Set([...table.workers.keys(), ...inheritance.listUnreported()]),
     ],
