Confirm the ends of a worker once they are stored, however long that took

When each write took longer and there was always something to store, no end was ever confirmed, although all were stored. The worker lists 500 ends in a report, so later ends were not seen: their tasks kept their capacity for as long as the store was slow. Change: a batch for the store notes the last applied end of each worker when it is taken, and marks them as stored when it is. Why it works: a batch holds all that is unstored at that time, batches are written one at a time, and a refused batch marks nothing; its jobs are in the next one. Open: the runner still waits up to 300 ms after each report, so under a slow store the ends of a worker are seen at most three times a second.

--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -28,6 +28,7 @@
 import type { Job, Moment } from './state.js';
 import { createStandingQueueWatch, type QueueFigures } from './standing-queue.js';
 import { createStoreQueue, type StoreBatch } from './store-queue.js';
+import { recordStoredEnds } from './stored-ends.js';
 import { createTaskTable, type TaskTable } from './task-table.js';
 import { createTicketRegistry, type TicketRegistry } from './tickets.js';
 import { createWorkerIncarnations, type IncarnationEnd } from './worker-incarnations.js';
@@ -250,11 +251,8 @@
       reachable = { cores: reachableCores, untilMs: nowMs + REACHABLE_CORES_TTL_MS };
       return computeDemand(pool, table, arrivals.getRate(nowMs), nowMs);
     },
-    markEndsStored: (workerId, bornMs, lastEnd) => {
-      const worker = table.workers.get(workerId);
-      if (worker === undefined || worker.entry.bornMs !== bornMs) return;
-      table.updateWorker(workerId, { storedEnd: Math.max(worker.storedEnd, lastEnd) });
-    },
+    markEndsStored: (workerId, bornMs, lastEnd) =>
+      recordStoredEnds(table, { workerId, bornMs, lastEnd }),
     getFigures: (nowMs) => ({
       workers: countExclusions(table, nowMs),
       ...standingQueue.getFigures(nowMs),
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -2,6 +2,7 @@
 import type { KeyedRecord } from '../ports/keyed-store.js';
 import { encodeProgress } from './progress.js';
 import type { JobPhase, Task } from './state.js';
+import { listUnstoredEnds, recordStoredEnds } from './stored-ends.js';
 import type { TaskTable } from './task-table.js';
 
 /** Records to store in one batch, with a callback for when they are stored. */
@@ -11,7 +12,10 @@
   readonly newJobs: readonly string[];
   /** All jobs in this batch, new ones included. */
   readonly jobIds: readonly string[];
-  /** Marks the phases in this batch as stored; to be called once the batch is stored. */
+  /**
+   * Marks the phases in this batch, and all ends applied before it, as stored; to be called once
+   * the batch is stored.
+   */
   readonly handleStored: () => void;
 }
 
@@ -21,7 +25,7 @@
   readonly addNew: (jobId: string) => void;
   /**
    * Removes and returns everything that has to be stored now; undefined if there is nothing. The
-   * caller reports the outcome by `handleStored` or `dropUnstored`.
+   * caller reports the outcome by `handleStored` or `dropUnstored` before it takes the next batch.
    */
   readonly takeBatch: () => StoreBatch | undefined;
   /** Drops submissions that the store refused and requeues the other jobs of the batch. */
@@ -73,16 +77,20 @@
             : [{ key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) }]),
         ];
       });
+      // Everything that these ends changed is in this batch or in an earlier one.
+      const coveredEnds = listUnstoredEnds(table);
       dirtyJobs.clear();
       newJobs.clear();
       return {
         records,
         newJobs: batchJobs,
         jobIds: [...phases.keys()],
-        handleStored: () =>
+        handleStored: () => {
           phases.forEach((storedPhase, id) => {
             if (table.jobs.has(id)) table.updateJob(id, { storedPhase });
-          }),
+          });
+          coveredEnds.forEach((ends) => recordStoredEnds(table, ends));
+        },
       };
     },
     dropUnstored: (batch) => {
