--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -1,11 +1,16 @@
 /** Plans which waiting tasks start on which workers. */
 import type { WorkerTarget } from '../ports/task-workers.js';
 import { estimateWorkerMs, LEASE_MS } from './lease-clock.js';
-import { chooseWorker, isAcceptingTasks, type PlacementRequest } from './choose-worker.js';
+import {
+  chooseWorker,
+  isAcceptingTasks,
+  isEligible,
+  type PlacementRequest,
+} from './choose-worker.js';
 import { releaseNeededWorkers } from './eject-workers.js';
 import type { PoolContext } from './pool-context.js';
 import { compareQueueKeys, makeQueueKey } from './queue-order.js';
-import { computeFootprint } from './free-capacity.js';
+import { computeFootprint, hasFreeCapacity } from './free-capacity.js';
 import { createReservations } from './reservations.js';
 import { makeStepKey } from './spec.js';
 import {
@@ -68,6 +73,11 @@
   return first === undefined ? undefined : context.table.workers.get(first)?.entry.rack;
 }
 
+/** Makes the key of a startable step. */
+function makeStartableKey({ job, occurrence, stepIndex }: StartableStep): string {
+  return makeStepKey(job.record.spec.id, occurrence.number, stepIndex);
+}
+
 /** Creates the state and operations of one pass over the queue. */
 function createStartPass(context: PoolContext, inputs: StartInputs) {
   const { table } = context;
@@ -77,22 +87,37 @@
   const advice: AdviseAction[] = [];
   let ticketless = 0;
 
+  const findStepTicket = (startable: StartableStep, worker: Worker) =>
+    tickets.findTicket(makeStartableKey(startable), worker.entry.id, at.nowMs);
+  const queryAdvisor = (startable: StartableStep, workers: readonly Worker[]) => {
+    const stepKey = makeStartableKey(startable);
+    const ids = workers.map(({ entry }) => entry.id);
+    const workerIds = tickets.takeQuery(stepKey, ids, at.nowMs);
+    if (workerIds.length > 0) advice.push({ kind: 'advise', stepKey, workerIds });
+  };
   const listCandidates = (startable: StartableStep): readonly Worker[] => {
     const free = [...table.workers.values()].filter(
       (worker) => !reservations.isReserved(worker.entry.id),
     );
     if (startable.job.record.policy.advice === undefined) return free;
-    const stepKey = makeStepKey(
-      startable.job.record.spec.id,
-      startable.occurrence.number,
-      startable.stepIndex,
+    const accepting = free.filter((worker) => isAcceptingTasks(worker, at.nowMs));
+    queryAdvisor(startable, accepting);
+    const hasTicket = (worker: Worker) => findStepTicket(startable, worker) !== undefined;
+    if (accepting.length > 0 && !accepting.some(hasTicket)) ticketless += 1;
+    return free.filter(hasTicket);
+  };
+  /** Prepares for a later plan in which a task that no candidate has capacity for may start. */
+  const handleUnplaced = (startable: StartableStep, request: PlacementRequest) => {
+    releaseNeededWorkers(table, request);
+    if (startable.job.record.policy.advice === undefined) return;
+    const others = [...table.workers.values()].filter(
+      (worker) =>
+        isAcceptingTasks(worker, at.nowMs) &&
+        hasFreeCapacity(worker, request.footprint) &&
+        isEligible(worker, request) &&
+        findStepTicket(startable, worker) === undefined,
     );
-    const acceptingIds = free.filter((w) => isAcceptingTasks(w, at.nowMs)).map((w) => w.entry.id);
-    const workerIds = tickets.takeQuery(stepKey, acceptingIds, at.nowMs);
-    if (workerIds.length > 0) advice.push({ kind: 'advise', stepKey, workerIds });
-    const hasTicket = (id: string) => tickets.findTicket(stepKey, id, at.nowMs) !== undefined;
-    if (acceptingIds.length > 0 && !acceptingIds.some(hasTicket)) ticketless += 1;
-    return free.filter((w) => hasTicket(w.entry.id));
+    queryAdvisor(startable, others);
   };
   const assignTask = (
     startable: StartableStep,
@@ -114,7 +139,6 @@
         ? {}
         : { failures: recordTrialTask(worker, task.key, at.nowMs) }),
     });
-    const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
     return {
       kind: 'start',
       worker: { id: worker.entry.id, address: worker.entry.address },
@@ -123,7 +147,7 @@
       payload: startable.job.record.spec.payload,
       leaseUntilMs,
       checkpoint: startable.step.isCheckpointing ? task.checkpoint : '',
-      ticket: tickets.findTicket(stepKey, worker.entry.id, at.nowMs),
+      ticket: findStepTicket(startable, worker),
     };
   };
   const makeRequest = (startable: StartableStep, task: Task): PlacementRequest => ({
@@ -144,7 +168,7 @@
       const current = candidates.map((w) => table.workers.get(w.entry.id) ?? w);
       const worker = chooseWorker(current, makeRequest(startable, task));
       if (worker === undefined) {
-        releaseNeededWorkers(table, makeRequest(startable, task));
+        handleUnplaced(startable, makeRequest(startable, task));
         waiting.forEach((member) => {
           const assigned = table.findTask(member.key);
           if (assigned !== undefined)
@@ -165,7 +189,7 @@
       const request = makeRequest(startable, task);
       const worker = chooseWorker(current, request);
       if (worker === undefined) {
-        releaseNeededWorkers(table, request);
+        handleUnplaced(startable, request);
         if (startable.step.isLasting) reservations.add(current, request);
         return;
       }
--- a/packages/vanilladock/src/test/jobs/pool-simulation.ts
+++ b/packages/vanilladock/src/test/jobs/pool-simulation.ts
@@ -3,7 +3,7 @@
  * daemon requests them: a busy worker answers a long poll at each end, an idle one is polled with
  * pauses.
  */
-import type { StartAction } from '../../lib/jobs/plan-starts.js';
+import type { AdviseAction, StartAction } from '../../lib/jobs/plan-starts.js';
 import type { JobPolicy, JobSpec } from '../../lib/jobs/spec.js';
 import type { EndedTask, OrderOutcome, WorkerEntry } from '../../lib/ports/task-workers.js';
 import { createHarness, makeRow, POLICY, type Harness } from './planner-harness.js';
@@ -22,12 +22,22 @@
   readonly atMs: number;
 }
 
+/** An advisor that works off queries in turn, also those for whose answer nobody waits any more. */
+export interface SimulatedAdvisor {
+  readonly decideMs: number;
+  readonly perWorkerMs: number;
+  /** Whether a worker may run the steps; by default each may. */
+  readonly isAllowed?: (workerId: string) => boolean;
+}
+
 export interface SimulationOptions {
   readonly workers: readonly WorkerEntry[];
   /** Decides how a run ends; undefined for one that lasts until it is stopped. */
   readonly decideEnd: (start: StartRecord) => PlannedEnd | undefined;
   /** Answers a start order; by default it is accepted. */
   readonly answerStart?: (start: StartRecord) => OrderOutcome;
+  /** Without one, queries get no answer. */
+  readonly advisor?: SimulatedAdvisor;
 }
 
 export interface PoolSimulation {
@@ -49,6 +59,13 @@
   readonly end: PlannedEnd | undefined;
 }
 
+interface PendingQuery {
+  readonly stepKey: string;
+  readonly workerIds: readonly string[];
+  readonly sentMs: number;
+  readonly endMs: number;
+}
+
 interface SimulatedWorker {
   readonly runs: Map<string, SimulatedRun>;
   ended: readonly EndedTask[];
@@ -62,12 +79,16 @@
 const IDLE_PAUSE_MS = 2_000;
 const FULL_PERCENT = 100;
 const MAX_ENDS_PER_REPORT = 500;
+const ADVICE_TIMEOUT_MS = 3_000;
+const MAX_WAITING_QUERIES = 32;
+const TICKET_VALID_MS = 30_000;
 
 export function createPoolSimulation(options: SimulationOptions): PoolSimulation {
   const harness = createHarness();
   const { planner, at } = harness;
   const starts: StartRecord[] = [];
   const workers = new Map<string, SimulatedWorker>();
+  const queries: PendingQuery[] = [];
   let nowMs = 0;
   let nextPlanMs = 0;
 
@@ -124,10 +145,29 @@
     simulated.runs.set(taskKey, { taskKey, run, startedMs: nowMs, end });
     simulated.nextReportMs = Math.min(simulated.nextReportMs, nowMs + STEP_MS);
   };
+  const isAllowed = (id: string) => options.advisor?.isAllowed?.(id) ?? true;
+  const sendQuery = ({ stepKey, workerIds }: AdviseAction) => {
+    const { advisor } = options;
+    if (advisor === undefined || queries.length > MAX_WAITING_QUERIES) return;
+    const startMs = Math.max(nowMs, queries.at(-1)?.endMs ?? 0);
+    const endMs = startMs + advisor.decideMs + advisor.perWorkerMs * workerIds.length;
+    queries.push({ stepKey, workerIds, sentMs: nowMs, endMs });
+  };
+  const answerQueries = () => {
+    for (let query = queries[0]; query !== undefined && query.endMs <= nowMs; [query] = queries) {
+      queries.shift();
+      if (nowMs - query.sentMs <= ADVICE_TIMEOUT_MS) {
+        const good = new Map(query.workerIds.filter(isAllowed).map((id) => [id, 'ticket']));
+        planner.tickets.addAnswer(query.stepKey, good, nowMs + TICKET_VALID_MS, nowMs);
+        nextPlanMs = nowMs;
+      }
+    }
+  };
   const runPlan = () => {
     nextPlanMs = nowMs + PLAN_INTERVAL_MS;
     planner.plan(at(nowMs)).forEach((action) => {
       if (action.kind === 'start') startRun(action);
+      if (action.kind === 'advise') sendQuery(action);
       if (action.kind !== 'stop') return;
       planner.observeStop(action, { kind: 'accepted', clockMs: nowMs }, at(nowMs));
       const worker = workers.get(action.worker.id);
@@ -146,6 +186,7 @@
     workers.forEach((worker, id) => {
       if (nowMs >= worker.nextReportMs) sendReport(id, worker);
     });
+    answerQueries();
     if (nowMs >= nextPlanMs) runPlan();
   };
   setWorkers(options.workers);
