Take an error of the store or the fleet as an unknown outcome, not as a refusal

An append or an order for an instance that was answered with 500, 502 or 504 counted as not carried out. Cause: any status that was not known counted as proof. Evidence: "an error of the store or the fleet does not prove that nothing was done" failed before: expected unknown, got refused. Whether the users' platform gives such answers is not known; its pages name 503, 429 and 507, which still count as refusals. Change: 4xx but 408, 503 and 507 state that nothing was done; any other status leaves it open.

--- a/packages/daemon/src/lib/http-client.ts
+++ b/packages/daemon/src/lib/http-client.ts
@@ -118,6 +118,19 @@
   };
 }
 
+const REQUEST_TIMEOUT = 408;
+const SERVICE_UNAVAILABLE = 503;
+const INSUFFICIENT_STORAGE = 507;
+
+/**
+ * Says whether a status of 400 or more states that nothing was done. Other errors of a server may
+ * follow a call that it, or another server behind it, has carried out.
+ */
+export function isRefusal(status: number): boolean {
+  if (status === SERVICE_UNAVAILABLE || status === INSUFFICIENT_STORAGE) return true;
+  return status >= 400 && status < 500 && status !== REQUEST_TIMEOUT;
+}
+
 /** Parses a JSON body; undefined when it is not valid JSON. */
 export function parseJsonBody(body: Buffer): unknown {
   try {
