Lend only instances that a pool has now, and none of them twice

Cause, by replay of the plan: the surplus of a pool counted instances that cannot be used. Those on their way to the pool counted, so that all instances that were up could leave before the others had come; those whose move had no known outcome counted, so that each further plan of a slow fleet interface ordered as many again; and a plan that lent a pool's surplus to another pool also returned the whole surplus to standby. Evidence: plan-lending.test.ts. Three up, five on their way, three needed: the plan before moved all three to standby ("a-0", "a-1", "a-2"). Nine up, six of them moves without an outcome: it moved the other three. Six up, three needed, one lent: it returned three more. Now none, none, and two. Change: a surplus is what may be moved now beyond the need, less what the same plan has lent. A shortage counts instances on their way, as before, so that none is ordered twice. Ruled out: lending by itself drains no pool below its need when all that it counts is up, since at least three instances, or what its work needs, stay.

--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -7,6 +7,15 @@
  * switched off.
  */
 import type { WorkerTasks } from '../waves/plan-wave.js';
+import {
+  computeBalances,
+  computeSurplus,
+  hasLastingTasks,
+  isIdle,
+  type PoolBalance,
+  type PoolInstance,
+  type PoolNeed,
+} from './pool-balance.js';
 
 /** Numbers of tasks on a worker, as reported by its pool's planner. */
 export interface PoolWorker extends WorkerTasks {
@@ -86,102 +95,9 @@
   readonly reachableCores: ReadonlyMap<string, number>;
 }
 
-/** Share of the runnable tasks that should run concurrently; the others wait. */
-const CONCURRENT_SHARE = 0.9;
-
-/** Factor by which planned capacity exceeds the demand. */
-const HEADROOM_FACTOR = 1.15;
-
-/** Minimum number of instances of a pool, so that it survives the loss of one. */
-const MIN_INSTANCES = 3;
-
 /** A pool returns instances after it has had a surplus for this long. */
 const SURPLUS_DELAY_MS = 3_000;
 
-/** Numbers of instances that a pool needs in all: for work that is on time, and for all work. */
-export interface PoolNeed {
-  readonly urgent: number;
-  readonly total: number;
-}
-
-/** Computes how many instances a pool needs; one more than it has when tasks fit on no worker. */
-export function computeNeed(
-  demand: PoolDemand,
-  coresPerInstance: number,
-  upCount: number,
-): PoolNeed {
-  const countFor = (runnableCores: number) => {
-    const batchCores = Math.max(demand.arrivalCores, runnableCores * CONCURRENT_SHARE);
-    const cores = batchCores * HEADROOM_FACTOR + demand.lastingCores;
-    return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
-  };
-  const minimum = demand.hasUnplaced ? upCount + 1 : 0;
-  return {
-    urgent: countFor(demand.onTimeCores),
-    total: Math.max(countFor(demand.runnableCores), minimum),
-  };
-}
-
-/** An instance with the tasks of its worker; `content` is undefined when they are unknown. */
-interface PoolInstance extends LendableInstance {
-  readonly content: WorkerTasks | undefined;
-}
-
-/** Weight of a lasting task, in batch tasks, when instances are ordered by load. */
-const LASTING_TASK_WEIGHT = 1_000;
-
-/** Lists a pool's instances with their tasks, the least loaded first. */
-function listPoolInstances(
-  instances: readonly LendableInstance[],
-  demand: PoolDemand,
-): readonly PoolInstance[] {
-  const contents = new Map(demand.workers.map((worker) => [worker.workerId, worker]));
-  const computeWeight = ({ content }: PoolInstance) =>
-    content === undefined
-      ? Infinity
-      : content.lastingTasks * LASTING_TASK_WEIGHT + content.batchTasks;
-  return instances
-    .map((instance) => ({ ...instance, content: contents.get(instance.workerId ?? '') }))
-    .sort((a, b) => computeWeight(a) - computeWeight(b));
-}
-
-/** Says whether an instance runs lasting tasks, or its tasks are unknown. */
-function hasLastingTasks({ content }: PoolInstance): boolean {
-  return content === undefined || content.lastingTasks > 0;
-}
-
-/** Says whether an instance is known to run no tasks. */
-function isIdle({ content }: PoolInstance): boolean {
-  return content !== undefined && content.lastingTasks + content.batchTasks === 0;
-}
-
-/** Supply and need of a pool. */
-interface PoolBalance {
-  readonly demand: PoolDemand;
-  /** Number of instances that are up or moving to the pool. */
-  readonly up: number;
-  readonly need: PoolNeed;
-  /** Instances that may be moved, the least loaded first. */
-  readonly movable: readonly PoolInstance[];
-}
-
-/** Compares what every pool has, including instances that are moving to it, with what it needs. */
-function computeBalances(inputs: LendingInputs, coresPerInstance: number): readonly PoolBalance[] {
-  const { demands, instances, incoming, standbyPool } = inputs;
-  return [...demands.values()]
-    .filter((demand) => demand.pool !== standbyPool)
-    .map((demand) => {
-      const up = instances.filter(({ pool, isUp }) => pool === demand.pool && isUp);
-      const movable = up.filter((instance) => !instance.isHeld);
-      return {
-        demand,
-        up: up.length + (incoming.get(demand.pool) ?? 0),
-        need: computeNeed(demand, coresPerInstance, up.length),
-        movable: listPoolInstances(movable, demand),
-      };
-    });
-}
-
 /** Instances that one plan can still lend. */
 interface Supply {
   /** Takes an idle instance from standby, or from a pool with a surplus. */
@@ -202,10 +118,11 @@
     priority: keyof PoolNeed,
     isEligible: (instance: PoolInstance) => boolean,
   ) => {
-    for (const { demand, up, need, movable } of balances) {
+    for (const balance of balances) {
+      const { demand, movable } = balance;
       const count = takenByPool.get(demand.pool) ?? 0;
       const instance =
-        up - need[priority] > count
+        computeSurplus(balance, priority) > count
           ? movable.find((candidate) => !taken.has(candidate.id) && isEligible(candidate))
           : undefined;
       if (instance !== undefined) {
@@ -264,15 +181,16 @@
   return { instance: id, workerId, from: pool, to };
 }
 
-/** Lists the instances to return to standby from pools whose surplus has lasted long enough. */
+/** Lists the instances to return to standby, of a surplus that has lasted and is not lent now. */
 function planReturns(
   inputs: LendingInputs,
   balances: readonly PoolBalance[],
-  isTaken: (instance: LendableInstance) => boolean,
+  lentIds: ReadonlySet<string>,
 ): readonly PoolInstance[] {
   const { surplusSinceMs, nowMs } = inputs;
-  return balances.flatMap(({ demand, up, need, movable }) => {
-    const surplus = up - need.total;
+  return balances.flatMap((balance) => {
+    const { demand, movable } = balance;
+    const surplus = computeSurplus(balance, 'total');
     if (surplus <= 0 || !demand.hasPeaked) {
       surplusSinceMs.delete(demand.pool);
       return [];
@@ -280,7 +198,9 @@
     const sinceMs = surplusSinceMs.get(demand.pool) ?? nowMs;
     surplusSinceMs.set(demand.pool, sinceMs);
     if (nowMs - sinceMs < SURPLUS_DELAY_MS) return [];
-    return movable.filter((instance) => !isTaken(instance)).slice(0, surplus);
+    const remaining = movable.filter(({ id }) => !lentIds.has(id));
+    const lentCount = movable.length - remaining.length;
+    return remaining.slice(0, Math.max(0, surplus - lentCount));
   });
 }
 
@@ -293,14 +213,16 @@
     ({ pool, isUp, isHeld }) => pool === standbyPool && isUp && !isHeld,
   );
   const loans = planLoans(balances, createSupply(standbyInstances, balances), maxMoves);
-  const moved = new Set(loans.moves.map(({ instance }) => instance));
-  const returns = planReturns(inputs, balances, ({ id }) => moved.has(id));
+  const lentIds = new Set([
+    ...loans.moves.map(({ instance }) => instance),
+    ...loans.drain.map(({ id }) => id),
+  ]);
+  const returns = planReturns(inputs, balances, lentIds);
   const remainingMoves = Math.max(0, maxMoves - loans.moves.length);
   const returned = returns.filter(isIdle).slice(0, remainingMoves);
   const returnedSet = new Set(returned);
-  const computeSurplus = ({ up, need }: PoolBalance) => Math.max(0, up - need.urgent);
   const lendableCount = balances.reduce(
-    (sum, balance) => sum + computeSurplus(balance),
+    (sum, balance) => sum + computeSurplus(balance, 'urgent'),
     standbyInstances.length,
   );
   return {
@@ -309,7 +231,7 @@
     reachableCores: new Map(
       balances.map((balance) => [
         balance.demand.pool,
-        (balance.up + lendableCount - computeSurplus(balance)) * coresPerInstance,
+        (balance.up + lendableCount - computeSurplus(balance, 'urgent')) * coresPerInstance,
       ]),
     ),
   };
--- a/packages/vanilladock/src/test/lending/plan-lending.test.ts
+++ b/packages/vanilladock/src/test/lending/plan-lending.test.ts
@@ -43,12 +43,13 @@
   instances: readonly LendableInstance[],
   surplusSinceMs = new Map<string, number>(),
   nowMs = 0,
+  incoming = new Map<string, number>(),
 ) =>
   planLending({
     demands: new Map(demands.map((demand) => [demand.pool, demand])),
     instances,
     standbyPool: 'misc',
-    incoming: new Map(),
+    incoming,
     surplusSinceMs,
     nowMs,
     maxMoves: MAX_MOVES,
@@ -164,6 +165,43 @@
   assert.equal(drain, []);
 });
 
+// Guards against a pool that stands: moves without a known outcome may all be carried out.
+test('a pool whose moves have no known outcome yet lends no further instances', () => {
+  const since = new Map<string, number>([['b', 0]]);
+  const instances = makeInstances('b', 9).map((instance, index) => ({
+    ...instance,
+    isHeld: index < 6,
+  }));
+  const own = plan([makeDemand('b', 9)], instances, since, 60_000);
+  assert.equal([...own.moves, ...own.drain], []);
+  const demands = [makeDemand('a', 3, { arrivalCores: 90 }), makeDemand('b', 9)];
+  const lent = plan(demands, [...makeInstances('a', 3), ...instances]);
+  assert.equal([...lent.moves, ...lent.drain], []);
+});
+
+// Guards against a pool that stands until the instances that are on their way have arrived.
+test('a pool keeps the instances that are up while others are on their way to it', () => {
+  const since = new Map<string, number>([['a', 0]]);
+  const incoming = new Map([['a', 5]]);
+  const workers = makeDemand('a', 3).workers.map((worker) => ({ ...worker, batchTasks: 1 }));
+  [makeDemand('a', 3), makeDemand('a', 3, { workers, hasUnplaced: true })].forEach((demand) => {
+    const { moves, drain } = plan([demand], makeInstances('a', 3), since, 60_000, incoming);
+    assert.equal([...moves, ...drain], []);
+  });
+});
+
+test('a pool lends and returns no more instances together than it can spare', () => {
+  const since = new Map<string, number>([['b', 0]]);
+  const demands = [makeDemand('a', 3, { arrivalCores: 34 }), makeDemand('b', 6)];
+  const instances = [...makeInstances('a', 3), ...makeInstances('b', 6)];
+  const { moves, drain } = plan(demands, instances, since, 60_000);
+  assert.equal(
+    moves.map(({ from, to }) => `${from}>${to}`),
+    ['b>a', 'b>misc', 'b>misc'],
+  );
+  assert.equal(drain, []);
+});
+
 test('instances held for maintenance are left alone', () => {
   const demands = [makeDemand('a', 3, { arrivalCores: 90 })];
   const held = makeInstances('misc', 3).map((instance) => ({ ...instance, isHeld: true }));
