Keep starts assigned that a worker's next incarnation may have accepted

Orders name the worker's id, which its next incarnation has as well. An idle worker is asked for a report every 2 s; when it restarts in between, a start that is meant for the earlier incarnation reaches the next one, which accepts it. The answer does not say which incarnation gave it. When the planner then saw the next incarnation, by its entry or its report, it took all runs as ended with the earlier one: the task was started elsewhere at once while it ran, and the first run was stopped as not wanted when it was reported. That is the order of events in the record, without any late order. Whether a worker restarted under its id there is not known.

Only runs that a report of the earlier incarnation had listed end with it. Any other start stays assigned to the worker: the next incarnation's report lists it, or shows that it is not there if it was requested after the start was answered; a start without an answer is stopped first, as ever. A next incarnation that never reports holds it for 11.2 s by the margins set: a worker shortens every lease to 10 s. That is also the bound of the lease that it may hold when it first reports, as the start named an end on the clock of the earlier one.

Ruled out on the planner: reports that overtake each other release no run, as a run is only missing from a report that was requested after the run was confirmed; that test passed before.

Failed before: with the next incarnation's entry read 1 ms after the start was accepted, or its report received while the start was under way, the task was planned on the other worker 1 ms later. The test of the log of an ended incarnation has its run listed in a report first.

--- a/packages/vanilladock/src/lib/jobs/lease-clock.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-clock.ts
@@ -10,6 +10,9 @@
 /** Length in milliseconds of the lease that each order to a worker carries. */
 export const LEASE_MS = 4_000;
 
+/** Longest lease in milliseconds that a worker grants, whatever an order names. */
+export const MAX_LEASE_MS = 10_000;
+
 /**
  * Time in milliseconds by which a lease may end later than computed: clocks are reported in whole
  * milliseconds, an estimate of a clock is ahead by its drift since the last report, and a worker
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -5,7 +5,12 @@
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
 import { applyEnd } from './apply-ends.js';
-import { computeEarliestWorkerMs, computeLatestForeignLease, isStartLate } from './lease-clock.js';
+import {
+  computeEarliestWorkerMs,
+  computeLatestForeignLease,
+  isStartLate,
+  MAX_LEASE_MS,
+} from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './free-capacity.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
@@ -62,6 +67,7 @@
   const assignment = makeAssignment(worker.entry.id, row.run, {
     phase: 'running',
     confirmedMs: at.nowMs,
+    isReported: true,
     leaseUntilMs: worker.leaseUntilMs,
     percent: row.percent,
     lastProgressMs: at.nowMs,
@@ -93,6 +99,7 @@
     ...state,
     phase: state.phase === 'starting' ? 'running' : state.phase,
     confirmedMs: state.confirmedMs ?? at.nowMs,
+    isReported: true,
     percent: row.percent,
     lastProgressMs: hasRisen || state.confirmedMs === undefined ? at.nowMs : state.lastProgressMs,
     load: row.load,
@@ -208,6 +215,14 @@
   });
 }
 
+/**
+ * Computes the latest end of a lease that a worker may hold when it first reports. Its tasks by then
+ * were started on an earlier incarnation, with leases by a clock that was ahead of this one.
+ */
+function computeFirstLease(worker: Worker, clockMs: number): number {
+  return worker.tasks.size > 0 ? clockMs + MAX_LEASE_MS : computeLatestForeignLease(clockMs);
+}
+
 /**
  * Applies a report to the worker and its tasks; does nothing for an unknown worker. The caller must
  * ensure that it is from the worker's current incarnation. `at` is when it is applied.
@@ -224,7 +239,7 @@
   if (before === undefined) return;
   const isFirst = before.clock === undefined;
   table.updateWorker(workerId, {
-    leaseUntilMs: isFirst ? computeLatestForeignLease(report.clockMs) : before.leaseUntilMs,
+    leaseUntilMs: isFirst ? computeFirstLease(before, report.clockMs) : before.leaseUntilMs,
     clock: { workerMs: report.clockMs, lastReportMs: receivedMs },
     lastReportMs: receivedMs,
     missedReports: 0,
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -24,6 +24,11 @@
   readonly phase: 'starting' | 'running' | 'stopping';
   /** When the worker's response or report confirmed the run. */
   readonly confirmedMs: number | undefined;
+  /**
+   * Whether a report of the worker's incarnation has listed the run. A response to the start does
+   * not name the incarnation that accepted it.
+   */
+  readonly isReported: boolean;
   /** When the last stop was sent. */
   readonly stopSentMs: number | undefined;
   /** When the worker last accepted a stop. */
@@ -53,6 +58,7 @@
     workerId,
     run,
     confirmedMs: undefined,
+    isReported: false,
     stopSentMs: undefined,
     stopAnsweredMs: undefined,
     percent: 0,
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -2,11 +2,11 @@
 import type { WorkerEntry } from '../ports/task-workers.js';
 import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
-import { hasLeaseExpired } from './lease-clock.js';
+import { CLOCK_DRIFT, hasLeaseExpired, MAX_LEASE_MS } from './lease-clock.js';
 import type { TimedReport } from './observe-report.js';
 import type { PoolContext } from './pool-context.js';
 import type { IncarnationEndCause } from './run-release.js';
-import type { Moment, Worker } from './state.js';
+import type { Moment, Task, Worker } from './state.js';
 import {
   computeReportAge,
   listWorkerTasks,
@@ -62,6 +62,14 @@
 /** How long an evacuation order remains in effect after it was last given. */
 const EVACUATION_ORDER_TTL_MS = 3_000;
 
+/** Time in which a start that was sent has arrived or been given up, in milliseconds. */
+const ORDER_DELAY_MS = 1_000;
+
+/** Says whether a task's run is listed in a report of its worker's incarnation. */
+function isReported({ state }: Task): boolean {
+  return state.kind === 'assigned' && state.isReported;
+}
+
 /** Creates the tracker of a pool's worker incarnations. */
 export function createWorkerIncarnations(
   context: PoolContext,
@@ -113,11 +121,20 @@
       phase: entry.phase,
     });
   };
-  /** Replaces a worker by its next incarnation. */
+  /**
+   * Replaces a worker by its next incarnation. The runs that the earlier one had listed have ended
+   * with it; other starts may have reached the next one, and stay assigned until it reports.
+   */
   const restartWorker = (worker: Worker, entry: WorkerEntry, nowMs: number) => {
-    dropWorker(worker, { why: 'new-life', newBornMs: entry.bornMs }, nowMs);
+    const loss = { why: 'new-life', newBornMs: entry.bornMs } as const;
+    const tasks = listWorkerTasks(context, worker);
+    reportLoss(context, worker, loss, nowMs);
+    releaseEnded(context, tasks.filter(isReported), loss, nowMs);
     ended.addReplaced(worker.entry);
     addWorker(entry, nowMs);
+    const added = table.workers.get(entry.id);
+    tasks.filter((task) => !isReported(task)).forEach((task) => added?.tasks.add(task.key));
+    table.refreshUsedCapacity(entry.id);
   };
   const observeEntry = (entry: WorkerEntry, nowMs: number) => {
     if (ended.has(entry, nowMs)) return;
@@ -128,6 +145,15 @@
       table.updateWorker(entry.id, { entry, isListed: true });
     }
   };
+  /** Says whether a worker is unresponsive and its leases have definitely expired. */
+  const hasExpired = (worker: Worker, nowMs: number) => {
+    if (worker.missedReports === 0) return false;
+    if (worker.clock !== undefined) {
+      return hasLeaseExpired(worker.clock, worker.leaseUntilMs, nowMs);
+    }
+    const knownForMs = nowMs - (knownSinceMs.get(worker.entry.id) ?? nowMs);
+    return knownForMs > ORDER_DELAY_MS + MAX_LEASE_MS / (1 - CLOCK_DRIFT);
+  };
   /** Drops a worker without tasks that has left or, by a notice and a missed report, has ended. */
   const dropEmpty = (worker: Worker, nowMs: number) => {
     const { id } = worker.entry;
@@ -143,9 +169,7 @@
   const releaseUnresponsive = (nowMs: number) => {
     [...table.workers.values()].forEach((worker) => {
       const hasRuns = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
-      const isUnresponsive =
-        worker.missedReports > 0 && hasLeaseExpired(worker.clock, worker.leaseUntilMs, nowMs);
-      if (hasRuns && isUnresponsive) releaseExpired(context, worker, nowMs);
+      if (hasRuns && hasExpired(worker, nowMs)) releaseExpired(context, worker, nowMs);
       dropEmpty(worker, nowMs);
     });
     listedEntries
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -156,6 +156,63 @@
   assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 1);
 });
 
+test('a start that the next incarnation accepted is not repeated when that is first seen', () => {
+  const viaReport = startOnFirst();
+  viaReport.addSecond(3);
+  viaReport.accept([viaReport.start], 4);
+  reportBorn(viaReport.harness, 'w1', 10, {
+    bornMs: 2,
+    running: [makeRow(TASK, 1)],
+    sentMs: 5,
+    clockStartMs: 3,
+  });
+  assert.equal(viaReport.planStarts(11), []);
+
+  const viaEntry = startOnFirst();
+  viaEntry.accept([viaEntry.start], 4);
+  viaEntry.addSecond(5, 2);
+  assert.equal(viaEntry.planStarts(6), []);
+  const row = makeRow(TASK, 1);
+  reportBorn(viaEntry.harness, 'w1', 10, { bornMs: 2, running: [row], clockStartMs: 3 });
+  assert.equal(viaEntry.planStarts(11), []);
+});
+
+test('a start under way that reaches the next incarnation after its report is not repeated', () => {
+  const { harness, start, accept, addSecond, planStarts } = startOnFirst();
+  addSecond(3);
+  reportBorn(harness, 'w1', 10, { bornMs: 2, sentMs: 5, clockStartMs: 4 });
+  assert.equal(planStarts(11), []);
+  accept([start], 12);
+  const row = makeRow(TASK, 1);
+  reportBorn(harness, 'w1', 20, { bornMs: 2, running: [row], sentMs: 13, clockStartMs: 4 });
+  assert.equal(planStarts(21), []);
+});
+
+test('a start that neither incarnation has is repeated once the next one has reported', () => {
+  const { harness, start, accept, addSecond, planStarts } = startOnFirst();
+  accept([start], 4);
+  addSecond(5, 2);
+  reportBorn(harness, 'w1', 10, { bornMs: 2, sentMs: 6, clockStartMs: 3 });
+  assert.is(planStarts(11).length, 1);
+});
+
+test('runs that the earlier incarnation had listed are requeued when the next one is seen', () => {
+  const { harness, start, accept, addSecond, planStarts } = startOnFirst();
+  accept([start], 4);
+  reportBorn(harness, 'w1', 5, { bornMs: 1, running: [makeRow(TASK, 1)] });
+  addSecond(10, 2);
+  assert.is(planStarts(11).length, 1);
+});
+
+test('a start whose worker restarted and never reports again is repeated in bounded time', () => {
+  const { planner, at, start, accept, addSecond, report, planStarts } = startOnFirst();
+  accept([start], 4);
+  addSecond(5, 2);
+  planner.observeMissedReport('w1', at(600));
+  report('w22', 15_000);
+  assert.is(planStarts(15_001).length, 1);
+});
+
 test('an inherited worker that has restarted settles the inheritance only by a report', () => {
   const harness = takeOver();
   const entries = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
@@ -165,6 +222,15 @@
   assert.equal(harness.planStarts(21), []);
 });
 
+test('reports that overtake each other release no run', () => {
+  const { harness, start, accept, addSecond, planStarts } = startOnFirst();
+  addSecond(3);
+  accept([start], 100);
+  reportBorn(harness, 'w1', 120, { bornMs: 1, running: [makeRow(TASK, 1)], sentMs: 110 });
+  reportBorn(harness, 'w1', 130, { bornMs: 1, sentMs: 90 });
+  assert.equal(planStarts(131), []);
+});
+
 test('a lease counts as expired only after clock drift, rounding and a late timer', () => {
   const { planner, at, addWorkers, report, submit, accept, planStarts } = createHarness();
   addWorkers(0, makeEntry('w1'), makeEntry('w22'));
--- a/packages/vanilladock/src/test/jobs/run-release.test.ts
+++ b/packages/vanilladock/src/test/jobs/run-release.test.ts
@@ -168,8 +168,9 @@
 });
 
 test('the runs of an ended incarnation are released with both incarnations', () => {
-  const { accept, start, planner, listEvents, at } = openStarted();
+  const { accept, start, planner, report, listEvents, at } = openStarted();
   accept([start], CONFIRMED_MS);
+  report('w1', 60, [makeRow(TASK, 1)]);
   planner.observeWorkers([makeEntry('w1', { bornMs: 9 })], at(100));
   assert.equal(listEvents('worker-lost'), [
     {
@@ -180,7 +181,7 @@
       why: 'new-life',
       tasks: 1,
       silentMs: 0,
-      reportAgeMs: 100,
+      reportAgeMs: 40,
     },
   ]);
   assert.equal(listEvents('run-released'), [
