Give maintenance orders only under an evacuation that still holds

What callers saw: a maintenance order ended tasks that were running.

Cause: the wave runner kept the contents of a worker from the round before, however old they were. A planner keeps new tasks off a worker for 3 s after an evacuation. A list of the fleet that fails, a slow store (the order is recorded there first) or a planner that does not answer let that time pass, the planner started tasks again, and the order was given on the old contents. The time that batch tasks get to end counted from the first attempt to evacuate, not from the evacuation. The order was also sent when the duty was lost while the store recorded it.

Ruled out: the plan itself, which takes down nothing that its inputs show as busy.

Change: a module of its own keeps the evacuations, when each was last renewed and since when it has held without a gap. The plan gets only those that hold long enough for an order, and after the order is recorded the evacuation is renewed once more and its answer decides. An order that is not sent leaves no step, unless an earlier one with an unknown outcome may still take effect.

Why it works: the planner that answers the last renewal counts its tasks and starts none there for 3 s, and the call for the order ends after 1.5 s.

--- /dev/null
+++ b/packages/daemon/src/lib/jobs/evacuations.ts
@@ -0,0 +1,65 @@
+/**
+ * Evacuates workers before orders that end what runs on them. The tasks that a planner reported
+ * count only while the evacuation under which it reported them is certain to hold, as the planner
+ * may start new tasks on the worker afterwards.
+ */
+import type { EvacuatedWorker } from 'vanilladock/lib/waves/plan-wave.js';
+import type { JobGateway } from './job-gateway.js';
+
+/** A worker's evacuation. */
+interface Evacuation extends EvacuatedWorker {
+  /** Monotonic time in milliseconds at which the last renewal was sent. */
+  readonly renewedMs: number;
+}
+
+/** Evacuations of workers by one holder of the fleet duty. */
+export interface Evacuations {
+  /**
+   * Starts or renews the evacuation of a worker; undefined while the planner of its pool does not
+   * answer or does not know the worker's tasks.
+   */
+  readonly renew: (pool: string, workerId: string) => Promise<EvacuatedWorker | undefined>;
+  /**
+   * Lists the evacuated workers, by id, whose evacuations hold long enough for an order that is
+   * sent at the monotonic time `nowMs`.
+   */
+  readonly list: (nowMs: number) => ReadonlyMap<string, EvacuatedWorker>;
+}
+
+/** How long a planner keeps new tasks off a worker after a renewal. */
+const EVACUATION_TTL_MS = 3_000;
+
+/** Time within which an order that is sent takes effect, unless its call has timed out. */
+const ORDER_MS = 1_500;
+
+/** Creates the evacuations; there are none at first. */
+export function createEvacuations(gateway: Pick<JobGateway, 'answerOnce'>): Evacuations {
+  const evacuations = new Map<string, Evacuation>();
+  const dropLapsed = (nowMs: number) => {
+    [...evacuations]
+      .filter(([, { renewedMs }]) => nowMs - renewedMs > EVACUATION_TTL_MS)
+      .forEach(([workerId]) => evacuations.delete(workerId));
+  };
+  const list = (nowMs: number) =>
+    new Map(
+      [...evacuations].filter(
+        ([, { renewedMs }]) => nowMs - renewedMs <= EVACUATION_TTL_MS - ORDER_MS,
+      ),
+    );
+  return {
+    list,
+    renew: async (pool, workerId) => {
+      const renewedMs = performance.now();
+      dropLapsed(renewedMs);
+      const reply = await gateway.answerOnce({ kind: 'evacuate', pool, workerId });
+      if (reply.kind !== 'content') return undefined;
+      const { lastingTasks, batchTasks } = reply;
+      const known = evacuations.get(workerId);
+      if (known === undefined || known.renewedMs <= renewedMs) {
+        const sinceMs = known?.sinceMs ?? renewedMs;
+        evacuations.set(workerId, { content: { lastingTasks, batchTasks }, sinceMs, renewedMs });
+      }
+      return list(performance.now()).get(workerId);
+    },
+  };
+}
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -7,6 +7,7 @@
 import { waitMs } from './clock.js';
 import type { JobGateway } from './job-gateway.js';
 import { createLender } from './lender.js';
+import { createEvacuations, type Evacuations } from './evacuations.js';
 import { createIncarnationEnds, type IncarnationEnds } from './incarnation-ends.js';
 import { createWaveJournal } from './wave-journal.js';
 import { createWaveRunner } from './wave-runner.js';
@@ -45,6 +46,7 @@
 export interface FleetDuty extends FleetRunnerOptions {
   /** Pause between two rounds, in milliseconds. */
   readonly tickMs: number;
+  readonly evacuations: Evacuations;
   readonly incarnationEnds: IncarnationEnds;
   /** Takes a fence for one order; each has a higher token than the one before. */
   readonly takeFence: () => FleetFence;
@@ -96,6 +98,7 @@
   const incarnationEnds = createIncarnationEnds(options.gateway);
   const duty: FleetDuty = {
     ...options,
+    evacuations: createEvacuations(options.gateway),
     incarnationEnds,
     tickMs: TICK_MS,
     takeFence,
--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -3,16 +3,12 @@
  * knows which orders may still take effect.
  */
 import type { FleetInstance, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
-import { planWave, type WaveStep, type WorkerTasks } from 'vanilladock/lib/waves/plan-wave.js';
+import { isDrained, planWave, type WaveStep } from 'vanilladock/lib/waves/plan-wave.js';
 import type { FleetDuty } from './fleet-runner.js';
 import type { WaveJournal } from './wave-journal.js';
 
 /** State of one wave that is kept in memory. */
 interface WaveMemory {
-  /** Monotonic time at which each instance began to drain, by instance id. */
-  readonly drainingSinceMs: Map<string, number>;
-  /** Tasks left on each draining worker, as reported since the last plan. */
-  contents: Map<string, WorkerTasks>;
   /** Instances that the wave is draining or has taken down. */
   readonly held: Set<string>;
   published: 'none' | 'running' | 'completed';
@@ -33,7 +29,7 @@
     config,
     waves,
     publishWave,
-    gateway,
+    evacuations,
     incarnationEnds,
     log,
     takeFence,
@@ -46,8 +42,6 @@
     const existing = memories.get(wave);
     if (existing !== undefined) return existing;
     const memory: WaveMemory = {
-      drainingSinceMs: new Map(),
-      contents: new Map(),
       held: new Set(),
       published: journal.isCompleted(wave) ? 'completed' : 'none',
     };
@@ -59,20 +53,34 @@
     if (outcome === 'lost') handleLoss('ledger-fenced');
     return outcome === 'stored';
   };
-  const drainInstance = async (memory: WaveMemory, instance: FleetInstance) => {
-    const { id, pool, workerId } = instance;
-    if (workerId === undefined) return;
-    if (!memory.drainingSinceMs.has(id)) memory.drainingSinceMs.set(id, performance.now());
-    const reply = await gateway.answerOnce({ kind: 'evacuate', pool, workerId });
-    if (reply.kind === 'content') memory.contents.set(workerId, reply);
+  const listStandbyPools = () => {
+    const standby = config.value?.pools.filter((pool) => pool.isStandby) ?? [];
+    return new Set(standby.map((pool) => pool.name));
+  };
+  const drainInstance = async ({ pool, workerId }: FleetInstance) => {
+    if (workerId !== undefined) await evacuations.renew(pool, workerId);
+  };
+  /**
+   * Renews the evacuation of an instance that is about to be taken down, as its tasks may have
+   * changed since the plan; resolves to whether it is drained, and to the tasks that are left.
+   */
+  const checkDrained = async ({ pool, workerId }: FleetInstance) => {
+    if (workerId === undefined || listStandbyPools().has(pool)) return { isReady: true };
+    const evacuation = await evacuations.renew(pool, workerId);
+    const isReady = evacuation !== undefined && isDrained(evacuation, performance.now());
+    return { isReady, content: evacuation?.content };
   };
-  const startMaintenance = async (
-    order: WaveOrder,
-    instance: FleetInstance,
-    content: WorkerTasks | undefined,
-  ) => {
+  const startMaintenance = async (order: WaveOrder, instance: FleetInstance) => {
     const { id, pool, workerId } = instance;
+    const isRepeated = journal.listSteps(order.wave).has(id);
     if (!(await writeStep(order, id, { kind: 'ordered', atMs: performance.now() }))) return;
+    const { isReady, content } = await checkDrained(instance);
+    if (isStopped()) return;
+    if (!isReady) {
+      // An earlier order may still take effect, so its step remains.
+      if (!isRepeated) await journal.clear(order.wave, id);
+      return;
+    }
     const fence = takeFence();
     const outcome = await fleet.maintainInstance(id, order.wave, fence);
     log.info({
@@ -106,34 +114,24 @@
   };
   const runWave = async (order: WaveOrder, instances: ReadonlyMap<string, FleetInstance>) => {
     const memory = getMemory(order.wave);
-    const standby = config.value?.pools.filter((pool) => pool.isStandby) ?? [];
-    const { contents } = memory;
+    const nowMs = performance.now();
     const plan = planWave({
       order,
       instances,
       steps: journal.listSteps(order.wave),
-      contents,
-      drainingSinceMs: memory.drainingSinceMs,
-      standbyPools: new Set(standby.map((pool) => pool.name)),
-      nowMs: performance.now(),
+      evacuations: evacuations.list(nowMs),
+      standbyPools: listStandbyPools(),
+      nowMs,
     });
     memory.held.clear();
-    memory.contents = new Map();
-    [...memory.drainingSinceMs.keys()]
-      .filter((id) => !plan.drain.includes(id))
-      .forEach((id) => memory.drainingSinceMs.delete(id));
     [...plan.drain, ...plan.takeDown].forEach((id) => memory.held.add(id));
     const findInstance = (id: string) => instances.get(id);
     for (const id of plan.finished) await writeStep(order, id, { kind: 'done' });
     const toDrain = plan.drain.map(findInstance).filter((found) => found !== undefined);
     const toTakeDown = plan.takeDown.map(findInstance).filter((found) => found !== undefined);
-    await Promise.all(
-      toTakeDown.map((instance) =>
-        startMaintenance(order, instance, contents.get(instance.workerId ?? '')),
-      ),
-    );
+    await Promise.all(toTakeDown.map((instance) => startMaintenance(order, instance)));
     if (isStopped()) return;
-    await Promise.all(toDrain.map((instance) => drainInstance(memory, instance)));
+    await Promise.all(toDrain.map(drainInstance));
     const state = plan.isComplete ? 'completed' : 'running';
     if (memory.published === state || !(await publishWave(order, state))) return;
     log.info({ event: 'wave-status', wave: order.wave, state });
--- a/packages/vanilladock/src/lib/waves/plan-wave.ts
+++ b/packages/vanilladock/src/lib/waves/plan-wave.ts
@@ -21,6 +21,14 @@
   readonly batchTasks: number;
 }
 
+/** A worker that gets no new tasks. */
+export interface EvacuatedWorker {
+  /** Tasks that were left on it when its planner last renewed the evacuation. */
+  readonly content: WorkerTasks;
+  /** Monotonic time in milliseconds since which it has been evacuated without a gap. */
+  readonly sinceMs: number;
+}
+
 /** Inputs of a wave plan. */
 export interface WaveInputs {
   readonly order: WaveOrder;
@@ -29,15 +37,10 @@
   /** Progress by instance id; an instance without an entry was not ordered down yet. */
   readonly steps: ReadonlyMap<string, WaveStep>;
   /**
-   * Tasks of the workers that are being drained, by worker id. An instance whose worker has no
-   * entry is not taken down, unless it is switched off.
-   */
-  readonly contents: ReadonlyMap<string, WorkerTasks>;
-  /**
-   * Monotonic time, in milliseconds, at which the drain of an instance began, by instance id. An
-   * instance without an entry counts as if its drain began now.
+   * Workers whose evacuation still holds, by worker id. An instance whose worker has no entry is
+   * not taken down, unless it is switched off.
    */
-  readonly drainingSinceMs: ReadonlyMap<string, number>;
+  readonly evacuations: ReadonlyMap<string, EvacuatedWorker>;
   /** Pools whose instances are switched off. */
   readonly standbyPools: ReadonlySet<string>;
   /** Monotonic time in milliseconds. */
@@ -70,15 +73,19 @@
   return step?.kind === 'ordered' || step?.kind === 'begun';
 }
 
-/** Says whether an instance is drained far enough to be taken down. */
+/** Says whether a worker is drained far enough, at the monotonic time `nowMs`, to be taken down. */
+export function isDrained({ content, sinceMs }: EvacuatedWorker, nowMs: number): boolean {
+  if (content.lastingTasks > 0) return false;
+  return content.batchTasks === 0 || nowMs - sinceMs > BATCH_GRACE_MS;
+}
+
+/** Says whether an instance may be taken down as far as its tasks are concerned. */
 function isReadyForTakedown(inputs: WaveInputs, id: string): boolean {
   const instance = inputs.instances.get(id);
   if (instance === undefined) return false;
   if (instance.workerId === undefined || inputs.standbyPools.has(instance.pool)) return true;
-  const content = inputs.contents.get(instance.workerId);
-  if (content === undefined || content.lastingTasks > 0) return false;
-  const sinceMs = inputs.drainingSinceMs.get(id) ?? inputs.nowMs;
-  return content.batchTasks === 0 || inputs.nowMs - sinceMs > BATCH_GRACE_MS;
+  const evacuation = inputs.evacuations.get(instance.workerId);
+  return evacuation !== undefined && isDrained(evacuation, inputs.nowMs);
 }
 
 /** Computes how many instances of each pool may be draining or down at once. */
--- a/packages/vanilladock/src/test/waves/plan-wave.test.ts
+++ b/packages/vanilladock/src/test/waves/plan-wave.test.ts
@@ -16,14 +16,13 @@
   workerId: `w-${id}`,
 });
 const IDS = ['a1', 'a2', 'a3', 'a4', 'b1'];
-const EMPTY = { lastingTasks: 0, batchTasks: 0 };
+const EMPTY = { content: { lastingTasks: 0, batchTasks: 0 }, sinceMs: 10_000 };
 
 const makeInputs = (change: Partial<WaveInputs> = {}): WaveInputs => ({
   order: { wave: 1, instances: IDS, durationMs: 20_000, maxConcurrent: 2 },
   instances: new Map(IDS.map((id) => [id, makeInstance(id, id.slice(0, 1))])),
   steps: new Map(),
-  contents: new Map(),
-  drainingSinceMs: new Map(),
+  evacuations: new Map(),
   standbyPools: new Set(),
   nowMs: 10_000,
   ...change,
@@ -36,27 +35,28 @@
 });
 
 test('takes drained instances down within the limit, counting orders that may still act', () => {
-  const contents = new Map(IDS.map((id) => [`w-${id}`, EMPTY]));
+  const evacuations = new Map(IDS.map((id) => [`w-${id}`, EMPTY]));
   const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
-  const plan = planWave(makeInputs({ contents, steps }));
+  const plan = planWave(makeInputs({ evacuations, steps }));
   assert.equal(plan.takeDown, ['a1', 'b1']);
   const full = new Map<string, WaveStep>([
     ['a1', { kind: 'begun', atMs: 9_900 }],
     ['a2', { kind: 'begun', atMs: 9_900 }],
   ]);
-  assert.equal(planWave(makeInputs({ contents, steps: full })).takeDown, []);
+  assert.equal(planWave(makeInputs({ evacuations, steps: full })).takeDown, []);
 });
 
 test('never takes down an instance that runs a lasting task, however long the drain takes', () => {
-  const contents = new Map([['w-a1', { lastingTasks: 1, batchTasks: 0 }]]);
-  const drainingSinceMs = new Map([['a1', 0]]);
-  assert.equal(planWave(makeInputs({ contents, drainingSinceMs })).takeDown, []);
+  const content = { lastingTasks: 1, batchTasks: 0 };
+  const evacuations = new Map([['w-a1', { content, sinceMs: 0 }]]);
+  assert.equal(planWave(makeInputs({ evacuations })).takeDown, []);
 });
 
 test('drains an instance again before it repeats an order with an unknown outcome', () => {
   const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
-  const contents = new Map([['w-a1', { lastingTasks: 1, batchTasks: 0 }]]);
-  const plan = planWave(makeInputs({ contents, steps }));
+  const content = { lastingTasks: 1, batchTasks: 0 };
+  const evacuations = new Map([['w-a1', { content, sinceMs: 0 }]]);
+  const plan = planWave(makeInputs({ evacuations, steps }));
   assert.equal(plan.drain, ['a1', 'b1']);
   assert.equal(plan.takeDown, []);
 });
@@ -71,18 +71,18 @@
 });
 
 test('the tasks of an earlier worker do not count for the current worker of an instance', () => {
-  const contents = new Map([['w-a1', EMPTY]]);
+  const evacuations = new Map([['w-a1', EMPTY]]);
   const instances = new Map(makeInputs().instances);
   instances.set('a1', { ...makeInstance('a1', 'a'), workerId: 'w-later' });
-  assert.equal(planWave(makeInputs({ contents, instances })).takeDown, []);
+  assert.equal(planWave(makeInputs({ evacuations, instances })).takeDown, []);
 });
 
 test('waits for batch tasks for a limited time', () => {
-  const contents = new Map([['w-a1', { lastingTasks: 0, batchTasks: 2 }]]);
-  const early = planWave(makeInputs({ contents, drainingSinceMs: new Map([['a1', 9_000]]) }));
-  assert.equal(early.takeDown, []);
-  const later = planWave(makeInputs({ contents, drainingSinceMs: new Map([['a1', 1_000]]) }));
-  assert.equal(later.takeDown, ['a1']);
+  const content = { lastingTasks: 0, batchTasks: 2 };
+  const early = new Map([['w-a1', { content, sinceMs: 9_000 }]]);
+  assert.equal(planWave(makeInputs({ evacuations: early })).takeDown, []);
+  const later = new Map([['w-a1', { content, sinceMs: 1_000 }]]);
+  assert.equal(planWave(makeInputs({ evacuations: later })).takeDown, ['a1']);
 });
 
 test('is complete only when every instance that still exists has been maintained', () => {
