Repeat a move without an answer only onto a worker that is still empty

What callers saw: nothing that a log of today tells apart; tasks that had started on a worker ended when a move of its instance, sent before without an answer, was repeated.

Cause: the lender repeated an open move in each round without an evacuation, so the planner started tasks there again, and the repeat ended them. An open move also had no end of its own: one whose orders are never answered kept its instance from lending for good. A first move was sent even when the duty was lost while the planner was asked for the worker's tasks.

Evidence: tests of the lender with a planner and a fleet in memory. Three of five failed before: the repeat was sent onto a worker with two tasks, to an instance that had moved already, and a first move after the loss of the duty.

Ruled out: moves from the standby pool, whose instances run nothing.

Change: a repeat needs an empty worker under an evacuation that holds, as the first order does. A move is closed when the list shows that the instance has moved or has another worker, and is not repeated later than 5 s after its first order; the next plan decides anew.

Why it works: the planner starts nothing for 3 s after the evacuation that showed the worker empty, and the call for the order ends after 1.5 s. The lender keeps no worker evacuated for longer than the 5 s unless the demand of the pools asks for it.

--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -22,18 +22,31 @@
 /** Share of the fleet's order rate that lending uses; waves and repeated orders get the rest. */
 const LENDING_ORDER_SHARE = 0.9;
 
+/**
+ * Time from the first order of a move after which it is not repeated any more, so that a worker is
+ * not evacuated for good for a move that is never answered.
+ */
+const OPEN_MOVE_TTL_MS = 5_000;
+
 const MS_PER_SECOND = 1_000;
 
+/** A move whose outcome is not known. */
+interface OpenMove {
+  readonly move: LendingMove;
+  /** Monotonic time of its first order, in milliseconds. */
+  readonly sinceMs: number;
+}
+
 /** Creates the lender. */
 export function createLender(duty: FleetDuty): Lender {
-  const { fleet, config, gateway, log, takeFence, handleLoss, isStopped } = duty;
+  const { fleet, config, gateway, evacuations, incarnationEnds, log, isStopped } = duty;
   const ordersPerTick = (duty.fleetOrdersPerSecond * duty.tickMs) / MS_PER_SECOND;
   const maxMoves = Math.max(1, Math.floor(ordersPerTick * LENDING_ORDER_SHARE));
   const surplusSinceMs = new Map<string, number>();
   /** Cores that lending can bring each pool to, by pool. */
   let reachableCores: ReadonlyMap<string, number> = new Map();
-  /** Moves whose outcome is not known, by instance. */
-  const openMoves = new Map<string, LendingMove>();
+  /** By instance. */
+  const openMoves = new Map<string, OpenMove>();
 
   const listDemands = async (pools: readonly string[]) => {
     const replies = await Promise.all(
@@ -47,25 +60,40 @@
     return new Map(demands.map((demand) => [demand.pool, demand]));
   };
   const sendMove = async (move: LendingMove) => {
-    const fence = takeFence();
-    openMoves.set(move.instance, move);
+    const fence = duty.takeFence();
+    const sinceMs = openMoves.get(move.instance)?.sinceMs ?? performance.now();
+    openMoves.set(move.instance, { move, sinceMs });
     const outcome = await fleet.moveInstance(move.instance, move.to, fence);
     log.info({ event: 'instance-move', ...move, token: fence.token, outcome });
     if (outcome.kind === 'unknown') return;
     openMoves.delete(move.instance);
-    if (outcome.kind === 'rejected' && outcome.why === 'fenced') handleLoss('fleet-fenced');
+    if (outcome.kind === 'rejected' && outcome.why === 'fenced') duty.handleLoss('fleet-fenced');
     const { instance: id, from: pool, workerId } = move;
-    if (outcome.kind === 'done') duty.incarnationEnds.add({ id, pool, workerId });
+    if (outcome.kind === 'done') incarnationEnds.add({ id, pool, workerId });
   };
   /** Excludes a worker from placement; resolves to whether it has no tasks now. */
   const drainWorker = async (pool: string, workerId: string): Promise<boolean> => {
-    const reply = await gateway.answerOnce({ kind: 'evacuate', pool, workerId });
-    return reply.kind === 'content' && reply.lastingTasks + reply.batchTasks === 0;
+    const evacuation = await evacuations.renew(pool, workerId);
+    if (evacuation === undefined) return false;
+    const { lastingTasks, batchTasks } = evacuation.content;
+    return lastingTasks + batchTasks === 0;
   };
   const sendMoveWhenEmpty = async (move: LendingMove, standbyPool: string) => {
     const { workerId, from } = move;
     const hasNoTasks = from === standbyPool || workerId === undefined;
-    if (hasNoTasks || (await drainWorker(from, workerId))) await sendMove(move);
+    if (!hasNoTasks && !(await drainWorker(from, workerId))) return;
+    if (!isStopped()) await sendMove(move);
+  };
+  /** Forgets the open moves that have taken effect, and those that are not repeated any more. */
+  const dropClosedMoves = (instances: ReadonlyMap<string, FleetInstance>) => {
+    openMoves.forEach(({ move: { from: pool, workerId }, sinceMs }, id) => {
+      const listed = instances.get(id);
+      const hasChanged =
+        listed !== undefined && (listed.pool !== pool || listed.workerId !== workerId);
+      if (!hasChanged && performance.now() - sinceMs <= OPEN_MOVE_TTL_MS) return;
+      openMoves.delete(id);
+      incarnationEnds.add({ id, pool, workerId });
+    });
   };
   return {
     run: async (instances, held) => {
@@ -82,7 +110,10 @@
           addIncoming(instance.pool);
         }
       });
-      const repeatedMoves = [...openMoves.values()].filter((move) => instances.has(move.instance));
+      dropClosedMoves(instances);
+      const repeatedMoves = [...openMoves.values()]
+        .map(({ move }) => move)
+        .filter(({ instance }) => instances.has(instance));
       const plan = planLending({
         demands,
         instances: [...instances.values()].map((instance) => ({
@@ -115,10 +146,9 @@
       plan.drain.forEach(({ pool, workerId }) => {
         if (workerId !== undefined) void drainWorker(pool, workerId);
       });
-      await Promise.all([
-        ...repeatedMoves.map(sendMove),
-        ...plan.moves.map((move) => sendMoveWhenEmpty(move, standbyPool)),
-      ]);
+      await Promise.all(
+        [...repeatedMoves, ...plan.moves].map((move) => sendMoveWhenEmpty(move, standbyPool)),
+      );
     },
   };
 }
