Do not store a worker that was given up as a possible lease holder

What callers would see: after a take-over the tasks of inherited jobs wait. A successor waits until every stored lease holder has reported or its lease time has passed. Being in the table again, such a worker was stored as a possible lease holder, although it is gone and nothing was started on it. Ruled out: to ignore the entry for longer, as a worker that lives would then be without work as long. Change: a worker that was given up, or is not listed any more, counts as a possible holder from its first report on. Why it works: a task is started only on a worker that has reported, and only after it is stored.

--- a/packages/vanilladock/src/lib/jobs/ended-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/ended-incarnations.ts
@@ -10,7 +10,10 @@
   readonly addReplaced: (incarnation: Incarnation) => void;
   /** Records that an incarnation seems to have ended; its entry is ignored for a short time. */
   readonly addUnresponsive: (incarnation: Incarnation, nowMs: number) => void;
+  /** Says whether the entry of an incarnation is to be ignored now. */
   readonly has: (incarnation: Incarnation, nowMs: number) => boolean;
+  /** Says whether an incarnation that is still listed has seemed to have ended at any time. */
+  readonly hasSeemedEnded: (incarnation: Incarnation) => boolean;
   /** Forgets the incarnations of workers that are not listed any more. */
   readonly retain: (listedIds: ReadonlySet<string>) => void;
   /** Counts the incarnations that seem to have ended and have not been replaced. */
@@ -35,6 +38,7 @@
     addReplaced: (incarnation) => add(incarnation, Infinity),
     addUnresponsive: (incarnation, nowMs) => add(incarnation, nowMs + UNRESPONSIVE_ENTRY_TTL_MS),
     has: ({ id, bornMs }, nowMs) => (ended.get(id)?.get(bornMs) ?? -Infinity) > nowMs,
+    hasSeemedEnded: ({ id, bornMs }) => ended.get(id)?.has(bornMs) ?? false,
     retain: (listedIds) =>
       [...ended.keys()].filter((id) => !listedIds.has(id)).forEach((id) => ended.delete(id)),
     countUnresponsive: (nowMs) =>
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -55,7 +55,10 @@
   readonly releaseUnresponsive: (nowMs: number) => void;
   /** Counts the workers that are ignored because their incarnation seems to have ended. */
   readonly countEnded: (nowMs: number) => number;
-  /** Lists the known workers, and the inherited ones that may still hold a lease, by id. */
+  /**
+   * Lists the workers that may hold a lease of this planner now or soon, and the inherited ones that
+   * may still hold one of an earlier planner, by id.
+   */
   readonly listLeaseHolders: () => readonly string[];
 }
 
@@ -176,6 +179,12 @@
       .filter(({ id }) => !table.workers.has(id))
       .forEach((entry) => observeEntry(entry, nowMs));
   };
+  /**
+   * Says whether a worker may hold a lease of this planner soon. One that was given up and is only
+   * called again holds none before it has reported.
+   */
+  const isPossibleLeaseHolder = ({ entry, clock, isListed }: Worker) =>
+    clock !== undefined || (isListed && !ended.hasSeemedEnded(entry));
   return {
     observeEntries: (entries, { nowMs }) => {
       listedEntries = entries;
@@ -238,8 +247,11 @@
     },
     releaseUnresponsive,
     countEnded: ended.countUnresponsive,
-    listLeaseHolders: () => [
-      ...new Set([...table.workers.keys(), ...inheritance.listUnreported()]),
-    ],
+    listLeaseHolders: () => {
+      const known = [...table.workers.values()]
+        .filter(isPossibleLeaseHolder)
+        .map(({ entry }) => entry.id);
+      return [...new Set([...known, ...inheritance.listUnreported()])];
+    },
   };
 }
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -103,6 +103,21 @@
   assert.is(planner.table.workers.size, 1);
 });
 
+test('a successor does not wait for a worker that was given up and only listed again', () => {
+  const { planner, at, addWorkers, report } = createHarness();
+  addWorkers(0, makeEntry('w1'), makeEntry('w2'));
+  planner.observeEndNotice('w1', at(10));
+  planner.observeMissedReport('w1', at(20));
+  planner.plan(at(30));
+  planner.plan(at(2_100));
+  assert.is(planner.table.workers.size, 2, 'it is called again');
+  assert.equal(planner.listLeaseHolders(), ['w2']);
+  report('w1', 2_110);
+  assert.equal(planner.listLeaseHolders(), ['w2', 'w1']);
+  planner.observeMissedReport('w1', at(2_200));
+  assert.equal(planner.listLeaseHolders(), ['w2', 'w1']);
+});
+
 test('tasks on a machine that has ended are requeued within the lease time', () => {
   const { planner, at, harness, start, accept, addSecond, planStarts } = startOnFirst();
   accept([start], 3);
