Go on with rounds of the jobs' fleet duty after one that fails

What callers saw: nothing by itself. An instance whose round of waves and lending fails once ends its process; the duty passes to the next instance, on which the same round may fail.

Cause: the loop of rounds had no catch, and neither has the process.

Evidence: fleet-duty.test.ts failed before with the planted rejection of the fleet's list, which ended the test's process.

Change: a round that fails is logged as `round-failed`, and the next one follows after 1 s.

--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -64,7 +64,7 @@
 
 const TICK_MS = 250;
 
-/** Pause after a round in which the fleet could not be listed. */
+/** Pause after a round that failed, or in which the fleet could not be listed. */
 const FAILED_TICK_MS = 1_000;
 
 /** Number of tokens reserved for the orders under one claim, between those of two claims. */
@@ -118,13 +118,22 @@
     await Promise.all([waveRunner.run(instances), lender.run(instances, waveRunner.listHeld())]);
     return TICK_MS;
   };
+  /** Runs one round; resolves to the pause after it, in milliseconds. */
+  const runRound = async (): Promise<number> => {
+    try {
+      return await runTick();
+    } catch (error) {
+      log.error({ event: 'round-failed', duty: FLEET_DUTY, reason: String(error) });
+      return FAILED_TICK_MS;
+    }
+  };
   const run = async () => {
     if (!(await journal.load())) {
       handleLoss('ledger-fenced');
       return;
     }
     await waitMs(Math.max(0, options.holderGapMs - (performance.now() - startedMs)));
-    while (!isStopped) await waitMs(await runTick());
+    while (!isStopped) await waitMs(await runRound());
   };
   void run();
   return { claim, stop };
