--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -213,6 +213,22 @@
   assert.is(planStarts(15_001).length, 1);
 });
 
+test('a run that the next incarnation accepted is requeued only after the longest lease', () => {
+  const harness = createHarness();
+  const { planner, at, planStarts } = harness;
+  harness.addWorkers(20_000, makeEntry('w1'));
+  harness.submit(makeJob('a'), 20_001);
+  harness.accept(planStarts(20_002), 20_004);
+  planner.observeWorkers([makeEntry('w1', { bornMs: 2 }), makeEntry('w22')], at(20_005));
+  planner.markWorkersRecorded(['w22']);
+  const row = makeRow(TASK, 1);
+  reportBorn(harness, 'w1', 20_010, { bornMs: 2, running: [row], clockStartMs: 20_003 });
+  planner.observeMissedReport('w1', at(20_700));
+  harness.report('w22', 29_900);
+  assert.equal(planStarts(29_900), []);
+  assert.is(planStarts(31_000).length, 1);
+});
+
 test('an inherited worker that has restarted settles the inheritance only by a report', () => {
   const harness = takeOver();
   const entries = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
