Use a restarted worker only by its own entry

A planner that learns of a worker's next incarnation from a report had only the entry of the earlier one, and went on to start tasks by its pool, labels and capacity. A new incarnation may be of another kind or in another pool, also at the same address.

Such a worker now counts as unlisted until its own entry is read, some hundred milliseconds later: it is asked and its runs are kept, and it gets no new tasks. Its earlier incarnation's entry does not count, as that incarnation was replaced. While the store cannot be read, a worker that restarts stays without new tasks. A worker whose entry has no start time takes it from its first report.

Failed before: with a report of the next incarnation at 20 ms, a task that needs label `a` was planned there at 22 ms, by the earlier entry; the next one has label `b`.

--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -230,10 +230,16 @@
       const worker = table.workers.get(workerId);
       if (worker === undefined) return false;
       if (bornMs === undefined || bornMs === worker.entry.bornMs) return true;
+      if (worker.entry.bornMs === 0) {
+        table.updateWorker(workerId, { entry: { ...worker.entry, bornMs } });
+        return true;
+      }
       // Incarnations follow each other, so one that answers a request sent after the present one
       // was known is a later one, even if the wall clock of its machine was set back.
       if (sentMs < (knownSinceMs.get(workerId) ?? 0)) return false;
       restartWorker(worker, { ...worker.entry, bornMs }, nowMs);
+      // Its own entry tells whether it is of this pool, and its labels and capacity.
+      table.updateWorker(workerId, { isListed: false });
       return true;
     },
     releaseUnresponsive,
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -11,6 +11,7 @@
   makeEntry,
   makeJob,
   makeRow,
+  makeStep,
   POLICY,
   WALL_MS,
   type Harness,
@@ -117,19 +118,19 @@
 const startOnSecondIncarnation = () => {
   const harness = createHarness();
   harness.addWorkers(0, makeEntry('w1'));
-  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], harness.at(20));
+  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 3 })], harness.at(20));
   harness.planner.markWorkersRecorded(['w1']);
-  reportBorn(harness, 'w1', 30, { bornMs: 2, clockStartMs: 15 });
+  reportBorn(harness, 'w1', 30, { bornMs: 3, clockStartMs: 15 });
   harness.submit(RECORD.spec, 31);
   harness.accept(harness.planStarts(32), 33);
   harness.planner.observeWorkers(
-    [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')],
+    [makeEntry('w1', { bornMs: 3 }), makeEntry('w22')],
     harness.at(34),
   );
   harness.planner.markWorkersRecorded(['w22']);
   harness.report('w22', 35);
   const row = makeRow(TASK, 1);
-  reportBorn(harness, 'w1', 40, { bornMs: 2, running: [row], clockStartMs: 15 });
+  reportBorn(harness, 'w1', 40, { bornMs: 3, running: [row], clockStartMs: 15 });
   return harness;
 };
 
@@ -137,7 +138,7 @@
   const harness = startOnSecondIncarnation();
   reportBorn(harness, 'w1', 50, { bornMs: 1, sentMs: 10 });
   assert.equal(harness.planStarts(60), []);
-  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 2);
+  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 3);
 });
 
 test('a late rejection for an earlier incarnation does not end the present one', () => {
@@ -148,12 +149,16 @@
 
 test('a worker is followed into an incarnation whose wall clock was set back', () => {
   const harness = startOnSecondIncarnation();
-  reportBorn(harness, 'w1', 50, { bornMs: 1, sentMs: 45, clockStartMs: 42 });
-  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 1);
+  reportBorn(harness, 'w1', 50, { bornMs: 2, sentMs: 45, clockStartMs: 42 });
+  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 2);
   assert.is(harness.planStarts(60).length, 1);
-  const entries = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
-  harness.planner.observeWorkers(entries, harness.at(70));
-  assert.is(harness.planner.table.workers.get('w1')!.entry.bornMs, 1);
+  const listBornMs = (nowMs: number, bornMs: number) => {
+    const entries = [makeEntry('w1', { bornMs }), makeEntry('w22')];
+    harness.planner.observeWorkers(entries, harness.at(nowMs));
+    return harness.planner.table.workers.get('w1')?.entry.bornMs;
+  };
+  assert.is.not(listBornMs(70, 3), 3, 'the entry of the earlier incarnation');
+  assert.is(listBornMs(80, 2), 2);
 });
 
 test('a start that the next incarnation accepted is not repeated when that is first seen', () => {
@@ -238,6 +243,31 @@
   assert.equal(harness.planStarts(21), []);
 });
 
+test('a restarted worker gets tasks only once its own entry is listed', () => {
+  const harness = createHarness();
+  const { planner, at, planStarts } = harness;
+  harness.addWorkers(0, makeEntry('w1'));
+  reportBorn(harness, 'w1', 20, { bornMs: 2, clockStartMs: 10 });
+  planner.markWorkersRecorded(['w1']);
+  harness.submit(makeJob('a', [makeStep({ requiredLabel: 'a' })]), 21);
+  assert.equal(planStarts(22), [], 'the entry is of the earlier incarnation');
+  planner.observeWorkers([makeEntry('w1', { bornMs: 2, labels: ['b'] })], at(30));
+  planner.markWorkersRecorded(['w1']);
+  reportBorn(harness, 'w1', 40, { bornMs: 2, clockStartMs: 10 });
+  assert.equal(planStarts(41), [], 'the next incarnation has another label');
+  harness.submit(makeJob('b'), 50);
+  assert.is(planStarts(51).length, 1);
+});
+
+test('a worker whose entry has no start time is used', () => {
+  const harness = createHarness();
+  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 0 })], harness.at(0));
+  harness.planner.markWorkersRecorded(['w1']);
+  reportBorn(harness, 'w1', 10, { bornMs: 5 });
+  harness.submit(makeJob('a'), 11);
+  assert.is(harness.planStarts(12).length, 1);
+});
+
 test('reports that overtake each other release no run', () => {
   const { harness, start, accept, addSecond, planStarts } = startOnFirst();
   addSecond(3);
