Eject and reserve never the only worker that serves

The bounds of ejections and reservations let one worker always be ejected or reserved. Where one worker serves, as in a small pool or while the others are moved, that is all of them; found by the review. Evidence: five replays of standing-queue.test.ts failed before: "a job waited 42000 ms" and 3000 ms with failing jobs and one worker, 3000 ms with the other worker evacuated, 41000 and 40510 ms with a lasting task that waits for the long batch task of the only worker that accepts any. Change: half of the workers, rounded down. Why it works: a worker in good standing, or the only one, is left for what can run. Ruled out: a shorter ejection of the only worker: good jobs still waited, as each task on trial went to a job that fails. Price: a lasting task that is larger than what is free can wait behind batch work as long as its pool has one worker that accepts tasks; a worker that fails everything is tried at once where it is the only one. Tests: three took the fault as given, each with a pool of one worker.

--- a/packages/vanilladock/src/lib/jobs/eject-workers.ts
+++ b/packages/vanilladock/src/lib/jobs/eject-workers.ts
@@ -22,7 +22,7 @@
 /** A worker on which this many jobs failed without a success is not in good standing. */
 const FAILED_JOBS_LIMIT = 4;
 
-/** Largest share of the serving workers ejected for the full time; one worker always may be. */
+/** Largest share of the serving workers ejected for the full time; never the only one. */
 const MAX_EJECTED_SHARE = 0.5;
 
 /** Length of an ejection beyond this share. */
@@ -52,7 +52,7 @@
   );
   return {
     ejected: serving.filter((worker) => isEjected(worker, nowMs)),
-    ejectionLimit: Math.max(1, Math.floor(serving.length * MAX_EJECTED_SHARE)),
+    ejectionLimit: Math.floor(serving.length * MAX_EJECTED_SHARE),
     hasGoodWorker: serving.some(isInGoodStanding),
   };
 }
--- a/packages/vanilladock/src/lib/jobs/reservations.ts
+++ b/packages/vanilladock/src/lib/jobs/reservations.ts
@@ -11,7 +11,7 @@
 import type { Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
 
-/** Largest share of the accepting workers that is reserved at once; one worker always may be. */
+/** Largest share of the accepting workers that is reserved at once; never the only one. */
 const MAX_RESERVED_SHARE = 0.5;
 
 /** Reservations of one pass over the queue. */
@@ -39,7 +39,7 @@
   const isFull = () => {
     const workers = [...table.workers.values()];
     const acceptingCount = workers.filter((worker) => isAcceptingTasks(worker, nowMs)).length;
-    const limit = Math.max(1, Math.floor(acceptingCount * MAX_RESERVED_SHARE));
+    const limit = Math.floor(acceptingCount * MAX_RESERVED_SHARE);
     return reservedIds.size >= limit;
   };
   /** Says whether the worker could run the task if it had only its lasting tasks. */
--- a/packages/vanilladock/src/test/jobs/standing-queue-log.test.ts
+++ b/packages/vanilladock/src/test/jobs/standing-queue-log.test.ts
@@ -52,7 +52,7 @@
 
 const test = suite('log of standing queues');
 
-test('says that every worker is excluded as failing, and after which jobs', () => {
+test('says that a worker is excluded as failing, and after which jobs', () => {
   const harness = openLogged();
   harness.addWorkers(0, makeEntry('w1'));
   const policy = { ...POLICY, maxAttempts: 1 };
@@ -60,12 +60,14 @@
   const starts = harness.planStarts(2);
   harness.accept(starts, 3);
   const ends = starts.map((start, index) => makeEnd(index + 1, start.taskKey, 1, 'failed'));
+  const capacity = { cores: 0.5, memoryMb: 1000, accelerators: 0 };
+  harness.addWorkers(4, makeEntry('w1'), makeEntry('w2', { capacity }));
   harness.report('w1', 5, [], ends);
   harness.submit(makeJob('other', [makeStep({ requiredLabel: 'none-has-it' })]), 6);
   const line = findStandingLine(harness, (nowMs) => harness.report('w1', nowMs, [], ends));
-  assert.equal(line.workers, { failing: 1 });
+  assert.equal(line.workers, { failing: 1, accepting: 1 });
   assert.is(line.waitingJobs, 1);
-  assert.is(line.freeCores, undefined);
+  assert.is(line.freeCores, 0.5);
   const [excluded] = harness.listEvents('worker-excluded').slice(-1);
   assert.is(excluded!.why, 'failing');
   assert.is(excluded!.ejections, 1);
@@ -79,7 +81,9 @@
 
 test('says that lasting tasks reserve the workers whose batch tasks they wait for', () => {
   const harness = openLogged();
-  harness.addWorkers(0, makeEntry('w1'), makeEntry('w2', { phase: 'draining' }));
+  const capacity = { cores: 0.5, memoryMb: 1000, accelerators: 0 };
+  const small = makeEntry('w3', { capacity });
+  harness.addWorkers(0, makeEntry('w1'), makeEntry('w2', { phase: 'draining' }), small);
   harness.submit(makeJob('long'), 1);
   const starts = harness.planStarts(2);
   harness.accept(starts, 3);
@@ -89,7 +93,7 @@
   harness.submit(makeJob('lasting-2', [lasting]), 5);
   harness.submit(makeJob('batch'), 6);
   const line = findStandingLine(harness);
-  assert.equal(line.workers, { accepting: 1, draining: 1 });
+  assert.equal(line.workers, { accepting: 2, draining: 1 });
   assert.is(line.reserved, 1);
   assert.is(line.fittingSteps, 1);
   assert.is(line.freeCores, 3);
--- a/packages/vanilladock/src/test/jobs/standing-queue.test.ts
+++ b/packages/vanilladock/src/test/jobs/standing-queue.test.ts
@@ -1,7 +1,7 @@
 /** Replays of load under which a whole queue could stand although its workers have capacity. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import type { StepSpec } from '../../lib/jobs/spec.js';
+import type { JobPolicy, StepSpec } from '../../lib/jobs/spec.js';
 import type { WorkerEntry } from '../../lib/ports/task-workers.js';
 import { makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
 import { createPoolSimulation, type PlannedEnd, type StartRecord } from './pool-simulation.js';
@@ -17,6 +17,7 @@
 
 /** Decides by the prefix of the job's id: `bad` fails at once, `flaky` after some seconds. */
 const decideEnd = ({ jobId, atMs }: StartRecord): PlannedEnd | undefined => {
+  if (jobId === 'long') return { how: 'done', afterMs: 60 * SECOND_MS };
   if (jobId.startsWith('bad')) return { how: 'failed', afterMs: 100 };
   if (jobId.startsWith('flaky')) return { how: 'failed', afterMs: 2_000 + (atMs % 3_000) };
   return jobId.startsWith('lasting') ? undefined : { how: 'done', afterMs: 300 };
@@ -25,13 +26,20 @@
 type Simulation = ReturnType<typeof createPoolSimulation>;
 
 /** Submits a good job every half second and returns the longest wait for the first start. */
-const measureLongestWait = (simulation: Simulation, fromMs: number, untilMs: number) => {
+const measureLongestWait = (
+  simulation: Simulation,
+  fromMs: number,
+  untilMs: number,
+  options: { readonly policy?: JobPolicy; readonly handleRound?: (atMs: number) => void } = {},
+) => {
   let longestMs = 0;
   const submitted: { readonly id: string; readonly atMs: number }[] = [];
   for (let atMs = fromMs; atMs < untilMs; atMs += 500) {
     simulation.runUntil(atMs);
+    options.handleRound?.(atMs);
     const id = `good${atMs}`;
-    simulation.submit(makeJob(id, [makeStep()], { route: 'r-good' }), GOOD_POLICY);
+    const spec = makeJob(id, [makeStep()], { route: 'r-good' });
+    simulation.submit(spec, options.policy ?? GOOD_POLICY);
     submitted.push({ id, atMs });
   }
   simulation.runUntil(untilMs + MAX_WAIT_MS);
@@ -60,6 +68,41 @@
   assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
 });
 
+/** Measures the longest wait of good jobs of a policy while four jobs fail every half second. */
+const measureBesideFailures = (
+  simulation: Simulation,
+  policy: JobPolicy,
+  handleRound: (atMs: number) => void = () => {},
+) => {
+  simulation.runUntil(SECOND_MS);
+  const options = {
+    policy,
+    handleRound: (atMs: number) => {
+      handleRound(atMs);
+      for (let index = 0; index < 4; index += 1) {
+        simulation.submit(makeJob(`bad${atMs}-${index}`));
+      }
+    },
+  };
+  return measureLongestWait(simulation, SECOND_MS, 40 * SECOND_MS, options);
+};
+
+[POLICY, GOOD_POLICY].forEach((policy) =>
+  test(`failing jobs leave no queue standing in a pool of one worker, stretch ${policy.stretch}`, () => {
+    const simulation = createPoolSimulation({ workers: makeWorkers(1), decideEnd });
+    const waitMs = measureBesideFailures(simulation, policy);
+    assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
+  }),
+);
+
+test('failing jobs leave no queue standing while the other worker is evacuated', () => {
+  const simulation = createPoolSimulation({ workers: makeWorkers(2), decideEnd });
+  const { planner, at } = simulation.harness;
+  const evacuate = (atMs: number) => void planner.evacuate('w', at(atMs));
+  const waitMs = measureBesideFailures(simulation, GOOD_POLICY, evacuate);
+  assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
+});
+
 test('lasting tasks that fail now and then leave no queue standing', () => {
   const simulation = createPoolSimulation({ workers: makeWorkers(4), decideEnd });
   const lasting = makeStep({
@@ -136,6 +179,35 @@
   assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
 });
 
+/** Measures the wait of good jobs beside long batch tasks and a lasting task that waits for them. */
+const measureBesideLongTasks = (
+  workerCount: number,
+  handleRound: (simulation: Simulation, atMs: number) => void = () => {},
+) => {
+  const simulation = createPoolSimulation({ workers: makeWorkers(workerCount), decideEnd });
+  const longSize = { cores: 1.5, memoryMb: 100, accelerators: 0 };
+  const long = makeStep({ count: workerCount, maxPerWorker: 1, size: longSize });
+  simulation.submit(makeJob('long', [long]));
+  simulation.runUntil(SECOND_MS);
+  const size = { cores: 3, memoryMb: 100, accelerators: 0 };
+  simulation.submit(makeJob('lasting', [makeStep({ isLasting: true, size })]));
+  return measureLongestWait(simulation, 2 * SECOND_MS, 40 * SECOND_MS, {
+    handleRound: (atMs) => handleRound(simulation, atMs),
+  });
+};
+
+test('a lasting task that waits for the only worker leaves no queue standing', () => {
+  const waitMs = measureBesideLongTasks(1);
+  assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
+});
+
+test('a lasting task leaves no queue standing while all workers but one are evacuated', () => {
+  const waitMs = measureBesideLongTasks(4, ({ harness: { planner, at } }, atMs) =>
+    ['w', 'w-', 'w--'].forEach((id) => void planner.evacuate(id, at(atMs))),
+  );
+  assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
+});
+
 test('lasting steps larger than any worker leave no queue standing', () => {
   const step = makeStep({ isLasting: true, size: { cores: 6, memoryMb: 100, accelerators: 0 } });
   const large = makeEntry('large', {
