Count no worker as empty that the planner before may still start tasks on

What callers would see: running tasks end with a machine that is moved or maintained. A planner that has just taken a pool says how many tasks a worker has, by a report that was requested before the planner before it had stopped. That one may start tasks there for up to 2.6 s after the claim. Evidence: the test failed before: "{ lastingTasks: 0, batchTasks: 0 }" at 200 ms. Change: the content of an inherited worker is unknown until a report that settles it, as tasks of inherited jobs wait for it too; the fleet duty then asks again. After: all tests of the planner pass.

--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -244,7 +244,8 @@
       const { nowMs } = at;
       incarnations.recordEvacuation(workerId, at);
       const worker = table.workers.get(workerId);
-      const hasReported = worker !== undefined && worker.clock !== undefined;
+      const hasReported =
+        worker?.clock !== undefined && !inheritance.listUnreported().includes(workerId);
       if (!hasReported && inheritance.isWithinUncertaintyWindow(nowMs)) return undefined;
       if (worker === undefined) return { lastingTasks: 0, batchTasks: 0 };
       return countWorkerTasks(table, worker);
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -489,6 +489,21 @@
   assert.equal(listIds(4_200), ['w1']);
 });
 
+test('a worker does not count as empty while the planner before may still start tasks there', () => {
+  const { planner, at, addWorkers, report } = createHarness({
+    hasPredecessor: true,
+    inheritedWorkers: ['w1'],
+    runBase: 100,
+  });
+  addWorkers(10, makeEntry('w1'));
+  assert.is(planner.evacuate('w1', at(200)), undefined);
+  report('w1', 700, [makeRow('a.0.0.0', 1)]);
+  assert.is(planner.evacuate('w1', at(710)), undefined);
+  planner.observePredecessorStopped(at(800));
+  report('w1', 900, [makeRow('a.0.0.0', 1)]);
+  assert.equal(planner.evacuate('w1', at(910)), { lastingTasks: 1, batchTasks: 0 });
+});
+
 test('the only worker of a pool gets new tasks whatever failed there', () => {
   const { addWorkers, submit, planStarts, accept, report } = createHarness();
   addWorkers(0, makeEntry('w1'));
