Let waves at the same time drain at most half of a pool

Cause, by replay: the share of a pool that a wave may drain was counted for each wave by itself. Four waves over a pool of four drained all of it. When their workers run lasting tasks, these find no worker to move to, no instance is taken down, and the evacuation is renewed in every round: the pool stands for good. Change: a plan of a wave gets the instances that other waves hold, and counts these and the ones in maintenance against a second limit, half of the pool, at least one instance. Its own limit, a quarter, stays. Instances of a wave whose order is gone are no longer held. Why it works: the workers of the other half accept tasks, so that lasting tasks can move there and the waves go on in turn. Open: in a pool of one instance a wave still excludes the only worker, and for good if it runs a lasting task; with spread rules that need every worker of a pool, a drained one waits until lending brings another.

--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -48,6 +48,13 @@
     memories.set(wave, memory);
     return memory;
   };
+  /** Lists the instances that ordered waves hold, without those of one wave if it is given. */
+  const listHeld = (exceptWave?: number): ReadonlySet<string> =>
+    new Set(
+      [...memories]
+        .filter(([wave]) => wave !== exceptWave && waves.value.has(wave))
+        .flatMap(([, memory]) => [...memory.held]),
+    );
   const writeStep = async (order: WaveOrder, id: string, step: WaveStep): Promise<boolean> => {
     const outcome = await journal.write(order.wave, id, step);
     if (outcome === 'lost') handleLoss('ledger-fenced');
@@ -120,6 +127,7 @@
       instances,
       steps: journal.listSteps(order.wave),
       evacuations: evacuations.list(nowMs),
+      heldByOthers: listHeld(order.wave),
       standbyPools: listStandbyPools(),
       nowMs,
     });
@@ -145,6 +153,6 @@
       );
       for (const order of open) if (!isStopped()) await runWave(order, instances);
     },
-    listHeld: () => new Set([...memories.values()].flatMap((memory) => [...memory.held])),
+    listHeld: () => listHeld(),
   };
 }
--- a/packages/vanilladock/src/lib/waves/plan-wave.ts
+++ b/packages/vanilladock/src/lib/waves/plan-wave.ts
@@ -41,6 +41,8 @@
    * not taken down, unless it is switched off.
    */
   readonly evacuations: ReadonlyMap<string, EvacuatedWorker>;
+  /** Instances that other waves drain or take down. */
+  readonly heldByOthers: ReadonlySet<string>;
   /** Pools whose instances are switched off. */
   readonly standbyPools: ReadonlySet<string>;
   /** Monotonic time in milliseconds. */
@@ -65,9 +67,12 @@
 /** An instance that is up this long after its maintenance began counts as maintained. */
 const COMPLETION_DELAY_MS = 1_000;
 
-/** Share of a pool's instances that may be draining or down at once; at least one instance may. */
+/** Share of a pool's instances that a wave may have draining or down; at least one may be. */
 const MAX_POOL_SHARE = 0.25;
 
+/** Share of a pool's instances that all waves together may have draining or down, likewise. */
+const MAX_TOTAL_POOL_SHARE = 0.5;
+
 /** Says whether an instance may currently be down for the wave. */
 function isPossiblyDown(step: WaveStep | undefined): boolean {
   return step?.kind === 'ordered' || step?.kind === 'begun';
@@ -88,13 +93,51 @@
   return evacuation !== undefined && isDrained(evacuation, inputs.nowMs);
 }
 
-/** Computes how many instances of each pool may be draining or down at once. */
-function computePoolLimits(instances: ReadonlyMap<string, FleetInstance>): Map<string, number> {
-  const sizes = new Map<string, number>();
-  instances.forEach(({ pool }) => sizes.set(pool, (sizes.get(pool) ?? 0) + 1));
-  return new Map(
-    [...sizes].map(([pool, size]) => [pool, Math.max(1, Math.floor(size * MAX_POOL_SHARE))]),
+/** Counts instances by pool; ignores ids that the fleet does not list. */
+function countByPool(
+  instances: ReadonlyMap<string, FleetInstance>,
+  ids: Iterable<string>,
+): Map<string, number> {
+  const counts = new Map<string, number>();
+  [...ids].forEach((id) => {
+    const pool = instances.get(id)?.pool;
+    if (pool !== undefined) counts.set(pool, (counts.get(pool) ?? 0) + 1);
+  });
+  return counts;
+}
+
+/** Slots of a wave: how many further instances of each pool it may drain. */
+interface PoolSlots {
+  /** Takes a slot of the pool; false if none is free. */
+  readonly take: (pool: string) => boolean;
+}
+
+/** Creates the slots that remain while the wave's `unavailable` instances may be down. */
+function createPoolSlots(inputs: WaveInputs, unavailable: readonly string[]): PoolSlots {
+  const { instances, heldByOthers } = inputs;
+  const sizes = countByPool(instances, instances.keys());
+  const inMaintenance = [...instances.values()].filter(({ state }) => state === 'maintenance');
+  const own = countByPool(instances, unavailable);
+  const total = countByPool(
+    instances,
+    new Set([...unavailable, ...heldByOthers, ...inMaintenance.map(({ id }) => id)]),
   );
+  const hasFree = (counts: ReadonlyMap<string, number>, pool: string, share: number) => {
+    const limit = Math.max(1, Math.floor((sizes.get(pool) ?? 0) * share));
+    return (counts.get(pool) ?? 0) < limit;
+  };
+  const addOne = (counts: Map<string, number>, pool: string) =>
+    counts.set(pool, (counts.get(pool) ?? 0) + 1);
+  return {
+    take: (pool) => {
+      const isFree =
+        hasFree(own, pool, MAX_POOL_SHARE) && hasFree(total, pool, MAX_TOTAL_POOL_SHARE);
+      if (!isFree) return false;
+      addOne(own, pool);
+      addOne(total, pool);
+      return true;
+    },
+  };
 }
 
 /** Plans the next actions of a wave; the caller has to record the resulting steps. */
@@ -116,20 +159,11 @@
   const isUp = (id: string) => instances.get(id)?.state === 'up';
   // An order with an unknown outcome is repeated; by then the instance may run tasks again.
   const repeated = unavailable.filter((id) => steps.get(id)?.kind === 'ordered' && isUp(id));
-  const limits = computePoolLimits(instances);
-  const countByPool = new Map<string, number>();
-  unavailable.forEach((id) => {
-    const pool = instances.get(id)?.pool;
-    if (pool !== undefined) countByPool.set(pool, (countByPool.get(pool) ?? 0) + 1);
-  });
+  const slots = createPoolSlots(inputs, unavailable);
   const selected = present.filter((id) => {
     const instance = instances.get(id);
     if (instance === undefined || !isPending(id) || !isUp(id)) return false;
-    const count = countByPool.get(instance.pool) ?? 0;
-    const isOff = inputs.standbyPools.has(instance.pool);
-    if (!isOff && count >= (limits.get(instance.pool) ?? 1)) return false;
-    countByPool.set(instance.pool, count + 1);
-    return true;
+    return inputs.standbyPools.has(instance.pool) || slots.take(instance.pool);
   });
   const freeSlots = Math.max(0, order.maxConcurrent - unavailable.length);
   const ready = selected.filter((id) => isReadyForTakedown(inputs, id)).slice(0, freeSlots);
--- a/packages/vanilladock/src/test/waves/plan-wave.test.ts
+++ b/packages/vanilladock/src/test/waves/plan-wave.test.ts
@@ -23,6 +23,7 @@
   instances: new Map(IDS.map((id) => [id, makeInstance(id, id.slice(0, 1))])),
   steps: new Map(),
   evacuations: new Map(),
+  heldByOthers: new Set(),
   standbyPools: new Set(),
   nowMs: 10_000,
   ...change,
@@ -34,6 +35,17 @@
   assert.equal(plan.takeDown, []);
 });
 
+test('counts the instances that other waves hold, and those in maintenance, by pool', () => {
+  const drainBeside = (heldByOthers: readonly string[], instances = makeInputs().instances) =>
+    planWave(makeInputs({ heldByOthers: new Set(heldByOthers), instances })).drain;
+  assert.equal(drainBeside(['a4']), ['a1', 'b1']);
+  assert.equal(drainBeside(['a3', 'a4']), ['b1']);
+  assert.equal(drainBeside(['b1']), ['a1']);
+  const instances = new Map(makeInputs().instances);
+  ['a3', 'a4'].forEach((id) => instances.set(id, makeInstance(id, 'a', 'maintenance')));
+  assert.equal(drainBeside([], instances), ['b1']);
+});
+
 test('takes drained instances down within the limit, counting orders that may still act', () => {
   const evacuations = new Map(IDS.map((id) => [`w-${id}`, EMPTY]));
   const steps = new Map<string, WaveStep>([['a1', { kind: 'ordered', atMs: 0 }]]);
