Store a restarted worker that may have a start as a lease holder

Found by reading; no caller has reported it. A worker that restarted keeps the starts that its next incarnation may have accepted, and has no report until that one answers. If its entry went missing in between, as when it crashes again or the store drops entries, it was no longer stored, and a successor would not wait for it though the task may run there.

A worker with starts counts as a possible holder in any case. One that was given up has none.

Failed before: w1 was not among the holders after its entry had gone with a start kept on it.

--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -180,11 +180,11 @@
       .forEach((entry) => observeEntry(entry, nowMs));
   };
   /**
-   * Says whether a worker may hold a lease of this planner soon. One that was given up and is only
-   * called again holds none before it has reported.
+   * Says whether a worker may hold a lease of this planner now or soon. One without starts that was
+   * given up and is only called again holds none before it has reported.
    */
-  const isPossibleLeaseHolder = ({ entry, clock, isListed }: Worker) =>
-    clock !== undefined || (isListed && !ended.hasSeemedEnded(entry));
+  const isPossibleLeaseHolder = ({ entry, clock, isListed, tasks }: Worker) =>
+    clock !== undefined || tasks.size > 0 || (isListed && !ended.hasSeemedEnded(entry));
   return {
     observeEntries: (entries, { nowMs }) => {
       listedEntries = entries;
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -258,6 +258,14 @@
   assert.equal(harness.planStarts(21), []);
 });
 
+test('a restarted worker that may have a start stays a lease holder though it is unlisted', () => {
+  const { planner, at, start, accept, addSecond } = startOnFirst();
+  accept([start], 4);
+  addSecond(5, 2);
+  planner.observeWorkers([makeEntry('w22')], at(10));
+  assert.ok(planner.listLeaseHolders().includes('w1'));
+});
+
 test('a restarted worker gets tasks only once its own entry is listed', () => {
   const harness = createHarness();
   const { planner, at, planStarts } = harness;
