Claim a duty again at once that no other instance can claim

What callers saw: a pool without a planner; every request about its jobs is refused as unavailable, and nothing of its queue is started.

Cause: an instance that gives up a duty, because a worker, the store or a peer knows of a newer claim, and goes on, counts as its live holder with all others, so that none of them claims it. It left the duty to the least loaded instance, which is another one if it has fewer cores, and waited until the duty was open to all. That wait grows with the duties that it holds.

The duty that it gave up had no holder after 1 s before, and has one now.

Change: the tracker of unclaimed duties gives a duty whose live claim was given up here no wait.

Why it works: the claim is appended only at the end of the claims as read, so it fails if there is a newer one, and its token is higher than that of the claim that was given up.

--- a/packages/daemon/src/lib/jobs/unclaimed-duties.ts
+++ b/packages/daemon/src/lib/jobs/unclaimed-duties.ts
@@ -11,7 +11,10 @@
 export interface UnclaimedDuties {
   /** Lists the duties unclaimed at `nowMs` (monotonic); resets the age of all others. */
   readonly list: (nowMs: number) => readonly string[];
-  /** Returns for how long `list` has found a duty unclaimed, in milliseconds; 0 if it has not. */
+  /**
+   * Returns for how long `list` has found a duty unclaimed, in milliseconds; 0 if it has not, and
+   * Infinity for a duty that only this instance can claim, as its own claim counts as live elsewhere.
+   */
   readonly getAgeMs: (duty: string, nowMs: number) => number;
   /** Resets all ages, after a time without reports of the holders. */
   readonly reset: () => void;
@@ -28,12 +31,13 @@
 }: UnclaimedDutyOptions): UnclaimedDuties {
   const unclaimedSinceMs = new Map<string, number>();
   const droppedTokens = new Map<string, number>();
-  const isUnclaimed = (duty: string, nowMs: number) => {
+  /** Says whether this instance gave up the live claim of a duty, which no other will claim then. */
+  const isGivenUp = (duty: string, nowMs: number) => {
     const live = table.findLiveClaim(duty, nowMs);
-    // A claim that this instance gave up counts as unclaimed here at once: no other instance claims
-    // the duty while it still regards the claim as live.
-    return live === undefined || live.token === droppedTokens.get(duty);
+    return live !== undefined && live.token === droppedTokens.get(duty);
   };
+  const isUnclaimed = (duty: string, nowMs: number) =>
+    table.findLiveClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
   return {
     list: (nowMs) => {
       const unclaimed = new Set(listDuties().filter((duty) => isUnclaimed(duty, nowMs)));
@@ -45,7 +49,8 @@
       });
       return [...unclaimed];
     },
-    getAgeMs: (duty, nowMs) => nowMs - (unclaimedSinceMs.get(duty) ?? nowMs),
+    getAgeMs: (duty, nowMs) =>
+      isGivenUp(duty, nowMs) ? Infinity : nowMs - (unclaimedSinceMs.get(duty) ?? nowMs),
     reset: () => unclaimedSinceMs.clear(),
     observeDrop: ({ duty, token }) => {
       droppedTokens.set(duty, token);
