Take work elsewhere from a worker that rejects starts

That such a worker stood on the users' machines is not known; a queue shows as "queued" for good in this case, and nothing of it is a warning. Cause, by replay: a task whose start is rejected returns to the queue for 100 ms and is given to the same worker again, as batch tasks go to the fullest one. Only a worker that calls itself unhealthy was paused. A worker that answers renewals and rejects starts, for want of room that the planner does not know of, for its clock or for an order that it cannot read, held what was meant for it. Evidence: five replays of standing-queue.test.ts, three workers of which the fullest rejects: 62 of 118 jobs had started after 62 s, the others never ("unhealthy": 118 rejected starts). Now all 118 start on the other two, with under 60 rejections. Change: such a task avoids the worker if another one fits, and the worker is paused for 100 ms (500 ms if unhealthy), doubled up to 2 s until it accepts a start; the rejections of one round count once. A ticket that was rejected is dropped, as before. Why it works: the task goes elsewhere at once, and new tasks do not choose the worker while it is paused; a pause is shorter than 3 s, so that a worker that is needed is tried again. After: all tests of jobs pass.

--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -2,7 +2,7 @@
 import type { RunEnd } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
 import { isStepDone } from './ready-steps.js';
-import type { Job, JobPhase, Moment, Task } from './state.js';
+import { makeAvoidance, type Job, type JobPhase, type Moment, type Task } from './state.js';
 
 /** End of a run as reported by a worker. */
 export interface TaskEnd {
@@ -86,8 +86,8 @@
   const step = table.findStep(task);
   if (task.failedRuns.includes(end.run)) return;
   const failedRuns = [...task.failedRuns, end.run];
-  const avoidedWorkerIds = [...new Set([...task.avoidedWorkerIds, end.workerId])];
-  const current = table.moveTask(task, task.state, { failedRuns, avoidedWorkerIds });
+  const change = { failedRuns, ...makeAvoidance(task, end.workerId) };
+  const current = table.moveTask(task, task.state, change);
   dirtyJobs.add(task.jobId);
   const members = step.isGang
     ? table.listJobTasks(task.jobId).filter((t) => t.stepIndex === task.stepIndex)
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -2,21 +2,42 @@
  * Applies the outcomes of orders. A run whose order got no response is uncertain until a report
  * shows whether the worker has it.
  */
-import type { OrderOutcome } from '../ports/task-workers.js';
+import type { OrderOutcome, Rejection } from '../ports/task-workers.js';
 import type { StartAction } from './plan-starts.js';
 import type { StopAction } from './plan-stops.js';
 import type { PoolContext } from './pool-context.js';
 import { releaseUnendedRun } from './run-release.js';
 import { makeStepKey } from './spec.js';
-import type { Moment } from './state.js';
+import { makeAvoidance, type Moment } from './state.js';
 import type { TicketRegistry } from './tickets.js';
 
 /** Delay before a rejected task is started again. */
 const START_RETRY_MS = 100;
 
-/** How long a worker that reported itself unhealthy gets no new tasks. */
+/** First pause of a worker that reported itself unhealthy. */
 const UNHEALTHY_PAUSE_MS = 500;
 
+/** First pause of a worker that rejected a start for another reason. */
+const REJECTION_PAUSE_MS = 100;
+
+/** Limit of the pauses of a worker, which double until it accepts a start. */
+const MAX_PAUSE_MS = 2_000;
+
+/**
+ * Keeps new tasks off a worker that has rejected a start, for a time that grows with the pauses in a
+ * row; the rejections of one round pause it once.
+ */
+function startPause({ table }: PoolContext, workerId: string, why: Rejection, nowMs: number): void {
+  const worker = table.workers.get(workerId);
+  if (worker === undefined || worker.noStartBeforeMs > nowMs) return;
+  const firstMs = why === 'unhealthy' ? UNHEALTHY_PAUSE_MS : REJECTION_PAUSE_MS;
+  const pauseMs = Math.min(MAX_PAUSE_MS, firstMs * 2 ** worker.startPauses);
+  table.updateWorker(workerId, {
+    noStartBeforeMs: nowMs + pauseMs,
+    startPauses: worker.startPauses + 1,
+  });
+}
+
 /**
  * Applies the outcome of a start: a rejected task returns to the queue unless its run was confirmed
  * before, and an unconfirmed run with an unknown outcome is to be stopped. Changes nothing if the
@@ -33,7 +54,6 @@
   const task = table.findTask(action.taskKey);
   const isSameRun =
     task !== undefined && task.state.kind === 'assigned' && task.state.run === action.run;
-  const worker = table.workers.get(action.worker.id);
   if (outcome.kind !== 'accepted') {
     context.report({
       event: 'start-not-confirmed',
@@ -51,23 +71,21 @@
       const confirmedMs = state.confirmedMs ?? at.nowMs;
       const phase = state.phase === 'starting' ? 'running' : state.phase;
       table.moveTask(task, { ...state, phase, confirmedMs, lastProgressMs: at.nowMs });
+      table.updateWorker(action.worker.id, { startPauses: 0 });
       return;
     }
     case 'rejected':
       if (state.confirmedMs !== undefined) return;
       releaseUnendedRun(
         context,
-        task,
+        table.moveTask(task, state, makeAvoidance(task, action.worker.id)),
         { proof: 'start-rejected', why: outcome.why },
         { nowMs: at.nowMs, notBeforeMs: at.nowMs + START_RETRY_MS },
       );
-      if (outcome.why === 'unhealthy' && worker !== undefined) {
-        table.updateWorker(worker.entry.id, { noStartBeforeMs: at.nowMs + UNHEALTHY_PAUSE_MS });
-      }
       if (outcome.why === 'no-ticket') {
         const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
         tickets.dropTicket(stepKey, action.worker.id);
-      }
+      } else startPause(context, action.worker.id, outcome.why, at.nowMs);
       return;
     case 'unknown':
       if (state.phase === 'starting') table.moveTask(task, { ...state, phase: 'stopping' });
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -15,7 +15,14 @@
 import type { PoolContext } from './pool-context.js';
 import { NO_RESOURCES } from './free-capacity.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
-import { makeAssignment, type Assignment, type Moment, type Task, type Worker } from './state.js';
+import {
+  makeAssignment,
+  makeAvoidance,
+  type Assignment,
+  type Moment,
+  type Task,
+  type Worker,
+} from './state.js';
 import { NO_FAILURES } from './worker-failures.js';
 
 /** Maximum number of ends in one report; a report that reaches it may omit later ends. */
@@ -113,8 +120,8 @@
   const canStall =
     !step.isLasting && !step.isFilling && !step.isGang && updated.phase === 'running';
   if (!isStalled || !canStall) return;
-  const avoidedWorkerIds = [...new Set([...task.avoidedWorkerIds, state.workerId])];
-  context.table.moveTask(task, { ...updated, phase: 'stopping' }, { avoidedWorkerIds, checkpoint });
+  const change = { ...makeAvoidance(task, state.workerId), checkpoint };
+  context.table.moveTask(task, { ...updated, phase: 'stopping' }, change);
   context.report({
     event: 'run-stalled',
     task: task.key,
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -92,11 +92,16 @@
   readonly lastRun: number;
   /** Newest known checkpoint; empty if there is none. */
   readonly checkpoint: string;
-  /** Workers on which the task failed or stalled. */
+  /** Workers on which the task failed or stalled, or that rejected its start. */
   readonly avoidedWorkerIds: readonly string[];
   readonly state: TaskState;
 }
 
+/** Makes the change that adds a worker to those that a task avoids if others fit. */
+export function makeAvoidance(task: Task, workerId: string): Pick<Task, 'avoidedWorkerIds'> {
+  return { avoidedWorkerIds: [...new Set([...task.avoidedWorkerIds, workerId])] };
+}
+
 /** Indices of a step's tasks in one occurrence, by state; `assigned` maps them to worker ids. */
 export interface StepRun {
   readonly waiting: Set<number>;
@@ -208,8 +213,10 @@
   readonly orphanedRuns: Map<string, OrphanedRun>;
   /** Capacity that tasks reserve and orphaned runs use. */
   readonly used: Resources;
-  /** Until this time the worker gets no new tasks, because it reported itself unhealthy. */
+  /** Until this time the worker gets no new tasks, because it rejected starts. */
   readonly noStartBeforeMs: number;
+  /** Number of pauses after rejected starts since the last start that was accepted. */
+  readonly startPauses: number;
   /** Until this time the worker gets no new tasks and its lasting tasks are moved away. */
   readonly evacuateUntilMs: number;
   /** Failures on this worker since the last success there. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -254,6 +254,7 @@
         orphanedRuns: new Map(),
         used: NO_RESOURCES,
         noStartBeforeMs: 0,
+        startPauses: 0,
         evacuateUntilMs: 0,
         failures: NO_FAILURES,
       };
--- a/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
@@ -7,7 +7,7 @@
  * Why a worker gets no new tasks. `unlisted`: the list of registered workers omits it.
  * `unrecorded`: it is not stored as a possible lease holder. `draining`: it is shutting down.
  * `no-report`: it has not reported yet. `unresponsive`: its newest report is missing. `evacuating`:
- * its tasks have to leave. `unhealthy`: it rejected a start as unhealthy. `failing`: it is ejected
+ * its tasks have to leave. `unhealthy`: it rejected starts. `failing`: it is ejected
  * because tasks fail there. `on-trial`: its ejection has ended and it runs a task on trial.
  */
 export type Exclusion =
--- a/packages/vanilladock/src/test/jobs/standing-queue.test.ts
+++ b/packages/vanilladock/src/test/jobs/standing-queue.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import type { JobPolicy, StepSpec } from '../../lib/jobs/spec.js';
-import type { WorkerEntry } from '../../lib/ports/task-workers.js';
+import type { Rejection, WorkerEntry } from '../../lib/ports/task-workers.js';
 import { makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
 import { createPoolSimulation, type PlannedEnd, type StartRecord } from './pool-simulation.js';
 
@@ -98,8 +98,9 @@
 test('failing jobs leave no queue standing while the other worker is evacuated', () => {
   const simulation = createPoolSimulation({ workers: makeWorkers(2), decideEnd });
   const { planner, at } = simulation.harness;
-  const evacuate = (atMs: number) => void planner.evacuate('w', at(atMs));
-  const waitMs = measureBesideFailures(simulation, GOOD_POLICY, evacuate);
+  const waitMs = measureBesideFailures(simulation, GOOD_POLICY, (atMs) => {
+    planner.evacuate('w', at(atMs));
+  });
   assert.ok(waitMs < MAX_WAIT_MS, `a job waited ${waitMs} ms`);
 });
 
@@ -166,6 +167,34 @@
   return measureLongestWait(simulation, 2 * SECOND_MS, 60 * SECOND_MS);
 };
 
+const REJECTIONS: readonly Rejection[] = ['no-room', 'late', 'malformed', 'old-run', 'unhealthy'];
+
+REJECTIONS.forEach((why) =>
+  test(`the fullest worker rejects every start as ${why} and leaves no queue standing`, () => {
+    const capacity = { cores: 64, memoryMb: 64_000, accelerators: 0 };
+    const simulation = createPoolSimulation({
+      workers: makeWorkers(3, { capacity }),
+      decideEnd,
+      answerStart: ({ jobId, workerId, atMs }) =>
+        workerId === 'w' && jobId !== 'long'
+          ? { kind: 'rejected', why }
+          : { kind: 'accepted', clockMs: atMs },
+    });
+    const size = { cores: 8, memoryMb: 100, accelerators: 0 };
+    simulation.submit(makeJob('long', [makeStep({ size })]));
+    simulation.runUntil(SECOND_MS);
+    const countRejected = () =>
+      simulation.starts.filter(({ workerId }) => workerId === 'w').length - 1;
+    assert.is(countRejected(), 0);
+    measureLongestWait(simulation, SECOND_MS, 60 * SECOND_MS);
+    const accepted = new Set(
+      simulation.starts.filter(({ workerId }) => workerId !== 'w').map(({ jobId }) => jobId),
+    );
+    assert.is(accepted.size, 118, 'every job has started on another worker');
+    assert.ok(countRejected() < 60, `${countRejected()} starts were rejected`);
+  }),
+);
+
 test('lasting steps whose label no worker has leave no queue standing', () => {
   const step = makeStep({ isLasting: true, requiredLabel: 'z' });
   const waitMs = runBesideLastingSteps([step, step, step]);
