Keep counting an instance as down while an order for it may take effect

What callers saw: nothing in a record; more instances of a wave could be down at once than its order allows.

Cause: a maintenance order without an answer is repeated. The instance then no longer counted against the limit of the wave, nor did a successor know of the order.

Evidence: wave-runner.test.ts, a first order without an answer and a refused repeat: the step was gone before, and stays `ordered` now.

Change: only the refusal of a first order removes its step.

Why it works: a step that stays is repeated in each round while the instance is up and drained, until an order is answered as done.

--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -73,12 +73,15 @@
   const startMaintenance = async (order: WaveOrder, instance: FleetInstance) => {
     const { id, pool, workerId } = instance;
     const isRepeated = journal.listSteps(order.wave).has(id);
+    /** Removes the step of an order that is not carried out, unless an earlier one still may be. */
+    const dropStep = async () => {
+      if (!isRepeated) await journal.clear(order.wave, id);
+    };
     if (!(await writeStep(order, id, { kind: 'ordered', atMs: performance.now() }))) return;
     const { isReady, content } = await checkDrained(instance);
     if (isStopped()) return;
     if (!isReady) {
-      // An earlier order may still take effect, so its step remains.
-      if (!isRepeated) await journal.clear(order.wave, id);
+      await dropStep();
       return;
     }
     const fence = takeFence();
@@ -100,11 +103,11 @@
         return;
       case 'rejected':
         if (outcome.why === 'fenced') handleLoss('fleet-fenced');
-        else if (outcome.why === 'busy') await journal.clear(order.wave, id);
+        else if (outcome.why === 'busy') await dropStep();
         else await writeStep(order, id, { kind: 'done' });
         return;
       case 'refused':
-        await journal.clear(order.wave, id);
+        await dropStep();
         return;
       case 'unknown':
         return;
--- a/packages/daemon/src/test/wave-runner.test.ts
+++ b/packages/daemon/src/test/wave-runner.test.ts
@@ -151,6 +151,17 @@
   assert.is(steps.get('m1')?.kind, 'ordered');
 });
 
+test('an instance does not count as down although its first order may still take effect', async () => {
+  const { orders, steps, state, runRound } = createSetup();
+  state.outcome = { kind: 'unknown' };
+  await runRound();
+  await runRound();
+  state.outcome = { kind: 'refused', reason: 'status 429' };
+  await runRound();
+  assert.is(orders.length, 2);
+  assert.is(steps.get('m1')?.kind, 'ordered');
+});
+
 test('a drained worker is maintained in the round after its evacuation', async () => {
   const { orders, steps, runRound } = createSetup();
   await runRound();
