Plan a wave with every evacuation that holds, however slow its rounds are

Cause: the plan of a wave left out evacuations that were renewed more than 1.5 s ago. When a round takes longer, because a planner or the fleet does not answer in time, no instance was ever ready and the wave stood.

Evidence: wave-runner.test.ts with rounds 2 s apart gave no order before, and gives one in the second round now.

Change: the plan gets all evacuations that hold, for 3 s. Whether an order may be sent is decided by the renewal right before it, which has to be answered within 1.5 s as before.

Open: with rounds more than 3 s apart, evacuations lapse in between and the wave waits.

--- a/packages/daemon/src/lib/jobs/evacuations.ts
+++ b/packages/daemon/src/lib/jobs/evacuations.ts
@@ -15,14 +15,12 @@
 /** Evacuations of workers by one holder of the fleet duty. */
 export interface Evacuations {
   /**
-   * Starts or renews the evacuation of a worker; undefined while the planner of its pool does not
-   * answer or does not know the worker's tasks.
+   * Starts or renews the evacuation of a worker, which then holds long enough for an order that is
+   * sent at once; undefined while the planner of its pool does not answer in time or does not know
+   * the worker's tasks.
    */
   readonly renew: (pool: string, workerId: string) => Promise<EvacuatedWorker | undefined>;
-  /**
-   * Lists the evacuated workers, by id, whose evacuations hold long enough for an order that is
-   * sent at the monotonic time `nowMs`.
-   */
+  /** Lists the workers, by id, whose evacuations hold at the monotonic time `nowMs`. */
   readonly list: (nowMs: number) => ReadonlyMap<string, EvacuatedWorker>;
 }
 
@@ -40,14 +38,11 @@
       .filter(([, { renewedMs }]) => nowMs - renewedMs > EVACUATION_TTL_MS)
       .forEach(([workerId]) => evacuations.delete(workerId));
   };
-  const list = (nowMs: number) =>
-    new Map(
-      [...evacuations].filter(
-        ([, { renewedMs }]) => nowMs - renewedMs <= EVACUATION_TTL_MS - ORDER_MS,
-      ),
-    );
   return {
-    list,
+    list: (nowMs) => {
+      dropLapsed(nowMs);
+      return new Map(evacuations);
+    },
     renew: async (pool, workerId) => {
       const renewedMs = performance.now();
       dropLapsed(renewedMs);
@@ -59,7 +54,8 @@
         const sinceMs = known?.sinceMs ?? renewedMs;
         evacuations.set(workerId, { content: { lastingTasks, batchTasks }, sinceMs, renewedMs });
       }
-      return list(performance.now()).get(workerId);
+      const isInTime = performance.now() - renewedMs <= EVACUATION_TTL_MS - ORDER_MS;
+      return isInTime ? evacuations.get(workerId) : undefined;
     },
   };
 }
--- a/packages/daemon/src/test/wave-runner.test.ts
+++ b/packages/daemon/src/test/wave-runner.test.ts
@@ -162,6 +162,14 @@
   assert.is(steps.get('m1')?.kind, 'ordered');
 });
 
+test('a wave stands while its rounds take two seconds each', async () => {
+  const { orders, runRound } = createSetup();
+  await runRound();
+  await clock.tickAsync(2_000);
+  await runRound();
+  assert.is(orders.length, 1);
+});
+
 test('a drained worker is maintained in the round after its evacuation', async () => {
   const { orders, steps, runRound } = createSetup();
   await runRound();
