End a worker's evacuation with its incarnation

Cause: an evacuation was kept by the worker's id, and its next incarnation, which starts under the same id once the maintenance is done, inherited it. Evidence: the test failed before: no start on the next incarnation, expected 1. Change: the evacuation is dropped with the incarnation. The time that an evacuation holds stood twice and is one constant now. After: all tests of jobs and of waves pass.

--- a/packages/daemon/src/lib/jobs/evacuations.ts
+++ b/packages/daemon/src/lib/jobs/evacuations.ts
@@ -3,6 +3,7 @@
  * count only while the evacuation under which it reported them is certain to hold, as the planner
  * may start new tasks on the worker afterwards.
  */
+import { EVACUATION_ORDER_TTL_MS } from 'vanilladock/lib/jobs/worker-incarnations.js';
 import type { EvacuatedWorker } from 'vanilladock/lib/waves/plan-wave.js';
 import type { JobGateway } from './job-gateway.js';
 
@@ -24,9 +25,6 @@
   readonly list: (nowMs: number) => ReadonlyMap<string, EvacuatedWorker>;
 }
 
-/** How long a planner keeps new tasks off a worker after a renewal. */
-const EVACUATION_TTL_MS = 3_000;
-
 /** Time within which an order that is sent takes effect, unless its call has timed out. */
 const ORDER_MS = 1_500;
 
@@ -35,7 +33,7 @@
   const evacuations = new Map<string, Evacuation>();
   const dropLapsed = (nowMs: number) => {
     [...evacuations]
-      .filter(([, { renewedMs }]) => nowMs - renewedMs > EVACUATION_TTL_MS)
+      .filter(([, { renewedMs }]) => nowMs - renewedMs > EVACUATION_ORDER_TTL_MS)
       .forEach(([workerId]) => evacuations.delete(workerId));
   };
   return {
@@ -54,7 +52,7 @@
         const sinceMs = known?.sinceMs ?? renewedMs;
         evacuations.set(workerId, { content: { lastingTasks, batchTasks }, sinceMs, renewedMs });
       }
-      const isInTime = performance.now() - renewedMs <= EVACUATION_TTL_MS - ORDER_MS;
+      const isInTime = performance.now() - renewedMs <= EVACUATION_ORDER_TTL_MS - ORDER_MS;
       return isInTime ? evacuations.get(workerId) : undefined;
     },
   };
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -63,7 +63,7 @@
 }
 
 /** How long an evacuation order remains in effect after it was last given. */
-const EVACUATION_ORDER_TTL_MS = 3_000;
+export const EVACUATION_ORDER_TTL_MS = 3_000;
 
 /** Time in which a start that was sent has arrived or been given up, in milliseconds. */
 const ORDER_DELAY_MS = 1_000;
@@ -134,6 +134,7 @@
     reportLoss(context, worker, loss, nowMs);
     releaseEnded(context, tasks.filter(isReported), loss, nowMs);
     ended.addReplaced(worker.entry);
+    evacuateUntilMsById.delete(entry.id);
     addWorker(entry, nowMs);
     const added = table.workers.get(entry.id);
     tasks.filter((task) => !isReported(task)).forEach((task) => added?.tasks.add(task.key));
--- a/packages/vanilladock/src/test/jobs/standing-queue.test.ts
+++ b/packages/vanilladock/src/test/jobs/standing-queue.test.ts
@@ -3,7 +3,7 @@
 import { suite } from 'uvu';
 import type { JobPolicy, StepSpec } from '../../lib/jobs/spec.js';
 import type { Rejection, WorkerEntry } from '../../lib/ports/task-workers.js';
-import { makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
+import { createHarness, makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
 import { createPoolSimulation, type PlannedEnd, type StartRecord } from './pool-simulation.js';
 
 const test = suite('standing queue');
@@ -195,6 +195,20 @@
   }),
 );
 
+test('the next incarnation of a maintained worker gets tasks although the earlier one was evacuated', () => {
+  const { planner, at, addWorkers, submit, planStarts } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  planner.evacuate('w1', at(100));
+  const next = makeEntry('w1', { bornMs: 2 });
+  planner.observeWorkers([next], at(1_000));
+  planner.markWorkersRecorded(['w1']);
+  const timed = { sentMs: 1_010, receivedMs: 1_010 };
+  const taskReport = { bornMs: 2, clockMs: 10, running: [], ended: [] };
+  planner.observeReport('w1', { ...timed, report: taskReport }, at(1_010));
+  submit(makeJob('a'), 1_020);
+  assert.is(planStarts(1_030).length, 1);
+});
+
 test('lasting steps whose label no worker has leave no queue standing', () => {
   const step = makeStep({ isLasting: true, requiredLabel: 'z' });
   const waitMs = runBesideLastingSteps([step, step, step]);
