Share the worker in memory and the runner's options of the daemon's tests

No change of code or of an assertion. Two tests had a worker in memory of the same lines and four the same options of a runner; they are in memory-worker.ts and job-fixtures.ts now, and the store in memory takes the time of an append. The tests of the pool's runner, its log, loops and slow store pass.

--- a/packages/daemon/src/test/job-fixtures.ts
+++ b/packages/daemon/src/test/job-fixtures.ts
@@ -54,3 +54,16 @@
 };
 
 export const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
+
+/** Options of a pool's runner that most tests leave alone; its claim is always in force. */
+export const RUNNER_BASE = {
+  storePartitions: 8,
+  advisor: { advise: () => new Promise<never>(() => {}) },
+  statusMs: 60_000,
+  log: SILENT_LOG,
+  pool: POOL,
+  claim: { duty: `pool/${POOL}`, holder: 'a', token: 1 },
+  isInForce: () => true,
+  queryPredecessor: () => Promise.resolve(true),
+  handleLost: () => {},
+};
--- a/packages/daemon/src/test/memory-store.ts
+++ b/packages/daemon/src/test/memory-store.ts
@@ -12,12 +12,12 @@
   });
 
 /** A store that does not answer appends of the epochs in `unansweredEpochs`. */
-export function createMemoryStore() {
+export function createMemoryStore(appendMs = CALL_MS) {
   const records: StoredKeyedRecord[] = [];
   const unansweredEpochs = new Set<number>();
   const store: KeyedStore = {
     append: async (_, added, guard) => {
-      await waitFor(CALL_MS);
+      await waitFor(appendMs);
       if (guard.kind === 'producer' && unansweredEpochs.has(guard.epoch)) return NEVER;
       const offset = records.length;
       added.forEach((record) => records.push({ ...record, offset: records.length }));
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -7,7 +7,7 @@
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import type { LogFields } from '../lib/json-log.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
-import { ENTRY, POLICY, POOL, SPEC } from './job-fixtures.js';
+import { ENTRY, POLICY, POOL, RUNNER_BASE, SPEC } from './job-fixtures.js';
 
 const SECOND_MS = 1_000;
 const TOKEN = 7;
@@ -38,18 +38,13 @@
   const state = { isInForce: true };
   const entries = new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map([['w1', ENTRY]]));
   const runner = startPoolRunner({
+    ...RUNNER_BASE,
     store: STORE,
-    storePartitions: 8,
     workers: WORKERS,
-    advisor: { advise: () => NEVER },
     entries,
-    statusMs: 60 * SECOND_MS,
     log: { info: logLine, warn: logLine, error: logLine },
-    pool: POOL,
     claim: { duty: `pool/${POOL}`, holder: 'h', token: TOKEN },
     isInForce: () => state.isInForce,
-    queryPredecessor: () => Promise.resolve(true),
-    handleLost: () => {},
   });
   const listLines = (name: string) => lines.filter(({ event }) => event === name);
   return { runner, state, entries, listLines };
--- a/packages/daemon/src/test/pool-runner.test.ts
+++ b/packages/daemon/src/test/pool-runner.test.ts
@@ -3,74 +3,32 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { BehaviorSubject } from 'rxjs';
-import type { EndedTask, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import type { WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
-import { ENTRY, POLICY, POOL, SILENT_LOG, SPEC, STEP } from './job-fixtures.js';
-import { CALL_MS, createMemoryStore, NEVER, waitFor } from './memory-store.js';
+import { ENTRY, POLICY, POOL, RUNNER_BASE, SPEC, STEP } from './job-fixtures.js';
+import { CALL_MS, createMemoryStore } from './memory-store.js';
+import { createMemoryWorker, TASK_MS } from './memory-worker.js';
 
 const SECOND_MS = 1_000;
-const TASK_MS = 50;
 
 const TWO_TASKS = { ...STEP, count: 2, estimateMs: TASK_MS };
 const TWO_STEP_JOB = { ...SPEC, steps: [TWO_TASKS, { ...TWO_TASKS, count: 1, dependsOn: [0] }] };
 const LENIENT_POLICY = { ...POLICY, stretch: 10, targetLatencyMs: 9_000 };
 
-/** A worker that drops the ends that a planner has confirmed as stored. */
-const createWorker = () => {
-  const starts: string[] = [];
-  const running = new Map<string, number>();
-  let ended: readonly EndedTask[] = [];
-  let lastNumber = 0;
-  const workers = {
-    startTask: async (_: unknown, { taskKey, run }: { taskKey: string; run: number }) => {
-      await waitFor(CALL_MS);
-      starts.push(taskKey);
-      running.set(taskKey, run);
-      setTimeout(() => {
-        running.delete(taskKey);
-        lastNumber += 1;
-        ended = [...ended, { number: lastNumber, taskKey, run, how: 'done', checkpoint: '' }];
-      }, TASK_MS);
-      return { kind: 'accepted', clockMs: performance.now() };
-    },
-    renew: async (_: unknown, { lastSeenEnd, waitMs }: { lastSeenEnd: number; waitMs: number }) => {
-      await waitFor(Math.max(CALL_MS, Math.min(waitMs, TASK_MS)));
-      ended = ended.filter(({ number }) => number > lastSeenEnd);
-      const rows = [...running].map(([taskKey, run]) => ({
-        taskKey,
-        run,
-        checkpoint: '',
-        percent: 10,
-        load: 0,
-      }));
-      const report = { bornMs: 1, clockMs: performance.now(), running: rows, ended };
-      return { kind: 'report', report };
-    },
-  };
-  return { starts, workers: workers as unknown as TaskWorkers };
-};
-
 const test = suite('pool runner');
 
 // Guards against a task that runs twice, because only a planner that died had received its end.
 test('a third planner restarts no task whose end the second got but did not store', async () => {
   const clock = install({ now: 0 });
   const { store, unansweredEpochs } = createMemoryStore();
-  const { starts, workers } = createWorker();
+  const { starts, workers } = createMemoryWorker();
   const startRunner = (token: number) =>
     startPoolRunner({
+      ...RUNNER_BASE,
       store,
-      storePartitions: 8,
       workers,
-      advisor: { advise: () => NEVER },
       entries: new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map([['w1', ENTRY]])),
-      statusMs: 60 * SECOND_MS,
-      log: SILENT_LOG,
-      pool: POOL,
       claim: { duty: `pool/${POOL}`, holder: `${token}`, token },
-      isInForce: () => true,
-      queryPredecessor: () => Promise.resolve(true),
-      handleLost: () => {},
     });
   const first = startRunner(1);
   await clock.tickAsync(SECOND_MS);
--- a/packages/daemon/src/test/worker-loops.test.ts
+++ b/packages/daemon/src/test/worker-loops.test.ts
@@ -5,8 +5,8 @@
 import { BehaviorSubject } from 'rxjs';
 import type { RenewOutcome, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
-import { ENTRY, POOL, SILENT_LOG } from './job-fixtures.js';
-import { CALL_MS, createMemoryStore, NEVER, waitFor } from './memory-store.js';
+import { ENTRY, RUNNER_BASE } from './job-fixtures.js';
+import { CALL_MS, createMemoryStore, waitFor } from './memory-store.js';
 
 const SECOND_MS = 1_000;
 
@@ -31,18 +31,10 @@
     return { kind: 'report', report: { bornMs, clockMs, running: [], ended: [] } };
   };
   const runner = startPoolRunner({
+    ...RUNNER_BASE,
     store: createMemoryStore().store,
-    storePartitions: 8,
     workers: { renew } as unknown as TaskWorkers,
-    advisor: { advise: () => NEVER },
     entries,
-    statusMs: 60 * SECOND_MS,
-    log: SILENT_LOG,
-    pool: POOL,
-    claim: { duty: `pool/${POOL}`, holder: 'a', token: 1 },
-    isInForce: () => true,
-    queryPredecessor: () => Promise.resolve(true),
-    handleLost: () => {},
   });
   const list = (...listed: readonly WorkerEntry[]) =>
     entries.next(new Map(listed.map((entry) => [entry.id, entry])));
