Forget when a worker was first known once it is gone

What callers would see: nothing; a planner that runs for long keeps two entries for each worker that it ever had, and workers get a new id with each move. Cause: the times at which an incarnation was first known and last noticed as ended were kept by id and not removed with the worker. Change: both are removed with the worker; nothing reads them without one, so no decision changes. After: the tests of jobs, of planners and of loops pass.

--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -88,11 +88,15 @@
   /** End of each worker's evacuation by worker id; some workers have no entry yet. */
   const evacuateUntilMsById = new Map<string, number>();
 
+  const removeWorker = (workerId: string) => {
+    table.dropWorker(workerId);
+    knownSinceMs.delete(workerId);
+    endNoticedMs.delete(workerId);
+  };
   const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number) => {
     reportLoss(context, worker, loss, nowMs);
     releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
-    table.dropWorker(worker.entry.id);
-    endNoticedMs.delete(worker.entry.id);
+    removeWorker(worker.entry.id);
   };
   const reportEnd = (
     workerId: string,
@@ -168,7 +172,7 @@
     if (hasEnded) {
       ended.addUnresponsive(worker.entry, nowMs);
       dropWorker(worker, { why: 'ordered', newBornMs: undefined }, nowMs);
-    } else if (!worker.isListed) table.dropWorker(id);
+    } else if (!worker.isListed) removeWorker(id);
   };
   const releaseUnresponsive = (nowMs: number) => {
     [...table.workers.values()].forEach((worker) => {
--- a/packages/vanilladock/src/test/jobs/queue-load.ts
+++ b/packages/vanilladock/src/test/jobs/queue-load.ts
@@ -2,7 +2,7 @@
 import type { JobPolicy } from '../../lib/jobs/spec.js';
 import type { WorkerEntry } from '../../lib/ports/task-workers.js';
 import { makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
-import type { createPoolSimulation} from './pool-simulation.js';
+import type { createPoolSimulation } from './pool-simulation.js';
 import { type PlannedEnd, type StartRecord } from './pool-simulation.js';
 
 export const SECOND_MS = 1_000;
