Measure the cost of a planner

`npm run measure -- planner-cost`: time of a plan in a full pool and of a start, for 25 workers with 10 waiting jobs and 400 with 160; bounds of the issue: 1 ms for the large pool, 3 times the small one.

--- a/packages/measure/src/lib/bounds.ts
+++ b/packages/measure/src/lib/bounds.ts
@@ -72,6 +72,10 @@
     black_hole_tasks_p99: makeUpper(10),
     unrunnable_attempts_max: makeUpper(3),
   },
+  'planner-cost': {
+    plan_large_ms: makeUpper(1),
+    plan_ratio: makeUpper(3),
+  },
   control: {
     cpu_fraction: makeUpper(0.021),
     added_mb: makeUpper(32),
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -10,6 +10,7 @@
 import { MOVES_MEASURE } from './moves.js';
 import { OVERHEAD_MEASURE } from './overhead.js';
 import { PLACEMENT_MEASURE } from './placement.js';
+import { PLANNER_COST_MEASURE } from './planner-cost.js';
 import { SLOPES_MEASURE } from './slopes.js';
 import { SLOTS_MEASURE } from './slots.js';
 import { WAVE_MEASURE } from './wave.js';
@@ -24,6 +25,7 @@
   WAVE_MEASURE,
   MOVES_MEASURE,
   PLACEMENT_MEASURE,
+  PLANNER_COST_MEASURE,
   CONTROL_MEASURE,
   CONTROL_SLOPES_MEASURE,
   EXCHANGE_MEASURE,
--- a/packages/vanilladock/src/lib/jobs/plan-scope.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-scope.ts
@@ -4,16 +4,15 @@
  * whole pool is due.
  */
 
-/** What a plan looks at: everything, or some jobs and workers by id. */
-export type PlanScope =
-  | { readonly kind: 'all' }
-  | {
-      readonly kind: 'changes';
-      /** Jobs that have changed. */
-      readonly jobIds: ReadonlySet<string>;
-      /** Workers that have changed, or that got no new tasks at the plan before. */
-      readonly workerIds: ReadonlySet<string>;
-    };
+/** What a plan looks at, by ids. */
+export interface PlanScope {
+  /** Whether all jobs are tried on all workers. */
+  readonly isFull: boolean;
+  /** Jobs that have changed since the plan before. */
+  readonly jobIds: ReadonlySet<string>;
+  /** All workers, or those that have changed or got no new tasks at the plan before. */
+  readonly workerIds: ReadonlySet<string>;
+}
 
 /** Schedule of the plans that look at the whole pool. */
 export interface PlanSchedule {
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -94,19 +94,19 @@
       .map(({ waiting }) => waiting);
   /** Lists the jobs to place: those that have changed, and all others if a task of them may fit. */
   const listJobs = (scope: PlanScope, changedBound: Resources): readonly WaitingJob[] => {
-    if (scope.kind === 'all' || waitingJobs.mayFit(changedBound)) return waitingJobs.list();
+    if (scope.isFull || waitingJobs.mayFit(changedBound)) return waitingJobs.list();
     return [...scope.jobIds].flatMap((id) => waitingJobs.find(id) ?? []);
   };
   return {
     plan: ({ at, isInheritanceUncertain, scope }) => {
-      if (scope.kind === 'all') reservations.clear();
-      waitingJobs.refresh(scope.kind === 'all' ? 'all' : scope.jobIds);
+      if (scope.isFull) reservations.clear();
+      waitingJobs.refresh(scope.jobIds);
       const pass = createStartPass({ context, tickets, reservations, at, scope });
       const jobs = listJobs(scope, pass.getChangedBound());
       const isReady = ({ job }: WaitingJob) => !(job.isInherited && isInheritanceUncertain);
       sortJobs(jobs.filter(isReady), at.nowMs).forEach(pass.placeJob);
       const plan = pass.getPlan();
-      if (scope.kind === 'all') ticketless = plan.ticketless;
+      if (scope.isFull) ticketless = plan.ticketless;
       waitingJobs.refresh(plan.startedJobIds);
       return {
         actions: plan.actions,
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -275,7 +275,7 @@
       applyTime(at, isFull);
       const workerIds = listPlannedWorkers(isFull);
       const { jobIds } = table.takeChanges();
-      const scope: PlanScope = isFull ? { kind: 'all' } : { kind: 'changes', jobIds, workerIds };
+      const scope: PlanScope = { isFull, jobIds, workerIds };
       exclusionLog.observeWorkers(workerIds, at.nowMs);
       const stops = planStops(context, { at, isInheritanceUncertain, workerIds });
       const inputs = { at, isInheritanceUncertain, scope };
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -86,10 +86,11 @@
     allWorkers ??= createCandidates(table, table.workers.keys(), at.nowMs);
     return allWorkers;
   };
-  const changedWorkers =
-    scope.kind === 'all' ? listAll() : createCandidates(table, scope.workerIds, at.nowMs);
+  const changedWorkers = scope.isFull
+    ? listAll()
+    : createCandidates(table, scope.workerIds, at.nowMs);
   /** Says whether a job has to be tried on all workers. */
-  const isForAll = (jobId: string) => scope.kind === 'all' || scope.jobIds.has(jobId);
+  const isForAll = (jobId: string) => scope.isFull || scope.jobIds.has(jobId);
   const isAnyEjected = () => {
     hasEjected ??= [...table.workers.values()].some((worker) => isEjected(worker, at.nowMs));
     return hasEjected;
--- a/packages/vanilladock/src/lib/jobs/waiting-jobs.ts
+++ b/packages/vanilladock/src/lib/jobs/waiting-jobs.ts
@@ -21,8 +21,8 @@
 
 /** The waiting jobs of a pool. */
 export interface WaitingJobs {
-  /** Looks again at the jobs with these ids, or at all active jobs. */
-  readonly refresh: (jobIds: Iterable<string> | 'all') => void;
+  /** Looks again at the jobs with these ids. */
+  readonly refresh: (jobIds: Iterable<string>) => void;
   readonly find: (jobId: string) => WaitingJob | undefined;
   readonly list: () => readonly WaitingJob[];
   /** Says whether some waiting task may fit into a free capacity; false is certain. */
@@ -56,10 +56,9 @@
   };
   return {
     refresh: (jobIds) => {
-      if (jobIds === 'all') waitingJobs.clear();
-      const ids = jobIds === 'all' ? table.activeJobs.keys() : jobIds;
-      [...ids].forEach(refreshJob);
-      smallest = undefined;
+      const ids = [...jobIds];
+      ids.forEach(refreshJob);
+      if (ids.length > 0) smallest = undefined;
     },
     find: (jobId) => waitingJobs.get(jobId),
     list: () => [...waitingJobs.values()],
