Lend ahead of a rise by the trend of its arrivals

Callers of a queue that peaks waited, as its pool got instances two to four seconds late.

Change: arrivals are metered over two windows; the slope between them extends the rate by the time that a move takes, at most to twice the rate, and only for a rise beyond chance and of several jobs.

--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -137,6 +137,7 @@
             workers: demand.workers.length,
             incoming: incoming.get(demand.pool) ?? 0,
             arrivalCores: Math.round(demand.arrivalCores),
+            expectedCores: Math.round(demand.expectedCores),
             runnableCores: Math.round(demand.runnableCores),
             onTimeCores: Math.round(demand.onTimeCores),
             lastingCores: Math.round(demand.lastingCores),
--- a/packages/daemon/src/test/lender.test.ts
+++ b/packages/daemon/src/test/lender.test.ts
@@ -49,7 +49,7 @@
       workerId,
       ...(workerId === 'w1' ? state.content : { lastingTasks: 1, batchTasks: 0 }),
     }));
-    const cores = { arrivalCores: 0, runnableCores: 0, onTimeCores: 0 };
+    const cores = { arrivalCores: 0, expectedCores: 0, runnableCores: 0, onTimeCores: 0 };
     const demand = { pool: POOL, ...cores, lastingCores: state.lastingCores, workers };
     const needs = { minWorkers: 0, hasPeaked: true, hasUnplaced: false };
     return { kind: 'demand', demand: { ...demand, ...needs } };
--- a/packages/vanilladock/src/lib/jobs/pool-demand.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-demand.ts
@@ -141,15 +141,14 @@
 }
 
 /**
- * Computes the demand of the pool as an input for lending. `arrivalCores` is the work that arrived
- * in the last second, in core-seconds; `nowMs` is monotonic.
+ * Computes the demand of the pool as an input for lending, apart from its arrivals; `nowMs` is
+ * monotonic.
  */
 export function computeDemand(
   pool: string,
   table: TaskTable,
-  arrivalCores: number,
   nowMs: number,
-): PoolDemand {
+): Omit<PoolDemand, 'arrivalCores' | 'expectedCores'> {
   const batch = [...table.activeJobs.values()].filter((job) => !job.isLasting);
   const onTime = batch.filter((job) => isOnTime(job, nowMs));
   const largestWorker = findLargestWorker(table);
@@ -160,7 +159,6 @@
     );
   return {
     pool,
-    arrivalCores,
     runnableCores: computeCores(batch),
     onTimeCores: computeCores(onTime),
     lastingCores: computeEquivalentCores(largestWorker, sumLastingTasks(table)),
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -4,6 +4,7 @@
  * actions and reports their outcomes. State that must survive the planner is returned as records to
  * store.
  */
+import { createArrivalForecast } from '../lending/arrival-forecast.js';
 import type { PoolDemand } from '../lending/plan-lending.js';
 import type { OrderOutcome, WorkerEntry } from '../ports/task-workers.js';
 import type { WorkerTasks } from '../waves/plan-wave.js';
@@ -24,7 +25,6 @@
 import type { DecisionEvent, PoolContext } from './pool-context.js';
 import { countWorkerTasks, computeDemand, computePoolLoad } from './pool-demand.js';
 import type { Progress } from './progress.js';
-import { createRateMeter } from './rate-meter.js';
 import { renderStep } from './render-step.js';
 import { isLastingJob, parseJobId, type JobPolicy, type JobRecord, type JobSpec } from './spec.js';
 import type { Moment } from './state.js';
@@ -142,7 +142,7 @@
   const tickets = createTicketRegistry((stepKey) => table.recordJobChange(parseJobId(stepKey)));
   const dirtyJobs = new Set<string>();
   const storeQueue = createStoreQueue(pool, table, dirtyJobs);
-  const arrivals = createRateMeter();
+  const arrivals = createArrivalForecast();
   let reachable = { cores: 0, untilMs: 0 };
   const meanWork = createMeanWork();
   const context: PoolContext = { table, dirtyJobs, report: options.report };
@@ -163,7 +163,7 @@
   const applyTime = ({ nowMs, wallMs }: Moment, isFull: boolean) => {
     incarnations.releaseUnresponsive(listPlannedWorkers(isFull), nowMs);
     openDueOccurrences(table, wallMs);
-    refreshEjections(table, nowMs);
+    if (exclusionLog.listExcluded().length > 0) refreshEjections(table, nowMs);
     if (isFull) dropFinishedJobs(table, options.statusMs, nowMs);
   };
   return {
@@ -181,7 +181,7 @@
       const usableReachableCores =
         at.nowMs < reachable.untilMs ? reachable.cores * REACHABLE_CORES_SHARE : 0;
       const load = { ...currentLoad, cores: Math.max(currentLoad.cores, usableReachableCores) };
-      if (!isLastingJob(spec)) arrivals.add(computeWork(spec), at.nowMs);
+      if (!isLastingJob(spec)) arrivals.add({ coreSeconds: computeWork(spec), jobs: 1 }, at.nowMs);
       const admission = admitJob(spec, policy, load);
       options.report({
         event: admission.kind === 'admitted' ? 'job-admitted' : 'job-refused',
@@ -260,7 +260,11 @@
     },
     getDemand: (reachableCores, { nowMs }) => {
       reachable = { cores: reachableCores, untilMs: nowMs + REACHABLE_CORES_TTL_MS };
-      return computeDemand(pool, table, arrivals.getRate(nowMs), nowMs);
+      return {
+        ...computeDemand(pool, table, nowMs),
+        arrivalCores: arrivals.getRate(nowMs),
+        expectedCores: arrivals.getExpectedRate(nowMs),
+      };
     },
     markEndsStored: (workerId, bornMs, lastEnd) =>
       recordStoredEnds(table, { workerId, bornMs, lastEnd }),
--- a/packages/vanilladock/src/lib/jobs/rate-meter.ts
+++ b/packages/vanilladock/src/lib/jobs/rate-meter.ts
@@ -1,4 +1,4 @@
-/** Meter for a rate over about the last second, with exponential decay. */
+/** Meter for a rate over a recent window, with exponential decay. */
 
 /** Rate meter. Times are on one clock, in milliseconds, and must not decrease between calls. */
 export interface RateMeter {
@@ -7,15 +7,14 @@
   readonly getRate: (nowMs: number) => number;
 }
 
-const WINDOW_MS = 700;
 const MS_PER_SECOND = 1_000;
 
-/** Creates a meter with rate zero. */
-export function createRateMeter(): RateMeter {
+/** Creates a meter with rate zero; what was added `windowMs` ago counts with a weight of 1/e. */
+export function createRateMeter(windowMs: number): RateMeter {
   let sum = 0;
   let sinceMs = 0;
   const updateTo = (nowMs: number) => {
-    sum *= Math.exp(-(nowMs - sinceMs) / WINDOW_MS);
+    sum *= Math.exp(-(nowMs - sinceMs) / windowMs);
     sinceMs = nowMs;
   };
   return {
@@ -25,7 +24,7 @@
     },
     getRate: (nowMs) => {
       updateTo(nowMs);
-      return (sum * MS_PER_SECOND) / WINDOW_MS;
+      return (sum * MS_PER_SECOND) / windowMs;
     },
   };
 }
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -81,6 +81,8 @@
   const { table, report } = context;
   const ended = createEndedIncarnations();
   let listedEntries: readonly WorkerEntry[] = [];
+  /** Listed entries that are not in the table; undefined when they have to be found again. */
+  let missingEntries: readonly WorkerEntry[] | undefined;
   /** When the present incarnation of each worker was first known, by worker id. */
   const knownSinceMs = new Map<string, number>();
   /** When the last notice of an end was received that no report has answered, by worker id. */
@@ -90,6 +92,7 @@
 
   const removeWorker = (workerId: string) => {
     table.dropWorker(workerId);
+    missingEntries = undefined;
     knownSinceMs.delete(workerId);
     endNoticedMs.delete(workerId);
   };
@@ -181,9 +184,10 @@
       if (hasRuns && hasExpired(worker, nowMs)) releaseExpired(context, worker, nowMs);
       dropEmpty(worker, nowMs);
     });
-    listedEntries
-      .filter(({ id }) => !table.workers.has(id))
-      .forEach((entry) => observeEntry(entry, nowMs));
+    missingEntries ??= listedEntries.filter(({ id }) => !table.workers.has(id));
+    if (missingEntries.length === 0) return;
+    missingEntries.forEach((entry) => observeEntry(entry, nowMs));
+    missingEntries = undefined;
   };
   /**
    * Says whether a worker may hold a lease of this planner now or soon. One without starts that was
@@ -194,6 +198,7 @@
   return {
     observeEntries: (entries, { nowMs }) => {
       listedEntries = entries;
+      missingEntries = undefined;
       entries.forEach((entry) => observeEntry(entry, nowMs));
       const ids = new Set(entries.map((entry) => entry.id));
       ended.retain(ids);
--- a/packages/vanilladock/src/lib/lending/plan-lending.ts
+++ b/packages/vanilladock/src/lib/lending/plan-lending.ts
@@ -27,6 +27,8 @@
   readonly pool: string;
   /** Core-seconds of work that arrived in the last second, including refused work. */
   readonly arrivalCores: number;
+  /** Core-seconds of work expected to arrive a second when an instance moved now is ready. */
+  readonly expectedCores: number;
   /**
    * Cores of the batch tasks that run or could start now; if larger, the cores of the workers that
    * hold enough memory for them.
--- a/packages/vanilladock/src/lib/lending/pool-balance.ts
+++ b/packages/vanilladock/src/lib/lending/pool-balance.ts
@@ -27,7 +27,7 @@
   upCount: number,
 ): PoolNeed {
   const countFor = (runnableCores: number) => {
-    const batchCores = Math.max(demand.arrivalCores, runnableCores * CONCURRENT_SHARE);
+    const batchCores = Math.max(demand.expectedCores, runnableCores * CONCURRENT_SHARE);
     const cores = batchCores * HEADROOM_FACTOR + demand.lastingCores;
     return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
   };
--- a/packages/vanilladock/src/test/jobs/pool-simulation.ts
+++ b/packages/vanilladock/src/test/jobs/pool-simulation.ts
@@ -45,6 +45,7 @@
   readonly starts: readonly StartRecord[];
   /** Advances the time to `untilMs`. */
   readonly runUntil: (untilMs: number) => void;
+  readonly getNowMs: () => number;
   readonly submit: (spec: JobSpec, policy?: JobPolicy) => void;
   /** Replaces the list of registered workers; those that are omitted stop to answer. */
   readonly setWorkers: (entries: readonly WorkerEntry[]) => void;
@@ -197,6 +198,7 @@
     runUntil: (untilMs) => {
       for (; nowMs < untilMs; nowMs += STEP_MS) runStep();
     },
+    getNowMs: () => nowMs,
     submit: (spec, policy = POLICY) => {
       harness.submit(spec, nowMs, policy);
       nextPlanMs = nowMs;
--- a/packages/vanilladock/src/test/lending/plan-lending.test.ts
+++ b/packages/vanilladock/src/test/lending/plan-lending.test.ts
@@ -24,6 +24,7 @@
 const makeDemand = (pool: string, count: number, change: Partial<PoolDemand> = {}): PoolDemand => ({
   pool,
   arrivalCores: 0,
+  expectedCores: 0,
   runnableCores: 0,
   onTimeCores: 0,
   lastingCores: 0,
@@ -56,7 +57,7 @@
   });
 
 test('a pool at its peak gets standby instances first, then idle instances of other pools', () => {
-  const demands = [makeDemand('a', 4, { arrivalCores: 70 }), makeDemand('b', 6)];
+  const demands = [makeDemand('a', 4, { expectedCores: 70 }), makeDemand('b', 6)];
   const instances = [
     ...makeInstances('a', 4),
     ...makeInstances('b', 6),
@@ -79,7 +80,7 @@
       batchTasks: 0,
     })),
   ];
-  const demands = [makeDemand('a', 3, { arrivalCores: 70 }), makeDemand('b', 5, { workers })];
+  const demands = [makeDemand('a', 3, { expectedCores: 70 }), makeDemand('b', 5, { workers })];
   const { moves, drain } = plan(demands, [...makeInstances('a', 3), ...makeInstances('b', 5)]);
   assert.equal(moves, []);
   assert.equal(
@@ -119,7 +120,7 @@
   const instances = [...makeInstances('a', 3), ...makeInstances('b', 10)];
   const withoutDemand = plan([makeDemand('a', 3), makeDemand('b', 10, late)], instances);
   assert.equal(withoutDemand.moves, []);
-  const demands = [makeDemand('a', 3, { arrivalCores: 70 }), makeDemand('b', 10, late)];
+  const demands = [makeDemand('a', 3, { expectedCores: 70 }), makeDemand('b', 10, late)];
   assert.equal(
     plan(demands, instances).moves.map(({ from, to }) => `${from}>${to}`),
     Array.from({ length: 6 }, () => 'b>a'),
@@ -130,7 +131,7 @@
   const busy = { runnableCores: 900, onTimeCores: 0 };
   const workers = makeDemand('b', 6).workers.map((worker) => ({ ...worker, batchTasks: 2 }));
   const demands = [
-    makeDemand('a', 3, { arrivalCores: 34 }),
+    makeDemand('a', 3, { expectedCores: 34 }),
     makeDemand('b', 6, { ...busy, workers }),
   ];
   const { moves, drain } = plan(demands, [...makeInstances('a', 3), ...makeInstances('b', 6)]);
@@ -142,7 +143,7 @@
 });
 
 test('a plan is limited to the maximum number of moves and drains nothing beyond it', () => {
-  const demands = [makeDemand('a', 3, { arrivalCores: 900 }), makeDemand('b', 6)];
+  const demands = [makeDemand('a', 3, { expectedCores: 900 }), makeDemand('b', 6)];
   const instances = [
     ...makeInstances('a', 3),
     ...makeInstances('b', 6),
@@ -174,7 +175,7 @@
   }));
   const own = plan([makeDemand('b', 9)], instances, since, 60_000);
   assert.equal([...own.moves, ...own.drain], []);
-  const demands = [makeDemand('a', 3, { arrivalCores: 90 }), makeDemand('b', 9)];
+  const demands = [makeDemand('a', 3, { expectedCores: 90 }), makeDemand('b', 9)];
   const lent = plan(demands, [...makeInstances('a', 3), ...instances]);
   assert.equal([...lent.moves, ...lent.drain], []);
 });
@@ -192,7 +193,7 @@
 
 test('a pool lends and returns no more instances together than it can spare', () => {
   const since = new Map<string, number>([['b', 0]]);
-  const demands = [makeDemand('a', 3, { arrivalCores: 34 }), makeDemand('b', 6)];
+  const demands = [makeDemand('a', 3, { expectedCores: 34 }), makeDemand('b', 6)];
   const instances = [...makeInstances('a', 3), ...makeInstances('b', 6)];
   const { moves, drain } = plan(demands, instances, since, 60_000);
   assert.equal(
@@ -203,7 +204,7 @@
 });
 
 test('instances held for maintenance are left alone', () => {
-  const demands = [makeDemand('a', 3, { arrivalCores: 90 })];
+  const demands = [makeDemand('a', 3, { expectedCores: 90 })];
   const held = makeInstances('misc', 3).map((instance) => ({ ...instance, isHeld: true }));
   assert.is(plan(demands, [...makeInstances('a', 3), ...held]).moves.length, 0);
 });
