Time limits of calls count only time in which the process ran

Change: a time limit that expires lets the event loop poll its sockets first, and one that ends while the process did not run is extended once, by the time that was lost.

--- a/packages/daemon/src/lib/http-client.ts
+++ b/packages/daemon/src/lib/http-client.ts
@@ -4,6 +4,7 @@
  */
 import { Agent, request as requestHttp, type IncomingMessage } from 'node:http';
 import { parseAddress } from './address.js';
+import { startRunningTimeLimit } from './running-time-limit.js';
 
 /** An HTTP call to send. */
 export interface HttpCall {
@@ -14,7 +15,7 @@
   readonly path: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly body?: Buffer;
-  /** Time limit for the whole call, in milliseconds. */
+  /** Time limit for the whole call, in milliseconds; time in which the process is paused is extra. */
   readonly timeoutMs: number;
   /** Calls of one lane may share connections; long polls have a lane of their own. */
   readonly lane?: 'calls' | 'polls';
@@ -84,13 +85,12 @@
         const resolveOnce = (outcome: HttpOutcome) => {
           if (isSettled) return;
           isSettled = true;
-          clearTimeout(timer);
+          limit.cancel();
           if (outcome.kind === 'none') request.destroy();
           resolve(outcome);
         };
-        const timer = setTimeout(
-          () => resolveOnce({ kind: 'none', reason: 'timeout', isRefused: false }),
-          call.timeoutMs,
+        const limit = startRunningTimeLimit(call.timeoutMs, () =>
+          resolveOnce({ kind: 'none', reason: 'timeout', isRefused: false }),
         );
         request.once('socket', (socket) => socket.setNoDelay(true));
         request.on('error', (error: NodeJS.ErrnoException) =>
