Mark only workers as recorded that were not

Each write of a pool's state marked all its workers as recorded again, which counted as a change of every worker, so that plans over changes looked at the whole pool.

--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -301,6 +301,9 @@
     takeStoreBatch: storeQueue.takeBatch,
     dropUnstored: storeQueue.dropUnstored,
     listLeaseHolders: incarnations.listLeaseHolders,
-    markWorkersRecorded: (ids) => ids.forEach((id) => table.updateWorker(id, { isRecorded: true })),
+    markWorkersRecorded: (ids) =>
+      ids
+        .filter((id) => table.workers.get(id)?.isRecorded === false)
+        .forEach((id) => table.updateWorker(id, { isRecorded: true })),
   };
 }
--- a/packages/vanilladock/src/test/jobs/plan-scope.test.ts
+++ b/packages/vanilladock/src/test/jobs/plan-scope.test.ts
@@ -72,6 +72,14 @@
   assert.ok(takeReads() < 10, 'only the worker that reported was looked at');
 });
 
+test('a plan looks at no worker after all were marked as recorded again', () => {
+  const { entries, planner, planStarts, takeReads } = fillPool();
+  planner.markWorkersRecorded(entries.map(({ id }) => id));
+  takeReads();
+  assert.equal(planStarts(21), []);
+  assert.ok(takeReads() < 10);
+});
+
 test('the first waiting job gets the capacity of a task that ended', () => {
   const { starts, report, planStarts } = fillPool();
   const [ended] = starts;
