Lend between the pools whose demand is known

While the planner of one pool could not be asked, lending stood still for all pools: a queue in its peak got nothing, and idle instances stayed where they were.

That a missing answer caused just this pause is suspected: the log had no line for it, `demand-missing` now says so.

Change: a pool without a known demand neither gets nor lends instances, and its surplus counts anew; the others go on. The new test fails on the code before.

--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -11,7 +11,8 @@
 export interface Lender {
   /**
    * Runs one round over the instances, which are by id; those in `held` belong to maintenance waves
-   * and are not moved. Does nothing without a standby pool or while any pool's demand is not known.
+   * and are not moved. Pools whose demand is not known neither get nor lend instances. Does nothing
+   * without a standby pool.
    */
   readonly run: (
     instances: ReadonlyMap<string, FleetInstance>,
@@ -45,6 +46,8 @@
   const surplusSinceMs = new Map<string, number>();
   /** Cores that lending can bring each pool to, by pool. */
   let reachableCores: ReadonlyMap<string, number> = new Map();
+  /** Pools whose demand was not known in the last round. */
+  let missingPools: readonly string[] = [];
   /** By instance. */
   const openMoves = new Map<string, OpenMove>();
 
@@ -59,6 +62,13 @@
     );
     return new Map(demands.map((demand) => [demand.pool, demand]));
   };
+  /** Logs a change of the pools without a known demand; their surplus starts anew afterwards. */
+  const observeMissing = (pools: readonly string[]) => {
+    pools.forEach((pool) => surplusSinceMs.delete(pool));
+    if (pools.join() === missingPools.join()) return;
+    missingPools = pools;
+    log.info({ event: 'demand-missing', pools });
+  };
   const sendMove = async (move: LendingMove) => {
     const fence = duty.takeFence();
     const sinceMs = openMoves.get(move.instance)?.sinceMs ?? performance.now();
@@ -102,7 +112,8 @@
       if (standbyPool === undefined || isStopped()) return;
       const active = pools.filter((pool) => !pool.isStandby).map((pool) => pool.name);
       const demands = await listDemands(active);
-      if (demands.size < active.length || isStopped()) return;
+      observeMissing(active.filter((pool) => !demands.has(pool)));
+      if (isStopped()) return;
       const incoming = new Map<string, number>();
       const addIncoming = (pool: string) => incoming.set(pool, (incoming.get(pool) ?? 0) + 1);
       instances.forEach((instance) => {
--- a/packages/daemon/src/test/lender.test.ts
+++ b/packages/daemon/src/test/lender.test.ts
@@ -13,6 +13,7 @@
 
 const STANDBY = 'standby';
 const ROUND_MS = 250;
+const SILENT_POOL = 'silent';
 const SURPLUS_DELAY_MS = 3_000;
 const IDLE: WorkerTasks = { lastingTasks: 0, batchTasks: 0 };
 const BUSY: WorkerTasks = { lastingTasks: 0, batchTasks: 2 };
@@ -28,7 +29,7 @@
 });
 
 /** A pool of four instances that needs three; `m1` is idle. */
-const createSetup = () => {
+const createSetup = (options: { readonly hasSilentPool?: boolean } = {}) => {
   const moves: string[] = [];
   const evacuated: string[] = [];
   const state = {
@@ -40,6 +41,7 @@
   };
   const instances = new Map([1, 2, 3, 4].map((index) => [`m${index}`, makeInstance(index)]));
   const answer = (request: JobRequest) => {
+    if (request.pool === SILENT_POOL) return { kind: 'unavailable', why: 'no-planner' };
     if (request.kind === 'evacuate') {
       evacuated.push(request.workerId);
       state.handleEvacuation();
@@ -68,6 +70,7 @@
       pools: [
         { name: POOL, isStandby: false },
         { name: STANDBY, isStandby: true },
+        ...(options.hasSilentPool === true ? [{ name: SILENT_POOL, isStandby: false }] : []),
       ],
     }),
     gateway,
@@ -147,4 +150,12 @@
   assert.equal(moves, []);
 });
 
+test('a pool without a planner does not keep others from returning instances', async () => {
+  const { moves, runRound } = createSetup({ hasSilentPool: true });
+  await runRound();
+  await clock.tickAsync(SURPLUS_DELAY_MS);
+  await runRound();
+  assert.equal(moves, ['m1']);
+});
+
 test.run();
