--- a/packages/daemon/src/test/running-time-limit.test.ts
+++ b/packages/daemon/src/test/running-time-limit.test.ts
@@ -23,12 +23,12 @@
 `;
 
 /** Keeps the event loop of this process busy. */
-const pauseProcess = (ms: number) => {
+const stopEventLoop = (ms: number) => {
   const endMs = performance.now() + ms;
   while (performance.now() < endMs);
 };
 
-const callDuringPause = async (answerAfterMs: number, pauseMs: number) => {
+const sendDuringPause = async (answerAfterMs: number, pauseMs: number) => {
   const server = new Worker(SERVER_CODE, { eval: true, workerData: answerAfterMs });
   const [port] = (await once(server, 'message')) as [number];
   const client = createHttpClient();
@@ -36,7 +36,7 @@
   const outcome = client.send(call);
   await delay(60);
   // Timers that are due run before the event loop polls the sockets again.
-  setImmediate(() => pauseProcess(pauseMs));
+  setImmediate(() => stopEventLoop(pauseMs));
   const { kind } = await outcome;
   client.close();
   await server.terminate();
@@ -44,11 +44,11 @@
 };
 
 test('an answer that came while the process was paused is not taken as missing', async () => {
-  assert.is(await callDuringPause(80, 400), 'answer');
+  assert.is(await sendDuringPause(80, 400), 'answer');
 });
 
 test('a server that does not answer in time is still found silent', async () => {
-  assert.is(await callDuringPause(5_000, 10), 'none');
+  assert.is(await sendDuringPause(5_000, 10), 'none');
 });
 
 test('a limit that ends in a pause is extended once by the time that was lost', async () => {
@@ -56,7 +56,7 @@
   const expired = new Promise<number>((resolve) => {
     startRunningTimeLimit(100, () => resolve(performance.now() - startedMs));
   });
-  pauseProcess(180);
+  stopEventLoop(180);
   const tookMs = await expired;
   assert.ok(tookMs >= 250 && tookMs < 400, `expired after ${tookMs} ms`);
 });
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -83,7 +83,7 @@
   const reservations = createReservations(table);
   let ticketless = 0;
 
-  const sortJobs = (jobs: readonly WaitingJob[], nowMs: number): readonly WaitingJob[] =>
+  const orderJobs = (jobs: readonly WaitingJob[], nowMs: number): readonly WaitingJob[] =>
     jobs
       .map((waiting) => {
         const { job, remainder } = waiting;
@@ -104,7 +104,7 @@
       const pass = createStartPass({ context, tickets, reservations, at, scope });
       const jobs = listJobs(scope, pass.getChangedBound());
       const isReady = ({ job }: WaitingJob) => !(job.isInherited && isInheritanceUncertain);
-      sortJobs(jobs.filter(isReady), at.nowMs).forEach(pass.placeJob);
+      orderJobs(jobs.filter(isReady), at.nowMs).forEach(pass.placeJob);
       const plan = pass.getPlan();
       if (scope.isFull) ticketless = plan.ticketless;
       waitingJobs.refresh(plan.startedJobIds);
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -19,7 +19,7 @@
 import { observeReport, type TimedReport } from './observe-report.js';
 import { createMeanWork } from './mean-work.js';
 import { planPaces, type PaceAction } from './pace.js';
-import { createPlanSchedule, type PlanScope } from './plan-scope.js';
+import { createPlanSchedule } from './plan-scope.js';
 import { createStartPlanner, type AdviseAction, type StartAction } from './plan-starts.js';
 import { planStops, type StopAction } from './plan-stops.js';
 import type { DecisionEvent, PoolContext } from './pool-context.js';
@@ -279,10 +279,9 @@
       applyTime(at, isFull);
       const workerIds = listPlannedWorkers(isFull);
       const { jobIds } = table.takeChanges();
-      const scope: PlanScope = { isFull, jobIds, workerIds };
       exclusionLog.observeWorkers(workerIds, at.nowMs);
       const stops = planStops(context, { at, isInheritanceUncertain, workerIds });
-      const inputs = { at, isInheritanceUncertain, scope };
+      const inputs = { at, isInheritanceUncertain, scope: { isFull, jobIds, workerIds } };
       const { actions, reserved, ticketless, nextRetryMs } = startPlanner.plan(inputs);
       schedule.addDueTime(nextRetryMs);
       // What the plan itself has changed gives no task a worker that it had none on before.
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -185,7 +185,7 @@
     members.forEach((member) => {
       const assigned = table.findTask(member.key);
       if (assigned?.state.kind !== 'assigned') return;
-      const workerId = assigned.state.workerId;
+      const { workerId } = assigned.state;
       table.moveTask(assigned, member.state, { lastRun: member.lastRun });
       allWorkers?.refreshWorker(workerId);
       changedWorkers.refreshWorker(workerId);
--- a/packages/vanilladock/src/test/jobs/plan-scope.test.ts
+++ b/packages/vanilladock/src/test/jobs/plan-scope.test.ts
@@ -44,7 +44,7 @@
 };
 
 /** Fills a pool with long tasks and queues jobs that fit nowhere. */
-const fillPool = () => {
+const createFullPool = () => {
   const harness = createHarness();
   const counting = makeCountingEntries(WORKERS);
   harness.addWorkers(0, ...counting.entries);
@@ -60,7 +60,7 @@
 };
 
 test('a plan in a full pool with an unchanged queue looks at no worker that has not changed', () => {
-  const { starts, report, planStarts, takeReads } = fillPool();
+  const { starts, report, planStarts, takeReads } = createFullPool();
   assert.is(starts.length, 4 * WORKERS);
   const [first] = starts;
   const running = starts
@@ -73,7 +73,7 @@
 });
 
 test('a plan looks at no worker after all were marked as recorded again', () => {
-  const { entries, planner, planStarts, takeReads } = fillPool();
+  const { entries, planner, planStarts, takeReads } = createFullPool();
   planner.markWorkersRecorded(entries.map(({ id }) => id));
   takeReads();
   assert.equal(planStarts(21), []);
@@ -81,7 +81,7 @@
 });
 
 test('the first waiting job gets the capacity of a task that ended', () => {
-  const { starts, report, planStarts } = fillPool();
+  const { starts, report, planStarts } = createFullPool();
   const [ended] = starts;
   const running = starts
     .filter(({ worker }) => worker.id === ended!.worker.id)
@@ -95,7 +95,7 @@
 });
 
 test('a job that arrives at a full pool starts on a worker that is added later', () => {
-  const { entries, addWorkers, submit, planStarts } = fillPool();
+  const { entries, addWorkers, submit, planStarts } = createFullPool();
   submit(makeJob('urgent', [makeStep({ requiredLabel: 'new' })]), 20);
   assert.equal(planStarts(21), []);
   const added = makeEntry('added', { labels: ['new'], capacity: { ...makeEntry('a').capacity } });
--- a/packages/vanilladock/src/test/lending/lending-peaks.test.ts
+++ b/packages/vanilladock/src/test/lending/lending-peaks.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { createArrivalForecast } from '../../lib/lending/arrival-forecast.js';
-import { makeTurns, replayLending } from './lending-replay.js';
+import { makeTurns, runLendingReplay } from './lending-replay.js';
 
 const test = suite('lending in peaks');
 
@@ -11,8 +11,8 @@
 const WORKERS = [65, 75, 85, 91] as const;
 const PEAKS = [150, 170, 190, 200] as const;
 
-const replayDay = () =>
-  replayLending({
+const runDay = () =>
+  runLendingReplay({
     pools: NAMES.map((name, index) => ({
       name,
       workers: WORKERS[index] ?? 0,
@@ -23,7 +23,7 @@
   });
 
 test('nine tenths of the work of a queue that rises while others have fallen start on time', () => {
-  const { onTimeShares } = replayDay();
+  const { onTimeShares } = runDay();
   NAMES.slice(1).forEach((name) => {
     const share = onTimeShares.get(name) ?? 0;
     assert.ok(share >= 0.9, `${name}: ${share}`);
@@ -31,7 +31,7 @@
 });
 
 /** Feeds jobs of 40 core-seconds at a rate that changes with time; returns the forecast. */
-const feedJobs = (getJobsPerSecond: (atMs: number) => number, untilMs: number) => {
+const createFedForecast = (getJobsPerSecond: (atMs: number) => number, untilMs: number) => {
   const forecast = createArrivalForecast();
   for (let atMs = 0; atMs < untilMs; atMs += 10) {
     const jobs = getJobsPerSecond(atMs) / 100;
@@ -41,15 +41,18 @@
 };
 
 test('expects a steady rise to go on until a lent instance is ready', () => {
-  const forecast = feedJobs((atMs) => (atMs < 3_000 ? 2 : 2 + (atMs - 3_000) * 0.02), 6_000);
+  const forecast = createFedForecast(
+    (atMs) => (atMs < 3_000 ? 2 : 2 + (atMs - 3_000) * 0.02),
+    6_000,
+  );
   const expected = forecast.getExpectedRate(6_000);
   assert.ok(expected > 40 * 75, `${expected} of ${40 * 106}`);
 });
 
 test('expects no more than arrives while the rate is steady or falls', () => {
-  const steady = feedJobs(() => 60, 6_000);
+  const steady = createFedForecast(() => 60, 6_000);
   assert.is(steady.getExpectedRate(6_000), steady.getRate(6_000));
-  const falling = feedJobs((atMs) => 60 - atMs * 0.01, 5_000);
+  const falling = createFedForecast((atMs) => 60 - atMs * 0.01, 5_000);
   assert.is(falling.getExpectedRate(5_000), falling.getRate(5_000));
 });
 
--- a/packages/vanilladock/src/test/lending/lending-replay.ts
+++ b/packages/vanilladock/src/test/lending/lending-replay.ts
@@ -80,7 +80,7 @@
     return position < turnMs ? peak * Math.sin((Math.PI * position) / turnMs) : peak * 0.01;
   };
 
-export function replayLending({ pools, standbyWorkers, lengthMs }: ReplayOptions): ReplayResult {
+export function runLendingReplay({ pools, standbyWorkers, lengthMs }: ReplayOptions): ReplayResult {
   const states = pools.map((pool): PoolState => ({
     pool,
     forecast: createArrivalForecast(),
