--- a/packages/vanilladock/src/lib/lending/pool-balance.ts
+++ b/packages/vanilladock/src/lib/lending/pool-balance.ts
@@ -8,9 +8,6 @@
 /** Share of the runnable tasks that should run concurrently; the others wait. */
 const CONCURRENT_SHARE = 0.9;
 
-/** The same share of the tasks of jobs that can no longer meet their objective. */
-const LATE_CONCURRENT_SHARE = 0.4;
-
 /** Factor by which planned capacity exceeds the demand. */
 const HEADROOM_FACTOR = 1.15;
 
@@ -23,28 +20,21 @@
   readonly total: number;
 }
 
-/**
- * Computes how many instances a pool needs. Late work counts with a smaller share, as its results
- * are late in any case. A pool that has the cores for all its tasks, but tasks that fit on no
- * worker, needs one instance more.
- */
+/** Computes how many instances a pool needs; one more than it has when tasks fit on no worker. */
 export function computeNeed(
   demand: PoolDemand,
   coresPerInstance: number,
   upCount: number,
 ): PoolNeed {
-  const countFor = (concurrentCores: number) => {
-    const batchCores = Math.max(demand.expectedCores, concurrentCores);
+  const countFor = (runnableCores: number) => {
+    const batchCores = Math.max(demand.expectedCores, runnableCores * CONCURRENT_SHARE);
     const cores = batchCores * HEADROOM_FACTOR + demand.lastingCores;
     return Math.max(MIN_INSTANCES, demand.minWorkers, Math.ceil(cores / coresPerInstance));
   };
-  const urgentCores = demand.onTimeCores * CONCURRENT_SHARE;
-  const lateCores = (demand.runnableCores - demand.onTimeCores) * LATE_CONCURRENT_SHARE;
-  const hasCoresForAll = demand.runnableCores + demand.lastingCores <= upCount * coresPerInstance;
-  const minimum = demand.hasUnplaced && hasCoresForAll ? upCount + 1 : 0;
+  const minimum = demand.hasUnplaced ? upCount + 1 : 0;
   return {
-    urgent: countFor(urgentCores),
-    total: Math.max(countFor(urgentCores + lateCores), minimum),
+    urgent: countFor(demand.onTimeCores),
+    total: Math.max(countFor(demand.runnableCores), minimum),
   };
 }
 
