Let lasting tasks of different jobs share workers, and spread those of one job over racks

Callers of a peak waited for instances that other pools could not lend: each lasting task went to the least loaded worker, so that nearly every worker of a pool had one, and a worker with a lasting task is lent only after the task has moved. A job's tasks also stood on few racks.

Change: a lasting task prefers a worker that has one already and none of its own step, and a rack with few of its step. Tasks with a target for their tail latency stay on the least loaded workers.

--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -1,8 +1,10 @@
 /**
  * Chooses a worker for a task. Load pattern: peaks of many small batch tasks beside a few lasting
- * tasks, on a pool that grows and shrinks with its demand. Lasting tasks are spread so that the
- * loss of a worker affects few of them. Batch tasks go to the fullest worker that fits, near their
- * data if there is free capacity, so that workers become idle and can be lent after the peak.
+ * tasks, on a pool that grows and shrinks with its demand. Lasting tasks of one step are spread over
+ * workers and racks, so that a loss affects few of them; those of different steps share workers, as
+ * a worker with a lasting task can hardly be lent. Batch tasks go to the fullest worker that fits,
+ * near their data if there is free capacity, so that workers become idle and can be lent after the
+ * peak.
  */
 import type { Resources } from '../ports/workers.js';
 import { computeUsedCoreShare, hasFreeCapacity } from './free-capacity.js';
@@ -21,6 +23,12 @@
 /** For lasting tasks, cost of each task of the same step on the worker. */
 const SIBLING_PENALTY = 2;
 
+/** For lasting tasks, cost of each task of the same step on the worker's rack. */
+const RACK_SIBLING_PENALTY = 0.05;
+
+/** For lasting tasks, cost of a worker that has none yet; above that of any load. */
+const FIRST_LASTING_PENALTY = 1.5;
+
 /** Cost of each job with a failed task on the worker since the last success there. */
 const FAILED_JOB_PENALTY = 0.3;
 
@@ -33,6 +41,8 @@
   readonly footprint: Resources;
   /** Rack of the step's other tasks if they should share one; undefined otherwise. */
   readonly rack: string | undefined;
+  /** For a lasting task, the number of its step's tasks by rack; others need none. */
+  readonly siblingsByRack: ReadonlyMap<string, number>;
   /** Monotonic time in milliseconds. */
   readonly nowMs: number;
 }
@@ -62,9 +72,22 @@
   );
 }
 
+/**
+ * Computes the part of the cost that keeps lasting tasks together or apart. Tasks with a target for
+ * their tail latency stay apart, as they slow each other down.
+ */
+function computeLastingCost(worker: Worker, { step, stepRun, siblingsByRack }: PlacementRequest) {
+  const isFirst = worker.lastingTasks === 0 && step.tailTargetMs === undefined;
+  return (
+    (isFirst ? FIRST_LASTING_PENALTY : 0) +
+    SIBLING_PENALTY * countOnWorker(stepRun, worker.entry.id) +
+    RACK_SIBLING_PENALTY * (siblingsByRack.get(worker.entry.rack ?? '') ?? 0)
+  );
+}
+
 /** Computes the cost of running a task on a worker; the worker with the lowest cost is chosen. */
 function computeCost(worker: Worker, request: PlacementRequest): number {
-  const { task, step, stepRun, rack } = request;
+  const { task, step, rack } = request;
   const preferredRack = rack ?? step.dataRack;
   const isRemote = preferredRack !== undefined && worker.entry.rack !== preferredRack;
   const coreShare = computeUsedCoreShare(worker);
@@ -72,7 +95,7 @@
     (step.isLasting ? coreShare : 1 - coreShare) +
     (isRemote ? REMOTE_PENALTY : 0) +
     (task.avoidedWorkerIds.includes(worker.entry.id) ? AVOIDED_PENALTY : 0) +
-    (step.isLasting ? SIBLING_PENALTY * countOnWorker(stepRun, worker.entry.id) : 0) +
+    (step.isLasting ? computeLastingCost(worker, request) : 0) +
     FAILED_JOB_PENALTY * worker.failures.jobs.length
   );
 }
--- a/packages/vanilladock/src/lib/jobs/make-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/make-worker.ts
@@ -19,6 +19,7 @@
     tasks: new Set(),
     orphanedRuns: new Map(),
     used: NO_RESOURCES,
+    lastingTasks: 0,
     noStartBeforeMs: 0,
     startPauses: 0,
     evacuateUntilMs: 0,
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -73,7 +73,8 @@
   if (countUnavailable(context, task, nowMs) >= Math.max(1, step.maxUnavailable ?? 1)) return false;
   const stepRun = context.table.findStepRun(task);
   const footprint = computeFootprint(step);
-  const request = { task, step, stepRun, footprint, rack: undefined, nowMs };
+  const siblingsByRack = new Map<string, number>();
+  const request = { task, step, stepRun, footprint, rack: undefined, siblingsByRack, nowMs };
   return chooseWorker(context.table.workers.values(), request) !== undefined;
 }
 
--- a/packages/vanilladock/src/lib/jobs/pool-demand.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-demand.ts
@@ -124,8 +124,11 @@
  */
 export function countWorkerTasks(table: TaskTable, worker: Worker): WorkerTasks {
   const tasks = [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
-  const lasting = tasks.filter((task) => table.findStep(task).isLasting).length;
-  return { lastingTasks: lasting + worker.orphanedRuns.size, batchTasks: tasks.length - lasting };
+  const { lastingTasks, orphanedRuns } = worker;
+  return {
+    lastingTasks: lastingTasks + orphanedRuns.size,
+    batchTasks: tasks.length - lastingTasks,
+  };
 }
 
 /** Sums the resources of all lasting tasks that are assigned to workers. */
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -54,12 +54,24 @@
   readonly getPlan: () => StartPassResult;
 }
 
+const NO_SIBLINGS: ReadonlyMap<string, number> = new Map();
+
 /** Finds the rack on which tasks of the step already run. */
 function findSharedRack(context: PoolContext, stepRun: StepRun): string | undefined {
   const [first] = stepRun.assigned.values();
   return first === undefined ? undefined : context.table.workers.get(first)?.entry.rack;
 }
 
+/** Counts the assigned tasks of a step by rack. */
+function countByRack(context: PoolContext, stepRun: StepRun): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  stepRun.assigned.forEach((workerId) => {
+    const rack = context.table.workers.get(workerId)?.entry.rack;
+    if (rack !== undefined) counts.set(rack, (counts.get(rack) ?? 0) + 1);
+  });
+  return counts;
+}
+
 /** Says whether a worker is certain to be the best one for a batch task if it takes it. */
 function isBestAgain(worker: Worker, request: PlacementRequest): boolean {
   return (
@@ -175,6 +187,9 @@
     stepRun: startable.stepRun,
     footprint: computeFootprint(startable.step),
     rack: startable.step.isSameRack ? findSharedRack(context, startable.stepRun) : undefined,
+    siblingsByRack: startable.step.isLasting
+      ? countByRack(context, startable.stepRun)
+      : NO_SIBLINGS,
     nowMs: at.nowMs,
   });
   const listTasks = (startable: StartableStep) => {
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -213,6 +213,8 @@
   readonly orphanedRuns: Map<string, OrphanedRun>;
   /** Capacity that tasks reserve and orphaned runs use. */
   readonly used: Resources;
+  /** Number of lasting tasks among `tasks`. */
+  readonly lastingTasks: number;
   /** Until this time the worker gets no new tasks, because it rejected starts. */
   readonly noStartBeforeMs: number;
   /** Number of pauses after rejected starts since the last start that was accepted. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -117,14 +117,18 @@
     const worker = workers.get(workerId);
     if (worker === undefined) return;
     let used = NO_RESOURCES;
+    let lastingTasks = 0;
     worker.tasks.forEach((key) => {
       const task = tasks.get(key);
-      if (task !== undefined) used = addResources(used, computeFootprint(findStep(task)));
+      if (task === undefined) return;
+      const step = findStep(task);
+      used = addResources(used, computeFootprint(step));
+      if (step.isLasting) lastingTasks += 1;
     });
     worker.orphanedRuns.forEach((orphanedRun) => {
       used = addResources(used, orphanedRun.size);
     });
-    setWorker({ ...worker, used });
+    setWorker({ ...worker, used, lastingTasks });
   };
   const removeFromIndexes = (task: Task) => {
     const stepRun = findStepRun(task);
