--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -72,7 +72,10 @@
   return counts;
 }
 
-/** Says whether a worker is certain to be the best one for a batch task if it takes it. */
+/**
+ * Says whether the worker that the task before went to takes this one too; it is then the best one
+ * again, as it has become fuller and batch tasks go to the fullest worker.
+ */
 function isBestAgain(worker: Worker, request: PlacementRequest): boolean {
   return (
     request.task.avoidedWorkerIds.length === 0 &&
@@ -101,8 +104,8 @@
   const changedWorkers = scope.isFull
     ? listAll()
     : createCandidates(table, scope.workerIds, at.nowMs);
-  /** Says whether a job has to be tried on all workers. */
-  const isForAll = (jobId: string) => scope.isFull || scope.jobIds.has(jobId);
+  /** Says whether a job has to be tried on all workers, and not only on changed ones. */
+  const isForAllWorkers = (jobId: string) => scope.isFull || scope.jobIds.has(jobId);
   const isAnyEjected = () => {
     hasEjected ??= [...table.workers.values()].some((worker) => isEjected(worker, at.nowMs));
     return hasEjected;
@@ -205,6 +208,7 @@
       allWorkers?.refreshWorker(workerId);
       changedWorkers.refreshWorker(workerId);
     });
+  /** Assigns all tasks of a gang, or none if one of them fits nowhere. */
   const placeGang = (startable: StartableStep) => {
     const waiting = listTasks(startable);
     if (waiting.length < startable.step.count) return;
@@ -230,7 +234,6 @@
     tasks: readonly Task[],
     candidates: Candidates,
   ): Task | undefined => {
-    // The worker that a batch task went to is the fullest one, so the next goes there if it fits.
     let lastId: string | undefined;
     for (const task of tasks) {
       const request = makeRequest(startable, task);
@@ -247,12 +250,13 @@
     }
     return undefined;
   };
-  const placeStep = (startable: StartableStep, isOnAll: boolean) => {
+  /** Assigns tasks of a step that is no gang; one that fits nowhere may get a reservation. */
+  const placeStep = (startable: StartableStep, usesAllWorkers: boolean) => {
     const { step } = startable;
-    const from = isOnAll ? listAll() : changedWorkers;
+    const from = usesAllWorkers ? listAll() : changedWorkers;
     const mayFit = from.mayFit(computeFootprint(step));
     const needsOthers = step.isLasting || startable.job.record.policy.advice !== undefined;
-    if (!mayFit && !(isOnAll && (needsOthers || isAnyEjected()))) return;
+    if (!mayFit && !(usesAllWorkers && (needsOthers || isAnyEjected()))) return;
     const tasks = listTasks(startable);
     if (tasks.length === 0) return;
     const candidates = selectCandidates(startable, from);
@@ -263,7 +267,7 @@
       return;
     }
     from.refreshBound();
-    if (!isOnAll) return;
+    if (!usesAllWorkers) return;
     const request = makeRequest(startable, unplaced);
     handleUnplaced(startable, request);
     if (step.isLasting) reservations.add(stepKey, candidates.list(), request);
@@ -273,10 +277,10 @@
     placeJob: ({ job, steps }) => {
       const { id } = job.record.spec;
       const startsBefore = starts.length;
-      const isOnAll = isForAll(id);
+      const usesAllWorkers = isForAllWorkers(id);
       steps.forEach((startable) => {
-        if (!startable.step.isGang) placeStep(startable, isOnAll);
-        else if (isOnAll || changedWorkers.list().length > 0) placeGang(startable);
+        if (!startable.step.isGang) placeStep(startable, usesAllWorkers);
+        else if (usesAllWorkers || changedWorkers.list().length > 0) placeGang(startable);
       });
       if (starts.length === startsBefore) return;
       startedJobIds.add(id);
