Walk the waiting tasks of a step once, and say in one place whether a worker takes a task

Cause: a pass over the queue looked up each waiting task of a step twice, once for those that may start and once for the end of the next retry delay; and the check of a repeated choice was written again beside that of `chooseWorker`.

Change: `selectWaitingTasks` gives both in one walk, `isFitting` serves both checks. No decision changes, no test was touched.

--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -72,6 +72,15 @@
   );
 }
 
+/** Says whether a worker accepts tasks, and has free capacity for this one, and its rules allow it. */
+export function isFitting(worker: Worker, request: PlacementRequest): boolean {
+  return (
+    isAcceptingTasks(worker, request.nowMs) &&
+    hasFreeCapacity(worker, request.footprint) &&
+    isEligible(worker, request)
+  );
+}
+
 /**
  * Computes the part of the cost that keeps lasting tasks together or apart. Tasks with a target for
  * their tail latency stay apart, as they slow each other down.
@@ -111,11 +120,7 @@
   let best: Worker | undefined;
   let bestCost = Infinity;
   for (const worker of workers) {
-    const fits =
-      isAcceptingTasks(worker, request.nowMs) &&
-      hasFreeCapacity(worker, request.footprint) &&
-      isEligible(worker, request);
-    const cost = fits ? computeCost(worker, request) : Infinity;
+    const cost = isFitting(worker, request) ? computeCost(worker, request) : Infinity;
     if (cost < bestCost) {
       best = worker;
       bestCost = cost;
--- a/packages/vanilladock/src/lib/jobs/pool-demand.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-demand.ts
@@ -10,7 +10,7 @@
 import type { JobSpec, StepSpec } from './spec.js';
 import type { Job, Occurrence, Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
-import { listStartableSteps, listWaitingTasks, type StartableStep } from './waiting-tasks.js';
+import { listStartableSteps, selectWaitingTasks, type StartableStep } from './waiting-tasks.js';
 
 /** Number of batch jobs from which the demand of a pool can be estimated. */
 const MIN_JOBS_FOR_DEMAND = 8;
@@ -93,7 +93,7 @@
 function hasUnplaced(table: TaskTable, nowMs: number): boolean {
   const isUnplaced = (startable: StartableStep) =>
     isRunnableSomewhere(table, startable.step) &&
-    listWaitingTasks(table, startable, nowMs).length > 0;
+    selectWaitingTasks(table, startable, nowMs).tasks.length > 0;
   return [...table.activeJobs.values()]
     .filter((job) => job.storedPhase !== 'none')
     .some((job) => listStartableSteps(job).some(isUnplaced));
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -1,11 +1,6 @@
 /** One pass over the queue: places the waiting tasks of jobs, and marks them as assigned. */
 import { createCandidates, type Candidates } from './candidates.js';
-import {
-  chooseWorker,
-  isAcceptingTasks,
-  isEligible,
-  type PlacementRequest,
-} from './choose-worker.js';
+import { chooseWorker, isEligible, isFitting, type PlacementRequest } from './choose-worker.js';
 import { releaseNeededWorkers } from './eject-workers.js';
 import { computeFootprint, hasFreeCapacity } from './free-capacity.js';
 import { estimateWorkerMs, LEASE_MS } from './lease-clock.js';
@@ -17,12 +12,7 @@
 import { makeAssignment, type Moment, type StepRun, type Task, type Worker } from './state.js';
 import type { TicketRegistry } from './tickets.js';
 import type { WaitingJob } from './waiting-jobs.js';
-import {
-  findNextRetry,
-  listWaitingTasks,
-  makeStartableKey,
-  type StartableStep,
-} from './waiting-tasks.js';
+import { makeStartableKey, selectWaitingTasks, type StartableStep } from './waiting-tasks.js';
 import { isEjected, recordTrialTask } from './worker-failures.js';
 
 /** Inputs of one pass. */
@@ -77,12 +67,7 @@
  * again, as it has become fuller and batch tasks go to the fullest worker.
  */
 function isBestAgain(worker: Worker, request: PlacementRequest): boolean {
-  return (
-    request.task.avoidedWorkerIds.length === 0 &&
-    isAcceptingTasks(worker, request.nowMs) &&
-    hasFreeCapacity(worker, request.footprint) &&
-    isEligible(worker, request)
-  );
+  return request.task.avoidedWorkerIds.length === 0 && isFitting(worker, request);
 }
 
 /** Creates a pass. */
@@ -196,8 +181,9 @@
     nowMs: at.nowMs,
   });
   const listTasks = (startable: StartableStep) => {
-    nextRetryMs = Math.min(nextRetryMs, findNextRetry(table, startable, at.nowMs));
-    return listWaitingTasks(table, startable, at.nowMs);
+    const waiting = selectWaitingTasks(table, startable, at.nowMs);
+    nextRetryMs = Math.min(nextRetryMs, waiting.nextRetryMs);
+    return waiting.tasks;
   };
   const releaseGang = (members: readonly Task[]) =>
     members.forEach((member) => {
--- a/packages/vanilladock/src/lib/jobs/waiting-tasks.ts
+++ b/packages/vanilladock/src/lib/jobs/waiting-tasks.ts
@@ -31,36 +31,28 @@
   return makeStepKey(job.record.spec.id, occurrence.number, stepIndex);
 }
 
-/** Lists the waiting tasks of a step, those in a retry delay included. */
-function listWaiting(table: TaskTable, startable: StartableStep): readonly Task[] {
-  const { job, occurrence, stepIndex, stepRun } = startable;
-  const { id } = job.record.spec;
-  return [...stepRun.waiting]
-    .map((index) => table.findTask(makeTaskKey(id, occurrence.number, stepIndex, index)))
-    .filter((task) => task !== undefined);
+/** The waiting tasks of a step at a time. */
+export interface WaitingTasks {
+  /** Tasks that may start now, without those in a retry delay. */
+  readonly tasks: readonly Task[];
+  /** Monotonic time at which the next retry delay ends; infinite without one. */
+  readonly nextRetryMs: number;
 }
 
-/**
- * Lists the waiting tasks of a step that may start at the monotonic time `nowMs`, without those in
- * a retry delay.
- */
-export function listWaitingTasks(
+/** Selects the waiting tasks of a step that may start at the monotonic time `nowMs`. */
+export function selectWaitingTasks(
   table: TaskTable,
-  startable: StartableStep,
+  { job, occurrence, stepIndex, stepRun }: StartableStep,
   nowMs: number,
-): readonly Task[] {
-  return listWaiting(table, startable).filter(
-    (task) => task.state.kind === 'waiting' && task.state.notBeforeMs <= nowMs,
-  );
-}
-
-/**
- * Finds the monotonic time at which the next retry delay of a step's tasks ends; infinite if none
- * of them is in one at `nowMs`.
- */
-export function findNextRetry(table: TaskTable, startable: StartableStep, nowMs: number): number {
-  const ends = listWaiting(table, startable).map(({ state }) =>
-    state.kind === 'waiting' && state.notBeforeMs > nowMs ? state.notBeforeMs : Infinity,
-  );
-  return Math.min(Infinity, ...ends);
+): WaitingTasks {
+  const { id } = job.record.spec;
+  const tasks: Task[] = [];
+  let nextRetryMs = Infinity;
+  stepRun.waiting.forEach((index) => {
+    const task = table.findTask(makeTaskKey(id, occurrence.number, stepIndex, index));
+    if (task?.state.kind !== 'waiting') return;
+    if (task.state.notBeforeMs <= nowMs) tasks.push(task);
+    else nextRetryMs = Math.min(nextRetryMs, task.state.notBeforeMs);
+  });
+  return { tasks, nextRetryMs };
 }
