--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -111,6 +111,7 @@
     listMembers: claims.listMembers,
     selfId: self.id,
     peers,
+    log,
   });
   claims.held.subscribe((held) => {
     updateFleetRunner(held.get(FLEET_DUTY));
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -5,6 +5,7 @@
  * little longer.
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
+import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import type { PeerClient } from './peers.js';
@@ -21,6 +22,7 @@
   readonly listMembers: () => readonly Member[];
   readonly selfId: string;
   readonly peers: PeerClient;
+  readonly log: JsonLog;
 }
 
 /** Answers requests about jobs of all pools. */
@@ -41,6 +43,12 @@
   return `pool/${pool}`;
 }
 
+/** Finds the id of the job that a request is about; undefined if it is about none. */
+function findJobId(request: JobRequest): string | undefined {
+  if (request.kind === 'submit') return request.spec.id;
+  return 'jobId' in request ? request.jobId : undefined;
+}
+
 const SUBMIT_TIMEOUT_MS = 1_000;
 const QUERY_TIMEOUT_MS = 700;
 
@@ -58,7 +66,7 @@
 
 /** Creates the gateway. */
 export function createJobGateway(options: GatewayOptions): JobGateway {
-  const { findRunner, findHolder, listMembers, selfId, peers } = options;
+  const { findRunner, findHolder, listMembers, selfId, peers, log } = options;
   const refuse = (why: string): JobReply => ({
     kind: 'unavailable',
     why,
@@ -91,6 +99,22 @@
     const redirected = await sendRequest(reply.holder, request);
     return redirected.kind === 'elsewhere' ? refuse('no-planner') : redirected;
   };
+  /** Logs a request that took more than one attempt. */
+  const logRetries = (request: JobRequest, reply: JobReply, attempts: number, ageMs: number) => {
+    if (attempts === 1) return;
+    const { kind, pool } = request;
+    log.info({
+      event: 'call-retried',
+      kind,
+      pool,
+      jobId: findJobId(request),
+      attempts,
+      holder: findHolder(makePoolDuty(pool))?.member.name,
+      ageMs: Math.round(ageMs),
+      outcome: reply.kind,
+      why: 'why' in reply ? reply.why : undefined,
+    });
+  };
   /**
    * Answers a submission. After a missing reply the job may have been stored, so from then on only
    * an acceptance is final: a retry with the same id is harmless, whereas a refusal could be wrong.
@@ -98,16 +122,20 @@
   const answerSubmission = async (request: JobRequest): Promise<JobReply> => {
     const startedMs = performance.now();
     let mayBeStored = false;
-    for (;;) {
+    for (let attempts = 1; ; attempts += 1) {
       const reply = await answerOnce(request);
       const ageMs = performance.now() - startedMs;
       if (reply.kind === 'unknown') mayBeStored = true;
       const isRefusal = reply.kind === 'refused' || reply.kind === 'unavailable';
       const isWorthWaiting = reply.kind === 'unavailable' && ageMs <= HANDOVER_RETRY_LIMIT_MS;
-      if (isRefusal && !mayBeStored && !isWorthWaiting) return reply;
-      if (!isRefusal && reply.kind !== 'unknown') return reply;
-      if (ageMs > SUBMIT_RETRY_LIMIT_MS)
-        return { kind: 'unknown', why: 'no planner has confirmed it' };
+      const isFinalRefusal = isRefusal && !mayBeStored && !isWorthWaiting;
+      const isAnswered = !isRefusal && reply.kind !== 'unknown';
+      if (isFinalRefusal || isAnswered || ageMs > SUBMIT_RETRY_LIMIT_MS) {
+        logRetries(request, reply, attempts, ageMs);
+        return isFinalRefusal || isAnswered
+          ? reply
+          : { kind: 'unknown', why: 'no planner has confirmed it' };
+      }
       await waitMs(RETRY_PAUSE_MS);
     }
   };
@@ -117,10 +145,14 @@
     answer: async (request) => {
       if (request.kind === 'submit') return answerSubmission(request);
       const startedMs = performance.now();
-      for (;;) {
+      for (let attempts = 1; ; attempts += 1) {
         const reply = await answerOnce(request);
+        const ageMs = performance.now() - startedMs;
         const isFinal = reply.kind !== 'unavailable' && reply.kind !== 'unknown';
-        if (isFinal || performance.now() - startedMs > QUERY_RETRY_LIMIT_MS) return reply;
+        if (isFinal || ageMs > QUERY_RETRY_LIMIT_MS) {
+          logRetries(request, reply, attempts, ageMs);
+          return reply;
+        }
         await waitMs(RETRY_PAUSE_MS);
       }
     },
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -1,6 +1,7 @@
 /** How the gateway answers when planners change or do not respond. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
+import type { LogFields } from '../lib/json-log.js';
 import { createJobGateway } from '../lib/jobs/job-gateway.js';
 import type { JobReply, JobRequest } from '../lib/jobs/job-request.js';
 
@@ -26,6 +27,8 @@
 
 const openGateway = (replies: readonly JobReply[], isKnown = true) => {
   const asked: string[] = [];
+  const events: LogFields[] = [];
+  const record = (fields: LogFields) => void events.push(fields);
   const gateway = createJobGateway({
     findRunner: () => undefined,
     findHolder: () =>
@@ -43,8 +46,9 @@
       getLastContactMs: () => 0,
       close: () => {},
     },
+    log: { info: record, warn: record, error: record },
   });
-  return { gateway, asked };
+  return { gateway, asked, events };
 };
 
 test('a refusal is returned without a retry', async () => {
@@ -75,6 +79,21 @@
   assert.equal(await long.gateway.answer(SUBMIT), UNAVAILABLE);
 });
 
+test('a request that takes more than one attempt is logged with its id and its last reply', async () => {
+  const { gateway, events } = openGateway([UNAVAILABLE, { kind: 'accepted' }]);
+  await gateway.answer(SUBMIT);
+  assert.equal(
+    events.map(({ event, jobId, attempts, holder, outcome }) => [
+      event,
+      jobId,
+      attempts,
+      holder,
+      outcome,
+    ]),
+    [['call-retried', 'a', 2, 'b', 'accepted']],
+  );
+});
+
 test('a peer that knows the planner redirects the request to it', async () => {
   const { gateway, asked } = openGateway([
     { kind: 'elsewhere', holder: OTHER },
