Give the stop of an instance deadlines that its calls know

What callers saw: an instance that was stopped under load went on taking calls until it exited at 5 s and cut those that were open 0.1 s later, without an answer (LOST). Cause: the stop had one limit, looked at by nothing but the exit; the busier the instance, the later it went and the more it cut, and the release of the duties was awaited before that limit was read. Class: a server that stops while what waits in it does not know how much time is left.

Retries are decided by a module without input or output.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -3,6 +3,7 @@
  * pools whose duties it holds, and answers requests about jobs for all pools.
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
+import { closeServer } from '../servers.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
 import {
   FLEET_DUTY,
@@ -41,8 +42,11 @@
   readonly recordStoreContact: () => void;
   /** Releases all duties; the gateway keeps answering through peers. */
   readonly release: () => Promise<void>;
-  /** Closes the server for peers and the connections to them; does not release the duties. */
-  readonly close: () => void;
+  /**
+   * Closes the server for peers and the connections to them, after at most `limitMs` also those with
+   * calls in progress; does not release the duties.
+   */
+  readonly close: (limitMs: number) => Promise<void>;
 }
 
 /** An instance without a response of the store or a peer for this long counts as isolated. */
@@ -143,9 +147,8 @@
       runners.clear();
       await claims.stop();
     },
-    close: () => {
-      server.close();
-      server.closeAllConnections();
+    close: async (limitMs) => {
+      await closeServer(server, limitMs);
       peers.close();
     },
   };
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -1,8 +1,6 @@
 /**
  * Answers callers' requests about jobs: from the pool's planner when this instance runs it, else
- * through the peer that does. A submission that cannot reach a planner is refused after the short
- * time that a planned hand-over takes; queries and cancels, which are idempotent, are retried for a
- * little longer.
+ * through the peer that does, with retries while no planner can be reached.
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { JsonLog } from '../json-log.js';
@@ -10,6 +8,12 @@
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import type { PeerClient } from './peers.js';
 import type { PoolRunner } from './pool-runner.js';
+import {
+  chooseFinalReply,
+  computePeerTimeoutMs,
+  decideRetry,
+  RETRY_PAUSE_MS,
+} from './request-retries.js';
 
 /** Dependencies of the gateway. */
 export interface GatewayOptions {
@@ -28,12 +32,13 @@
 /** Answers requests about jobs of all pools. */
 export interface JobGateway {
   /**
-   * Answers a request; retries for a limited time while no planner can be reached. A failure is in
-   * the reply: `unavailable` if nothing was done, `unknown` if a change may have taken effect.
+   * Answers a request; retries for a limited time while no planner can be reached, and starts no
+   * attempt that could not end by the monotonic time `answerByMs`. A failure is in the reply:
+   * `unavailable` if nothing was done, `unknown` if a change may have taken effect.
    */
-  readonly answer: (request: JobRequest) => Promise<JobReply>;
+  readonly answer: (request: JobRequest, answerByMs?: number) => Promise<JobReply>;
   /** As `answer` but without retries; follows one redirect to the peer that plans the pool. */
-  readonly answerOnce: (request: JobRequest) => Promise<JobReply>;
+  readonly answerOnce: (request: JobRequest, answerByMs?: number) => Promise<JobReply>;
   /** Answers a peer's request without forwarding it; `elsewhere` names the known planner. */
   readonly answerLocally: (request: JobRequest) => Promise<JobReply>;
 }
@@ -49,21 +54,6 @@
   return 'jobId' in request ? request.jobId : undefined;
 }
 
-const SUBMIT_TIMEOUT_MS = 1_000;
-const QUERY_TIMEOUT_MS = 700;
-
-/** How long a query or cancel is retried. */
-const QUERY_RETRY_LIMIT_MS = 1_800;
-
-/** Pause between two attempts. */
-const RETRY_PAUSE_MS = 150;
-
-/** How long a submission is retried while no planner is available, as during a hand-over. */
-const HANDOVER_RETRY_LIMIT_MS = 300;
-
-/** How long a submission that may have been stored is retried until its acceptance is confirmed. */
-const SUBMIT_RETRY_LIMIT_MS = 2_200;
-
 /** Creates the gateway. */
 export function createJobGateway(options: GatewayOptions): JobGateway {
   const { findRunner, findHolder, listMembers, selfId, peers, log } = options;
@@ -80,8 +70,10 @@
       ? refuse('not-the-planner')
       : { kind: 'elsewhere', holder: holder.member };
   };
-  const sendRequest = (peer: Member, request: JobRequest) =>
-    peers.send(peer, request, request.kind === 'submit' ? SUBMIT_TIMEOUT_MS : QUERY_TIMEOUT_MS);
+  const sendRequest = (peer: Member, request: JobRequest, answerByMs: number) => {
+    const leftMs = Math.max(0, answerByMs - performance.now());
+    return peers.send(peer, request, Math.min(computePeerTimeoutMs(request.kind), leftMs));
+  };
   /** Finds the peer to call: the known planner, else a random peer, which may know the planner. */
   const findPeer = (pool: string): Member | undefined => {
     const holder = findHolder(makePoolDuty(pool))?.member;
@@ -89,14 +81,14 @@
     const others = listMembers().filter((member) => member.id !== selfId);
     return others[Math.floor(Math.random() * others.length)];
   };
-  const answerOnce = async (request: JobRequest): Promise<JobReply> => {
+  const answerOnce = async (request: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
     if (findRunner(request.pool) !== undefined) return answerLocally(request);
     const peer = findPeer(request.pool);
     if (peer === undefined) return refuse('no-planner');
-    const reply = await sendRequest(peer, request);
+    const reply = await sendRequest(peer, request, answerByMs);
     if (reply.kind !== 'elsewhere') return reply;
     if (reply.holder.id === selfId || reply.holder.id === peer.id) return refuse('no-planner');
-    const redirected = await sendRequest(reply.holder, request);
+    const redirected = await sendRequest(reply.holder, request, answerByMs);
     return redirected.kind === 'elsewhere' ? refuse('no-planner') : redirected;
   };
   /** Logs a request that took more than one attempt. */
@@ -115,46 +107,22 @@
       why: 'why' in reply ? reply.why : undefined,
     });
   };
-  /**
-   * Answers a submission. After a missing reply the job may have been stored, so from then on only
-   * an acceptance is final: a retry with the same id is harmless, whereas a refusal could be wrong.
-   */
-  const answerSubmission = async (request: JobRequest): Promise<JobReply> => {
+  const answer = async (request: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
+    const { kind } = request;
     const startedMs = performance.now();
     let mayBeStored = false;
     for (let attempts = 1; ; attempts += 1) {
-      const reply = await answerOnce(request);
-      const ageMs = performance.now() - startedMs;
-      if (reply.kind === 'unknown') mayBeStored = true;
-      const isRefusal = reply.kind === 'refused' || reply.kind === 'unavailable';
-      const isWorthWaiting = reply.kind === 'unavailable' && ageMs <= HANDOVER_RETRY_LIMIT_MS;
-      const isFinalRefusal = isRefusal && !mayBeStored && !isWorthWaiting;
-      const isAnswered = !isRefusal && reply.kind !== 'unknown';
-      if (isFinalRefusal || isAnswered || ageMs > SUBMIT_RETRY_LIMIT_MS) {
+      const reply = await answerOnce(request, answerByMs);
+      const nowMs = performance.now();
+      const ageMs = nowMs - startedMs;
+      mayBeStored ||= kind === 'submit' && reply.kind === 'unknown';
+      const attempt = { kind, reply, mayBeStored, ageMs, leftMs: answerByMs - nowMs };
+      if (decideRetry(attempt) === 'final') {
         logRetries(request, reply, attempts, ageMs);
-        return isFinalRefusal || isAnswered
-          ? reply
-          : { kind: 'unknown', why: 'no planner has confirmed it' };
+        return chooseFinalReply(attempt);
       }
       await waitMs(RETRY_PAUSE_MS);
     }
   };
-  return {
-    answerLocally,
-    answerOnce,
-    answer: async (request) => {
-      if (request.kind === 'submit') return answerSubmission(request);
-      const startedMs = performance.now();
-      for (let attempts = 1; ; attempts += 1) {
-        const reply = await answerOnce(request);
-        const ageMs = performance.now() - startedMs;
-        const isFinal = reply.kind !== 'unavailable' && reply.kind !== 'unknown';
-        if (isFinal || ageMs > QUERY_RETRY_LIMIT_MS) {
-          logRetries(request, reply, attempts, ageMs);
-          return reply;
-        }
-        await waitMs(RETRY_PAUSE_MS);
-      }
-    },
-  };
+  return { answerLocally, answerOnce, answer };
 }
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -27,6 +27,7 @@
 
 const openGateway = (replies: readonly JobReply[], isKnown = true) => {
   const asked: string[] = [];
+  const timeouts: number[] = [];
   const events: LogFields[] = [];
   const record = (fields: LogFields) => void events.push(fields);
   const gateway = createJobGateway({
@@ -39,8 +40,9 @@
     selfId: 'a~1',
     peers: {
       sendNotice: () => Promise.resolve({ kind: 'silent' }),
-      send: async (peer) => {
+      send: async (peer, _, timeoutMs) => {
         asked.push(peer.id);
+        timeouts.push(timeoutMs);
         return replies[Math.min(asked.length, replies.length) - 1]!;
       },
       getLastContactMs: () => 0,
@@ -48,7 +50,7 @@
     },
     log: { info: record, warn: record, error: record },
   });
-  return { gateway, asked, events };
+  return { gateway, asked, timeouts, events };
 };
 
 test('a refusal is returned without a retry', async () => {
@@ -79,6 +81,21 @@
   assert.equal(await long.gateway.answer(SUBMIT), UNAVAILABLE);
 });
 
+test('a submission of a stopping instance gets its answer before the instance has to exit', async () => {
+  const { gateway, asked } = openGateway([{ kind: 'unknown', why: 'peer-timeout' }]);
+  const startedMs = performance.now();
+  const reply = await gateway.answer(SUBMIT, startedMs + 2_300);
+  assert.is(reply.kind, 'unknown');
+  assert.ok(performance.now() - startedMs < 2_300);
+  assert.is(asked.length, 2, 'a third attempt might have ended too late');
+});
+
+test('no call to a peer lasts longer than the time that is left for the answer', async () => {
+  const { gateway, timeouts } = openGateway([{ kind: 'accepted' }]);
+  await gateway.answer(SUBMIT, performance.now() + 400);
+  assert.ok(timeouts.every((timeoutMs) => timeoutMs <= 400));
+});
+
 test('a request that takes more than one attempt is logged with its id and its last reply', async () => {
   const { gateway, events } = openGateway([UNAVAILABLE, { kind: 'accepted' }]);
   await gateway.answer(SUBMIT);
