Let no release of a stopping instance free the claim of its successor

What callers would see: a pool whose planner changes twice after a stop. Found by reading the stop for acts that outlast it: the release was appended without a condition, so one that the store carries out seconds later frees the duty that a successor has claimed since, which then gives up its planner; a late departure removes the next incarnation under the same name.

Change: a release is stored only while the claims have not grown, and is tried again a few times beside others that stop; a departure names the incarnation; both are sent at the same time.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -7,7 +7,6 @@
   chooseClaimants,
   createClaimTable,
   encodeClaim,
-  encodeDeparture,
   encodeHeartbeat,
   HEARTBEAT_MS,
   type Claim,
@@ -19,15 +18,12 @@
 import { readMoment, waitMs } from './clock.js';
 import { createDutyAuthority } from './duty-authority.js';
 import { createDutyNotices } from './duty-notices.js';
+import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
+import { releaseDuties } from './duty-release.js';
 import type { SentNotice } from './peers.js';
 import { createUnclaimedDuties } from './unclaimed-duties.js';
 import { watchTopic } from './topic-follower.js';
 
-/** Partition of claims: it has no other records, so that a conditional append seldom fails. */
-const CLAIMS = { topic: 'keyed.claims', partition: 0 } as const;
-
-const HEARTBEATS = { topic: 'keyed.claims', partition: 1 } as const;
-
 /** Duty claims of one instance. */
 export interface DutyClaims {
   /** Claims that this instance holds, by duty; they may be out of force, see `isInForce`. */
@@ -306,11 +302,9 @@
     stop: async () => {
       isStopped = true;
       authority.stop();
-      const releases = [...held.value.keys()].map((duty) => encodeClaim(duty, undefined));
+      const duties = [...held.value.keys()];
       held.next(new Map());
-      const outcome = await store.append(CLAIMS, releases, { kind: 'none' });
-      await store.append(HEARTBEATS, [encodeDeparture(self)], { kind: 'none' });
-      log.info({ event: 'duties-released', count: releases.length, outcome: outcome.kind });
+      await releaseDuties({ store, self, duties, getClaimsEnd: () => nextOffset, log });
     },
   };
 }
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/duty-release.ts
@@ -0,0 +1,63 @@
+/**
+ * Releases the duties of an instance that stops. Both records are sent at the same time and take
+ * effect in any order, also late: a release is stored only while nothing has been claimed since, and
+ * a departure names the incarnation that has left.
+ */
+import { encodeClaim, encodeDeparture, type Member } from 'vanilladock/lib/duties/claim-table.js';
+import type { AppendOutcome, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import type { JsonLog } from '../json-log.js';
+import { waitMs } from './clock.js';
+import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
+
+/** Duties to release, and the store that keeps them. */
+export interface DutyReleaseOptions {
+  readonly store: KeyedStore;
+  readonly self: Member;
+  readonly duties: readonly string[];
+  /** Returns the end of the claims as of the last read; undefined before the first. */
+  readonly getClaimsEnd: () => number | undefined;
+  readonly log: JsonLog;
+}
+
+/** Others that stop at the same time release their duties in the same partition. */
+const MAX_ATTEMPTS = 6;
+
+/** No attempt starts later than this; the departure frees the duties too. */
+const RETRY_LIMIT_MS = 1_000;
+
+/** Pause in which the records of others are read. */
+const RETRY_MS = 30;
+
+/**
+ * Appends the releases unless the claims have grown since they were read. Without them the duties
+ * are free once the departure is read.
+ */
+async function appendReleases(options: DutyReleaseOptions): Promise<AppendOutcome['kind']> {
+  const { store, duties, getClaimsEnd } = options;
+  const startedMs = performance.now();
+  const records = duties.map((duty) => encodeClaim(duty, undefined));
+  for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
+    const offset = getClaimsEnd();
+    if (offset === undefined) return 'refused';
+    const outcome = await store.append(CLAIMS, records, { kind: 'end', offset });
+    const isLate = performance.now() - startedMs > RETRY_LIMIT_MS;
+    if (outcome.kind !== 'end-moved' || isLate) return outcome.kind;
+    await waitMs(RETRY_MS);
+  }
+  return 'end-moved';
+}
+
+/** Releases the duties and reports that this instance has left. */
+export async function releaseDuties(options: DutyReleaseOptions): Promise<void> {
+  const { store, self, duties, log } = options;
+  const [outcome, departure] = await Promise.all([
+    duties.length === 0 ? 'stored' : appendReleases(options),
+    store.append(HEARTBEATS, [encodeDeparture(self)], { kind: 'none' }),
+  ]);
+  log.info({
+    event: 'duties-released',
+    count: duties.length,
+    outcome,
+    departure: departure.kind,
+  });
+}
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -2,7 +2,9 @@
 import { install } from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import { encodeClaim } from 'vanilladock/lib/duties/claim-table.js';
+import type { KeyedRecord, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import { waitMs } from '../lib/jobs/clock.js';
 import { createDutyClaims } from '../lib/jobs/duty-claims.js';
 import { SILENT_LOG } from './job-fixtures.js';
 
@@ -89,4 +91,43 @@
   );
 });
 
+// Guards against a pool that loses its planner to the release of the planner before.
+test('a release that is stored late does not free the claim of the successor', async () => {
+  const clock = install({ now: 0 });
+  const claims: { key: string; value: string | undefined; offset: number }[] = [];
+  const addRecords = (records: readonly KeyedRecord[]) =>
+    claims.push(...records.map((record, index) => ({ ...record, offset: claims.length + index })));
+  let isLate = false;
+  const store: KeyedStore = {
+    append: async ({ partition }, records, guard) => {
+      if (partition !== 0) return { kind: 'stored', offset: 1, end: 2 };
+      if (isLate) await waitMs(2 * SECOND_MS);
+      if (guard.kind === 'end' && guard.offset !== claims.length) {
+        return { kind: 'end-moved', end: claims.length };
+      }
+      const offset = claims.length;
+      addRecords(records);
+      return { kind: 'stored', offset, end: claims.length };
+    },
+    read: async ({ partition }, from) => {
+      if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
+      await waitMs(100);
+      const end = claims.length;
+      return { kind: 'records', records: claims.slice(from), next: end, end };
+    },
+    readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
+  };
+  const dutyClaims = startClaims(store);
+  await clock.tickAsync(2 * SECOND_MS);
+  assert.is(dutyClaims.held.value.size, 1);
+  isLate = true;
+  const stopped = dutyClaims.stop();
+  const successor = { ...SELF, id: 'entry-1~1', name: 'entry-1' };
+  addRecords([encodeClaim('pool/stalls', successor)]);
+  await clock.tickAsync(4 * SECOND_MS);
+  await stopped;
+  clock.uninstall();
+  assert.match(claims.at(-1)?.value ?? '', successor.id);
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -59,6 +59,12 @@
 const DUTY_PREFIX = 'duty/';
 const MEMBER_PREFIX = 'member/';
 
+/** Value of a member's record. */
+interface MemberRecord extends Member {
+  /** True in the last record of an incarnation. */
+  readonly hasLeft?: boolean;
+}
+
 /** Encodes a claim by a member; without a member, encodes the release of the duty. */
 export function encodeClaim(duty: string, member: Member | undefined): KeyedRecord {
   return {
@@ -72,9 +78,10 @@
   return { key: `${MEMBER_PREFIX}${member.name}`, value: JSON.stringify(member) };
 }
 
-/** Encodes the departure of a member: a record without a value under the key of its heartbeat. */
+/** Encodes the departure of a member under the key of its heartbeat. */
 export function encodeDeparture(member: Member): KeyedRecord {
-  return { key: `${MEMBER_PREFIX}${member.name}`, value: undefined };
+  const departed: MemberRecord = { ...member, hasLeft: true };
+  return { key: `${MEMBER_PREFIX}${member.name}`, value: JSON.stringify(departed) };
 }
 
 /** Creates an empty table. */
@@ -98,12 +105,20 @@
       lastReportMs: Math.max(lastReportMs, known?.lastReportMs ?? -Infinity),
     });
   };
+  const applyMember = (name: string, value: string | undefined, nowMs: number) => {
+    if (value === undefined) {
+      members.delete(name);
+      return;
+    }
+    const { hasLeft = false, ...member } = JSON.parse(value) as MemberRecord;
+    if (!hasLeft) members.set(name, { member, lastReportMs: nowMs });
+    // A departure that is stored late must not remove the next incarnation.
+    else if (members.get(name)?.member.id === member.id) members.delete(name);
+  };
   return {
     apply: ({ key, value, offset }, nowMs) => {
       if (key.startsWith(MEMBER_PREFIX)) {
-        const name = key.slice(MEMBER_PREFIX.length);
-        if (value === undefined) members.delete(name);
-        else members.set(name, { member: JSON.parse(value) as Member, lastReportMs: nowMs });
+        applyMember(key.slice(MEMBER_PREFIX.length), value, nowMs);
         return;
       }
       if (!key.startsWith(DUTY_PREFIX) || value === undefined) return;
--- a/packages/vanilladock/src/test/claim-table.test.ts
+++ b/packages/vanilladock/src/test/claim-table.test.ts
@@ -72,4 +72,13 @@
   assert.is([...chosen.values()].filter((id) => id === 'big~1').length, 2);
 });
 
+// Guards against a restarted instance that loses its duties to a departure stored late.
+test('a departure that is stored late does not remove the next incarnation', () => {
+  const table = createClaimTable();
+  const restarted = { ...makeMember('a'), id: 'a~2' };
+  table.apply({ ...encodeHeartbeat(restarted), offset: 1 }, 0);
+  table.apply({ ...encodeDeparture(makeMember('a')), offset: 2 }, 1);
+  assert.equal(table.listMembers(2), [restarted]);
+});
+
 test.run();
