--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -39,6 +39,21 @@
   });
 }
 
+/** Turns of the event loop in which a waiting connection is accepted, read and answered. */
+const INPUT_TURNS = 3;
+
+/**
+ * Resolves when the input that has arrived by now has been handled. In a process that gets little
+ * processor time, timers run before connections and requests that have waited for long.
+ */
+export async function waitInput(): Promise<void> {
+  for (let turn = 0; turn < INPUT_TURNS; turn += 1) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+}
+
 /**
  * Closes a server gracefully: stops accepting connections, closes each one when it becomes idle,
  * and after `limitMs` milliseconds closes the rest along with their requests. Resolves when all are
