--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -2,7 +2,7 @@
  * Claims duties and finds their holders. Every instance appends heartbeats to one partition,
  * claims unclaimed duties by conditional appends to another, and reads both.
  */
-import { BehaviorSubject } from 'rxjs';
+import type { BehaviorSubject } from 'rxjs';
 import {
   chooseClaimants,
   createClaimTable,
@@ -20,6 +20,7 @@
 import { createDutyNotices } from './duty-notices.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
 import { releaseDuties } from './duty-release.js';
+import { createHeldDuties } from './held-duties.js';
 import type { SentNotice } from './peers.js';
 import { createUnclaimedDuties } from './unclaimed-duties.js';
 import { watchTopic } from './topic-follower.js';
@@ -98,7 +99,6 @@
 export function createDutyClaims(options: ClaimOptions): DutyClaims {
   const { store, self, listDuties, handleContact, log, getStoreContactMs } = options;
   const table = createClaimTable();
-  const held = new BehaviorSubject<ReadonlyMap<string, Claim>>(new Map());
   const unclaimedDuties = createUnclaimedDuties({ listDuties, table });
   const sentClaims = new Map<string, SentClaim>();
   /** Duties on which a claim was sent whose outcome is not known. */
@@ -111,39 +111,8 @@
   let lastReadMs = 0;
   let reportsSinceMs = 0;
 
-  const setHeld = (duty: string, claim: Claim | undefined) => {
-    const updated = new Map(held.value);
-    if (claim === undefined) updated.delete(duty);
-    else updated.set(duty, claim);
-    held.next(updated);
-  };
-  const dropDuty = (duty: string, why: string) => {
-    const claim = held.value.get(duty);
-    if (claim === undefined) return;
-    log.warn({ event: 'duty-lost', duty, why, token: claim.token });
-    unclaimedDuties.observeDrop(claim);
-    setHeld(duty, undefined);
-  };
-  /** Starts to hold a duty, unless the claim on it is held already or was given up. */
-  const takeDuty = (claim: Claim) => {
-    const isKnown = claim.token <= (held.value.get(claim.duty)?.token ?? -1);
-    if (isStopped || isKnown || unclaimedDuties.wasDropped(claim)) return;
-    log.info({ event: 'duty-held', ...claim });
-    setHeld(claim.duty, claim);
-  };
-  /** Starts to hold the claims of this instance that were stored although the response was lost. */
-  const takeOwnClaims = () => {
-    listDuties().forEach((duty) => {
-      const newest = table.findClaim(duty);
-      if (newest?.holder === self.id) takeDuty(newest);
-    });
-  };
-  const checkHeld = () => {
-    held.value.forEach((claim, duty) => {
-      const newest = table.findClaim(duty);
-      if (newest !== undefined && newest.token > claim.token) dropDuty(duty, 'superseded');
-    });
-  };
+  const heldDuties = createHeldDuties({ selfId: self.id, listDuties, table, unclaimedDuties, log });
+  const { held, dropDuty, takeDuty, takeOwnClaims, checkHeld } = heldDuties;
   /**
    * Claims a duty. Resolves to whether the next round should follow at once: the claim was stored,
    * or the partition's end had moved and the newer records have been read since.
@@ -302,8 +271,7 @@
     stop: async () => {
       isStopped = true;
       authority.stop();
-      const duties = [...held.value.keys()];
-      held.next(new Map());
+      const duties = heldDuties.dropAll();
       await releaseDuties({ store, self, duties, getClaimsEnd: () => nextOffset, log });
     },
   };
--- a/packages/vanilladock/src/lib/jobs/worker-loss.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -11,10 +11,8 @@
 }
 
 /** Computes the age of a worker's last report in milliseconds; undefined before the first one. */
-export function computeReportAge(worker: Worker, nowMs: number | undefined): number | undefined {
-  return worker.clock === undefined || nowMs === undefined
-    ? undefined
-    : Math.round(nowMs - worker.lastReportMs);
+export function computeReportAge(worker: Worker, nowMs: number): number | undefined {
+  return worker.clock === undefined ? undefined : Math.round(nowMs - worker.lastReportMs);
 }
 
 /** Lists the tasks that are assigned to a worker. */
@@ -22,12 +20,12 @@
   return [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
 }
 
-/** Logs that the incarnation of a worker has ended; without `nowMs`, ages are left out. */
+/** Logs that the incarnation of a worker has ended. */
 export function reportLoss(
   context: PoolContext,
   worker: Worker,
   { why, newBornMs }: WorkerLoss,
-  nowMs: number | undefined,
+  nowMs: number,
 ): void {
   context.report({
     event: 'worker-lost',
