A second signal during the stop killed the entry with the requests in progress

What callers saw: an operator, or a supervisor that repeats its signal, sent SIGTERM twice; requests in progress were cut without an answer, and the last log lines were missing. The same with SIGHUP, and with a first SIGTERM while the entry was still starting, when its callers' server may be open already.

Cause: `serve` listened once for SIGTERM and SIGINT, and only after the start. A signal without a listener has its default effect, which ends the process at once.

Change: the handlers of SIGTERM, SIGINT and SIGHUP are installed before the start and stay until the process ends; a repeated signal is reported on standard error and changes nothing. SIGHUP now stops the entry gracefully; before, it killed it.

Why it works: a listener that is never removed leaves no time in which a signal has its default effect after the settings are read. SIGKILL still ends a stop that takes too long. Before the settings are read (the modules are loading) a signal still ends the process; nothing is open then.

--- a/packages/daemon/src/lib/cli/serve.ts
+++ b/packages/daemon/src/lib/cli/serve.ts
@@ -1,4 +1,4 @@
-/** `serve`: runs one entry until SIGTERM or SIGINT, then stops it gracefully. */
+/** `serve`: runs one entry until SIGTERM, SIGINT or SIGHUP, then stops it gracefully. */
 import { startEntry } from '../entry.js';
 import { OVERRIDABLE_SETTINGS, parseSettings, type SettingOverride } from '../settings.js';
 import { EXIT_CODES, type ExitCode } from './exit-codes.js';
@@ -37,11 +37,22 @@
   }
 }
 
-/** Resolves at the first SIGTERM or SIGINT. */
-function waitForSignal(): Promise<NodeJS.Signals> {
+/** Signals that stop the entry gracefully; SIGKILL ends it at once. */
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+
+/**
+ * Resolves at the first signal that stops the entry. The handlers stay until the process ends: the
+ * default effect of a repeated signal is to kill the process with the requests in progress.
+ */
+function waitForSignal(output: Output): Promise<void> {
   return new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    let isStopping = false;
+    const handleSignal = (signal: NodeJS.Signals) => {
+      if (isStopping) output.writeError(`${signal}: the entry is stopping already`);
+      isStopping = true;
+      resolve();
+    };
+    STOP_SIGNALS.forEach((signal) => process.on(signal, handleSignal));
   });
 }
 
@@ -57,8 +68,10 @@
     return EXIT_CODES.badInput;
   }
   try {
+    // Before the start: its servers take requests before the last of them is open.
+    const signalled = waitForSignal(output);
     const entry = await startEntry(settings.value);
-    await waitForSignal();
+    await signalled;
     await entry.stop();
     return EXIT_CODES.ok;
   } catch (error) {
