A request taken by a stopping entry was cut at the drain limit without an answer

What callers saw: connections that ended without an answer when an entry reached its drain limit, for requests sent long after SIGTERM too; an order that ended so may have run. Requests that waited for a slot or a connection were sent to an upstream late in the drain and then cut as well, and a request that an upstream refused was sent again up to three times. A kept-open connection whose answer fell into the drain was not told to close, so that the caller's next request met a closing socket. Nothing in the log named the requests that were cut.

Cause: only `closeServer` knew the drain limit, and it closes sockets; what waits (admission, a connection, an attempt, a retry) knew only the request's own deadline. `isClosing` was read when a request was sent, not when its answer began.

Change: `planDrain` and `decideDrainingRequest` (core, pure) set one deadline. From SIGTERM on, a request is sent to an upstream only when its own deadline comes before the last answers: on arrival, and again before each retry. The guard of each open request is told when the drain starts: one that no upstream has is refused at once (503 `draining`, not-run, Retry-After, connection closed), one that an upstream has stops when the last answers are due, with 504 `upstream-timeout`, may-have-run, and a `failure` line with its id. An answer reads at its head whether its connection closes. The harness of the routing tests turns its option `isDraining` into a drain of 61 s; no assertion of a test changed.

Why it works: the last answers are due a second before the connections close (a third of the limit when that is shorter), which is longer than the 500 ms for which the rest of a body is discarded. A request whose deadline lies before that has all its time. So only a request that an upstream had at SIGTERM can be ended by the drain. An answer that had begun is still reset: its end cannot be said otherwise.

What it costs: with a `drainLimitMs` shorter than the deadline of requests, an entry refuses them in the notice, in which it used to answer the quick ones.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -3,7 +3,7 @@
  * manages their lifecycle from start to graceful stop.
  */
 import { combineLatest } from 'rxjs';
-import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
+import { createAdmission, createRandom, planDrain, resolveValues, type Config } from 'vanilladock';
 import { startControl } from './control.js';
 import { createShares, startEntryExchange } from './entry-exchange.js';
 import { startEntryFleet } from './entry-fleet.js';
@@ -15,6 +15,7 @@
 import { createOperatorServer } from './operators/operator-server.js';
 import { createInstanceClient } from './platform/instance-client.js';
 import { createCallerServer } from './request/caller-server.js';
+import { createDrain } from './request/drain.js';
 import { createForwarder } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
 import { observeRequests } from './request/observe-requests.js';
@@ -31,8 +32,8 @@
     readonly peers: string;
   };
   /**
-   * Stops gracefully: fails readiness, stops accepting connections, waits for requests in progress
-   * up to the drain limit, then closes everything.
+   * Stops gracefully: fails readiness, refuses what cannot be answered before the drain limit, stops
+   * accepting connections, answers every request in progress by then and closes everything.
    */
   readonly stop: () => Promise<void>;
 }
@@ -89,8 +90,9 @@
   const parts = createParts(settings);
   const { log, table, admission, shares, control } = parts;
   const getConfig = () => control.follower.getConfig().config;
-  let isDraining = false;
-  const isReady = () => !isDraining && control.getServedConfig() !== undefined;
+  const drain = createDrain();
+  const isDraining = () => drain.getPlan() !== undefined;
+  const isReady = () => !isDraining() && control.getServedConfig() !== undefined;
   const metrics = createMetrics({
     getConfigVersion: () => control.follower.getConfig().version,
     countUpstreams: (service) => table.listCandidates(service).length,
@@ -103,7 +105,7 @@
     observeEnd: table.observeEnd,
     admission,
     isShedding: admission.isShedding,
-    isDraining: () => isDraining,
+    drain,
     forward: parts.forward,
     random: createRandom(process.pid),
     log,
@@ -120,7 +122,7 @@
     const peers = await control.openPeers();
     const entryExchange = await openExchange(peers);
     const { exchange } = entryExchange;
-    const sources = { ...parts, metrics, exchange, isReady, isDraining: () => isDraining };
+    const sources = { ...parts, metrics, exchange, isReady, isDraining };
     const getStatus = () => buildStatus({ ...sources, startedAtMs });
     const operators = createOperatorServer({ key: settings.key, isReady, getStatus, metrics });
     const subscription = control.follower.config$.subscribe(({ config }) =>
@@ -148,11 +150,13 @@
   log.info({ event: 'started', ...servers.addresses });
 
   const stop = async () => {
-    isDraining = true;
+    const { drainNoticeMs: noticeMs, drainLimitMs: limitMs } = settings;
+    const plan = planDrain(performance.now(), { noticeMs, limitMs });
+    drain.start(plan);
     servers.exchange.leave();
-    log.info({ event: 'draining', noticeMs: settings.drainNoticeMs });
-    await waitMs(settings.drainNoticeMs);
-    await closeServer(callers, settings.drainLimitMs);
+    log.info({ event: 'draining', noticeMs });
+    await waitMs(noticeMs);
+    await closeServer(callers, Math.max(0, plan.closeByMs - performance.now()));
     await closeServer(servers.operators, 0);
     await servers.stopExchange();
     await parts.stop();
--- a/packages/daemon/src/lib/request/forward.ts
+++ b/packages/daemon/src/lib/request/forward.ts
@@ -31,8 +31,8 @@
   readonly body: RequestBody;
   readonly response: ServerResponse;
   readonly guard: Guard;
-  /** Whether the response tells the caller to close its connection. */
-  readonly isClosing: boolean;
+  /** Whether a response that begins now tells the caller to close its connection. */
+  readonly isClosing: () => boolean;
   /** Takes one retry out of the service's budget; false when none is left. */
   readonly takeRetry: () => boolean;
   /** Called when a reused connection was unresponsive and the new one got a response. */
@@ -200,7 +200,7 @@
   const stopped = new Promise<'stopped'>((resolve) => {
     guard.setStopHandler(() => resolve('stopped'));
   });
-  const { isClosing } = request;
+  const isClosing = request.isClosing();
   const streamEnd = sendResponse(answer, response, { isClosing, hasExcess: attempt.hasExcess });
   const end = await Promise.race([streamEnd, stopped]);
   switch (end) {
@@ -265,8 +265,10 @@
     }
     if (connection.isErr()) return makeConnectFailure(connection.error.message);
     const startedAtMs = performance.now();
+    guard.setSent(true);
     const raceResult = await runRace(connection.value, request, pool);
     if (raceResult.kind === 'failed') {
+      guard.setSent(false);
       body.detach();
       return raceResult.forwarded;
     }
--- a/packages/daemon/src/lib/request/handler.ts
+++ b/packages/daemon/src/lib/request/handler.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import {
   chooseUpstream,
+  decideDrainingRequest,
   type Admission,
   type Config,
   type Failure,
@@ -15,6 +16,7 @@
 import { sendFailure } from './failure-response.js';
 import { classifyRequest } from './classify.js';
 import type { RequestContext } from './context.js';
+import type { Drain } from './drain.js';
 import type { Forwarder, ForwardResult } from './forward.js';
 import { createGuard, makeStopFailure, type Guard } from './guard.js';
 import { buildRequestHeaders } from './headers.js';
@@ -34,8 +36,11 @@
   readonly admission: Admission;
   /** Whether a service sheds load for lack of capacity; its requests are not retried meanwhile. */
   readonly isShedding?: (service: string) => boolean;
-  /** Whether this entry is about to stop, so that responses ask callers to reconnect elsewhere. */
-  readonly isDraining?: () => boolean;
+  /**
+   * The drain of this entry. While it lasts, responses ask callers to reconnect elsewhere, and
+   * requests that cannot be answered before its end are refused.
+   */
+  readonly drain: Drain;
   readonly forward: Forwarder;
   readonly random: Random;
   readonly log: JsonLog;
@@ -74,9 +79,14 @@
  * its response or failure sent.
  */
 export function createRequestHandler(ports: RequestPorts) {
-  const isDraining = ports.isDraining ?? (() => false);
+  const isDraining = () => ports.drain.getPlan() !== undefined;
   const retries = createRetryFilter(ports.isShedding ?? (() => false));
 
+  /** Gives the refusal of a request that must not be sent any more because of the drain. */
+  const refuseDraining = ({ deadlineAtMs }: RequestContext): Failure | undefined => {
+    const decision = decideDrainingRequest(ports.drain.getPlan(), deadlineAtMs, performance.now());
+    return decision.kind === 'refuse' ? decision.failure : undefined;
+  };
   const chooseUntried = (service: string, triedIds: ReadonlySet<string>) => {
     const candidates = ports.listCandidates(service);
     const untried =
@@ -103,7 +113,7 @@
       body,
       response,
       guard,
-      isClosing: isDraining(),
+      isClosing: isDraining,
       takeRetry: () => retries.takeRetry(service, context.values.retryBudgetShare),
       handleSilent: () =>
         ports.log.warn({ event: 'connection-silent', id, service, upstream: upstream.id }),
@@ -130,6 +140,8 @@
         body.isReplayable() &&
         retries.mayRetry(context, result, attempt);
       if (!mayRetry) return failure;
+      const refusal = refuseDraining(context);
+      if (refusal !== undefined) return mergeFailures(failure, refusal);
     }
   };
   const runAdmitted = async (routed: RoutedRequest): Promise<Failure | undefined> => {
@@ -137,8 +149,10 @@
     const abort = new AbortController();
     guard.setStopHandler(() => abort.abort());
     const admitted = await ports.admission.admit(context, abort.signal);
-    if (admitted.isErr()) return admitted.error;
     const reason = guard.getReason();
+    if (admitted.isErr()) {
+      return reason === 'draining' ? makeStopFailure(reason, 'not-run') : admitted.error;
+    }
     if (reason !== undefined) {
       admitted.value.release();
       return makeStopFailure(reason, 'not-run');
@@ -154,8 +168,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<Failure | undefined> => {
+    const refusal = refuseDraining(context);
+    if (refusal !== undefined) return refusal;
     const body = createRequestBody(request, context.values.maxBodyBytes);
-    const guard = createGuard(request, response, body, context.deadlineAtMs);
+    const { deadlineAtMs } = context;
+    const guard = createGuard(request, response, body, { deadlineAtMs, drain: ports.drain });
     const failure = await runAdmitted({ context, request, response, body, guard });
     guard.release();
     return failure;
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -41,7 +41,7 @@
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
   /** Time between failing readiness and refusing connections, in milliseconds. */
   drainNoticeMs: z.number().int().nonnegative().default(1_000),
-  /** Longest wait for requests in progress after SIGTERM, in milliseconds. */
+  /** Longest wait for requests in progress after that notice, in milliseconds. */
   drainLimitMs: z.number().int().positive().default(60_000),
 });
 
--- a/packages/daemon/src/test/entry-process.ts
+++ b/packages/daemon/src/test/entry-process.ts
@@ -2,16 +2,19 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 import { startInstanceServer, startLogServer, startUpstream } from '@vanilladock/stand-ins';
 import type { Upstream } from '@vanilladock/stand-ins';
 import * as assert from 'uvu/assert';
 import { publishConfig } from '../lib/cli/publish.js';
 import { createLogClient } from '../lib/platform/log-client.js';
-import { waitFor } from './routing-harness.js';
+import { waitMs } from '../lib/servers.js';
 
 const MAIN = new URL('../lib/main.js', import.meta.url).pathname;
 const CONFIG = new URL('../../../../examples/smokehouse.yaml', import.meta.url);
+/** Time within which a process starts on a busy machine, in milliseconds. */
+const START_LIMIT_MS = 30_000;
+const POLL_MS = 20;
 const LOCATION = { region: 'tasmania', dataCentre: 'hobart', rack: 'r1' };
 
 /** A log line of the entry. */
@@ -33,8 +36,6 @@
   /** Resolves when the process has exited and its output is read. */
   readonly exit: Promise<EntryExit>;
   readonly listLines: () => readonly EntryLine[];
-  /** Ends everything that is still running. */
-  readonly close: () => Promise<void>;
 }
 
 /** Writes a settings file into a new folder; `extra` are further lines of it. */
@@ -51,29 +52,41 @@
   return path;
 }
 
-/** Starts an entry process and resolves once it serves the configuration. */
-export async function startEntryProcess(extra: string): Promise<EntryProcess> {
-  const logServer = await startLogServer();
-  const instances = await startInstanceServer();
-  const upstream = await startUpstream({ service: 'prices', slots: 64, workMs: 1 });
-  const { address } = upstream;
-  const fields = { role: 'upstream', service: 'prices', state: 'live', attributes: {} } as const;
-  instances.setInstances([{ ...fields, id: 'prices-0', address, location: LOCATION }]);
-  const text = readFileSync(CONFIG, 'utf8');
-  const publication = await publishConfig(createLogClient(logServer.address), {
-    text,
-    base: -1,
-    by: 'ada',
-  });
+/** What a test changes for its entry. */
+export interface EntryProcessOptions {
+  /** Replaces one line of the example configuration by another. */
+  readonly configLine?: { readonly from: string; readonly to: string };
+  /** Address of the listed upstream, instead of the stand-in's. */
+  readonly upstreamAddress?: string;
+}
+
+/** Waits until a value is there; rejects after `START_LIMIT_MS`. */
+async function pollValue<T>(read: () => Promise<T | undefined>): Promise<T> {
+  const endMs = performance.now() + START_LIMIT_MS;
+  for (;;) {
+    const value = await read();
+    if (value !== undefined) return value;
+    if (performance.now() > endMs)
+      throw new Error(`the entry did not start in ${START_LIMIT_MS} ms`);
+    await waitMs(POLL_MS);
+  }
+}
+
+/** Publishes the example configuration, with a line replaced. */
+async function publishExample(log: string, { configLine }: EntryProcessOptions): Promise<void> {
+  const example = readFileSync(CONFIG, 'utf8');
+  const text = configLine === undefined ? example : example.replace(configLine.from, configLine.to);
+  const publication = await publishConfig(createLogClient(log), { text, base: -1, by: 'ada' });
   assert.is(publication.kind, 'accepted');
-  const path = writeSettings(logServer.address, instances.address, extra);
-  const child = spawn(process.execPath, [MAIN, 'serve', path], {
-    stdio: ['ignore', 'pipe', 'inherit'],
-  });
+}
+
+/** Starts the process and resolves to it once it is ready. */
+async function openEntry(child: ChildProcess, upstream: Upstream): Promise<EntryProcess> {
   let output = '';
   child.stdout?.on('data', (chunk: Buffer) => {
     output += chunk.toString();
   });
+  child.stderr?.on('data', (chunk: Buffer) => process.stderr.write(chunk));
   const exit = new Promise<EntryExit>((resolve) => {
     child.once('close', (code, signal) => resolve({ code, signal, atMs: performance.now() }));
   });
@@ -82,26 +95,40 @@
       .split('\n')
       .slice(0, -1)
       .map((line) => JSON.parse(line) as EntryLine);
-  const findLine = (event: string) => listLines().find((line) => line.event === event);
-  await waitFor(() => findLine('started') !== undefined);
-  const { callers, operators } = findLine('started') ?? {};
-  const isReady = async () => (await fetch(`http://${String(operators)}/ready`)).ok;
-  while (!(await isReady())) {
-    await new Promise((resolve) => {
-      setTimeout(resolve, 20);
-    });
+  const { callers, operators } = await pollValue(async () =>
+    listLines().find(({ event }) => event === 'started'),
+  );
+  await pollValue(async () =>
+    (await fetch(`http://${String(operators)}/ready`)).ok ? true : undefined,
+  );
+  return { callers: String(callers), upstream, child, exit, listLines };
+}
+
+/**
+ * Runs a test with an entry process that serves the example configuration, and ends the process
+ * whatever happens; `extra` are further lines of its settings.
+ */
+export async function runWithEntry(
+  extra: string,
+  run: (entry: EntryProcess) => Promise<void>,
+  options: EntryProcessOptions = {},
+): Promise<void> {
+  const logServer = await startLogServer();
+  const instances = await startInstanceServer();
+  const upstream = await startUpstream({ service: 'prices', slots: 64, workMs: 1 });
+  const address = options.upstreamAddress ?? upstream.address;
+  const fields = { role: 'upstream', service: 'prices', state: 'live', attributes: {} } as const;
+  instances.setInstances([{ ...fields, id: 'prices-0', address, location: LOCATION }]);
+  await publishExample(logServer.address, options);
+  const path = writeSettings(logServer.address, instances.address, extra);
+  const child = spawn(process.execPath, [MAIN, 'serve', path], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  try {
+    await run(await openEntry(child, upstream));
+  } finally {
+    if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL');
+    rmSync(dirname(path), { recursive: true });
+    await Promise.all([logServer.close(), instances.close(), upstream.close()]);
   }
-  return {
-    callers: String(callers),
-    upstream,
-    child,
-    exit,
-    listLines,
-    close: async () => {
-      if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL');
-      await exit;
-      rmSync(join(path, '..'), { recursive: true });
-      await Promise.all([logServer.close(), instances.close(), upstream.close()]);
-    },
-  };
 }
--- a/packages/daemon/src/test/entry-signals.test.ts
+++ b/packages/daemon/src/test/entry-signals.test.ts
@@ -7,7 +7,7 @@
 import { createOutput } from '../lib/cli/output.js';
 import { serveEntry } from '../lib/cli/serve.js';
 import { waitMs } from '../lib/servers.js';
-import { startEntryProcess, writeSettings } from './entry-process.js';
+import { runWithEntry, writeSettings } from './entry-process.js';
 import { sendCall, waitFor } from './routing-harness.js';
 
 const test = suite('entry-signals');
@@ -17,21 +17,21 @@
 
 (['SIGTERM', 'SIGINT', 'SIGHUP'] as const).forEach((second) => {
   test(`${second} after SIGTERM does not cut the requests in progress`, async () => {
-    const entry = await startEntryProcess('drainNoticeMs: 0');
-    const pending = sendCall(entry.callers, {
-      id: 'slow',
-      headers: { 'stand-in-work-ms': String(WORK_MS) },
+    await runWithEntry('drainNoticeMs: 0', async (entry) => {
+      const pending = sendCall(entry.callers, {
+        id: 'slow',
+        headers: { 'stand-in-work-ms': String(WORK_MS) },
+      });
+      await waitFor(() => entry.upstream.getRunCounts().get('slow') === 1);
+      entry.child.kill('SIGTERM');
+      await waitMs(200);
+      entry.child.kill(second);
+      const { status } = await pending;
+      const { code, signal } = await entry.exit;
+      const lastEvent = entry.listLines().at(-1)?.event;
+      assert.equal({ status, code, signal }, { status: 200, code: 0, signal: null });
+      assert.is(lastEvent, 'stopped');
     });
-    await waitFor(() => entry.upstream.getRunCounts().get('slow') === 1);
-    entry.child.kill('SIGTERM');
-    await waitMs(200);
-    entry.child.kill(second);
-    const { status } = await pending;
-    const { code, signal } = await entry.exit;
-    const lastEvent = entry.listLines().at(-1)?.event;
-    await entry.close();
-    assert.equal({ status, code, signal }, { status: 200, code: 0, signal: null });
-    assert.is(lastEvent, 'stopped');
   });
 });
 
--- a/packages/daemon/src/test/routing-harness.ts
+++ b/packages/daemon/src/test/routing-harness.ts
@@ -10,9 +10,10 @@
   type FaultProxy,
   type Upstream,
 } from '@vanilladock/stand-ins';
-import { createAdmission, createRandom, parseConfig, type Admission } from 'vanilladock';
+import { createAdmission, createRandom, parseConfig, planDrain, type Admission } from 'vanilladock';
 import type { JsonLog, LogFields } from '../lib/json-log.js';
 import { createCallerServer } from '../lib/request/caller-server.js';
+import { createDrain } from '../lib/request/drain.js';
 import { createForwarder, type Forwarder } from '../lib/request/forward.js';
 import { createRequestHandler } from '../lib/request/handler.js';
 import { closeServer, openServer } from '../lib/servers.js';
@@ -23,6 +24,8 @@
   'utf8',
 );
 const CALL_TIMEOUT_MS = 10_000;
+/** A drain that is longer than every request of the tests. */
+const LONG_DRAIN = { noticeMs: 1_000, limitMs: 60_000 };
 const LOCATION = { region: 'tasmania', dataCentre: 'hobart', rack: 'r1' };
 
 /** The outcome of a call as the caller sees it. */
@@ -175,6 +178,8 @@
   const write = (fields: LogFields) => void lines.push(fields);
   const log: JsonLog = { info: write, warn: write, error: write };
   const forward = options.forward ?? createForwarder();
+  const drain = createDrain();
+  if (options.isDraining?.() === true) drain.start(planDrain(performance.now(), LONG_DRAIN));
   const handle = createRequestHandler({
     getConfig: () => config,
     listCandidates: table.listCandidates,
@@ -182,7 +187,7 @@
     observeEnd: table.observeEnd,
     admission,
     ...(options.isShedding === undefined ? {} : { isShedding: options.isShedding }),
-    ...(options.isDraining === undefined ? {} : { isDraining: options.isDraining }),
+    drain,
     forward,
     random: createRandom(1),
     log,
--- a/packages/vanilladock/src/index.ts
+++ b/packages/vanilladock/src/index.ts
@@ -67,5 +67,6 @@
 export * from './lib/routing/departure.js';
 export * from './lib/routing/health.js';
 export * from './lib/routing/retry-budget.js';
+export * from './lib/shutdown/drain-deadline.js';
 export * from './lib/topology.js';
 export * from './lib/verdict.js';
