A closing server cut answers that a caller was still reading, and waited for connections that carried nothing

What callers saw: from the end of the notice of an entry's stop, a long answer to a slow reader ended in its middle, although the drain limit was far away. And one connection on which nothing had been sent, such as a balancer keeps ready, held the whole stop until the drain limit.

Cause: Node's `close` and `closeIdleConnections` hold a connection idle once `end` was called for its answer, also while megabytes of it wait in the process; and they hold a connection in use that has carried no byte yet.

Change: `openServer` keeps for each connection its open requests and the bytes read at the end of the last answer; `closeServer` closes those without an open request, without bytes to write and without bytes read since, and reports how many requests it cut at the limit. The entry logs them as `cutRequests` with `stopped`.

Why it works: a response closes when its last byte has gone to the kernel or its connection is gone, so an open request is exactly one whose answer may still be lost. A begun head that pipelined with an earlier request is not seen as begun. What stays is the race of HTTP/1.1: a request that is on its way when an idle connection is closed is reset and may be sent again, as it did not run.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -156,11 +156,12 @@
     servers.exchange.leave();
     log.info({ event: 'draining', noticeMs });
     await waitMs(noticeMs);
-    await closeServer(callers, Math.max(0, plan.closeByMs - performance.now()));
+    const limitLeftMs = Math.max(0, plan.closeByMs - performance.now());
+    const cutRequests = await closeServer(callers, limitLeftMs);
     await closeServer(servers.operators, 0);
     await servers.stopExchange();
     await parts.stop();
-    log.info({ event: 'stopped' });
+    log.info({ event: 'stopped', cutRequests });
   };
   return { addresses: servers.addresses, stop };
 }
--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -1,6 +1,6 @@
 /** Opens and gracefully closes the daemon's HTTP servers. */
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 
 const IDLE_CHECK_INTERVAL_MS = 50;
 
@@ -10,6 +10,57 @@
   EACCES: 'this process may not bind that port; choose another one',
 };
 
+/** Events with which Node's HTTP server hands over a request; the last two only to listeners. */
+const REQUEST_EVENTS = ['request', 'checkContinue', 'checkExpectation'] as const;
+
+/** What a connection carries. */
+interface ConnectionUse {
+  /** Requests whose answer has not been passed on to the kernel as a whole. */
+  openRequests: number;
+  /** Bytes that were read up to the end of the last answer. */
+  restBytes: number;
+}
+
+/** The connections of one server. */
+type ConnectionTable = ReadonlyMap<Socket, ConnectionUse>;
+
+const tables = new WeakMap<Server, ConnectionTable>();
+
+/**
+ * Keeps the connections of a server that is about to listen. Node's own view of idle connections
+ * does not serve: it holds one idle whose answer is still being written, and one in use that has
+ * carried no byte.
+ */
+function watchConnections(server: Server): ConnectionTable {
+  const table = new Map<Socket, ConnectionUse>();
+  const observeRequest = ({ socket }: IncomingMessage, response: ServerResponse) => {
+    const use = table.get(socket);
+    if (use === undefined) return;
+    use.openRequests += 1;
+    response.once('close', () => {
+      use.openRequests -= 1;
+      use.restBytes = socket.bytesRead;
+    });
+  };
+  server.on('connection', (socket: Socket) => {
+    table.set(socket, { openRequests: 0, restBytes: 0 });
+    socket.once('close', () => table.delete(socket));
+  });
+  REQUEST_EVENTS.filter((event) => event === 'request' || server.listenerCount(event) > 0).forEach(
+    (event) => server.prependListener(event, observeRequest),
+  );
+  return table;
+}
+
+/** Closes the connections without an answer in progress and without a begun request. */
+function closeIdle(table: ConnectionTable): void {
+  table.forEach(({ openRequests, restBytes }, socket) => {
+    const isIdle =
+      openRequests === 0 && socket.writableLength === 0 && socket.bytesRead === restBytes;
+    if (isIdle) socket.destroy();
+  });
+}
+
 /** Builds an error that explains why an address could not be bound and what to do about it. */
 function makeListenError(address: string, error: NodeJS.ErrnoException): Error {
   const advice = LISTEN_ADVICE[error.code ?? ''] ?? error.message;
@@ -29,6 +80,7 @@
  */
 export function openServer(server: Server, address: string): Promise<string> {
   const [host, port] = address.split(':');
+  tables.set(server, watchConnections(server));
   return new Promise((resolve, reject) => {
     const handleError = (error: Error) => reject(makeListenError(address, error));
     server.once('error', handleError);
@@ -40,19 +92,26 @@
 }
 
 /**
- * Closes a server gracefully: stops accepting connections, closes each one when it becomes idle,
- * and after `limitMs` milliseconds closes the rest along with their requests. Resolves when all are
- * closed.
+ * Closes a server that `openServer` opened: stops accepting connections, closes each one when it
+ * becomes idle, and after `limitMs` milliseconds closes the rest along with their requests. Resolves
+ * when all are closed, to the number of requests that were cut.
  */
-export function closeServer(server: Server, limitMs: number): Promise<void> {
+export function closeServer(server: Server, limitMs: number): Promise<number> {
+  const table = tables.get(server) ?? new Map<Socket, ConnectionUse>();
   return new Promise((resolve) => {
-    const timer = setTimeout(() => server.closeAllConnections(), limitMs);
-    const idleTimer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS);
-    server.close(() => {
+    let cutRequests = 0;
+    const timer = setTimeout(() => {
+      cutRequests = [...table.values()].reduce((sum, { openRequests }) => sum + openRequests, 0);
+      server.closeAllConnections();
+    }, limitMs);
+    const idleTimer = setInterval(() => closeIdle(table), IDLE_CHECK_INTERVAL_MS);
+    // The method of Node's HTTP server would cut answers that are still being written.
+    NetServer.prototype.close.call(server, () => {
       clearTimeout(timer);
       clearInterval(idleTimer);
-      resolve();
+      server.close();
+      resolve(cutRequests);
     });
-    server.closeIdleConnections();
+    closeIdle(table);
   });
 }
