Log lines were lost at the exit when the reader of the log was slow, and for good after lines were dropped

What operators saw: the last lines of a process that ended by `process.exit` were missing or cut in their middle, and its exit code could become that of an error. After lines had been dropped for a slow reader (`log-lines-dropped`), a process logged nothing more until its end.

Cause: at the exit only the lines not yet handed to a write were written, in one call: a pipe that is full and does not block refuses it with EAGAIN, which was thrown; and what a write in progress had not got rid of was forgotten. The notice of dropped lines was put into the empty buffer before the check whether the buffer is empty, so that no write was scheduled again.

Change: the writer of lines is a module of its own. It keeps how far its write has come; a descriptor that has taken only a part of a write does not block, so it is written in this thread from then on and its state is always known. At the exit the rest of the write comes first, then the waiting lines, with a pause while the pipe is full, for a second at most. `drainLogs` resolves when everything is written, to be awaited right before `process.exit`.

Why it works: after `drainLogs` nothing is with a thread, and what is logged later waits for the exit handler. Without it one gap stays: a first write that a thread has in hand at the exit, longer than the free part of a pipe. A blocking pipe that nobody reads still holds the exit, as before.

--- a/packages/daemon/src/lib/json-log.ts
+++ b/packages/daemon/src/lib/json-log.ts
@@ -1,9 +1,9 @@
 /**
  * Writes log lines as JSON objects through loglevel: warnings and errors to standard error, other
- * levels to standard output. Lines logged in one turn of the event loop are written together.
+ * levels to standard output.
  */
-import { write, writeSync } from 'node:fs';
 import loglevel from 'loglevel';
+import { createLineWriter } from './line-writer.js';
 import type { Settings } from './settings.js';
 
 /** Fields of a log line; `event` names the kind of event. */
@@ -19,73 +19,25 @@
   readonly error: (fields: LogFields) => void;
 }
 
-/** While more characters than this wait for a slow reader, new lines are dropped and counted. */
-const MAX_PENDING_CHARS = 1_000_000;
+const STDOUT = 1;
+const STDERR = 2;
+const outWriter = createLineWriter(STDOUT);
+const errorWriter = createLineWriter(STDERR);
 
 /**
- * Creates a writer that buffers lines and writes them asynchronously once a turn, with one write in
- * progress at a time. Lines still buffered when the process exits are written synchronously.
+ * Resolves once every line logged so far is written, or after a limit, to whether they all are. To
+ * be awaited right before `process.exit`, which can lose a write in progress.
  */
-function createLineWriter(fileDescriptor: number): (line: string) => void {
-  let pending = '';
-  let droppedLines = 0;
-  let isBusy = false;
-  const writePending = () => {
-    if (pending === '' || isBusy) return;
-    const lines = pending;
-    pending = '';
-    isBusy = true;
-    writeText(fileDescriptor, lines, () => {
-      isBusy = false;
-      if (pending !== '') setImmediate(writePending);
-    });
-  };
-  process.once('exit', () => {
-    if (pending !== '') writeSync(fileDescriptor, pending);
-    pending = '';
-  });
-  return (line) => {
-    if (pending.length > MAX_PENDING_CHARS) {
-      droppedLines += 1;
-      return;
-    }
-    if (droppedLines > 0) {
-      pending += `${JSON.stringify({ event: 'log-lines-dropped', count: droppedLines })}\n`;
-      droppedLines = 0;
-    }
-    if (pending === '' && !isBusy) setImmediate(writePending);
-    pending += `${line}\n`;
-  };
+export async function drainLogs(limitMs: number): Promise<boolean> {
+  const drained = await Promise.all([outWriter.drain(limitMs), errorWriter.drain(limitMs)]);
+  return drained.every(Boolean);
 }
 
-/** Writes a whole text, and retries the rest after a partial write or a full pipe. */
-function writeText(fileDescriptor: number, text: string, handleEnd: () => void): void {
-  const bytes = Buffer.from(text, 'utf8');
-  const writeFrom = (start: number) => {
-    write(fileDescriptor, bytes, start, (error, written) => {
-      const nextStart = start + (error === null ? written : 0);
-      if (error !== null && error.code !== 'EAGAIN') handleEnd();
-      else if (nextStart >= bytes.length) handleEnd();
-      else if (error === null) writeFrom(nextStart);
-      else setTimeout(() => writeFrom(nextStart), FULL_PIPE_RETRY_MS);
-    });
-  };
-  writeFrom(0);
-}
-
-/** Delay before a write to a full pipe is retried. */
-const FULL_PIPE_RETRY_MS = 10;
-
-const STDOUT = 1;
-const STDERR = 2;
-const writeOut = createLineWriter(STDOUT);
-const writeError = createLineWriter(STDERR);
-
 /** Creates a logger whose lines carry the entry's id, at the level of the settings. */
 export function createJsonLog(settings: Pick<Settings, 'id' | 'logLevel'>): JsonLog {
   const logger = loglevel.getLogger(settings.id);
   logger.methodFactory = (method) =>
-    method === 'error' || method === 'warn' ? writeError : writeOut;
+    method === 'error' || method === 'warn' ? errorWriter.write : outWriter.write;
   logger.setLevel(settings.logLevel, false);
   const isLevelDisabled = (level: loglevel.LogLevelNumbers) => logger.getLevel() > level;
   const format = (level: string, fields: LogFields) =>
