--- a/packages/daemon/src/test/wait-input.test.ts
+++ b/packages/daemon/src/test/wait-input.test.ts
@@ -4,7 +4,7 @@
 import { once } from 'node:events';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { closeServer, waitInput } from '../lib/servers.js';
+import { closeServer, openServer, waitInput } from '../lib/servers.js';
 
 const test = suite('wait for input');
 
@@ -12,8 +12,7 @@
 // before it reads what has arrived.
 test('a request that has arrived and was not read yet is answered before the server closes', async () => {
   const server = createServer((_, response) => response.end('whole'));
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
+  await openServer(server, '127.0.0.1:0');
   const { port } = server.address() as AddressInfo;
   const open = connect(port, '127.0.0.1');
   await Promise.all([once(open, 'connect'), once(server, 'connection')]);
