A stopping entry was held by its long poll of the log for 12 s after its drain

What operators saw: an entry whose log service did not answer was still running 12 s after SIGTERM with a drain limit of half a second; a supervisor that kills at its own limit cuts the rest of the stop. With the duties of pools the two last appends add up to 10 s of waiting more (by their time limits, read, not run).

Cause: nothing that waits on the platform knew of the stop. Giving back duties waited for each append to its own limit (5 s), one after the other, and after `stopped` the process went on until the time limit of the long poll (10 s and 2 s) or of a call in progress.

Change: what follows the drain has 5 s, the limit of one append, as a whole; `stopped` says whether the duties were given back (`isReleased`). `serve` then waits until the log lines are written, for a second at most, and ends the process.

Why it works: after `stopped` nothing waits for an answer any more. Records that were not appended by then are duty claims and acknowledgements of this entry, which lapse with their leases; no caller was told of them. An order to the platform whose answer is outstanding is recorded by the fold of the next holder from its permit, as after a kill.

--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -19,7 +19,7 @@
 import { createForwarder } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
 import { observeRequests } from './request/observe-requests.js';
-import { closeServer, openServer, waitMs } from './servers.js';
+import { closeServer, openServer, waitAtMost, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable, type UpstreamTable } from './upstream-table.js';
 
@@ -33,11 +33,18 @@
   };
   /**
    * Stops gracefully: fails readiness, refuses what cannot be answered before the drain limit, stops
-   * accepting connections, answers every request in progress by then and closes everything.
+   * accepting connections, answers every request in progress by then and closes everything. Resolves
+   * `RELEASE_LIMIT_MS` after the drain at the latest, also when the platform does not answer.
    */
   readonly stop: () => Promise<void>;
 }
 
+/**
+ * Longest time in which a stopping entry gives its duties back, in milliseconds; the time limit of
+ * one append. Duties that were not given back pass to others when their leases end.
+ */
+const RELEASE_LIMIT_MS = 5_000;
+
 /** Computes this entry's equal share of an upstream's connections, rounded down, at least one. */
 function countConnectionShare(connections: number, liveEntries: number): number {
   return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
@@ -149,6 +156,11 @@
   });
   log.info({ event: 'started', ...servers.addresses });
 
+  const release = async () => {
+    await closeServer(servers.operators, 0);
+    await servers.stopExchange();
+    await parts.stop();
+  };
   const stop = async () => {
     const { drainNoticeMs: noticeMs, drainLimitMs: limitMs } = settings;
     const plan = planDrain(performance.now(), { noticeMs, limitMs });
@@ -158,10 +170,8 @@
     await waitMs(noticeMs);
     const limitLeftMs = Math.max(0, plan.closeByMs - performance.now());
     const cutRequests = await closeServer(callers, limitLeftMs);
-    await closeServer(servers.operators, 0);
-    await servers.stopExchange();
-    await parts.stop();
-    log.info({ event: 'stopped', cutRequests });
+    const isReleased = await waitAtMost(release(), RELEASE_LIMIT_MS);
+    log.info({ event: 'stopped', cutRequests, isReleased });
   };
   return { addresses: servers.addresses, stop };
 }
--- a/packages/daemon/src/lib/main.ts
+++ b/packages/daemon/src/lib/main.ts
@@ -12,10 +12,14 @@
 import { runPublish } from './cli/publish-command.js';
 import { formatFlag, listOverrides, serveEntry } from './cli/serve.js';
 import { reportStatus } from './cli/status.js';
+import { drainLogs } from './json-log.js';
 import { createRecordOffer } from './peers/offer-records.js';
 import { createLogClient } from './platform/log-client.js';
 import { OVERRIDABLE_SETTINGS, parseSettings, type Settings } from './settings.js';
 
+/** Longest wait for a slow reader of the log at the end of `serve`, in milliseconds. */
+const LOG_LIMIT_MS = 1_000;
+
 const DEFAULT_SETTINGS = 'vanilladock.yaml';
 
 /** Sets the process's exit code to a command's result. */
@@ -38,6 +42,16 @@
   setExitCode(await run(settings.value));
 }
 
+/**
+ * Runs `serve` and ends the process. It does not end by itself: a long poll or an order to the
+ * platform in progress, whose answer nothing waits for any more, would hold it for its time limit.
+ */
+async function runServe(path: string, flags: Readonly<Record<string, unknown>>, output: Output) {
+  const code = await serveEntry(path, listOverrides(flags), output);
+  await drainLogs(LOG_LIMIT_MS);
+  process.exit(code);
+}
+
 const settingsOption = {
   type: 'string',
   default: DEFAULT_SETTINGS,
@@ -66,10 +80,7 @@
         );
       return args.options(flags).positional('settings', settingsOption).option('json', jsonOption);
     },
-    async (args) =>
-      setExitCode(
-        await serveEntry(String(args.settings), listOverrides(args), createOutput(args.json)),
-      ),
+    (args) => runServe(String(args.settings), args, createOutput(args.json)),
   )
   .command(
     'check <file>',
--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -74,6 +74,19 @@
   });
 }
 
+/** Waits for work, at most `limitMs` milliseconds; resolves to whether it has ended. */
+export async function waitAtMost(work: Promise<void>, limitMs: number): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<boolean>((resolve) => {
+    timer = setTimeout(() => resolve(false), limitMs);
+  });
+  try {
+    return await Promise.race([work.then(() => true), limit]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
 /**
  * Opens a server at `ip:port` and resolves to the bound address. Rejects with an error whose
  * message advises the operator and whose `cause` is the original error.
--- a/packages/daemon/src/test/entry-process.ts
+++ b/packages/daemon/src/test/entry-process.ts
@@ -58,6 +58,8 @@
   readonly configLine?: { readonly from: string; readonly to: string };
   /** Address of the listed upstream, instead of the stand-in's. */
   readonly upstreamAddress?: string;
+  /** Gives the address at which the entry reaches the log; the log's own when omitted. */
+  readonly openLogProxy?: (logAddress: string) => Promise<string>;
 }
 
 /** Waits until a value is there; rejects after `START_LIMIT_MS`. */
@@ -120,7 +122,8 @@
   const fields = { role: 'upstream', service: 'prices', state: 'live', attributes: {} } as const;
   instances.setInstances([{ ...fields, id: 'prices-0', address, location: LOCATION }]);
   await publishExample(logServer.address, options);
-  const path = writeSettings(logServer.address, instances.address, extra);
+  const logAddress = (await options.openLogProxy?.(logServer.address)) ?? logServer.address;
+  const path = writeSettings(logAddress, instances.address, extra);
   const child = spawn(process.execPath, [MAIN, 'serve', path], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
