A connection opened just before a server closed was reset with its request on the way

What callers saw: a caller that connected in the last moments of the notice got its connection reset before its request was read, and could not tell whether it ran.

Cause: since `closeServer` keeps its own view of idle connections, one that had carried no byte was closed at once; Node left it open until the limit.

Change: a connection counts as idle only 300 ms after its opening or its last answer.

Why it works: the request for which it was opened or kept has that time to arrive. It does not help a connection that the kernel has accepted and the process has not when the listener closes.

--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -4,6 +4,12 @@
 
 const IDLE_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Time in milliseconds after its opening, or after its last answer, in which a connection is not
+ * closed as idle: the request for which the caller opened or kept it may be on its way.
+ */
+const IDLE_GRACE_MS = 300;
+
 const LISTEN_ADVICE: Readonly<Record<string, string>> = {
   EADDRINUSE: 'the port is in use; choose another one or stop the process that uses it',
   EADDRNOTAVAIL: 'this instance does not have that address; correct the settings',
@@ -19,6 +25,8 @@
   openRequests: number;
   /** Bytes that were read up to the end of the last answer. */
   restBytes: number;
+  /** Time of the opening or the end of the last answer, monotonic, in milliseconds. */
+  restSinceMs: number;
 }
 
 /** The connections of one server. */
@@ -40,10 +48,11 @@
     response.once('close', () => {
       use.openRequests -= 1;
       use.restBytes = socket.bytesRead;
+      use.restSinceMs = performance.now();
     });
   };
   server.on('connection', (socket: Socket) => {
-    table.set(socket, { openRequests: 0, restBytes: 0 });
+    table.set(socket, { openRequests: 0, restBytes: 0, restSinceMs: performance.now() });
     socket.once('close', () => table.delete(socket));
   });
   REQUEST_EVENTS.filter((event) => event === 'request' || server.listenerCount(event) > 0).forEach(
@@ -54,10 +63,11 @@
 
 /** Closes the connections without an answer in progress and without a begun request. */
 function closeIdle(table: ConnectionTable): void {
-  table.forEach(({ openRequests, restBytes }, socket) => {
-    const isIdle =
+  const latestRestMs = performance.now() - IDLE_GRACE_MS;
+  table.forEach(({ openRequests, restBytes, restSinceMs }, socket) => {
+    const hasNothing =
       openRequests === 0 && socket.writableLength === 0 && socket.bytesRead === restBytes;
-    if (isIdle) socket.destroy();
+    if (hasNothing && restSinceMs <= latestRestMs) socket.destroy();
   });
 }
 
--- a/packages/daemon/src/test/servers.test.ts
+++ b/packages/daemon/src/test/servers.test.ts
@@ -97,6 +97,23 @@
   assert.ok(performance.now() - startedMs < 10_000);
 });
 
+test('a request on a connection that was opened just before the closing is answered', async () => {
+  const server = createServer((_request, response) => {
+    response.setHeader('connection', 'close');
+    response.end('whole');
+  });
+  const address = await openServer(server, '127.0.0.1:0');
+  const accepted = once(server, 'connection');
+  const socket = await openPaused(address);
+  await accepted;
+  const closed = closeServer(server, 20_000);
+  await waitMs(20);
+  socket.write(`${HEAD}\r\n`);
+  const bytes = await readToEnd(socket);
+  await closed;
+  assert.ok(bytes > 'whole'.length, 'the request got no answer');
+});
+
 test('closing tells how many requests were cut at the limit', async () => {
   const responses: ServerResponse[] = [];
   const server = createServer((_request, response) => void responses.push(response));
