--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -2,7 +2,7 @@
 import { install } from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { encodeClaim } from 'vanilladock/lib/duties/claim-table.js';
+import { createClaimTable, encodeClaim } from 'vanilladock/lib/duties/claim-table.js';
 import type { KeyedRecord, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import { waitMs } from '../lib/jobs/clock.js';
 import { createDutyClaims } from '../lib/jobs/duty-claims.js';
@@ -130,4 +130,44 @@
   assert.match(claims.at(-1)?.value ?? '', successor.id);
 });
 
+// Guards against a pool without a planner, whose claim was under way when its claimant stopped.
+test('a claim that is stored during the stop of its claimant leaves the duty free', async () => {
+  const clock = install({ now: 0 });
+  const claims: { key: string; value: string | undefined; offset: number }[] = [];
+  const table = createClaimTable();
+  let isClaiming = false;
+  const store: KeyedStore = {
+    append: async ({ partition }, records, guard) => {
+      if (partition !== 0) {
+        records.forEach((record) => table.apply({ ...record, offset: 1 }, performance.now()));
+        return { kind: 'stored', offset: 1, end: 2 };
+      }
+      isClaiming = true;
+      await waitMs(SECOND_MS / 5);
+      const offset = claims.length;
+      if (guard.kind === 'end' && guard.offset !== offset)
+        return { kind: 'end-moved', end: offset };
+      claims.push(...records.map((record) => ({ ...record, offset })));
+      claims.slice(offset).forEach((record) => table.apply(record, performance.now()));
+      return { kind: 'stored', offset, end: claims.length };
+    },
+    read: async ({ partition }, from) => {
+      if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
+      await waitMs(100);
+      const end = claims.length;
+      return { kind: 'records', records: claims.slice(from), next: end, end };
+    },
+    readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
+  };
+  const dutyClaims = startClaims(store);
+  while (!isClaiming) await clock.tickAsync(10);
+  const stopped = dutyClaims.stop();
+  await clock.tickAsync(SECOND_MS);
+  await stopped;
+  const liveClaim = table.findLiveClaim('pool/stalls', performance.now());
+  clock.uninstall();
+  assert.is(claims.length > 0, true, 'the claim was stored');
+  assert.is(liveClaim, undefined, 'no process holds the duty');
+});
+
 test.run();
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -120,4 +120,10 @@
   assert.equal(asked, ['b~1', 'c~1']);
 });
 
+test('a cancel that may have been carried out ends as unknown, not as one that was not run', async () => {
+  const cancel = { kind: 'cancel', pool: 'stalls', jobId: 'a' } as const;
+  const { gateway } = openGateway([{ kind: 'unknown', why: 'peer-timeout' }, UNAVAILABLE]);
+  assert.is((await gateway.answer(cancel)).kind, 'unknown');
+});
+
 test.run();
