Answer a cancel that may have been stored as unknown, not as not run

What callers saw: 503, not run, for a cancel whose first attempt got no answer and whose next found no planner. Cause: only submissions kept that an attempt may have taken effect.

--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -109,13 +109,14 @@
   };
   const answer = async (request: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
     const { kind } = request;
+    const isChange = kind === 'submit' || kind === 'cancel';
     const startedMs = performance.now();
     let mayBeStored = false;
     for (let attempts = 1; ; attempts += 1) {
       const reply = await answerOnce(request, answerByMs);
       const nowMs = performance.now();
       const ageMs = nowMs - startedMs;
-      mayBeStored ||= kind === 'submit' && reply.kind === 'unknown';
+      mayBeStored ||= isChange && reply.kind === 'unknown';
       const attempt = { kind, reply, mayBeStored, ageMs, leftMs: answerByMs - nowMs };
       if (decideRetry(attempt) === 'final') {
         logRetries(request, reply, attempts, ageMs);
--- a/packages/daemon/src/lib/jobs/request-retries.ts
+++ b/packages/daemon/src/lib/jobs/request-retries.ts
@@ -39,7 +39,7 @@
 export interface Attempt {
   readonly kind: JobRequest['kind'];
   readonly reply: JobReply;
-  /** Whether an attempt of a submission, this one included, may have stored the job. */
+  /** Whether an attempt, this one included, may have stored a submission or a cancel. */
   readonly mayBeStored: boolean;
   /** Time since the request arrived. */
   readonly ageMs: number;
