Let nothing that is stored late bring an incarnation back that has left

What callers saw: a pool without a planner for 1.8 s after a stop, when a claim or heartbeat of the stopped instance was stored after its departure and counted as a sign of life. Found by the review. Change: the table remembers the incarnation that has left, by name; its later records prove nothing.

--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -97,7 +97,11 @@
     const found = [...members.values()].find(({ member }) => member.id === id);
     return found !== undefined && isAlive(found.lastReportMs, nowMs) ? found.member : undefined;
   };
+  /** Newest incarnation that has left, by name; what is stored of it later proves nothing. */
+  const departedIds = new Map<string, string>();
+  const hasDeparted = ({ name, id }: Member) => departedIds.get(name) === id;
   const observeMember = (member: Member, lastReportMs: number) => {
+    if (hasDeparted(member)) return;
     const known = members.get(member.name);
     if (known !== undefined && known.member.id !== member.id) return;
     members.set(member.name, {
@@ -111,9 +115,10 @@
       return;
     }
     const { hasLeft = false, ...member } = JSON.parse(value) as MemberRecord;
-    if (!hasLeft) members.set(name, { member, lastReportMs: nowMs });
+    if (hasLeft) departedIds.set(name, member.id);
+    else if (!hasDeparted(member)) members.set(name, { member, lastReportMs: nowMs });
     // A departure that is stored late must not remove the next incarnation.
-    else if (members.get(name)?.member.id === member.id) members.delete(name);
+    if (hasLeft && members.get(name)?.member.id === member.id) members.delete(name);
   };
   return {
     apply: ({ key, value, offset }, nowMs) => {
