Read a whole backlog of connections before a stopping instance closes

Cause: a turn of the event loop accepts one connection, and three turns were waited for; after the SIGTERM nearly each call comes on a connection of its own.

--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -114,15 +114,18 @@
   });
 }
 
-/** Turns of the event loop in which a waiting connection is accepted, read and answered. */
-const INPUT_TURNS = 3;
+/** Turns of the event loop that accept a whole backlog, as each may accept one connection only. */
+const INPUT_TURNS = 512;
 
 /**
- * Resolves when the input that has arrived by now has been handled. In a process that gets little
- * processor time, timers run before connections and requests that have waited for long.
+ * Resolves when the input that has arrived by now has been handled, at the latest after `limitMs`.
+ * In a process that gets little processor time, timers run before connections and requests that
+ * have waited for long.
  */
-export async function waitInput(): Promise<void> {
+export async function waitInput(limitMs = Infinity): Promise<void> {
+  const startedMs = performance.now();
   for (let turn = 0; turn < INPUT_TURNS; turn += 1) {
+    if (performance.now() - startedMs > limitMs) return;
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
