--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -3,7 +3,7 @@
  * manages their lifecycle from start to graceful stop.
  */
 import { combineLatest } from 'rxjs';
-import { createAdmission, createRandom, resolveValues, type Config } from 'vanilladock';
+import { createAdmission, createRandom, planDrain, resolveValues, type Config } from 'vanilladock';
 import { startControl } from './control.js';
 import { createShares, startEntryExchange } from './entry-exchange.js';
 import { startEntryFleet } from './entry-fleet.js';
@@ -15,10 +15,11 @@
 import { createOperatorServer } from './operators/operator-server.js';
 import { createInstanceClient } from './platform/instance-client.js';
 import { createCallerServer } from './request/caller-server.js';
+import { createDrain } from './request/drain.js';
 import { createForwarder } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
 import { observeRequests } from './request/observe-requests.js';
-import { closeServer, openServer, waitMs } from './servers.js';
+import { closeServer, openServer, waitAtMost, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable, type UpstreamTable } from './upstream-table.js';
 
@@ -31,12 +32,19 @@
     readonly peers: string;
   };
   /**
-   * Stops gracefully: fails readiness, stops accepting connections, waits for requests in progress
-   * up to the drain limit, then closes everything.
+   * Stops gracefully: fails readiness, refuses what cannot be answered before the drain limit, stops
+   * accepting connections, answers every request in progress by then and closes everything. Resolves
+   * `RELEASE_LIMIT_MS` after the drain at the latest, also when the platform does not answer.
    */
   readonly stop: () => Promise<void>;
 }
 
+/**
+ * Longest time in which a stopping entry gives its duties back, in milliseconds; the time limit of
+ * one append. Duties that were not given back pass to others when their leases end.
+ */
+const RELEASE_LIMIT_MS = 5_000;
+
 /** Computes this entry's equal share of an upstream's connections, rounded down, at least one. */
 function countConnectionShare(connections: number, liveEntries: number): number {
   return Math.max(1, Math.floor(connections / Math.max(1, liveEntries)));
@@ -89,8 +97,9 @@
   const parts = createParts(settings);
   const { log, table, admission, shares, control } = parts;
   const getConfig = () => control.follower.getConfig().config;
-  let isDraining = false;
-  const isReady = () => !isDraining && control.getServedConfig() !== undefined;
+  const drain = createDrain();
+  const isDraining = () => drain.getPlan() !== undefined;
+  const isReady = () => !isDraining() && control.getServedConfig() !== undefined;
   const metrics = createMetrics({
     getConfigVersion: () => control.follower.getConfig().version,
     countUpstreams: (service) => table.listCandidates(service).length,
@@ -103,7 +112,7 @@
     observeEnd: table.observeEnd,
     admission,
     isShedding: admission.isShedding,
-    isDraining: () => isDraining,
+    drain,
     forward: parts.forward,
     random: createRandom(process.pid),
     log,
@@ -120,7 +129,7 @@
     const peers = await control.openPeers();
     const entryExchange = await openExchange(peers);
     const { exchange } = entryExchange;
-    const sources = { ...parts, metrics, exchange, isReady, isDraining: () => isDraining };
+    const sources = { ...parts, metrics, exchange, isReady, isDraining };
     const getStatus = () => buildStatus({ ...sources, startedAtMs });
     const operators = createOperatorServer({ key: settings.key, isReady, getStatus, metrics });
     const subscription = control.follower.config$.subscribe(({ config }) =>
@@ -147,16 +156,22 @@
   });
   log.info({ event: 'started', ...servers.addresses });
 
-  const stop = async () => {
-    isDraining = true;
-    servers.exchange.leave();
-    log.info({ event: 'draining', noticeMs: settings.drainNoticeMs });
-    await waitMs(settings.drainNoticeMs);
-    await closeServer(callers, settings.drainLimitMs);
+  const release = async () => {
     await closeServer(servers.operators, 0);
     await servers.stopExchange();
     await parts.stop();
-    log.info({ event: 'stopped' });
+  };
+  const stop = async () => {
+    const { drainNoticeMs: noticeMs, drainLimitMs: limitMs } = settings;
+    const plan = planDrain(performance.now(), { noticeMs, limitMs });
+    drain.start(plan);
+    servers.exchange.leave();
+    log.info({ event: 'draining', noticeMs });
+    await waitMs(noticeMs);
+    const limitLeftMs = Math.max(0, plan.closeByMs - performance.now());
+    const cutRequests = await closeServer(callers, limitLeftMs);
+    const isReleased = await waitAtMost(release(), RELEASE_LIMIT_MS);
+    log.info({ event: 'stopped', cutRequests, isReleased });
   };
   return { addresses: servers.addresses, stop };
 }
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -8,6 +8,7 @@
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createHttpClient, encodeJsonBody, JSON_HEADERS, parseJsonBody } from '../http-client.js';
 import type { JsonLog } from '../json-log.js';
+import { openServer } from '../servers.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 
 /** A duty notice with its sender. */
@@ -134,7 +135,7 @@
  * Starts the server for peers' calls; resolves once it listens and rejects when it cannot. A call
  * with a body over 1 MiB is cut off.
  */
-export function startPeerServer(
+export async function startPeerServer(
   host: string,
   port: number,
   handlers: PeerHandlers,
@@ -156,8 +157,6 @@
     });
   });
   server.keepAliveTimeout = 30_000;
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => resolve(server));
-  });
+  await openServer(server, `${host}:${port}`);
+  return server;
 }
--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -1,15 +1,76 @@
 /** Opens and gracefully closes the daemon's HTTP servers. */
-import type { Server } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
 
 const IDLE_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Time in milliseconds after its opening, or after its last answer, in which a connection is not
+ * closed as idle: the request for which the caller opened or kept it may be on its way.
+ */
+const IDLE_GRACE_MS = 300;
+
 const LISTEN_ADVICE: Readonly<Record<string, string>> = {
   EADDRINUSE: 'the port is in use; choose another one or stop the process that uses it',
   EADDRNOTAVAIL: 'this instance does not have that address; correct the settings',
   EACCES: 'this process may not bind that port; choose another one',
 };
 
+/** Events with which Node's HTTP server hands over a request; the last two only to listeners. */
+const REQUEST_EVENTS = ['request', 'checkContinue', 'checkExpectation'] as const;
+
+/** What a connection carries. */
+interface ConnectionUse {
+  /** Requests whose answer has not been passed on to the kernel as a whole. */
+  openRequests: number;
+  /** Bytes that were read up to the end of the last answer. */
+  restBytes: number;
+  /** Time of the opening or the end of the last answer, monotonic, in milliseconds. */
+  restSinceMs: number;
+}
+
+/** The connections of one server. */
+type ConnectionTable = ReadonlyMap<Socket, ConnectionUse>;
+
+const tables = new WeakMap<Server, ConnectionTable>();
+
+/**
+ * Keeps the connections of a server that is about to listen. Node's own view of idle connections
+ * does not serve: it holds one idle whose answer is still being written, and one in use that has
+ * carried no byte.
+ */
+function watchConnections(server: Server): ConnectionTable {
+  const table = new Map<Socket, ConnectionUse>();
+  const observeRequest = ({ socket }: IncomingMessage, response: ServerResponse) => {
+    const use = table.get(socket);
+    if (use === undefined) return;
+    use.openRequests += 1;
+    response.once('close', () => {
+      use.openRequests -= 1;
+      use.restBytes = socket.bytesRead;
+      use.restSinceMs = performance.now();
+    });
+  };
+  server.on('connection', (socket: Socket) => {
+    table.set(socket, { openRequests: 0, restBytes: 0, restSinceMs: performance.now() });
+    socket.once('close', () => table.delete(socket));
+  });
+  REQUEST_EVENTS.filter((event) => event === 'request' || server.listenerCount(event) > 0).forEach(
+    (event) => server.prependListener(event, observeRequest),
+  );
+  return table;
+}
+
+/** Closes the connections without an answer in progress and without a begun request. */
+function closeIdle(table: ConnectionTable): void {
+  const latestRestMs = performance.now() - IDLE_GRACE_MS;
+  table.forEach(({ openRequests, restBytes, restSinceMs }, socket) => {
+    const hasNothing =
+      openRequests === 0 && socket.writableLength === 0 && socket.bytesRead === restBytes;
+    if (hasNothing && restSinceMs <= latestRestMs) socket.destroy();
+  });
+}
+
 /** Builds an error that explains why an address could not be bound and what to do about it. */
 function makeListenError(address: string, error: NodeJS.ErrnoException): Error {
   const advice = LISTEN_ADVICE[error.code ?? ''] ?? error.message;
@@ -23,12 +84,26 @@
   });
 }
 
+/** Waits for work, at most `limitMs` milliseconds; resolves to whether it has ended. */
+export async function waitAtMost(work: Promise<void>, limitMs: number): Promise<boolean> {
+  let timer: NodeJS.Timeout | undefined;
+  const limit = new Promise<boolean>((resolve) => {
+    timer = setTimeout(() => resolve(false), limitMs);
+  });
+  try {
+    return await Promise.race([work.then(() => true), limit]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
 /**
  * Opens a server at `ip:port` and resolves to the bound address. Rejects with an error whose
  * message advises the operator and whose `cause` is the original error.
  */
 export function openServer(server: Server, address: string): Promise<string> {
   const [host, port] = address.split(':');
+  tables.set(server, watchConnections(server));
   return new Promise((resolve, reject) => {
     const handleError = (error: Error) => reject(makeListenError(address, error));
     server.once('error', handleError);
@@ -39,15 +114,18 @@
   });
 }
 
-/** Turns of the event loop in which a waiting connection is accepted, read and answered. */
-const INPUT_TURNS = 3;
+/** Turns of the event loop that accept a whole backlog, as each may accept one connection only. */
+const INPUT_TURNS = 512;
 
 /**
- * Resolves when the input that has arrived by now has been handled. In a process that gets little
- * processor time, timers run before connections and requests that have waited for long.
+ * Resolves when the input that has arrived by now has been handled, at the latest after `limitMs`.
+ * In a process that gets little processor time, timers run before connections and requests that
+ * have waited for long.
  */
-export async function waitInput(): Promise<void> {
+export async function waitInput(limitMs = Infinity): Promise<void> {
+  const startedMs = performance.now();
   for (let turn = 0; turn < INPUT_TURNS; turn += 1) {
+    if (performance.now() - startedMs > limitMs) return;
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
@@ -55,19 +133,26 @@
 }
 
 /**
- * Closes a server gracefully: stops accepting connections, closes each one when it becomes idle,
- * and after `limitMs` milliseconds closes the rest along with their requests. Resolves when all are
- * closed.
+ * Closes a server that `openServer` opened: stops accepting connections, closes each one when it
+ * becomes idle, and after `limitMs` milliseconds closes the rest along with their requests. Resolves
+ * when all are closed, to the number of requests that were cut.
  */
-export function closeServer(server: Server, limitMs: number): Promise<void> {
+export function closeServer(server: Server, limitMs: number): Promise<number> {
+  const table = tables.get(server) ?? new Map<Socket, ConnectionUse>();
   return new Promise((resolve) => {
-    const timer = setTimeout(() => server.closeAllConnections(), limitMs);
-    const idleTimer = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_INTERVAL_MS);
-    server.close(() => {
+    let cutRequests = 0;
+    const timer = setTimeout(() => {
+      cutRequests = [...table.values()].reduce((sum, { openRequests }) => sum + openRequests, 0);
+      server.closeAllConnections();
+    }, limitMs);
+    const idleTimer = setInterval(() => closeIdle(table), IDLE_CHECK_INTERVAL_MS);
+    // The method of Node's HTTP server would cut answers that are still being written.
+    NetServer.prototype.close.call(server, () => {
       clearTimeout(timer);
       clearInterval(idleTimer);
-      resolve();
+      server.close();
+      resolve(cutRequests);
     });
-    server.closeIdleConnections();
+    closeIdle(table);
   });
 }
