Log which runs a worker had when it crashed

The log could not tell a task that does it from a machine that fails, nor one crash from many at the same moment: worker-lost names no run, and run-released says nothing of the time before the worker fell silent.

worker-crashed names the machine, each run with the time it was known to go on and the number of earlier crashes under its task, and how many workers fell silent within 200 ms. No decision changes.

--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -0,0 +1,113 @@
+/** Interface of a pool's planner: its inputs, its actions and its options. */
+import type { PoolDemand } from '../lending/plan-lending.js';
+import type { OrderOutcome, WorkerEntry } from '../ports/task-workers.js';
+import type { WorkerTasks } from '../waves/plan-wave.js';
+import type { Admission } from './admit-job.js';
+import type { InheritanceOptions } from './inheritance.js';
+import type { TimedReport } from './observe-report.js';
+import type { PaceAction } from './pace.js';
+import type { AdviseAction, StartAction } from './plan-starts.js';
+import type { StopAction } from './plan-stops.js';
+import type { DecisionEvent } from './pool-context.js';
+import type { Progress } from './progress.js';
+import type { JobPolicy, JobRecord, JobSpec } from './spec.js';
+import type { QueueFigures } from './standing-queue.js';
+import type { Moment } from './state.js';
+import type { StoreBatch } from './store-queue.js';
+import type { TaskTable } from './task-table.js';
+import type { TicketRegistry } from './tickets.js';
+import type { ExclusionCounts } from './worker-exclusion.js';
+
+/** Action for the daemon to execute. */
+export type PoolAction = StartAction | StopAction | PaceAction | AdviseAction;
+
+/** Status of a job as reported to its caller; an end counts only once it is stored. */
+export type JobStatus = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled' | 'unknown';
+
+/** Options of a pool's planner. */
+export interface PlannerOptions extends InheritanceOptions {
+  /** Writes an entry of the decision log. */
+  readonly report: (event: DecisionEvent) => void;
+  /**
+   * Earlier planners may have used run numbers up to this one. If it is above 0, loaded jobs count
+   * as inherited.
+   */
+  readonly runBase: number;
+  /** How long the status of finished jobs is kept, in milliseconds. */
+  readonly statusMs: number;
+}
+
+/** Planner of one pool. */
+export interface PoolPlanner {
+  readonly table: TaskTable;
+  readonly tickets: TicketRegistry;
+  /** Adds a job that an earlier planner stored; `progress` is undefined if none was stored. */
+  readonly loadJob: (record: JobRecord, progress: Progress | undefined, at: Moment) => void;
+  /**
+   * Decides on a submission; an admitted job is queued to be stored and starts only afterwards. A
+   * job whose id is in the table is `known`, and its new specification is ignored.
+   */
+  readonly submit: (spec: JobSpec, policy: JobPolicy, at: Moment) => Admission | 'known';
+  /** Ends an active job; `ended` if it had ended before. The change still has to be stored. */
+  readonly cancel: (jobId: string, at: Moment) => 'cancelling' | 'ended' | 'unknown';
+  /** Gets the stored status; `unknown` also for a job that ended longer than `statusMs` ago. */
+  readonly getJobStatus: (jobId: string) => JobStatus;
+  /** Says whether the job's current phase is stored; false for an unknown job. */
+  readonly isStored: (jobId: string) => boolean;
+  /** Counts the route's active, stored jobs of which no task has started. */
+  readonly countPending: (route: string) => number;
+  /** Applies the complete list of registered workers. */
+  readonly observeWorkers: (entries: readonly WorkerEntry[], at: Moment) => void;
+  /**
+   * Applies a worker's report and returns the pace changes to order. Ignores a report of an unknown
+   * worker, and one of another incarnation that may be an earlier one.
+   */
+  readonly observeReport: (
+    workerId: string,
+    timed: TimedReport,
+    at: Moment,
+  ) => readonly PaceAction[];
+  /** Counts a report that was requested but not received; no effect on an unknown worker. */
+  readonly observeMissedReport: (workerId: string, at: Moment) => void;
+  /**
+   * Drops a worker, and requeues its tasks, because another worker responds at the address of its
+   * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
+   */
+  readonly observeIncarnationEnd: (workerId: string, bornMs: number, at: Moment) => void;
+  /**
+   * Counts a notice that some incarnation of a worker has ended as a missed report: only a report,
+   * or the end of its lease, shows whether that was the present one.
+   */
+  readonly observeEndNotice: (workerId: string, at: Moment) => void;
+  /** Records that the preceding planner sends no orders after `at`. */
+  readonly observePredecessorStopped: (at: Moment) => void;
+  /** Says whether orders of earlier planners can no longer take effect. */
+  readonly isSettled: (nowMs: number) => boolean;
+  /** Applies the outcome of a start that `plan` returned. */
+  readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
+  /** Applies the outcome of a stop that `plan` returned. */
+  readonly observeStop: (action: StopAction, outcome: OrderOutcome, at: Moment) => void;
+  /**
+   * Keeps new tasks off a worker for a limited time and moves its lasting tasks. Returns the number
+   * of tasks on the worker; undefined while it is unknown.
+   */
+  readonly evacuate: (workerId: string, at: Moment) => WorkerTasks | undefined;
+  /**
+   * Computes the pool's demand and the tasks on each worker; records the cores lending can provide.
+   */
+  readonly getDemand: (reachableCores: number, at: Moment) => PoolDemand;
+  /** Records that a worker's ends up to `lastEnd` are stored; ignored for other incarnations. */
+  readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
+  /** Returns the figures of the queue, and the number of workers by the reason of exclusion. */
+  readonly getFigures: (nowMs: number) => QueueFigures & { readonly workers: ExclusionCounts };
+  /** Plans starts, stops and queries, records them as sent, and opens due occurrences. */
+  readonly plan: (at: Moment) => readonly PoolAction[];
+  /** Removes and returns what has to be stored now; undefined if there is nothing. */
+  readonly takeStoreBatch: () => StoreBatch | undefined;
+  /** Drops submissions that the store refused and requeues the other jobs of the batch. */
+  readonly dropUnstored: (batch: StoreBatch) => void;
+  /** Lists the ids of workers that may hold leases now or soon. */
+  readonly listLeaseHolders: () => readonly string[];
+  /** Records that workers are stored as possible lease holders; until then they get no tasks. */
+  readonly markWorkersRecorded: (ids: readonly string[]) => void;
+}
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -1,5 +1,6 @@
 /** Tracks the incarnations of a pool's workers: which exist, and which have ended. */
 import type { WorkerEntry } from '../ports/task-workers.js';
+import type { CrashWatch } from './crash-watch.js';
 import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
 import { CLOCK_DRIFT, hasLeaseExpired, MAX_LEASE_MS } from './lease-clock.js';
@@ -52,7 +53,7 @@
    * Requeues the tasks of those of the given workers that are unresponsive and whose leases have
    * definitely expired, and drops those that are unlisted and without tasks.
    */
-  readonly releaseUnresponsive: (workerIds: Iterable<string>, nowMs: number) => void;
+  readonly releaseUnresponsive: (workerIds: Iterable<string>, at: Moment) => void;
   /** Counts the workers that are ignored because their incarnation seems to have ended. */
   readonly countEnded: (nowMs: number) => number;
   /**
@@ -77,6 +78,7 @@
 export function createWorkerIncarnations(
   context: PoolContext,
   inheritance: Inheritance,
+  crashWatch: CrashWatch,
 ): WorkerIncarnations {
   const { table, report } = context;
   const ended = createEndedIncarnations();
@@ -96,8 +98,10 @@
     knownSinceMs.delete(workerId);
     endNoticedMs.delete(workerId);
   };
-  const dropWorker = (worker: Worker, loss: WorkerLoss, nowMs: number) => {
+  const dropWorker = (worker: Worker, loss: WorkerLoss, at: Moment) => {
+    const { nowMs } = at;
     reportLoss(context, worker, loss, nowMs);
+    crashWatch.observeEnd(worker, at);
     releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
     removeWorker(worker.entry.id);
   };
@@ -135,10 +139,12 @@
    * Replaces a worker by its next incarnation. The runs that the earlier one had listed have ended
    * with it; other starts may have reached the next one, and stay assigned until it reports.
    */
-  const restartWorker = (worker: Worker, entry: WorkerEntry, nowMs: number) => {
+  const restartWorker = (worker: Worker, entry: WorkerEntry, at: Moment) => {
+    const { nowMs } = at;
     const loss = { why: 'new-life', newBornMs: entry.bornMs } as const;
     const tasks = listWorkerTasks(context, worker);
     reportLoss(context, worker, loss, nowMs);
+    crashWatch.observeEnd(worker, at);
     releaseEnded(context, tasks.filter(isReported), loss, nowMs);
     ended.addReplaced(worker.entry);
     evacuateUntilMsById.delete(entry.id);
@@ -147,11 +153,12 @@
     tasks.filter((task) => !isReported(task)).forEach((task) => added?.tasks.add(task.key));
     table.refreshUsedCapacity(entry.id);
   };
-  const observeEntry = (entry: WorkerEntry, nowMs: number) => {
+  const observeEntry = (entry: WorkerEntry, at: Moment) => {
+    const { nowMs } = at;
     if (ended.has(entry, nowMs)) return;
     const known = table.workers.get(entry.id);
     if (known === undefined) addWorker(entry, nowMs);
-    else if (known.entry.bornMs < entry.bornMs) restartWorker(known, entry, nowMs);
+    else if (known.entry.bornMs < entry.bornMs) restartWorker(known, entry, at);
     else if (known.entry.bornMs === entry.bornMs) {
       table.updateWorker(entry.id, { entry, isListed: true });
     }
@@ -166,27 +173,27 @@
     return knownForMs > ORDER_DELAY_MS + MAX_LEASE_MS / (1 - CLOCK_DRIFT);
   };
   /** Drops a worker without tasks that has left or, by a notice and a missed report, has ended. */
-  const dropEmpty = (worker: Worker, nowMs: number) => {
+  const dropEmpty = (worker: Worker, at: Moment) => {
     const { id } = worker.entry;
     const hasOrphans = worker.orphanedRuns.size > 0;
     if (worker.tasks.size > 0 || (hasOrphans && worker.missedReports === 0)) return;
     // The notice itself counts as one missed report.
     const hasEnded = endNoticedMs.has(id) && worker.missedReports > 1 && !hasOrphans;
     if (hasEnded) {
-      ended.addUnresponsive(worker.entry, nowMs);
-      dropWorker(worker, { why: 'ordered', newBornMs: undefined }, nowMs);
+      ended.addUnresponsive(worker.entry, at.nowMs);
+      dropWorker(worker, { why: 'ordered', newBornMs: undefined }, at);
     } else if (!worker.isListed) removeWorker(id);
   };
-  const releaseUnresponsive = (workerIds: Iterable<string>, nowMs: number) => {
+  const releaseUnresponsive = (workerIds: Iterable<string>, at: Moment) => {
     const workers = [...workerIds].flatMap((id) => table.workers.get(id) ?? []);
     workers.forEach((worker) => {
       const hasRuns = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
-      if (hasRuns && hasExpired(worker, nowMs)) releaseExpired(context, worker, nowMs);
-      dropEmpty(worker, nowMs);
+      if (hasRuns && hasExpired(worker, at.nowMs)) releaseExpired(context, worker, at.nowMs);
+      dropEmpty(worker, at);
     });
     missingEntries ??= listedEntries.filter(({ id }) => !table.workers.has(id));
     if (missingEntries.length === 0) return;
-    missingEntries.forEach((entry) => observeEntry(entry, nowMs));
+    missingEntries.forEach((entry) => observeEntry(entry, at));
     missingEntries = undefined;
   };
   /**
@@ -196,10 +203,11 @@
   const isPossibleLeaseHolder = ({ entry, clock, isListed, tasks }: Worker) =>
     clock !== undefined || tasks.size > 0 || (isListed && !ended.hasSeemedEnded(entry));
   return {
-    observeEntries: (entries, { nowMs }) => {
+    observeEntries: (entries, at) => {
+      const { nowMs } = at;
       listedEntries = entries;
       missingEntries = undefined;
-      entries.forEach((entry) => observeEntry(entry, nowMs));
+      entries.forEach((entry) => observeEntry(entry, at));
       const ids = new Set(entries.map((entry) => entry.id));
       ended.retain(ids);
       table.workers.forEach((worker, id) => {
@@ -212,21 +220,24 @@
         });
       });
     },
-    observeMissedReport: (workerId, { nowMs }) => {
+    observeMissedReport: (workerId, at) => {
+      const { nowMs } = at;
       const worker = table.workers.get(workerId);
       if (worker === undefined) return;
+      crashWatch.observeSilence(worker, at);
       const answeredAgoMs = Math.round(nowMs - worker.lastReportMs);
       if (worker.missedReports === 0) {
         report({ event: 'worker-silent', worker: workerId, answeredAgoMs });
       }
       table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
     },
-    observeIncarnationEnd: (workerId, bornMs, { nowMs }) => {
+    observeIncarnationEnd: (workerId, bornMs, at) => {
+      const { nowMs } = at;
       const worker = table.workers.get(workerId);
       if (worker?.entry.bornMs !== bornMs) return;
       reportEnd(workerId, 'other-life', nowMs);
       ended.addUnresponsive(worker.entry, nowMs);
-      dropWorker(worker, { why: 'other-life', newBornMs: undefined }, nowMs);
+      dropWorker(worker, { why: 'other-life', newBornMs: undefined }, at);
     },
     observeEndNotice: (workerId, { nowMs }) => {
       reportEnd(workerId, 'ordered', nowMs);
@@ -246,7 +257,7 @@
       evacuateUntilMsById.set(workerId, untilMs);
       table.updateWorker(workerId, { evacuateUntilMs: untilMs });
     },
-    observeReporter: (workerId, { report: { bornMs }, sentMs }, { nowMs }) => {
+    observeReporter: (workerId, { report: { bornMs }, sentMs }, at) => {
       const worker = table.workers.get(workerId);
       if (worker === undefined) return false;
       if (bornMs === undefined || bornMs === worker.entry.bornMs) return true;
@@ -257,7 +268,7 @@
       // Incarnations follow each other, so one that answers a request sent after the present one
       // was known is a later one, even if the wall clock of its machine was set back.
       if (sentMs < (knownSinceMs.get(workerId) ?? 0)) return false;
-      restartWorker(worker, { ...worker.entry, bornMs }, nowMs);
+      restartWorker(worker, { ...worker.entry, bornMs }, at);
       // Its own entry tells whether it is of this pool, and its labels and capacity.
       table.updateWorker(workerId, { isListed: false });
       return true;
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -0,0 +1,93 @@
+/**
+ * Remembers when workers stopped to answer, and with which runs, so that crashes at the same moment
+ * can be told from single ones. Load pattern: a rack, a data centre or a whole pool is lost at once.
+ */
+import type { PoolContext } from './pool-context.js';
+import type { Task, Worker } from './state.js';
+import { listWorkerTasks } from './worker-loss.js';
+
+/** A run that a worker had when it stopped to answer. */
+export interface SilencedRun {
+  readonly taskKey: string;
+  readonly jobId: string;
+  readonly run: number;
+  /** For how long the run is known to have gone on; 0 for one that was not confirmed. */
+  readonly aliveMs: number;
+}
+
+/** The moment at which a worker stopped to answer; times are monotonic, in milliseconds. */
+export interface Silence {
+  readonly workerId: string;
+  readonly bornMs: number;
+  readonly atMs: number;
+  readonly runs: readonly SilencedRun[];
+}
+
+/** Silences of a pool's workers. */
+export interface WorkerSilences {
+  /** Records that a worker has stopped to answer; the first record of an incarnation counts. */
+  readonly add: (worker: Worker, nowMs: number) => Silence;
+  readonly find: (workerId: string, bornMs: number) => Silence | undefined;
+  /** Drops the silence of an incarnation that answers again. */
+  readonly drop: (workerId: string, bornMs: number) => void;
+  /** Counts the workers that stopped to answer within a moment of this one, itself included. */
+  readonly countCoincident: (silence: Silence) => number;
+  /** Says whether some job had runs on every worker that stopped to answer at that moment. */
+  readonly hasCommonJob: (silence: Silence) => boolean;
+}
+
+/** Workers that stop to answer within this time count as lost at the same moment. */
+const MOMENT_MS = 200;
+
+/** How long a silence is remembered. */
+const SILENCE_TTL_MS = 60_000;
+
+/** Makes the record of a task's run as of the last sign of life of its worker. */
+function makeRun(task: Task, lastSignMs: number): SilencedRun[] {
+  const { key: taskKey, jobId, state } = task;
+  if (state.kind !== 'assigned') return [];
+  const aliveMs = Math.max(0, Math.round(lastSignMs - (state.confirmedMs ?? lastSignMs)));
+  return [{ taskKey, jobId, run: state.run, aliveMs }];
+}
+
+/** Finds the time at which a worker last answered a renewal or a start. */
+function findLastSign(worker: Worker, tasks: readonly Task[]): number {
+  const confirmations = tasks.map(({ state }) =>
+    state.kind === 'assigned' ? (state.confirmedMs ?? 0) : 0,
+  );
+  return Math.max(worker.lastReportMs, ...confirmations);
+}
+
+/** Creates the memory without any silence. */
+export function createWorkerSilences(context: PoolContext): WorkerSilences {
+  const silences = new Map<string, Silence>();
+  const makeKey = (workerId: string, bornMs: number) => `${workerId}~${bornMs}`;
+  const listCoincident = ({ atMs }: Silence) =>
+    [...silences.values()].filter((other) => Math.abs(other.atMs - atMs) <= MOMENT_MS);
+  const dropOld = (nowMs: number) =>
+    silences.forEach(({ atMs }, key) => {
+      if (nowMs - atMs > SILENCE_TTL_MS) silences.delete(key);
+    });
+  return {
+    add: (worker, nowMs) => {
+      const { id: workerId, bornMs } = worker.entry;
+      const key = makeKey(workerId, bornMs);
+      const known = silences.get(key);
+      if (known !== undefined) return known;
+      dropOld(nowMs);
+      const tasks = listWorkerTasks(context, worker);
+      const lastSignMs = findLastSign(worker, tasks);
+      const runs = tasks.flatMap((task) => makeRun(task, lastSignMs));
+      const silence = { workerId, bornMs, atMs: nowMs, runs };
+      silences.set(key, silence);
+      return silence;
+    },
+    find: (workerId, bornMs) => silences.get(makeKey(workerId, bornMs)),
+    drop: (workerId, bornMs) => silences.delete(makeKey(workerId, bornMs)),
+    countCoincident: (silence) => listCoincident(silence).length,
+    hasCommonJob: (silence) => {
+      const jobLists = listCoincident(silence).map(({ runs }) => runs.map(({ jobId }) => jobId));
+      return silence.runs.some(({ jobId }) => jobLists.every((jobs) => jobs.includes(jobId)));
+    },
+  };
+}
--- a/packages/vanilladock/src/test/jobs/pool-simulation.ts
+++ b/packages/vanilladock/src/test/jobs/pool-simulation.ts
@@ -4,16 +4,24 @@
  * pauses.
  */
 import type { AdviseAction, StartAction } from '../../lib/jobs/plan-starts.js';
+import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
 import type { JobPolicy, JobSpec } from '../../lib/jobs/spec.js';
 import type { EndedTask, OrderOutcome, WorkerEntry } from '../../lib/ports/task-workers.js';
 import { createHarness, makeRow, POLICY, type Harness } from './planner-harness.js';
 
-/** How a run ends by itself, and after what time. */
+/** How a run ends by itself, and after what time; `crash` ends the incarnation of its worker. */
 export interface PlannedEnd {
-  readonly how: 'done' | 'failed';
+  readonly how: 'done' | 'failed' | 'crash';
   readonly afterMs: number;
 }
 
+/** A crash of a worker, with the tasks whose runs were lost. */
+export interface CrashEvent {
+  readonly workerId: string;
+  readonly atMs: number;
+  readonly taskKeys: readonly string[];
+}
+
 /** A start that the planner ordered. */
 export interface StartRecord {
   readonly jobId: string;
@@ -38,11 +46,20 @@
   readonly answerStart?: (start: StartRecord) => OrderOutcome;
   /** Without one, queries get no answer. */
   readonly advisor?: SimulatedAdvisor;
+  /** Time until a crashed worker is back under another id. */
+  readonly downMs?: number;
+  /** Receives the entries of the decision log. */
+  readonly report?: (event: DecisionEvent) => void;
 }
 
 export interface PoolSimulation {
   readonly harness: Harness;
   readonly starts: readonly StartRecord[];
+  readonly crashes: readonly CrashEvent[];
+  /** Ends the incarnation of a worker; another one at its address follows. */
+  readonly crash: (workerId: string) => void;
+  /** Lists the ids of the workers that are up. */
+  readonly listWorkerIds: () => readonly string[];
   /** Advances the time to `untilMs`. */
   readonly runUntil: (untilMs: number) => void;
   readonly getNowMs: () => number;
@@ -67,6 +84,11 @@
   readonly endMs: number;
 }
 
+interface DownWorker {
+  readonly untilMs: number;
+  nextMissMs: number;
+}
+
 interface SimulatedWorker {
   readonly runs: Map<string, SimulatedRun>;
   ended: readonly EndedTask[];
@@ -83,27 +105,59 @@
 const ADVICE_TIMEOUT_MS = 3_000;
 const MAX_WAITING_QUERIES = 32;
 const TICKET_VALID_MS = 30_000;
+const MISS_INTERVAL_MS = 150;
+const DEFAULT_DOWN_MS = 3_000;
 
 export function createPoolSimulation(options: SimulationOptions): PoolSimulation {
-  const harness = createHarness();
+  const harness = createHarness(options.report === undefined ? {} : { report: options.report });
   const { planner, at } = harness;
   const starts: StartRecord[] = [];
+  const crashes: CrashEvent[] = [];
+  const down = new Map<string, DownWorker>();
+  let listed: readonly WorkerEntry[] = [];
+  let returnCount = 0;
   const workers = new Map<string, SimulatedWorker>();
   const queries: PendingQuery[] = [];
   let nowMs = 0;
   let nextPlanMs = 0;
 
   const setWorkers = (entries: readonly WorkerEntry[]) => {
+    listed = entries;
     const ids = new Set(entries.map(({ id }) => id));
     [...workers.keys()].filter((id) => !ids.has(id)).forEach((id) => workers.delete(id));
     entries
-      .filter(({ id }) => !workers.has(id))
+      .filter(({ id }) => !workers.has(id) && !down.has(id))
       .forEach(({ id }) => {
         workers.set(id, { runs: new Map(), ended: [], lastNumber: 0, nextReportMs: nowMs });
       });
     planner.observeWorkers(entries, at(nowMs));
     planner.markWorkersRecorded([...ids]);
   };
+  const stopWorker = (id: string) => {
+    const taskKeys = [...(workers.get(id)?.runs.keys() ?? [])];
+    crashes.push({ workerId: id, atMs: nowMs, taskKeys });
+    workers.delete(id);
+    const untilMs = nowMs + (options.downMs ?? DEFAULT_DOWN_MS);
+    down.set(id, { untilMs, nextMissMs: nowMs + STEP_MS });
+  };
+  const restartWorker = (id: string) => {
+    down.delete(id);
+    planner.observeIncarnationEnd(id, 1, at(nowMs));
+    returnCount += 1;
+    setWorkers(
+      listed.map((entry) => (entry.id === id ? { ...entry, id: `r${returnCount}` } : entry)),
+    );
+    nextPlanMs = nowMs;
+  };
+  const runDownWorker = (id: string, state: DownWorker) => {
+    if (nowMs >= state.untilMs) {
+      restartWorker(id);
+    } else if (nowMs >= state.nextMissMs) {
+      planner.observeMissedReport(id, at(nowMs));
+      state.nextMissMs = nowMs + MISS_INTERVAL_MS;
+      nextPlanMs = nowMs;
+    }
+  };
   const recordEnd = (
     worker: SimulatedWorker,
     { taskKey, run }: SimulatedRun,
@@ -116,7 +170,7 @@
     worker.nextReportMs = nowMs;
   };
   const computePercent = ({ startedMs, end }: SimulatedRun) =>
-    end === undefined || end.how === 'failed'
+    end === undefined || end.how !== 'done'
       ? Math.min(FULL_PERCENT, nowMs - startedMs)
       : Math.floor((FULL_PERCENT * (nowMs - startedMs)) / end.afterMs);
   const sendReport = (id: string, worker: SimulatedWorker) => {
@@ -138,9 +192,11 @@
     const jobId = taskKey.slice(0, taskKey.indexOf('.'));
     const start = { jobId, taskKey, workerId: worker.id, atMs: nowMs };
     starts.push(start);
-    const outcome = options.answerStart?.(start) ?? { kind: 'accepted', clockMs: nowMs };
-    planner.observeStart(action, outcome, at(nowMs));
     const simulated = workers.get(worker.id);
+    const answer: OrderOutcome =
+      simulated === undefined ? { kind: 'unknown' } : { kind: 'accepted', clockMs: nowMs };
+    const outcome = options.answerStart?.(start) ?? answer;
+    planner.observeStart(action, outcome, at(nowMs));
     if (outcome.kind !== 'accepted' || simulated === undefined) return;
     const end = options.decideEnd(start);
     simulated.runs.set(taskKey, { taskKey, run, startedMs: nowMs, end });
@@ -175,15 +231,17 @@
       const run = worker?.runs.get(action.taskKey);
       if (worker !== undefined && run !== undefined) recordEnd(worker, run, 'stopped');
     });
+    harness.store();
   };
   const runStep = () => {
-    workers.forEach((worker) => {
+    [...workers].forEach(([id, worker]) => {
       [...worker.runs.values()].forEach((run) => {
-        if (run.end !== undefined && nowMs >= run.startedMs + run.end.afterMs) {
-          recordEnd(worker, run, run.end.how);
-        }
+        if (run.end === undefined || nowMs < run.startedMs + run.end.afterMs) return;
+        if (run.end.how === 'crash') stopWorker(id);
+        else if (workers.has(id)) recordEnd(worker, run, run.end.how);
       });
     });
+    [...down].forEach(([id, state]) => runDownWorker(id, state));
     workers.forEach((worker, id) => {
       if (nowMs >= worker.nextReportMs) sendReport(id, worker);
     });
@@ -194,6 +252,9 @@
   return {
     harness,
     starts,
+    crashes,
+    crash: stopWorker,
+    listWorkerIds: () => [...workers.keys()],
     setWorkers,
     runUntil: (untilMs) => {
       for (; nowMs < untilMs; nowMs += STEP_MS) runStep();
