--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
@@ -0,0 +1,109 @@
+/** Tests that a task that crashes each worker that starts it is found and given up. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { openCrashScene } from './crash-scenes.js';
+
+const test = suite('crashing tasks');
+
+/** Starts of such a task that are allowed: three, and two more after the third crash. */
+const MAX_STARTS = 5;
+
+const isSound = (taskKeys: readonly string[]) => (id: string) =>
+  !taskKeys.some((key) => key.startsWith(`${id}.`));
+
+/** Plays a scene and returns what became of the deadly tasks and of all other jobs. */
+const runDeadly = (
+  deadly: readonly string[],
+  options: Omit<Parameters<typeof openCrashScene>[0], 'isDeadly'>,
+  playMs = 20_000,
+) => {
+  const scene = openCrashScene({ ...options, isDeadly: (key) => deadly.includes(key) });
+  scene.play(playMs);
+  scene.drain(25_000);
+  const failed = scene.listJobs('failed');
+  const others = new Map<string, number>();
+  scene.crashes
+    .flatMap(({ taskKeys }) => taskKeys.filter((key) => !deadly.includes(key)))
+    .forEach((key) => others.set(key, (others.get(key) ?? 0) + 1));
+  return {
+    scene,
+    deadlyCrashes: deadly.map(scene.countCrashes),
+    soundFailed: failed.filter(isSound(deadly)),
+    deadlyActive: deadly.filter((key) => !failed.some((id) => key.startsWith(`${id}.`))),
+    lostTwice: [...others].filter(([, count]) => count > 1).map(([key]) => key),
+  };
+};
+
+test('a task that crashes worker after worker is given up, and the jobs lost beside it complete', () => {
+  const { scene, deadlyCrashes, ...result } = runDeadly(['batch-20.0.0.0'], { workers: 6 });
+  assert.equal(result.soundFailed, []);
+  assert.equal(result.deadlyActive, []);
+  assert.ok(deadlyCrashes[0]! <= 3, `crashes: ${deadlyCrashes[0]}`);
+  assert.is(scene.listJobs('completed').length, 79);
+  assert.equal(result.lostTwice, [], 'no neighbour travels with it');
+});
+
+test('a task that crashes its workers after it has worked for a while is given up', () => {
+  const { deadlyCrashes, ...result } = runDeadly(['batch-20.0.0.3'], {
+    workers: 6,
+    crashAfterMs: 700,
+  });
+  assert.equal([result.soundFailed, result.deadlyActive], [[], []]);
+  assert.ok(deadlyCrashes[0]! <= MAX_STARTS, `crashes: ${deadlyCrashes[0]}`);
+});
+
+test('a lasting task that crashes its workers is given up, and lasting jobs beside it go on', () => {
+  const { scene, deadlyCrashes, ...result } = runDeadly(['lasting-2.0.0.1'], {
+    workers: 8,
+    lastingJobs: 4,
+  });
+  assert.equal([result.soundFailed, result.deadlyActive], [[], []]);
+  assert.ok(deadlyCrashes[0]! <= MAX_STARTS, `crashes: ${deadlyCrashes[0]}`);
+  assert.equal(scene.listJobs('running'), ['lasting-0', 'lasting-1', 'lasting-3']);
+});
+
+test('several tasks that crash workers at once are each given up, and no other job is', () => {
+  const deadly = [5, 7, 9, 12, 20, 21, 30, 45, 46].map((number) => `batch-${number}.0.0.0`);
+  const { scene, deadlyCrashes, ...result } = runDeadly(deadly, { workers: 9 });
+  assert.equal([result.soundFailed, result.deadlyActive], [[], []]);
+  assert.ok(Math.max(...deadlyCrashes) <= MAX_STARTS, `crashes: ${deadlyCrashes.join()}`);
+  assert.is(scene.listJobs('completed').length, 71);
+});
+
+test('a task that crashes the only worker of its pool is given up', () => {
+  const { deadlyCrashes, ...result } = runDeadly(['batch-2.0.0.0'], {
+    workers: 1,
+    jobsPerSecond: 1,
+  });
+  assert.equal([result.soundFailed, result.deadlyActive], [[], []]);
+  assert.ok(deadlyCrashes[0]! <= MAX_STARTS, `crashes: ${deadlyCrashes[0]}`);
+});
+
+test('no job is given up when two fifths of the workers crash four times', () => {
+  const scene = openCrashScene({ workers: 10, lastingJobs: 4, isDeadly: () => false });
+  [5_000, 10_000, 15_000, 20_000].forEach((atMs) => {
+    scene.play(atMs);
+    scene.listWorkerIds().slice(0, 4).forEach(scene.crash);
+  });
+  scene.drain(30_000);
+  assert.equal(scene.listJobs('failed'), []);
+  assert.is(scene.listJobs('completed').length, 80);
+  assert.is(scene.listJobs('running').length, 4);
+});
+
+test('no job is given up for a machine that crashes again and again', () => {
+  const scene = openCrashScene({ workers: 6, lastingJobs: 2, isDeadly: () => false, downMs: 500 });
+  const findFlapping = () =>
+    [...scene.harness.planner.table.workers.values()].find(({ entry }) => entry.instance === 'm-w0')
+      ?.entry.id;
+  for (let atMs = 3_000; atMs < 25_000; atMs += 1_500) {
+    scene.play(atMs);
+    const id = findFlapping();
+    if (id !== undefined && scene.listWorkerIds().includes(id)) scene.crash(id);
+  }
+  scene.drain(20_000);
+  assert.equal(scene.listJobs('failed'), []);
+  assert.equal(scene.listJobs('queued'), []);
+});
+
+test.run();
