--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -112,7 +112,7 @@
         if (outcome.why === 'fenced') options.handleFenced();
         else if (outcome.why === 'other-life')
           planner.observeIncarnationEnd(workerId, bornMs, receivedAt);
-        else planner.observeMissedReport(workerId, receivedAt);
+        else planner.observeMissedReport(workerId, receivedAt, true);
         await waitOrWake(RETRY_MS);
         return;
       case 'unknown':
--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -6,9 +6,10 @@
  * near their data if there is free capacity, so that workers become idle and can be lent after the
  * peak.
  */
-import type { Resources } from '../ports/workers.js';
+import { isToBeIsolated } from './crash-evidence.js';
 import { computeUsedCoreShare, hasFreeCapacity } from './free-capacity.js';
-import type { StepSpec } from './spec.js';
+import { getMachine } from './machine-crashes.js';
+import type { PlacementRequest } from './placement-request.js';
 import type { StepRun, Task, Worker } from './state.js';
 import { explainExclusion } from './worker-exclusion.js';
 
@@ -16,7 +17,8 @@
 const REMOTE_PENALTY = 0.5;
 
 /**
- * Cost of a worker on which the task failed or stalled before; chosen only if no other worker fits.
+ * Cost of a worker on which the task failed, stalled or was lost before; chosen only if no other
+ * worker fits.
  */
 const AVOIDED_PENALTY = 10;
 
@@ -29,24 +31,12 @@
 /** For lasting tasks, cost of a worker that has none yet; above that of any load. */
 const FIRST_LASTING_PENALTY = 1.5;
 
+/** For a suspect of a crash, cost of each other suspect on the worker; above that of any load. */
+const SUSPECT_PENALTY = 2;
+
 /** Cost of each job with a failed task on the worker since the last success there. */
 const FAILED_JOB_PENALTY = 0.3;
 
-/** Request for a worker for one task. */
-export interface PlacementRequest {
-  readonly task: Task;
-  readonly step: StepSpec;
-  readonly stepRun: StepRun;
-  /** Capacity that the task reserves on its worker. */
-  readonly footprint: Resources;
-  /** Rack of the step's other tasks if they should share one; undefined otherwise. */
-  readonly rack: string | undefined;
-  /** For a lasting task, the number of its step's tasks by rack; others need none. */
-  readonly siblingsByRack: ReadonlyMap<string, number>;
-  /** Monotonic time in milliseconds. */
-  readonly nowMs: number;
-}
-
 /** Says whether a worker accepts new tasks at all, whatever its free capacity. */
 export function isAcceptingTasks(worker: Worker, nowMs: number): boolean {
   return explainExclusion(worker, nowMs) === undefined;
@@ -61,8 +51,8 @@
   return count;
 }
 
-/** Says whether label and spread rules allow a task of the step on a worker, whatever its load. */
-export function isEligible(worker: Worker, request: PlacementRequest): boolean {
+/** Says whether label and spread rules allow a task of the step on a worker. */
+export function isAllowed(worker: Worker, request: PlacementRequest): boolean {
   const { step, stepRun } = request;
   if (step.requiredLabel !== undefined && !worker.entry.labels.includes(step.requiredLabel)) {
     return false;
@@ -72,6 +62,18 @@
   );
 }
 
+/** Says whether a worker is open to a task: some are isolated for the suspects of one job. */
+function isOpen({ isolation }: Worker, { task, step, nowMs }: PlacementRequest): boolean {
+  const isSuspect = isToBeIsolated(task, step.isLasting, nowMs);
+  if (isolation === undefined) return !isSuspect;
+  return isSuspect && isolation.isClear && isolation.jobId === task.jobId;
+}
+
+/** Says whether a task may run on a worker, whatever its load. */
+export function isEligible(worker: Worker, request: PlacementRequest): boolean {
+  return isAllowed(worker, request) && isOpen(worker, request);
+}
+
 /** Says whether a worker accepts tasks, and has free capacity for this one, and its rules allow it. */
 export function isFitting(worker: Worker, request: PlacementRequest): boolean {
   return (
@@ -94,17 +96,26 @@
   );
 }
 
+/** Says whether a task failed or stalled on a worker, or was lost with its machine. */
+function isAvoided({ avoidedWorkerIds, crashes }: Task, { entry }: Worker): boolean {
+  return (
+    avoidedWorkerIds.includes(entry.id) ||
+    crashes.some(({ machine }) => machine === getMachine(entry))
+  );
+}
+
 /** Computes the cost of running a task on a worker; the worker with the lowest cost is chosen. */
 function computeCost(worker: Worker, request: PlacementRequest): number {
-  const { task, step, rack } = request;
+  const { task, step, rack, suspectsByWorker } = request;
   const preferredRack = rack ?? step.dataRack;
   const isRemote = preferredRack !== undefined && worker.entry.rack !== preferredRack;
   const coreShare = computeUsedCoreShare(worker);
   return (
     (step.isLasting ? coreShare : 1 - coreShare) +
     (isRemote ? REMOTE_PENALTY : 0) +
-    (task.avoidedWorkerIds.includes(worker.entry.id) ? AVOIDED_PENALTY : 0) +
+    (isAvoided(task, worker) ? AVOIDED_PENALTY : 0) +
     (step.isLasting ? computeLastingCost(worker, request) : 0) +
+    SUSPECT_PENALTY * (suspectsByWorker.get(worker.entry.id) ?? 0) +
     FAILED_JOB_PENALTY * worker.failures.jobs.length
   );
 }
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -0,0 +1,150 @@
+/**
+ * Decides what the crashes of workers say about the tasks that ran there. Load pattern: a worker
+ * crashes with a dozen runs, one of which is the cause and crashes the next worker too, while
+ * workers also crash on their own, one at a time or many at once. A task is given up once a worker
+ * has crashed again on which, of all suspects, only its job ran.
+ */
+
+/**
+ * What a crash says about a task. `recent`: the run had just started when the worker was last heard
+ * of. `earlier`: it had gone on for some time. `mass`: several workers were lost at that moment,
+ * which says little. `none`: the run had gone on for long. `explained`: another task was found to be
+ * the cause.
+ */
+export type Suspicion = 'recent' | 'earlier' | 'mass' | 'none' | 'explained';
+
+/** A crash of a worker under a run of a task. */
+export interface CrashRecord {
+  readonly workerId: string;
+  /** Start of the worker's incarnation, in milliseconds since 1970. */
+  readonly bornMs: number;
+  /** Machine of the worker: its instance, or its address where the instance is not known. */
+  readonly machine: string;
+  /** Whether the incarnation has ended with a confirmed run; else the worker does not answer. */
+  readonly isConfirmed: boolean;
+  readonly suspicion: Suspicion;
+  /** Whether no other job had a run there that may have been the cause, nor the machine itself. */
+  readonly isAlone: boolean;
+  /** When the crash was recorded, on the planner's monotonic clock; 0 for a loaded record. */
+  readonly atMs: number;
+}
+
+/**
+ * Why a job is given up. `crashed-alone`: a suspect crashed a worker of another machine, on which it
+ * ran alone.
+ * `crashed-often`: three crashes that no other cause explains, on several machines. `crash-limit`:
+ * the number of crashes alone.
+ */
+export type GiveUpReason = 'crashed-alone' | 'crashed-often' | 'crash-limit';
+
+/** A run that started at most this long before the last sign of life counts as recent. */
+const RECENT_START_MS = 300;
+
+/** A run that has gone on for this long is not suspected, and needs no worker of its own. */
+export const PROVEN_RUN_MS = 4_000;
+
+/** A crash after a run of this length is not counted at all. */
+const LONG_RUN_MS = 10_000;
+
+/** Number of workers lost at one moment from which the loss of one of them says little. */
+const MASS_LOSS_WORKERS = 3;
+
+/** How long a suspect of a single crash waits for a worker of its own, and a lasting one. */
+const ISOLATION_PATIENCE_MS = 6_000;
+const LASTING_PATIENCE_MS = 3_000;
+
+/** Confirmed crashes without which no job is given up. */
+const MIN_CRASHES = 2;
+
+/** Crashes alone, each at the moment of others, at which a job is given up. */
+const ALONE_MASS_CRASHES = 2;
+
+/** Crashes on several machines, not explained otherwise, at which a job is given up. */
+const OFTEN_CRASHES = 3;
+
+/** Crashes of any kind at which a job is given up. */
+const MAX_CRASHES = 5;
+
+/** Says whether the loss of this many workers at one moment has a cause outside of their tasks. */
+export function isMassLoss(coincident: number, hasCommonJob: boolean): boolean {
+  return coincident >= MASS_LOSS_WORKERS && !hasCommonJob;
+}
+
+/**
+ * Classifies a crash for a run that is known to have gone on for `aliveMs`; undefined if it does not
+ * count.
+ */
+export function classifyCrash(aliveMs: number, isMass: boolean): Suspicion | undefined {
+  if (aliveMs >= LONG_RUN_MS) return undefined;
+  if (aliveMs >= PROVEN_RUN_MS) return 'none';
+  if (isMass) return 'mass';
+  return aliveMs <= RECENT_START_MS ? 'recent' : 'earlier';
+}
+
+/** Lists the crashes that make a task suspect. */
+function listSuspicious(crashes: readonly CrashRecord[]): readonly CrashRecord[] {
+  return crashes.filter(({ suspicion }) => suspicion !== 'none' && suspicion !== 'explained');
+}
+
+/** Lists those of them that were the only ones at their moment, or one of two. */
+function listSingle(crashes: readonly CrashRecord[]): readonly CrashRecord[] {
+  return listSuspicious(crashes).filter(({ suspicion }) => suspicion !== 'mass');
+}
+
+/** Says whether a task may have crashed a worker. */
+export function isSuspect({ crashes }: { readonly crashes: readonly CrashRecord[] }): boolean {
+  return crashes.length > 0 && listSuspicious(crashes).length > 0;
+}
+
+/** Says whether a crash names a suspect: only its job ran there, and no other worker was lost. */
+export function isTelling({ suspicion, isAlone }: CrashRecord): boolean {
+  return isAlone && (suspicion === 'recent' || suspicion === 'earlier');
+}
+
+/**
+ * Says whether a task must run on a worker without other jobs: it is a suspect of several crashes,
+ * or had just started at the only one and has not waited too long since.
+ */
+export function isToBeIsolated(
+  { crashes }: { readonly crashes: readonly CrashRecord[] },
+  isLasting: boolean,
+  nowMs: number,
+): boolean {
+  if (crashes.length === 0) return false;
+  const [first, ...others] = listSuspicious(crashes);
+  if (first === undefined) return false;
+  if (others.length > 0) return true;
+  const patienceMs = isLasting ? LASTING_PATIENCE_MS : ISOLATION_PATIENCE_MS;
+  const isPatient = nowMs - first.atMs < patienceMs;
+  return first.isConfirmed && first.suspicion === 'recent' && isPatient;
+}
+
+/** Counts the machines of crashes. */
+function countMachines(crashes: readonly CrashRecord[]): number {
+  return new Set(crashes.map(({ machine }) => machine)).size;
+}
+
+/** Says whether a suspect crashed a worker of another machine on which only its job ran. */
+function hasCrashedAlone(crashes: readonly CrashRecord[]): boolean {
+  const [, ...later] = crashes;
+  const alone = listSuspicious(later).filter(({ isConfirmed, isAlone }) => isConfirmed && isAlone);
+  const isEnough = alone.some(isTelling) || alone.length >= ALONE_MASS_CRASHES;
+  return isEnough && countMachines(crashes.filter(({ isConfirmed }) => isConfirmed)) > 1;
+}
+
+/** Says whether the limit is reached, of crashes that no other task explains or by one alone. */
+function hasReachedLimit(crashes: readonly CrashRecord[]): boolean {
+  const unexplained = crashes.filter(({ suspicion }) => suspicion !== 'explained');
+  if (unexplained.length >= MAX_CRASHES) return true;
+  return crashes.length >= MAX_CRASHES && crashes.at(-1)?.isAlone === true;
+}
+
+/** Decides whether the job of a task with these crashes, oldest first, is given up. */
+export function decideGiveUp(crashes: readonly CrashRecord[]): GiveUpReason | undefined {
+  const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
+  if (confirmed.length < MIN_CRASHES) return undefined;
+  if (hasCrashedAlone(crashes)) return 'crashed-alone';
+  const single = listSingle(confirmed);
+  if (single.length >= OFTEN_CRASHES && countMachines(single) > 1) return 'crashed-often';
+  return hasReachedLimit(crashes) ? 'crash-limit' : undefined;
+}
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -1,33 +1,167 @@
 /**
- * Watches for workers that crash: a worker stops to answer, and another incarnation shows that the
- * one that had the runs has ended without an order.
+ * Watches for workers that crash, and records each crash for the tasks that ran there: as possible
+ * once a worker has not answered twice, as confirmed when its incarnation has ended without an
+ * order, and not at all if it answers again.
  */
+import { closeJob } from './apply-ends.js';
+import {
+  classifyCrash,
+  decideGiveUp,
+  isMassLoss,
+  isTelling,
+  PROVEN_RUN_MS,
+  type CrashRecord,
+} from './crash-evidence.js';
+import { createMachineCrashes, getMachine } from './machine-crashes.js';
+import type { WorkerEntry } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
-import type { Moment, Worker } from './state.js';
-import { createWorkerSilences, type Silence } from './worker-silences.js';
+import type { Moment, Task, Worker } from './state.js';
+import { createWorkerSilences, type Silence, type SilencedRun } from './worker-silences.js';
+
+/** How an incarnation has ended. */
+export interface IncarnationEnd {
+  /** Whether an order for its instance was carried out. */
+  readonly isOrdered: boolean;
+  /** Whether the next incarnation has the id of the worker, and may have accepted its last starts. */
+  readonly isSameId: boolean;
+}
 
 /** Watch over the workers of a pool. */
 export interface CrashWatch {
-  /** Records that a worker has not answered. */
+  /** Indexes the crashes that were stored with a job. */
+  readonly observeLoadedJob: (jobId: string) => void;
+  /** Records that a worker has not answered; from the second time on it may have crashed. */
   readonly observeSilence: (worker: Worker, at: Moment) => void;
   /** Records that an incarnation answers. */
-  readonly observeAnswer: (worker: Worker) => void;
+  readonly observeAnswer: (entry: WorkerEntry) => void;
   /** Records that a worker's incarnation has ended; to be called while its runs are assigned. */
-  readonly observeEnd: (worker: Worker, at: Moment) => void;
+  readonly observeEnd: (worker: Worker, at: Moment, end: IncarnationEnd) => void;
+  /** Records a new incarnation, which shows that an earlier one on its machine has ended. */
+  readonly observeEntry: (entry: WorkerEntry, at: Moment) => void;
+  /** Says whether a machine has crashed lately without runs of a job. */
+  readonly hasCrashedWithout: (entry: WorkerEntry, jobId: string, nowMs: number) => boolean;
+  /** Ends the jobs that are to be given up by what was recorded since the last call. */
+  readonly giveUpJobs: (at: Moment) => void;
 }
 
 /** Number of runs that one line of the log names. */
 const MAX_LOGGED_RUNS = 24;
 
+/** An evacuation explains the end of a worker for this long after it has lapsed. */
+const EVACUATION_MARGIN_MS = 3_000;
+
+/** Says whether a worker was to end: it is draining, or its instance is moved or maintained. */
+function isEndPlanned({ entry, evacuateUntilMs }: Worker, nowMs: number): boolean {
+  const wasEvacuated = evacuateUntilMs > 0 && evacuateUntilMs + EVACUATION_MARGIN_MS > nowMs;
+  return entry.phase === 'draining' || wasEvacuated;
+}
+
+/** Makes the key of an incarnation. */
+function makeKey(workerId: string, bornMs: number): string {
+  return `${workerId}~${bornMs}`;
+}
+
 /** Creates the watch of a pool. */
 export function createCrashWatch(context: PoolContext): CrashWatch {
+  const { table, dirtyJobs, report } = context;
   const silences = createWorkerSilences(context);
-  /** Number of crashes under each task that is in the table. */
-  const crashCounts = new Map<string, number>();
+  const machineCrashes = createMachineCrashes();
+  /** Keys of the tasks with a record of an incarnation's crash, by the key of the incarnation. */
+  const tasksByCrash = new Map<string, Set<string>>();
+  /** Incarnations that may have crashed, by machine. */
+  const possibleByMachine = new Map<string, Pick<WorkerEntry, 'id' | 'bornMs'>>();
+  const changedJobs = new Set<string>();
 
+  const setCrashes = (task: Task, crashes: readonly CrashRecord[]) => {
+    table.moveTask(task, task.state, { crashes });
+    const job = table.jobs.get(task.jobId);
+    if (job !== undefined) table.updateJob(task.jobId, { crashVersion: job.crashVersion + 1 });
+    dirtyJobs.add(task.jobId);
+    changedJobs.add(task.jobId);
+  };
+  const addToIndex = (taskKey: string, { workerId, bornMs }: CrashRecord) => {
+    const key = makeKey(workerId, bornMs);
+    tasksByCrash.set(key, (tasksByCrash.get(key) ?? new Set()).add(taskKey));
+  };
+  /**
+   * Applies a change to the records of one incarnation's crash, and returns the number of tasks that
+   * it changed; undefined drops the record.
+   */
+  const updateRecords = (
+    key: string,
+    change: (record: CrashRecord, taskKey: string) => CrashRecord | undefined,
+  ): number => {
+    const changed = [...(tasksByCrash.get(key) ?? [])].filter((taskKey) => {
+      const task = table.findTask(taskKey);
+      if (task === undefined || task.state.kind === 'done') return false;
+      const known = task.crashes.find((record) => makeKey(record.workerId, record.bornMs) === key);
+      const updated = known === undefined ? undefined : change(known, taskKey);
+      if (updated === known) return false;
+      setCrashes(
+        task,
+        task.crashes.flatMap((record) => (record === known ? (updated ?? []) : record)),
+      );
+      return true;
+    });
+    return changed.length;
+  };
+  /**
+   * Marks the crashes of a task as explained for the tasks of other jobs; returns how many tasks that
+   * changes.
+   */
+  const dropOtherSuspicions = ({ jobId, crashes }: Task): number =>
+    crashes
+      .map(({ workerId, bornMs }) =>
+        updateRecords(makeKey(workerId, bornMs), (record, taskKey) => {
+          const isOfJob = table.findTask(taskKey)?.jobId === jobId;
+          const isExplained = record.suspicion === 'explained';
+          return isOfJob || isExplained ? record : { ...record, suspicion: 'explained' };
+        }),
+      )
+      .reduce((sum, count) => sum + count, 0);
+  const addRecords = (worker: Worker, silence: Silence, isEnded: boolean, nowMs: number) => {
+    const { id: workerId, bornMs } = worker.entry;
+    const machine = getMachine(worker.entry);
+    const isMass = isMassLoss(silences.countCoincident(silence), silences.hasCommonJob(silence));
+    const unproven = silence.runs.filter(({ aliveMs }) => aliveMs < PROVEN_RUN_MS);
+    const jobIds = new Set(unproven.map(({ jobId }) => jobId));
+    silence.runs.forEach((run) => {
+      const suspicion = classifyCrash(run.aliveMs, isMass);
+      const task = table.findTask(run.taskKey);
+      if (suspicion === undefined || task === undefined || task.state.kind === 'done') return;
+      const isKnown = task.crashes.some(
+        (known) => known.workerId === workerId && known.bornMs === bornMs,
+      );
+      if (isKnown) return;
+      const record: CrashRecord = {
+        workerId,
+        bornMs,
+        machine,
+        isConfirmed: isEnded && run.isConfirmed,
+        suspicion,
+        isAlone: jobIds.size === 1 && !machineCrashes.hasCrashedWithout(machine, run.jobId, nowMs),
+        atMs: nowMs,
+      };
+      addToIndex(run.taskKey, record);
+      setCrashes(task, [...task.crashes, record]);
+      if (isTelling(record)) dropOtherSuspicions(task);
+    });
+  };
+  const updateToConfirmed = (entry: Pick<WorkerEntry, 'id' | 'bornMs'>, nowMs: number) => {
+    const silence = silences.find(entry.id, entry.bornMs);
+    const runs = silence?.runs ?? [];
+    const unconfirmed = new Set(
+      runs.filter(({ isConfirmed }) => !isConfirmed).map(({ taskKey }) => taskKey),
+    );
+    updateRecords(makeKey(entry.id, entry.bornMs), (record, taskKey) =>
+      record.isConfirmed || unconfirmed.has(taskKey)
+        ? record
+        : { ...record, isConfirmed: true, atMs: nowMs },
+    );
+  };
   const logCrash = ({ entry }: Worker, silence: Silence, nowMs: number) => {
     const runs = [...silence.runs].sort((a, b) => a.aliveMs - b.aliveMs);
-    context.report({
+    report({
       event: 'worker-crashed',
       worker: entry.id,
       bornMs: entry.bornMs,
@@ -39,22 +173,98 @@
         task: taskKey,
         run,
         aliveMs,
-        crashes: crashCounts.get(taskKey),
+        crashes: table.findTask(taskKey)?.crashes.length,
       })),
       moreRuns: Math.max(0, runs.length - MAX_LOGGED_RUNS),
     });
   };
+  /** Collects the crashes of a task; a gang shares those of its members. */
+  const listCrashes = (task: Task): readonly CrashRecord[] => {
+    if (!table.findStep(task).isGang) return task.crashes;
+    const members = table
+      .listJobTasks(task.jobId)
+      .filter((t) => t.occurrence === task.occurrence && t.stepIndex === task.stepIndex);
+    const byCrash = new Map(
+      members
+        .flatMap(({ crashes }) => crashes)
+        .map((record) => [makeKey(record.workerId, record.bornMs), record] as const),
+    );
+    return [...byCrash.values()];
+  };
+  const giveUpJob = (task: Task, crashes: readonly CrashRecord[], at: Moment) => {
+    const why = decideGiveUp(crashes);
+    if (why === undefined) return false;
+    closeJob(context, task.jobId, 'failed', at);
+    machineCrashes.dropExplained(task.jobId);
+    const clearedTasks = dropOtherSuspicions(task);
+    report({
+      event: 'job-given-up',
+      job: task.jobId,
+      task: task.key,
+      why,
+      crashes: crashes.map(({ atMs, ...record }) => ({
+        ...record,
+        agoMs: Math.round(at.nowMs - atMs),
+      })),
+      clearedTasks,
+    });
+    return true;
+  };
   return {
-    observeSilence: (worker, { nowMs }) => {
-      silences.add(worker, nowMs);
+    observeLoadedJob: (jobId) => {
+      const suspects = table.listJobTasks(jobId).filter(({ crashes }) => crashes.length > 0);
+      suspects.forEach(({ key, crashes }) => crashes.forEach((record) => addToIndex(key, record)));
+      if (suspects.length > 0) changedJobs.add(jobId);
     },
-    observeAnswer: ({ entry }) => silences.drop(entry.id, entry.bornMs),
-    observeEnd: (worker, { nowMs }) => {
+    observeSilence: (worker, { nowMs }) => {
+      const isKnown = silences.find(worker.entry.id, worker.entry.bornMs) !== undefined;
       const silence = silences.add(worker, nowMs);
-      silence.runs.forEach(({ taskKey }) =>
-        crashCounts.set(taskKey, (crashCounts.get(taskKey) ?? 0) + 1),
-      );
+      if (!isKnown || silence.runs.length === 0 || isEndPlanned(worker, nowMs)) return;
+      possibleByMachine.set(getMachine(worker.entry), worker.entry);
+      addRecords(worker, silence, false, nowMs);
+    },
+    observeAnswer: ({ id, bornMs }) => {
+      silences.drop(id, bornMs);
+      const key = makeKey(id, bornMs);
+      if (tasksByCrash.has(key)) {
+        updateRecords(key, (record) => (record.isConfirmed ? record : undefined));
+      }
+    },
+    observeEnd: (worker, { nowMs }, { isOrdered, isSameId }) => {
+      const { entry } = worker;
+      const wasSilent = silences.find(entry.id, entry.bornMs) !== undefined;
+      const added = silences.add(worker, nowMs);
+      const isKnownRun = ({ isReported }: SilencedRun) => isReported || wasSilent || !isSameId;
+      const silence = { ...added, runs: added.runs.filter(isKnownRun) };
+      possibleByMachine.delete(getMachine(entry));
+      if (isOrdered || isEndPlanned(worker, nowMs)) {
+        updateRecords(makeKey(entry.id, entry.bornMs), () => undefined);
+        return;
+      }
+      addRecords(worker, silence, true, nowMs);
+      updateToConfirmed(entry, nowMs);
+      const jobIds = silence.runs.map(({ jobId }) => jobId);
+      machineCrashes.add(getMachine(entry), jobIds, nowMs);
       if (silence.runs.length > 0) logCrash(worker, silence, nowMs);
     },
+    observeEntry: (entry, { nowMs }) => {
+      const possible = possibleByMachine.get(getMachine(entry));
+      if (possible === undefined || possible.bornMs >= entry.bornMs) return;
+      possibleByMachine.delete(getMachine(entry));
+      updateToConfirmed(possible, nowMs);
+    },
+    hasCrashedWithout: (entry, jobId, nowMs) =>
+      machineCrashes.hasCrashedWithout(getMachine(entry), jobId, nowMs),
+    giveUpJobs: (at) => {
+      const jobIds = [...changedJobs];
+      changedJobs.clear();
+      jobIds.forEach((jobId) => {
+        if (!table.activeJobs.has(jobId)) return;
+        table
+          .listJobTasks(jobId)
+          .filter((task) => task.crashes.length > 0 && task.state.kind !== 'done')
+          .some((task) => giveUpJob(task, listCrashes(task), at));
+      });
+    },
   };
 }
--- a/packages/vanilladock/src/lib/jobs/eject-workers.ts
+++ b/packages/vanilladock/src/lib/jobs/eject-workers.ts
@@ -5,7 +5,8 @@
  * Whatever has failed, at most a share of the pool is ejected, and a worker that a waiting task
  * needs is tried again soon.
  */
-import { isAcceptingTasks, isEligible, type PlacementRequest } from './choose-worker.js';
+import { isAcceptingTasks, isEligible } from './choose-worker.js';
+import type { PlacementRequest } from './placement-request.js';
 import { hasFreeCapacity } from './free-capacity.js';
 import type { PoolContext } from './pool-context.js';
 import type { JobFailure, Worker, WorkerFailures } from './state.js';
--- a/packages/vanilladock/src/lib/jobs/make-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/make-worker.ts
@@ -24,5 +24,6 @@
     startPauses: 0,
     evacuateUntilMs: 0,
     failures: NO_FAILURES,
+    isolation: undefined,
   };
 }
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -4,7 +4,7 @@
 import type { WorkerTarget } from '../ports/task-workers.js';
 import { chooseWorker } from './choose-worker.js';
 import type { PoolContext } from './pool-context.js';
-import { computeFootprint } from './free-capacity.js';
+import { makeRequest } from './placement-request.js';
 import { makeTaskKey } from './spec.js';
 import { FULL_PERCENT, type Assignment, type Moment, type Task, type Worker } from './state.js';
 
@@ -71,10 +71,7 @@
 function isMovable(context: PoolContext, task: Task, nowMs: number): boolean {
   const step = context.table.findStep(task);
   if (countUnavailable(context, task, nowMs) >= Math.max(1, step.maxUnavailable ?? 1)) return false;
-  const stepRun = context.table.findStepRun(task);
-  const footprint = computeFootprint(step);
-  const siblingsByRack = new Map<string, number>();
-  const request = { task, step, stepRun, footprint, rack: undefined, siblingsByRack, nowMs };
+  const request = makeRequest(context, task, nowMs);
   return chooseWorker(context.table.workers.values(), request) !== undefined;
 }
 
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -67,8 +67,11 @@
     timed: TimedReport,
     at: Moment,
   ) => readonly PaceAction[];
-  /** Counts a report that was requested but not received; no effect on an unknown worker. */
-  readonly observeMissedReport: (workerId: string, at: Moment) => void;
+  /**
+   * Counts a report that was requested but not received; no effect on an unknown worker.
+   * `hasAnswered`: the worker answered, but without a report.
+   */
+  readonly observeMissedReport: (workerId: string, at: Moment, hasAnswered?: boolean) => void;
   /**
    * Drops a worker, and requeues its tasks, because another worker responds at the address of its
    * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -10,6 +10,7 @@
 import { refreshEjections } from './eject-workers.js';
 import { computeWork } from './estimate.js';
 import { createCrashWatch } from './crash-watch.js';
+import { createIsolation } from './isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
 import { createInheritance } from './inheritance.js';
 import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
@@ -55,6 +56,10 @@
   const inheritance = createInheritance(options);
   const crashWatch = createCrashWatch(context);
   const incarnations = createWorkerIncarnations(context, inheritance, crashWatch);
+  const isolation = createIsolation({
+    context,
+    hasCrashedWithout: crashWatch.hasCrashedWithout,
+  });
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
 
@@ -70,6 +75,8 @@
   const applyTime = (at: Moment, isFull: boolean) => {
     const { nowMs, wallMs } = at;
     incarnations.releaseUnresponsive(listPlannedWorkers(isFull), at);
+    crashWatch.giveUpJobs(at);
+    isolation.refresh(nowMs);
     openDueOccurrences(table, wallMs);
     if (exclusionLog.listExcluded().length > 0) refreshEjections(table, nowMs);
     if (isFull) dropFinishedJobs(table, options.statusMs, nowMs);
@@ -82,6 +89,7 @@
       const job = table.addJob(record, { progress, runBase: options.runBase, storedPhase }, at);
       if (job.phase !== 'active') table.updateJob(record.spec.id, { finishedMs: at.nowMs });
       meanWork.addJob(job);
+      crashWatch.observeLoadedJob(record.spec.id);
     },
     submit: (spec, policy, at) => {
       if (table.jobs.has(spec.id)) return 'known';
@@ -146,7 +154,7 @@
       if (hasMissedReports) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, workerId, timed, at);
       const reporter = table.workers.get(workerId);
-      if (reporter !== undefined) crashWatch.observeAnswer(reporter);
+      if (reporter !== undefined) crashWatch.observeAnswer(reporter.entry);
       incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
       return planPaces(context, workerId, at);
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -1,8 +1,13 @@
 /**
- * Stored progress of a job, kept beside its submission: completed tasks, failed runs and the phase.
+ * Stored progress of a job, kept beside its submission: completed tasks, failed runs, crashes of
+ * workers and the phase.
  */
+import type { CrashRecord, Suspicion } from './crash-evidence.js';
 import type { Job, JobPhase, Task } from './state.js';
 
+/** A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone. */
+type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean];
+
 /** Progress in its stored, compact form. */
 interface StoredProgress {
   readonly phase: JobPhase;
@@ -10,6 +15,8 @@
   readonly done: readonly string[];
   /** Numbers of failed runs by task, named as in `done`. */
   readonly failedRuns: Readonly<Record<string, readonly number[]>>;
+  /** Crashes under the runs of tasks, named as in `done`; absent in old records. */
+  readonly crashes?: Readonly<Record<string, readonly StoredCrash[]>>;
   readonly occurrencesDone: readonly number[];
 }
 
@@ -20,6 +27,8 @@
   readonly done: ReadonlySet<string>;
   /** Numbers of failed runs by task, named as in `done`. */
   readonly failedRuns: ReadonlyMap<string, readonly number[]>;
+  /** Crashes of workers under runs by task, named as in `done`. */
+  readonly crashes: ReadonlyMap<string, readonly CrashRecord[]>;
   /** Numbers of the finished occurrences. */
   readonly occurrencesDone: ReadonlySet<number>;
 }
@@ -29,10 +38,23 @@
   return `${task.occurrence}.${task.stepIndex}.${task.index}`;
 }
 
+/** Encodes a crash. */
+function encodeCrash(crash: CrashRecord): StoredCrash {
+  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone } = crash;
+  return [workerId, bornMs, machine, isConfirmed, suspicion, isAlone];
+}
+
+/** Decodes a crash. */
+function decodeCrash(stored: StoredCrash): CrashRecord {
+  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] = stored;
+  return { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
+}
+
 /** Encodes the progress of a job; only the phase is kept for finished jobs. */
 export function encodeProgress(job: Job, tasks: readonly Task[]): string {
   const isActive = job.phase === 'active';
   const failed = tasks.filter((task) => task.failedRuns.length > 0 && task.state.kind !== 'done');
+  const crashed = tasks.filter((task) => task.crashes.length > 0 && task.state.kind !== 'done');
   const stored: StoredProgress = {
     phase: job.phase,
     done: isActive
@@ -41,6 +63,13 @@
     failedRuns: isActive
       ? Object.fromEntries(failed.map((task) => [makeTaskSuffix(task), task.failedRuns]))
       : {},
+    ...(isActive && crashed.length > 0
+      ? {
+          crashes: Object.fromEntries(
+            crashed.map((task) => [makeTaskSuffix(task), task.crashes.map(encodeCrash)]),
+          ),
+        }
+      : {}),
     occurrencesDone: isActive ? [...job.finishedOccurrences] : [],
   };
   return JSON.stringify(stored);
@@ -53,6 +82,12 @@
     phase: stored.phase,
     done: new Set(stored.done),
     failedRuns: new Map(Object.entries(stored.failedRuns)),
+    crashes: new Map(
+      Object.entries(stored.crashes ?? {}).map(([task, crashes]) => [
+        task,
+        crashes.map(decodeCrash),
+      ]),
+    ),
     occurrencesDone: new Set(stored.occurrencesDone),
   };
 }
--- a/packages/vanilladock/src/lib/jobs/reservations.ts
+++ b/packages/vanilladock/src/lib/jobs/reservations.ts
@@ -6,7 +6,8 @@
  */
 import { addResources, isWithin } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
-import { isAcceptingTasks, isEligible, type PlacementRequest } from './choose-worker.js';
+import { isAcceptingTasks, isEligible } from './choose-worker.js';
+import type { PlacementRequest } from './placement-request.js';
 import { computeFootprint, computeFreeCapacity, NO_RESOURCES } from './free-capacity.js';
 import type { Worker } from './state.js';
 import type { TaskTable } from './task-table.js';
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -1,15 +1,17 @@
 /** One pass over the queue: places the waiting tasks of jobs, and marks them as assigned. */
 import { createCandidates, type Candidates } from './candidates.js';
-import { chooseWorker, isEligible, isFitting, type PlacementRequest } from './choose-worker.js';
+import { chooseWorker, isEligible, isFitting } from './choose-worker.js';
+import { isToBeIsolated } from './crash-evidence.js';
 import { releaseNeededWorkers } from './eject-workers.js';
 import { computeFootprint, hasFreeCapacity } from './free-capacity.js';
 import { estimateWorkerMs, LEASE_MS } from './lease-clock.js';
+import { makeRequest, type PlacementRequest } from './placement-request.js';
 import type { PlanScope } from './plan-scope.js';
 import type { AdviseAction, StartAction } from './plan-starts.js';
 import type { PoolContext } from './pool-context.js';
 import type { Resources } from '../ports/workers.js';
 import type { Reservations } from './reservations.js';
-import { makeAssignment, type Moment, type StepRun, type Task, type Worker } from './state.js';
+import { makeAssignment, type Moment, type Task, type Worker } from './state.js';
 import type { TicketRegistry } from './tickets.js';
 import type { WaitingJob } from './waiting-jobs.js';
 import { makeStartableKey, selectWaitingTasks, type StartableStep } from './waiting-tasks.js';
@@ -44,22 +46,9 @@
   readonly getPlan: () => StartPassResult;
 }
 
-const NO_SIBLINGS: ReadonlyMap<string, number> = new Map();
-
-/** Finds the rack on which tasks of the step already run. */
-function findSharedRack(context: PoolContext, stepRun: StepRun): string | undefined {
-  const [first] = stepRun.assigned.values();
-  return first === undefined ? undefined : context.table.workers.get(first)?.entry.rack;
-}
-
-/** Counts the assigned tasks of a step by rack. */
-function countByRack(context: PoolContext, stepRun: StepRun): ReadonlyMap<string, number> {
-  const counts = new Map<string, number>();
-  stepRun.assigned.forEach((workerId) => {
-    const rack = context.table.workers.get(workerId)?.entry.rack;
-    if (rack !== undefined) counts.set(rack, (counts.get(rack) ?? 0) + 1);
-  });
-  return counts;
+/** Says whether the next task like this one may go to the same worker without another choice. */
+function isRepeatable(task: Task): boolean {
+  return task.avoidedWorkerIds.length === 0 && task.crashes.length === 0;
 }
 
 /**
@@ -67,7 +56,7 @@
  * again, as it has become fuller and batch tasks go to the fullest worker.
  */
 function isBestAgain(worker: Worker, request: PlacementRequest): boolean {
-  return request.task.avoidedWorkerIds.length === 0 && isFitting(worker, request);
+  return isRepeatable(request.task) && isFitting(worker, request);
 }
 
 /** Creates a pass. */
@@ -169,17 +158,6 @@
       ticket: findStepTicket(makeStartableKey(startable), worker),
     };
   };
-  const makeRequest = (startable: StartableStep, task: Task): PlacementRequest => ({
-    task,
-    step: startable.step,
-    stepRun: startable.stepRun,
-    footprint: computeFootprint(startable.step),
-    rack: startable.step.isSameRack ? findSharedRack(context, startable.stepRun) : undefined,
-    siblingsByRack: startable.step.isLasting
-      ? countByRack(context, startable.stepRun)
-      : NO_SIBLINGS,
-    nowMs: at.nowMs,
-  });
   const listTasks = (startable: StartableStep) => {
     const waiting = selectWaitingTasks(table, startable, at.nowMs);
     nextRetryMs = Math.min(nextRetryMs, waiting.nextRetryMs);
@@ -202,7 +180,7 @@
     const candidates = selectCandidates(startable, listAll());
     const planned: StartAction[] = [];
     for (const task of waiting) {
-      const request = makeRequest(startable, task);
+      const request = makeRequest(context, task, at.nowMs);
       const worker = chooseWorker(candidates.list(), request);
       if (worker === undefined) {
         handleUnplaced(startable, request);
@@ -222,7 +200,7 @@
   ): Task | undefined => {
     let lastId: string | undefined;
     for (const task of tasks) {
-      const request = makeRequest(startable, task);
+      const request = makeRequest(context, task, at.nowMs);
       const last = lastId === undefined ? undefined : table.workers.get(lastId);
       const worker =
         last !== undefined && isBestAgain(last, request)
@@ -231,8 +209,8 @@
       if (worker === undefined) return task;
       starts.push(assignTask(startable, task, worker, task.lastRun + 1));
       candidates.refreshWorker(worker.entry.id);
-      const canRepeat = !startable.step.isLasting && task.avoidedWorkerIds.length === 0;
-      lastId = canRepeat ? worker.entry.id : undefined;
+      const mayRepeat = !startable.step.isLasting && isRepeatable(task);
+      lastId = mayRepeat ? worker.entry.id : undefined;
     }
     return undefined;
   };
@@ -247,14 +225,17 @@
     if (tasks.length === 0) return;
     const candidates = selectCandidates(startable, from);
     const stepKey = makeStartableKey(startable);
-    const unplaced = placeTasks(startable, tasks, candidates);
+    const isolated = tasks.filter((task) => isToBeIsolated(task, step.isLasting, at.nowMs));
+    isolated.forEach((task) => placeTasks(startable, [task], candidates));
+    const others = tasks.filter((task) => !isolated.includes(task));
+    const unplaced = placeTasks(startable, others, candidates);
     if (unplaced === undefined) {
       reservations.remove(stepKey);
       return;
     }
     from.refreshBound();
     if (!usesAllWorkers) return;
-    const request = makeRequest(startable, unplaced);
+    const request = makeRequest(context, unplaced, at.nowMs);
     handleUnplaced(startable, request);
     if (step.isLasting) reservations.add(stepKey, candidates.list(), request);
   };
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -1,6 +1,7 @@
 /** State of the jobs, tasks and workers of one pool, as held in memory by its planner. */
 import type { Resources } from '../ports/workers.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
+import type { CrashRecord } from './crash-evidence.js';
 import type { JobRecord } from './spec.js';
 
 /** Progress of a lasting task that is fully running, and pace of a task that is not slowed down. */
@@ -88,6 +89,8 @@
    * Numbers of its failed runs; an end that is reported again after a take-over counts only once.
    */
   readonly failedRuns: readonly number[];
+  /** Crashes of workers under its runs, oldest first. */
+  readonly crashes: readonly CrashRecord[];
   /** Highest run number that may have been used for the task. */
   readonly lastRun: number;
   /** Newest known checkpoint; empty if there is none. */
@@ -144,6 +147,10 @@
   readonly finishedOccurrences: Set<number>;
   /** Ids of the workers on which tasks of the job failed. */
   readonly failedWorkerIds: readonly string[];
+  /** Number of changes to the crashes of its tasks. */
+  readonly crashVersion: number;
+  /** Value of `crashVersion` up to which they are stored. */
+  readonly storedCrashVersion: number;
   /** When the job ended or its ended state was loaded; monotonic. Undefined while active. */
   readonly finishedMs: number | undefined;
 }
@@ -188,6 +195,13 @@
   readonly trialTaskKey: string | undefined;
 }
 
+/** Use of a worker for the suspects of one job alone. */
+export interface WorkerIsolation {
+  readonly jobId: string;
+  /** Whether no run of another job that may crash the worker is left there. */
+  readonly isClear: boolean;
+}
+
 /** A worker in memory. Times are on the planner's monotonic clock unless said otherwise. */
 export interface Worker {
   readonly entry: WorkerEntry;
@@ -223,4 +237,6 @@
   readonly evacuateUntilMs: number;
   /** Failures on this worker since the last success there. */
   readonly failures: WorkerFailures;
+  /** Undefined for a worker that is open to all jobs. */
+  readonly isolation: WorkerIsolation | undefined;
 }
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -44,7 +44,7 @@
 
 /** Says whether a task has a result that must be stored. */
 function hasResult(task: Task): boolean {
-  return task.failedRuns.length > 0 || task.state.kind === 'done';
+  return task.failedRuns.length > 0 || task.crashes.length > 0 || task.state.kind === 'done';
 }
 
 /** Creates the queue of a pool; `dirtyJobs` holds the ids of jobs with unstored changes. */
@@ -62,11 +62,13 @@
     takeBatch: () => {
       if (dirtyJobs.size === 0) return undefined;
       const phases = new Map<string, JobPhase>();
+      const crashVersions = new Map<string, number>();
       const batchJobs = [...newJobs];
       const records = [...dirtyJobs].flatMap((id): readonly KeyedRecord[] => {
         const job = table.jobs.get(id);
         if (job === undefined) return [];
         phases.set(id, job.phase);
+        crashVersions.set(id, job.crashVersion);
         const tasks = table.listJobTasks(id);
         const isNew = newJobs.has(id);
         const hasNoProgress = isNew && job.phase === 'active' && !tasks.some(hasResult);
@@ -87,7 +89,8 @@
         jobIds: [...phases.keys()],
         handleStored: () => {
           phases.forEach((storedPhase, id) => {
-            if (table.jobs.has(id)) table.updateJob(id, { storedPhase });
+            const storedCrashVersion = crashVersions.get(id) ?? 0;
+            if (table.jobs.has(id)) table.updateJob(id, { storedPhase, storedCrashVersion });
           });
           coveredEnds.forEach((ends) => recordStoredEnds(table, ends));
         },
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -29,6 +29,8 @@
   readonly jobs: ReadonlyMap<string, Job>;
   /** The active jobs among them. */
   readonly activeJobs: ReadonlyMap<string, Job>;
+  /** Keys of the tasks under which workers have crashed. */
+  readonly crashedTaskKeys: ReadonlySet<string>;
   /** Workers by id. */
   readonly workers: ReadonlyMap<string, Worker>;
   readonly findTask: (key: string) => Task | undefined;
@@ -79,6 +81,7 @@
   const jobs = new Map<string, Job>();
   const activeJobs = new Map<string, Job>();
   const tasks = new Map<string, Task>();
+  const crashedTaskKeys = new Set<string>();
   const workers = new Map<string, Worker>();
   const origins = new Map<string, JobOrigin>();
   const changes = createChangeRecord();
@@ -159,6 +162,8 @@
     const nextWorkerId = state.kind === 'assigned' ? state.workerId : undefined;
     const moved: Task = { ...task, ...change, state };
     changes.addJob(task.jobId);
+    if (moved.crashes.length > 0) crashedTaskKeys.add(task.key);
+    else crashedTaskKeys.delete(task.key);
     if (previousWorkerId !== nextWorkerId || task.state.kind !== state.kind) {
       removeFromIndexes(task);
       tasks.set(task.key, moved);
@@ -182,12 +187,14 @@
       stepIndex,
       index,
       failedRuns: origin?.progress?.failedRuns.get(suffix) ?? [],
+      crashes: origin?.progress?.crashes.get(suffix) ?? [],
       lastRun: origin?.runBase ?? 0,
       checkpoint: '',
       avoidedWorkerIds: [],
       state: { kind: 'waiting', notBeforeMs: 0 },
     };
     tasks.set(key, task);
+    if (task.crashes.length > 0) crashedTaskKeys.add(key);
     if (origin?.progress?.done.has(suffix) === true) moveTask(task, { kind: 'done' });
   };
   const openOccurrence = (jobId: string, number: number) => {
@@ -221,12 +228,14 @@
     }
     removeFromIndexes(task);
     tasks.delete(task.key);
+    crashedTaskKeys.delete(task.key);
     changes.addJob(task.jobId);
     if (state.kind === 'assigned') refreshUsedCapacity(state.workerId);
   };
   return {
     jobs,
     activeJobs,
+    crashedTaskKeys,
     workers,
     findTask: (key) => tasks.get(key),
     findStep,
@@ -249,6 +258,8 @@
         occurrences: new Map(),
         finishedOccurrences: new Set(origin.progress?.occurrencesDone ?? []),
         failedWorkerIds: [],
+        crashVersion: 0,
+        storedCrashVersion: 0,
         finishedMs: undefined,
       };
       setJob(job);
--- a/packages/vanilladock/src/lib/jobs/waiting-tasks.ts
+++ b/packages/vanilladock/src/lib/jobs/waiting-tasks.ts
@@ -51,6 +51,8 @@
   stepRun.waiting.forEach((index) => {
     const task = table.findTask(makeTaskKey(id, occurrence.number, stepIndex, index));
     if (task?.state.kind !== 'waiting') return;
+    // A successor that does not know of the crash would count from the beginning.
+    if (task.crashes.length > 0 && job.storedCrashVersion < job.crashVersion) return;
     if (task.state.notBeforeMs <= nowMs) tasks.push(task);
     else nextRetryMs = Math.min(nextRetryMs, task.state.notBeforeMs);
   });
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -27,8 +27,11 @@
    * and marks the workers that the list omits as unlisted.
    */
   readonly observeEntries: (entries: readonly WorkerEntry[], at: Moment) => void;
-  /** Counts a report that was requested but not received; no effect on an unknown worker. */
-  readonly observeMissedReport: (workerId: string, at: Moment) => void;
+  /**
+   * Counts a report that was requested but not received; no effect on an unknown worker.
+   * `hasAnswered`: the worker answered, but without a report.
+   */
+  readonly observeMissedReport: (workerId: string, at: Moment, hasAnswered?: boolean) => void;
   /**
    * Drops a worker, and requeues its tasks, because another worker responds at the address of its
    * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
@@ -101,7 +104,8 @@
   const dropWorker = (worker: Worker, loss: WorkerLoss, at: Moment) => {
     const { nowMs } = at;
     reportLoss(context, worker, loss, nowMs);
-    crashWatch.observeEnd(worker, at);
+    const isOrdered = endNoticedMs.has(worker.entry.id);
+    crashWatch.observeEnd(worker, at, { isOrdered, isSameId: false });
     releaseEnded(context, listWorkerTasks(context, worker), loss, nowMs);
     removeWorker(worker.entry.id);
   };
@@ -122,7 +126,9 @@
       reportAgeMs: worker === undefined ? undefined : computeReportAge(worker, nowMs),
     });
   };
-  const addWorker = (entry: WorkerEntry, nowMs: number) => {
+  const addWorker = (entry: WorkerEntry, at: Moment) => {
+    const { nowMs } = at;
+    crashWatch.observeEntry(entry, at);
     table.addWorker(entry);
     table.updateWorker(entry.id, { evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0 });
     knownSinceMs.set(entry.id, nowMs);
@@ -144,11 +150,12 @@
     const loss = { why: 'new-life', newBornMs: entry.bornMs } as const;
     const tasks = listWorkerTasks(context, worker);
     reportLoss(context, worker, loss, nowMs);
-    crashWatch.observeEnd(worker, at);
+    const isOrdered = endNoticedMs.has(worker.entry.id);
+    crashWatch.observeEnd(worker, at, { isOrdered, isSameId: true });
     releaseEnded(context, tasks.filter(isReported), loss, nowMs);
     ended.addReplaced(worker.entry);
     evacuateUntilMsById.delete(entry.id);
-    addWorker(entry, nowMs);
+    addWorker(entry, at);
     const added = table.workers.get(entry.id);
     tasks.filter((task) => !isReported(task)).forEach((task) => added?.tasks.add(task.key));
     table.refreshUsedCapacity(entry.id);
@@ -157,7 +164,7 @@
     const { nowMs } = at;
     if (ended.has(entry, nowMs)) return;
     const known = table.workers.get(entry.id);
-    if (known === undefined) addWorker(entry, nowMs);
+    if (known === undefined) addWorker(entry, at);
     else if (known.entry.bornMs < entry.bornMs) restartWorker(known, entry, at);
     else if (known.entry.bornMs === entry.bornMs) {
       table.updateWorker(entry.id, { entry, isListed: true });
@@ -220,11 +227,11 @@
         });
       });
     },
-    observeMissedReport: (workerId, at) => {
+    observeMissedReport: (workerId, at, hasAnswered = false) => {
       const { nowMs } = at;
       const worker = table.workers.get(workerId);
       if (worker === undefined) return;
-      crashWatch.observeSilence(worker, at);
+      if (!hasAnswered && !endNoticedMs.has(workerId)) crashWatch.observeSilence(worker, at);
       const answeredAgoMs = Math.round(nowMs - worker.lastReportMs);
       if (worker.missedReports === 0) {
         report({ event: 'worker-silent', worker: workerId, answeredAgoMs });
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -13,6 +13,10 @@
   readonly run: number;
   /** For how long the run is known to have gone on; 0 for one that was not confirmed. */
   readonly aliveMs: number;
+  /** Whether the worker had confirmed the run. */
+  readonly isConfirmed: boolean;
+  /** Whether a report of the incarnation had listed the run. */
+  readonly isReported: boolean;
 }
 
 /** The moment at which a worker stopped to answer; times are monotonic, in milliseconds. */
@@ -47,7 +51,8 @@
   const { key: taskKey, jobId, state } = task;
   if (state.kind !== 'assigned') return [];
   const aliveMs = Math.max(0, Math.round(lastSignMs - (state.confirmedMs ?? lastSignMs)));
-  return [{ taskKey, jobId, run: state.run, aliveMs }];
+  const isConfirmed = state.confirmedMs !== undefined;
+  return [{ taskKey, jobId, run: state.run, aliveMs, isConfirmed, isReported: state.isReported }];
 }
 
 /** Finds the time at which a worker last answered a renewal or a start. */
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -0,0 +1,152 @@
+/** Tests of what counts as a crash under a task, and that it is stored and counted once. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { CrashRecord } from '../../lib/jobs/crash-evidence.js';
+import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
+import {
+  createHarness,
+  makeEntry,
+  makeJob,
+  makeRow,
+  POLICY,
+  WALL_MS,
+  type Harness,
+} from './planner-harness.js';
+
+const TASK = 'a.0.0.0';
+
+/** Opens a planner with a worker on which the only task of job `a` runs, and one without a task. */
+const openRunning = () => {
+  const events: DecisionEvent[] = [];
+  const harness = createHarness({ report: (event) => events.push(event) });
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a'), 1);
+  const [start] = harness.planStarts(2);
+  harness.accept([start!], 3);
+  harness.planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], harness.at(5));
+  harness.planner.markWorkersRecorded(['w22']);
+  harness.report('w22', 5);
+  harness.report('w1', 10, [makeRow(TASK, 1)]);
+  return { ...harness, start: start!, events };
+};
+
+const listCrashes = ({ planner }: Pick<Harness, 'planner'>) =>
+  (planner.table.findTask(TASK)?.crashes ?? []).map(({ workerId, isConfirmed }) => [
+    workerId,
+    isConfirmed,
+  ]);
+
+const test = suite('crash watch');
+
+test('an incarnation that ends under a run counts as a crash, once', () => {
+  const harness = openRunning();
+  harness.planner.observeIncarnationEnd('w1', 1, harness.at(50));
+  harness.planner.observeIncarnationEnd('w1', 1, harness.at(60));
+  assert.equal(listCrashes(harness), [['w1', true]]);
+  const [crash] = harness.events.filter(({ event }) => event === 'worker-crashed');
+  assert.equal(crash!.runs, [{ task: TASK, run: 1, aliveMs: 7, crashes: 1 }]);
+});
+
+test('a worker that does not answer twice may have crashed, and has not if it answers again', () => {
+  const harness = openRunning();
+  const { planner, at, report } = harness;
+  planner.observeMissedReport('w1', at(50));
+  assert.equal(listCrashes(harness), []);
+  planner.observeMissedReport('w1', at(200));
+  assert.equal(listCrashes(harness), [['w1', false]]);
+  report('w1', 300, [makeRow(TASK, 1)]);
+  assert.equal(listCrashes(harness), []);
+});
+
+test('a lease that lapses is a crash once another incarnation of its machine is there', () => {
+  const harness = openRunning();
+  const { planner, at } = harness;
+  [50, 200].forEach((atMs) => planner.observeMissedReport('w1', at(atMs)));
+  planner.plan(at(5_000));
+  assert.equal(listCrashes(harness), [['w1', false]]);
+  const next = makeEntry('w333', { instance: 'm-w1', bornMs: 9 });
+  planner.observeWorkers([makeEntry('w22'), next], at(6_000));
+  assert.equal(listCrashes(harness), [['w1', true]]);
+});
+
+test('a worker that answers without a report has not crashed', () => {
+  const harness = openRunning();
+  const { planner, at } = harness;
+  [50, 200, 350].forEach((atMs) => planner.observeMissedReport('w1', at(atMs), true));
+  assert.equal(listCrashes(harness), []);
+});
+
+test('a worker that drains, is evacuated or is ended by an order has not crashed', () => {
+  const drained = openRunning();
+  const draining = makeEntry('w1', { phase: 'draining' });
+  drained.planner.observeWorkers([draining, makeEntry('w22')], drained.at(20));
+  const evacuated = openRunning();
+  evacuated.planner.evacuate('w1', evacuated.at(20));
+  const ordered = openRunning();
+  ordered.planner.observeEndNotice('w1', ordered.at(20));
+  [drained, evacuated, ordered].forEach((harness) => {
+    [50, 200].forEach((atMs) => harness.planner.observeMissedReport('w1', harness.at(atMs)));
+    harness.planner.observeIncarnationEnd('w1', 1, harness.at(300));
+    assert.equal(listCrashes(harness), []);
+  });
+});
+
+test('a start that may never have arrived is no confirmed crash', () => {
+  const harness = createHarness();
+  const { planner, at } = harness;
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a'), 1);
+  const [start] = harness.planStarts(2);
+  planner.observeStart(start!, { kind: 'unknown' }, at(100));
+  planner.observeIncarnationEnd('w1', 1, at(150));
+  assert.equal(listCrashes(harness), [['w1', false]]);
+});
+
+test('a task is not started again before the crash under it is stored', () => {
+  const { planner, at, planStarts, store } = openRunning();
+  planner.observeIncarnationEnd('w1', 1, at(50));
+  assert.equal(planStarts(60), []);
+  assert.equal(planStarts(2_000), []);
+  store();
+  assert.is(planStarts(2_010).length, 1);
+});
+
+test('a successor counts the crashes that were stored, possible ones when they are confirmed', () => {
+  const first = openRunning();
+  [50, 200].forEach((atMs) => first.planner.observeMissedReport('w1', first.at(atMs)));
+  first.store();
+  const second = createHarness({ runBase: 100 });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  second.planner.loadJob(record, first.readProgress('a'), second.at(300));
+  second.planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], second.at(310));
+  assert.equal(listCrashes(second), [['w1', false]]);
+  second.planner.observeIncarnationEnd('w1', 1, second.at(400));
+  assert.equal(listCrashes(second), [['w1', true]]);
+  second.planner.plan(second.at(410));
+  second.store();
+  assert.is(second.readProgress('a')!.crashes.get('0.0.0')![0]!.isConfirmed, true);
+});
+
+test('a successor ends a job whose evidence its predecessor had stored', () => {
+  const { planner, at, store, readProgress } = createHarness({ runBase: 100 });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  const crash = { workerId: 'w1', bornMs: 1, isConfirmed: true, atMs: 0 };
+  const crashes: readonly CrashRecord[] = [
+    { ...crash, machine: 'm1', suspicion: 'recent', isAlone: false },
+    { ...crash, workerId: 'w2', machine: 'm2', suspicion: 'recent', isAlone: true },
+  ];
+  const progress = {
+    phase: 'active',
+    done: new Set<string>(),
+    failedRuns: new Map(),
+    crashes: new Map([['0.0.0', crashes]]),
+    occurrencesDone: new Set<number>(),
+  } as const;
+  planner.loadJob(record, progress, at(0));
+  planner.plan(at(10));
+  store();
+  assert.is(planner.getJobStatus('a'), 'failed');
+  assert.is(readProgress('a')!.phase, 'failed');
+});
+
+test.run();
--- a/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
@@ -11,6 +11,9 @@
 const isSound = (taskKeys: readonly string[]) => (id: string) =>
   !taskKeys.some((key) => key.startsWith(`${id}.`));
 
+const isOfOtherJob = (deadly: readonly string[], taskKey: string) =>
+  deadly.every((key) => key.split('.')[0] !== taskKey.split('.')[0]);
+
 /** Plays a scene and returns what became of the deadly tasks and of all other jobs. */
 const runDeadly = (
   deadly: readonly string[],
@@ -23,7 +26,7 @@
   const failed = scene.listJobs('failed');
   const others = new Map<string, number>();
   scene.crashes
-    .flatMap(({ taskKeys }) => taskKeys.filter((key) => !deadly.includes(key)))
+    .flatMap(({ taskKeys }) => taskKeys.filter((key) => isOfOtherJob(deadly, key)))
     .forEach((key) => others.set(key, (others.get(key) ?? 0) + 1));
   return {
     scene,
--- a/packages/vanilladock/src/test/jobs/double-run.test.ts
+++ b/packages/vanilladock/src/test/jobs/double-run.test.ts
@@ -246,6 +246,7 @@
   planner.observeMissedReport('w1', at(20_700));
   harness.report('w22', 29_900);
   assert.equal(planStarts(29_900), []);
+  harness.store();
   assert.is(planStarts(31_000).length, 1);
 });
 
