Start nothing beyond the newest capacity of a worker

Entries were followed already. Not so: a run that the planner did not know counted as taking nothing (a job that had ended under an earlier planner, or an unknown one), so that others were started beside it; a capacity in a report was ignored; and while the largest worker was small, jobs that fit when it grows again were refused for good.

Runs count with the size in their job, an unknown one with the whole worker until it has ended. The newest statement counts, and its change is logged with the age of the one before. Runs beyond a shrunk capacity go on: no rule and no caller gains by stopping them, and their work would be lost.

--- a/packages/vanilladock/src/lib/jobs/make-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/make-worker.ts
@@ -8,6 +8,9 @@
 export function makeWorker(entry: WorkerEntry): Worker {
   return {
     entry,
+    capacityKnownMs: 0,
+    isCapacityReported: false,
+    largestCapacity: entry.capacity,
     isListed: true,
     isRecorded: false,
     clock: undefined,
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -4,6 +4,7 @@
  * end return to the queue.
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
+import type { Resources } from '../ports/workers.js';
 import { applyEnd } from './apply-ends.js';
 import { recordFailedRun } from './eject-workers.js';
 import {
@@ -13,7 +14,8 @@
   MAX_LEASE_MS,
 } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
-import { NO_RESOURCES } from './free-capacity.js';
+import { computeFootprint } from './free-capacity.js';
+import { parseTaskKey } from './spec.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
 import {
   makeAssignment,
@@ -23,6 +25,7 @@
   type Task,
   type Worker,
 } from './state.js';
+import { observeReportedCapacity } from './worker-capacity.js';
 import { NO_FAILURES } from './worker-failures.js';
 
 /** Maximum number of ends in one report; a report that reaches it may omit later ends. */
@@ -38,6 +41,13 @@
   readonly receivedMs: number;
 }
 
+/** Finds the capacity that a run takes, also of an ended job; undefined for an unknown job. */
+function findRunSize({ table }: PoolContext, taskKey: string): Resources | undefined {
+  const { jobId, stepIndex } = parseTaskKey(taskKey);
+  const step = table.jobs.get(jobId)?.record.spec.steps[stepIndex];
+  return step === undefined ? undefined : computeFootprint(step);
+}
+
 /** Records a run that belongs to no task, or whose task is done or assigned to another run. */
 function recordOrphan(
   context: PoolContext,
@@ -47,7 +57,7 @@
 ): void {
   const knownOrphan = worker.orphanedRuns.get(row.taskKey);
   if (knownOrphan?.run === row.run) return;
-  const size = task === undefined ? NO_RESOURCES : context.table.findStep(task).size;
+  const size = findRunSize(context, row.taskKey) ?? worker.entry.capacity;
   worker.orphanedRuns.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
   const other = task?.state.kind === 'assigned' ? task.state : undefined;
   context.report({
@@ -257,6 +267,7 @@
     lastReportMs: receivedMs,
     missedReports: 0,
   });
+  observeReportedCapacity(context, workerId, report.capacity, at.nowMs);
   applyEnds(context, workerId, timed, at);
   const worker = table.workers.get(workerId);
   if (worker === undefined) return;
--- a/packages/vanilladock/src/lib/jobs/pool-demand.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-demand.ts
@@ -64,14 +64,15 @@
   );
 }
 
-/** Finds the largest capacity of any listed worker, for each resource separately. */
-function findLargestWorker(table: TaskTable): Resources | undefined {
-  let largestWorker: Resources | undefined;
-  table.workers.forEach(({ isListed, entry: { capacity } }) => {
-    if (!isListed) return;
-    largestWorker = computeMaximum(capacity, largestWorker ?? NO_RESOURCES);
-  });
-  return largestWorker;
+/** Finds the largest value of any listed worker, for each resource separately. */
+function findLargest(
+  table: TaskTable,
+  getCapacity: (worker: Worker) => Resources,
+): Resources | undefined {
+  const capacities = [...table.workers.values()]
+    .filter(({ isListed }) => isListed)
+    .map(getCapacity);
+  return capacities.length === 0 ? undefined : capacities.reduce(computeMaximum);
 }
 
 /** Converts used memory to the matching share of a worker's cores and returns the larger demand. */
@@ -105,7 +106,8 @@
   return {
     backlogCoreSeconds: sumBatchOccurrences(table, computeRemainingWork),
     cores: accepting.reduce((sum, worker) => sum + worker.entry.capacity.cores, 0),
-    largestWorker: findLargestWorker(table),
+    // A worker that has shrunk may grow again, so that a job is not refused for good.
+    largestWorker: findLargest(table, ({ largestCapacity }) => largestCapacity),
   };
 }
 
@@ -154,7 +156,7 @@
 ): Omit<PoolDemand, 'arrivalCores' | 'expectedCores'> {
   const batch = [...table.activeJobs.values()].filter((job) => !job.isLasting);
   const onTime = batch.filter((job) => isOnTime(job, nowMs));
-  const largestWorker = findLargestWorker(table);
+  const largestWorker = findLargest(table, ({ entry }) => entry.capacity);
   const computeCores = (jobs: readonly Job[]) =>
     computeEquivalentCores(
       largestWorker,
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -101,3 +101,12 @@
 export function makeTaskKey(id: string, occurrence: number, step: number, index: number): string {
   return `${makeStepKey(id, occurrence, step)}.${index}`;
 }
+
+/** Parses the id of the job and the index of the step from the key of a task. */
+export function parseTaskKey(taskKey: string): {
+  readonly jobId: string;
+  readonly stepIndex: number;
+} {
+  const [jobId = '', , stepIndex] = taskKey.split('.');
+  return { jobId, stepIndex: Number(stepIndex) };
+}
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -205,6 +205,12 @@
 /** A worker in memory. Times are on the planner's monotonic clock unless said otherwise. */
 export interface Worker {
   readonly entry: WorkerEntry;
+  /** When the capacity in `entry` was last stated; 0 before the first time. */
+  readonly capacityKnownMs: number;
+  /** Whether the incarnation states its capacity in its reports, and not only in its entry. */
+  readonly isCapacityReported: boolean;
+  /** The most that the incarnation has had of each resource. */
+  readonly largestCapacity: Resources;
   /** Whether the newest list of registered workers has the worker. */
   readonly isListed: boolean;
   /** Whether the worker is recorded in the store as a possible lease holder. */
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -1,6 +1,7 @@
 /** Tracks the incarnations of a pool's workers: which exist, and which have ended. */
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { CrashWatch } from './crash-watch.js';
+import { observeEntryCapacity } from './worker-capacity.js';
 import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
 import { CLOCK_DRIFT, hasLeaseExpired, MAX_LEASE_MS } from './lease-clock.js';
@@ -167,7 +168,9 @@
     if (known === undefined) addWorker(entry, at);
     else if (known.entry.bornMs < entry.bornMs) restartWorker(known, entry, at);
     else if (known.entry.bornMs === entry.bornMs) {
-      table.updateWorker(entry.id, { entry, isListed: true });
+      observeEntryCapacity(context, entry, nowMs);
+      const { capacity } = table.workers.get(entry.id)?.entry ?? entry;
+      table.updateWorker(entry.id, { entry: { ...entry, capacity }, isListed: true });
     }
   };
   /** Says whether a worker is unresponsive and its leases have definitely expired. */
--- a/packages/vanilladock/src/lib/ports/task-workers.ts
+++ b/packages/vanilladock/src/lib/ports/task-workers.ts
@@ -52,6 +52,8 @@
   readonly bornMs: number | undefined;
   /** Time on the worker's monotonic clock. */
   readonly clockMs: number;
+  /** Present capacity; undefined when not reported, and the worker's entry then tells it. */
+  readonly capacity?: Resources | undefined;
   readonly running: readonly RunningTask[];
   readonly ended: readonly EndedTask[];
 }
