Isolate no worker for a suspect that could not start there

Read in the isolation just added, each case with a test: a suspect that needs a ticket kept a worker that the advisor does not allow; the members of a gang start on many workers at once, so that waiting for a worker of their own would have kept them from starting for good; while the store is away a suspect may not start, and its worker stood idle; a worker with lasting tasks was kept though the suspect would not have fitted beside them. A gang is given up by three crashes on several machines instead.

--- a/packages/vanilladock/src/lib/jobs/choose-isolated-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-isolated-worker.ts
@@ -2,7 +2,6 @@
  * Chooses a worker that is to run the suspects of one job alone. Load pattern: the pool is full, so
  * that no worker is empty, and some of its machines have just crashed.
  */
-import { isWithin } from '../placement/resources.js';
 import { isAcceptingTasks, isAllowed } from './choose-worker.js';
 import { computeUsedCoreShare } from './free-capacity.js';
 import { getMachine } from './machine-crashes.js';
@@ -37,7 +36,7 @@
   );
 }
 
-/** Chooses the open worker with the lowest cost that could run the task; undefined if none could. */
+/** Chooses the open worker with the lowest cost; undefined if none accepts the task. */
 export function chooseIsolatedWorker(
   workers: Iterable<Worker>,
   request: PlacementRequest,
@@ -48,8 +47,7 @@
       (worker) =>
         worker.isolation === undefined &&
         isAcceptingTasks(worker, request.nowMs) &&
-        isAllowed(worker, request) &&
-        isWithin(request.footprint, worker.entry.capacity),
+        isAllowed(worker, request),
     )
     .map((worker) => ({ worker, cost: computeCost(worker, record) }));
   return costs.sort((a, b) => a.cost - b.cost)[0]?.worker;
--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -64,7 +64,7 @@
 
 /** Says whether a worker is open to a task: some are isolated for the suspects of one job. */
 function isOpen({ isolation }: Worker, { task, step, nowMs }: PlacementRequest): boolean {
-  const isSuspect = isToBeIsolated(task, step.isLasting, nowMs);
+  const isSuspect = isToBeIsolated(task, step, nowMs);
   if (isolation === undefined) return !isSuspect;
   return isSuspect && isolation.isClear && isolation.jobId === task.jobId;
 }
--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -5,6 +5,8 @@
  * has crashed again on which, of all suspects, only its job ran.
  */
 
+import type { StepSpec } from './spec.js';
+
 /**
  * What a crash says about a task. `recent`: the run had just started when the worker was last heard
  * of. `earlier`: it had gone on for some time. `mass`: several workers were lost at that moment,
@@ -103,14 +105,15 @@
 
 /**
  * Says whether a task must run on a worker without other jobs: it is a suspect of several crashes,
- * or had just started at the only one and has not waited too long since.
+ * or had just started at the only one and has not waited too long since. Members of a gang start on
+ * many workers at once, so that none of them can run alone.
  */
 export function isToBeIsolated(
   { crashes }: { readonly crashes: readonly CrashRecord[] },
-  isLasting: boolean,
+  { isLasting, isGang }: Pick<StepSpec, 'isLasting' | 'isGang'>,
   nowMs: number,
 ): boolean {
-  if (crashes.length === 0) return false;
+  if (crashes.length === 0 || isGang) return false;
   const [first, ...others] = listSuspicious(crashes);
   if (first === undefined) return false;
   if (others.length > 0) return true;
--- a/packages/vanilladock/src/lib/jobs/isolation.ts
+++ b/packages/vanilladock/src/lib/jobs/isolation.ts
@@ -8,9 +8,12 @@
 import { isAcceptingTasks, isEligible } from './choose-worker.js';
 import { isSuspect, isToBeIsolated, PROVEN_RUN_MS } from './crash-evidence.js';
 import { hasFreeCapacity } from './free-capacity.js';
+import { addResources, isWithin } from '../placement/resources.js';
 import { makeRequest, type PlacementRequest } from './placement-request.js';
 import type { PoolContext } from './pool-context.js';
 import { listReadySteps } from './ready-steps.js';
+import { sumLastingUse } from './reservations.js';
+import { makeStepKey } from './spec.js';
 import type { Task, Worker } from './state.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 
@@ -28,6 +31,8 @@
   readonly context: PoolContext;
   /** Says whether a machine has crashed lately without runs of a job. */
   readonly hasCrashedWithout: (entry: WorkerEntry, jobId: string, nowMs: number) => boolean;
+  /** Finds the ticket of a step on a worker; undefined when there is none or it has expired. */
+  readonly findTicket: (stepKey: string, workerId: string, nowMs: number) => string | undefined;
 }
 
 /** Largest share of the accepting workers that is isolated at once; one is always allowed. */
@@ -40,7 +45,8 @@
 }
 
 /** Creates the isolation of a pool; no worker is isolated at first. */
-export function createIsolation({ context, hasCrashedWithout }: IsolationOptions): Isolation {
+export function createIsolation(options: IsolationOptions): Isolation {
+  const { context, hasCrashedWithout, findTicket } = options;
   const { table, report } = context;
   const isolatedIds = new Set<string>();
 
@@ -79,8 +85,18 @@
     [...table.crashedTaskKeys]
       .flatMap((key) => table.findTask(key) ?? [])
       .filter((task) => task.state.kind !== 'done')
-      .filter((task) => isToBeIsolated(task, table.findStep(task).isLasting, nowMs));
-  const isWaiting = (task: Task) => task.state.kind === 'waiting' && isReady(task);
+      .filter((task) => isToBeIsolated(task, table.findStep(task), nowMs));
+  /** Says whether a task would start now if it had a worker. */
+  const isWaiting = (task: Task) => {
+    const job = table.activeJobs.get(task.jobId);
+    const isStored = job !== undefined && job.storedCrashVersion >= job.crashVersion;
+    return isStored && task.state.kind === 'waiting' && isReady(task);
+  };
+  /** Says whether the advisor, if the task needs one, allows it on a worker. */
+  const hasTicket = ({ jobId, occurrence, stepIndex }: Task, workerId: string, nowMs: number) => {
+    if (table.jobs.get(jobId)?.record.policy.advice === undefined) return true;
+    return findTicket(makeStepKey(jobId, occurrence, stepIndex), workerId, nowMs) !== undefined;
+  };
   /** Orders suspects: lasting ones first, as they run at all times, then by suspicion. */
   const compareSuspects = (a: Task, b: Task) =>
     Number(table.findStep(b).isLasting) - Number(table.findStep(a).isLasting) ||
@@ -88,11 +104,11 @@
     Number(b.crashes.at(-1)?.suspicion === 'recent') -
       Number(a.crashes.at(-1)?.suspicion === 'recent');
   /** Keeps the isolated workers whose suspects run there or wait for them; opens the others. */
-  const refreshIsolated = (waitingJobs: ReadonlySet<string>, nowMs: number) =>
+  const refreshIsolated = (waiting: readonly Task[], nowMs: number) =>
     [...isolatedIds].forEach((id) => {
       const worker = table.workers.get(id);
       const jobId = worker?.isolation?.jobId;
-      const isWanted = jobId !== undefined && waitingJobs.has(jobId);
+      const isWanted = waiting.some((task) => task.jobId === jobId && hasTicket(task, id, nowMs));
       const isKept =
         worker !== undefined &&
         (hasRunningSuspect(worker, nowMs) || (isWanted && isAcceptingTasks(worker, nowMs)));
@@ -115,10 +131,11 @@
     return Math.max(1, Math.floor(accepting.length * MAX_ISOLATED_SHARE));
   };
   /** Says whether a worker is isolated for the job that can take the task, now or once it is clear. */
-  const hasOwnWorker = (request: PlacementRequest) =>
+  const hasOwnWorker = (request: PlacementRequest, nowMs: number) =>
     [...isolatedIds]
       .flatMap((id) => table.workers.get(id) ?? [])
       .filter(({ isolation }) => isolation?.jobId === request.task.jobId)
+      .filter(({ entry }) => hasTicket(request.task, entry.id, nowMs))
       .some(
         (worker) =>
           worker.isolation?.isClear === false ||
@@ -126,9 +143,17 @@
       );
   const handleWaiting = (task: Task, nowMs: number) => {
     const request = makeRequest(context, task, nowMs);
-    if (hasOwnWorker(request) || isolatedIds.size >= countAllowed(nowMs)) return;
+    if (hasOwnWorker(request, nowMs) || isolatedIds.size >= countAllowed(nowMs)) return;
     const crashedMachines = new Set(task.crashes.map(({ machine }) => machine));
-    const worker = chooseIsolatedWorker(table.workers.values(), request, {
+    const workers = [...table.workers.values()].filter(
+      (candidate) =>
+        hasTicket(task, candidate.entry.id, nowMs) &&
+        isWithin(
+          addResources(sumLastingUse(table, candidate), request.footprint),
+          candidate.entry.capacity,
+        ),
+    );
+    const worker = chooseIsolatedWorker(workers, request, {
       crashedMachines,
       hasCrashedWithout: (entry) => hasCrashedWithout(entry, task.jobId, nowMs),
     });
@@ -139,7 +164,7 @@
       if (table.crashedTaskKeys.size === 0 && isolatedIds.size === 0) return;
       const suspects = listSuspects(nowMs);
       const waiting = suspects.filter(isWaiting);
-      refreshIsolated(new Set(waiting.map(({ jobId }) => jobId)), nowMs);
+      refreshIsolated(waiting, nowMs);
       handleRunning(suspects, nowMs);
       const firstByJob = new Map<string, Task>();
       [...waiting].sort(compareSuspects).forEach((task) => {
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -59,6 +59,7 @@
   const isolation = createIsolation({
     context,
     hasCrashedWithout: crashWatch.hasCrashedWithout,
+    findTicket: tickets.findTicket,
   });
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
--- a/packages/vanilladock/src/lib/jobs/reservations.ts
+++ b/packages/vanilladock/src/lib/jobs/reservations.ts
@@ -32,7 +32,7 @@
 }
 
 /** Sums the capacity that the lasting tasks on a worker reserve. */
-function sumLastingUse(table: TaskTable, worker: Worker): Resources {
+export function sumLastingUse(table: TaskTable, worker: Worker): Resources {
   return [...worker.tasks]
     .flatMap((key) => table.findTask(key) ?? [])
     .map((task) => table.findStep(task))
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -225,7 +225,7 @@
     if (tasks.length === 0) return;
     const candidates = selectCandidates(startable, from);
     const stepKey = makeStartableKey(startable);
-    const isolated = tasks.filter((task) => isToBeIsolated(task, step.isLasting, at.nowMs));
+    const isolated = tasks.filter((task) => isToBeIsolated(task, step, at.nowMs));
     isolated.forEach((task) => placeTasks(startable, [task], candidates));
     const others = tasks.filter((task) => !isolated.includes(task));
     const unplaced = placeTasks(startable, others, candidates);
--- a/packages/vanilladock/src/test/jobs/crash-evidence.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-evidence.test.ts
@@ -10,6 +10,8 @@
   type CrashRecord,
 } from '../../lib/jobs/crash-evidence.js';
 
+const BATCH = { isLasting: false, isGang: false };
+
 const test = suite('crash evidence');
 
 const makeCrash = (machine: string, change: Partial<CrashRecord> = {}): CrashRecord => ({
@@ -97,17 +99,17 @@
 test('a suspect of one crash waits for a worker of its own for a limited time only', () => {
   const recent = { crashes: [makeCrash('a', { atMs: 1_000 })] };
   assert.equal(
-    [6_999, 7_000].map((nowMs) => isToBeIsolated(recent, false, nowMs)),
+    [6_999, 7_000].map((nowMs) => isToBeIsolated(recent, BATCH, nowMs)),
     [true, false],
   );
   assert.equal(
-    [3_999, 4_000].map((nowMs) => isToBeIsolated(recent, true, nowMs)),
+    [3_999, 4_000].map((nowMs) => isToBeIsolated(recent, { ...BATCH, isLasting: true }, nowMs)),
     [true, false],
   );
   const earlier = { crashes: [makeCrash('a', { suspicion: 'earlier', atMs: 1_000 })] };
-  assert.not(isToBeIsolated(earlier, false, 1_000));
+  assert.not(isToBeIsolated(earlier, BATCH, 1_000));
   const twice = { crashes: [makeCrash('a'), makeCrash('b', { isConfirmed: false })] };
-  assert.ok(isToBeIsolated(twice, false, 1_000_000));
+  assert.ok(isToBeIsolated(twice, BATCH, 1_000_000));
 });
 
 test.run();
--- a/packages/vanilladock/src/test/jobs/crash-scenes.ts
+++ b/packages/vanilladock/src/test/jobs/crash-scenes.ts
@@ -2,7 +2,12 @@
 import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
 import type { JobSpec, StepSpec } from '../../lib/jobs/spec.js';
 import { makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
-import { createPoolSimulation, type PlannedEnd, type PoolSimulation } from './pool-simulation.js';
+import {
+  createPoolSimulation,
+  type PlannedEnd,
+  type PoolSimulation,
+  type SimulatedAdvisor,
+} from './pool-simulation.js';
 
 /** Options of a scene. */
 export interface CrashSceneOptions {
@@ -16,6 +21,8 @@
   readonly jobsPerSecond?: number;
   /** Number of lasting jobs, each of five tasks on different workers. */
   readonly lastingJobs?: number;
+  /** Advisor that the jobs need tickets from; none by default. */
+  readonly advisor?: SimulatedAdvisor;
 }
 
 /** A scene that can be advanced. */
@@ -36,6 +43,7 @@
 const TASK_MS = 1_000;
 const TASKS = 6;
 const SECOND_MS = 1_000;
+const TICKET_VALID_MS = 30_000;
 
 export const BATCH_STEP: StepSpec = makeStep({ count: TASKS, estimateMs: TASK_MS });
 
@@ -65,12 +73,16 @@
   const simulation = createPoolSimulation({
     workers: makeWorkers(options.workers),
     decideEnd,
+    isInGang: (key) => key.startsWith('gang'),
     report: (event) => events.push(event),
     ...(options.downMs === undefined ? {} : { downMs: options.downMs }),
+    ...(options.advisor === undefined ? {} : { advisor: options.advisor }),
   });
+  const advice =
+    options.advisor === undefined ? undefined : { ...options.advisor, validMs: TICKET_VALID_MS };
   const submit = (spec: JobSpec) => {
     jobIds.push(spec.id);
-    simulation.submit(spec, { ...POLICY, stretch: 20 });
+    simulation.submit(spec, { ...POLICY, stretch: 20, advice });
   };
   for (let index = 0; index < lastingJobs; index += 1) {
     submit(makeJob(`lasting-${index}`, [LASTING_STEP]));
--- a/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { openCrashScene } from './crash-scenes.js';
+import { createHarness, makeEntry, makeJob, makeStep } from './planner-harness.js';
 
 const test = suite('crashing tasks');
 
@@ -82,6 +83,49 @@
   assert.ok(deadlyCrashes[0]! <= MAX_STARTS, `crashes: ${deadlyCrashes[0]}`);
 });
 
+test('a gang of which a member crashes its worker is given up', () => {
+  const scene = openCrashScene({ workers: 6, isDeadly: (key) => key === 'gang.0.0.2' });
+  scene.play(3_000);
+  scene.submit(makeJob('gang', [makeStep({ count: 4, isGang: true, maxPerWorker: 1 })]));
+  scene.play(10_000);
+  scene.drain(30_000);
+  assert.equal(scene.listJobs('failed'), ['gang']);
+  assert.ok(scene.countCrashes('gang.0.0.2') <= MAX_STARTS);
+});
+
+test('a task that needs tickets and crashes its workers is given up', () => {
+  const advisor = {
+    decideMs: 20,
+    perWorkerMs: 2,
+    isAllowed: (id: string) => !['w0', 'w1'].includes(id),
+  };
+  const { scene, deadlyCrashes, ...result } = runDeadly(['batch-20.0.0.0'], {
+    workers: 6,
+    jobsPerSecond: 2,
+    advisor,
+  });
+  assert.equal([result.soundFailed, result.deadlyActive], [[], []]);
+  assert.ok(deadlyCrashes[0]! <= MAX_STARTS, `crashes: ${deadlyCrashes[0]}`);
+  assert.equal(scene.listJobs('queued').concat(scene.listJobs('running')), []);
+});
+
+test('a suspect whose crash is not stored keeps no worker from others', () => {
+  const { planner, at, addWorkers, submit, planStarts, accept, store } = createHarness();
+  const ids = ['w1', 'w22', 'w333'];
+  addWorkers(0, ...ids.map((id) => makeEntry(id)));
+  submit(makeJob('a'), 1);
+  const [start] = planStarts(2);
+  accept([start!], 3);
+  planner.observeIncarnationEnd(start!.worker.id, 1, at(10));
+  planner.plan(at(300));
+  const isIsolated = () =>
+    [...planner.table.workers.values()].some(({ isolation }) => isolation !== undefined);
+  assert.not(isIsolated());
+  store();
+  planner.plan(at(600));
+  assert.ok(isIsolated());
+});
+
 test('no job is given up when two fifths of the workers crash four times', () => {
   const scene = openCrashScene({ workers: 10, lastingJobs: 4, isDeadly: () => false });
   [5_000, 10_000, 15_000, 20_000].forEach((atMs) => {
--- a/packages/vanilladock/src/test/jobs/pool-simulation.ts
+++ b/packages/vanilladock/src/test/jobs/pool-simulation.ts
@@ -46,6 +46,8 @@
   readonly answerStart?: (start: StartRecord) => OrderOutcome;
   /** Without one, queries get no answer. */
   readonly advisor?: SimulatedAdvisor;
+  /** Says whether a task belongs to a gang, whose other runs break when its worker crashes. */
+  readonly isInGang?: (taskKey: string) => boolean;
   /** Time until a crashed worker is back under another id. */
   readonly downMs?: number;
   /** Receives the entries of the decision log. */
@@ -133,12 +135,32 @@
     planner.observeWorkers(entries, at(nowMs));
     planner.markWorkersRecorded([...ids]);
   };
+  const recordEnd = (
+    worker: SimulatedWorker,
+    { taskKey, run }: SimulatedRun,
+    how: EndedTask['how'],
+  ) => {
+    worker.runs.delete(taskKey);
+    worker.lastNumber += 1;
+    const end: EndedTask = { number: worker.lastNumber, taskKey, run, how, checkpoint: '' };
+    worker.ended = [...worker.ended, end];
+    worker.nextReportMs = nowMs;
+  };
+  const updateGang = (lostKey: string) => {
+    const stepKey = lostKey.slice(0, lostKey.lastIndexOf('.'));
+    workers.forEach((worker) => {
+      [...worker.runs.values()]
+        .filter(({ taskKey }) => taskKey.startsWith(`${stepKey}.`))
+        .forEach((run) => recordEnd(worker, run, 'broken'));
+    });
+  };
   const stopWorker = (id: string) => {
     const taskKeys = [...(workers.get(id)?.runs.keys() ?? [])];
     crashes.push({ workerId: id, atMs: nowMs, taskKeys });
     workers.delete(id);
     const untilMs = nowMs + (options.downMs ?? DEFAULT_DOWN_MS);
     down.set(id, { untilMs, nextMissMs: nowMs + STEP_MS });
+    taskKeys.filter((key) => options.isInGang?.(key) === true).forEach(updateGang);
   };
   const restartWorker = (id: string) => {
     down.delete(id);
@@ -158,17 +180,6 @@
       nextPlanMs = nowMs;
     }
   };
-  const recordEnd = (
-    worker: SimulatedWorker,
-    { taskKey, run }: SimulatedRun,
-    how: EndedTask['how'],
-  ) => {
-    worker.runs.delete(taskKey);
-    worker.lastNumber += 1;
-    const end: EndedTask = { number: worker.lastNumber, taskKey, run, how, checkpoint: '' };
-    worker.ended = [...worker.ended, end];
-    worker.nextReportMs = nowMs;
-  };
   const computePercent = ({ startedMs, end }: SimulatedRun) =>
     end === undefined || end.how !== 'done'
       ? Math.min(FULL_PERCENT, nowMs - startedMs)
