Let no late heartbeat remove the next incarnation

A member with an earlier start is ignored while a later one is alive. A clock that was set back delays a new incarnation by 1.8 s at most.

--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -8,7 +8,7 @@
 
 /** One incarnation of a process of this system. */
 export interface Member {
-  /** Identifies the incarnation: the process name and its start. */
+  /** Identifies the incarnation: the process name, `~` and its start in ms since 1970. */
   readonly id: string;
   /** Process name; the same in every incarnation. */
   readonly name: string;
@@ -84,6 +84,11 @@
   return { key: `${MEMBER_PREFIX}${member.name}`, value: JSON.stringify(departed) };
 }
 
+/** Parses the start of an incarnation from its id; `NaN` if it has none. */
+function parseStart({ id }: Member): number {
+  return Number(id.slice(id.lastIndexOf('~') + 1));
+}
+
 /** Creates an empty table. */
 export function createClaimTable(): ClaimTable {
   const claims = new Map<string, Claim>();
@@ -100,6 +105,12 @@
   /** Newest incarnation that has left, by name; what is stored of it later proves nothing. */
   const departedIds = new Map<string, string>();
   const hasDeparted = ({ name, id }: Member) => departedIds.get(name) === id;
+  /** Says whether a later incarnation is alive; a clock that was set back misleads no longer. */
+  const isSuperseded = (member: Member, nowMs: number) => {
+    const known = members.get(member.name);
+    if (known === undefined || !isAlive(known.lastReportMs, nowMs)) return false;
+    return parseStart(member) < parseStart(known.member);
+  };
   const observeMember = (member: Member, lastReportMs: number) => {
     if (hasDeparted(member)) return;
     const known = members.get(member.name);
@@ -116,7 +127,9 @@
     }
     const { hasLeft = false, ...member } = JSON.parse(value) as MemberRecord;
     if (hasLeft) departedIds.set(name, member.id);
-    else if (!hasDeparted(member)) members.set(name, { member, lastReportMs: nowMs });
+    else if (!hasDeparted(member) && !isSuperseded(member, nowMs)) {
+      members.set(name, { member, lastReportMs: nowMs });
+    }
     // A departure that is stored late must not remove the next incarnation.
     if (hasLeft && members.get(name)?.member.id === member.id) members.delete(name);
   };
--- a/packages/vanilladock/src/test/late-heartbeats.test.ts
+++ b/packages/vanilladock/src/test/late-heartbeats.test.ts
@@ -35,4 +35,14 @@
   assert.is(table.findLiveClaim('d', 2)?.holder, 'a~2');
 });
 
+test('an incarnation with an earlier start replaces one that is not alive any more', () => {
+  const table = createClaimTable();
+  table.apply({ ...encodeHeartbeat(makeMember(2)), offset: 0 }, 0);
+  table.apply({ ...encodeHeartbeat(makeMember(1)), offset: 1 }, 1_801);
+  assert.equal(
+    table.listMembers(1_801).map(({ id }) => id),
+    ['a~1'],
+  );
+});
+
 test.run();
