Count a crash although its worker is evacuated afterwards

Read in the crash watch: lending asks for a worker that has stopped to answer like for any other idle one, and an evacuation ordered after the crash made it count as planned, so that the evidence was dropped (the new test failed). Whether the end is planned is settled when the worker stops to answer. Beside it: isolated workers that have crashed no longer count against the share that may be isolated, the crashes of a gang are in order, and crashes without any task left are forgotten.

--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -47,15 +47,6 @@
 /** Number of runs that one line of the log names. */
 const MAX_LOGGED_RUNS = 24;
 
-/** An evacuation explains the end of a worker for this long after it has lapsed. */
-const EVACUATION_MARGIN_MS = 3_000;
-
-/** Says whether a worker was to end: it is draining, or its instance is moved or maintained. */
-function isEndPlanned({ entry, evacuateUntilMs }: Worker, nowMs: number): boolean {
-  const wasEvacuated = evacuateUntilMs > 0 && evacuateUntilMs + EVACUATION_MARGIN_MS > nowMs;
-  return entry.phase === 'draining' || wasEvacuated;
-}
-
 /** Makes the key of an incarnation. */
 function makeKey(workerId: string, bornMs: number): string {
   return `${workerId}~${bornMs}`;
@@ -189,8 +180,15 @@
         .flatMap(({ crashes }) => crashes)
         .map((record) => [makeKey(record.workerId, record.bornMs), record] as const),
     );
-    return [...byCrash.values()];
+    return [...byCrash.values()].sort((a, b) => a.atMs - b.atMs);
   };
+  /** Forgets the crashes under which no task is left. */
+  const dropSettledCrashes = () =>
+    tasksByCrash.forEach((taskKeys, key) => {
+      if (![...taskKeys].some((taskKey) => table.crashedTaskKeys.has(taskKey))) {
+        tasksByCrash.delete(key);
+      }
+    });
   const giveUpJob = (task: Task, crashes: readonly CrashRecord[], at: Moment) => {
     const why = decideGiveUp(crashes);
     if (why === undefined) return false;
@@ -219,7 +217,7 @@
     observeSilence: (worker, { nowMs }) => {
       const isKnown = silences.find(worker.entry.id, worker.entry.bornMs) !== undefined;
       const silence = silences.add(worker, nowMs);
-      if (!isKnown || silence.runs.length === 0 || isEndPlanned(worker, nowMs)) return;
+      if (!isKnown || silence.runs.length === 0 || silence.isEndPlanned) return;
       possibleByMachine.set(getMachine(worker.entry), worker.entry);
       addRecords(worker, silence, false, nowMs);
     },
@@ -237,7 +235,8 @@
       const isKnownRun = ({ isReported }: SilencedRun) => isReported || wasSilent || !isSameId;
       const silence = { ...added, runs: added.runs.filter(isKnownRun) };
       possibleByMachine.delete(getMachine(entry));
-      if (isOrdered || isEndPlanned(worker, nowMs)) {
+      dropSettledCrashes();
+      if (isOrdered || silence.isEndPlanned) {
         updateRecords(makeKey(entry.id, entry.bornMs), () => undefined);
         return;
       }
--- a/packages/vanilladock/src/lib/jobs/isolation.ts
+++ b/packages/vanilladock/src/lib/jobs/isolation.ts
@@ -124,11 +124,13 @@
         setIsolation(worker, task.jobId, nowMs);
       }
     });
-  const countAllowed = (nowMs: number) => {
+  /** Says whether another worker may be isolated; those that have crashed since do not count. */
+  const isAnotherAllowed = (nowMs: number) => {
     const accepting = [...table.workers.values()].filter((worker) =>
       isAcceptingTasks(worker, nowMs),
     );
-    return Math.max(1, Math.floor(accepting.length * MAX_ISOLATED_SHARE));
+    const isolated = accepting.filter(({ isolation }) => isolation !== undefined);
+    return isolated.length < Math.max(1, Math.floor(accepting.length * MAX_ISOLATED_SHARE));
   };
   /** Says whether a worker is isolated for the job that can take the task, now or once it is clear. */
   const hasOwnWorker = (request: PlacementRequest, nowMs: number) =>
@@ -143,7 +145,7 @@
       );
   const handleWaiting = (task: Task, nowMs: number) => {
     const request = makeRequest(context, task, nowMs);
-    if (hasOwnWorker(request, nowMs) || isolatedIds.size >= countAllowed(nowMs)) return;
+    if (hasOwnWorker(request, nowMs) || !isAnotherAllowed(nowMs)) return;
     const crashedMachines = new Set(task.crashes.map(({ machine }) => machine));
     const workers = [...table.workers.values()].filter(
       (candidate) =>
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -24,6 +24,8 @@
   readonly workerId: string;
   readonly bornMs: number;
   readonly atMs: number;
+  /** Whether the worker was to end: it was draining, or its instance was being evacuated. */
+  readonly isEndPlanned: boolean;
   readonly runs: readonly SilencedRun[];
 }
 
@@ -46,6 +48,15 @@
 /** How long a silence is remembered. */
 const SILENCE_TTL_MS = 60_000;
 
+/** An evacuation explains the end of a worker for this long after it has lapsed. */
+const EVACUATION_MARGIN_MS = 3_000;
+
+/** Says whether a worker is to end: it is draining, or its instance is moved or maintained. */
+function isEnding({ entry, evacuateUntilMs }: Worker, nowMs: number): boolean {
+  const isEvacuated = evacuateUntilMs > 0 && evacuateUntilMs + EVACUATION_MARGIN_MS > nowMs;
+  return entry.phase === 'draining' || isEvacuated;
+}
+
 /** Makes the record of a task's run as of the last sign of life of its worker. */
 function makeRun(task: Task, lastSignMs: number): SilencedRun[] {
   const { key: taskKey, jobId, state } = task;
@@ -83,7 +94,8 @@
       const tasks = listWorkerTasks(context, worker);
       const lastSignMs = findLastSign(worker, tasks);
       const runs = tasks.flatMap((task) => makeRun(task, lastSignMs));
-      const silence = { workerId, bornMs, atMs: nowMs, runs };
+      const isEndPlanned = isEnding(worker, nowMs);
+      const silence = { workerId, bornMs, atMs: nowMs, isEndPlanned, runs };
       silences.set(key, silence);
       return silence;
     },
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -91,6 +91,16 @@
   });
 });
 
+test('a worker that is evacuated after it stopped to answer may have crashed', () => {
+  const harness = openRunning();
+  const { planner, at } = harness;
+  planner.observeMissedReport('w1', at(50));
+  planner.evacuate('w1', at(60));
+  planner.observeMissedReport('w1', at(200));
+  planner.observeIncarnationEnd('w1', 1, at(300));
+  assert.equal(listCrashes(harness), [['w1', true]]);
+});
+
 test('a start that may never have arrived is no confirmed crash', () => {
   const harness = createHarness();
   const { planner, at } = harness;
