Count the crash of an incarnation once while its entry remains listed

The soak's log showed worker-crashed each two seconds for an incarnation whose entry stayed in the store: it was called again, answered by another one, and its old runs were logged and held against the machine again. Its end is dealt with once now (the new test failed).

--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -217,7 +217,8 @@
     observeSilence: (worker, { nowMs }) => {
       const isKnown = silences.find(worker.entry.id, worker.entry.bornMs) !== undefined;
       const silence = silences.add(worker, nowMs);
-      if (!isKnown || silence.runs.length === 0 || silence.isEndPlanned) return;
+      const isIgnored = silence.isEndPlanned || silence.isSettled || silence.runs.length === 0;
+      if (!isKnown || isIgnored) return;
       possibleByMachine.set(getMachine(worker.entry), worker.entry);
       addRecords(worker, silence, false, nowMs);
     },
@@ -232,6 +233,8 @@
       const { entry } = worker;
       const wasSilent = silences.find(entry.id, entry.bornMs) !== undefined;
       const added = silences.add(worker, nowMs);
+      if (added.isSettled) return;
+      silences.recordSettled(entry.id, entry.bornMs);
       const isKnownRun = ({ isReported }: SilencedRun) => isReported || wasSilent || !isSameId;
       const silence = { ...added, runs: added.runs.filter(isKnownRun) };
       possibleByMachine.delete(getMachine(entry));
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -27,6 +27,8 @@
   /** Whether the worker was to end: it was draining, or its instance was being evacuated. */
   readonly isEndPlanned: boolean;
   readonly runs: readonly SilencedRun[];
+  /** Whether the end of the incarnation was dealt with; its entry may remain listed for a while. */
+  readonly isSettled: boolean;
 }
 
 /** Silences of a pool's workers. */
@@ -34,6 +36,8 @@
   /** Records that a worker has stopped to answer; the first record of an incarnation counts. */
   readonly add: (worker: Worker, nowMs: number) => Silence;
   readonly find: (workerId: string, bornMs: number) => Silence | undefined;
+  /** Marks the end of an incarnation as dealt with; no effect if it has not been silent. */
+  readonly recordSettled: (workerId: string, bornMs: number) => void;
   /** Drops the silence of an incarnation that answers again. */
   readonly drop: (workerId: string, bornMs: number) => void;
   /** Counts the workers that stopped to answer within a moment of this one, itself included. */
@@ -95,11 +99,16 @@
       const lastSignMs = findLastSign(worker, tasks);
       const runs = tasks.flatMap((task) => makeRun(task, lastSignMs));
       const isEndPlanned = isEnding(worker, nowMs);
-      const silence = { workerId, bornMs, atMs: nowMs, isEndPlanned, runs };
+      const silence = { workerId, bornMs, atMs: nowMs, isEndPlanned, runs, isSettled: false };
       silences.set(key, silence);
       return silence;
     },
     find: (workerId, bornMs) => silences.get(makeKey(workerId, bornMs)),
+    recordSettled: (workerId, bornMs) => {
+      const key = makeKey(workerId, bornMs);
+      const silence = silences.get(key);
+      if (silence !== undefined) silences.set(key, { ...silence, isSettled: true });
+    },
     drop: (workerId, bornMs) => silences.delete(makeKey(workerId, bornMs)),
     countCoincident: (silence) => listCoincident(silence).length,
     hasCommonJob: (silence) => {
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -47,6 +47,16 @@
   assert.equal(crash!.runs, [{ task: TASK, run: 1, aliveMs: 7, crashes: 1 }]);
 });
 
+test('an ended incarnation whose entry remains listed crashes only once', () => {
+  const { planner, at, events } = openRunning();
+  planner.observeIncarnationEnd('w1', 1, at(50));
+  planner.plan(at(3_000));
+  planner.observeMissedReport('w1', at(3_050));
+  planner.observeIncarnationEnd('w1', 1, at(3_100));
+  assert.is(events.filter(({ event }) => event === 'worker-seen').length, 3);
+  assert.is(events.filter(({ event }) => event === 'worker-crashed').length, 1);
+});
+
 test('a worker that does not answer twice may have crashed, and has not if it answers again', () => {
   const harness = openRunning();
   const { planner, at, report } = harness;
