--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -12,6 +12,7 @@
   PROVEN_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
+import { makeIncarnationKey } from './ended-incarnations.js';
 import { createMachineCrashes, getMachine } from './machine-crashes.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
@@ -47,11 +48,6 @@
 /** Number of runs that one line of the log names. */
 const MAX_LOGGED_RUNS = 24;
 
-/** Makes the key of an incarnation. */
-function makeKey(workerId: string, bornMs: number): string {
-  return `${workerId}~${bornMs}`;
-}
-
 /** Creates the watch of a pool. */
 export function createCrashWatch(context: PoolContext): CrashWatch {
   const { table, dirtyJobs, report } = context;
@@ -71,7 +67,7 @@
     changedJobs.add(task.jobId);
   };
   const addToIndex = (taskKey: string, { workerId, bornMs }: CrashRecord) => {
-    const key = makeKey(workerId, bornMs);
+    const key = makeIncarnationKey(workerId, bornMs);
     tasksByCrash.set(key, (tasksByCrash.get(key) ?? new Set()).add(taskKey));
   };
   /**
@@ -85,7 +81,9 @@
     const changed = [...(tasksByCrash.get(key) ?? [])].filter((taskKey) => {
       const task = table.findTask(taskKey);
       if (task === undefined || task.state.kind === 'done') return false;
-      const known = task.crashes.find((record) => makeKey(record.workerId, record.bornMs) === key);
+      const known = task.crashes.find(
+        (record) => makeIncarnationKey(record.workerId, record.bornMs) === key,
+      );
       const updated = known === undefined ? undefined : change(known, taskKey);
       if (updated === known) return false;
       setCrashes(
@@ -103,7 +101,7 @@
   const dropOtherSuspicions = ({ jobId, crashes }: Task): number =>
     crashes
       .map(({ workerId, bornMs }) =>
-        updateRecords(makeKey(workerId, bornMs), (record, taskKey) => {
+        updateRecords(makeIncarnationKey(workerId, bornMs), (record, taskKey) => {
           const isOfJob = table.findTask(taskKey)?.jobId === jobId;
           const isExplained = record.suspicion === 'explained';
           return isOfJob || isExplained ? record : { ...record, suspicion: 'explained' };
@@ -144,7 +142,7 @@
     const unconfirmed = new Set(
       runs.filter(({ isConfirmed }) => !isConfirmed).map(({ taskKey }) => taskKey),
     );
-    updateRecords(makeKey(entry.id, entry.bornMs), (record, taskKey) =>
+    updateRecords(makeIncarnationKey(entry.id, entry.bornMs), (record, taskKey) =>
       record.isConfirmed || unconfirmed.has(taskKey)
         ? record
         : { ...record, isConfirmed: true, atMs: nowMs },
@@ -178,7 +176,7 @@
     const byCrash = new Map(
       members
         .flatMap(({ crashes }) => crashes)
-        .map((record) => [makeKey(record.workerId, record.bornMs), record] as const),
+        .map((record) => [makeIncarnationKey(record.workerId, record.bornMs), record] as const),
     );
     return [...byCrash.values()].sort((a, b) => a.atMs - b.atMs);
   };
@@ -224,7 +222,7 @@
     },
     observeAnswer: ({ id, bornMs }) => {
       silences.drop(id, bornMs);
-      const key = makeKey(id, bornMs);
+      const key = makeIncarnationKey(id, bornMs);
       if (tasksByCrash.has(key)) {
         updateRecords(key, (record) => (record.isConfirmed ? record : undefined));
       }
@@ -240,7 +238,7 @@
       possibleByMachine.delete(getMachine(entry));
       dropSettledCrashes();
       if (isOrdered || silence.isEndPlanned) {
-        updateRecords(makeKey(entry.id, entry.bornMs), () => undefined);
+        updateRecords(makeIncarnationKey(entry.id, entry.bornMs), () => undefined);
         return;
       }
       addRecords(worker, silence, true, nowMs);
--- a/packages/vanilladock/src/lib/jobs/ended-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/ended-incarnations.ts
@@ -23,6 +23,11 @@
 /** Identity of an incarnation; `bornMs` is in milliseconds since 1970, 0 if it is unknown. */
 export type Incarnation = Pick<WorkerEntry, 'id' | 'bornMs'>;
 
+/** Makes the key of an incarnation; it is unique among workers. */
+export function makeIncarnationKey(workerId: string, bornMs: number): string {
+  return `${workerId}~${bornMs}`;
+}
+
 /** How long the entry of an unresponsive incarnation is ignored before it is called again. */
 const UNRESPONSIVE_ENTRY_TTL_MS = 2_000;
 
--- a/packages/vanilladock/src/lib/jobs/free-capacity.ts
+++ b/packages/vanilladock/src/lib/jobs/free-capacity.ts
@@ -29,6 +29,11 @@
   );
 }
 
+/** Says whether two amounts are the same. */
+export function isSameCapacity(a: Resources, b: Resources): boolean {
+  return a.cores === b.cores && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators;
+}
+
 /** Computes the smaller amount of each resource. */
 export function computeMinimum(a: Resources, b: Resources): Resources {
   return {
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -205,7 +205,7 @@
 /** A worker in memory. Times are on the planner's monotonic clock unless said otherwise. */
 export interface Worker {
   readonly entry: WorkerEntry;
-  /** When the capacity in `entry` was last stated; 0 before the first time. */
+  /** When the capacity in `entry` was last stated. */
   readonly capacityKnownMs: number;
   /** Whether the incarnation states its capacity in its reports, and not only in its entry. */
   readonly isCapacityReported: boolean;
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -46,9 +46,7 @@
   readonly updateJob: (jobId: string, change: Partial<Job>) => Job;
   /** Creates the tasks of an occurrence; does nothing if it is open already. */
   readonly openOccurrence: (jobId: string, number: number) => void;
-  /**
-   * Removes the tasks of a finished job or occurrence; those still running become orphaned runs.
-   */
+  /** Removes the tasks of a finished job or occurrence; running ones become orphaned runs. */
   readonly dropTasks: (tasks: readonly Task[]) => void;
   /** Removes a job; its tasks have to be dropped before. */
   readonly dropJob: (jobId: string) => void;
--- a/packages/vanilladock/src/lib/jobs/worker-capacity.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-capacity.ts
@@ -5,18 +5,13 @@
  */
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { Resources } from '../ports/workers.js';
-import { computeMaximum } from './free-capacity.js';
+import { computeMaximum, isSameCapacity } from './free-capacity.js';
 import type { PoolContext } from './pool-context.js';
 import type { Worker } from './state.js';
 
 /** Where a capacity was stated. */
 type CapacitySource = 'entry' | 'report';
 
-/** Says whether two amounts are the same. */
-function isSame(a: Resources, b: Resources): boolean {
-  return a.cores === b.cores && a.memoryMb === b.memoryMb && a.accelerators === b.accelerators;
-}
-
 /** Logs a change of a worker's capacity with the age of what was known before. */
 function logCapacity(
   { report }: PoolContext,
@@ -48,7 +43,7 @@
   const worker = context.table.workers.get(workerId);
   if (worker === undefined) return;
   const { entry, largestCapacity } = worker;
-  const isChanged = !isSame(entry.capacity, capacity);
+  const isChanged = !isSameCapacity(entry.capacity, capacity);
   if (isChanged) logCapacity(context, worker, capacity, source, nowMs);
   context.table.updateWorker(workerId, {
     capacityKnownMs: nowMs,
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -131,7 +131,10 @@
     const { nowMs } = at;
     crashWatch.observeEntry(entry, at);
     table.addWorker(entry);
-    table.updateWorker(entry.id, { evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0 });
+    table.updateWorker(entry.id, {
+      evacuateUntilMs: evacuateUntilMsById.get(entry.id) ?? 0,
+      capacityKnownMs: nowMs,
+    });
     knownSinceMs.set(entry.id, nowMs);
     report({
       event: 'worker-seen',
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -2,6 +2,7 @@
  * Remembers when workers stopped to answer, and with which runs, so that crashes at the same moment
  * can be told from single ones. Load pattern: a rack, a data centre or a whole pool is lost at once.
  */
+import { makeIncarnationKey } from './ended-incarnations.js';
 import type { PoolContext } from './pool-context.js';
 import type { Task, Worker } from './state.js';
 import { listWorkerTasks } from './worker-loss.js';
@@ -81,7 +82,6 @@
 /** Creates the memory without any silence. */
 export function createWorkerSilences(context: PoolContext): WorkerSilences {
   const silences = new Map<string, Silence>();
-  const makeKey = (workerId: string, bornMs: number) => `${workerId}~${bornMs}`;
   const listCoincident = ({ atMs }: Silence) =>
     [...silences.values()].filter((other) => Math.abs(other.atMs - atMs) <= MOMENT_MS);
   const dropOld = (nowMs: number) =>
@@ -91,7 +91,7 @@
   return {
     add: (worker, nowMs) => {
       const { id: workerId, bornMs } = worker.entry;
-      const key = makeKey(workerId, bornMs);
+      const key = makeIncarnationKey(workerId, bornMs);
       const known = silences.get(key);
       if (known !== undefined) return known;
       dropOld(nowMs);
@@ -103,13 +103,13 @@
       silences.set(key, silence);
       return silence;
     },
-    find: (workerId, bornMs) => silences.get(makeKey(workerId, bornMs)),
+    find: (workerId, bornMs) => silences.get(makeIncarnationKey(workerId, bornMs)),
     recordSettled: (workerId, bornMs) => {
-      const key = makeKey(workerId, bornMs);
+      const key = makeIncarnationKey(workerId, bornMs);
       const silence = silences.get(key);
       if (silence !== undefined) silences.set(key, { ...silence, isSettled: true });
     },
-    drop: (workerId, bornMs) => silences.delete(makeKey(workerId, bornMs)),
+    drop: (workerId, bornMs) => silences.delete(makeIncarnationKey(workerId, bornMs)),
     countCoincident: (silence) => listCoincident(silence).length,
     hasCommonJob: (silence) => {
       const jobLists = listCoincident(silence).map(({ runs }) => runs.map(({ jobId }) => jobId));
