--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -127,10 +127,13 @@
   return new Set(crashes.map(({ machine }) => machine)).size;
 }
 
-/** Says whether a suspect crashed a worker of another machine on which only its job ran. */
+/**
+ * Says whether a suspect crashed a worker of another machine on which only its job ran, after a
+ * crash that no other task explains.
+ */
 function hasCrashedAlone(crashes: readonly CrashRecord[]): boolean {
-  const [, ...later] = crashes;
-  const alone = listSuspicious(later).filter(({ isConfirmed, isAlone }) => isConfirmed && isAlone);
+  const [, ...later] = listSuspicious(crashes);
+  const alone = later.filter(({ isConfirmed, isAlone }) => isConfirmed && isAlone);
   const isEnough = alone.some(isTelling) || alone.length >= ALONE_MASS_CRASHES;
   return isEnough && countMachines(crashes.filter(({ isConfirmed }) => isConfirmed)) > 1;
 }
