Count every crash to the limit of five

Crashes of any kind count to the limit, unless the last is explained, and a suspect of three runs on a worker of its own.

--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -55,6 +55,9 @@
 const ISOLATION_PATIENCE_MS = 6_000;
 const LASTING_PATIENCE_MS = 3_000;
 
+/** Crashes of any kind from which a suspect runs on a worker of its own, whatever they say. */
+const ISOLATED_CRASHES = 3;
+
 /** Confirmed crashes without which no job is given up. */
 const MIN_CRASHES = 2;
 
@@ -116,7 +119,7 @@
   if (crashes.length === 0 || isGang) return false;
   const [first, ...others] = listSuspicious(crashes);
   if (first === undefined) return false;
-  if (others.length > 0) return true;
+  if (others.length > 0 || crashes.length >= ISOLATED_CRASHES) return true;
   const patienceMs = isLasting ? LASTING_PATIENCE_MS : ISOLATION_PATIENCE_MS;
   const isPatient = nowMs - first.atMs < patienceMs;
   return first.isConfirmed && first.suspicion === 'recent' && isPatient;
@@ -138,11 +141,9 @@
   return isEnough && countMachines(crashes.filter(({ isConfirmed }) => isConfirmed)) > 1;
 }
 
-/** Says whether the limit is reached, of crashes that no other task explains or by one alone. */
+/** Says whether the limit is reached by a crash that no other task explains. */
 function hasReachedLimit(crashes: readonly CrashRecord[]): boolean {
-  const unexplained = crashes.filter(({ suspicion }) => suspicion !== 'explained');
-  if (unexplained.length >= MAX_CRASHES) return true;
-  return crashes.length >= MAX_CRASHES && crashes.at(-1)?.isAlone === true;
+  return crashes.length >= MAX_CRASHES && crashes.at(-1)?.suspicion !== 'explained';
 }
 
 /** Decides whether the job of a task with these crashes, oldest first, is given up. */
