List the tasks of a step and of a worker by one function each

The crash watch wrote the members of a gang again as apply-ends does, and the isolation the tasks of a worker as worker-loss does. Both call what stands there.

--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -60,17 +60,20 @@
   job.occurrences.delete(number);
 }
 
+/** Lists the tasks of a task's step in the same occurrence, itself included. */
+export function listStepTasks({ table }: PoolContext, task: Task): readonly Task[] {
+  return table
+    .listJobTasks(task.jobId)
+    .filter((t) => t.occurrence === task.occurrence && t.stepIndex === task.stepIndex);
+}
+
 /** Marks a task, or its whole gang, as done and closes the occurrence if it is complete. */
 function applyDone(context: PoolContext, task: Task, at: Moment): void {
   const { table, dirtyJobs } = context;
   const job = table.jobs.get(task.jobId);
   if (job === undefined) return;
   const step = table.findStep(task);
-  const members = step.isGang
-    ? table
-        .listJobTasks(task.jobId)
-        .filter((t) => t.occurrence === task.occurrence && t.stepIndex === task.stepIndex)
-    : [task];
+  const members = step.isGang ? listStepTasks(context, task) : [task];
   members.forEach((member) => table.moveTask(member, { kind: 'done' }));
   dirtyJobs.add(task.jobId);
   if (isOccurrenceDone(job, task.occurrence)) closeOccurrence(context, job, task.occurrence, at);
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -3,7 +3,7 @@
  * once a worker has not answered twice, as confirmed when its incarnation has ended without an
  * order, and not at all if it answers again.
  */
-import { closeJob } from './apply-ends.js';
+import { closeJob, listStepTasks } from './apply-ends.js';
 import {
   classifyCrash,
   decideGiveUp,
@@ -170,11 +170,8 @@
   /** Collects the crashes of a task; a gang shares those of its members. */
   const listCrashes = (task: Task): readonly CrashRecord[] => {
     if (!table.findStep(task).isGang) return task.crashes;
-    const members = table
-      .listJobTasks(task.jobId)
-      .filter((t) => t.occurrence === task.occurrence && t.stepIndex === task.stepIndex);
     const byCrash = new Map(
-      members
+      listStepTasks(context, task)
         .flatMap(({ crashes }) => crashes)
         .map((record) => [makeIncarnationKey(record.workerId, record.bornMs), record] as const),
     );
--- a/packages/vanilladock/src/lib/jobs/isolation.ts
+++ b/packages/vanilladock/src/lib/jobs/isolation.ts
@@ -15,6 +15,7 @@
 import { sumLastingUse } from './reservations.js';
 import { makeStepKey } from './spec.js';
 import type { Task, Worker } from './state.js';
+import { listWorkerTasks } from './worker-loss.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 
 /** Isolation of a pool's suspects. */
@@ -50,13 +51,11 @@
   const { table, report } = context;
   const isolatedIds = new Set<string>();
 
-  const listTasks = (worker: Worker) =>
-    [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
   const isClearFor = (worker: Worker, jobId: string, nowMs: number) =>
     worker.orphanedRuns.size === 0 &&
-    listTasks(worker).every((task) => task.jobId === jobId || isProven(task, nowMs));
+    listWorkerTasks(context, worker).every((task) => task.jobId === jobId || isProven(task, nowMs));
   const hasRunningSuspect = (worker: Worker, nowMs: number) =>
-    listTasks(worker).some((task) => isSuspect(task) && !isProven(task, nowMs));
+    listWorkerTasks(context, worker).some((task) => isSuspect(task) && !isProven(task, nowMs));
   const setIsolation = (worker: Worker, jobId: string, nowMs: number) => {
     const { id } = worker.entry;
     const isClear = isClearFor(worker, jobId, nowMs);
