--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -1,5 +1,6 @@
 /** Answers requests about jobs from a pool's planner; changes are confirmed only once stored. */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import { isForeignJob } from 'vanilladock/lib/jobs/spec.js';
 import { readMoment } from './clock.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 
@@ -24,6 +25,12 @@
 /** Range of the random delay added to retries of callers that an unavailable store refused. */
 const STORE_RETRY_SPREAD_MS = 2_000;
 
+/** Says whether a job belongs to another team than the one that asks; false for an unknown job. */
+function isForeign({ planner }: AnswerContext, jobId: string, team: string | undefined): boolean {
+  const job = planner.table.jobs.get(jobId);
+  return job !== undefined && isForeignJob(job.record, team);
+}
+
 /** Submits a job to the planner; the reply is `accepted` only once the job is stored. */
 async function submitJob(
   context: AnswerContext,
@@ -31,12 +38,13 @@
 ): Promise<JobReply> {
   const { planner, waitStored, isStopped } = context;
   const { id } = request.spec;
+  if (isForeign(context, id, request.team)) return { kind: 'foreign-job' };
   if (context.isStoreUnavailable() && planner.getJobStatus(id) === 'unknown') {
     // Spreads the retries, so that callers do not all return at once when the store recovers.
     const retryAfterMs = RETRY_AFTER_MS + Math.random() * STORE_RETRY_SPREAD_MS;
     return { kind: 'refused', cause: 'store', why: 'store-away', retryAfterMs };
   }
-  const admission = planner.submit(request.spec, request.policy, readMoment());
+  const admission = planner.submit(request.spec, request.policy, readMoment(), request.team);
   if (admission !== 'known' && admission.kind === 'refused') {
     const { why, retryAfterMs } = admission;
     return { kind: 'refused', cause: 'queue', why, retryAfterMs };
@@ -79,8 +87,10 @@
     case 'submit':
       return submitJob(context, request);
     case 'cancel':
+      if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
       return cancelJob(context, request.jobId);
     case 'status': {
+      if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
       const state = planner.getJobStatus(request.jobId);
       return state === 'unknown' ? { kind: 'no-such-job' } : { kind: 'state', state };
     }
--- a/packages/daemon/src/lib/jobs/duty-authority.ts
+++ b/packages/daemon/src/lib/jobs/duty-authority.ts
@@ -6,10 +6,10 @@
 import {
   decideRound,
   hasAuthority,
-  type ClockPair,
   type DutyNotice,
   type PeerOutcome,
 } from 'vanilladock/lib/duties/authority.js';
+import type { ClockPair } from 'vanilladock/lib/clock-pair.js';
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -13,9 +13,23 @@
       readonly pool: string;
       readonly spec: JobSpec;
       readonly policy: JobPolicy;
+      /** Name of the caller's team; undefined if the call needed no key. */
+      readonly team?: string | undefined;
+    }
+  | {
+      readonly kind: 'status';
+      readonly pool: string;
+      readonly jobId: string;
+      /** As for `submit`. */
+      readonly team?: string | undefined;
+    }
+  | {
+      readonly kind: 'cancel';
+      readonly pool: string;
+      readonly jobId: string;
+      /** As for `submit`. */
+      readonly team?: string | undefined;
     }
-  | { readonly kind: 'status'; readonly pool: string; readonly jobId: string }
-  | { readonly kind: 'cancel'; readonly pool: string; readonly jobId: string }
   /** Queries how many jobs of a route are pending. */
   | { readonly kind: 'pending'; readonly pool: string; readonly route: string }
   /** Stops placement on a worker for a short time and moves its lasting tasks to other workers. */
@@ -42,6 +56,8 @@
     }
   | { readonly kind: 'state'; readonly state: JobState }
   | { readonly kind: 'no-such-job' }
+  /** The id of the submitted job is that of another team's job; nothing was done. */
+  | { readonly kind: 'foreign-job' }
   /** The job has ended, by this cancel or before it, and that is stored. */
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'pending'; readonly count: number }
--- a/packages/daemon/src/lib/jobs/request-retries.ts
+++ b/packages/daemon/src/lib/jobs/request-retries.ts
@@ -60,6 +60,7 @@
     case 'accepted':
     case 'state':
     case 'no-such-job':
+    case 'foreign-job':
     case 'cancelled':
     case 'pending':
     case 'content':
--- a/packages/vanilladock/src/lib/duties/authority.ts
+++ b/packages/vanilladock/src/lib/duties/authority.ts
@@ -4,6 +4,7 @@
  * that may have claimed the duty since. Without authority it sends no orders and renews no leases,
  * so a successor that cannot reach it still knows by when its last order was sent.
  */
+import { computeElapsedMs, type ClockPair } from '../clock-pair.js';
 import type { Claim } from './claim-table.js';
 
 /** Milliseconds that authority lasts, from when the holder sent the confirming request. */
@@ -70,23 +71,11 @@
 }
 
 /**
- * A point in time on the monotonic and the wall clock, which diverge while a machine is suspended.
- */
-export interface ClockPair {
-  /** Monotonic, in milliseconds. */
-  readonly nowMs: number;
-  /** Milliseconds since 1970. */
-  readonly wallMs: number;
-}
-
-/**
- * Says whether a holder still has authority, given when its claim was last confirmed. The monotonic
- * clock stops while a machine is suspended and the wall clock does not, so the larger of the two
- * differences counts. `confirmed` is when the confirming request was sent; undefined if the claim
+ * Says whether a holder still has authority, given when its claim was last confirmed. `confirmed` is
+ * when the confirming request was sent; undefined if the claim
  * was never confirmed, which means no authority.
  */
 export function hasAuthority(confirmed: ClockPair | undefined, current: ClockPair): boolean {
   if (confirmed === undefined) return false;
-  const ageMs = Math.max(current.nowMs - confirmed.nowMs, current.wallMs - confirmed.wallMs);
-  return ageMs < AUTHORITY_MS;
+  return computeElapsedMs(confirmed, current) < AUTHORITY_MS;
 }
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -45,9 +45,15 @@
   readonly loadJob: (record: JobRecord, progress: Progress | undefined, at: Moment) => void;
   /**
    * Decides on a submission; an admitted job is queued to be stored and starts only afterwards. A
-   * job whose id is in the table is `known`, and its new specification is ignored.
+   * job whose id is in the table is `known`, and its new specification is ignored. `team` is the
+   * team that submits it; undefined if its route needs no key.
    */
-  readonly submit: (spec: JobSpec, policy: JobPolicy, at: Moment) => Admission | 'known';
+  readonly submit: (
+    spec: JobSpec,
+    policy: JobPolicy,
+    at: Moment,
+    team?: string,
+  ) => Admission | 'known';
   /** Ends an active job; `ended` if it had ended before. The change still has to be stored. */
   readonly cancel: (jobId: string, at: Moment) => 'cancelling' | 'ended' | 'unknown';
   /** Gets the stored status; `unknown` also for a job that ended longer than `statusMs` ago. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -92,7 +92,7 @@
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
-    submit: (spec, policy, at) => {
+    submit: (spec, policy, at, team) => {
       if (table.jobs.has(spec.id)) return 'known';
       const currentLoad = computePoolLoad(table, at.nowMs);
       const usableReachableCores =
@@ -104,13 +104,14 @@
         event: admission.kind === 'admitted' ? 'job-admitted' : 'job-refused',
         job: spec.id,
         route: spec.route,
+        team,
         steps: spec.steps.map(renderStep),
         ...(admission.kind === 'refused' ? admission : {}),
         backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
         cores: load.cores,
       });
       if (admission.kind === 'refused') return admission;
-      const record: JobRecord = { spec, policy, acceptedAtMs: at.wallMs };
+      const record: JobRecord = { spec, policy, acceptedAtMs: at.wallMs, team };
       const job = table.addJob(
         record,
         { progress: undefined, runBase: 0, storedPhase: 'none' },
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -80,6 +80,13 @@
   readonly policy: JobPolicy;
   /** When the job was admitted, in milliseconds since 1970. */
   readonly acceptedAtMs: number;
+  /** Name of the team that submitted it; absent if its route needed no key. */
+  readonly team?: string | undefined;
+}
+
+/** Says whether a job belongs to another team than the one that asks; undefined asks for any. */
+export function isForeignJob(record: JobRecord, team: string | undefined): boolean {
+  return team !== undefined && record.team !== undefined && record.team !== team;
 }
 
 /** Says whether any step of the job is lasting. */
--- a/packages/vanilladock/src/lib/ports/fleet.ts
+++ b/packages/vanilladock/src/lib/ports/fleet.ts
@@ -1,5 +1,6 @@
 /** Ports to the configuration of a fleet, to its instances, and to the placement advisor. */
 import type { JobPolicy } from '../jobs/spec.js';
+import type { TeamDirectory } from '../teams/team-directory.js';
 
 /** A queue of jobs at a host and path, and the pool that runs them. */
 export interface RouteConfig {
@@ -10,6 +11,8 @@
   /** Time limit of a caller's request, in milliseconds. */
   readonly timeoutMs: number;
   readonly policy: JobPolicy;
+  /** Whether calls need no key; absent counts as false. */
+  readonly isPublic?: boolean;
 }
 
 /** A pool of workers; the instances of a standby pool are switched off. */
@@ -32,6 +35,8 @@
   readonly routes: readonly RouteConfig[];
   readonly pools: readonly PoolConfig[];
   readonly limits: RequestLimits;
+  /** Teams whose keys calls have to carry; undefined if no call needs a key. */
+  readonly teams?: TeamDirectory | undefined;
 }
 
 /** A maintenance wave ordered by the operators. */
