--- a/packages/vanilladock/src/test/teams/key-check.test.ts
+++ b/packages/vanilladock/src/test/teams/key-check.test.ts
@@ -43,7 +43,10 @@
     return decision.kind === 'refused' ? decision.why : decision.kind;
   };
   assert.is(explainRefusal({ presented: { kind: 'none' }, configAgeMs: Infinity }), 'no-key');
-  assert.is(explainRefusal({ presented: { kind: 'malformed', why: 'two-headers' } }), 'malformed-key');
+  assert.is(
+    explainRefusal({ presented: { kind: 'malformed', why: 'two-headers' } }),
+    'malformed-key',
+  );
   assert.is(explainRefusal({ presented: { kind: 'key', key: 'GOOD' } }), 'unknown-key');
   assert.is(explainRefusal({ directory: makeDirectory() }), 'unknown-key');
 });
