Divide the running limits of teams among planners, and refuse their excess first

Cause: no planner knew limits or rates of teams.

The holder of the fleet duty divides each limit into allotments by pool; a planner starts tasks up to its allotment, and what is taken back is given to others only once confirmed. Jobs beyond a team's rate are placed last and refused first, with the time to come back.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -105,6 +105,11 @@
     }
     case 'demand':
       return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
+    case 'allot': {
+      const teams = planner.applyAllotments(request.message, readMoment());
+      schedulePlan();
+      return { kind: 'team-use', teams };
+    }
     case 'life-ended':
       planner.observeEndNotice(request.workerId, readMoment());
       context.wakeWorker(request.workerId);
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -11,6 +11,7 @@
 import { createIncarnationEnds, type IncarnationEnds } from './incarnation-ends.js';
 import { createWaveJournal } from './wave-journal.js';
 import { createWaveRunner } from './wave-runner.js';
+import { startAllotter } from '../teams/allotter.js';
 
 /** Name of the fleet duty. */
 export const FLEET_DUTY = 'fleet';
@@ -135,6 +136,13 @@
     await waitMs(Math.max(0, options.holderGapMs - (performance.now() - startedMs)));
     while (!isStopped) await waitMs(await runRound());
   };
+  startAllotter({
+    claim,
+    gateway: options.gateway,
+    getConfig: () => options.config.value,
+    isStopped: () => isStopped,
+    log,
+  });
   void run();
   return { claim, stop };
 }
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -1,6 +1,8 @@
 /** Requests about jobs and the replies to them, as instances exchange them. */
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PoolDemand } from 'vanilladock/lib/lending/plan-lending.js';
+import type { TeamReport } from 'vanilladock/lib/teams/allotment-ledger.js';
+import type { AllotMessage } from 'vanilladock/lib/teams/team-budget.js';
 import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
 
 /** Delay in milliseconds after which a request that could not be served is worth retrying. */
@@ -36,6 +38,8 @@
   | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string }
   /** Queries a pool's demand and states the cores that lending can bring the pool to. */
   | { readonly kind: 'demand'; readonly pool: string; readonly reachableCores: number }
+  /** Sets what the teams may use in a pool. */
+  | { readonly kind: 'allot'; readonly pool: string; readonly message: AllotMessage }
   /** Reports that an order has ended a process of the worker, which may have started again since. */
   | { readonly kind: 'life-ended'; readonly pool: string; readonly workerId: string };
 
@@ -64,6 +68,8 @@
   /** Tasks that are left on a worker that is being evacuated. */
   | { readonly kind: 'content'; readonly lastingTasks: number; readonly batchTasks: number }
   | { readonly kind: 'demand'; readonly demand: PoolDemand }
+  /** What the teams use and may use in a pool, by team. */
+  | { readonly kind: 'team-use'; readonly teams: Readonly<Record<string, TeamReport>> }
   /** Nothing was done; another instance plans the pool. */
   | { readonly kind: 'elsewhere'; readonly holder: Member }
   /** Nothing was done; a later retry may succeed. */
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -11,6 +11,7 @@
 import type { Advisor } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import type { TeamSources } from 'vanilladock/lib/teams/team-budget.js';
 import type { JsonLog } from '../json-log.js';
 import { createActionRunner } from './action-runner.js';
 import { answerRequest } from './answer-request.js';
@@ -32,6 +33,8 @@
   readonly entries: BehaviorSubject<ReadonlyMap<string, WorkerEntry>>;
   /** How long the status of an ended job can be queried, in milliseconds. */
   readonly statusMs: number;
+  /** Absent where no teams are known. */
+  readonly teams?: TeamSources | undefined;
   readonly log: JsonLog;
 }
 
@@ -203,6 +206,7 @@
       inheritedWorkers: stored.meta.workers,
       claimedMs: startedMs,
       statusMs: options.statusMs,
+      teams: options.teams,
     });
     const active = planner;
     void waitPredecessor(predecessorQuery, stored.meta.isSettled !== false);
--- a/packages/daemon/src/lib/jobs/request-retries.ts
+++ b/packages/daemon/src/lib/jobs/request-retries.ts
@@ -65,6 +65,7 @@
     case 'pending':
     case 'content':
     case 'demand':
+    case 'team-use':
     case 'elsewhere':
       return false;
     default:
--- a/packages/vanilladock/src/lib/admission/quota.ts
+++ b/packages/vanilladock/src/lib/admission/quota.ts
@@ -37,10 +37,15 @@
 const MS_PER_SECOND = 1_000;
 /** Time constant of the exponential decay of demand. */
 const DEMAND_DECAY_MS = 2_000;
-/** Size of a team's token bucket: what its part of the quota yields in this time. */
-const BURST_S = 0.5;
-/** Smallest size of a token bucket, in requests. */
-const MIN_BURST_REQUESTS = 2;
+/** Size of a team's token bucket. */
+export interface BurstSize {
+  /** What the part of the quota yields in this time. */
+  readonly seconds: number;
+  /** Smallest size of the bucket, in requests. */
+  readonly minRequests: number;
+}
+
+const DEFAULT_BURST: BurstSize = { seconds: 0.5, minRequests: 2 };
 /** Fraction of an equal share that an entry keeps however low its demand is. */
 const FLOOR_SHARE = 0.1;
 /** Demand below which a team is not reported to peers, in requests per second. */
@@ -63,7 +68,7 @@
 }
 
 /** Creates the team quotas of one entry. */
-export function createQuotas(): Quotas {
+export function createQuotas(burstSize: BurstSize = DEFAULT_BURST): Quotas {
   const teams = new Map<string, TeamQuota>();
   let peerDemand: ReadonlyMap<string, number> = new Map();
   let peerCount = 0;
@@ -88,7 +93,7 @@
     state.demand = computeDemand(state, nowMs) + MS_PER_SECOND / DEMAND_DECAY_MS;
     state.updatedAtMs = nowMs;
     const part = computeQuotaPart(quota, state.demand, peerDemand.get(team) ?? 0, peerCount);
-    const burst = Math.max(MIN_BURST_REQUESTS, part * BURST_S);
+    const burst = Math.max(burstSize.minRequests, part * burstSize.seconds);
     state.tokens = Math.min(burst, state.tokens + (part * elapsedMs) / MS_PER_SECOND);
     return { state, part };
   };
--- /dev/null
+++ b/packages/vanilladock/src/lib/jobs/make-job.ts
@@ -0,0 +1,38 @@
+/** Makes the state of a job that is new to a planner. */
+import { computeObjectiveMs, computeTailChains, computeWork } from './estimate.js';
+import type { Progress } from './progress.js';
+import { isLastingJob, type JobRecord } from './spec.js';
+import type { Job, Moment } from './state.js';
+
+/** Where a job comes from: a new submission, or the stored state of an earlier planner. */
+export interface JobOrigin {
+  /** Undefined if no progress was stored. */
+  readonly progress: Progress | undefined;
+  /** Earlier planners may have used run numbers up to this one; 0 for a new submission. */
+  readonly runBase: number;
+  readonly storedPhase: Job['storedPhase'];
+}
+
+/** Makes the job at a moment, without occurrences. */
+export function makeJob(record: JobRecord, origin: JobOrigin, { nowMs, wallMs }: Moment): Job {
+  const ageMs = Math.max(0, wallMs - record.acceptedAtMs);
+  const arrivedMs = nowMs - ageMs;
+  return {
+    record,
+    phase: origin.progress?.phase ?? 'active',
+    storedPhase: origin.storedPhase,
+    hasStarted: (origin.progress?.done.size ?? 0) > 0,
+    arrivedMs,
+    objectiveAtMs: arrivedMs + computeObjectiveMs(record.spec, record.policy),
+    workCoreSeconds: computeWork(record.spec),
+    tailChainsMs: computeTailChains(record.spec),
+    isLasting: isLastingJob(record.spec),
+    isInherited: origin.runBase > 0,
+    occurrences: new Map(),
+    finishedOccurrences: new Set(origin.progress?.occurrencesDone ?? []),
+    failedWorkerIds: [],
+    crashVersion: 0,
+    storedCrashVersion: 0,
+    finishedMs: undefined,
+  };
+}
--- a/packages/vanilladock/src/lib/jobs/plan-starts.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-starts.ts
@@ -13,6 +13,7 @@
 import { createReservations } from './reservations.js';
 import { createStartPass } from './start-pass.js';
 import type { Moment } from './state.js';
+import type { PoolTeams } from '../teams/pool-teams.js';
 import type { TicketRegistry } from './tickets.js';
 import { createWaitingJobs, type WaitingJob } from './waiting-jobs.js';
 
@@ -55,6 +56,7 @@
   readonly context: PoolContext;
   readonly tickets: TicketRegistry;
   readonly meanWork: MeanWork;
+  readonly teams: Pick<PoolTeams, 'hasRoom'>;
 }
 
 /** Inputs of one plan, in addition to the tables. */
@@ -77,7 +79,7 @@
 
 /** Creates the planning of a pool's starts. */
 export function createStartPlanner(options: StartPlannerOptions): StartPlanner {
-  const { context, tickets, meanWork } = options;
+  const { context, tickets, meanWork, teams } = options;
   const { table } = context;
   const waitingJobs = createWaitingJobs(table);
   const reservations = createReservations(table);
@@ -101,7 +103,7 @@
     plan: ({ at, isInheritanceUncertain, scope }) => {
       if (scope.isFull) reservations.clear();
       waitingJobs.refresh(scope.jobIds);
-      const pass = createStartPass({ context, tickets, reservations, at, scope });
+      const pass = createStartPass({ context, tickets, reservations, teams, at, scope });
       const jobs = listJobs(scope, pass.getChangedBound());
       const isReady = ({ job }: WaitingJob) => !(job.isInherited && isInheritanceUncertain);
       orderJobs(jobs.filter(isReady), at.nowMs).forEach(pass.placeJob);
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -15,6 +15,8 @@
 import type { Moment } from './state.js';
 import type { StoreBatch } from './store-queue.js';
 import type { TaskTable } from './task-table.js';
+import type { TeamReport } from '../teams/allotment-ledger.js';
+import type { AllotMessage, TeamSources } from '../teams/team-budget.js';
 import type { TicketRegistry } from './tickets.js';
 import type { ExclusionCounts } from './worker-exclusion.js';
 
@@ -35,6 +37,8 @@
   readonly runBase: number;
   /** How long the status of finished jobs is kept, in milliseconds. */
   readonly statusMs: number;
+  /** Absent where no teams are known; their jobs then have no limits. */
+  readonly teams?: TeamSources | undefined;
 }
 
 /** Planner of one pool. */
@@ -105,6 +109,11 @@
    * Computes the pool's demand and the tasks on each worker; records the cores lending can provide.
    */
   readonly getDemand: (reachableCores: number, at: Moment) => PoolDemand;
+  /** Applies the allotments of the teams; returns the reports on the teams in the pool. */
+  readonly applyAllotments: (
+    message: AllotMessage,
+    at: Moment,
+  ) => Readonly<Record<string, TeamReport>>;
   /** Records that a worker's ends up to `lastEnd` are stored; ignored for other incarnations. */
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
   /** Returns the figures of the queue, and the number of workers by the reason of exclusion. */
--- a/packages/vanilladock/src/lib/jobs/pool-demand.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-demand.ts
@@ -15,14 +15,15 @@
 /** Number of batch jobs from which the demand of a pool can be estimated. */
 const MIN_JOBS_FOR_DEMAND = 8;
 
-/** Sums a value over all occurrences of the pool's active batch jobs. */
+/** Sums a value over all occurrences of the pool's active batch jobs that are counted. */
 function sumBatchOccurrences(
   table: TaskTable,
   compute: (spec: JobSpec, occurrence: Occurrence) => number,
+  isCounted: (job: Job) => boolean = () => true,
 ): number {
   let sum = 0;
   table.activeJobs.forEach((job) => {
-    if (job.isLasting) return;
+    if (job.isLasting || !isCounted(job)) return;
     job.occurrences.forEach((occurrence) => {
       sum += compute(job.record.spec, occurrence);
     });
@@ -51,14 +52,20 @@
   );
 }
 
-/** Sums the resources of a job's batch tasks that are running or could start. */
-function sumRunnableTasks({ record: { spec }, occurrences }: Job): Resources {
+/**
+ * Sums the resources of a job's batch tasks that are running or could start; those that wait do not
+ * count if the job is held back by its team's limit, as more workers would not help it.
+ */
+function sumRunnableTasks({ record: { spec }, occurrences }: Job, isHeldBack: boolean): Resources {
   return sumSizes(
     [...occurrences.values()].flatMap((occurrence) =>
       listReadySteps(spec, occurrence).flatMap((index) => {
         const step = spec.steps[index];
         if (step === undefined) return [];
-        return [{ size: step.size, count: step.count - countDone(occurrence, index) }];
+        const count = isHeldBack
+          ? (occurrence.steps[index]?.assigned.size ?? 0)
+          : step.count - countDone(occurrence, index);
+        return [{ size: step.size, count }];
       }),
     ),
   );
@@ -91,20 +98,26 @@
  * Says whether tasks that could start are waiting for free capacity. Every change is planned at
  * once, so a startable task that is still waiting did not fit.
  */
-function hasUnplaced(table: TaskTable, nowMs: number): boolean {
+function hasUnplaced(table: TaskTable, nowMs: number, isHeldBack: (job: Job) => boolean): boolean {
   const isUnplaced = (startable: StartableStep) =>
     isRunnableSomewhere(table, startable.step) &&
     selectWaitingTasks(table, startable, nowMs).tasks.length > 0;
   return [...table.activeJobs.values()]
-    .filter((job) => job.storedPhase !== 'none')
+    .filter((job) => job.storedPhase !== 'none' && !isHeldBack(job))
     .some((job) => listStartableSteps(job).some(isUnplaced));
 }
 
+/** Says whether a job is beyond its team's rate and has not begun. */
+function isWaitingExcess({ record, hasStarted }: Job): boolean {
+  return record.isExcess === true && !hasStarted;
+}
+
 /** Computes the load of the pool as an input for admission; `nowMs` is monotonic. */
 export function computePoolLoad(table: TaskTable, nowMs: number): PoolLoad {
   const accepting = [...table.workers.values()].filter((worker) => isAcceptingTasks(worker, nowMs));
   return {
     backlogCoreSeconds: sumBatchOccurrences(table, computeRemainingWork),
+    excessCoreSeconds: sumBatchOccurrences(table, computeRemainingWork, isWaitingExcess),
     cores: accepting.reduce((sum, worker) => sum + worker.entry.capacity.cores, 0),
     // A worker that has shrunk may grow again, so that a job is not refused for good.
     largestWorker: findLargest(table, ({ largestCapacity }) => largestCapacity),
@@ -153,6 +166,7 @@
   pool: string,
   table: TaskTable,
   nowMs: number,
+  isHeldBack: (job: Job) => boolean = () => false,
 ): Omit<PoolDemand, 'arrivalCores' | 'expectedCores'> {
   const batch = [...table.activeJobs.values()].filter((job) => !job.isLasting);
   const onTime = batch.filter((job) => isOnTime(job, nowMs));
@@ -160,7 +174,7 @@
   const computeCores = (jobs: readonly Job[]) =>
     computeEquivalentCores(
       largestWorker,
-      sumSizes(jobs.map((job) => ({ size: sumRunnableTasks(job), count: 1 }))),
+      sumSizes(jobs.map((job) => ({ size: sumRunnableTasks(job, isHeldBack(job)), count: 1 }))),
     );
   return {
     pool,
@@ -169,7 +183,7 @@
     lastingCores: computeEquivalentCores(largestWorker, sumLastingTasks(table)),
     minWorkers: computeMinWorkers(table),
     hasPeaked: hasEnoughBatchJobs(table),
-    hasUnplaced: hasUnplaced(table, nowMs),
+    hasUnplaced: hasUnplaced(table, nowMs, isHeldBack),
     workers: [...table.workers.values()].map((worker) => ({
       workerId: worker.entry.id,
       ...countWorkerTasks(table, worker),
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -28,6 +28,8 @@
 import { isLastingJob, parseJobId, type JobRecord } from './spec.js';
 import type { Moment } from './state.js';
 import { createStandingQueueWatch } from './standing-queue.js';
+import { createPoolTeams } from '../teams/pool-teams.js';
+import type { TeamSources } from '../teams/team-budget.js';
 import { createStoreQueue } from './store-queue.js';
 import { recordStoredEnds } from './stored-ends.js';
 import { createTaskTable } from './task-table.js';
@@ -43,6 +45,12 @@
 /** Share of these cores that admission counts on, because moving workers takes time. */
 const REACHABLE_CORES_SHARE = 0.7;
 
+const NO_TEAMS: TeamSources = {
+  getDirectory: () => undefined,
+  countPools: () => 1,
+  limitTolerance: 0,
+};
+
 /** Creates the planner of a pool. */
 export function createPoolPlanner(pool: string, options: PlannerOptions): PoolPlanner {
   const table = createTaskTable();
@@ -61,11 +69,17 @@
     hasCrashedWithout: crashWatch.hasCrashedWithout,
     findTicket: tickets.findTicket,
   });
+  const teams = createPoolTeams({
+    table,
+    sources: options.teams ?? NO_TEAMS,
+    isInheritanceUncertain: inheritance.isUncertain,
+    report: options.report,
+  });
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
 
   const schedule = createPlanSchedule();
-  const startPlanner = createStartPlanner({ context, tickets, meanWork });
+  const startPlanner = createStartPlanner({ context, tickets, meanWork, teams });
   /** Lists the workers that a plan looks at; on excluded ones, time alone makes a difference. */
   const listPlannedWorkers = (isFull: boolean): ReadonlySet<string> =>
     new Set([
@@ -98,8 +112,13 @@
       const usableReachableCores =
         at.nowMs < reachable.untilMs ? reachable.cores * REACHABLE_CORES_SHARE : 0;
       const load = { ...currentLoad, cores: Math.max(currentLoad.cores, usableReachableCores) };
-      if (!isLastingJob(spec)) arrivals.add({ coreSeconds: computeWork(spec), jobs: 1 }, at.nowMs);
-      const admission = admitJob(spec, policy, load);
+      const sizes = spec.steps.map((step) => step.size);
+      const entitlement = teams.classifyJob(team, sizes, at.nowMs);
+      const isExcess = entitlement.kind === 'excess';
+      if (!isLastingJob(spec) && !isExcess) {
+        arrivals.add({ coreSeconds: computeWork(spec), jobs: 1 }, at.nowMs);
+      }
+      const admission = admitJob(spec, policy, load, entitlement);
       options.report({
         event: admission.kind === 'admitted' ? 'job-admitted' : 'job-refused',
         job: spec.id,
@@ -107,11 +126,18 @@
         team,
         steps: spec.steps.map(renderStep),
         ...(admission.kind === 'refused' ? admission : {}),
+        entitlement: team === undefined ? undefined : entitlement.kind,
         backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
         cores: load.cores,
       });
       if (admission.kind === 'refused') return admission;
-      const record: JobRecord = { spec, policy, acceptedAtMs: at.wallMs, team };
+      const record: JobRecord = {
+        spec,
+        policy,
+        acceptedAtMs: at.wallMs,
+        team,
+        isExcess: isExcess || undefined,
+      };
       const job = table.addJob(
         record,
         { progress: undefined, runBase: 0, storedPhase: 'none' },
@@ -181,11 +207,12 @@
     getDemand: (reachableCores, { nowMs }) => {
       reachable = { cores: reachableCores, untilMs: nowMs + REACHABLE_CORES_TTL_MS };
       return {
-        ...computeDemand(pool, table, nowMs),
+        ...computeDemand(pool, table, nowMs, teams.isHeldBack),
         arrivalCores: arrivals.getRate(nowMs),
         expectedCores: arrivals.getExpectedRate(nowMs),
       };
     },
+    applyAllotments: (message, { nowMs }) => teams.applyMessage(message, nowMs),
     markEndsStored: (workerId, bornMs, lastEnd) =>
       recordStoredEnds(table, { workerId, bornMs, lastEnd }),
     getFigures: (nowMs) => ({
@@ -197,6 +224,7 @@
       const isInheritanceUncertain = inheritance.isUncertain(at.nowMs);
       const isFull = schedule.takeFullPlan(at.nowMs, isInheritanceUncertain);
       applyTime(at, isFull);
+      teams.refresh(at.nowMs);
       const workerIds = listPlannedWorkers(isFull);
       const { jobIds } = table.takeChanges();
       exclusionLog.observeWorkers(workerIds, at.nowMs);
--- a/packages/vanilladock/src/lib/jobs/queue-order.ts
+++ b/packages/vanilladock/src/lib/jobs/queue-order.ts
@@ -2,15 +2,20 @@
  * Order in which waiting jobs are placed. Load pattern: for some seconds a queue demands five times
  * its mean, more than the capacity of its pool. Lasting jobs go first. Jobs that can still meet
  * their objective follow, in descending order of value per remaining core-second. Late jobs come
- * last, in order of arrival.
+ * next, in order of arrival, and last those of a team beyond its rate that have not begun.
  */
 import { computeRemainingWork, isStepDone } from './ready-steps.js';
 import type { Job } from './state.js';
 
 /** Classes of jobs in the queue, from first to last. */
-export type QueueClass = 'lasting' | 'on-time' | 'late';
+export type QueueClass = 'lasting' | 'on-time' | 'late' | 'excess';
 
-const CLASS_RANK: Readonly<Record<QueueClass, number>> = { lasting: 0, 'on-time': 1, late: 2 };
+const CLASS_RANK: Readonly<Record<QueueClass, number>> = {
+  lasting: 0,
+  'on-time': 1,
+  late: 2,
+  excess: 3,
+};
 
 /** Value of a job regardless of its size. */
 const BASE_VALUE = 0.3;
@@ -59,6 +64,7 @@
 /** Classifies a job by whether it is lasting and whether it can still meet its objective. */
 function classifyJob(job: Job, remainder: Remainder, nowMs: number): QueueClass {
   if (job.isLasting) return 'lasting';
+  if (job.record.isExcess === true && !job.hasStarted) return 'excess';
   return nowMs + remainder.chainMs * MIN_CHAIN_SHARE <= job.objectiveAtMs ? 'on-time' : 'late';
 }
 
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -82,6 +82,8 @@
   readonly acceptedAtMs: number;
   /** Name of the team that submitted it; absent if its route needed no key. */
   readonly team?: string | undefined;
+  /** Whether its team had exceeded its rate; absent counts as false. */
+  readonly isExcess?: boolean | undefined;
 }
 
 /** Says whether a job belongs to another team than the one that asks; undefined asks for any. */
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -12,6 +12,8 @@
 import type { Resources } from '../ports/workers.js';
 import type { Reservations } from './reservations.js';
 import { makeAssignment, type Moment, type Task, type Worker } from './state.js';
+import { computeMultiple } from '../placement/resources.js';
+import type { PoolTeams } from '../teams/pool-teams.js';
 import type { TicketRegistry } from './tickets.js';
 import type { WaitingJob } from './waiting-jobs.js';
 import { makeStartableKey, selectWaitingTasks, type StartableStep } from './waiting-tasks.js';
@@ -22,6 +24,7 @@
   readonly context: PoolContext;
   readonly tickets: TicketRegistry;
   readonly reservations: Reservations;
+  readonly teams: Pick<PoolTeams, 'hasRoom'>;
   readonly at: Moment;
   readonly scope: PlanScope;
 }
@@ -61,7 +64,7 @@
 
 /** Creates a pass. */
 export function createStartPass(options: StartPassOptions): StartPass {
-  const { context, tickets, reservations, at, scope } = options;
+  const { context, tickets, reservations, teams, at, scope } = options;
   const { table } = context;
   const starts: StartAction[] = [];
   const advice: AdviseAction[] = [];
@@ -176,6 +179,8 @@
   const placeGang = (startable: StartableStep) => {
     const waiting = listTasks(startable);
     if (waiting.length < startable.step.count) return;
+    const gangSize = computeMultiple(startable.step.size, waiting.length);
+    if (!teams.hasRoom(startable.job, gangSize)) return;
     const run = Math.max(...waiting.map((task) => task.lastRun)) + 1;
     const candidates = selectCandidates(startable, listAll());
     const planned: StartAction[] = [];
@@ -192,7 +197,10 @@
     }
     starts.push(...planned);
   };
-  /** Assigns tasks of a step until one does not fit; returns that one. */
+  /**
+   * Assigns tasks of a step until one does not fit; returns that one. Stops when the limit of the
+   * team is reached, which no other worker would change.
+   */
   const placeTasks = (
     startable: StartableStep,
     tasks: readonly Task[],
@@ -200,6 +208,7 @@
   ): Task | undefined => {
     let lastId: string | undefined;
     for (const task of tasks) {
+      if (!teams.hasRoom(startable.job, startable.step.size)) return undefined;
       const request = makeRequest(context, task, at.nowMs);
       const last = lastId === undefined ? undefined : table.workers.get(lastId);
       const worker =
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -2,7 +2,7 @@
 import type { Resources } from '../ports/workers.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { CrashRecord } from './crash-evidence.js';
-import type { JobRecord } from './spec.js';
+import type { JobRecord, StepSpec } from './spec.js';
 
 /** Progress of a lasting task that is fully running, and pace of a task that is not slowed down. */
 export const FULL_PERCENT = 100;
@@ -112,6 +112,12 @@
   readonly assigned: Map<number, string>;
 }
 
+/** Makes a step run in which every task is waiting. */
+export function makeStepRun({ count }: StepSpec): StepRun {
+  const indices = Array.from({ length: count }, (_, index) => index);
+  return { waiting: new Set(indices), done: new Set(), assigned: new Map() };
+}
+
 /** One occurrence of a job. */
 export interface Occurrence {
   /** Counts from 0. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -5,24 +5,24 @@
  */
 import { addResources } from '../placement/resources.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
-import { computeObjectiveMs, computeTailChains, computeWork } from './estimate.js';
-import type { Progress } from './progress.js';
 import { makeTaskSuffix } from './progress.js';
 import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
+import { makeJob, type JobOrigin } from './make-job.js';
 import { makeWorker } from './make-worker.js';
-import { isLastingJob, makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
-import type { Job, Moment, Occurrence, StepRun, Task, TaskState, Worker } from './state.js';
+import { makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
+import { createTeamUsage, sumTeamUse, type TeamUsage } from '../teams/team-usage.js';
+import {
+  makeStepRun,
+  type Job,
+  type Moment,
+  type Occurrence,
+  type StepRun,
+  type Task,
+  type TaskState,
+  type Worker,
+} from './state.js';
 import { createChangeRecord, type TableChanges } from './table-changes.js';
 
-/** Where a job comes from: a new submission, or the stored state of an earlier planner. */
-export interface JobOrigin {
-  /** Undefined if no progress was stored. */
-  readonly progress: Progress | undefined;
-  /** Earlier planners may have used run numbers up to this one; 0 for a new submission. */
-  readonly runBase: number;
-  readonly storedPhase: Job['storedPhase'];
-}
-
 /** Tables of one pool; its jobs and workers are replaced at each change, so look them up again. */
 export interface TaskTable {
   /** Jobs by id, ended ones included until they are dropped. */
@@ -33,6 +33,8 @@
   readonly crashedTaskKeys: ReadonlySet<string>;
   /** Workers by id. */
   readonly workers: ReadonlyMap<string, Worker>;
+  /** What the tasks and orphaned runs of each team use; filling tasks count with their cores. */
+  readonly teamUsage: TeamUsage;
   readonly findTask: (key: string) => Task | undefined;
   /** Finds the step of a task; throws if its job is not in the table. */
   readonly findStep: (task: Task) => StepSpec;
@@ -68,12 +70,6 @@
   readonly takeChanges: () => TableChanges;
 }
 
-/** Makes a step run in which every task is waiting. */
-function makeStepRun(step: StepSpec): StepRun {
-  const indices = Array.from({ length: step.count }, (_, index) => index);
-  return { waiting: new Set(indices), done: new Set(), assigned: new Map() };
-}
-
 /** Creates empty tables. */
 export function createTaskTable(): TaskTable {
   const jobs = new Map<string, Job>();
@@ -83,6 +79,9 @@
   const workers = new Map<string, Worker>();
   const origins = new Map<string, JobOrigin>();
   const changes = createChangeRecord();
+  const teamUsage = createTeamUsage();
+  /** Whether any job has had a team; the sums cost time that other deployments need not spend. */
+  let hasTeams = false;
 
   const setJob = (job: Job) => {
     const { id } = job.record.spec;
@@ -130,6 +129,7 @@
       used = addResources(used, orphanedRun.size);
     });
     setWorker({ ...worker, used, lastingTasks });
+    if (hasTeams) teamUsage.setWorkerUse(workerId, sumTeamUse(worker, jobs));
   };
   const removeFromIndexes = (task: Task) => {
     const stepRun = findStepRun(task);
@@ -235,31 +235,14 @@
     activeJobs,
     crashedTaskKeys,
     workers,
+    teamUsage,
     findTask: (key) => tasks.get(key),
     findStep,
     findStepRun,
     listJobTasks,
-    addJob: (record, origin, { nowMs, wallMs }) => {
-      const ageMs = Math.max(0, wallMs - record.acceptedAtMs);
-      const arrivedMs = nowMs - ageMs;
-      const job: Job = {
-        record,
-        phase: origin.progress?.phase ?? 'active',
-        storedPhase: origin.storedPhase,
-        hasStarted: (origin.progress?.done.size ?? 0) > 0,
-        arrivedMs,
-        objectiveAtMs: arrivedMs + computeObjectiveMs(record.spec, record.policy),
-        workCoreSeconds: computeWork(record.spec),
-        tailChainsMs: computeTailChains(record.spec),
-        isLasting: isLastingJob(record.spec),
-        isInherited: origin.runBase > 0,
-        occurrences: new Map(),
-        finishedOccurrences: new Set(origin.progress?.occurrencesDone ?? []),
-        failedWorkerIds: [],
-        crashVersion: 0,
-        storedCrashVersion: 0,
-        finishedMs: undefined,
-      };
+    addJob: (record, origin, at) => {
+      const job = makeJob(record, origin, at);
+      hasTeams ||= record.team !== undefined;
       setJob(job);
       origins.set(record.spec.id, origin);
       if (job.phase === 'active' && record.spec.repeatCount === 0) {
@@ -284,11 +267,13 @@
     addWorker: (entry) => {
       const worker = makeWorker(entry);
       setWorker(worker);
+      teamUsage.setWorkerUse(entry.id, new Map());
       return worker;
     },
     updateWorker,
     dropWorker: (workerId) => {
       workers.delete(workerId);
+      teamUsage.setWorkerUse(workerId, new Map());
       changes.addWorker(workerId);
     },
     refreshUsedCapacity,
--- a/packages/vanilladock/src/lib/placement/resources.ts
+++ b/packages/vanilladock/src/lib/placement/resources.ts
@@ -19,6 +19,15 @@
   };
 }
 
+/** Multiplies an amount. */
+export function computeMultiple(size: Resources, count: number): Resources {
+  return {
+    cores: size.cores * count,
+    memoryMb: size.memoryMb * count,
+    accelerators: size.accelerators * count,
+  };
+}
+
 /** Says whether a size fits into a capacity in every part. */
 export function isWithin(size: Resources, capacity: Resources): boolean {
   return (
--- /dev/null
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -0,0 +1,86 @@
+/**
+ * What the holder of the fleet duty knows of each team in each pool, and the allotments that it
+ * sends next. It keeps nothing that lasts: a new holder learns from the planners' answers what is
+ * used and which allotments are in force, and raises none before all pools have answered.
+ */
+import { SUCCESSION_MS } from '../duties/authority.js';
+import { CLOCK_DRIFT, LEASE_MS } from '../jobs/lease-clock.js';
+import { computeMaximum } from '../jobs/free-capacity.js';
+import type { Resources } from '../ports/workers.js';
+import { computeAllotments, type PoolUse } from './compute-allotments.js';
+import type { TeamConfig } from './team-directory.js';
+
+/** A team in a pool, as its planner reports it. */
+export interface TeamReport extends PoolUse {
+  /** Jobs that the team submitted to the pool a second, also refused ones. */
+  readonly jobsPerSecond: number;
+}
+
+/** What is sent to the planner of a pool about one team. */
+export interface TeamShare {
+  /** What the team's tasks may use in the pool; only its limited resources count. */
+  readonly allotment: Resources;
+  /** Jobs that the team submits to other pools a second. */
+  readonly otherJobsPerSecond: number;
+}
+
+/** Ledger of one holder. */
+export interface AllotmentLedger {
+  /**
+   * Plans what to send to each of the pools at the monotonic time `nowMs`, by pool and team. The
+   * allotments count as in force from then on.
+   */
+  readonly plan: (
+    teams: ReadonlyMap<string, TeamConfig>,
+    pools: readonly string[],
+    nowMs: number,
+  ) => ReadonlyMap<string, Readonly<Record<string, TeamShare>>>;
+  /** Takes in the answer of a pool's planner. */
+  readonly observeReport: (pool: string, reports: Readonly<Record<string, TeamReport>>) => void;
+}
+
+/**
+ * Time after which a pool that has never answered counts as using nothing: a planner that is gone
+ * has stopped by then, and its leases have expired.
+ */
+const LEARN_MS = SUCCESSION_MS + LEASE_MS / (1 - CLOCK_DRIFT);
+
+/** Creates the ledger of a holder that starts at the monotonic time `startedMs`. */
+export function createAllotmentLedger(startedMs: number): AllotmentLedger {
+  /** Teams by pool, for the pools that have answered. */
+  const reportsByPool = new Map<string, Map<string, TeamReport>>();
+  const findUses = (team: string, pools: readonly string[]): ReadonlyMap<string, TeamReport> =>
+    new Map(
+      pools.flatMap((pool) => {
+        const report = reportsByPool.get(pool)?.get(team);
+        return report === undefined ? [] : [[pool, report] as const];
+      }),
+    );
+  const recordSent = (pool: string, team: string, report: TeamReport, allotment: Resources) => {
+    const held = computeMaximum(report.held, allotment);
+    reportsByPool.get(pool)?.set(team, { ...report, held });
+  };
+  return {
+    plan: (teams, pools, nowMs) => {
+      const hasAllAnswered = pools.every((pool) => reportsByPool.has(pool));
+      const mayRaise = hasAllAnswered || nowMs - startedMs > LEARN_MS;
+      const messages = new Map<string, Record<string, TeamShare>>(pools.map((pool) => [pool, {}]));
+      teams.forEach(({ name, limit }) => {
+        const uses = findUses(name, pools);
+        const allotments = computeAllotments(limit, uses, mayRaise);
+        const total = [...uses.values()].reduce((sum, { jobsPerSecond }) => sum + jobsPerSecond, 0);
+        uses.forEach((report, pool) => {
+          const allotment = allotments.get(pool);
+          const message = messages.get(pool);
+          if (allotment === undefined || message === undefined) return;
+          message[name] = { allotment, otherJobsPerSecond: total - report.jobsPerSecond };
+          recordSent(pool, name, report, allotment);
+        });
+      });
+      return messages;
+    },
+    observeReport: (pool, reports) => {
+      reportsByPool.set(pool, new Map(Object.entries(reports)));
+    },
+  };
+}
--- /dev/null
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -0,0 +1,181 @@
+/**
+ * The teams as the planner of one pool sees them: what they use, what they may use, and which of
+ * their jobs are beyond their rate.
+ */
+import { addResources, computeMultiple } from '../placement/resources.js';
+import type { Resources } from '../ports/workers.js';
+import { computeMaximum, NO_RESOURCES } from '../jobs/free-capacity.js';
+import type { DecisionEvent } from '../jobs/pool-context.js';
+import type { Job } from '../jobs/state.js';
+import type { TaskTable } from '../jobs/task-table.js';
+import { listStartableSteps } from '../jobs/waiting-tasks.js';
+import type { TeamReport } from './allotment-ledger.js';
+import { createRateShares } from './rate-shares.js';
+import { createTeamBudget, type AllotMessage, type TeamSources } from './team-budget.js';
+
+/** Dependencies of the teams of a pool. */
+export interface PoolTeamOptions {
+  readonly table: TaskTable;
+  readonly sources: TeamSources;
+  /** Says whether tasks of inherited jobs may run that no report has shown yet. */
+  readonly isInheritanceUncertain: (nowMs: number) => boolean;
+  readonly report: (event: DecisionEvent) => void;
+}
+
+/** What a submission's team is entitled to. */
+export type Entitlement =
+  | { readonly kind: 'within-rate' }
+  /** Beyond the rate; `retryAfterMs` is the time until the team is within it again. */
+  | { readonly kind: 'excess'; readonly retryAfterMs: number }
+  /** A task of the job needs more than the team may ever use. */
+  | { readonly kind: 'beyond-limit' };
+
+/** The teams in one pool. Jobs without a team have no limit and no rate. */
+export interface PoolTeams {
+  /** Decides on a submission and counts it. */
+  readonly classifyJob: (
+    team: string | undefined,
+    sizes: readonly Resources[],
+    nowMs: number,
+  ) => Entitlement;
+  /** Says whether the team of a job may use `size` more now. */
+  readonly hasRoom: (job: Job, size: Resources) => boolean;
+  /** Says whether all waiting tasks of a job are held back by the limit of its team. */
+  readonly isHeldBack: (job: Job) => boolean;
+  /** Applies a message of the holder of the fleet duty; returns the reports on the teams. */
+  readonly applyMessage: (
+    message: AllotMessage,
+    nowMs: number,
+  ) => Readonly<Record<string, TeamReport>>;
+  /** Estimates anew what may run unseen; to be called before each plan. */
+  readonly refresh: (nowMs: number) => void;
+}
+
+/** Minimum time between two estimates of what may run unseen. */
+const ESTIMATE_INTERVAL_MS = 100;
+
+/** Waiting tasks of one team. */
+interface Waiting {
+  readonly sum: Resources;
+  readonly unit: Resources;
+  readonly sinceMs: number;
+}
+
+/** Sums the tasks that could start, by team. */
+function sumWaiting(jobs: Iterable<Job>): Map<string, Waiting> {
+  const sums = new Map<string, Waiting>();
+  for (const job of jobs) {
+    const { team } = job.record;
+    const steps = team === undefined ? [] : listStartableSteps(job);
+    steps.forEach(({ step, stepRun }) => {
+      const known = sums.get(team ?? '') ?? {
+        sum: NO_RESOURCES,
+        unit: NO_RESOURCES,
+        sinceMs: Infinity,
+      };
+      sums.set(team ?? '', {
+        sum: addResources(known.sum, computeMultiple(step.size, stepRun.waiting.size)),
+        unit: computeMaximum(known.unit, step.size),
+        sinceMs: Math.min(known.sinceMs, job.arrivedMs),
+      });
+    });
+  }
+  return sums;
+}
+
+/** Creates the teams of a pool. */
+export function createPoolTeams(options: PoolTeamOptions): PoolTeams {
+  const { table, sources, isInheritanceUncertain, report } = options;
+  const budget = createTeamBudget(sources);
+  const rates = createRateShares();
+  /** Teams of which a start was held back at the last look, for the log. */
+  const limited = new Set<string>();
+  let unseen: ReadonlyMap<string, Waiting> = new Map();
+  let estimatedMs = -Infinity;
+
+  const getUsed = (team: string): Resources => {
+    const used = table.teamUsage.get(team);
+    const hidden = unseen.get(team);
+    return hidden === undefined ? used : addResources(used, hidden.sum);
+  };
+  /** Logs when the limit begins to hold a team back, and when it no longer does. */
+  const logLimit = (team: string, isLimited: boolean, size: Resources) => {
+    if (limited.has(team) === isLimited) return;
+    if (isLimited) limited.add(team);
+    else limited.delete(team);
+    report({
+      event: isLimited ? 'team-limited' : 'team-released',
+      team,
+      used: getUsed(team),
+      allotment: budget.getAllotment(team),
+      limit: sources.getDirectory()?.teams.get(team)?.limit,
+      size,
+    });
+  };
+  const hasTeamRoom = (team: string | undefined, size: Resources) =>
+    team === undefined || budget.hasRoom(team, getUsed(team), size);
+  const listReports = (nowMs: number): Readonly<Record<string, TeamReport>> => {
+    const inRate = rates.list(nowMs);
+    const waiting = sumWaiting(table.activeJobs.values());
+    const { teamUsage } = table;
+    const names = [
+      ...teamUsage.listTeams(),
+      ...waiting.keys(),
+      ...unseen.keys(),
+      ...inRate.keys(),
+      ...budget.listAllotted(),
+    ];
+    return Object.fromEntries(
+      [...new Set(names)].map((team) => {
+        const used = getUsed(team);
+        const own = waiting.get(team);
+        const teamReport: TeamReport = {
+          used,
+          wanted: addResources(used, own?.sum ?? NO_RESOURCES),
+          unit: own?.unit ?? NO_RESOURCES,
+          held: budget.getAllotment(team),
+          oldestWaitMs: own === undefined ? 0 : Math.max(0, nowMs - own.sinceMs),
+          jobsPerSecond: inRate.get(team) ?? 0,
+        };
+        return [team, teamReport];
+      }),
+    );
+  };
+  return {
+    classifyJob: (team, sizes, nowMs) => {
+      const config = team === undefined ? undefined : sources.getDirectory()?.teams.get(team);
+      if (team === undefined || config === undefined) return { kind: 'within-rate' };
+      if (sizes.some((size) => budget.isBeyondLimit(team, size))) return { kind: 'beyond-limit' };
+      const retryAfterMs = rates.take(team, config.jobsPerSecond, nowMs);
+      return retryAfterMs === undefined
+        ? { kind: 'within-rate' }
+        : { kind: 'excess', retryAfterMs };
+    },
+    hasRoom: ({ record: { team } }, size) => {
+      const isFree = hasTeamRoom(team, size);
+      if (team !== undefined) logLimit(team, !isFree, size);
+      return isFree;
+    },
+    isHeldBack: (job) =>
+      job.record.team !== undefined &&
+      listStartableSteps(job).every(({ step }) => !hasTeamRoom(job.record.team, step.size)),
+    applyMessage: (message, nowMs) => {
+      if (budget.apply(message)) {
+        const others = Object.entries(message.shares).map(
+          ([team, { otherJobsPerSecond }]) => [team, otherJobsPerSecond] as const,
+        );
+        rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
+      }
+      return listReports(nowMs);
+    },
+    refresh: (nowMs) => {
+      if (!isInheritanceUncertain(nowMs)) {
+        unseen = new Map();
+        return;
+      }
+      if (nowMs - estimatedMs < ESTIMATE_INTERVAL_MS) return;
+      estimatedMs = nowMs;
+      unseen = sumWaiting([...table.activeJobs.values()].filter((job) => job.isInherited));
+    },
+  };
+}
--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -7,6 +7,7 @@
   type PoolPlanner,
 } from '../../lib/jobs/pool-planner.js';
 import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
+import type { TeamSources } from '../../lib/teams/team-budget.js';
 import { decodeProgress, type Progress } from '../../lib/jobs/progress.js';
 import type { StartAction } from '../../lib/jobs/plan-starts.js';
 import type { JobPolicy, JobSpec, StepSpec } from '../../lib/jobs/spec.js';
@@ -97,7 +98,7 @@
     sentMs?: number,
   ) => readonly PoolAction[];
   readonly store: () => void;
-  readonly submit: (spec: JobSpec, nowMs: number, policy?: JobPolicy) => void;
+  readonly submit: (spec: JobSpec, nowMs: number, policy?: JobPolicy, team?: string) => void;
   readonly planStarts: (nowMs: number) => readonly StartAction[];
   readonly accept: (starts: readonly StartAction[], nowMs: number) => void;
   readonly readProgress: (jobId: string) => Progress | undefined;
@@ -111,6 +112,7 @@
     readonly hasPredecessor?: boolean;
     /** Receives the entries of the decision log. */
     readonly report?: (event: DecisionEvent) => void;
+    readonly teams?: TeamSources;
   } = {},
 ): Harness {
   const planner = createPoolPlanner(POOL, {
@@ -119,6 +121,7 @@
     inheritedWorkers: options.inheritedWorkers ?? [],
     claimedMs: 0,
     statusMs: 60_000,
+    teams: options.teams,
   });
   if (options.hasPredecessor !== true)
     planner.observePredecessorStopped({ nowMs: 0, wallMs: WALL_MS });
@@ -148,8 +151,8 @@
       planner.markWorkersRecorded(entries.map(({ id }) => id));
       entries.forEach(({ id }) => report(id, nowMs));
     },
-    submit: (spec, nowMs, policy = POLICY) => {
-      planner.submit(spec, policy, makeMoment(nowMs));
+    submit: (spec, nowMs, policy = POLICY, team = undefined) => {
+      planner.submit(spec, policy, makeMoment(nowMs), team);
       writeBatch();
     },
     planStarts: (nowMs) =>
--- a/packages/vanilladock/src/test/jobs/queue-order.test.ts
+++ b/packages/vanilladock/src/test/jobs/queue-order.test.ts
@@ -53,7 +53,11 @@
 });
 
 test('a peak of five times the pool capacity is admitted while results are useful', () => {
-  const load = { cores: 10, largestWorker: { cores: 10, memoryMb: 1000, accelerators: 0 } };
+  const load = {
+    cores: 10,
+    excessCoreSeconds: 0,
+    largestWorker: { cores: 10, memoryMb: 1000, accelerators: 0 },
+  };
   const spec = makeJob('a', [makeStep({ count: 4 })]);
   let backlogCoreSeconds = 0;
   let admitted = 0;
@@ -74,7 +78,12 @@
 test('a job that fits no worker is refused without a retry time', () => {
   const largestWorker = { cores: 2, memoryMb: 100, accelerators: 0 };
   const spec = makeJob('a', [makeStep({ size: { cores: 3, memoryMb: 1, accelerators: 0 } })]);
-  const admission = admitJob(spec, POLICY, { cores: 10, backlogCoreSeconds: 0, largestWorker });
+  const admission = admitJob(spec, POLICY, {
+    cores: 10,
+    excessCoreSeconds: 0,
+    backlogCoreSeconds: 0,
+    largestWorker,
+  });
   assert.equal(admission, { kind: 'refused', why: 'never-runnable', retryAfterMs: undefined });
 });
 
