Allot no more than a limit when a new planner overestimates what is used; soak teams

Cause, from the lines team-limited and team-released: a new planner counts all waiting inherited tasks as used (46 cores), the holder allotted what was used, and the planner started up to that once its predecessor had settled. An allotment now leaves room for what may be in force in the other pools, whatever is reported as used, and of an unsettled planner no more counts than its predecessor had been allotted.

The soak has a profile of teams: keys are taken away while instances are cut off, frozen or killed.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -106,9 +106,9 @@
     case 'demand':
       return { kind: 'demand', demand: planner.getDemand(request.reachableCores, readMoment()) };
     case 'allot': {
-      const teams = planner.applyAllotments(request.message, readMoment());
+      const report = planner.applyAllotments(request.message, readMoment());
       schedulePlan();
-      return { kind: 'team-use', teams };
+      return { kind: 'team-use', report };
     }
     case 'life-ended':
       planner.observeEndNotice(request.workerId, readMoment());
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -1,7 +1,7 @@
 /** Requests about jobs and the replies to them, as instances exchange them. */
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PoolDemand } from 'vanilladock/lib/lending/plan-lending.js';
-import type { TeamReport } from 'vanilladock/lib/teams/allotment-ledger.js';
+import type { PoolReport } from 'vanilladock/lib/teams/allotment-ledger.js';
 import type { AllotMessage } from 'vanilladock/lib/teams/team-budget.js';
 import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
 
@@ -69,7 +69,7 @@
   | { readonly kind: 'content'; readonly lastingTasks: number; readonly batchTasks: number }
   | { readonly kind: 'demand'; readonly demand: PoolDemand }
   /** What the teams use and may use in a pool, by team. */
-  | { readonly kind: 'team-use'; readonly teams: Readonly<Record<string, TeamReport>> }
+  | { readonly kind: 'team-use'; readonly report: PoolReport }
   /** Nothing was done; another instance plans the pool. */
   | { readonly kind: 'elsewhere'; readonly holder: Member }
   /** Nothing was done; a later retry may succeed. */
--- a/packages/daemon/src/lib/teams/allotter.ts
+++ b/packages/daemon/src/lib/teams/allotter.ts
@@ -41,7 +41,7 @@
   const sendShares = async (pool: string, shares: Readonly<Record<string, TeamShare>>) => {
     const message = { token: claim.token, sequence, shares };
     const reply = await gateway.answerOnce({ kind: 'allot', pool, message });
-    if (reply.kind === 'team-use') ledger.observeReport(pool, reply.teams);
+    if (reply.kind === 'team-use') ledger.observeReport(pool, reply.report);
     observeAnswer(pool, reply.kind === 'team-use', 'why' in reply ? String(reply.why) : reply.kind);
   };
   const busy = new Set<string>();
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -15,7 +15,7 @@
 import type { Moment } from './state.js';
 import type { StoreBatch } from './store-queue.js';
 import type { TaskTable } from './task-table.js';
-import type { TeamReport } from '../teams/allotment-ledger.js';
+import type { PoolReport } from '../teams/allotment-ledger.js';
 import type { AllotMessage, TeamSources } from '../teams/team-budget.js';
 import type { TicketRegistry } from './tickets.js';
 import type { ExclusionCounts } from './worker-exclusion.js';
@@ -110,10 +110,7 @@
    */
   readonly getDemand: (reachableCores: number, at: Moment) => PoolDemand;
   /** Applies the allotments of the teams; returns the reports on the teams in the pool. */
-  readonly applyAllotments: (
-    message: AllotMessage,
-    at: Moment,
-  ) => Readonly<Record<string, TeamReport>>;
+  readonly applyAllotments: (message: AllotMessage, at: Moment) => PoolReport;
   /** Records that a worker's ends up to `lastEnd` are stored; ignored for other incarnations. */
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
   /** Returns the figures of the queue, and the number of workers by the reason of exclusion. */
--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -5,7 +5,8 @@
  */
 import { SUCCESSION_MS } from '../duties/authority.js';
 import { CLOCK_DRIFT, LEASE_MS } from '../jobs/lease-clock.js';
-import { computeMaximum } from '../jobs/free-capacity.js';
+import { computeMaximum, computeMinimum } from '../jobs/free-capacity.js';
+import { addResources, subtractResources } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import { computeAllotments, type PoolUse } from './compute-allotments.js';
 import type { TeamConfig } from './team-directory.js';
@@ -16,6 +17,16 @@
   readonly jobsPerSecond: number;
 }
 
+/** Answer of a pool's planner. */
+export interface PoolReport {
+  readonly teams: Readonly<Record<string, TeamReport>>;
+  /**
+   * Whether the planner knows what its predecessor has started; before that, what it reports as used
+   * contains all that may have been.
+   */
+  readonly isSettled: boolean;
+}
+
 /** What is sent to the planner of a pool about one team. */
 export interface TeamShare {
   /** What the team's tasks may use in the pool; only its limited resources count. */
@@ -36,7 +47,7 @@
     nowMs: number,
   ) => ReadonlyMap<string, Readonly<Record<string, TeamShare>>>;
   /** Takes in the answer of a pool's planner. */
-  readonly observeReport: (pool: string, reports: Readonly<Record<string, TeamReport>>) => void;
+  readonly observeReport: (pool: string, report: PoolReport) => void;
 }
 
 /**
@@ -79,8 +90,17 @@
       });
       return messages;
     },
-    observeReport: (pool, reports) => {
-      reportsByPool.set(pool, new Map(Object.entries(reports)));
+    observeReport: (pool, { teams, isSettled }) => {
+      const before = reportsByPool.get(pool);
+      const reports = Object.entries(teams).map(([team, report]) => {
+        const known = before?.get(team);
+        if (isSettled || known === undefined) return [team, report] as const;
+        // The predecessor has started no more than it had been allotted.
+        const used = computeMinimum(report.used, computeMaximum(known.used, known.held));
+        const waiting = subtractResources(report.wanted, report.used);
+        return [team, { ...report, used, wanted: addResources(used, waiting) }] as const;
+      });
+      reportsByPool.set(pool, new Map(reports));
     },
   };
 }
--- a/packages/vanilladock/src/lib/teams/compute-allotments.ts
+++ b/packages/vanilladock/src/lib/teams/compute-allotments.ts
@@ -63,22 +63,23 @@
   return shares.map(({ used }, index) => used + (gains[index] ?? 0));
 }
 
-/** Computes the allotments of one resource that may be sent now. */
+/**
+ * Computes the allotments of one resource that may be sent now. Each leaves room for what may be in
+ * force in the other pools; what is used there may be an overestimate and is no reason to allot it.
+ */
 function computeAmounts(
   limit: number,
   shares: readonly Share[],
   mayRaise: boolean,
 ): readonly number[] {
   const targets = computeTargets(limit, shares);
-  let free = mayRaise
-    ? limit - shares.reduce((sum, { held, used }) => sum + Math.max(held, used), 0)
-    : 0;
+  let inForce = shares.reduce((sum, { held, used }) => sum + Math.max(held, used), 0);
   return shares.map(({ held, used }, index) => {
-    const inForce = Math.max(held, used);
-    const target = targets[index] ?? 0;
-    const raise = Math.min(Math.max(0, target - inForce), Math.max(0, free));
-    free -= raise;
-    return Math.min(target, inForce + raise);
+    const own = Math.max(held, used);
+    const highest = mayRaise ? Math.max(held, limit - (inForce - own)) : held;
+    const amount = Math.min(targets[index] ?? 0, highest);
+    inForce += Math.max(0, amount - own);
+    return amount;
   });
 }
 
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -9,7 +9,7 @@
 import type { Job } from '../jobs/state.js';
 import type { TaskTable } from '../jobs/task-table.js';
 import { listStartableSteps } from '../jobs/waiting-tasks.js';
-import type { TeamReport } from './allotment-ledger.js';
+import type { PoolReport, TeamReport } from './allotment-ledger.js';
 import { createRateShares } from './rate-shares.js';
 import { createTeamBudget, type AllotMessage, type TeamSources } from './team-budget.js';
 
@@ -43,10 +43,7 @@
   /** Says whether all waiting tasks of a job are held back by the limit of its team. */
   readonly isHeldBack: (job: Job) => boolean;
   /** Applies a message of the holder of the fleet duty; returns the reports on the teams. */
-  readonly applyMessage: (
-    message: AllotMessage,
-    nowMs: number,
-  ) => Readonly<Record<string, TeamReport>>;
+  readonly applyMessage: (message: AllotMessage, nowMs: number) => PoolReport;
   /** Estimates anew what may run unseen; to be called before each plan. */
   readonly refresh: (nowMs: number) => void;
 }
@@ -166,7 +163,7 @@
         );
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
-      return listReports(nowMs);
+      return { teams: listReports(nowMs), isSettled: !isInheritanceUncertain(nowMs) };
     },
     refresh: (nowMs) => {
       if (!isInheritanceUncertain(nowMs)) {
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -35,6 +35,8 @@
   readonly name: string;
   budget: TeamBudget;
   used: number;
+  /** What the planner counts as used in addition, as its predecessor may have started it. */
+  unseen: number;
   waiting: number;
 }
 
@@ -53,7 +55,7 @@
       limitTolerance: TOLERANCE,
     });
   const pools = Array.from({ length: poolCount }, (_, index): Pool => {
-    return { name: `p${index}`, budget: makeBudget(), used: 0, waiting: 0 };
+    return { name: `p${index}`, budget: makeBudget(), used: 0, unseen: 0, waiting: 0 };
   });
   let token = 1;
   let sequence = 0;
@@ -61,7 +63,11 @@
   let ledger = createAllotmentLedger(nowMs);
   const late: { readonly pool: Pool; readonly message: AllotMessage }[] = [];
   const makeReport = (pool: Pool, unit: number): TeamReport => ({
-    ...makeUse({ used: pool.used, wanted: pool.used + pool.waiting, unit }),
+    ...makeUse({
+      used: pool.used + pool.unseen,
+      wanted: pool.used + pool.unseen + pool.waiting,
+      unit,
+    }),
     held: pool.budget.getAllotment(TEAM),
     jobsPerSecond: 0,
   });
@@ -83,13 +89,20 @@
           return;
         }
         pool.budget.apply(message);
-        if (!lost.includes(index)) ledger.observeReport(name, { [TEAM]: makeReport(pool, unit) });
+        if (lost.includes(index)) return;
+        const teams = { [TEAM]: makeReport(pool, unit) };
+        ledger.observeReport(name, { teams, isSettled: pool.unseen === 0 });
       });
     },
     deliverLate: () => late.splice(0).forEach(({ pool, message }) => pool.budget.apply(message)),
-    replacePlanner: (index: number) => {
+    replacePlanner: (index: number, unseen = 0) => {
       pools[index]!.budget = makeBudget();
+      pools[index]!.unseen = unseen;
     },
+    settlePlanners: () =>
+      pools.forEach((pool) => {
+        pool.unseen = 0;
+      }),
     replaceHolder: () => {
       token += 1;
       sequence = 0;
@@ -98,7 +111,11 @@
     /** Starts a task in a pool if its planner lets it; returns whether it did. */
     startTask: (index: number, size: number) => {
       const pool = pools[index]!;
-      const isFree = pool.budget.hasRoom(TEAM, makeAmount(pool.used), makeAmount(size));
+      const isFree = pool.budget.hasRoom(
+        TEAM,
+        makeAmount(pool.used + pool.unseen),
+        makeAmount(size),
+      );
       if (isFree) pool.used += size;
       return isFree;
     },
@@ -121,7 +138,8 @@
   },
   { weight: 4, arbitrary: fc.record({ kind: fc.constant('calm-round') }) },
   { weight: 3, arbitrary: fc.record({ kind: fc.constant('late') }) },
-  { weight: 1, arbitrary: fc.record({ kind: fc.constant('planner'), index }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('planner'), index, unseen: fc.nat(300) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('settle') }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('holder') }) },
 );
 
@@ -142,7 +160,8 @@
           const pool = pools[drawn.index]!;
           pool.used = Math.max(0, pool.used - drawn.size);
         } else if ('size' in drawn) pools[drawn.index]!.waiting = drawn.size;
-        else if ('index' in drawn) scene.replacePlanner(drawn.index);
+        else if ('unseen' in drawn) scene.replacePlanner(drawn.index, drawn.unseen);
+        else if (drawn.kind === 'settle') scene.settlePlanners();
         else if (drawn.kind === 'holder') scene.replaceHolder();
         else if (drawn.kind === 'late') scene.deliverLate();
         else scene.runRound();
@@ -201,6 +220,28 @@
   assert.not.ok(scene.startTask(1, 10));
 });
 
+test('what a new planner may have inherited is not allotted to it beyond the limit', () => {
+  const scene = openScene(2);
+  for (let round = 0; round < 2; round += 1) scene.runRound();
+  scene.replacePlanner(0, 400);
+  for (let round = 0; round < 3; round += 1) scene.runRound();
+  scene.settlePlanners();
+  while (scene.startTask(0, 10));
+  while (scene.startTask(1, 10));
+  assert.ok(scene.sumUsed() <= LIMIT * (1 + TOLERANCE));
+});
+
+test('a take-over in one pool does not take the shares of the others', () => {
+  const scene = openScene(2);
+  scene.pools[1]!.waiting = 80;
+  for (let round = 0; round < 3; round += 1) scene.runRound();
+  scene.replacePlanner(0, 400);
+  for (let round = 0; round < 3; round += 1) scene.runRound();
+  let started = 0;
+  while (scene.startTask(1, 10)) started += 10;
+  assert.ok(started >= 80, `only ${started} of 80 could start`);
+});
+
 test('resources are divided separately, and one without a limit is not restricted', () => {
   const uses = new Map([['p', makeUse({ wanted: 5, unit: 1 })]]);
   const limit = { cores: 0, memoryMb: 10, accelerators: 0 };
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -41,7 +41,7 @@
       ),
     },
     harness.at(0),
-  );
+  ).teams;
 
 test('a team starts tasks up to its allotment, and the others use the rest of the pool', () => {
   const harness = createHarness({ teams: makeTeams({ hot: 4, calm: 100 }) });
