--- a/packages/daemon/src/lib/jobs/job-metrics.ts
+++ b/packages/daemon/src/lib/jobs/job-metrics.ts
@@ -16,6 +16,8 @@
 export interface JobMetrics {
   /** Counts an answered request and records how long its answer took. */
   readonly observeRequest: (kind: string, outcome: string, durationMs: number) => void;
+  /** Counts an answered request of a team. */
+  readonly observeTeamRequest: (team: string, outcome: string) => void;
   /** Counts a logged decision by the name of its event, and a released run by its proof. */
   readonly observeDecision: (fields: LogFields) => void;
   /** Resolves to the metrics as Prometheus text; durations are in seconds. */
@@ -53,13 +55,25 @@
     labelNames,
     registers,
   });
+  const teamLabels = ['pool', 'team', 'what'] as const;
+  const teamCores = new Gauge({
+    name: 'vanilladock_team_cores',
+    help: 'Cores that a team uses and was allotted in the pools planned here.',
+    labelNames: teamLabels,
+    registers,
+  });
   return (pools) => {
+    teamCores.reset();
     [workers, waitingTasks, standing, paused].forEach((gauge) => gauge.reset());
     pools.forEach((figures) => {
       const { pool } = figures;
       Object.entries(figures.workers).forEach(([state, count]) =>
         workers.set({ pool, state }, count),
       );
+      figures.teams.forEach(({ team, usedCores, allottedCores }) => {
+        teamCores.set({ pool, team, what: 'used' }, usedCores);
+        teamCores.set({ pool, team, what: 'allotted' }, allottedCores);
+      });
       waitingTasks.set({ pool }, figures.waitingTasks);
       standing.set({ pool }, figures.standingMs / MS_PER_SECOND);
       paused.set({ pool }, figures.pausedMs / MS_PER_SECOND);
@@ -84,6 +98,12 @@
     labelNames: ['event'] as const,
     registers,
   });
+  const teamRequests = new Counter({
+    name: 'vanilladock_team_requests_total',
+    help: 'Answered requests with the key of a team, by outcome.',
+    labelNames: ['team', 'outcome'] as const,
+    registers,
+  });
   const latency = new Gauge({
     name: 'vanilladock_job_request_seconds',
     help: 'Quantiles of the time to answer a request about a job, since start.',
@@ -113,6 +133,7 @@
       requests.inc({ kind, outcome });
       latencies.observe(kind, durationMs);
     },
+    observeTeamRequest: (team, outcome) => teamRequests.inc({ team, outcome }),
     observeDecision: ({ event, proof }) => {
       decisions.inc({ event });
       if (event === 'run-released') releasedRuns.inc({ proof: String(proof) });
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -11,6 +11,7 @@
 import type { Advisor } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import type { TeamFigures } from 'vanilladock/lib/teams/pool-teams.js';
 import type { TeamSources } from 'vanilladock/lib/teams/team-budget.js';
 import type { JsonLog } from '../json-log.js';
 import { createActionRunner } from './action-runner.js';
@@ -54,6 +55,7 @@
 export interface PoolFigures extends QueueFigures {
   readonly pool: string;
   readonly workers: ExclusionCounts;
+  readonly teams: readonly TeamFigures[];
   /** How long no plan was made because the claim is not in force; 0 while plans are made. */
   readonly pausedMs: number;
 }
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -16,6 +16,7 @@
 import type { StoreBatch } from './store-queue.js';
 import type { TaskTable } from './task-table.js';
 import type { PoolReport } from '../teams/allotment-ledger.js';
+import type { TeamFigures } from '../teams/pool-teams.js';
 import type { AllotMessage, TeamSources } from '../teams/team-budget.js';
 import type { TicketRegistry } from './tickets.js';
 import type { ExclusionCounts } from './worker-exclusion.js';
@@ -113,8 +114,11 @@
   readonly applyAllotments: (message: AllotMessage, at: Moment) => PoolReport;
   /** Records that a worker's ends up to `lastEnd` are stored; ignored for other incarnations. */
   readonly markEndsStored: (workerId: string, bornMs: number, lastEnd: number) => void;
-  /** Returns the figures of the queue, and the number of workers by the reason of exclusion. */
-  readonly getFigures: (nowMs: number) => QueueFigures & { readonly workers: ExclusionCounts };
+  /** Returns the figures of the queue and teams, and the workers by the reason of exclusion. */
+  readonly getFigures: (nowMs: number) => QueueFigures & {
+    readonly workers: ExclusionCounts;
+    readonly teams: readonly TeamFigures[];
+  };
   /** Plans starts, stops and queries, records them as sent, and opens due occurrences. */
   readonly plan: (at: Moment) => readonly PoolAction[];
   /** Removes and returns what has to be stored now; undefined if there is nothing. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -217,6 +217,7 @@
       recordStoredEnds(table, { workerId, bornMs, lastEnd }),
     getFigures: (nowMs) => ({
       workers: countExclusions(table, nowMs),
+      teams: teams.listFigures(),
       ...standingQueue.getFigures(nowMs),
     }),
     plan: (at) => {
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -30,6 +30,16 @@
   /** A task of the job needs more than the team may ever use. */
   | { readonly kind: 'beyond-limit' };
 
+/** Figures of a team in a pool for the metrics. */
+export interface TeamFigures {
+  readonly team: string;
+  /** What may run unseen counts too. */
+  readonly usedCores: number;
+  readonly allottedCores: number;
+  /** Whether its limit has held back the last start that was tried. */
+  readonly isLimited: boolean;
+}
+
 /** The teams in one pool. Jobs without a team have no limit and no rate. */
 export interface PoolTeams {
   /** Decides on a submission and counts it. */
@@ -44,6 +54,8 @@
   readonly isHeldBack: (job: Job) => boolean;
   /** Applies a message of the holder of the fleet duty; returns the reports on the teams. */
   readonly applyMessage: (message: AllotMessage, nowMs: number) => PoolReport;
+  /** Lists the figures of the teams that use or were allotted anything. */
+  readonly listFigures: () => readonly TeamFigures[];
   /** Estimates anew what may run unseen; to be called before each plan. */
   readonly refresh: (nowMs: number) => void;
 }
@@ -165,6 +177,13 @@
       }
       return { teams: listReports(nowMs), isSettled: !isInheritanceUncertain(nowMs) };
     },
+    listFigures: () =>
+      [...new Set([...table.teamUsage.listTeams(), ...budget.listAllotted()])].map((team) => ({
+        team,
+        usedCores: getUsed(team).cores,
+        allottedCores: budget.getAllotment(team).cores,
+        isLimited: limited.has(team),
+      })),
     refresh: (nowMs) => {
       if (!isInheritanceUncertain(nowMs)) {
         unseen = new Map();
