Learn which images slow each other down, and keep them apart where there is room

Pace control slowed a filling task once a tail was near its target and placed the next one there again. An estimate for each pair of images, learned from workers' reports and forgotten within seconds, now adds to the cost of a worker. It orders only workers that fit.

--- a/packages/daemon/src/lib/jobs/job-metrics.ts
+++ b/packages/daemon/src/lib/jobs/job-metrics.ts
@@ -55,6 +55,12 @@
     labelNames,
     registers,
   });
+  const pairs = new Gauge({
+    name: 'vanilladock_interference_pairs',
+    help: 'Pairs of images with an estimated effect, and those that slow each other down.',
+    labelNames: ['pool', 'state'] as const,
+    registers,
+  });
   const teamLabels = ['pool', 'team', 'what'] as const;
   const teamCores = new Gauge({
     name: 'vanilladock_team_cores',
@@ -63,13 +69,15 @@
     registers,
   });
   return (pools) => {
-    teamCores.reset();
+    [teamCores, pairs].forEach((gauge) => gauge.reset());
     [workers, waitingTasks, standing, paused].forEach((gauge) => gauge.reset());
     pools.forEach((figures) => {
       const { pool } = figures;
       Object.entries(figures.workers).forEach(([state, count]) =>
         workers.set({ pool, state }, count),
       );
+      pairs.set({ pool, state: 'known' }, figures.interference.knownPairs);
+      pairs.set({ pool, state: 'hurting' }, figures.interference.hurtingPairs);
       figures.teams.forEach(({ team, usedCores, allottedCores }) => {
         teamCores.set({ pool, team, what: 'used' }, usedCores);
         teamCores.set({ pool, team, what: 'allotted' }, allottedCores);
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -11,6 +11,7 @@
 import type { Advisor } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import type { InterferenceFigures } from 'vanilladock/lib/interference/pool-interference.js';
 import type { TeamFigures } from 'vanilladock/lib/teams/pool-teams.js';
 import type { TeamSources } from 'vanilladock/lib/teams/team-budget.js';
 import type { JsonLog } from '../json-log.js';
@@ -56,6 +57,7 @@
   readonly pool: string;
   readonly workers: ExclusionCounts;
   readonly teams: readonly TeamFigures[];
+  readonly interference: InterferenceFigures;
   /** How long no plan was made because the claim is not in force; 0 while plans are made. */
   readonly pausedMs: number;
 }
--- a/packages/daemon/src/test/job-metrics.test.ts
+++ b/packages/daemon/src/test/job-metrics.test.ts
@@ -9,6 +9,7 @@
 const STANDING: PoolFigures = {
   pool: 'stalls',
   workers: { accepting: 1, failing: 3 },
+  interference: { knownPairs: 4, hurtingPairs: 1 },
   teams: [{ team: 'restaurants', usedCores: 3, allottedCores: 5, isLimited: false }],
   waitingTasks: 31,
   standingMs: 50_900,
@@ -25,6 +26,7 @@
     'vanilladock_pool_workers{pool="stalls",state="failing"} 3',
     'vanilladock_team_cores{pool="stalls",team="restaurants",what="used"} 3',
     'vanilladock_team_cores{pool="stalls",team="restaurants",what="allotted"} 5',
+    'vanilladock_interference_pairs{pool="stalls",state="hurting"} 1',
     'vanilladock_pool_waiting_tasks{pool="stalls"} 31',
     'vanilladock_pool_standing_seconds{pool="stalls"} 50.9',
     'vanilladock_pool_paused_seconds{pool="stalls"} 0',
--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -4,7 +4,7 @@
  * workers and racks, so that a loss affects few of them; those of different steps share workers, as
  * a worker with a lasting task can hardly be lent. Batch tasks go to the fullest worker that fits,
  * near their data if there is free capacity, so that workers become idle and can be lent after the
- * peak.
+ * peak. Tasks that slow each other down are kept apart while another worker fits.
  */
 import { isToBeIsolated } from './crash-evidence.js';
 import { computeUsedCoreShare, hasFreeCapacity } from './free-capacity.js';
@@ -116,6 +116,7 @@
     (isAvoided(task, worker) ? AVOIDED_PENALTY : 0) +
     (step.isLasting ? computeLastingCost(worker, request) : 0) +
     SUSPECT_PENALTY * (suspectsByWorker.get(worker.entry.id) ?? 0) +
+    request.estimateEffect(worker).cost +
     FAILED_JOB_PENALTY * worker.failures.jobs.length
   );
 }
--- a/packages/vanilladock/src/lib/jobs/placement-request.ts
+++ b/packages/vanilladock/src/lib/jobs/placement-request.ts
@@ -4,7 +4,8 @@
 import { computeFootprint } from './free-capacity.js';
 import type { PoolContext } from './pool-context.js';
 import type { StepSpec } from './spec.js';
-import type { StepRun, Task } from './state.js';
+import type { StepRun, Task, Worker } from './state.js';
+import type { PlacementEffect } from '../interference/pool-interference.js';
 
 /** Request for a worker for one task. */
 export interface PlacementRequest {
@@ -19,11 +20,14 @@
   readonly siblingsByRack: ReadonlyMap<string, number>;
   /** For a suspect of a crash, the number of other suspects by worker; others need none. */
   readonly suspectsByWorker: ReadonlyMap<string, number>;
+  /** Estimates what the task would do to, or suffer from, the others on a worker. */
+  readonly estimateEffect: (worker: Worker) => PlacementEffect;
   /** Monotonic time in milliseconds. */
   readonly nowMs: number;
 }
 
 const NO_COUNTS: ReadonlyMap<string, number> = new Map();
+const NO_EFFECT: PlacementEffect = { cost: 0, worst: undefined };
 
 /** Finds the rack on which tasks of the step already run. */
 function findSharedRack({ table }: PoolContext, stepRun: StepRun): string | undefined {
@@ -68,6 +72,8 @@
     rack: step.isSameRack ? findSharedRack(context, stepRun) : undefined,
     siblingsByRack: step.isLasting ? countByRack(context, stepRun) : NO_COUNTS,
     suspectsByWorker: isSuspect(task) ? countSuspects(context) : NO_COUNTS,
+    estimateEffect: (worker) =>
+      context.interference?.estimateEffect(worker, step, nowMs) ?? NO_EFFECT,
     nowMs,
   };
 }
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -16,6 +16,7 @@
 import type { StoreBatch } from './store-queue.js';
 import type { TaskTable } from './task-table.js';
 import type { PoolReport } from '../teams/allotment-ledger.js';
+import type { InterferenceFigures } from '../interference/pool-interference.js';
 import type { TeamFigures } from '../teams/pool-teams.js';
 import type { AllotMessage, TeamSources } from '../teams/team-budget.js';
 import type { TicketRegistry } from './tickets.js';
@@ -118,6 +119,7 @@
   readonly getFigures: (nowMs: number) => QueueFigures & {
     readonly workers: ExclusionCounts;
     readonly teams: readonly TeamFigures[];
+    readonly interference: InterferenceFigures;
   };
   /** Plans starts, stops and queries, records them as sent, and opens due occurrences. */
   readonly plan: (at: Moment) => readonly PoolAction[];
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -30,6 +30,7 @@
 import { createStandingQueueWatch } from './standing-queue.js';
 import { createPoolTeams } from '../teams/pool-teams.js';
 import type { TeamSources } from '../teams/team-budget.js';
+import { createPoolInterference } from '../interference/pool-interference.js';
 import { createStoreQueue } from './store-queue.js';
 import { recordStoredEnds } from './stored-ends.js';
 import { createTaskTable } from './task-table.js';
@@ -60,7 +61,9 @@
   const arrivals = createArrivalForecast();
   let reachable = { cores: 0, untilMs: 0 };
   const meanWork = createMeanWork();
-  const context: PoolContext = { table, dirtyJobs, report: options.report };
+  const baseContext: PoolContext = { table, dirtyJobs, report: options.report };
+  const interference = createPoolInterference(baseContext);
+  const context: PoolContext = { ...baseContext, interference };
   const inheritance = createInheritance(options);
   const crashWatch = createCrashWatch(context);
   const incarnations = createWorkerIncarnations(context, inheritance, crashWatch);
@@ -185,6 +188,7 @@
       if (reporter !== undefined) crashWatch.observeAnswer(reporter.entry);
       incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
+      interference.observeReport(workerId, at.nowMs);
       return planPaces(context, workerId, at);
     },
     observeMissedReport: incarnations.observeMissedReport,
@@ -218,6 +222,7 @@
     getFigures: (nowMs) => ({
       workers: countExclusions(table, nowMs),
       teams: teams.listFigures(),
+      interference: interference.getFigures(nowMs),
       ...standingQueue.getFigures(nowMs),
     }),
     plan: (at) => {
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -175,6 +175,13 @@
       allWorkers?.refreshWorker(workerId);
       changedWorkers.refreshWorker(workerId);
     });
+  /** Logs a task that is placed beside one that it slows down, as far as is known. */
+  const logEffect = (task: Task, worker: Worker, request: PlacementRequest) => {
+    const { cost, worst } = request.estimateEffect(worker);
+    if (cost === 0) return;
+    const { id } = worker.entry;
+    context.report({ event: 'placed-beside', task: task.key, worker: id, cost, ...worst });
+  };
   /** Assigns all tasks of a gang, or none if one of them fits nowhere. */
   const placeGang = (startable: StartableStep) => {
     const waiting = listTasks(startable);
@@ -216,9 +223,11 @@
           ? last
           : chooseWorker(candidates.list(), request);
       if (worker === undefined) return task;
+      logEffect(task, worker, request);
       starts.push(assignTask(startable, task, worker, task.lastRun + 1));
       candidates.refreshWorker(worker.entry.id);
-      const mayRepeat = !startable.step.isLasting && isRepeatable(task);
+      const { isLasting, isFilling } = startable.step;
+      const mayRepeat = !isLasting && !isFilling && isRepeatable(task);
       lastId = mayRepeat ? worker.entry.id : undefined;
     }
     return undefined;
--- a/packages/vanilladock/src/test/jobs/standing-queue-log.test.ts
+++ b/packages/vanilladock/src/test/jobs/standing-queue-log.test.ts
@@ -251,6 +251,8 @@
     workers: {},
     waitingTasks: 1,
     standingMs: 10_090,
+    teams: [],
+    interference: { knownPairs: 0, hurtingPairs: 0 },
   });
   harness.addWorkers(10_100, makeEntry('w1'));
   planFor(harness, 10_110, 14_110);
@@ -262,6 +264,8 @@
     workers: { accepting: 1 },
     waitingTasks: 0,
     standingMs: 0,
+    teams: [],
+    interference: { knownPairs: 0, hurtingPairs: 0 },
   });
 });
 
