--- a/packages/vanilladock/src/test/interference/keep-apart.test.ts
+++ b/packages/vanilladock/src/test/interference/keep-apart.test.ts
@@ -48,7 +48,7 @@
 };
 
 /** Lets a task of an image run beside the serving task; its tails rise to `tailMs`. */
-const learnPair = (harness: Harness, workerId: string, tailMs: number) => {
+const recordPair = (harness: Harness, workerId: string, tailMs: number) => {
   reportBeside(harness, workerId, { fromMs: 1_000, count: 8, tailMs: 40 });
   harness.submit(makeJob('f', [makeFilling('miner')]), 3_000);
   const starts = harness.planStarts(3_010);
@@ -64,7 +64,7 @@
   const events: DecisionEvent[] = [];
   const harness = createHarness({ report: (event) => events.push(event) });
   const serving = startServing(harness, ['w1']);
-  assert.is(learnPair(harness, serving, 85), serving);
+  assert.is(recordPair(harness, serving, 85), serving);
   harness.addWorkers(6_500, makeEntry('w1'), makeEntry('w2'));
   reportBeside(harness, serving, { fromMs: 6_600, count: 1, tailMs: 40 });
   harness.submit(makeJob('g', [makeFilling('miner')]), 6_700);
@@ -75,7 +75,7 @@
 test('a task of an image that does not slow the serving one down is placed as before', () => {
   const harness = createHarness();
   const serving = startServing(harness, ['w1']);
-  learnPair(harness, serving, 42);
+  recordPair(harness, serving, 42);
   harness.addWorkers(6_500, makeEntry('w1'), makeEntry('w2'));
   harness.submit(makeJob('g', [makeFilling('miner')]), 6_700);
   assert.is(harness.planStarts(6_710)[0]?.worker.id, serving);
@@ -85,11 +85,11 @@
   const events: DecisionEvent[] = [];
   const harness = createHarness({ report: (event) => events.push(event) });
   const serving = startServing(harness, ['w1']);
-  learnPair(harness, serving, 85);
+  recordPair(harness, serving, 85);
   harness.submit(makeJob('g', [makeFilling('miner')]), 6_700);
   assert.is(harness.planStarts(6_710)[0]?.worker.id, serving);
   const logged = events.find(({ event }) => event === 'placed-beside');
-  assert.equal([logged?.['aggressor'], logged?.['victim']], ['miner', 'site']);
+  assert.equal([logged?.aggressor, logged?.victim], ['miner', 'site']);
 });
 
 test('a report of loads from before a change teaches nothing', () => {
