Measure the key check, and hash keys in one call

npm run measure -- team-keys: the check of a key as a share of the processor time of an empty call, bound 0.02.

--- a/packages/measure/src/lib/bounds.ts
+++ b/packages/measure/src/lib/bounds.ts
@@ -76,6 +76,9 @@
     plan_large_ms: makeUpper(1),
     plan_ratio: makeUpper(3),
   },
+  'team-keys': {
+    check_share: makeUpper(0.02),
+  },
   control: {
     cpu_fraction: makeUpper(0.021),
     added_mb: makeUpper(32),
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -13,6 +13,7 @@
 import { PLANNER_COST_MEASURE } from './planner-cost.js';
 import { SLOPES_MEASURE } from './slopes.js';
 import { SLOTS_MEASURE } from './slots.js';
+import { TEAM_KEYS_MEASURE } from './team-keys.js';
 import { WAVE_MEASURE } from './wave.js';
 
 /** All measurements, in the order in which they are listed. */
@@ -31,4 +32,5 @@
   EXCHANGE_MEASURE,
   SLOPES_MEASURE,
   SLOTS_MEASURE,
+  TEAM_KEYS_MEASURE,
 ];
--- a/packages/vanilladock/src/lib/teams/team-directory.ts
+++ b/packages/vanilladock/src/lib/teams/team-directory.ts
@@ -2,7 +2,7 @@
  * Teams of a configuration and their keys. Keys are kept as digests and found by digest, so that
  * the time of a look-up says nothing about the keys, and no key can reach a log line.
  */
-import { createHash } from 'node:crypto';
+import { hash } from 'node:crypto';
 import type { Resources } from '../ports/workers.js';
 
 /** A team of callers. */
@@ -32,14 +32,14 @@
 /** Number of hex digits of a key's digest in log lines. */
 const KEY_LABEL_DIGITS = 8;
 
-/** Computes the digest of a key, in hex. */
+/** Computes the digest of a key, in base64. */
 function computeDigest(key: string): string {
-  return createHash('sha256').update(key).digest('hex');
+  return hash('sha256', key, 'base64');
 }
 
-/** Makes the text that stands for a key in log lines. */
+/** Makes the text that stands for a key in log lines: the start of its digest, in hex. */
 export function makeKeyLabel(key: string): string {
-  return computeDigest(key).slice(0, KEY_LABEL_DIGITS);
+  return hash('sha256', key, 'hex').slice(0, KEY_LABEL_DIGITS);
 }
 
 /** Creates the directory; a key of two teams belongs to the first of them. */
