--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -60,6 +60,9 @@
   readonly refresh: (nowMs: number) => void;
 }
 
+/** A team at its limit is held back and released with each task that ends. */
+const LOG_INTERVAL_MS = 1_000;
+
 /** Minimum time between two estimates of what may run unseen. */
 const ESTIMATE_INTERVAL_MS = 100;
 
@@ -101,17 +104,23 @@
   const limited = new Set<string>();
   let unseen: ReadonlyMap<string, Waiting> = new Map();
   let estimatedMs = -Infinity;
+  /** Time of the present plan. */
+  let plannedMs = 0;
+  /** When each team's limit was last logged. */
+  const loggedMs = new Map<string, number>();
 
   const getUsed = (team: string): Resources => {
     const used = table.teamUsage.get(team);
     const hidden = unseen.get(team);
     return hidden === undefined ? used : addResources(used, hidden.sum);
   };
-  /** Logs when the limit begins to hold a team back, and when it no longer does. */
+  /** Logs that the limit holds a team back, and when it no longer does, at most once in a while. */
   const logLimit = (team: string, isLimited: boolean, size: Resources) => {
     if (limited.has(team) === isLimited) return;
     if (isLimited) limited.add(team);
     else limited.delete(team);
+    if (plannedMs - (loggedMs.get(team) ?? -Infinity) < LOG_INTERVAL_MS) return;
+    loggedMs.set(team, plannedMs);
     report({
       event: isLimited ? 'team-limited' : 'team-released',
       team,
@@ -185,6 +194,7 @@
         isLimited: limited.has(team),
       })),
     refresh: (nowMs) => {
+      plannedMs = nowMs;
       if (!isInheritanceUncertain(nowMs)) {
         unseen = new Map();
         return;
