--- a/packages/daemon/src/lib/teams/allotter.ts
+++ b/packages/daemon/src/lib/teams/allotter.ts
@@ -4,7 +4,11 @@
  */
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
 import type { FleetConfig } from 'vanilladock/lib/ports/fleet.js';
-import { createAllotmentLedger, type TeamShare } from 'vanilladock/lib/teams/allotment-ledger.js';
+import {
+  computeRoundMs,
+  createAllotmentLedger,
+  type TeamShare,
+} from 'vanilladock/lib/teams/allotment-ledger.js';
 import { waitMs } from '../jobs/clock.js';
 import type { JobGateway } from '../jobs/job-gateway.js';
 import type { JsonLog } from '../json-log.js';
@@ -18,9 +22,6 @@
   readonly log: JsonLog;
 }
 
-/** Pause between two rounds; two rounds move an unused allotment from one pool to another. */
-const ROUND_MS = 200;
-
 /** Pause between two looks at a configuration without teams. */
 const IDLE_MS = 1_000;
 
@@ -65,7 +66,7 @@
     while (!isStopped()) {
       const config = getConfig();
       if (config?.teams !== undefined) runRound(config);
-      await waitMs(config?.teams === undefined ? IDLE_MS : ROUND_MS);
+      await waitMs(config?.teams === undefined ? IDLE_MS : computeRoundMs(config.pools.length));
     }
   };
   void run();
--- a/packages/measure/src/lib/bounds.ts
+++ b/packages/measure/src/lib/bounds.ts
@@ -79,6 +79,10 @@
   'team-keys': {
     check_share: makeUpper(0.02),
   },
+  'team-limits': {
+    cpu_fraction: makeUpper(0.021),
+    bytes_per_s: makeUpper(3_000),
+  },
   control: {
     cpu_fraction: makeUpper(0.021),
     added_mb: makeUpper(32),
--- a/packages/measure/src/lib/registry.ts
+++ b/packages/measure/src/lib/registry.ts
@@ -14,6 +14,7 @@
 import { SLOPES_MEASURE } from './slopes.js';
 import { SLOTS_MEASURE } from './slots.js';
 import { TEAM_KEYS_MEASURE } from './team-keys.js';
+import { TEAM_LIMITS_MEASURE } from './team-limits.js';
 import { WAVE_MEASURE } from './wave.js';
 
 /** All measurements, in the order in which they are listed. */
@@ -33,4 +34,5 @@
   SLOPES_MEASURE,
   SLOTS_MEASURE,
   TEAM_KEYS_MEASURE,
+  TEAM_LIMITS_MEASURE,
 ];
--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -56,6 +56,17 @@
  */
 const LEARN_MS = SUCCESSION_MS + LEASE_MS / (1 - CLOCK_DRIFT);
 
+/** Shortest time between two rounds; two of them move an unused allotment to another pool. */
+const MIN_ROUND_MS = 200;
+
+/** Time of a round for each pool, so that the calls a second stay bounded as pools are added. */
+const ROUND_MS_PER_POOL = 12.5;
+
+/** Computes the pause between two rounds over a number of pools, in milliseconds. */
+export function computeRoundMs(pools: number): number {
+  return Math.max(MIN_ROUND_MS, pools * ROUND_MS_PER_POOL);
+}
+
 /** Creates the ledger of a holder that starts at the monotonic time `startedMs`. */
 export function createAllotmentLedger(startedMs: number): AllotmentLedger {
   /** Teams by pool, for the pools that have answered. */
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -5,7 +5,11 @@
 import * as fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { createAllotmentLedger, type TeamReport } from '../../lib/teams/allotment-ledger.js';
+import {
+  computeRoundMs,
+  createAllotmentLedger,
+  type TeamReport,
+} from '../../lib/teams/allotment-ledger.js';
 import { computeAllotments, type PoolUse } from '../../lib/teams/compute-allotments.js';
 import {
   createTeamBudget,
@@ -242,6 +246,13 @@
   assert.ok(started >= 80, `only ${started} of 80 could start`);
 });
 
+test('rounds over many pools stay below a hundred calls a second, and few pools do not wait', () => {
+  assert.is(computeRoundMs(5), 200);
+  [5, 16, 17, 241, 2_000].forEach((pools) => {
+    assert.ok(pools / (computeRoundMs(pools) / 1_000) <= 100);
+  });
+});
+
 test('resources are divided separately, and one without a limit is not restricted', () => {
   const uses = new Map([['p', makeUse({ wanted: 5, unit: 1 })]]);
   const limit = { cores: 0, memoryMb: 10, accelerators: 0 };
