Scale an allotment down where the holder has divided a higher limit

A holder of the fleet duty that the store turns away goes on dividing the limit that it knows, while the planners may know a lower one; found by reading, no run has shown it. Its messages name the limit that it has divided, and each planner scales its part down to the one in force. The test fails without the scaling: 8 starts, not 2.

--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -31,6 +31,8 @@
 export interface TeamShare {
   /** What the team's tasks may use in the pool; only its limited resources count. */
   readonly allotment: Resources;
+  /** Limit of the team that was divided. */
+  readonly limit: Resources;
   /** Jobs that the team submits to other pools a second. */
   readonly otherJobsPerSecond: number;
 }
@@ -95,7 +97,8 @@
           const allotment = allotments.get(pool);
           const message = messages.get(pool);
           if (allotment === undefined || message === undefined) return;
-          message[name] = { allotment, otherJobsPerSecond: total - report.jobsPerSecond };
+          const otherJobsPerSecond = total - report.jobsPerSecond;
+          message[name] = { allotment, limit, otherJobsPerSecond };
           recordSent(pool, name, report, allotment);
         });
       });
--- a/packages/vanilladock/src/lib/teams/team-budget.ts
+++ b/packages/vanilladock/src/lib/teams/team-budget.ts
@@ -3,7 +3,8 @@
  * times its usual, or whose limit was lowered below what runs. The planner starts tasks up to the
  * allotment that the holder of the fleet duty has sent. Without one, or beyond it, the team has the
  * pool's part of the tolerance on its limit, which needs no coordination, as the parts of all pools
- * add up to the tolerance.
+ * add up to the tolerance. If the holder has divided a higher limit than the planner knows, as it
+ * does not reach the store, each planner scales its part down.
  */
 import { NO_RESOURCES } from '../jobs/free-capacity.js';
 import type { Resources } from '../ports/workers.js';
@@ -63,10 +64,13 @@
       const limit = findLimit(team);
       if (limit === undefined) return true;
       const allotment = getAllotment(team);
+      const divided = newest?.shares[team]?.limit ?? limit;
       const floorShare = sources.limitTolerance / Math.max(1, sources.countPools());
       return RESOURCE_NAMES.every((name) => {
         if (limit[name] <= 0 || size[name] <= 0) return true;
-        return used[name] + size[name] <= Math.max(allotment[name], limit[name] * floorShare);
+        const scale = divided[name] > limit[name] ? limit[name] / divided[name] : 1;
+        const allowed = Math.max(allotment[name] * scale, limit[name] * floorShare);
+        return used[name] + size[name] <= allowed;
       });
     },
     getAllotment,
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -28,7 +28,12 @@
   );
   return { getDirectory: () => directory, countPools: () => 2, limitTolerance: 0 };
 };
-const sendAllotments = (harness: Harness, cores: Readonly<Record<string, number>>, sequence = 1) =>
+const sendAllotments = (
+  harness: Harness,
+  cores: Readonly<Record<string, number>>,
+  sequence = 1,
+  limit = 1,
+) =>
   harness.planner.applyAllotments(
     {
       token: 1,
@@ -36,7 +41,7 @@
       shares: Object.fromEntries(
         Object.entries(cores).map(([team, amount]) => [
           team,
-          { allotment: makeAmount(amount), otherJobsPerSecond: 0 },
+          { allotment: makeAmount(amount), limit: makeAmount(limit), otherJobsPerSecond: 0 },
         ]),
       ),
     },
@@ -93,6 +98,14 @@
   assert.is(hot?.used.cores, 4);
 });
 
+test('a holder that knows only an older, higher limit lets no planner start beyond the new one', () => {
+  const harness = createHarness({ teams: makeTeams({ hot: 4 }) });
+  harness.addWorkers(0, makeEntry('w1'), makeEntry('w2'));
+  sendAllotments(harness, { hot: 8 }, 1, 16);
+  harness.submit(makeJob('a', [makeStep({ count: 8 })]), 0, POLICY, 'hot');
+  assert.is(harness.planStarts(1).length, 2);
+});
+
 test('a message of an earlier holder or an earlier one of this holder changes nothing', () => {
   const harness = createHarness({ teams: makeTeams({ hot: 9 }) });
   sendAllotments(harness, { hot: 5 }, 2);
