--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -5,7 +5,7 @@
  */
 import { SUCCESSION_MS } from '../duties/authority.js';
 import { CLOCK_DRIFT, LEASE_MS } from '../jobs/lease-clock.js';
-import { computeMaximum, computeMinimum } from '../jobs/free-capacity.js';
+import { computeMaximum, computeMinimum, NO_RESOURCES } from '../jobs/free-capacity.js';
 import { addResources, subtractResources } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import { computeAllotments, type PoolUse } from './compute-allotments.js';
@@ -69,6 +69,22 @@
   return Math.max(MIN_ROUND_MS, pools * ROUND_MS_PER_POOL);
 }
 
+/**
+ * Up to this number of pools each team has an allotment in all of them, so that its first jobs in a
+ * pool need not wait for a round; with more pools, only where it has jobs.
+ */
+const MAX_POOLS_FOR_ALL = 16;
+
+/** A team that has nothing in a pool. */
+const NO_USE: TeamReport = {
+  used: NO_RESOURCES,
+  wanted: NO_RESOURCES,
+  unit: NO_RESOURCES,
+  held: NO_RESOURCES,
+  oldestWaitMs: 0,
+  jobsPerSecond: 0,
+};
+
 /** Creates the ledger of a holder that starts at the monotonic time `startedMs`. */
 export function createAllotmentLedger(startedMs: number): AllotmentLedger {
   /** Teams by pool, for the pools that have answered. */
@@ -76,7 +92,10 @@
   const findUses = (team: string, pools: readonly string[]): ReadonlyMap<string, TeamReport> =>
     new Map(
       pools.flatMap((pool) => {
-        const report = reportsByPool.get(pool)?.get(team);
+        const reports = reportsByPool.get(pool);
+        const isSmall = pools.length <= MAX_POOLS_FOR_ALL;
+        const report =
+          reports?.get(team) ?? (isSmall && reports !== undefined ? NO_USE : undefined);
         return report === undefined ? [] : [[pool, report] as const];
       }),
     );
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -246,6 +246,14 @@
   assert.ok(started >= 80, `only ${started} of 80 could start`);
 });
 
+test('a team that is new to a pool may begin there without a round', () => {
+  const team = { name: TEAM, jobsPerSecond: 1, limit: makeAmount(LIMIT) };
+  const ledger = createAllotmentLedger(0);
+  ['a', 'b'].forEach((pool) => ledger.observeReport(pool, { teams: {}, isSettled: true }));
+  const messages = ledger.plan(new Map([[TEAM, team]]), ['a', 'b'], 200);
+  assert.is(messages.get('a')?.[TEAM]?.allotment.cores, LIMIT / 2);
+});
+
 test('rounds over many pools stay below a hundred calls a second, and few pools do not wait', () => {
   assert.is(computeRoundMs(5), 200);
   [5, 16, 17, 241, 2_000].forEach((pools) => {
