--- a/packages/vanilladock/src/lib/interference/pair-estimates.ts
+++ b/packages/vanilladock/src/lib/interference/pair-estimates.ts
@@ -68,8 +68,8 @@
   updatedMs: number;
 }
 
-/** Makes the key of a pair; images may contain any character but this separator's control code. */
-function makePairKey(aggressor: string, victim: string): string {
+/** Makes the key of a pair; a control character separates the images. */
+export function makePairKey(aggressor: string, victim: string): string {
   return `${aggressor}\u0000${victim}`;
 }
 
--- a/packages/vanilladock/src/lib/interference/pool-interference.ts
+++ b/packages/vanilladock/src/lib/interference/pool-interference.ts
@@ -6,7 +6,7 @@
 import type { PoolContext } from '../jobs/pool-context.js';
 import type { StepSpec } from '../jobs/spec.js';
 import { FULL_PERCENT, type Task, type Worker } from '../jobs/state.js';
-import { createPairEstimates, type PairEstimate } from './pair-estimates.js';
+import { createPairEstimates, makePairKey, type PairEstimate } from './pair-estimates.js';
 
 /** Effect of a placement on the serving tasks of a worker. */
 export interface PlacementEffect {
@@ -112,7 +112,7 @@
   };
   /** Logs when a pair begins to hurt, and when it no longer does. */
   const logPair = (aggressor: string, victim: string, workerId: string, nowMs: number) => {
-    const key = `${aggressor}\u0000${victim}`;
+    const key = makePairKey(aggressor, victim);
     const effect = estimates.getEffect(aggressor, victim, nowMs);
     const isHurting = effect >= HURTING_EFFECT;
     if (hurting.has(key) === isHurting) return;
