Count as possibly inherited only what fits on workers that have not reported

Cause: all waiting inherited tasks counted as used until every worker had reported, also once the predecessor had stopped and two or three workers were missing, so that neither this pool nor, under a new holder, the others were allotted anything.

--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -24,6 +24,8 @@
   readonly expire: (nowMs: number) => void;
   /** Records that the preceding planner sends no orders after `nowMs`. */
   readonly observePredecessorStopped: (nowMs: number) => void;
+  /** Says whether an earlier planner may still send orders. */
+  readonly mayPredecessorOrder: (nowMs: number) => boolean;
   /** Says whether leases from an earlier planner may still be valid. */
   readonly isWithinUncertaintyWindow: (nowMs: number) => boolean;
   /**
@@ -54,6 +56,7 @@
     observePredecessorStopped: (nowMs) => {
       predecessorUntilMs = Math.min(predecessorUntilMs, nowMs);
     },
+    mayPredecessorOrder: (nowMs) => nowMs < predecessorUntilMs,
     isWithinUncertaintyWindow: (nowMs) => nowMs < getUncertainUntilMs(),
     isUncertain: (nowMs) =>
       nowMs < predecessorUntilMs || (unreportedIds.size > 0 && nowMs < getUncertainUntilMs()),
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -75,7 +75,7 @@
   const teams = createPoolTeams({
     table,
     sources: options.teams ?? NO_TEAMS,
-    isInheritanceUncertain: inheritance.isUncertain,
+    inheritance,
     report: options.report,
   });
   const exclusionLog = createExclusionLog(context);
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -4,7 +4,8 @@
  */
 import { addResources, computeMultiple } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
-import { computeMaximum, NO_RESOURCES } from '../jobs/free-capacity.js';
+import { computeMaximum, computeMinimum, NO_RESOURCES } from '../jobs/free-capacity.js';
+import type { Inheritance } from '../jobs/inheritance.js';
 import type { DecisionEvent } from '../jobs/pool-context.js';
 import type { Job } from '../jobs/state.js';
 import type { TaskTable } from '../jobs/task-table.js';
@@ -17,8 +18,8 @@
 export interface PoolTeamOptions {
   readonly table: TaskTable;
   readonly sources: TeamSources;
-  /** Says whether tasks of inherited jobs may run that no report has shown yet. */
-  readonly isInheritanceUncertain: (nowMs: number) => boolean;
+  /** What may run of inherited jobs that no report has shown yet. */
+  readonly inheritance: Pick<Inheritance, 'isUncertain' | 'mayPredecessorOrder' | 'listUnreported'>;
   readonly report: (event: DecisionEvent) => void;
 }
 
@@ -97,22 +98,33 @@
 
 /** Creates the teams of a pool. */
 export function createPoolTeams(options: PoolTeamOptions): PoolTeams {
-  const { table, sources, isInheritanceUncertain, report } = options;
+  const { table, sources, inheritance, report } = options;
   const budget = createTeamBudget(sources);
   const rates = createRateShares();
   /** Teams of which a start was held back at the last look, for the log. */
   const limited = new Set<string>();
-  let unseen: ReadonlyMap<string, Waiting> = new Map();
+  /** What may run unseen, by team. */
+  let unseen: ReadonlyMap<string, Resources> = new Map();
   let estimatedMs = -Infinity;
   /** Time of the present plan. */
   let plannedMs = 0;
   /** When each team's limit was last logged. */
   const loggedMs = new Map<string, number>();
 
+  /** Sums the capacity of the workers on which runs of an earlier planner may be left unseen. */
+  const sumUnreported = (): Resources => {
+    const largest = [...table.workers.values()]
+      .map(({ entry }) => entry.capacity)
+      .reduce(computeMaximum, NO_RESOURCES);
+    return inheritance
+      .listUnreported()
+      .map((id) => table.workers.get(id)?.largestCapacity ?? largest)
+      .reduce(addResources, NO_RESOURCES);
+  };
   const getUsed = (team: string): Resources => {
     const used = table.teamUsage.get(team);
     const hidden = unseen.get(team);
-    return hidden === undefined ? used : addResources(used, hidden.sum);
+    return hidden === undefined ? used : addResources(used, hidden);
   };
   /** Logs that the limit holds a team back, and when it no longer does, at most once in a while. */
   const logLimit = (team: string, isLimited: boolean, size: Resources) => {
@@ -184,7 +196,7 @@
         );
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
-      return { teams: listReports(nowMs), isSettled: !isInheritanceUncertain(nowMs) };
+      return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs) };
     },
     listFigures: () =>
       [...new Set([...table.teamUsage.listTeams(), ...budget.listAllotted()])].map((team) => ({
@@ -195,13 +207,20 @@
       })),
     refresh: (nowMs) => {
       plannedMs = nowMs;
-      if (!isInheritanceUncertain(nowMs)) {
+      if (!inheritance.isUncertain(nowMs)) {
         unseen = new Map();
         return;
       }
       if (nowMs - estimatedMs < ESTIMATE_INTERVAL_MS) return;
       estimatedMs = nowMs;
-      unseen = sumWaiting([...table.activeJobs.values()].filter((job) => job.isInherited));
+      const inherited = [...table.activeJobs.values()].filter((job) => job.isInherited);
+      const capacity = inheritance.mayPredecessorOrder(nowMs) ? undefined : sumUnreported();
+      unseen = new Map(
+        [...sumWaiting(inherited)].map(([team, { sum }]) => [
+          team,
+          capacity === undefined ? sum : computeMinimum(sum, capacity),
+        ]),
+      );
     },
   };
 }
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -98,6 +98,21 @@
   assert.is(hot?.used.cores, 4);
 });
 
+test('a successor lets a team start what cannot run unseen on the workers that have not reported', () => {
+  const harness = createHarness({
+    runBase: 100,
+    inheritedWorkers: ['w1', 'w2'],
+    teams: makeTeams({ hot: 8 }),
+  });
+  const record = { spec: makeJob('a', [makeStep({ count: 40 })]), policy: POLICY, team: 'hot' };
+  harness.planner.loadJob({ ...record, acceptedAtMs: WALL_MS }, undefined, harness.at(0));
+  // The first worker is gone; only on it may tasks of the predecessor run.
+  harness.addWorkers(1, makeEntry('w2'), makeEntry('w3'));
+  sendAllotments(harness, { hot: 8 }, 1, 8);
+  harness.submit(makeJob('b', [makeStep({ count: 8 })]), 2, POLICY, 'hot');
+  assert.is(harness.planStarts(3).length, 4);
+});
+
 test('a holder that knows only an older, higher limit lets no planner start beyond the new one', () => {
   const harness = createHarness({ teams: makeTeams({ hot: 4 }) });
   harness.addWorkers(0, makeEntry('w1'), makeEntry('w2'));
