Count a refused job against its team's rate only when it is admitted

A team within its rate whose jobs were refused for the backlog used up its rate by trying again and was then treated as beyond it. Found by reading; the test fails without the change.

--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -133,7 +133,10 @@
         backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
         cores: load.cores,
       });
-      if (admission.kind === 'refused') return admission;
+      if (admission.kind === 'refused') {
+        if (team !== undefined && entitlement.kind === 'within-rate') teams.observeRefusal(team);
+        return admission;
+      }
       const record: JobRecord = {
         spec,
         policy,
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -49,6 +49,8 @@
     sizes: readonly Resources[],
     nowMs: number,
   ) => Entitlement;
+  /** Records that a job within its team's rate was refused; a later attempt counts anew. */
+  readonly observeRefusal: (team: string) => void;
   /** Says whether the team of a job may use `size` more now. */
   readonly hasRoom: (job: Job, size: Resources) => boolean;
   /** Says whether all waiting tasks of a job are held back by the limit of its team. */
@@ -181,6 +183,7 @@
         ? { kind: 'within-rate' }
         : { kind: 'excess', retryAfterMs };
     },
+    observeRefusal: rates.release,
     hasRoom: ({ record: { team } }, size) => {
       const isFree = hasTeamRoom(team, size);
       if (team !== undefined) logLimit(team, !isFree, size);
--- a/packages/vanilladock/src/lib/teams/rate-shares.ts
+++ b/packages/vanilladock/src/lib/teams/rate-shares.ts
@@ -14,6 +14,8 @@
    * job within it.
    */
   readonly take: (team: string, jobsPerSecond: number, nowMs: number) => number | undefined;
+  /** Gives back what a job took that was refused for another reason than the rate. */
+  readonly release: (team: string) => void;
   /** Sets what the teams submit to the other pools, in jobs a second, and the number of these. */
   readonly setOthers: (jobsPerSecond: ReadonlyMap<string, number>, pools: number) => void;
   /** Lists what the teams submit to this pool, in jobs a second. */
@@ -26,5 +28,6 @@
 /** Creates the rates of a pool. */
 export function createRateShares(): RateShares {
   const quotas = createQuotas(BURST);
-  return { take: quotas.take, setOthers: quotas.setPeerDemand, list: quotas.listDemand };
+  const { take, release, setPeerDemand: setOthers, listDemand: list } = quotas;
+  return { take, release, setOthers, list };
 }
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -171,6 +171,26 @@
   assert.ok(starts.every(({ taskKey }) => isExcess(taskKey) !== true));
 });
 
+test('a team whose jobs are refused for the backlog does not exceed its rate by trying again', () => {
+  const harness = createHarness({ teams: makeTeams({ calm: 0 }, 4) });
+  harness.addWorkers(0, makeEntry('w1'));
+  for (let number = 0; number < 8; number += 1) {
+    harness.submit(makeJob(`b-${number}`, [makeStep({ count: 8 })]), number * 500, POLICY, 'calm');
+  }
+  // One job a second that is tried again each 100 ms, at a rate of four jobs a second.
+  const refusals = Array.from({ length: 40 }, (_, number) =>
+    harness.planner.submit(
+      makeJob('again', [makeStep({ count: 8 })]),
+      POLICY,
+      harness.at(4_000 + number * 100),
+      'calm',
+    ),
+  );
+  refusals.forEach((admission) =>
+    assert.is(admission !== 'known' && admission.kind === 'refused' && admission.why, 'backlog'),
+  );
+});
+
 test('a team beyond its rate is served at once while there is room', () => {
   const harness = createHarness({ teams: makeTeams({ hot: 0 }, 0.1) });
   harness.addWorkers(0, makeEntry('w1', { capacity: makeAmount(64) }));
