--- a/packages/vanilladock/src/lib/fleet-config/find-config-issues.ts
+++ b/packages/vanilladock/src/lib/fleet-config/find-config-issues.ts
@@ -24,25 +24,29 @@
     addIssue('invalid', 'version', `not above the version in force (${versionInForce})`);
   }
   config.pools.forEach(({ name, isStandby }, index) => {
-    const place = `services[${index}]`;
+    const place = `pools[${index}]`;
     if (config.pools.findIndex((other) => other.name === name) < index) {
-      addIssue('invalid', `${place}.name`, `${JSON.stringify(name)} is an earlier service`);
+      addIssue('invalid', `${place}.name`, `${JSON.stringify(name)} is the name of an earlier one`);
     }
     const hasRoute = config.routes.some(({ pool }) => pool === name);
     if (!hasRoute && !isStandby) addIssue('never-matches', place, 'no route leads to it');
     if (hasRoute && isStandby) {
-      addIssue('contradiction', `${place}.standby`, 'routes lead to it, and its machines are off');
+      addIssue(
+        'contradiction',
+        `${place}.isStandby`,
+        'routes lead to it, and its instances are off',
+      );
     }
   });
   if (config.pools.filter(({ isStandby }) => isStandby).length > 1) {
-    addIssue('contradiction', 'services', 'only the first standby service lends machines');
+    addIssue('contradiction', 'pools', 'only the first standby pool lends instances');
   }
   const { limits } = config;
   if (limits.headerTimeoutMs > limits.idleTimeoutMs) {
-    addIssue('contradiction', 'limits.header_timeout_ms', 'above idle_timeout_ms');
+    addIssue('contradiction', 'limits.headerTimeoutMs', 'above the time limit of idle connections');
   }
   if (limits.maxBodyBytes <= 0) {
-    addIssue('contradiction', 'limits.max_body_bytes', 'no job can be submitted');
+    addIssue('contradiction', 'limits.maxBodyBytes', 'no job can be submitted');
   }
   return issues;
 }
--- a/packages/vanilladock/src/lib/fleet-config/find-route-issues.ts
+++ b/packages/vanilladock/src/lib/fleet-config/find-route-issues.ts
@@ -15,21 +15,21 @@
   if (route.host === '') addIssue('host', 'empty; calls always name a host');
   if (route.host.includes(':')) addIssue('host', 'contains a port; hosts are matched without it');
   if (/[\s/]/.test(route.host)) addIssue('host', 'contains a character that no host has');
-  if (!route.pathPrefix.startsWith('/')) addIssue('path_prefix', 'must begin with /');
-  if (/[?#\s]/.test(route.pathPrefix)) addIssue('path_prefix', 'no path contains ?, # or a space');
+  if (!route.pathPrefix.startsWith('/')) addIssue('pathPrefix', 'must begin with /');
+  if (/[?#\s]/.test(route.pathPrefix)) addIssue('pathPrefix', 'no path contains ?, # or a space');
   const twin = draft.config.routes.findIndex(
     (other, position) =>
       position > index && other.host === route.host && other.pathPrefix === route.pathPrefix,
   );
   if (twin >= 0) {
-    addIssue('path_prefix', `routes[${twin}] has the same host and prefix and takes its calls`);
+    addIssue('pathPrefix', `routes[${twin}] has the same host and prefix and takes its calls`);
   }
   if (!draft.config.pools.some(({ name }) => name === route.pool)) {
-    addIssue('service', `there is no service ${JSON.stringify(route.pool)}`);
+    addIssue('pool', `there is no ${JSON.stringify(route.pool)}`);
   }
   const isKeyed = draft.teams !== undefined && route.isPublic !== true;
   if (isKeyed && !draft.teams.some(({ keys }) => keys.length > 0)) {
-    addIssue('public', 'no team has a key, and the route is not public');
+    addIssue('isPublic', 'no team has a key, and the route is not public');
   }
   return issues;
 }
@@ -41,14 +41,18 @@
   const issues: ConfigIssue[] = [];
   const addIssue = (field: string, message: string) =>
     issues.push({ kind: 'contradiction', place: makePlace(index, field), message });
-  if (timeoutMs <= 0) addIssue('timeout_ms', 'no call can be answered in this time');
+  if (timeoutMs <= 0) addIssue('timeoutMs', 'no call can be answered in this time');
   if (policy.targetLatencyMs > timeoutMs) {
-    addIssue('target_latency_ms', `above timeout_ms (${timeoutMs})`);
+    addIssue('policy.targetLatencyMs', `above the time limit of a call (${timeoutMs} ms)`);
   }
-  if (policy.maxAttempts < 1) addIssue('max_attempts', 'jobs fail before their first attempt');
-  if (policy.stretch < 1) addIssue('stretch', 'below 1: jobs are late even on idle workers');
+  if (policy.maxAttempts < 1)
+    addIssue('policy.maxAttempts', 'jobs fail before their first attempt');
+  if (policy.stretch < 1) addIssue('policy.stretch', 'below 1: jobs are late even on idle workers');
   if (advice !== undefined && advice.validMs <= advice.decideMs) {
-    addIssue('advice.valid_ms', `tickets expire before they arrive (decide_ms ${advice.decideMs})`);
+    addIssue(
+      'policy.advice.validMs',
+      `tickets expire before they arrive, which takes ${advice.decideMs} ms`,
+    );
   }
   return issues;
 }
--- a/packages/vanilladock/src/lib/fleet-config/find-team-issues.ts
+++ b/packages/vanilladock/src/lib/fleet-config/find-team-issues.ts
@@ -6,13 +6,12 @@
 /** A key can only be presented if it consists of visible ASCII characters. */
 const KEY_PATTERN = /^[!-~]+$/;
 
-const LIMIT_FIELDS = { cores: 'cpu', memoryMb: 'mem_mb', accelerators: 'gpu' } as const;
 const RESOURCE_NAMES = ['cores', 'memoryMb', 'accelerators'] as const;
 
 /** Finds the issues of a team's keys; keys appear in messages only by their labels. */
 function findKeyIssues(teams: readonly TeamKeys[], index: number): ConfigIssue[] {
   const { keys = [] } = teams[index] ?? {};
-  const place = `tenants[${index}].api_keys`;
+  const place = `teams[${index}].keys`;
   if (keys.length === 0) {
     return [{ kind: 'never-matches', place, message: 'no key: the team can call nothing' }];
   }
@@ -24,7 +23,12 @@
     return [
       ...(KEY_PATTERN.test(key) ? [] : [makeIssue('never-matches', 'no call can carry this key')]),
       ...(owner >= 0
-        ? [makeIssue('invalid', `key ${makeKeyLabel(key)} is also one of tenants[${owner}]`)]
+        ? [
+            makeIssue(
+              'invalid',
+              `key ${makeKeyLabel(key)} is also one of an earlier team (${teams[owner]?.team.name})`,
+            ),
+          ]
         : []),
       ...(keys.indexOf(key) < position
         ? [makeIssue('invalid', `key ${makeKeyLabel(key)} stands here twice`)]
@@ -39,7 +43,7 @@
   index: number,
   task: Resources | undefined,
 ): ConfigIssue[] {
-  const place = `tenants[${index}]`;
+  const place = `teams[${index}]`;
   const tooSmall = RESOURCE_NAMES.filter(
     (name) => team.limit[name] > 0 && task !== undefined && task[name] > team.limit[name],
   );
@@ -50,13 +54,13 @@
       : [
           {
             kind: 'contradiction' as const,
-            place: `${place}.weight`,
+            place: `${place}.jobsPerSecond`,
             message: 'a share of nothing: every job counts as beyond the rate',
           },
         ]),
     ...[...tooSmall, ...negative].map((name) => ({
       kind: 'contradiction' as const,
-      place: `${place}.max_count.${LIMIT_FIELDS[name]}`,
+      place: `${place}.limit.${name}`,
       message: 'below one task: no job of this size can ever run',
     })),
   ];
@@ -71,7 +75,7 @@
     const isRepeated = teams.findIndex(({ team }) => team.name === entry.team.name) < index;
     const repeated: ConfigIssue = {
       kind: 'invalid',
-      place: `tenants[${index}].name`,
+      place: `teams[${index}].name`,
       message: `${JSON.stringify(entry.team.name)} is the name of an earlier team`,
     };
     return [
--- a/packages/vanilladock/src/lib/fleet-config/fleet-draft.ts
+++ b/packages/vanilladock/src/lib/fleet-config/fleet-draft.ts
@@ -18,7 +18,7 @@
 /** An issue of a draft. */
 export interface ConfigIssue {
   readonly kind: ConfigIssueKind;
-  /** Place in the draft, such as `routes[2].host`. */
+  /** Place in the draft by the names of `FleetConfig`, such as `routes[2].host`. */
   readonly place: string;
   readonly message: string;
 }
