--- a/packages/vanilladock/src/lib/fleet-config/find-team-issues.ts
+++ b/packages/vanilladock/src/lib/fleet-config/find-team-issues.ts
@@ -1,4 +1,5 @@
 /** Finds teams whose keys or limits serve nobody. */
+import { RESOURCE_NAMES } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import { makeKeyLabel, type TeamKeys } from '../teams/team-directory.js';
 import type { ConfigIssue, ConfigIssueKind, FleetDraft } from './fleet-draft.js';
@@ -6,8 +7,6 @@
 /** A key can only be presented if it consists of visible ASCII characters. */
 const KEY_PATTERN = /^[!-~]+$/;
 
-const RESOURCE_NAMES = ['cores', 'memoryMb', 'accelerators'] as const;
-
 /** Finds the issues of a team's keys; keys appear in messages only by their labels. */
 function findKeyIssues(teams: readonly TeamKeys[], index: number): ConfigIssue[] {
   const { keys = [] } = teams[index] ?? {};
--- a/packages/vanilladock/src/lib/interference/pool-interference.ts
+++ b/packages/vanilladock/src/lib/interference/pool-interference.ts
@@ -88,6 +88,11 @@
   const mixes = new Map<string, { readonly mix: string; readonly sinceMs: number }>();
   const hurting = new Set<string>();
 
+  /** Forgets the workers that the pool no longer has. */
+  const dropGone = () =>
+    mixes.forEach((_, workerId) => {
+      if (!context.table.workers.has(workerId)) mixes.delete(workerId);
+    });
   /** Says for how long a worker has run the same tasks at the same pace. */
   const observeMix = (workerId: string, tasks: readonly WorkerTask[], nowMs: number): number => {
     const mix = tasks
@@ -99,6 +104,8 @@
     const known = mixes.get(workerId);
     const sinceMs = known?.mix === mix ? known.sinceMs : nowMs;
     mixes.set(workerId, { mix, sinceMs });
+    // Workers come and go under new ids; each report can add one entry at most.
+    if (mixes.size > context.table.workers.size) dropGone();
     return nowMs - sinceMs;
   };
   const sumPaces = (tasks: readonly WorkerTask[]) => {
@@ -121,30 +128,19 @@
     const event = isHurting ? 'pair-hurts' : 'pair-harmless';
     context.report({ event, aggressor, victim, effect, worker: workerId });
   };
-  const estimateOn = (
-    victims: readonly WorkerTask[],
-    aggressors: readonly string[],
-    nowMs: number,
-  ) =>
-    victims.map((victim) => {
-      const effects = aggressors.map((aggressor) => ({
-        aggressor,
-        victim: victim.step.image,
-        effect: estimates.getEffect(aggressor, victim.step.image, nowMs),
-      }));
-      const sum = effects.reduce((total, { effect }) => total + effect, 0);
-      const [worst] = [...effects].sort((a, b) => b.effect - a.effect);
-      const cost = sum > 0 ? computeCost(computeTailShare(victim) + sum) : 0;
-      return { cost, worst: worst !== undefined && worst.effect > 0 ? worst : undefined };
+  /** Sums the effects of tasks of some images on one of another, and finds the worst pair. */
+  const sumEffects = (aggressors: readonly string[], victim: string, nowMs: number) => {
+    const effects = aggressors.map((aggressor) => {
+      return { aggressor, victim, effect: estimates.getEffect(aggressor, victim, nowMs) };
     });
+    const sum = effects.reduce((total, { effect }) => total + effect, 0);
+    const [worst] = [...effects].sort((a, b) => b.effect - a.effect);
+    return { sum, worst: worst !== undefined && worst.effect > 0 ? worst : undefined };
+  };
   return {
     observeReport: (workerId, nowMs) => {
       const worker = context.table.workers.get(workerId);
-      if (worker === undefined) {
-        mixes.delete(workerId);
-        return;
-      }
-      if (worker.lastingTasks === 0) return;
+      if (worker === undefined || worker.lastingTasks === 0) return;
       const tasks = listTasks(context, worker);
       const victims = tasks.filter(
         ({ task: { state }, step }) =>
@@ -162,20 +158,18 @@
       if (worker.tasks.size === 0 || !(step.isFilling || isServing(step))) return NO_EFFECT;
       const tasks = listTasks(context, worker);
       if (step.isFilling) {
-        const victims = tasks.filter((other) => isServing(other.step));
-        const effects = estimateOn(victims, [step.image], nowMs);
-        return effects.reduce((a, b) => (b.cost > a.cost ? b : a), NO_EFFECT);
+        return tasks
+          .filter((other) => isServing(other.step))
+          .map((victim): PlacementEffect => {
+            const { sum, worst } = sumEffects([step.image], victim.step.image, nowMs);
+            return { cost: sum > 0 ? computeCost(computeTailShare(victim) + sum) : 0, worst };
+          })
+          .reduce((a, b) => (b.cost > a.cost ? b : a), NO_EFFECT);
       }
       const aggressors = tasks
         .filter((other) => other.step.isFilling)
         .map((other) => other.step.image);
-      const effects = aggressors.map((aggressor) => ({
-        aggressor,
-        victim: step.image,
-        effect: estimates.getEffect(aggressor, step.image, nowMs),
-      }));
-      const [worst] = [...effects].sort((a, b) => b.effect - a.effect);
-      const sum = effects.reduce((total, { effect }) => total + effect, 0);
+      const { sum, worst } = sumEffects(aggressors, step.image, nowMs);
       return { cost: Math.min(MAX_COST, sum * COST_AT_TARGET), worst };
     },
     getFigures: (nowMs) => {
--- a/packages/vanilladock/src/lib/placement/resources.ts
+++ b/packages/vanilladock/src/lib/placement/resources.ts
@@ -1,6 +1,9 @@
 /** Arithmetic and comparison of resource amounts. */
 import type { Resources } from '../ports/workers.js';
 
+/** Names of the resources, for what is done to each of them. */
+export const RESOURCE_NAMES = ['cores', 'memoryMb', 'accelerators'] as const;
+
 /** Adds two amounts. */
 export function addResources(a: Resources, b: Resources): Resources {
   return {
--- a/packages/vanilladock/src/lib/teams/compute-allotments.ts
+++ b/packages/vanilladock/src/lib/teams/compute-allotments.ts
@@ -5,6 +5,7 @@
  * most. What a pool no longer needs is taken back first and given to others once its planner has
  * confirmed that.
  */
+import { RESOURCE_NAMES } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 
 /** A team in one pool, as its planner last reported it and as allotments were last sent to it. */
@@ -29,8 +30,6 @@
   readonly held: number;
 }
 
-const RESOURCE_NAMES = ['cores', 'memoryMb', 'accelerators'] as const;
-
 /**
  * Distributes what is free among the needs in whole tasks; shares come in order of precedence for
  * what is left after rounding down.
--- a/packages/vanilladock/src/lib/teams/team-budget.ts
+++ b/packages/vanilladock/src/lib/teams/team-budget.ts
@@ -7,6 +7,7 @@
  * does not reach the store, each planner scales its part down.
  */
 import { NO_RESOURCES } from '../jobs/free-capacity.js';
+import { RESOURCE_NAMES } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import type { TeamShare } from './allotment-ledger.js';
 import type { TeamDirectory } from './team-directory.js';
@@ -43,8 +44,6 @@
   readonly listAllotted: () => readonly string[];
 }
 
-const RESOURCE_NAMES = ['cores', 'memoryMb', 'accelerators'] as const;
-
 /** Creates the budget of a pool that has no allotments yet. */
 export function createTeamBudget(sources: TeamSources): TeamBudget {
   let newest: AllotMessage | undefined;
