Review scripts leave no process behind when they are ended

Cause: a script that was ended from outside left the programs that it had started. Change: they are ended with the script, which also ends by itself after 118 s.

--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -15,6 +15,9 @@
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..', '..');
 const RESTART_MS = 700;
 
+/** A script runs for 120 s at most. */
+const LIMIT_MS = 118_000;
+
 /** The bounds of the sheet of the small deployment. */
 const BOUNDS = {
   seed_lag_s: 3,
@@ -147,6 +150,10 @@
   const firstPort = await findPorts(instances * 4);
   const processes = [];
   let isEnding = false;
+  // No process is left behind, whatever ends the script, and it ends by itself in any case.
+  process.once('exit', () => processes.forEach(({ child }) => child?.kill('SIGKILL')));
+  ['SIGTERM', 'SIGINT', 'SIGHUP'].forEach((signal) => process.once(signal, () => process.exit(2)));
+  setTimeout(() => process.exit(2), LIMIT_MS).unref();
   const startProcess = (entry) => {
     const child = spawn('node', ['--max-old-space-size=192', 'target/vanilladock.mjs'], {
       cwd: ROOT,
