End neither the process nor other pools when a call or one planner fails

Cause: `send` of the HTTP client, which "never rejects", threw while it opened a request to an invalid port or with an invalid header. The loop of a worker had no handler for a rejection, nor had plans, actions, loads and the watch over entries, so that Node ended the process.

Why this works: a call that cannot be made gets no answer and is logged (call-impossible). A call to a worker that fails in any way counts as unanswered, of that worker alone (worker-call-failed). An error in a planner gives up its pool, whose next planner starts from what is stored; it is logged with where and its stack (planner-failed), so it is not hidden. An answer has a size limit of 16 MiB.

--- a/packages/daemon/src/lib/http-client.ts
+++ b/packages/daemon/src/lib/http-client.ts
@@ -1,9 +1,12 @@
 /**
- * HTTP client for calls to the platform, its workers and peers. Every call has a time limit. A
- * connection on which a call got no answer is closed, so that an unresponsive one is never reused.
+ * HTTP client for calls to the platform, its workers and peers. Every call has a time limit, and
+ * every answer a size limit. A connection on which a call got no answer is closed, so that an
+ * unresponsive one is never reused.
  */
-import { Agent, request as requestHttp, type IncomingMessage } from 'node:http';
+import { Agent, request as requestHttp, type ClientRequest, type IncomingMessage } from 'node:http';
+import { Err, Ok, type Result } from 'ts-results-es';
 import { parseAddress } from './address.js';
+import type { JsonLog } from './json-log.js';
 import { startRunningTimeLimit } from './running-time-limit.js';
 
 /** An HTTP call to send. */
@@ -22,8 +25,8 @@
 }
 
 /**
- * A complete answer, or none. `isRefused` means that the connection was refused, so that nothing
- * was sent.
+ * A complete answer, or none. `isRefused` means that nothing was sent: the connection was refused,
+ * or the call cannot be made as it is.
  */
 export type HttpOutcome =
   | { readonly kind: 'answer'; readonly status: number; readonly body: Buffer }
@@ -31,7 +34,10 @@
 
 /** Sends HTTP calls over kept-alive connections. */
 export interface HttpClient {
-  /** Sends a call; never rejects. */
+  /**
+   * Sends a call; never rejects. A call that cannot be made, such as one to an invalid port or with
+   * an invalid header, gets no answer and is logged as an error.
+   */
   readonly send: (call: HttpCall) => Promise<HttpOutcome>;
   readonly close: () => void;
 }
@@ -47,17 +53,46 @@
 /** Default limits, for servers that have many clients. */
 const DEFAULT_LIMITS: ConnectionLimits = { maxPerLane: 8, maxIdlePerLane: 8, idleMs: 10_000 };
 
-/** Collects a body; finishes with undefined when it was truncated. */
-function readBody(message: IncomingMessage, finish: (body: Buffer | undefined) => void): void {
+/** Largest body of an answer in bytes; pages of the store and lists of ends are far smaller. */
+const MAX_BODY_BYTES = 16_777_216;
+
+/** Collects a body; finishes with the reason if it was truncated or is too large. */
+function readBody(
+  message: IncomingMessage,
+  finish: (body: Result<Buffer, 'truncated' | 'too-large'>) => void,
+): void {
   const chunks: Buffer[] = [];
-  message.on('data', (chunk: Buffer) => chunks.push(chunk));
-  message.once('end', () => finish(message.complete ? Buffer.concat(chunks) : undefined));
-  message.once('error', () => finish(undefined));
-  message.once('close', () => finish(undefined));
+  let size = 0;
+  message.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > MAX_BODY_BYTES) finish(Err('too-large'));
+    else chunks.push(chunk);
+  });
+  message.once('end', () =>
+    finish(message.complete ? Ok(Buffer.concat(chunks)) : Err('truncated')),
+  );
+  message.once('error', () => finish(Err('truncated')));
+  message.once('close', () => finish(Err('truncated')));
+}
+
+/** Opens the request of a call; the error is the reason for which the call cannot be made. */
+function openRequest(call: HttpCall, agent: Agent): Result<ClientRequest, string> {
+  const length = call.method === 'POST' ? { 'content-length': call.body?.length ?? 0 } : {};
+  try {
+    const { host, port } = parseAddress(call.address);
+    const { method, path } = call;
+    const headers = { ...call.headers, ...length };
+    return Ok(requestHttp({ agent, host, port, method, path, headers }));
+  } catch (error) {
+    return Err((error as NodeJS.ErrnoException).code ?? String(error));
+  }
 }
 
 /** Creates a client with connection limits for each address. */
-export function createHttpClient(limits: ConnectionLimits = DEFAULT_LIMITS): HttpClient {
+export function createHttpClient(
+  log: Pick<JsonLog, 'error'>,
+  limits: ConnectionLimits = DEFAULT_LIMITS,
+): HttpClient {
   const options = {
     keepAlive: true,
     maxSockets: limits.maxPerLane,
@@ -69,19 +104,15 @@
   return {
     send: (call) =>
       new Promise((resolve) => {
-        const { host, port } = parseAddress(call.address);
+        const opened = openRequest(call, agents[call.lane ?? 'calls']);
+        if (opened.isErr()) {
+          const { address, path } = call;
+          log.error({ event: 'call-impossible', address, path, reason: opened.error });
+          resolve({ kind: 'none', reason: opened.error, isRefused: true });
+          return;
+        }
+        const request = opened.value;
         let isSettled = false;
-        const request = requestHttp({
-          agent: agents[call.lane ?? 'calls'],
-          host,
-          port,
-          method: call.method,
-          path: call.path,
-          headers: {
-            ...call.headers,
-            ...(call.method === 'POST' ? { 'content-length': call.body?.length ?? 0 } : {}),
-          },
-        });
         const resolveOnce = (outcome: HttpOutcome) => {
           if (isSettled) return;
           isSettled = true;
@@ -103,9 +134,9 @@
         request.once('response', (message) =>
           readBody(message, (body) =>
             resolveOnce(
-              body === undefined
-                ? { kind: 'none', reason: 'truncated', isRefused: false }
-                : { kind: 'answer', status: message.statusCode ?? 0, body },
+              body.isOk()
+                ? { kind: 'answer', status: message.statusCode ?? 0, body: body.value }
+                : { kind: 'none', reason: body.error, isRefused: false },
             ),
           ),
         );
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -58,7 +58,7 @@
  */
 export async function startJobEntry(options: JobEntryOptions): Promise<JobEntry> {
   const { self, config, log } = options;
-  const peers = createPeerClient();
+  const peers = createPeerClient(log);
   const runners = new Map<string, PoolRunner>();
   let lastStoreContactMs = -Infinity;
   const recordStoreContact = () => {
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -48,8 +48,8 @@
 const CONNECTIONS = { maxPerLane: Infinity, maxIdlePerLane: 32, idleMs: undefined };
 
 /** Creates the client. */
-export function createPeerClient(): PeerClient {
-  const http = createHttpClient(CONNECTIONS);
+export function createPeerClient(log: Pick<JsonLog, 'error'>): PeerClient {
+  const http = createHttpClient(log, CONNECTIONS);
   const unresponsiveUntilMs = new Map<string, number>();
   let lastContactMs = -Infinity;
   return {
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -1,7 +1,8 @@
 /**
  * Runs the planner of one pool under one claim: loads the stored state, calls every worker with the
  * claim's token, carries out the planner's actions, and stores what must be durable before it
- * takes effect.
+ * takes effect. An error in the planner gives up the pool, whose next planner starts from the stored
+ * state; the process and its other pools go on.
  */
 import type { BehaviorSubject, Subscription } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
@@ -17,7 +18,9 @@
 import type { JsonLog } from '../json-log.js';
 import { createActionRunner } from './action-runner.js';
 import { answerRequest } from './answer-request.js';
+import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import { readMoment, waitMs } from './clock.js';
+import { createContainedWorkers } from './contained-workers.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import { createPlanPauseLog } from './plan-pause-log.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
@@ -65,7 +68,10 @@
 /** A running planner of one pool. */
 export interface PoolRunner {
   readonly claim: Claim;
-  /** Answers a request; `unavailable` while the stored state is loading and after a stop. */
+  /**
+   * Answers a request; `unavailable` while the stored state is loading and after a stop. Never
+   * rejects: an unexpected error is logged and answered as `unknown`.
+   */
   readonly answer: (request: JobRequest) => Promise<JobReply>;
   /** Returns the present figures; undefined while the stored state is loading. */
   readonly getFigures: () => PoolFigures | undefined;
@@ -86,7 +92,8 @@
 
 /** Starts the planner of a pool. */
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
-  const { pool, claim, workers, advisor, log } = options;
+  const { pool, claim, advisor, log } = options;
+  const workers = createContainedWorkers(options.workers, log);
   const store = createPoolStore(options.store, pool, claim.token, options.storePartitions, log);
   const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, performance.now());
   let planner: PoolPlanner | undefined;
@@ -110,10 +117,16 @@
     stop();
     options.handleLost(why);
   };
+  const handleFailure = (where: string, error: unknown) => {
+    const { token } = claim;
+    log.error({ event: 'planner-failed', pool, token, where, ...makeErrorFields(error) });
+    handleLoss('planner-failed');
+  };
+  const guard = createErrorGuard(handleFailure);
   const schedulePlan = () => {
     if (isPlanScheduled || isStopped) return;
     isPlanScheduled = true;
-    setTimeout(runPlan, PLAN_DELAY_MS);
+    setTimeout(guard.wrap('plan', runPlan), PLAN_DELAY_MS);
   };
   const runAction = createActionRunner({
     workers,
@@ -132,7 +145,7 @@
     if (options.isInForce()) {
       const at = readMoment();
       pauseLog.observePlan(at.nowMs);
-      planner.plan(at).forEach((action) => void runAction(action));
+      planner.plan(at).forEach((action) => guard.watch('action', runAction(action)));
     } else {
       pauseLog.observeSkip(performance.now());
     }
@@ -143,6 +156,7 @@
     getPlanner: () => planner,
     schedulePlan,
     handleLost: () => handleLoss('store-fenced'),
+    handleFailed: (error) => handleFailure('store', error),
   });
   const handleReport = async (workerId: string) => {
     const worker = planner?.table.workers.get(workerId);
@@ -160,9 +174,10 @@
     isInForce: options.isInForce,
     handleReport,
     handlePaces: (paces) => {
-      if (options.isInForce()) paces.forEach((pace) => void runAction(pace));
+      if (options.isInForce()) paces.forEach((pace) => guard.watch('action', runAction(pace)));
     },
     handleFenced: () => handleLoss('worker-fenced'),
+    handleFailed: (error) => handleFailure('report', error),
   });
   const observeEntries = (entries: ReadonlyMap<string, WorkerEntry>) => {
     if (planner === undefined) return;
@@ -213,7 +228,8 @@
       teams: options.teams,
     });
     const active = planner;
-    void waitPredecessor(predecessorQuery, stored.meta.isSettled !== false);
+    const isPredecessorSettled = stored.meta.isSettled !== false;
+    guard.watch('predecessor', waitPredecessor(predecessorQuery, isPredecessorSettled));
     stored.jobs.forEach(({ record, progress }) => active.loadJob(record, progress, loadedAt));
     log.info({
       event: 'pool-taken',
@@ -224,31 +240,36 @@
       inheritedWorkers: stored.meta.workers.length,
       loadMs: Math.round(loadedAt.nowMs - startedMs),
     });
-    subscription = options.entries.subscribe(observeEntries);
-    ticker = setInterval(() => {
+    subscription = options.entries.subscribe(guard.wrap('entries', observeEntries));
+    const runTick = () => {
       loops.update(active);
       schedulePlan();
-    }, PLAN_INTERVAL_MS);
+    };
+    ticker = setInterval(guard.wrap('tick', runTick), PLAN_INTERVAL_MS);
     ticker.unref();
   };
-  void load();
+  guard.watch('load', load());
   return {
     claim,
     answer: async (request) => {
       if (planner === undefined || isStopped) {
         return { kind: 'unavailable', why: 'pool-loading', retryAfterMs: RETRY_AFTER_MS };
       }
-      return answerRequest(
-        {
-          planner,
-          waitStored: stateWriter.waitStored,
-          isStoreUnavailable: stateWriter.isStoreUnavailable,
-          isStopped: () => isStopped,
-          wakeWorker: loops.wake,
-          schedulePlan,
-        },
-        request,
-      );
+      const context = {
+        planner,
+        waitStored: stateWriter.waitStored,
+        isStoreUnavailable: stateWriter.isStoreUnavailable,
+        isStopped: () => isStopped,
+        wakeWorker: loops.wake,
+        schedulePlan,
+      };
+      try {
+        return await answerRequest(context, request);
+      } catch (error) {
+        const { kind } = request;
+        log.error({ event: 'request-failed', pool, kind, ...makeErrorFields(error) });
+        return { kind: 'unknown', why: 'internal-error' };
+      }
     },
     getFigures: () => {
       const nowMs = performance.now();
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -11,13 +11,18 @@
   readonly schedulePlan: () => void;
   /** Called when another planner has taken over the pool. */
   readonly handleLost: () => void;
+  /** Called when the planner's state cannot be written because of an error in it. */
+  readonly handleFailed: (error: unknown) => void;
 }
 
 /** State writer of one pool under one claim. */
 export interface PoolStateWriter {
   /** Sets the metadata that the caller has loaded and stores itself; later writes update it. */
   readonly setMeta: (meta: PoolMeta) => void;
-  /** Writes until nothing is due or a write fails; resolves at once if a call is running. */
+  /**
+   * Writes until nothing is due or a write fails; resolves at once if a call is running. Never
+   * rejects.
+   */
   readonly writeDirty: () => Promise<void>;
   /**
    * Writes what is due; resolves to whether everything that was unstored at the call is stored.
@@ -80,9 +85,7 @@
         return outcome satisfies never;
     }
   };
-  const writeDirty = async () => {
-    if (isWriting || isStopped) return;
-    isWriting = true;
+  const writeAll = async () => {
     let result: Awaited<ReturnType<typeof writeOnce>> = 'stored';
     while (result === 'stored' && !isStopped) {
       // Before every batch: under load there is always another one, and new workers wait for their
@@ -93,6 +96,15 @@
       const isStored = result !== 'failed';
       waiting.forEach((resolve) => resolve(isStored));
     }
+  };
+  const writeDirty = async () => {
+    if (isWriting || isStopped) return;
+    isWriting = true;
+    try {
+      await writeAll();
+    } catch (error) {
+      options.handleFailed(error);
+    }
     isWriting = false;
     if (waiters.length > 0) setImmediate(() => void writeDirty());
   };
--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -35,7 +35,10 @@
   readonly wake: () => void;
   /** Ends the loop; the reply to a renewal in progress is ignored. */
   readonly stop: () => void;
-  /** Resolves once the loop sends no more renewals. */
+  /**
+   * Resolves once the loop sends no more renewals; rejects when the planner cannot apply a report,
+   * after which it sends none either.
+   */
   readonly ended: Promise<WorkerLoopEnd>;
 }
 
--- a/packages/daemon/src/lib/jobs/worker-loops.ts
+++ b/packages/daemon/src/lib/jobs/worker-loops.ts
@@ -4,7 +4,12 @@
  */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { JsonLog } from '../json-log.js';
-import { startWorkerLoop, type WorkerLoop, type WorkerLoopOptions } from './worker-loop.js';
+import {
+  startWorkerLoop,
+  type WorkerLoop,
+  type WorkerLoopEnd,
+  type WorkerLoopOptions,
+} from './worker-loop.js';
 
 /** Pool of the workers, and what each of their loops needs. */
 export interface WorkerLoopsOptions extends Omit<
@@ -13,6 +18,8 @@
 > {
   readonly pool: string;
   readonly log: JsonLog;
+  /** Called when a loop has ended by an error; it is not started again. */
+  readonly handleFailed: (error: unknown) => void;
 }
 
 /** Renewal loops of a pool's workers. */
@@ -49,11 +56,12 @@
     log.info({ event: 'worker-loop-started', ...fields, bornMs });
     const loop = startWorkerLoop({ ...options, workerId, bornMs, planner });
     loops.set(workerId, { bornMs, loop });
-    void loop.ended.then((why) => {
+    const handleEnd = (why: WorkerLoopEnd) => {
       log.info({ event: 'worker-loop-ended', ...fields, why });
       if (loops.get(workerId)?.loop === loop) loops.delete(workerId);
       update(planner);
-    });
+    };
+    loop.ended.then(handleEnd).catch(options.handleFailed);
   };
   const update = (planner: PoolPlanner) => {
     if (isStopped) return;
--- a/packages/daemon/src/test/peer-calls.test.ts
+++ b/packages/daemon/src/test/peer-calls.test.ts
@@ -7,6 +7,7 @@
 import type { LogFields } from '../lib/json-log.js';
 import type { JobRequest } from '../lib/jobs/job-request.js';
 import { createPeerClient, startPeerServer } from '../lib/jobs/peers.js';
+import { SILENT_LOG } from './job-fixtures.js';
 
 const test = suite('peer calls');
 
@@ -85,7 +86,7 @@
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
-  const peers = createPeerClient();
+  const peers = createPeerClient(SILENT_LOG);
   const peer = makeMember(getAddress(server));
   assert.equal(await peers.sendNotice(peer, NOTICE), { kind: 'silent' });
   assert.equal(await peers.send(peer, REQUEST, 500), { kind: 'unknown', why: 'peer-malformed' });
--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -37,6 +37,9 @@
     getPlanner: () => planner as unknown as PoolPlanner,
     schedulePlan: () => {},
     handleLost: () => {},
+    handleFailed: (error) => {
+      throw error;
+    },
   });
   await stateWriter.writeDirty();
   const newWorker = recorded.find(({ id }) => id === 'w2');
--- a/packages/daemon/src/test/running-time-limit.test.ts
+++ b/packages/daemon/src/test/running-time-limit.test.ts
@@ -7,6 +7,7 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { createHttpClient } from '../lib/http-client.js';
+import { SILENT_LOG } from './job-fixtures.js';
 import { startRunningTimeLimit } from '../lib/running-time-limit.js';
 
 const test = suite('running time limit');
@@ -31,7 +32,7 @@
 const sendDuringPause = async (answerAfterMs: number, pauseMs: number) => {
   const server = new Worker(SERVER_CODE, { eval: true, workerData: answerAfterMs });
   const [port] = (await once(server, 'message')) as [number];
-  const client = createHttpClient();
+  const client = createHttpClient(SILENT_LOG);
   const call = { address: `127.0.0.1:${port}`, method: 'GET', path: '/', timeoutMs: 150 } as const;
   const outcome = client.send(call);
   await delay(60);
@@ -76,7 +77,7 @@
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
-  const client = createHttpClient();
+  const client = createHttpClient(SILENT_LOG);
   const startedMs = performance.now();
   const call = { address: `127.0.0.1:${port}`, method: 'GET', path: '/', timeoutMs: 100 } as const;
   assert.is((await client.send(call)).kind, 'none');
