--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -13,7 +13,7 @@
   type Member,
 } from 'vanilladock/lib/duties/claim-table.js';
 import type { PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
-import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
 import { createDutyAuthority } from './duty-authority.js';
@@ -21,7 +21,7 @@
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
 import { releaseDuties } from './duty-release.js';
 import { createHeldDuties } from './held-duties.js';
-import type { SentNotice } from './peers.js';
+import type { SentNotice } from './peer-messages.js';
 import { createUnclaimedDuties } from './unclaimed-duties.js';
 import { watchTopic } from './topic-follower.js';
 
@@ -193,6 +193,12 @@
     }
   };
   const followOptions = { store, handleContact, log, pollMs: POLL_MS };
+  /** Applies records of claims and heartbeats; one that is neither has no effect. */
+  const applyRecords = (records: readonly StoredKeyedRecord[]) => {
+    const unusable = records.filter((record) => !table.apply(record, performance.now()));
+    if (unusable.length === 0) return;
+    log.error({ event: 'duty-records-unusable', records: unusable.length, key: unusable[0]?.key });
+  };
   const newClaims = watchTopic({
     ...followOptions,
     where: CLAIMS,
@@ -252,10 +258,10 @@
           unclaimedDuties.reset();
         }
         lastReadMs = nowMs;
-        records.forEach((record) => table.apply(record, performance.now()));
+        applyRecords(records);
       });
       newClaims.subscribe(({ records, next }) => {
-        records.forEach((record) => table.apply(record, performance.now()));
+        applyRecords(records);
         nextOffset = next;
         sentClaims.forEach(({ at: claimOffset }, duty) => {
           if (next > claimOffset) pendingClaims.delete(duty);
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -12,7 +12,7 @@
 import type { Claim, ClaimTable, Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
-import type { SentNotice } from './peers.js';
+import type { SentNotice } from './peer-messages.js';
 
 /** Dependencies of the notices, and the state that they change. */
 export interface DutyNoticeOptions {
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -4,17 +4,19 @@
  * requests for a short time.
  */
 import { createServer, type Server } from 'node:http';
-import type { DutyNotice, PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
+import type { PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createHttpClient, encodeJsonBody, JSON_HEADERS, parseJsonBody } from '../http-client.js';
 import type { JsonLog } from '../json-log.js';
 import { openServer } from '../servers.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
-
-/** A duty notice with its sender. */
-export interface SentNotice extends DutyNotice {
-  readonly member: Member;
-}
+import {
+  isDutyView,
+  isJobReply,
+  isJobRequest,
+  isNotice,
+  type SentNotice,
+} from './peer-messages.js';
 
 /** Client for calls to peers. */
 export interface PeerClient {
@@ -63,8 +65,8 @@
         timeoutMs: NOTICE_TIMEOUT_MS,
       });
       if (outcome.kind !== 'answer' || outcome.status !== HTTP_OK) return { kind: 'silent' };
-      const view = parseJsonBody(outcome.body) as PeerDutyView | undefined;
-      return view === undefined ? { kind: 'silent' } : { kind: 'answered', view };
+      const view = parseJsonBody(outcome.body);
+      return isDutyView(view) ? { kind: 'answered', view } : { kind: 'silent' };
     },
     send: async (peer, request, timeoutMs) => {
       if ((unresponsiveUntilMs.get(peer.id) ?? 0) > performance.now()) {
@@ -80,8 +82,8 @@
       });
       if (outcome.kind === 'answer' && outcome.status === HTTP_OK) {
         lastContactMs = performance.now();
-        const reply = parseJsonBody(outcome.body) as JobReply | undefined;
-        return reply ?? { kind: 'unknown', why: 'peer-malformed' };
+        const reply = parseJsonBody(outcome.body);
+        return isJobReply(reply) ? reply : { kind: 'unknown', why: 'peer-malformed' };
       }
       unresponsiveUntilMs.set(peer.id, performance.now() + UNRESPONSIVE_PAUSE_MS);
       if (outcome.kind === 'answer') return { kind: 'unknown', why: `peer-${outcome.status}` };
@@ -108,23 +110,33 @@
   readonly value: JobReply | PeerDutyView | undefined;
 }
 
+/** Starts to answer a call with the parsed body; undefined if that is no message of a peer. */
+function startAnswer(
+  path: string | undefined,
+  body: unknown,
+  { answer, answerNotice }: PeerHandlers,
+): Promise<JobReply> | PeerDutyView | undefined {
+  if (path === DUTIES_PATH) return isNotice(body) ? answerNotice(body) : undefined;
+  return isJobRequest(body) ? answer(body) : undefined;
+}
+
 /**
- * Answers a call with the parsed body. A body that is not a JSON object is answered with 400, and a
- * call whose handler fails with 500, which leaves open whether it took effect.
+ * Answers a call with the parsed body. A body that is no message of a peer is answered with 400, and
+ * a call whose handler fails with 500, which leaves open whether it took effect.
  */
 async function answerCall(
   path: string | undefined,
   body: unknown,
-  { answer, answerNotice, log }: PeerHandlers,
+  handlers: PeerHandlers,
 ): Promise<PeerAnswer> {
-  if (typeof body !== 'object' || body === null) {
-    log.warn({ event: 'peer-call-malformed', path });
-    return { status: HTTP_BAD_REQUEST, value: undefined };
-  }
+  const { log } = handlers;
   try {
-    const value =
-      path === DUTIES_PATH ? answerNotice(body as SentNotice) : await answer(body as JobRequest);
-    return { status: HTTP_OK, value };
+    const started = startAnswer(path, body, handlers);
+    if (started === undefined) {
+      log.warn({ event: 'peer-call-malformed', path });
+      return { status: HTTP_BAD_REQUEST, value: undefined };
+    }
+    return { status: HTTP_OK, value: await started };
   } catch (error) {
     log.error({ event: 'peer-call-failed', path, reason: String(error) });
     return { status: HTTP_SERVER_ERROR, value: undefined };
--- a/packages/daemon/src/test/peer-calls.test.ts
+++ b/packages/daemon/src/test/peer-calls.test.ts
@@ -4,13 +4,15 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
+import { isJobRequest } from '../lib/jobs/peer-messages.js';
+import { POLICY, POOL, SILENT_LOG, SPEC } from './job-fixtures.js';
 import type { LogFields } from '../lib/json-log.js';
 import type { JobRequest } from '../lib/jobs/job-request.js';
 import { createPeerClient, startPeerServer } from '../lib/jobs/peers.js';
-import { SILENT_LOG } from './job-fixtures.js';
 
 const test = suite('peer calls');
 
+const ADVICE = { decideMs: 1, perWorkerMs: 1, validMs: 1 };
 const REQUEST: JobRequest = { kind: 'status', pool: 'stalls', jobId: 'a' };
 const NOTICE = { member: makeMember('127.0.0.1:1'), storeAgeMs: 0, held: [] };
 
@@ -66,6 +68,44 @@
   closePeer(server);
 });
 
+test('a body that is no message of a peer reaches no handler', async () => {
+  const { server, events } = await openPeer();
+  const bodies: readonly (readonly [string, unknown])[] = [
+    ['/jobs', { kind: 'halt', pool: 'stalls' }],
+    ['/jobs', { ...REQUEST, jobId: 7 }],
+    ['/jobs', { ...REQUEST, kind: 'submit', spec: { id: 'a' }, policy: {} }],
+    ['/jobs', [REQUEST]],
+    ['/duties', { ...NOTICE, member: { id: 'b~1' } }],
+    ['/duties', { ...NOTICE, held: [{ duty: 'fleet' }] }],
+    ['/duties', REQUEST],
+  ];
+  for (const [path, body] of bodies) {
+    assert.is(await sendBody(server, path, JSON.stringify(body)), 400, JSON.stringify(body));
+  }
+  assert.ok(events.every(({ event }) => event === 'peer-call-malformed'));
+  closePeer(server);
+});
+
+test('every kind of request that this instance sends is a message of a peer', () => {
+  const size = { cores: 1, memoryMb: 1, accelerators: 0 };
+  const share = { allotment: size, limit: size, otherJobsPerSecond: 1 };
+  const worker = { pool: POOL, workerId: 'w1' };
+  const requests: readonly JobRequest[] = [
+    REQUEST,
+    { kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY, team: 'crew' },
+    { kind: 'submit', pool: POOL, spec: SPEC, policy: { ...POLICY, advice: ADVICE } },
+    { kind: 'cancel', pool: POOL, jobId: 'a', team: undefined },
+    { kind: 'pending', pool: POOL, route: 'r' },
+    { kind: 'evacuate', ...worker },
+    { kind: 'demand', pool: POOL, reachableCores: 0 },
+    { kind: 'allot', pool: POOL, message: { token: 1, sequence: 0, shares: { crew: share } } },
+    { kind: 'life-ended', ...worker },
+  ];
+  requests.forEach((request) => {
+    assert.ok(isJobRequest(JSON.parse(JSON.stringify(request))), request.kind);
+  });
+});
+
 test('a handler that fails ends neither the process nor leaves its caller without an answer', async () => {
   const { server, events } = await openPeer();
   const cancel = JSON.stringify({ kind: 'cancel', pool: 'stalls', jobId: 'a' });
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -4,6 +4,7 @@
  * unique and increasing fencing token. A holder is alive as long as its heartbeats arrive.
  */
 import murmurHash from 'imurmurhash';
+import { z } from 'zod';
 import type { KeyedRecord, StoredKeyedRecord } from '../ports/keyed-store.js';
 
 /** One incarnation of a process of this system. */
@@ -29,8 +30,11 @@
 
 /** Table of claims and members. All times are monotonic, in milliseconds. */
 export interface ClaimTable {
-  /** Applies a record that was read at `nowMs`; ignores older claims and keys of other kinds. */
-  readonly apply: (record: StoredKeyedRecord, nowMs: number) => void;
+  /**
+   * Applies a record that was read at `nowMs`; ignores older claims and keys of other kinds. Returns
+   * false, without any effect, for a value that is no claim or heartbeat.
+   */
+  readonly apply: (record: StoredKeyedRecord, nowMs: number) => boolean;
   /** Records a report received directly from a member; ignored if another incarnation is known. */
   readonly observeMember: (member: Member, lastReportMs: number) => void;
   /** Lists the members that are considered alive at `nowMs`. */
@@ -59,10 +63,30 @@
 const DUTY_PREFIX = 'duty/';
 const MEMBER_PREFIX = 'member/';
 
-/** Value of a member's record. */
-interface MemberRecord extends Member {
-  /** True in the last record of an incarnation. */
-  readonly hasLeft?: boolean;
+/** A member, as records and messages of peers state it. */
+export const memberSchema = z.object({
+  id: z.string().min(1),
+  name: z.string().min(1),
+  address: z.string(),
+  cores: z.number().positive(),
+});
+
+/** Value of a member's record; `hasLeft` is true in the last one of an incarnation. */
+const memberRecordSchema = memberSchema.extend({ hasLeft: z.boolean().default(false) });
+
+/** Value of the record of a claim; the holder is empty in that of a release. */
+const claimRecordSchema = z.object({ holder: z.string(), member: memberSchema.optional() });
+
+/** Parses the JSON value of a record; undefined if it is not of the given shape. */
+function parseRecord<Schema extends z.ZodType>(
+  schema: Schema,
+  value: string,
+): z.infer<Schema> | undefined {
+  try {
+    return schema.safeParse(JSON.parse(value)).data;
+  } catch {
+    return undefined;
+  }
 }
 
 /** Encodes a claim by a member; without a member, encodes the release of the duty. */
@@ -80,7 +104,7 @@
 
 /** Encodes the departure of a member under the key of its heartbeat. */
 export function encodeDeparture(member: Member): KeyedRecord {
-  const departed: MemberRecord = { ...member, hasLeft: true };
+  const departed = { ...member, hasLeft: true };
   return { key: `${MEMBER_PREFIX}${member.name}`, value: JSON.stringify(departed) };
 }
 
@@ -120,36 +144,38 @@
       lastReportMs: Math.max(lastReportMs, known?.lastReportMs ?? -Infinity),
     });
   };
-  const applyMember = (name: string, value: string | undefined, nowMs: number) => {
+  const applyMember = (name: string, value: string | undefined, nowMs: number): boolean => {
     if (value === undefined) {
       members.delete(name);
-      return;
+      return true;
     }
-    const { hasLeft = false, ...member } = JSON.parse(value) as MemberRecord;
+    const parsed = parseRecord(memberRecordSchema, value);
+    if (parsed === undefined) return false;
+    const { hasLeft, ...member } = parsed;
     if (hasLeft) departedIds.set(name, member.id);
     else if (!hasDeparted(member) && !isSuperseded(member, nowMs)) {
       members.set(name, { member, lastReportMs: nowMs });
     }
     // A departure that is stored late must not remove the next incarnation.
     if (hasLeft && members.get(name)?.member.id === member.id) members.delete(name);
+    return true;
   };
   return {
     apply: ({ key, value, offset }, nowMs) => {
       if (key.startsWith(MEMBER_PREFIX)) {
-        applyMember(key.slice(MEMBER_PREFIX.length), value, nowMs);
-        return;
+        return applyMember(key.slice(MEMBER_PREFIX.length), value, nowMs);
       }
-      if (!key.startsWith(DUTY_PREFIX) || value === undefined) return;
+      if (!key.startsWith(DUTY_PREFIX) || value === undefined) return true;
       const duty = key.slice(DUTY_PREFIX.length);
-      const { holder, member } = JSON.parse(value) as {
-        readonly holder: string;
-        readonly member?: Member;
-      };
+      const parsed = parseRecord(claimRecordSchema, value);
+      if (parsed === undefined) return false;
+      const { holder, member } = parsed;
       const current = claims.get(duty);
-      if (current !== undefined && current.token >= offset) return;
+      if (current !== undefined && current.token >= offset) return true;
       claims.set(duty, { duty, holder, token: offset });
       // A claim proves that its holder is alive, so it counts as a heartbeat.
       if (member !== undefined) observeMember(member, nowMs);
+      return true;
     },
     observeMember,
     listMembers: (nowMs) => listReportedWithin(nowMs, MEMBER_TTL_MS),
--- a/packages/vanilladock/src/test/claim-table.test.ts
+++ b/packages/vanilladock/src/test/claim-table.test.ts
@@ -81,4 +81,14 @@
   assert.equal(table.listMembers(2), [restarted]);
 });
 
+test('a record of the duties that cannot be read is reported and has no effect', () => {
+  const table = createClaimTable();
+  ['{', 'null', '[]', '{"holder":7}', '{"id":"a~1","name":"a"}'].forEach((value, offset) => {
+    assert.not(table.apply({ key: 'duty/fleet', value, offset }, 1), value);
+    assert.not(table.apply({ key: 'member/a', value, offset }, 1), value);
+  });
+  assert.is(table.findClaim('fleet'), undefined);
+  assert.equal(table.listMembers(1), []);
+});
+
 test.run();
