Find jobs in the pools that their queue was sent to before, and accept each in one of them

Cause: a request went to the pool of the route in force alone. Nothing knew to which pools earlier versions had sent the queue, and nobody decided between two pools that get the same id.

Why this works: the pools of each queue are recorded, on the condition that nothing was recorded since the last read, before jobs are accepted under a version. GET and DELETE ask all pools of the queue; a submission asks the former ones first. A former pool that does not have a job closes the queue for older versions, and stores that before it answers, so that its planner is the one that decides (docs/design/071).

Cost: nothing for a queue that was never sent elsewhere; one append and one or two reads by each instance for a version.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -13,6 +13,9 @@
   readonly isStoreUnavailable: () => boolean;
   /** Says whether the runner has stopped or lost the pool, so that nothing more is stored. */
   readonly isStopped: () => boolean;
+  /** As `getFloor` and `recordFloor` of the pool's state writer. */
+  readonly getFloor: (queue: string) => number;
+  readonly recordFloor: (queue: string, version: number, timeoutMs: number) => Promise<boolean>;
   /** Requests a report of a worker at once, unless one is awaited. */
   readonly wakeWorker: (workerId: string) => void;
   /** Requests a plan soon, for changes that the request made. */
@@ -36,20 +39,31 @@
   context: AnswerContext,
   request: Extract<JobRequest, { kind: 'submit' }>,
 ): Promise<JobReply> {
-  const { planner, waitStored, isStopped } = context;
-  const { id } = request.spec;
-  if (isForeign(context, id, request.team)) return { kind: 'foreign-job' };
+  const { planner } = context;
+  const { origin, team, spec, policy } = request;
+  const { id } = spec;
+  if (isForeign(context, id, team)) return { kind: 'foreign-job' };
+  const isKnown = planner.table.jobs.has(id);
+  if (!isKnown && origin !== undefined && origin.version < context.getFloor(origin.queue)) {
+    return { kind: 'unavailable', why: 'config-older', retryAfterMs: RETRY_AFTER_MS };
+  }
   if (context.isStoreUnavailable() && planner.getJobStatus(id) === 'unknown') {
     // Spreads the retries, so that callers do not all return at once when the store recovers.
     const retryAfterMs = RETRY_AFTER_MS + Math.random() * STORE_RETRY_SPREAD_MS;
     return { kind: 'refused', cause: 'store', why: 'store-away', retryAfterMs };
   }
-  const admission = planner.submit(request.spec, request.policy, readMoment(), request.team);
+  const admission = planner.submit(spec, policy, readMoment(), { team, queue: origin?.queue });
   if (admission !== 'known' && admission.kind === 'refused') {
     const { why, retryAfterMs } = admission;
     return { kind: 'refused', cause: 'queue', why, retryAfterMs };
   }
-  if (admission !== 'known' || !planner.isStored(id)) await waitStored(STORE_TIMEOUT_MS);
+  return answerStored(context, id);
+}
+
+/** Replies that a job in the planner is accepted once it is stored. */
+async function answerStored(context: AnswerContext, id: string): Promise<JobReply> {
+  const { planner, waitStored, isStopped } = context;
+  if (!planner.isStored(id)) await waitStored(STORE_TIMEOUT_MS);
   if (isStopped()) return { kind: 'unknown', why: 'the planner has lost its pool' };
 
   if (planner.table.jobs.get(id) === undefined) {
@@ -59,6 +73,22 @@
   return isStored ? { kind: 'accepted' } : { kind: 'unknown', why: 'the store has not answered' };
 }
 
+/** Answers whether the pool has a job; if not, it will not accept it under an older version. */
+async function answerLookup(
+  context: AnswerContext,
+  { jobId, queue, version, team }: Extract<JobRequest, { kind: 'lookup' }>,
+): Promise<JobReply> {
+  if (isForeign(context, jobId, team)) return { kind: 'foreign-job' };
+  if (context.planner.table.jobs.has(jobId)) return answerStored(context, jobId);
+  if (version < context.getFloor(queue)) {
+    return { kind: 'unavailable', why: 'config-older', retryAfterMs: RETRY_AFTER_MS };
+  }
+  const isRecorded = await context.recordFloor(queue, version, STORE_TIMEOUT_MS);
+  return isRecorded && !context.isStopped()
+    ? { kind: 'no-such-job' }
+    : { kind: 'unavailable', why: 'store-away', retryAfterMs: RETRY_AFTER_MS };
+}
+
 /** Cancels a job; the reply is `cancelled` only once that is stored. */
 async function cancelJob(context: AnswerContext, jobId: string): Promise<JobReply> {
   const { planner, waitStored, isStopped, schedulePlan } = context;
@@ -86,6 +116,8 @@
   switch (request.kind) {
     case 'submit':
       return submitJob(context, request);
+    case 'lookup':
+      return answerLookup(context, request);
     case 'cancel':
       if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
       return cancelJob(context, request.jobId);
@@ -95,7 +127,7 @@
       return state === 'unknown' ? { kind: 'no-such-job' } : { kind: 'state', state };
     }
     case 'pending':
-      return { kind: 'pending', count: planner.countPending(request.route) };
+      return { kind: 'pending', count: planner.countPending(request) };
     case 'evacuate': {
       const content = planner.evacuate(request.workerId, readMoment());
       schedulePlan();
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -3,6 +3,7 @@
  * pools whose duties it holds, and answers requests about jobs for all pools.
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
+import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import { closeServer } from '../servers.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
 import {
@@ -19,6 +20,8 @@
   type PoolRunner,
   type PoolSources,
 } from './pool-runner.js';
+import { startQueueDirectory } from './queue-directory.js';
+import { createQueueGateway, type QueueGateway } from './queue-gateway.js';
 
 /** Dependencies and addresses of an instance; the platform's adapter provides them. */
 export interface JobEntryOptions extends PoolSources, FleetSources {
@@ -33,6 +36,8 @@
 /** A running instance. */
 export interface JobEntry {
   readonly gateway: JobGateway;
+  /** Answers callers' requests, each about one queue. */
+  readonly queues: QueueGateway;
   readonly claims: DutyClaims;
   /** Says whether the store or a peer has answered recently. */
   readonly isInContact: () => boolean;
@@ -52,6 +57,9 @@
 /** An instance without a response of the store or a peer for this long counts as isolated. */
 const CONTACT_TIMEOUT_MS = 2_500;
 
+/** Interval in which queues are looked for that have left a pool, in milliseconds. */
+const LEFT_QUEUES_INTERVAL_MS = 10_000;
+
 /**
  * Starts an instance; resolves once it listens for peers, before it holds any duty. Rejects when
  * its port for peers cannot be opened.
@@ -117,6 +125,24 @@
     peers,
     log,
   });
+  const directory = startQueueDirectory({ store: options.store, config, log });
+  /** Drops the records of queues that are sent elsewhere now and have no jobs left in a pool. */
+  const dropLeftQueues = async () => {
+    for (const [pool, runner] of [...runners]) {
+      for (const queue of directory.listLeftQueues(pool)) {
+        const isLeft = await runner.isLeftBy(queue, directory.getVersion());
+        if (isLeft) await directory.removePool(queue, pool);
+      }
+    }
+  };
+  const guard = createErrorGuard((where, error) =>
+    log.error({ event: 'queues-failed', where, ...makeErrorFields(error) }),
+  );
+  const dropTimer = setInterval(
+    () => guard.watch('left-queues', dropLeftQueues()),
+    LEFT_QUEUES_INTERVAL_MS,
+  );
+  dropTimer.unref();
   claims.held.subscribe((held) => {
     updateFleetRunner(held.get(FLEET_DUTY));
     [...runners].forEach(([pool, runner]) => {
@@ -135,6 +161,7 @@
   claims.start();
   return {
     gateway,
+    queues: createQueueGateway({ gateway, directory }),
     claims,
     isInContact: () => {
       const lastContactMs = Math.max(lastStoreContactMs, peers.getLastContactMs());
@@ -148,6 +175,8 @@
       await claims.stop();
     },
     close: async (limitMs) => {
+      clearInterval(dropTimer);
+      directory.stop();
       await closeServer(server, limitMs);
       peers.close();
     },
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -8,6 +8,13 @@
 /** Delay in milliseconds after which a request that could not be served is worth retrying. */
 export const RETRY_AFTER_MS = 1_000;
 
+/** Queue of a request, and the version of the configuration by which its pool was chosen. */
+export interface QueueOrigin {
+  /** Name of the queue. */
+  readonly queue: string;
+  readonly version: number;
+}
+
 /** A request about a job, for the planner of its pool. */
 export type JobRequest =
   | {
@@ -17,6 +24,21 @@
       readonly policy: JobPolicy;
       /** Name of the caller's team; undefined if the call needed no key. */
       readonly team?: string | undefined;
+      /** Queue that the job is submitted to; undefined if the pool is not one of several. */
+      readonly origin?: QueueOrigin | undefined;
+    }
+  /**
+   * Queries whether the pool has a job of a queue that is sent to another pool now; if not, the pool
+   * accepts none any more that is submitted under an older version.
+   */
+  | {
+      readonly kind: 'lookup';
+      readonly pool: string;
+      readonly jobId: string;
+      readonly queue: string;
+      readonly version: number;
+      /** As for `submit`. */
+      readonly team?: string | undefined;
     }
   | {
       readonly kind: 'status';
@@ -32,8 +54,13 @@
       /** As for `submit`. */
       readonly team?: string | undefined;
     }
-  /** Queries how many jobs of a route are pending. */
-  | { readonly kind: 'pending'; readonly pool: string; readonly route: string }
+  /** Queries how many jobs of a queue, or of a route where queues are not known, are pending. */
+  | {
+      readonly kind: 'pending';
+      readonly pool: string;
+      readonly route: string;
+      readonly queue?: string | undefined;
+    }
   /** Stops placement on a worker for a short time and moves its lasting tasks to other workers. */
   | { readonly kind: 'evacuate'; readonly pool: string; readonly workerId: string }
   /** Queries a pool's demand and states the cores that lending can bring the pool to. */
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -65,10 +65,23 @@
 const jobSchema = z.object({ pool, jobId: z.string().min(1), team });
 
 const requestSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('submit'), pool, spec: specSchema, policy: policySchema, team }),
+  z.object({
+    kind: z.literal('submit'),
+    pool,
+    spec: specSchema,
+    policy: policySchema,
+    team,
+    origin: z.object({ queue: z.string(), version: z.number() }).optional(),
+  }),
+  jobSchema.extend({ kind: z.literal('lookup'), queue: z.string(), version: z.number() }),
   jobSchema.extend({ kind: z.literal('status') }),
   jobSchema.extend({ kind: z.literal('cancel') }),
-  z.object({ kind: z.literal('pending'), pool, route: z.string() }),
+  z.object({
+    kind: z.literal('pending'),
+    pool,
+    route: z.string(),
+    queue: z.string().optional(),
+  }),
   z.object({ kind: z.literal('evacuate'), pool, workerId }),
   z.object({ kind: z.literal('demand'), pool, reachableCores: z.number() }),
   z.object({
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -73,6 +73,11 @@
    * rejects: an unexpected error is logged and answered as `unknown`.
    */
   readonly answer: (request: JobRequest) => Promise<JobReply>;
+  /**
+   * Resolves to whether the pool has no job of a queue and will accept none any more under a version
+   * older than the given one.
+   */
+  readonly isLeftBy: (queue: string, version: number) => Promise<boolean>;
   /** Returns the present figures; undefined while the stored state is loading. */
   readonly getFigures: () => PoolFigures | undefined;
   readonly stop: () => void;
@@ -90,6 +95,9 @@
 /** A task end that cannot be stored within this time is left to the next report. */
 const END_STORE_TIMEOUT_MS = 300;
 
+/** A floor that cannot be stored within this time is left to the next attempt. */
+const FLOOR_TIMEOUT_MS = 900;
+
 /** Starts the planner of a pool. */
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, advisor, log } = options;
@@ -204,8 +212,8 @@
       return;
     }
     const meta = {
+      ...stored.meta,
       generation: stored.meta.generation + 1,
-      workers: stored.meta.workers,
       isSettled: false,
     };
     stateWriter.setMeta(meta);
@@ -261,6 +269,8 @@
         planner,
         waitStored: stateWriter.waitStored,
         isStoreUnavailable: stateWriter.isStoreUnavailable,
+        getFloor: stateWriter.getFloor,
+        recordFloor: stateWriter.recordFloor,
         isStopped: () => isStopped,
         wakeWorker: loops.wake,
         schedulePlan,
@@ -273,6 +283,12 @@
         return { kind: 'unknown', why: 'internal-error' };
       }
     },
+    isLeftBy: async (queue, version) => {
+      const hasJobs = () => planner === undefined || isStopped || planner.hasJobsOf(queue);
+      if (hasJobs()) return false;
+      const isRecorded = await stateWriter.recordFloor(queue, version, FLOOR_TIMEOUT_MS);
+      return isRecorded && !hasJobs();
+    },
     getFigures: () => {
       const nowMs = performance.now();
       const pausedMs = pauseLog.getPausedMs(nowMs);
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -1,5 +1,11 @@
 /** Writes the state of a pool's planner to the store; each write has everything that is due. */
 import { isCovered } from 'vanilladock/lib/jobs/lease-holder.js';
+import {
+  addFloor,
+  getFloor,
+  NO_FLOORS,
+  type VersionFloors,
+} from 'vanilladock/lib/queues/version-floors.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { PoolMeta, PoolStore } from './pool-store.js';
 
@@ -30,6 +36,13 @@
    * Resolves to false when the timeout passes, the write fails or the writer stops.
    */
   readonly waitStored: (timeoutMs: number) => Promise<boolean>;
+  /** Gets the lowest version under which submissions to a queue are taken. */
+  readonly getFloor: (queue: string) => number;
+  /**
+   * Sets that version if it is higher, at once, and resolves to whether it is stored; false when
+   * the timeout passes or the writer stops.
+   */
+  readonly recordFloor: (queue: string, version: number, timeoutMs: number) => Promise<boolean>;
   /** Says whether the write in progress has had no response of the store for too long. */
   readonly isStoreUnavailable: () => boolean;
   /** Stops after the write in progress; pending calls of `waitStored` resolve to false. */
@@ -44,11 +57,12 @@
   const { store, getPlanner, schedulePlan, handleLost } = options;
   const waiters: ((isStored: boolean) => void)[] = [];
   let meta: PoolMeta = { generation: 0, workers: [] };
+  let floors: VersionFloors = NO_FLOORS;
   let isWriting = false;
   let writingSinceMs: number | undefined;
   let isStopped = false;
 
-  const recordWorkers = async () => {
+  const recordMeta = async () => {
     const planner = getPlanner();
     if (planner === undefined) return;
     const nowMs = performance.now();
@@ -60,8 +74,10 @@
     const isSame =
       workers.length === recorded.size &&
       workers.every((holder) => isCovered(holder, recorded.get(holder.id)));
-    if (isSame && isSettled === meta.isSettled) return;
-    const updated = { ...meta, workers, isSettled };
+    const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
+    if (isSame && hasSameFloors && isSettled === meta.isSettled) return;
+    const stated = floors === NO_FLOORS ? {} : { floors };
+    const updated = { ...meta, workers, isSettled, ...stated };
     const outcome = await store.write([store.encodeMeta(updated)]);
     if (outcome !== 'stored') return;
     meta = updated;
@@ -95,7 +111,7 @@
     while (result === 'stored' && !isStopped) {
       // Before every batch: under load there is always another one, and new workers wait for their
       // record.
-      await recordWorkers();
+      await recordMeta();
       const waiting = waiters.splice(0);
       result = await writeOnce();
       const isStored = result !== 'failed';
@@ -126,9 +142,19 @@
   return {
     setMeta: (loaded) => {
       meta = loaded;
+      floors = loaded.floors ?? NO_FLOORS;
     },
     writeDirty,
     waitStored,
+    getFloor: (queue) => getFloor(floors, queue),
+    recordFloor: async (queue, version, timeoutMs) => {
+      floors = addFloor(floors, queue, version);
+      const isRecorded = () => getFloor(meta.floors ?? NO_FLOORS, queue) >= version;
+      if (isRecorded()) return true;
+      // A write in progress may have begun with the floor of before.
+      if ((await waitStored(timeoutMs)) && !isRecorded()) await waitStored(timeoutMs);
+      return isRecorded();
+    },
     isStoreUnavailable: () =>
       writingSinceMs !== undefined &&
       performance.now() - writingSinceMs > STORE_UNAVAILABLE_AFTER_MS,
--- a/packages/daemon/src/lib/jobs/pool-store.ts
+++ b/packages/daemon/src/lib/jobs/pool-store.ts
@@ -37,6 +37,8 @@
    * which count as settled.
    */
   isSettled: z.boolean().optional(),
+  /** Lowest versions under which submissions are taken; absent while none has been recorded. */
+  floors: z.object({ base: z.number(), byQueue: z.record(z.string(), z.number()) }).optional(),
 });
 
 /** Metadata of a pool, stored beside its jobs. */
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/queue-directory.ts
@@ -0,0 +1,207 @@
+/**
+ * Knows in which pools jobs of each queue may live, and records it before jobs are accepted under a
+ * new version of the configuration. It reads the records once for each version and appends on the
+ * condition that nothing was recorded since, so that instances agree without asking each other.
+ */
+import type { BehaviorSubject } from 'rxjs';
+import type { FleetConfig } from 'vanilladock/lib/ports/fleet.js';
+import type { KeyedRecord, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import {
+  foldHomes,
+  listPools,
+  listTargets,
+  makeRemoval,
+  NO_HOMES,
+  planHomes,
+  type QueueHome,
+  type QueueHomes,
+} from 'vanilladock/lib/queues/queue-homes.js';
+import type { JsonLog } from '../json-log.js';
+import { waitMs } from './clock.js';
+
+/** Dependencies of the directory. */
+export interface QueueDirectoryOptions {
+  readonly store: KeyedStore;
+  readonly config: BehaviorSubject<FleetConfig | undefined>;
+  readonly log: JsonLog;
+}
+
+/** How new jobs of a queue are handed in. */
+export interface QueuePlacement {
+  /** Version under which they are; it may be older than the configuration in force. */
+  readonly version: number;
+  /** Other pools that may have a job of the queue with the same id. */
+  readonly formerPools: readonly string[];
+}
+
+/** Directory of one instance. */
+export interface QueueDirectory {
+  /**
+   * Finds how jobs of a queue are handed in to the pool that a version sends it to; undefined until
+   * that is recorded.
+   */
+  readonly findPlacement: (
+    queue: string,
+    pool: string,
+    version: number,
+  ) => QueuePlacement | undefined;
+  /**
+   * Lists the other pools that may have jobs of a queue; undefined if a version is not recorded yet,
+   * so that there may be more.
+   */
+  readonly findFormerPools: (
+    queue: string,
+    pool: string,
+    version: number,
+  ) => readonly string[] | undefined;
+  /** Lists the queues that may have jobs in a pool and are sent elsewhere, or nowhere, now. */
+  readonly listLeftQueues: (pool: string) => readonly string[];
+  /** Version that is recorded and in use; -1 before the first. */
+  readonly getVersion: () => number;
+  /**
+   * Records that a pool has no more jobs of a queue, and takes none under the present version or an
+   * older one; has no effect if a newer version is recorded.
+   */
+  readonly removePool: (queue: string, pool: string) => Promise<void>;
+  readonly stop: () => void;
+}
+
+/** Partition of the records. */
+const HOMES = { topic: 'keyed.queues', partition: 0 } as const;
+
+/** Instances read a new version spread over this time, so that few appends are in vain. */
+const SPREAD_MS = 150;
+
+/** Pause after a call to the store that failed. */
+const RETRY_MS = 250;
+
+/** Starts the directory; it reads and records whenever there is a new version. */
+export function startQueueDirectory(options: QueueDirectoryOptions): QueueDirectory {
+  const { store, config, log } = options;
+  let recorded: QueueHomes = NO_HOMES;
+  /** Offset of the next record to read; undefined to start from the newest records. */
+  let next: number | undefined;
+  /** Version in use, with the pool that it sends each queue to. */
+  let version = -1;
+  let targets: ReadonlyMap<string, string> = new Map();
+  let isStopped = false;
+  let isRecording = false;
+
+  const applyRecords = (records: readonly KeyedRecord[]) => {
+    recorded = foldHomes(recorded, records, (key) =>
+      log.error({ event: 'queue-record-unusable', key }),
+    );
+  };
+  /** Reads all newest records; resolves to whether the store answered. */
+  const readNewest = async (): Promise<boolean> => {
+    const newest = await store.readNewest(HOMES);
+    if (newest.kind === 'unavailable') return false;
+    recorded = NO_HOMES;
+    applyRecords(newest.records);
+    next = newest.end;
+    return true;
+  };
+  /** Reads to the end of the partition; resolves to whether that was reached. */
+  const readAll = async (): Promise<boolean> => {
+    while (!isStopped) {
+      if (next === undefined && !(await readNewest())) return false;
+      const read = await store.read(HOMES, next ?? 0, 0);
+      switch (read.kind) {
+        case 'records':
+          applyRecords(read.records);
+          next = read.next;
+          if (read.next >= read.end) return true;
+          break;
+        case 'trimmed':
+          next = undefined;
+          break;
+        case 'unavailable':
+          return false;
+        default:
+          read satisfies never;
+      }
+    }
+    return false;
+  };
+  /** Appends records if nothing was recorded since the last read; resolves to whether it did. */
+  const append = async (records: readonly KeyedRecord[]): Promise<boolean> => {
+    if (next === undefined) return false;
+    const outcome = await store.append(HOMES, records, { kind: 'end', offset: next });
+    if (outcome.kind !== 'stored') return false;
+    applyRecords(records);
+    next = outcome.end;
+    return true;
+  };
+  const activateVersion = (used: FleetConfig, records: number) => {
+    version = used.version;
+    targets = listTargets(used.routes);
+    log.info({ event: 'queues-recorded', version, queues: targets.size, records });
+  };
+  /** Makes one attempt; resolves to whether the version is in use or superseded. */
+  const recordVersion = async (wanted: FleetConfig): Promise<boolean> => {
+    if (!(await readAll())) return false;
+    const plan = planHomes(recorded, wanted.version, listTargets(wanted.routes));
+    switch (plan.kind) {
+      case 'superseded':
+        log.warn({
+          event: 'queues-superseded',
+          version: wanted.version,
+          recorded: recorded.version,
+        });
+        return true;
+      case 'recorded':
+        activateVersion(wanted, 0);
+        return true;
+      case 'record':
+        if (!(await append(plan.records))) return false;
+        activateVersion(wanted, plan.records.length);
+        return true;
+      default:
+        return plan satisfies never;
+    }
+  };
+  const recordNewest = async () => {
+    if (isRecording) return;
+    isRecording = true;
+    let triedVersion = version;
+    while (!isStopped && (config.value?.version ?? -1) > triedVersion) {
+      const wanted = config.value;
+      if (wanted === undefined) break;
+      if (version >= 0) await waitMs(Math.random() * SPREAD_MS);
+      if (await recordVersion(wanted)) triedVersion = wanted.version;
+      else await waitMs(RETRY_MS);
+    }
+    isRecording = false;
+  };
+  const listOthers = (queue: string, pool: string) =>
+    listPools(recorded, queue).filter((other) => other !== pool);
+  const subscription = config.subscribe(() => void recordNewest());
+  return {
+    findPlacement: (queue, pool, wanted) =>
+      // A queue that both versions send to the pool goes on under the recorded one.
+      version <= wanted && targets.get(queue) === pool
+        ? { version, formerPools: listOthers(queue, pool) }
+        : undefined,
+    findFormerPools: (queue, pool, wanted) =>
+      version >= wanted ? listOthers(queue, pool) : undefined,
+    listLeftQueues: (pool) =>
+      [...recorded.homes.values()]
+        .filter(
+          ({ queue, pools }: QueueHome) => pools.includes(pool) && targets.get(queue) !== pool,
+        )
+        .map(({ queue }) => queue),
+    getVersion: () => version,
+    removePool: async (queue, pool) => {
+      const used = version;
+      if (!(await readAll()) || recorded.version !== used || version !== used) return;
+      if (targets.get(queue) === pool || !listPools(recorded, queue).includes(pool)) return;
+      if (await append([makeRemoval(recorded, queue, pool)])) {
+        log.info({ event: 'queue-left', queue, pool, version });
+      }
+    },
+    stop: () => {
+      isStopped = true;
+      subscription.unsubscribe();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -0,0 +1,145 @@
+/**
+ * Answers callers' requests about the jobs of a queue, which may live in several pools: those that
+ * were accepted before the configuration sent the queue to another pool stay where they are. A queue
+ * that was never sent elsewhere costs no more than one request to its pool.
+ */
+import { waitMs } from './clock.js';
+import type { JobGateway } from './job-gateway.js';
+import { RETRY_AFTER_MS, type JobReply, type JobRequest, type QueueOrigin } from './job-request.js';
+import type { QueueDirectory, QueuePlacement } from './queue-directory.js';
+import { RETRY_PAUSE_MS } from './request-retries.js';
+
+/** Requests that callers make, each about one queue. */
+export type QueueRequest = Extract<
+  JobRequest,
+  { readonly kind: 'submit' | 'status' | 'cancel' | 'pending' }
+>;
+
+/** Dependencies of the gateway. */
+export interface QueueGatewayOptions {
+  readonly gateway: Pick<JobGateway, 'answer'>;
+  readonly directory: Pick<QueueDirectory, 'findPlacement' | 'findFormerPools'>;
+}
+
+/** Gateway for the requests of callers. */
+export interface QueueGateway {
+  /** As `answer` of the gateway for jobs, over all pools that may have the job. */
+  readonly answer: (
+    request: QueueRequest,
+    origin: QueueOrigin,
+    answerByMs?: number,
+  ) => Promise<JobReply>;
+}
+
+/** How long a submission waits until its version of the configuration is recorded. */
+const PLACEMENT_LIMIT_MS = 600;
+
+/** Time limit of the queries to former pools that precede a submission. */
+const LOOKUP_LIMIT_MS = 1_500;
+
+/** Says whether a pool's reply settles a request that several pools were sent. */
+function isDecisive({ kind }: JobReply): boolean {
+  return kind === 'state' || kind === 'cancelled' || kind === 'accepted' || kind === 'foreign-job';
+}
+
+/** Makes the reply to a request of which nothing was done and that is worth repeating. */
+function makeUnavailable(why: string): JobReply {
+  return { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS };
+}
+
+/**
+ * Chooses the reply of several pools: the first decisive one as soon as it arrives, else one that
+ * leaves the answer open, else that no pool has the job.
+ */
+function chooseReply(pending: readonly Promise<JobReply>[]): Promise<JobReply> {
+  const [only, ...others] = pending;
+  if (only !== undefined && others.length === 0) return only;
+  const decisive = pending.map((promise) =>
+    promise.then((reply) => (isDecisive(reply) ? reply : Promise.reject(new Error(reply.kind)))),
+  );
+  return Promise.any(decisive).catch(async () => {
+    const replies = await Promise.all(pending);
+    const open = replies.find(({ kind }) => kind !== 'no-such-job');
+    return open ?? { kind: 'no-such-job' };
+  });
+}
+
+/** Adds up the pending jobs of a queue in several pools; any other reply stands for all. */
+function sumPending(replies: readonly JobReply[]): JobReply {
+  const other = replies.find(({ kind }) => kind !== 'pending');
+  if (other !== undefined) return other;
+  const count = replies.reduce(
+    (sum, reply) => sum + (reply.kind === 'pending' ? reply.count : 0),
+    0,
+  );
+  return { kind: 'pending', count };
+}
+
+/** Creates the gateway. */
+export function createQueueGateway({ gateway, directory }: QueueGatewayOptions): QueueGateway {
+  const waitPlacement = async (
+    pool: string,
+    { queue, version }: QueueOrigin,
+  ): Promise<QueuePlacement | undefined> => {
+    const startedMs = performance.now();
+    for (;;) {
+      const placement = directory.findPlacement(queue, pool, version);
+      const isOver = performance.now() - startedMs + RETRY_PAUSE_MS > PLACEMENT_LIMIT_MS;
+      if (placement !== undefined || isOver) return placement;
+      await waitMs(RETRY_PAUSE_MS);
+    }
+  };
+  const submit = async (
+    request: Extract<QueueRequest, { readonly kind: 'submit' }>,
+    origin: QueueOrigin,
+    answerByMs: number,
+  ): Promise<JobReply> => {
+    const placement = await waitPlacement(request.pool, origin);
+    if (placement === undefined) return makeUnavailable('queue-unrecorded');
+    const { queue } = origin;
+    const { version, formerPools } = placement;
+    if (formerPools.length > 0) {
+      // A pool that has the job has accepted it; one that has not takes it no more afterwards.
+      const lookup = { kind: 'lookup', jobId: request.spec.id, queue, version } as const;
+      const byMs = Math.min(answerByMs, performance.now() + LOOKUP_LIMIT_MS);
+      const { team } = request;
+      const known = await chooseReply(
+        formerPools.map((pool) => gateway.answer({ ...lookup, pool, team }, byMs)),
+      );
+      if (isDecisive(known)) return known;
+      if (known.kind !== 'no-such-job') return makeUnavailable('former-pool-unavailable');
+    }
+    return gateway.answer({ ...request, origin: { queue, version } }, answerByMs);
+  };
+  const queryAll = (
+    request: Exclude<QueueRequest, { readonly kind: 'submit' }>,
+    { queue, version }: QueueOrigin,
+    answerByMs: number,
+  ) => {
+    const formerPools = directory.findFormerPools(queue, request.pool, version);
+    const pools = [request.pool, ...(formerPools ?? [])];
+    const replies = pools.map((pool) => gateway.answer({ ...request, pool }, answerByMs));
+    return { replies, isComplete: formerPools !== undefined };
+  };
+  return {
+    answer: async (request, origin, answerByMs = Infinity) => {
+      switch (request.kind) {
+        case 'submit':
+          return submit(request, origin, answerByMs);
+        case 'status':
+        case 'cancel': {
+          const { replies, isComplete } = queryAll(request, origin, answerByMs);
+          const reply = await chooseReply(replies);
+          // There may be a pool that this instance does not know of yet.
+          return reply.kind === 'no-such-job' && !isComplete
+            ? makeUnavailable('queue-unrecorded')
+            : reply;
+        }
+        case 'pending':
+          return sumPending(await Promise.all(queryAll(request, origin, answerByMs).replies));
+        default:
+          return request satisfies never;
+      }
+    },
+  };
+}
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -11,7 +11,7 @@
 import type { StopAction } from './plan-stops.js';
 import type { DecisionEvent } from './pool-context.js';
 import type { Progress } from './progress.js';
-import type { JobPolicy, JobRecord, JobSpec } from './spec.js';
+import type { JobPolicy, JobRecord, JobSource, JobSpec } from './spec.js';
 import type { QueueFigures } from './standing-queue.js';
 import type { Moment } from './state.js';
 import type { StoreBatch } from './store-queue.js';
@@ -52,14 +52,13 @@
   readonly loadJob: (record: JobRecord, progress: Progress | undefined, at: Moment) => void;
   /**
    * Decides on a submission; an admitted job is queued to be stored and starts only afterwards. A
-   * job whose id is in the table is `known`, and its new specification is ignored. `team` is the
-   * team that submits it; undefined if its route needs no key.
+   * job whose id is in the table is `known`, and its new specification is ignored.
    */
   readonly submit: (
     spec: JobSpec,
     policy: JobPolicy,
     at: Moment,
-    team?: string,
+    source?: JobSource,
   ) => Admission | 'known';
   /** Ends an active job; `ended` if it had ended before. The change still has to be stored. */
   readonly cancel: (jobId: string, at: Moment) => 'cancelling' | 'ended' | 'unknown';
@@ -67,8 +66,16 @@
   readonly getJobStatus: (jobId: string) => JobStatus;
   /** Says whether the job's current phase is stored; false for an unknown job. */
   readonly isStored: (jobId: string) => boolean;
-  /** Counts the route's active, stored jobs of which no task has started. */
-  readonly countPending: (route: string) => number;
+  /**
+   * Counts the active, stored jobs of a queue of which no task has started; those whose queue is not
+   * known count by their route.
+   */
+  readonly countPending: (of: {
+    readonly route: string;
+    readonly queue?: string | undefined;
+  }) => number;
+  /** Says whether any job may be of a queue, ended ones included whose state can be queried. */
+  readonly hasJobsOf: (queue: string) => boolean;
   /** Applies the complete list of registered workers. */
   readonly observeWorkers: (entries: readonly WorkerEntry[], at: Moment) => void;
   /**
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -109,7 +109,8 @@
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
-    submit: (spec, policy, at, team) => {
+    submit: (spec, policy, at, source = {}) => {
+      const { team } = source;
       if (table.jobs.has(spec.id)) return 'known';
       const currentLoad = computePoolLoad(table, at.nowMs);
       const usableReachableCores =
@@ -141,7 +142,7 @@
         spec,
         policy,
         acceptedAtMs: at.wallMs,
-        team,
+        ...source,
         isExcess: isExcess || undefined,
       };
       const job = table.addJob(
@@ -173,14 +174,19 @@
       const job = table.jobs.get(jobId);
       return job !== undefined && job.storedPhase === job.phase;
     },
-    countPending: (route) => {
+    countPending: ({ route, queue }) => {
       let count = 0;
-      table.jobs.forEach((job) => {
-        const isPending = job.phase === 'active' && !job.hasStarted && job.storedPhase !== 'none';
-        if (isPending && job.record.spec.route === route) count += 1;
+      table.activeJobs.forEach(({ record, hasStarted, storedPhase }) => {
+        const isOfQueue =
+          queue === undefined || record.queue === undefined
+            ? record.spec.route === route
+            : record.queue === queue;
+        if (!hasStarted && storedPhase !== 'none' && isOfQueue) count += 1;
       });
       return count;
     },
+    hasJobsOf: (queue) =>
+      [...table.jobs.values()].some(({ record }) => (record.queue ?? queue) === queue),
     observeWorkers: incarnations.observeEntries,
     observeReport: (workerId, timed, at) => {
       if (!incarnations.observeReporter(workerId, timed, at)) return [];
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -82,10 +82,15 @@
   readonly acceptedAtMs: number;
   /** Name of the team that submitted it; absent if its route needed no key. */
   readonly team?: string | undefined;
+  /** Name of the queue that it was submitted to; absent if that is not known. */
+  readonly queue?: string | undefined;
   /** Whether its team had exceeded its rate; absent counts as false. */
   readonly isExcess?: boolean | undefined;
 }
 
+/** Who submitted a job, and where. */
+export type JobSource = Pick<JobRecord, 'team' | 'queue'>;
+
 /** Says whether a job belongs to another team than the one that asks; undefined asks for any. */
 export function isForeignJob(record: JobRecord, team: string | undefined): boolean {
   return team !== undefined && record.team !== undefined && record.team !== team;
--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -158,7 +158,7 @@
       entries.forEach(({ id }) => report(id, nowMs));
     },
     submit: (spec, nowMs, policy = POLICY, team = undefined) => {
-      planner.submit(spec, policy, makeMoment(nowMs), team);
+      planner.submit(spec, policy, makeMoment(nowMs), { team });
       writeBatch();
     },
     planStarts: (nowMs) =>
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -136,7 +136,7 @@
 
 test('a task that needs more than the limit is refused at once, without a time to come back', () => {
   const harness = createHarness({ teams: makeTeams({ hot: 0.5 }) });
-  const admission = harness.planner.submit(makeJob('a'), POLICY, harness.at(0), 'hot');
+  const admission = harness.planner.submit(makeJob('a'), POLICY, harness.at(0), { team: 'hot' });
   assert.equal(admission, { kind: 'refused', why: 'team-limit', retryAfterMs: undefined });
 });
 
@@ -152,7 +152,7 @@
     const nowMs = number * 42;
     const team = number % 6 === 0 ? 'calm' : 'hot';
     const spec = makeJob(`${team}-${number}`);
-    const admission = harness.planner.submit(spec, POLICY, harness.at(nowMs), team);
+    const admission = harness.planner.submit(spec, POLICY, harness.at(nowMs), { team });
     const count = outcomes.get(team)!;
     if (admission !== 'known' && admission.kind === 'admitted') count.admitted += 1;
     else {
@@ -183,7 +183,7 @@
       makeJob('again', [makeStep({ count: 8 })]),
       POLICY,
       harness.at(4_000 + number * 100),
-      'calm',
+      { team: 'calm' },
     ),
   );
   refusals.forEach((admission) =>
