Close left queues together, and record many queues in parts

Found by reading the change: a version with several thousand routes would have been recorded in one append, beyond what the store takes from some 13,000 on, and each route that goes away again would have cost a write of the pool's metadata, a read and an append of its own. Queues that have left a pool are closed in one write and dropped in one append; an append has at most 1,000 records, the mark of the version last.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -3,6 +3,7 @@
 import { isForeignJob } from 'vanilladock/lib/jobs/spec.js';
 import { readMoment } from './clock.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
+import type { PoolStateWriter } from './pool-state-writer.js';
 
 /** Planner and callbacks that requests are answered with. */
 export interface AnswerContext {
@@ -13,9 +14,10 @@
   readonly isStoreUnavailable: () => boolean;
   /** Says whether the runner has stopped or lost the pool, so that nothing more is stored. */
   readonly isStopped: () => boolean;
-  /** As `getFloor` and `recordFloor` of the pool's state writer. */
-  readonly getFloor: (queue: string) => number;
-  readonly recordFloor: (queue: string, version: number, timeoutMs: number) => Promise<boolean>;
+  /** As `getFloor` of the pool's state writer. */
+  readonly getFloor: PoolStateWriter['getFloor'];
+  /** As `recordFloors` of the pool's state writer. */
+  readonly recordFloors: PoolStateWriter['recordFloors'];
   /** Requests a report of a worker at once, unless one is awaited. */
   readonly wakeWorker: (workerId: string) => void;
   /** Requests a plan soon, for changes that the request made. */
@@ -83,7 +85,7 @@
   if (version < context.getFloor(queue)) {
     return { kind: 'unavailable', why: 'config-older', retryAfterMs: RETRY_AFTER_MS };
   }
-  const isRecorded = await context.recordFloor(queue, version, STORE_TIMEOUT_MS);
+  const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
   return isRecorded && !context.isStopped()
     ? { kind: 'no-such-job' }
     : { kind: 'unavailable', why: 'store-away', retryAfterMs: RETRY_AFTER_MS };
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -129,10 +129,9 @@
   /** Drops the records of queues that are sent elsewhere now and have no jobs left in a pool. */
   const dropLeftQueues = async () => {
     for (const [pool, runner] of [...runners]) {
-      for (const queue of directory.listLeftQueues(pool)) {
-        const isLeft = await runner.isLeftBy(queue, directory.getVersion());
-        if (isLeft) await directory.removePool(queue, pool);
-      }
+      const left = directory.listLeftQueues(pool);
+      const closed = await runner.closeQueues(left, directory.getVersion());
+      await directory.removePool(closed, pool);
     }
   };
   const guard = createErrorGuard((where, error) =>
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -74,10 +74,10 @@
    */
   readonly answer: (request: JobRequest) => Promise<JobReply>;
   /**
-   * Resolves to whether the pool has no job of a queue and will accept none any more under a version
-   * older than the given one.
+   * Closes those of the queues of which the pool has no job, so that it accepts none of them any more
+   * under a version older than the given one; resolves to their names once that is stored.
    */
-  readonly isLeftBy: (queue: string, version: number) => Promise<boolean>;
+  readonly closeQueues: (queues: readonly string[], version: number) => Promise<readonly string[]>;
   /** Returns the present figures; undefined while the stored state is loading. */
   readonly getFigures: () => PoolFigures | undefined;
   readonly stop: () => void;
@@ -270,7 +270,7 @@
         waitStored: stateWriter.waitStored,
         isStoreUnavailable: stateWriter.isStoreUnavailable,
         getFloor: stateWriter.getFloor,
-        recordFloor: stateWriter.recordFloor,
+        recordFloors: stateWriter.recordFloors,
         isStopped: () => isStopped,
         wakeWorker: loops.wake,
         schedulePlan,
@@ -283,11 +283,14 @@
         return { kind: 'unknown', why: 'internal-error' };
       }
     },
-    isLeftBy: async (queue, version) => {
-      const hasJobs = () => planner === undefined || isStopped || planner.hasJobsOf(queue);
-      if (hasJobs()) return false;
-      const isRecorded = await stateWriter.recordFloor(queue, version, FLOOR_TIMEOUT_MS);
-      return isRecorded && !hasJobs();
+    closeQueues: async (queues, version) => {
+      const listEmpty = (of: readonly string[]) => {
+        const used = isStopped ? undefined : planner?.listQueues();
+        return used === undefined ? [] : of.filter((queue) => !used.has(queue));
+      };
+      const empty = listEmpty(queues);
+      const areRecorded = await stateWriter.recordFloors(empty, version, FLOOR_TIMEOUT_MS);
+      return areRecorded ? listEmpty(empty) : [];
     },
     getFigures: () => {
       const nowMs = performance.now();
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -39,10 +39,14 @@
   /** Gets the lowest version under which submissions to a queue are taken. */
   readonly getFloor: (queue: string) => number;
   /**
-   * Sets that version if it is higher, at once, and resolves to whether it is stored; false when
-   * the timeout passes or the writer stops.
+   * Sets that version for queues that have a lower one, at once, and resolves to whether it is
+   * stored; false when the timeout passes or the writer stops.
    */
-  readonly recordFloor: (queue: string, version: number, timeoutMs: number) => Promise<boolean>;
+  readonly recordFloors: (
+    queues: readonly string[],
+    version: number,
+    timeoutMs: number,
+  ) => Promise<boolean>;
   /** Says whether the write in progress has had no response of the store for too long. */
   readonly isStoreUnavailable: () => boolean;
   /** Stops after the write in progress; pending calls of `waitStored` resolve to false. */
@@ -147,13 +151,16 @@
     writeDirty,
     waitStored,
     getFloor: (queue) => getFloor(floors, queue),
-    recordFloor: async (queue, version, timeoutMs) => {
-      floors = addFloor(floors, queue, version);
-      const isRecorded = () => getFloor(meta.floors ?? NO_FLOORS, queue) >= version;
-      if (isRecorded()) return true;
-      // A write in progress may have begun with the floor of before.
-      if ((await waitStored(timeoutMs)) && !isRecorded()) await waitStored(timeoutMs);
-      return isRecorded();
+    recordFloors: async (queues, version, timeoutMs) => {
+      floors = queues.reduce((before, queue) => addFloor(before, queue, version), floors);
+      const hasRecorded = () => {
+        const recorded = meta.floors ?? NO_FLOORS;
+        return queues.every((queue) => getFloor(recorded, queue) >= version);
+      };
+      if (hasRecorded()) return true;
+      // A write in progress may have begun with the floors of before.
+      if ((await waitStored(timeoutMs)) && !hasRecorded()) await waitStored(timeoutMs);
+      return hasRecorded();
     },
     isStoreUnavailable: () =>
       writingSinceMs !== undefined &&
--- a/packages/daemon/src/lib/jobs/queue-directory.ts
+++ b/packages/daemon/src/lib/jobs/queue-directory.ts
@@ -59,10 +59,10 @@
   /** Version that is recorded and in use; -1 before the first. */
   readonly getVersion: () => number;
   /**
-   * Records that a pool has no more jobs of a queue, and takes none under the present version or an
-   * older one; has no effect if a newer version is recorded.
+   * Records that a pool has no more jobs of queues that it has closed for versions older than the
+   * one in use; has no effect if a newer one is recorded.
    */
-  readonly removePool: (queue: string, pool: string) => Promise<void>;
+  readonly removePool: (queues: readonly string[], pool: string) => Promise<void>;
   readonly stop: () => void;
 }
 
@@ -72,6 +72,9 @@
 /** Instances read a new version spread over this time, so that few appends are in vain. */
 const SPREAD_MS = 150;
 
+/** Records of one append, so that it stays far below the size that the store takes. */
+const MAX_RECORDS = 1_000;
+
 /** Pause after a call to the store that failed. */
 const RETRY_MS = 250;
 
@@ -123,13 +126,19 @@
     }
     return false;
   };
-  /** Appends records if nothing was recorded since the last read; resolves to whether it did. */
+  /**
+   * Appends records if nothing was recorded since the last read; resolves to whether all of them are
+   * stored. Of many, a first part may be.
+   */
   const append = async (records: readonly KeyedRecord[]): Promise<boolean> => {
-    if (next === undefined) return false;
-    const outcome = await store.append(HOMES, records, { kind: 'end', offset: next });
-    if (outcome.kind !== 'stored') return false;
-    applyRecords(records);
-    next = outcome.end;
+    for (let start = 0; start < records.length; start += MAX_RECORDS) {
+      if (next === undefined) return false;
+      const part = records.slice(start, start + MAX_RECORDS);
+      const outcome = await store.append(HOMES, part, { kind: 'end', offset: next });
+      if (outcome.kind !== 'stored') return false;
+      applyRecords(part);
+      next = outcome.end;
+    }
     return true;
   };
   const activateVersion = (used: FleetConfig, records: number) => {
@@ -191,12 +200,17 @@
         )
         .map(({ queue }) => queue),
     getVersion: () => version,
-    removePool: async (queue, pool) => {
+    removePool: async (queues, pool) => {
       const used = version;
-      if (!(await readAll()) || recorded.version !== used || version !== used) return;
-      if (targets.get(queue) === pool || !listPools(recorded, queue).includes(pool)) return;
-      if (await append([makeRemoval(recorded, queue, pool)])) {
-        log.info({ event: 'queue-left', queue, pool, version });
+      if (queues.length === 0 || !(await readAll())) return;
+      if (recorded.version !== used || version !== used) return;
+      const left = queues
+        .filter((queue) => targets.get(queue) !== pool)
+        .filter((queue) => listPools(recorded, queue).includes(pool))
+        .slice(0, MAX_RECORDS);
+      if (left.length === 0) return;
+      if (await append(left.map((queue) => makeRemoval(recorded, queue, pool)))) {
+        log.info({ event: 'queues-left', pool, queues: left.length, queue: left[0], version });
       }
     },
     stop: () => {
--- a/packages/daemon/src/test/queue-directory.test.ts
+++ b/packages/daemon/src/test/queue-directory.test.ts
@@ -110,16 +110,44 @@
     assert.equal(directory.listLeftQueues('kilns'), []);
     const newer = openDirectory(opened, makeConfig(9, 'stalls'));
     await clock.tickAsync(SECOND_MS);
-    void directory.removePool(QUEUE, 'stalls');
+    void directory.removePool([QUEUE], 'stalls');
     await clock.tickAsync(SECOND_MS);
     assert.equal(newer.findFormerPools(QUEUE, 'stalls', 9), ['kilns']);
-    void newer.removePool(QUEUE, 'kilns');
+    void newer.removePool([QUEUE], 'kilns');
     await clock.tickAsync(SECOND_MS);
     assert.equal(newer.findFormerPools(QUEUE, 'stalls', 9), []);
     assert.is(opened.listRecords(HOMES).filter(({ value }) => value === undefined).length, 0);
     [newer, directory].forEach(({ stop }) => stop());
   }));
 
+test('a version with very many queues is recorded in parts, its mark last', () =>
+  runCase(async (clock) => {
+    const opened = openStore();
+    const config = makeConfig(7, 'stalls');
+    const routes = Array.from({ length: 2_500 }, (_, index) => ({
+      ...config.routes[0]!,
+      pathPrefix: `/q${index}/`,
+    }));
+    const directory = openDirectory(opened, { ...config, routes });
+    await clock.tickAsync(SECOND_MS);
+    assert.is(opened.countAppends(), 3);
+    const records = opened.listRecords(HOMES);
+    assert.is(
+      records.findIndex(({ key }) => key === 'version'),
+      records.length - 1,
+    );
+    const expected = { version: 7, formerPools: [] };
+    assert.equal(directory.findPlacement('pule25.example/q2499/', 'stalls', 7), expected);
+    directory.config.next(makeConfig(8, 'stalls'));
+    await clock.tickAsync(SECOND_MS);
+    const left = directory.listLeftQueues('stalls');
+    assert.is(left.length, 2_500);
+    void directory.removePool(left, 'stalls');
+    await clock.tickAsync(SECOND_MS);
+    assert.is(directory.listLeftQueues('stalls').length, 1_500);
+    directory.stop();
+  }));
+
 // Guards against a job that is accepted twice: a planner's successor takes what it had closed.
 test('a pool that has denied a job takes it under no older version, nor do its next planners', () =>
   runCase(async (clock) => {
@@ -155,9 +183,9 @@
     assert.is(await send(second, { ...older, origin: { queue: QUEUE, version: 9 } }), 'accepted');
     assert.is(await send(second, older), 'accepted', 'a repeat of a job that it has');
     assert.is(await send(second, { ...lookup, version: 10 }), 'accepted');
-    const left = second.isLeftBy(QUEUE, 10);
+    const closed = second.closeQueues([QUEUE, 'pule25.example/none/'], 10);
     await clock.tickAsync(SECOND_MS);
-    assert.is(await left, false, 'it has a job of the queue');
+    assert.equal(await closed, ['pule25.example/none/'], 'it has a job of the other queue');
     second.stop();
   }));
 
--- a/packages/daemon/src/test/queue-moves-machine.test.ts
+++ b/packages/daemon/src/test/queue-moves-machine.test.ts
@@ -144,10 +144,9 @@
       case 'clean': {
         const { directory } = instances[0]!;
         for (const [pool, runner] of runners) {
-          for (const queue of directory.listLeftQueues(pool)) {
-            const isLeft = await runner.isLeftBy(queue, directory.getVersion());
-            if (isLeft) await directory.removePool(queue, pool);
-          }
+          const left = directory.listLeftQueues(pool);
+          const closed = await runner.closeQueues(left, directory.getVersion());
+          await directory.removePool(closed, pool);
         }
         return;
       }
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -5,6 +5,7 @@
  */
 import murmurHash from 'imurmurhash';
 import { z } from 'zod';
+import { parseJson } from '../parse-json.js';
 import type { KeyedRecord, StoredKeyedRecord } from '../ports/keyed-store.js';
 
 /** One incarnation of a process of this system. */
@@ -77,18 +78,6 @@
 /** Value of the record of a claim; the holder is empty in that of a release. */
 const claimRecordSchema = z.object({ holder: z.string(), member: memberSchema.optional() });
 
-/** Parses the JSON value of a record; undefined if it is not of the given shape. */
-function parseRecord<Schema extends z.ZodType>(
-  schema: Schema,
-  value: string,
-): z.infer<Schema> | undefined {
-  try {
-    return schema.safeParse(JSON.parse(value)).data;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Encodes a claim by a member; without a member, encodes the release of the duty. */
 export function encodeClaim(duty: string, member: Member | undefined): KeyedRecord {
   return {
@@ -149,7 +138,7 @@
       members.delete(name);
       return true;
     }
-    const parsed = parseRecord(memberRecordSchema, value);
+    const parsed = parseJson(memberRecordSchema, value);
     if (parsed === undefined) return false;
     const { hasLeft, ...member } = parsed;
     if (hasLeft) departedIds.set(name, member.id);
@@ -167,7 +156,7 @@
       }
       if (!key.startsWith(DUTY_PREFIX) || value === undefined) return true;
       const duty = key.slice(DUTY_PREFIX.length);
-      const parsed = parseRecord(claimRecordSchema, value);
+      const parsed = parseJson(claimRecordSchema, value);
       if (parsed === undefined) return false;
       const { holder, member } = parsed;
       const current = claims.get(duty);
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -74,8 +74,11 @@
     readonly route: string;
     readonly queue?: string | undefined;
   }) => number;
-  /** Says whether any job may be of a queue, ended ones included whose state can be queried. */
-  readonly hasJobsOf: (queue: string) => boolean;
+  /**
+   * Lists the queues of the jobs, ended ones included whose state can be queried; undefined if the
+   * queue of one of them is not known.
+   */
+  readonly listQueues: () => ReadonlySet<string> | undefined;
   /** Applies the complete list of registered workers. */
   readonly observeWorkers: (entries: readonly WorkerEntry[], at: Moment) => void;
   /**
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -185,8 +185,14 @@
       });
       return count;
     },
-    hasJobsOf: (queue) =>
-      [...table.jobs.values()].some(({ record }) => (record.queue ?? queue) === queue),
+    listQueues: () => {
+      const queues = new Set<string>();
+      for (const { record } of table.jobs.values()) {
+        if (record.queue === undefined) return undefined;
+        queues.add(record.queue);
+      }
+      return queues;
+    },
     observeWorkers: incarnations.observeEntries,
     observeReport: (workerId, timed, at) => {
       if (!incarnations.observeReporter(workerId, timed, at)) return [];
--- a/packages/vanilladock/src/lib/queues/queue-homes.ts
+++ b/packages/vanilladock/src/lib/queues/queue-homes.ts
@@ -7,6 +7,7 @@
  */
 import { hash } from 'node:crypto';
 import { z } from 'zod';
+import { parseJson } from '../parse-json.js';
 import type { RouteConfig } from '../ports/fleet.js';
 import type { KeyedRecord } from '../ports/keyed-store.js';
 
@@ -55,18 +56,6 @@
   return new Map(routes.map((route) => [makeQueueName(route), route.pool]));
 }
 
-/** Parses the value of a record; undefined if it is not of the given shape. */
-function parseValue<Schema extends z.ZodType>(
-  schema: Schema,
-  value: string,
-): z.infer<Schema> | undefined {
-  try {
-    return schema.safeParse(JSON.parse(value)).data;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Makes the key of a queue's record. */
 function makeHomeKey(queue: string): string {
   return `${QUEUE_PREFIX}${hash('sha256', queue, 'hex').slice(0, DIGEST_DIGITS)}`;
@@ -99,8 +88,8 @@
       homes.delete(key);
       return;
     }
-    const home = key.startsWith(QUEUE_PREFIX) ? parseValue(homeSchema, value) : undefined;
-    const mark = key === VERSION_KEY ? parseValue(versionSchema, value) : undefined;
+    const home = key.startsWith(QUEUE_PREFIX) ? parseJson(homeSchema, value) : undefined;
+    const mark = key === VERSION_KEY ? parseJson(versionSchema, value) : undefined;
     if (home !== undefined) homes.set(key, home);
     else if (mark !== undefined) version = Math.max(version, mark.version);
     else handleUnusable(key);
