--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -52,15 +52,18 @@
  * leaves the answer open, else that no pool has the job.
  */
 function chooseReply(pending: readonly Promise<JobReply>[]): Promise<JobReply> {
-  const [only, ...others] = pending;
-  if (only !== undefined && others.length === 0) return only;
-  const decisive = pending.map((promise) =>
-    promise.then((reply) => (isDecisive(reply) ? reply : Promise.reject(new Error(reply.kind)))),
-  );
-  return Promise.any(decisive).catch(async () => {
-    const replies = await Promise.all(pending);
-    const open = replies.find(({ kind }) => kind !== 'no-such-job');
-    return open ?? { kind: 'no-such-job' };
+  return new Promise((resolve, reject) => {
+    const replies: JobReply[] = [];
+    const handleReply = (reply: JobReply) => {
+      replies.push(reply);
+      if (isDecisive(reply)) resolve(reply);
+      else if (replies.length === pending.length) {
+        resolve(replies.find(({ kind }) => kind !== 'no-such-job') ?? reply);
+      }
+    };
+    pending.forEach((promise) => {
+      promise.then(handleReply, reject);
+    });
   });
 }
 
