Remove the records of ended jobs, and keep nothing of old ones at a take-over

Cause: a job that was dropped after status_s left both its records in the store, and a take-over read and decoded every record of the pool at once.

Why this works: what is dropped from memory is removed from the store in the same way, in bounded batches that are tried again when the store refuses them. Progress says when a job ended, so that the time goes on over take-overs. Records are read page by page and those of jobs that ended long ago are left out at once.

Related path: a new job under the id of a dropped one kept the progress of that in the store.

--- a/packages/daemon/src/lib/jobs/fenced-writer.ts
+++ b/packages/daemon/src/lib/jobs/fenced-writer.ts
@@ -22,13 +22,17 @@
   readonly log: JsonLog;
 }
 
+/** Takes in some of the records that are read. */
+export type RecordHandler = (records: readonly KeyedRecord[]) => void;
+
 /** Writer of one partition under one claim. */
 export interface FencedWriter {
   /**
    * Fences off earlier holders, then reads the newest record of each key; retries until the store
-   * answers. Undefined when a later holder has taken over or the writer was closed.
+   * answers. Each attempt hands its records, page by page, to a handler of its own. Resolves to false
+   * when a later holder has taken over or the writer was closed.
    */
-  readonly load: () => Promise<readonly KeyedRecord[] | undefined>;
+  readonly load: (startReading: () => RecordHandler) => Promise<boolean>;
   /** Appends the records together, after all earlier writes have their outcome. */
   readonly write: (records: readonly KeyedRecord[]) => Promise<WriteOutcome>;
   /** Ends all retries; writes that would be retried resolve to `lost`. */
@@ -92,15 +96,19 @@
     return false;
   };
   return {
-    load: async () => {
-      if (!(await claimEpoch())) return undefined;
+    load: async (startReading) => {
+      if (!(await claimEpoch())) return false;
       while (!isClosed) {
-        const newest = await store.readNewest(where);
-        if (newest.kind === 'records') return newest.records;
+        const handleRecords = startReading();
+        const newest = await store.readNewest(where, handleRecords);
+        if (newest.kind === 'records') {
+          handleRecords(newest.records);
+          return true;
+        }
         log.warn({ event: 'store-unreadable', producer, reason: newest.reason });
         await waitMs(RETRY_MS);
       }
-      return undefined;
+      return false;
     },
     write,
     close: () => {
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -19,12 +19,13 @@
 import { createActionRunner } from './action-runner.js';
 import { answerRequest } from './answer-request.js';
 import { createErrorGuard, makeErrorFields } from '../error-guard.js';
-import { readMoment, waitMs } from './clock.js';
+import { readMoment } from './clock.js';
 import { createContainedWorkers } from './contained-workers.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import { createPlanPauseLog } from './plan-pause-log.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
 import { createPoolStore } from './pool-store.js';
+import { takeOverPool } from './take-over.js';
 import { createWorkerLoops } from './worker-loops.js';
 
 /** Dependencies that the instance provides to the runner of every pool. */
@@ -102,7 +103,11 @@
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, advisor, log } = options;
   const workers = createContainedWorkers(options.workers, log);
-  const store = createPoolStore(options.store, pool, claim.token, options.storePartitions, log);
+  const store = createPoolStore({
+    ...options,
+    token: claim.token,
+    partitions: options.storePartitions,
+  });
   const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, performance.now());
   let planner: PoolPlanner | undefined;
   let isStopped = false;
@@ -206,45 +211,33 @@
   const load = async () => {
     const startedMs = performance.now();
     const predecessorQuery = options.queryPredecessor();
-    const stored = await store.load();
-    if (stored === undefined) {
-      handleLoss('store-fenced');
-      return;
-    }
-    const meta = {
-      ...stored.meta,
-      generation: stored.meta.generation + 1,
-      isSettled: false,
-    };
-    stateWriter.setMeta(meta);
-    let outcome = await store.write([store.encodeMeta(meta)]);
-    while (outcome === 'refused') {
-      await waitMs(PLAN_INTERVAL_MS);
-      outcome = await store.write([store.encodeMeta(meta)]);
-    }
-    if (outcome === 'lost' || isStopped) {
+    const stored = await takeOverPool(store);
+    if (stored === undefined || isStopped) {
       handleLoss('store-fenced');
       return;
     }
+    stateWriter.setMeta(stored.meta);
     const loadedAt = readMoment();
     planner = createPoolPlanner(pool, {
       report: (event) => log.info({ pool, ...event }),
-      runBase: stored.meta.generation * RUNS_PER_GENERATION,
+      runBase: stored.previous.generation * RUNS_PER_GENERATION,
       inheritedWorkers: stored.meta.workers,
       claimedMs: startedMs,
       statusMs: options.statusMs,
       teams: options.teams,
     });
     const active = planner;
-    const isPredecessorSettled = stored.meta.isSettled !== false;
+    const isPredecessorSettled = stored.previous.isSettled !== false;
     guard.watch('predecessor', waitPredecessor(predecessorQuery, isPredecessorSettled));
     stored.jobs.forEach(({ record, progress }) => active.loadJob(record, progress, loadedAt));
+    active.removeStored(stored.expiredJobs);
     log.info({
       event: 'pool-taken',
       pool,
       token: claim.token,
-      generation: meta.generation,
+      generation: stored.meta.generation,
       jobs: stored.jobs.length,
+      expiredJobs: stored.expiredJobs.length,
       inheritedWorkers: stored.meta.workers.length,
       longLeases: stored.meta.workers.filter(({ longLeaseTasks }) => longLeaseTasks !== undefined)
         .length,
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -7,7 +7,8 @@
   type VersionFloors,
 } from 'vanilladock/lib/queues/version-floors.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
-import type { PoolMeta, PoolStore } from './pool-store.js';
+import type { PoolStore } from './pool-store.js';
+import type { PoolMeta } from './stored-pool.js';
 
 /** Dependencies of a state writer. */
 export interface PoolStateWriterOptions {
--- a/packages/daemon/src/lib/jobs/wave-journal.ts
+++ b/packages/daemon/src/lib/jobs/wave-journal.ts
@@ -61,11 +61,13 @@
   const makeStepKey = (wave: number, instance: string) => `wave/${wave}/${instance}`;
   return {
     load: async () => {
-      const records = await writer.load();
-      records?.forEach(({ key, value }) => {
-        if (value !== undefined) apply(key, value);
+      // What an attempt that failed has read holds as well.
+      const isLoaded = await writer.load(() => (records) => {
+        records.forEach(({ key, value }) => {
+          if (value !== undefined) apply(key, value);
+        });
       });
-      return records !== undefined;
+      return isLoaded;
     },
     listSteps: getSteps,
     isCompleted: (wave) => completed.has(wave),
--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -34,7 +34,7 @@
   const lateMs = Math.round(at.nowMs - job.objectiveAtMs);
   report({ event: 'job-ended', job: jobId, phase, ageMs, lateMs });
   table.dropTasks(table.listJobTasks(jobId));
-  table.updateJob(jobId, { phase, finishedMs: at.nowMs });
+  table.updateJob(jobId, { phase, finishedMs: at.nowMs, endedAtMs: at.wallMs });
   dirtyJobs.add(jobId);
 }
 
--- a/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
+++ b/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
@@ -1,4 +1,7 @@
-/** Opens occurrences of repeating jobs when they are due, and drops jobs that ended long ago. */
+/**
+ * Opens occurrences of repeating jobs when they are due, and drops jobs that ended long
+ * ago.
+ */
 import type { TaskTable } from './task-table.js';
 
 /** Opens the occurrences that are due at the wall time `wallMs`. */
@@ -14,11 +17,18 @@
 }
 
 /**
- * Drops the jobs whose end is stored and more than `statusMs` ago at the monotonic time `nowMs`.
+ * Drops the jobs whose end is stored and more than `statusMs` ago at the monotonic time `nowMs`;
+ * returns their ids.
  */
-export function dropFinishedJobs(table: TaskTable, statusMs: number, nowMs: number): void {
-  table.jobs.forEach((job, id) => {
-    const isExpired = job.finishedMs !== undefined && nowMs - job.finishedMs > statusMs;
-    if (isExpired && job.storedPhase === job.phase) table.dropJob(id);
-  });
+export function dropFinishedJobs(
+  table: TaskTable,
+  statusMs: number,
+  nowMs: number,
+): readonly string[] {
+  const expired = [...table.jobs]
+    .filter(([, { finishedMs }]) => finishedMs !== undefined && nowMs - finishedMs > statusMs)
+    .filter(([, { storedPhase, phase }]) => storedPhase === phase)
+    .map(([id]) => id);
+  expired.forEach(table.dropJob);
+  return expired;
 }
--- a/packages/vanilladock/src/lib/jobs/make-job.ts
+++ b/packages/vanilladock/src/lib/jobs/make-job.ts
@@ -16,10 +16,12 @@
 /** Makes the job at a moment, without occurrences. */
 export function makeJob(record: JobRecord, origin: JobOrigin, { nowMs, wallMs }: Moment): Job {
   const ageMs = Math.max(0, wallMs - record.acceptedAtMs);
+  const { phase = 'active', endedAtMs } = origin.progress ?? {};
+  const endedAgoMs = Math.max(0, wallMs - (endedAtMs ?? wallMs));
   const arrivedMs = nowMs - ageMs;
   return {
     record,
-    phase: origin.progress?.phase ?? 'active',
+    phase,
     storedPhase: origin.storedPhase,
     hasStarted: (origin.progress?.done.size ?? 0) > 0,
     arrivedMs,
@@ -33,6 +35,7 @@
     failedWorkerIds: [],
     crashVersion: 0,
     storedCrashVersion: 0,
-    finishedMs: undefined,
+    finishedMs: phase === 'active' ? undefined : nowMs - endedAgoMs,
+    endedAtMs,
   };
 }
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -134,6 +134,8 @@
   };
   /** Plans starts, stops and queries, records them as sent, and opens due occurrences. */
   readonly plan: (at: Moment) => readonly PoolAction[];
+  /** Has the records of jobs removed from the store that are not in the table. */
+  readonly removeStored: (jobIds: readonly string[]) => void;
   /** Removes and returns what has to be stored now; undefined if there is nothing. */
   readonly takeStoreBatch: () => StoreBatch | undefined;
   /** Drops submissions that the store refused and requeues the other jobs of the batch. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -46,6 +46,9 @@
 /** Share of these cores that admission counts on, because moving workers takes time. */
 const REACHABLE_CORES_SHARE = 0.7;
 
+/** Jobs that ended long ago are dropped, and their records removed, this often. */
+const DROP_INTERVAL_MS = 1_000;
+
 const NO_TEAMS: TeamSources = {
   getDirectory: () => undefined,
   countPools: () => 1,
@@ -81,6 +84,7 @@
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
 
+  let nextDropMs = 0;
   const schedule = createPlanSchedule();
   const startPlanner = createStartPlanner({ context, tickets, meanWork, teams });
   /** Lists the workers that a plan looks at; on excluded ones, time alone makes a difference. */
@@ -97,7 +101,10 @@
     isolation.refresh(nowMs);
     openDueOccurrences(table, wallMs);
     if (exclusionLog.listExcluded().length > 0) refreshEjections(table, nowMs);
-    if (isFull) dropFinishedJobs(table, options.statusMs, nowMs);
+    if (isFull && nowMs >= nextDropMs) {
+      nextDropMs = nowMs + DROP_INTERVAL_MS;
+      storeQueue.addRemoved(dropFinishedJobs(table, options.statusMs, nowMs));
+    }
   };
   return {
     table,
@@ -105,7 +112,6 @@
     loadJob: (record, progress, at) => {
       const storedPhase = progress?.phase ?? 'active';
       const job = table.addJob(record, { progress, runBase: options.runBase, storedPhase }, at);
-      if (job.phase !== 'active') table.updateJob(record.spec.id, { finishedMs: at.nowMs });
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
@@ -272,6 +278,7 @@
       });
       return [...stops, ...actions];
     },
+    removeStored: storeQueue.addRemoved,
     takeStoreBatch: storeQueue.takeBatch,
     dropUnstored: storeQueue.dropUnstored,
     listLeaseHolders: incarnations.listLeaseHolders,
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -18,6 +18,8 @@
   /** Crashes under the runs of tasks, named as in `done`; absent in old records. */
   readonly crashes?: Readonly<Record<string, readonly StoredCrash[]>>;
   readonly occurrencesDone: readonly number[];
+  /** When the job ended, in ms since 1970; absent while it is active and in old records. */
+  readonly endedAtMs?: number | undefined;
 }
 
 /** Progress as decoded from the store; empty apart from the phase if the job has ended. */
@@ -31,6 +33,8 @@
   readonly crashes: ReadonlyMap<string, readonly CrashRecord[]>;
   /** Numbers of the finished occurrences. */
   readonly occurrencesDone: ReadonlySet<number>;
+  /** When the job ended, in ms since 1970; undefined while it is active and in old records. */
+  readonly endedAtMs?: number | undefined;
 }
 
 /** Makes the name of a task within its job, as `occurrence.step.index`. */
@@ -71,6 +75,7 @@
         }
       : {}),
     occurrencesDone: isActive ? [...job.finishedOccurrences] : [],
+    endedAtMs: job.endedAtMs,
   };
   return JSON.stringify(stored);
 }
@@ -89,5 +94,6 @@
       ]),
     ),
     occurrencesDone: new Set(stored.occurrencesDone),
+    endedAtMs: stored.endedAtMs,
   };
 }
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -157,8 +157,10 @@
   readonly crashVersion: number;
   /** Value of `crashVersion` up to which they are stored. */
   readonly storedCrashVersion: number;
-  /** When the job ended or its ended state was loaded; monotonic. Undefined while active. */
+  /** When the job ended; monotonic, may be negative for an inherited job. Undefined while active. */
   readonly finishedMs: number | undefined;
+  /** The same in milliseconds since 1970, for the store; undefined also in old records. */
+  readonly endedAtMs: number | undefined;
 }
 
 /**
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -1,4 +1,7 @@
-/** Queue of jobs whose record or current progress is not stored yet. */
+/**
+ * Queue of jobs whose record or current progress is not stored yet, and of those whose records are
+ * to be removed from the store.
+ */
 import type { KeyedRecord } from '../ports/keyed-store.js';
 import { encodeProgress } from './progress.js';
 import type { JobPhase, Task } from './state.js';
@@ -12,6 +15,8 @@
   readonly newJobs: readonly string[];
   /** All jobs in this batch, new ones included. */
   readonly jobIds: readonly string[];
+  /** Jobs whose records this batch removes or replaces. */
+  readonly removedJobs: readonly string[];
   /**
    * Marks the phases in this batch, and all ends applied before it, as stored; to be called once
    * the batch is stored.
@@ -23,6 +28,8 @@
 export interface StoreQueue {
   /** Adds a newly submitted job that is not stored yet. */
   readonly addNew: (jobId: string) => void;
+  /** Adds jobs that are no longer known; their records are removed from the store. */
+  readonly addRemoved: (jobIds: readonly string[]) => void;
   /**
    * Removes and returns everything that has to be stored now; undefined if there is nothing. The
    * caller reports the outcome by `handleStored` or `dropUnstored` before it takes the next batch.
@@ -32,6 +39,9 @@
   readonly dropUnstored: (batch: StoreBatch) => void;
 }
 
+/** Number of jobs that one batch removes, so that it stays far below the size the store takes. */
+const MAX_REMOVALS = 500;
+
 /** Makes the key of a job's record. Ids contain no colon, so the key is unambiguous. */
 export function makeJobKey(pool: string, jobId: string): string {
   return `${pool}:${jobId}`;
@@ -54,13 +64,28 @@
   dirtyJobs: Set<string>,
 ): StoreQueue {
   const newJobs = new Set<string>();
+  const removedJobs = new Set<string>();
+  /** Takes the ids of jobs to remove, and of new jobs that take the place of one. */
+  const takeRemoved = (): readonly string[] => {
+    const replaced = [...newJobs].filter((id) => removedJobs.has(id));
+    const others = [...removedJobs].slice(0, MAX_REMOVALS);
+    const taken = [...new Set([...replaced, ...others])];
+    taken.forEach((id) => removedJobs.delete(id));
+    return taken;
+  };
   return {
     addNew: (jobId) => {
       newJobs.add(jobId);
       dirtyJobs.add(jobId);
     },
+    addRemoved: (jobIds) => jobIds.forEach((id) => removedJobs.add(id)),
     takeBatch: () => {
-      if (dirtyJobs.size === 0) return undefined;
+      if (dirtyJobs.size === 0 && removedJobs.size === 0) return undefined;
+      const removed = takeRemoved();
+      // Before the records of a new job with the same id.
+      const removals = removed.flatMap((id) =>
+        [makeJobKey(pool, id), makeProgressKey(pool, id)].map((key) => ({ key, value: undefined })),
+      );
       const phases = new Map<string, JobPhase>();
       const crashVersions = new Map<string, number>();
       const batchJobs = [...newJobs];
@@ -84,9 +109,10 @@
       dirtyJobs.clear();
       newJobs.clear();
       return {
-        records,
+        records: [...removals, ...records],
         newJobs: batchJobs,
         jobIds: [...phases.keys()],
+        removedJobs: removed,
         handleStored: () => {
           phases.forEach((storedPhase, id) => {
             const storedCrashVersion = crashVersions.get(id) ?? 0;
@@ -97,6 +123,7 @@
       };
     },
     dropUnstored: (batch) => {
+      batch.removedJobs.forEach((id) => removedJobs.add(id));
       batch.newJobs.forEach((id) => {
         table.dropTasks(table.listJobTasks(id));
         table.dropJob(id);
--- a/packages/vanilladock/src/lib/ports/keyed-store.ts
+++ b/packages/vanilladock/src/lib/ports/keyed-store.ts
@@ -80,5 +80,12 @@
     fromOffset: number,
     waitMs: number,
   ) => Promise<ReadOutcome>;
-  readonly readNewest: (partition: PartitionName) => Promise<NewestOutcome>;
+  /**
+   * Reads the newest record of every key. With `handlePage`, hands over each page as it is read and
+   * returns no records; what was handed over is incomplete if the outcome is `unavailable`.
+   */
+  readonly readNewest: (
+    partition: PartitionName,
+    handlePage?: (records: readonly StoredKeyedRecord[]) => void,
+  ) => Promise<NewestOutcome>;
 }
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/removed-jobs.test.ts
@@ -0,0 +1,100 @@
+/** Records of jobs that ended long ago are removed from the store. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { KeyedRecord } from '../../lib/ports/keyed-store.js';
+import { createHarness, makeJob, POLICY, POOL, WALL_MS } from './planner-harness.js';
+
+/** How long the harness keeps the status of an ended job. */
+const STATUS_MS = 60_000;
+
+const test = suite('removed jobs');
+
+/** Applies records to what is stored, as the store of a keyed topic does. */
+const applyRecords = (stored: Map<string, string>, records: readonly KeyedRecord[]) =>
+  records.forEach(({ key, value }) => {
+    if (value === undefined) stored.delete(key);
+    else stored.set(key, value);
+  });
+
+/** Opens a planner whose job `a` was cancelled and stored at 10 ms. */
+const openCancelled = () => {
+  const harness = createHarness();
+  const stored = new Map<string, string>();
+  const writeBatch = () => {
+    const batch = harness.planner.takeStoreBatch();
+    applyRecords(stored, batch?.records ?? []);
+    batch?.handleStored();
+    return batch;
+  };
+  const submit = (id: string, nowMs: number) =>
+    harness.planner.submit(makeJob(id), POLICY, harness.at(nowMs));
+  submit('a', 1);
+  writeBatch();
+  harness.planner.cancel('a', harness.at(10));
+  writeBatch();
+  return { ...harness, stored, writeBatch, submit };
+};
+
+// Guards against a store that fills up, and a successor that runs out of memory.
+test('the records of a job are removed once its state is no longer given', () => {
+  const { planner, at, stored, writeBatch } = openCancelled();
+  assert.equal([...stored.keys()], [`${POOL}:a`, `${POOL}:a:p`]);
+  planner.plan(at(STATUS_MS));
+  assert.is(planner.getJobStatus('a'), 'cancelled');
+  assert.is(writeBatch(), undefined);
+  planner.plan(at(STATUS_MS + 1_100));
+  assert.is(planner.getJobStatus('a'), 'unknown');
+  writeBatch();
+  assert.equal([...stored.keys()], []);
+  assert.is(writeBatch(), undefined);
+});
+
+test('a removal that the store refuses is tried again', () => {
+  const { planner, at, stored, writeBatch } = openCancelled();
+  planner.plan(at(STATUS_MS + 1_100));
+  planner.dropUnstored(planner.takeStoreBatch()!);
+  assert.is(stored.size, 2);
+  writeBatch();
+  assert.is(stored.size, 0);
+});
+
+// Guards against a job that its next planner takes for ended, as that of before under its id.
+test('a new job under the id of a removed one keeps nothing of it', () => {
+  const { planner, at, stored, writeBatch, submit } = openCancelled();
+  planner.plan(at(STATUS_MS + 1_100));
+  submit('a', STATUS_MS + 1_200);
+  writeBatch();
+  assert.equal([...stored.keys()], [`${POOL}:a`]);
+});
+
+test('many removals are spread over several writes', () => {
+  const { planner, writeBatch } = openCancelled();
+  planner.removeStored(Array.from({ length: 1_200 }, (_, index) => `old${index}`));
+  assert.equal(
+    [writeBatch(), writeBatch(), writeBatch(), writeBatch()].map((batch) => batch?.records.length),
+    [1_000, 1_000, 400, undefined],
+  );
+});
+
+test('a successor goes on to count the time since the end of a job', () => {
+  const { stored } = openCancelled();
+  const text = stored.get(`${POOL}:a:p`)!;
+  assert.is((JSON.parse(text) as { readonly endedAtMs: number }).endedAtMs, WALL_MS + 10);
+  const successor = createHarness({ runBase: 100 });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  const progress = {
+    phase: 'cancelled' as const,
+    done: new Set<string>(),
+    failedRuns: new Map(),
+    crashes: new Map(),
+    occurrencesDone: new Set<number>(),
+    endedAtMs: WALL_MS - STATUS_MS / 2,
+  };
+  successor.planner.loadJob(record, progress, successor.at(0));
+  successor.planner.plan(successor.at(STATUS_MS / 2 - 100));
+  assert.is(successor.planner.getJobStatus('a'), 'cancelled');
+  successor.planner.plan(successor.at(STATUS_MS / 2 + 1_100));
+  assert.is(successor.planner.getJobStatus('a'), 'unknown');
+});
+
+test.run();
