Ask known former pools also while a version is not recorded, and allow for late answers

Found by reading the whole change. An instance that had a new version, and could not record it yet, asked the new pool of a moved queue alone and answered 503 for jobs that it could have found in the former one. An error while recording would have ended the process; it is logged (queues-failed) and the next version tries again. The answer to a start may be older than a report that is applied before it by a long poll, when the process was paused: up to 1.5 s are not taken for a clock that went back, which would have kept the worker from new tasks for 6 s.

The tests of the gateway, directory and leases and both machines pass.

--- a/packages/daemon/src/lib/jobs/queue-directory.ts
+++ b/packages/daemon/src/lib/jobs/queue-directory.ts
@@ -16,6 +16,7 @@
   type QueueHome,
   type QueueHomes,
 } from 'vanilladock/lib/queues/queue-homes.js';
+import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 
@@ -45,15 +46,10 @@
     pool: string,
     version: number,
   ) => QueuePlacement | undefined;
-  /**
-   * Lists the other pools that may have jobs of a queue; undefined if a version is not recorded yet,
-   * so that there may be more.
-   */
-  readonly findFormerPools: (
-    queue: string,
-    pool: string,
-    version: number,
-  ) => readonly string[] | undefined;
+  /** Lists the other pools that may have jobs of a queue, as far as that is known. */
+  readonly listFormerPools: (queue: string, pool: string) => readonly string[];
+  /** Says whether a version is recorded, so that all pools are known that its queues were sent to. */
+  readonly hasRecorded: (version: number) => boolean;
   /** Lists the queues that may have jobs in a pool and are sent elsewhere, or nowhere, now. */
   readonly listLeftQueues: (pool: string) => readonly string[];
   /** Version that is recorded and in use; -1 before the first. */
@@ -173,26 +169,32 @@
     if (isRecording) return;
     isRecording = true;
     let triedVersion = version;
-    while (!isStopped && (config.value?.version ?? -1) > triedVersion) {
-      const wanted = config.value;
-      if (wanted === undefined) break;
-      if (version >= 0) await waitMs(Math.random() * SPREAD_MS);
-      if (await recordVersion(wanted)) triedVersion = wanted.version;
-      else await waitMs(RETRY_MS);
+    try {
+      while (!isStopped && (config.value?.version ?? -1) > triedVersion) {
+        const wanted = config.value;
+        if (wanted === undefined) break;
+        if (version >= 0) await waitMs(Math.random() * SPREAD_MS);
+        if (await recordVersion(wanted)) triedVersion = wanted.version;
+        else await waitMs(RETRY_MS);
+      }
+    } finally {
+      isRecording = false;
     }
-    isRecording = false;
   };
+  const guard = createErrorGuard((where, error) =>
+    log.error({ event: 'queues-failed', where, ...makeErrorFields(error) }),
+  );
   const listOthers = (queue: string, pool: string) =>
     listPools(recorded, queue).filter((other) => other !== pool);
-  const subscription = config.subscribe(() => void recordNewest());
+  const subscription = config.subscribe(() => guard.watch('record', recordNewest()));
   return {
     findPlacement: (queue, pool, wanted) =>
       // A queue that both versions send to the pool goes on under the recorded one.
       version <= wanted && targets.get(queue) === pool
         ? { version, formerPools: listOthers(queue, pool) }
         : undefined,
-    findFormerPools: (queue, pool, wanted) =>
-      version >= wanted ? listOthers(queue, pool) : undefined,
+    listFormerPools: listOthers,
+    hasRecorded: (wanted) => version >= wanted,
     listLeftQueues: (pool) =>
       [...recorded.homes.values()]
         .filter(
--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -18,7 +18,7 @@
 /** Dependencies of the gateway. */
 export interface QueueGatewayOptions {
   readonly gateway: Pick<JobGateway, 'answer'>;
-  readonly directory: Pick<QueueDirectory, 'findPlacement' | 'findFormerPools'>;
+  readonly directory: Pick<QueueDirectory, 'findPlacement' | 'listFormerPools' | 'hasRecorded'>;
 }
 
 /** Gateway for the requests of callers. */
@@ -116,13 +116,11 @@
   };
   const queryAll = (
     request: Exclude<QueueRequest, { readonly kind: 'submit' }>,
-    { queue, version }: QueueOrigin,
+    queue: string,
     answerByMs: number,
-  ) => {
-    const formerPools = directory.findFormerPools(queue, request.pool, version);
-    const pools = [request.pool, ...(formerPools ?? [])];
-    const replies = pools.map((pool) => gateway.answer({ ...request, pool }, answerByMs));
-    return { replies, isComplete: formerPools !== undefined };
+  ): readonly Promise<JobReply>[] => {
+    const pools = [request.pool, ...directory.listFormerPools(queue, request.pool)];
+    return pools.map((pool) => gateway.answer({ ...request, pool }, answerByMs));
   };
   return {
     answer: async (request, origin, answerByMs = Infinity) => {
@@ -131,15 +129,13 @@
           return submit(request, origin, answerByMs);
         case 'status':
         case 'cancel': {
-          const { replies, isComplete } = queryAll(request, origin, answerByMs);
-          const reply = await chooseReply(replies);
+          const reply = await chooseReply(queryAll(request, origin.queue, answerByMs));
           // There may be a pool that this instance does not know of yet.
-          return reply.kind === 'no-such-job' && !isComplete
-            ? makeUnavailable('queue-unrecorded')
-            : reply;
+          const isOpen = reply.kind === 'no-such-job' && !directory.hasRecorded(origin.version);
+          return isOpen ? makeUnavailable('queue-unrecorded') : reply;
         }
         case 'pending':
-          return sumPending(await Promise.all(queryAll(request, origin, answerByMs).replies));
+          return sumPending(await Promise.all(queryAll(request, origin.queue, answerByMs)));
         default:
           return request satisfies never;
       }
--- a/packages/vanilladock/src/lib/jobs/lease-clock.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-clock.ts
@@ -20,8 +20,11 @@
  */
 export const LEASE_MARGIN_MS = 100;
 
-/** Longest time in milliseconds by which the answer to an order is older than a report. */
-const MAX_OVERTAKING_MS = 500;
+/**
+ * Longest time in milliseconds by which the answer to an order is older than a report that is applied
+ * before it: the time of a long poll and of an order.
+ */
+const MAX_OVERTAKING_MS = 1_500;
 
 /**
  * Estimates the worker's clock in milliseconds at `nowMs` on the planner's monotonic clock,
@@ -67,8 +70,8 @@
 
 /**
  * Says whether an answer that gives the worker's clock as `clockMs` is of a later incarnation than
- * the one whose clock is known: clocks never go back, and answers overtake reports by less than the
- * time limit of an order.
+ * the one whose clock is known: clocks never go back, but for answers and reports that overtake
+ * each other.
  */
 export function hasClockRestarted(clock: WorkerClock, clockMs: number): boolean {
   return clockMs < clock.workerMs - MAX_OVERTAKING_MS;
