Compare the stored lease holders without making records of them

It is compared in place now, and a start that is answered changes its worker once, not twice. The tests of jobs, of the state writer and both machines pass.

--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -1,5 +1,5 @@
 /** Writes the state of a pool's planner to the store; each write has everything that is due. */
-import { isCovered } from 'vanilladock/lib/jobs/lease-holder.js';
+import { isCovered, type LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
 import {
   addFloor,
   getFloor,
@@ -62,30 +62,36 @@
   const { store, getPlanner, schedulePlan, handleLost } = options;
   const waiters: ((isStored: boolean) => void)[] = [];
   let meta: PoolMeta = { generation: 0, workers: [] };
+  /** Its possible lease holders, by id. */
+  let holders: ReadonlyMap<string, LeaseHolder> = new Map();
   let floors: VersionFloors = NO_FLOORS;
   let isWriting = false;
   let writingSinceMs: number | undefined;
   let isStopped = false;
 
+  const setMeta = (stored: PoolMeta) => {
+    meta = stored;
+    holders = new Map(stored.workers.map((holder) => [holder.id, holder]));
+  };
   const recordMeta = async () => {
     const planner = getPlanner();
     if (planner === undefined) return;
     const nowMs = performance.now();
+    const isSettled = planner.isSettled(nowMs);
+    const isOtherwiseSame = floors === (meta.floors ?? NO_FLOORS) && isSettled === meta.isSettled;
+    if (isOtherwiseSame && planner.hasStoredHolders(holders, nowMs)) return;
     const workers = planner.listLeaseHolders(nowMs);
     const ids = workers.map(({ id }) => id);
-    const recorded = new Map(meta.workers.map((holder) => [holder.id, holder]));
-    planner.markWorkersRecorded(ids.filter((id) => recorded.has(id)));
-    const isSettled = planner.isSettled(nowMs);
+    planner.markWorkersRecorded(ids.filter((id) => holders.has(id)));
     const isSame =
-      workers.length === recorded.size &&
-      workers.every((holder) => isCovered(holder, recorded.get(holder.id)));
-    const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
-    if (isSame && hasSameFloors && isSettled === meta.isSettled) return;
+      workers.length === holders.size &&
+      workers.every((holder) => isCovered(holder, holders.get(holder.id)));
+    if (isSame && isOtherwiseSame) return;
     const stated = floors === NO_FLOORS ? {} : { floors };
     const updated = { ...meta, workers, isSettled, ...stated };
     const outcome = await store.write([store.encodeMeta(updated)]);
     if (outcome !== 'stored') return;
-    meta = updated;
+    setMeta(updated);
     planner.markWorkersRecorded(ids);
     schedulePlan();
   };
@@ -146,7 +152,7 @@
     });
   return {
     setMeta: (loaded) => {
-      meta = loaded;
+      setMeta(loaded);
       floors = loaded.floors ?? NO_FLOORS;
     },
     writeDirty,
--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -19,6 +19,7 @@
         ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
         : undefined,
     isSettled: () => true,
+    hasStoredHolders: () => false,
     listLeaseHolders: () =>
       (writes < NEW_WORKER_AT ? ['w1'] : ['w1', 'w2']).map((id) => ({ id, bornMs: 1 })),
     markWorkersRecorded: (ids: readonly string[]) =>
--- a/packages/vanilladock/src/lib/jobs/lease-holder.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-holder.ts
@@ -35,25 +35,35 @@
   return { id, bornMs, longLeaseTasks: [...worker.tasks, ...worker.orphanedRuns.keys()] };
 }
 
+/** What a planner knows of its possible lease holders. */
+export interface LeaseHolderSources {
+  readonly workers: ReadonlyMap<string, Worker>;
+  /** Says whether a worker has seemed to have ended and is only called again. */
+  readonly hasSeemedEnded: (worker: Worker) => boolean;
+  /** Workers that may still hold a lease of an earlier planner, as that one recorded them. */
+  readonly unreported: readonly LeaseHolder[];
+}
+
 /**
- * Lists the workers that may hold a lease of this planner now or soon, and those that may still hold
- * one of an earlier planner, as that one recorded them. A worker without starts that seems to have
- * ended and is only called again holds none before it has reported.
+ * Says whether a worker may hold a lease of this planner now or soon. One without starts that seems
+ * to have ended holds none before it has reported.
  */
+function isPossibleHolder(worker: Worker, { hasSeemedEnded }: LeaseHolderSources): boolean {
+  const { clock, isListed, tasks } = worker;
+  return clock !== undefined || tasks.size > 0 || (isListed && !hasSeemedEnded(worker));
+}
+
+/** Lists the possible lease holders at the monotonic time `nowMs`. */
 export function listLeaseHolders(
-  workers: readonly Worker[],
-  hasSeemedEnded: (worker: Worker) => boolean,
-  unreported: readonly LeaseHolder[],
+  sources: LeaseHolderSources,
   nowMs: number,
 ): readonly LeaseHolder[] {
-  const present = workers
-    .filter((worker) => {
-      const { clock, isListed, tasks } = worker;
-      return clock !== undefined || tasks.size > 0 || (isListed && !hasSeemedEnded(worker));
-    })
-    .map((worker) => makeLeaseHolder(worker, nowMs));
-  const holders = [...present, ...unreported];
-  return [...new Map(holders.map((holder) => [holder.id, holder])).values()];
+  const holders = new Map<string, LeaseHolder>();
+  sources.workers.forEach((worker, id) => {
+    if (isPossibleHolder(worker, sources)) holders.set(id, makeLeaseHolder(worker, nowMs));
+  });
+  sources.unreported.forEach((holder) => holders.set(holder.id, holder));
+  return [...holders.values()];
 }
 
 /** Says whether a stored record tells a successor all that the present one would. */
@@ -65,3 +75,29 @@
   }
   return present.longLeaseTasks.every((key) => longLeaseTasks.includes(key));
 }
+
+/**
+ * Says whether the stored records, by id, tell a successor all that the present ones would, and every
+ * worker is marked as recorded. Load pattern: it is asked before each write to the store, and hardly
+ * ever has anything changed, so it makes no records to compare.
+ */
+export function hasStoredHolders(
+  sources: LeaseHolderSources,
+  stored: ReadonlyMap<string, LeaseHolder>,
+  nowMs: number,
+): boolean {
+  let count = sources.unreported.length;
+  for (const holder of sources.unreported) {
+    if (stored.get(holder.id) !== holder) return false;
+  }
+  for (const worker of sources.workers.values()) {
+    if (isPossibleHolder(worker, sources)) {
+      const { id, bornMs } = worker.entry;
+      const holder = stored.get(id);
+      const isShort = holder?.bornMs === bornMs && holder.longLeaseTasks === undefined;
+      if (!isShort || !worker.isRecorded || hasLongLease(worker, nowMs)) return false;
+      count += 1;
+    }
+  }
+  return count === stored.size;
+}
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -51,10 +51,13 @@
 ): void {
   const worker = table.workers.get(workerId);
   if (worker === undefined || outcome.kind === 'unknown') return;
-  table.updateWorker(workerId, { lastLeaseCallMs: nowMs });
   const { clock, leaseUntilMs } = worker;
-  if (outcome.kind !== 'accepted' || clock === undefined) return;
-  if (!hasClockRestarted(clock, outcome.clockMs)) return;
+  const isAccepted = outcome.kind === 'accepted';
+  table.updateWorker(workerId, {
+    lastLeaseCallMs: nowMs,
+    ...(isAccepted ? { startPauses: 0 } : {}),
+  });
+  if (!isAccepted || clock === undefined || !hasClockRestarted(clock, outcome.clockMs)) return;
   const expectedMs = Math.round(estimateWorkerMs(clock, nowMs));
   table.updateWorker(workerId, {
     leaseUntilMs: Math.max(leaseUntilMs, expectedMs + MAX_LEASE_MS),
@@ -97,7 +100,6 @@
       const confirmedMs = state.confirmedMs ?? at.nowMs;
       const phase = state.phase === 'starting' ? 'running' : state.phase;
       table.moveTask(task, { ...state, phase, confirmedMs, lastProgressMs: at.nowMs });
-      table.updateWorker(action.worker.id, { startPauses: 0 });
       return;
     }
     case 'rejected':
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -282,6 +282,7 @@
     takeStoreBatch: storeQueue.takeBatch,
     dropUnstored: storeQueue.dropUnstored,
     listLeaseHolders: incarnations.listLeaseHolders,
+    hasStoredHolders: incarnations.hasStoredHolders,
     markWorkersRecorded: (ids) =>
       ids
         .filter((id) => table.workers.get(id)?.isRecorded === false)
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -5,7 +5,7 @@
 import { createEndedIncarnations } from './ended-incarnations.js';
 import type { Inheritance } from './inheritance.js';
 import { CLOCK_DRIFT, hasLeaseExpired, MAX_LEASE_MS } from './lease-clock.js';
-import { listLeaseHolders, type LeaseHolder } from './lease-holder.js';
+import { hasStoredHolders, listLeaseHolders, type LeaseHolder } from './lease-holder.js';
 import type { TimedReport } from './observe-report.js';
 import type { PoolContext } from './pool-context.js';
 import type { IncarnationEndCause } from './run-release.js';
@@ -66,6 +66,8 @@
    * may still hold one of an earlier planner, as it recorded them.
    */
   readonly listLeaseHolders: (nowMs: number) => readonly LeaseHolder[];
+  /** As `hasStoredHolders` of the lease holders. */
+  readonly hasStoredHolders: (stored: ReadonlyMap<string, LeaseHolder>, nowMs: number) => boolean;
 }
 
 /** How long an evacuation order remains in effect after it was last given. */
@@ -212,6 +214,12 @@
     missingEntries.forEach((entry) => observeEntry(entry, at));
     missingEntries = undefined;
   };
+  const hasSeemedEnded = ({ entry }: Worker) => ended.hasSeemedEnded(entry);
+  const makeHolderSources = () => ({
+    workers: table.workers,
+    hasSeemedEnded,
+    unreported: inheritance.listUnreported(),
+  });
   return {
     observeEntries: (entries, at) => {
       const { nowMs } = at;
@@ -285,10 +293,7 @@
     },
     releaseUnresponsive,
     countEnded: ended.countUnresponsive,
-    listLeaseHolders: (nowMs) => {
-      const workers = [...table.workers.values()];
-      const hasSeemedEnded = ({ entry }: Worker) => ended.hasSeemedEnded(entry);
-      return listLeaseHolders(workers, hasSeemedEnded, inheritance.listUnreported(), nowMs);
-    },
+    listLeaseHolders: (nowMs) => listLeaseHolders(makeHolderSources(), nowMs),
+    hasStoredHolders: (stored, nowMs) => hasStoredHolders(makeHolderSources(), stored, nowMs),
   };
 }
