Compare lease holders in one place, and keep one guard that logs

The state writer compared the stored lease holders twice, by two functions that had to agree: once in place and once by records made anew. It is done in one function now, which makes records only of workers with long leases; workers are marked from what is stored. The directory of queues and the instance had the same guard against errors, written out in both; so had two openers in the test of the queue gateway. The fake planner of the state writer's test answers the one comparison by the same condition as its list, so that its check is as strict as before.

--- a/packages/daemon/src/lib/error-guard.ts
+++ b/packages/daemon/src/lib/error-guard.ts
@@ -2,6 +2,7 @@
  * Hands errors of callbacks and of promises that nobody waits for to one handler, so that they do
  * not end the process. For errors that should not occur; expected ones are values.
  */
+import type { JsonLog } from './json-log.js';
 
 /** Guard of one part of the process. */
 export interface ErrorGuard {
@@ -30,6 +31,11 @@
   return { reason: String(error), stack };
 }
 
+/** Creates a guard that logs errors as an event, and does nothing else about them. */
+export function createLoggingGuard(log: Pick<JsonLog, 'error'>, event: string): ErrorGuard {
+  return createErrorGuard((where, error) => log.error({ event, where, ...makeErrorFields(error) }));
+}
+
 /** Creates a guard; `handleError` is called with what failed. */
 export function createErrorGuard(handleError: (where: string, error: unknown) => void): ErrorGuard {
   return {
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -3,7 +3,7 @@
  * pools whose duties it holds, and answers requests about jobs for all pools.
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
-import { createErrorGuard, makeErrorFields } from '../error-guard.js';
+import { createLoggingGuard } from '../error-guard.js';
 import { closeServer } from '../servers.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
 import {
@@ -134,9 +134,7 @@
       await directory.removePool(closed, pool);
     }
   };
-  const guard = createErrorGuard((where, error) =>
-    log.error({ event: 'queues-failed', where, ...makeErrorFields(error) }),
-  );
+  const guard = createLoggingGuard(log, 'queues-failed');
   const dropTimer = setInterval(
     () => guard.watch('left-queues', dropLeftQueues()),
     LEFT_QUEUES_INTERVAL_MS,
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -1,5 +1,5 @@
 /** Writes the state of a pool's planner to the store; each write has everything that is due. */
-import { isCovered, type LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
+import type { LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
 import {
   addFloor,
   getFloor,
@@ -64,6 +64,7 @@
   let meta: PoolMeta = { generation: 0, workers: [] };
   /** Its possible lease holders, by id. */
   let holders: ReadonlyMap<string, LeaseHolder> = new Map();
+  let holderIds: readonly string[] = [];
   let floors: VersionFloors = NO_FLOORS;
   let isWriting = false;
   let writingSinceMs: number | undefined;
@@ -72,27 +73,24 @@
   const setMeta = (stored: PoolMeta) => {
     meta = stored;
     holders = new Map(stored.workers.map((holder) => [holder.id, holder]));
+    holderIds = [...holders.keys()];
   };
   const recordMeta = async () => {
     const planner = getPlanner();
     if (planner === undefined) return;
     const nowMs = performance.now();
     const isSettled = planner.isSettled(nowMs);
-    const isOtherwiseSame = floors === (meta.floors ?? NO_FLOORS) && isSettled === meta.isSettled;
-    if (isOtherwiseSame && planner.hasStoredHolders(holders, nowMs)) return;
+    planner.markWorkersRecorded(holderIds);
+    const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
+    const hasSameHolders = planner.hasStoredHolders(holders, nowMs);
+    if (hasSameHolders && hasSameFloors && isSettled === meta.isSettled) return;
     const workers = planner.listLeaseHolders(nowMs);
-    const ids = workers.map(({ id }) => id);
-    planner.markWorkersRecorded(ids.filter((id) => holders.has(id)));
-    const isSame =
-      workers.length === holders.size &&
-      workers.every((holder) => isCovered(holder, holders.get(holder.id)));
-    if (isSame && isOtherwiseSame) return;
     const stated = floors === NO_FLOORS ? {} : { floors };
     const updated = { ...meta, workers, isSettled, ...stated };
     const outcome = await store.write([store.encodeMeta(updated)]);
     if (outcome !== 'stored') return;
     setMeta(updated);
-    planner.markWorkersRecorded(ids);
+    planner.markWorkersRecorded(holderIds);
     schedulePlan();
   };
   const writeOnce = async (): Promise<'stored' | 'idle' | 'failed'> => {
--- a/packages/daemon/src/lib/jobs/queue-directory.ts
+++ b/packages/daemon/src/lib/jobs/queue-directory.ts
@@ -16,7 +16,7 @@
   type QueueHome,
   type QueueHomes,
 } from 'vanilladock/lib/queues/queue-homes.js';
-import { createErrorGuard, makeErrorFields } from '../error-guard.js';
+import { createLoggingGuard } from '../error-guard.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 
@@ -181,9 +181,7 @@
       isRecording = false;
     }
   };
-  const guard = createErrorGuard((where, error) =>
-    log.error({ event: 'queues-failed', where, ...makeErrorFields(error) }),
-  );
+  const guard = createLoggingGuard(log, 'queues-failed');
   const listOthers = (queue: string, pool: string) =>
     listPools(recorded, queue).filter((other) => other !== pool);
   const subscription = config.subscribe(() => guard.watch('record', recordNewest()));
--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -19,7 +19,8 @@
         ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
         : undefined,
     isSettled: () => true,
-    hasStoredHolders: () => false,
+    hasStoredHolders: (stored: ReadonlyMap<string, unknown>) =>
+      stored.size === (writes < NEW_WORKER_AT ? 1 : 2),
     listLeaseHolders: () =>
       (writes < NEW_WORKER_AT ? ['w1'] : ['w1', 'w2']).map((id) => ({ id, bornMs: 1 })),
     markWorkersRecorded: (ids: readonly string[]) =>
--- a/packages/daemon/src/test/queue-gateway.test.ts
+++ b/packages/daemon/src/test/queue-gateway.test.ts
@@ -22,8 +22,9 @@
 const openGateway = (
   replies: Readonly<Record<string, JobReply>>,
   formerPools: readonly string[] = ['stalls'],
-  placedVersion = 8,
+  placedVersion: number | 'unrecorded' = 8,
 ) => {
+  const isRecorded = placedVersion !== 'unrecorded';
   const asked: JobRequest[] = [];
   const gateway = createQueueGateway({
     gateway: {
@@ -33,9 +34,9 @@
       },
     },
     directory: {
-      findPlacement: () => ({ version: placedVersion, formerPools }),
+      findPlacement: () => (isRecorded ? { version: placedVersion, formerPools } : undefined),
       listFormerPools: () => formerPools,
-      hasRecorded: () => true,
+      hasRecorded: () => isRecorded,
     },
   });
   const answer = (request: QueueRequest) => gateway.answer(request, ORIGIN);
@@ -43,23 +44,8 @@
 };
 
 /** Opens a gateway that may not know yet of all pools that the queue was sent to. */
-const openUnrecorded = (replies: Readonly<Record<string, JobReply>> = {}) => {
-  const asked: JobRequest[] = [];
-  const gateway = createQueueGateway({
-    gateway: {
-      answer: (request) => {
-        asked.push(request);
-        return Promise.resolve(replies[`${request.pool} ${request.kind}`] ?? UNKNOWN_JOB);
-      },
-    },
-    directory: {
-      findPlacement: () => undefined,
-      listFormerPools: () => ['stalls'],
-      hasRecorded: () => false,
-    },
-  });
-  return { answer: (request: QueueRequest) => gateway.answer(request, ORIGIN), asked };
-};
+const openUnrecorded = (replies: Readonly<Record<string, JobReply>> = {}) =>
+  openGateway(replies, ['stalls'], 'unrecorded');
 
 // Guards against a job that is lost to its caller, as its queue is sent to another pool now.
 test('a job is found in a former pool of its queue, and cancelled there', async () => {
--- a/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
+++ b/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
@@ -1,7 +1,4 @@
-/**
- * Opens occurrences of repeating jobs when they are due, and drops jobs that ended long
- * ago.
- */
+/** Opens occurrences of repeating jobs when they are due, and drops jobs that have ended. */
 import type { TaskTable } from './task-table.js';
 
 /** Opens the occurrences that are due at the wall time `wallMs`. */
--- a/packages/vanilladock/src/lib/jobs/lease-holder.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-holder.ts
@@ -77,25 +77,27 @@
 }
 
 /**
- * Says whether the stored records, by id, tell a successor all that the present ones would, and every
- * worker is marked as recorded. Load pattern: it is asked before each write to the store, and hardly
- * ever has anything changed, so it makes no records to compare.
+ * Says whether the stored records, by id, tell a successor all that the present ones would. Load
+ * pattern: it is asked before each write to the store, and hardly ever has anything changed, so it
+ * makes records to compare only of workers with long leases.
  */
 export function hasStoredHolders(
   sources: LeaseHolderSources,
   stored: ReadonlyMap<string, LeaseHolder>,
   nowMs: number,
 ): boolean {
-  let count = sources.unreported.length;
-  for (const holder of sources.unreported) {
-    if (stored.get(holder.id) !== holder) return false;
-  }
-  for (const worker of sources.workers.values()) {
-    if (isPossibleHolder(worker, sources)) {
-      const { id, bornMs } = worker.entry;
+  const { workers, unreported } = sources;
+  let count = unreported.length;
+  if (!unreported.every((holder) => isCovered(holder, stored.get(holder.id)))) return false;
+  const unreportedIds = new Set(unreported.map(({ id }) => id));
+  for (const worker of workers.values()) {
+    const { id, bornMs } = worker.entry;
+    if (!unreportedIds.has(id) && isPossibleHolder(worker, sources)) {
       const holder = stored.get(id);
-      const isShort = holder?.bornMs === bornMs && holder.longLeaseTasks === undefined;
-      if (!isShort || !worker.isRecorded || hasLongLease(worker, nowMs)) return false;
+      const isSame = hasLongLease(worker, nowMs)
+        ? isCovered(makeLeaseHolder(worker, nowMs), holder)
+        : holder?.bornMs === bornMs && holder.longLeaseTasks === undefined;
+      if (!isSame) return false;
       count += 1;
     }
   }
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -145,10 +145,7 @@
    * ones, for the next planner.
    */
   readonly listLeaseHolders: (nowMs: number) => readonly LeaseHolder[];
-  /**
-   * Says whether these records, by worker id, are as good as those that would be listed now, and all
-   * their workers are marked as recorded.
-   */
+  /** Says whether these records, by worker id, are as good as those that would be listed now. */
   readonly hasStoredHolders: (stored: ReadonlyMap<string, LeaseHolder>, nowMs: number) => boolean;
   /** Records that workers are stored as possible lease holders; until then they get no tasks. */
   readonly markWorkersRecorded: (ids: readonly string[]) => void;
