Log where and when the call came from that submitted or cancelled a job

The instance that receives a call now stamps it (instance, time), and the planner logs both beside its decision, job-admitted, job-refused and the new line job-cancel.

Checked: 217 tests of jobs, runners, gateways, peers and names pass, among them a new one that fails before, as there is no job-cancel and no from.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -42,7 +42,7 @@
   request: Extract<JobRequest, { kind: 'submit' }>,
 ): Promise<JobReply> {
   const { planner } = context;
-  const { origin, team, spec, policy } = request;
+  const { origin, team, spec, policy, receipt } = request;
   const { id } = spec;
   if (isForeign(context, id, team)) return { kind: 'foreign-job' };
   const isKnown = planner.table.jobs.has(id);
@@ -54,7 +54,8 @@
     const retryAfterMs = RETRY_AFTER_MS + Math.random() * STORE_RETRY_SPREAD_MS;
     return { kind: 'refused', cause: 'store', why: 'store-away', retryAfterMs };
   }
-  const admission = planner.submit(spec, policy, readMoment(), { team, queue: origin?.queue });
+  const source = { team, queue: origin?.queue, receipt };
+  const admission = planner.submit(spec, policy, readMoment(), source);
   if (admission !== 'known' && admission.kind === 'refused') {
     const { why, retryAfterMs } = admission;
     return { kind: 'refused', cause: 'queue', why, retryAfterMs };
@@ -92,9 +93,12 @@
 }
 
 /** Cancels a job; the reply is `cancelled` only once that is stored. */
-async function cancelJob(context: AnswerContext, jobId: string): Promise<JobReply> {
+async function cancelJob(
+  context: AnswerContext,
+  { jobId, receipt }: Extract<JobRequest, { kind: 'cancel' }>,
+): Promise<JobReply> {
   const { planner, waitStored, isStopped, schedulePlan } = context;
-  const answer = planner.cancel(jobId, readMoment());
+  const answer = planner.cancel(jobId, readMoment(), { receipt });
   if (answer === 'unknown') return { kind: 'no-such-job' };
 
   if (answer === 'ended' && planner.isStored(jobId)) return { kind: 'cancelled' };
@@ -122,7 +126,7 @@
       return answerLookup(context, request);
     case 'cancel':
       if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
-      return cancelJob(context, request.jobId);
+      return cancelJob(context, request);
     case 'status': {
       if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
       const state = planner.getJobStatus(request.jobId);
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -91,6 +91,11 @@
     const redirected = await sendRequest(reply.holder, request, answerByMs);
     return redirected.kind === 'elsewhere' ? refuse('no-planner') : redirected;
   };
+  /** Adds when this instance received a change from its caller. */
+  const addReceipt = (request: JobRequest): JobRequest =>
+    request.kind === 'submit' || request.kind === 'cancel'
+      ? { ...request, receipt: { instance: selfId, receivedAtMs: Date.now() } }
+      : request;
   /** Logs a request that took more than one attempt. */
   const logRetries = (request: JobRequest, reply: JobReply, attempts: number, ageMs: number) => {
     if (attempts === 1) return;
@@ -107,7 +112,8 @@
       why: 'why' in reply ? reply.why : undefined,
     });
   };
-  const answer = async (request: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
+  const answer = async (received: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
+    const request = addReceipt(received);
     const { kind } = request;
     const isChange = kind === 'submit' || kind === 'cancel';
     const startedMs = performance.now();
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -3,6 +3,7 @@
 import type { PoolDemand } from 'vanilladock/lib/lending/plan-lending.js';
 import type { PoolReport } from 'vanilladock/lib/teams/allotment-ledger.js';
 import type { AllotMessage } from 'vanilladock/lib/teams/team-budget.js';
+import type { CallReceipt } from 'vanilladock/lib/jobs/call-receipt.js';
 import type { JobPolicy, JobSpec } from 'vanilladock/lib/jobs/spec.js';
 
 /** Delay in milliseconds after which a request that could not be served is worth retrying. */
@@ -26,6 +27,8 @@
       readonly team?: string | undefined;
       /** Queue that the job is submitted to; undefined if the pool is not one of several. */
       readonly origin?: QueueOrigin | undefined;
+      /** For the log; undefined if it was not received by an instance of this version. */
+      readonly receipt?: CallReceipt | undefined;
     }
   /**
    * Queries whether the pool has a job of a queue that is sent to another pool now; if not, the pool
@@ -53,6 +56,8 @@
       readonly jobId: string;
       /** As for `submit`. */
       readonly team?: string | undefined;
+      /** As for `submit`. */
+      readonly receipt?: CallReceipt | undefined;
     }
   /** Queries how many jobs of a queue, or of a route where queues are not known, are pending. */
   | {
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -62,6 +62,7 @@
 const pool = z.string().min(1);
 const workerId = z.string().min(1);
 const team = z.string().optional();
+const receipt = z.object({ instance: z.string(), receivedAtMs: z.number() }).optional();
 const jobSchema = z.object({ pool, jobId: z.string().min(1), team });
 
 const requestSchema = z.discriminatedUnion('kind', [
@@ -72,10 +73,11 @@
     policy: policySchema,
     team,
     origin: z.object({ queue: z.string(), version: z.number() }).optional(),
+    receipt,
   }),
   jobSchema.extend({ kind: z.literal('lookup'), queue: z.string(), version: z.number() }),
   jobSchema.extend({ kind: z.literal('status') }),
-  jobSchema.extend({ kind: z.literal('cancel') }),
+  jobSchema.extend({ kind: z.literal('cancel'), receipt }),
   z.object({
     kind: z.literal('pending'),
     pool,
--- a/packages/daemon/src/test/peer-calls.test.ts
+++ b/packages/daemon/src/test/peer-calls.test.ts
@@ -86,6 +86,8 @@
   closePeer(server);
 });
 
+const RECEIPT = { instance: 'b~1', receivedAtMs: 1 };
+
 test('every kind of request that this instance sends is a message of a peer', () => {
   const size = { cores: 1, memoryMb: 1, accelerators: 0 };
   const share = { allotment: size, limit: size, otherJobsPerSecond: 1 };
@@ -94,7 +96,8 @@
     REQUEST,
     { kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY, team: 'crew' },
     { kind: 'submit', pool: POOL, spec: SPEC, policy: { ...POLICY, advice: ADVICE } },
-    { kind: 'cancel', pool: POOL, jobId: 'a', team: undefined },
+    { kind: 'cancel', pool: POOL, jobId: 'a', team: undefined, receipt: RECEIPT },
+    { kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY, receipt: RECEIPT },
     { kind: 'pending', pool: POOL, route: 'r' },
     { kind: 'evacuate', ...worker },
     { kind: 'demand', pool: POOL, reachableCores: 0 },
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -138,4 +138,27 @@
   clock.uninstall();
 });
 
+// Guards against a run that nobody asked for and that cannot be traced to its submission and cancel.
+test('says which instance received a submission and a cancel, and when', async () => {
+  const clock = install({ now: 0 });
+  const { runner, listLines } = openRunner();
+  await clock.tickAsync(SECOND_MS);
+  const receipt = { instance: 'b~1', receivedAtMs: 400 };
+  void runner.answer({ kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY, receipt });
+  void runner.answer({ kind: 'cancel', pool: POOL, jobId: SPEC.id, receipt });
+  await clock.tickAsync(SECOND_MS);
+  runner.stop();
+  clock.uninstall();
+  const received = { from: 'b~1', receivedAtMs: 400, receiptAgeMs: 600 };
+  [...listLines('job-admitted'), ...listLines('job-cancel')].forEach((line) => {
+    const { from, receivedAtMs, receiptAgeMs } = line;
+    assert.equal({ from, receivedAtMs, receiptAgeMs }, received);
+  });
+  assert.is(listLines('job-admitted').length, 1);
+  assert.equal(
+    listLines('job-cancel').map(({ job, outcome }) => [job, outcome]),
+    [[SPEC.id, 'cancelling']],
+  );
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -3,6 +3,7 @@
 import type { OrderOutcome, WorkerEntry } from '../ports/task-workers.js';
 import type { WorkerTasks } from '../waves/plan-wave.js';
 import type { Admission } from './admit-job.js';
+import type { CallReceipt } from './call-receipt.js';
 import type { InheritanceOptions } from './inheritance.js';
 import type { LeaseHolder } from './lease-holder.js';
 import type { TimedReport } from './observe-report.js';
@@ -44,6 +45,12 @@
   readonly teams?: TeamSources | undefined;
 }
 
+/** Who submitted or cancels a job, where, and how the call came in. */
+export interface CallSource extends JobSource {
+  /** For the log. */
+  readonly receipt?: CallReceipt | undefined;
+}
+
 /** Planner of one pool. */
 export interface PoolPlanner {
   readonly table: TaskTable;
@@ -58,10 +65,14 @@
     spec: JobSpec,
     policy: JobPolicy,
     at: Moment,
-    source?: JobSource,
+    source?: CallSource,
   ) => Admission | 'known';
   /** Ends an active job; `ended` if it had ended before. The change still has to be stored. */
-  readonly cancel: (jobId: string, at: Moment) => 'cancelling' | 'ended' | 'unknown';
+  readonly cancel: (
+    jobId: string,
+    at: Moment,
+    source?: CallSource,
+  ) => 'cancelling' | 'ended' | 'unknown';
   /** Gets the stored status; `unknown` also for a job that ended longer than `statusMs` ago. */
   readonly getJobStatus: (jobId: string) => JobStatus;
   /** Says whether the job's current phase is stored; false for an unknown job. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -5,14 +5,12 @@
  * store.
  */
 import { createArrivalForecast } from '../lending/arrival-forecast.js';
-import { admitJob } from './admit-job.js';
-import { closeJob } from './apply-ends.js';
 import { refreshEjections } from './eject-workers.js';
-import { computeWork } from './estimate.js';
 import { createCrashWatch } from './crash-watch.js';
 import { createIsolation } from './isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
 import { createInheritance } from './inheritance.js';
+import { createJobIntake } from './job-intake.js';
 import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
 import { observeStart, observeStop } from './observe-orders.js';
 import { observeReport } from './observe-report.js';
@@ -22,10 +20,9 @@
 import { createStartPlanner } from './plan-starts.js';
 import { planStops } from './plan-stops.js';
 import type { PoolContext } from './pool-context.js';
-import { countWorkerTasks, computeDemand, computePoolLoad } from './pool-demand.js';
-import { renderStep } from './render-step.js';
+import { countWorkerTasks, computeDemand } from './pool-demand.js';
 import type { PlannerOptions, PoolPlanner } from './planner-types.js';
-import { isLastingJob, parseJobId, type JobRecord } from './spec.js';
+import { parseJobId } from './spec.js';
 import type { Moment } from './state.js';
 import { createStandingQueueWatch } from './standing-queue.js';
 import { createPoolTeams } from '../teams/pool-teams.js';
@@ -81,6 +78,15 @@
     inheritance,
     report: options.report,
   });
+  const intake = createJobIntake({
+    context,
+    arrivals,
+    meanWork,
+    teams,
+    storeQueue,
+    getReachableCores: (nowMs) =>
+      nowMs < reachable.untilMs ? reachable.cores * REACHABLE_CORES_SHARE : 0,
+  });
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
 
@@ -115,58 +121,8 @@
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
-    submit: (spec, policy, at, source = {}) => {
-      const { team } = source;
-      if (table.jobs.has(spec.id)) return 'known';
-      const currentLoad = computePoolLoad(table, at.nowMs);
-      const usableReachableCores =
-        at.nowMs < reachable.untilMs ? reachable.cores * REACHABLE_CORES_SHARE : 0;
-      const load = { ...currentLoad, cores: Math.max(currentLoad.cores, usableReachableCores) };
-      const sizes = spec.steps.map((step) => step.size);
-      const entitlement = teams.classifyJob(team, sizes, at.nowMs);
-      const isExcess = entitlement.kind === 'excess';
-      if (!isLastingJob(spec) && !isExcess) {
-        arrivals.add({ coreSeconds: computeWork(spec), jobs: 1 }, at.nowMs);
-      }
-      const admission = admitJob(spec, policy, load, entitlement);
-      options.report({
-        event: admission.kind === 'admitted' ? 'job-admitted' : 'job-refused',
-        job: spec.id,
-        route: spec.route,
-        team,
-        steps: spec.steps.map(renderStep),
-        ...(admission.kind === 'refused' ? admission : {}),
-        entitlement: team === undefined ? undefined : entitlement.kind,
-        backlogCoreSeconds: Math.round(load.backlogCoreSeconds),
-        cores: load.cores,
-      });
-      if (admission.kind === 'refused') {
-        if (team !== undefined && entitlement.kind === 'within-rate') teams.observeRefusal(team);
-        return admission;
-      }
-      const record: JobRecord = {
-        spec,
-        policy,
-        acceptedAtMs: at.wallMs,
-        ...source,
-        isExcess: isExcess || undefined,
-      };
-      const job = table.addJob(
-        record,
-        { progress: undefined, runBase: 0, storedPhase: 'none' },
-        at,
-      );
-      meanWork.addJob(job);
-      storeQueue.addNew(spec.id);
-      return admission;
-    },
-    cancel: (jobId, at) => {
-      const job = table.jobs.get(jobId);
-      if (job === undefined) return 'unknown';
-      if (job.phase !== 'active') return 'ended';
-      closeJob(context, jobId, 'cancelled', at);
-      return 'cancelling';
-    },
+    submit: intake.submit,
+    cancel: intake.cancel,
     getJobStatus: (jobId) => {
       const job = table.jobs.get(jobId);
       if (job === undefined) return 'unknown';
