Refuse a submission that arrives after its cancel was confirmed

Cause: the cancel of a job that the planner does not have left no trace, so that the submission was taken for a new job. A second way of the same class: an instance behind a configuration that moves the queue asked only the former pool, and confirmed the cancel beside a job that the new pool had accepted.

Why it works: the planner records a tombstone for such a cancel, beside the pool's jobs and in the same write as everything that is due, and says 410 only when that is stored. A superseded planner cannot store it and confirms nothing; each next planner loads it; the lookup of a moved queue finds it in the former pool, and a pool that has closed its queue for older versions does not confirm a cancel of one. The refused submission is told 429 without a time to come back, as it has not run and never will.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -2,7 +2,7 @@
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import { isForeignJob } from 'vanilladock/lib/jobs/spec.js';
 import { readMoment } from './clock.js';
-import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
+import { RETRY_AFTER_MS, type JobReply, type JobRequest, type QueueOrigin } from './job-request.js';
 import type { PoolStateWriter } from './pool-state-writer.js';
 
 /** Planner and callbacks that requests are answered with. */
@@ -36,6 +36,11 @@
   return job !== undefined && isForeignJob(job.record, team);
 }
 
+/** Makes the reply to a request of which nothing was done and that is worth repeating. */
+function makeUnavailable(why: string): JobReply {
+  return { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS };
+}
+
 /** Submits a job to the planner; the reply is `accepted` only once the job is stored. */
 async function submitJob(
   context: AnswerContext,
@@ -47,7 +52,7 @@
   if (isForeign(context, id, team)) return { kind: 'foreign-job' };
   const isKnown = planner.table.jobs.has(id);
   if (!isKnown && origin !== undefined && origin.version < context.getFloor(origin.queue)) {
-    return { kind: 'unavailable', why: 'config-older', retryAfterMs: RETRY_AFTER_MS };
+    return makeUnavailable('config-older');
   }
   if (context.isStoreUnavailable() && planner.getJobStatus(id) === 'unknown') {
     // Spreads the retries, so that callers do not all return at once when the store recovers.
@@ -70,7 +75,7 @@
   if (isStopped()) return { kind: 'unknown', why: 'the planner has lost its pool' };
 
   if (planner.table.jobs.get(id) === undefined) {
-    return { kind: 'unavailable', why: 'store-refused', retryAfterMs: RETRY_AFTER_MS };
+    return makeUnavailable('store-refused');
   }
   const isStored = planner.table.jobs.get(id)?.storedPhase !== 'none';
   return isStored ? { kind: 'accepted' } : { kind: 'unknown', why: 'the store has not answered' };
@@ -83,30 +88,49 @@
 ): Promise<JobReply> {
   if (isForeign(context, jobId, team)) return { kind: 'foreign-job' };
   if (context.planner.table.jobs.has(jobId)) return answerStored(context, jobId);
+  if (context.planner.isCancelled(jobId, team)) {
+    return { kind: 'refused', cause: 'queue', why: 'cancelled', retryAfterMs: undefined };
+  }
   if (version < context.getFloor(queue)) {
-    return { kind: 'unavailable', why: 'config-older', retryAfterMs: RETRY_AFTER_MS };
+    return makeUnavailable('config-older');
   }
   const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
   return isRecorded && !context.isStopped()
     ? { kind: 'no-such-job' }
-    : { kind: 'unavailable', why: 'store-away', retryAfterMs: RETRY_AFTER_MS };
+    : makeUnavailable('store-away');
+}
+
+/** Says why the cancel of an unknown job cannot be recorded now; undefined if it can. */
+function findCancelObstacle(
+  context: AnswerContext,
+  origin: QueueOrigin | undefined,
+): string | undefined {
+  if (origin !== undefined && origin.version < context.getFloor(origin.queue)) {
+    return 'config-older';
+  }
+  return context.isStoreUnavailable() ? 'store-away' : undefined;
 }
 
-/** Cancels a job; the reply is `cancelled` only once that is stored. */
+/** Cancels a job, or records that an unknown one is cancelled; confirms it only once it is stored. */
 async function cancelJob(
   context: AnswerContext,
-  { jobId, receipt }: Extract<JobRequest, { kind: 'cancel' }>,
+  { jobId, team, origin, receipt }: Extract<JobRequest, { kind: 'cancel' }>,
 ): Promise<JobReply> {
   const { planner, waitStored, isStopped, schedulePlan } = context;
-  const answer = planner.cancel(jobId, readMoment(), { receipt });
-  if (answer === 'unknown') return { kind: 'no-such-job' };
+  const isKnown = planner.table.jobs.has(jobId);
+  const confirmed = { kind: isKnown ? 'cancelled' : 'no-such-job' } as const;
+  const obstacle = isKnown ? undefined : findCancelObstacle(context, origin);
+  if (obstacle !== undefined) return makeUnavailable(obstacle);
+
+  const outcome = planner.cancel(jobId, readMoment(), { team, queue: origin?.queue, receipt });
+  if (outcome === 'refused') return makeUnavailable('cancel-not-recorded');
 
-  if (answer === 'ended' && planner.isStored(jobId)) return { kind: 'cancelled' };
+  if (outcome !== 'cancelling' && planner.isStored(jobId)) return confirmed;
 
   schedulePlan();
   await waitStored(STORE_TIMEOUT_MS);
   return planner.isStored(jobId) && !isStopped()
-    ? { kind: 'cancelled' }
+    ? confirmed
     : { kind: 'unknown', why: 'the store has not answered' };
 }
 
@@ -138,7 +162,7 @@
       const content = planner.evacuate(request.workerId, readMoment());
       schedulePlan();
       return content === undefined
-        ? { kind: 'unavailable', why: 'worker-not-heard', retryAfterMs: RETRY_AFTER_MS }
+        ? makeUnavailable('worker-not-heard')
         : { kind: 'content', ...content };
     }
     case 'demand':
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -57,6 +57,8 @@
       /** As for `submit`. */
       readonly team?: string | undefined;
       /** As for `submit`. */
+      readonly origin?: QueueOrigin | undefined;
+      /** As for `submit`. */
       readonly receipt?: CallReceipt | undefined;
     }
   /** Queries how many jobs of a queue, or of a route where queues are not known, are pending. */
@@ -91,6 +93,7 @@
       readonly retryAfterMs: number | undefined;
     }
   | { readonly kind: 'state'; readonly state: JobState }
+  /** In reply to a cancel: nor will a submission of the job be accepted that arrives later. */
   | { readonly kind: 'no-such-job' }
   /** The id of the submitted job is that of another team's job; nothing was done. */
   | { readonly kind: 'foreign-job' }
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -62,6 +62,7 @@
 const pool = z.string().min(1);
 const workerId = z.string().min(1);
 const team = z.string().optional();
+const origin = z.object({ queue: z.string(), version: z.number() }).optional();
 const receipt = z.object({ instance: z.string(), receivedAtMs: z.number() }).optional();
 const jobSchema = z.object({ pool, jobId: z.string().min(1), team });
 
@@ -72,12 +73,12 @@
     spec: specSchema,
     policy: policySchema,
     team,
-    origin: z.object({ queue: z.string(), version: z.number() }).optional(),
+    origin,
     receipt,
   }),
   jobSchema.extend({ kind: z.literal('lookup'), queue: z.string(), version: z.number() }),
   jobSchema.extend({ kind: z.literal('status') }),
-  jobSchema.extend({ kind: z.literal('cancel'), receipt }),
+  jobSchema.extend({ kind: z.literal('cancel'), origin, receipt }),
   z.object({
     kind: z.literal('pending'),
     pool,
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -230,6 +230,7 @@
     const isPredecessorSettled = stored.previous.isSettled !== false;
     guard.watch('predecessor', waitPredecessor(predecessorQuery, isPredecessorSettled));
     stored.jobs.forEach(({ record, progress }) => active.loadJob(record, progress, loadedAt));
+    stored.tombstones.forEach((tombstone) => active.loadTombstone(tombstone, loadedAt));
     active.removeStored(stored.expiredJobs);
     log.info({
       event: 'pool-taken',
@@ -237,6 +238,7 @@
       token: claim.token,
       generation: stored.meta.generation,
       jobs: stored.jobs.length,
+      tombstones: stored.tombstones.length,
       expiredJobs: stored.expiredJobs.length,
       inheritedWorkers: stored.meta.workers.length,
       longLeases: stored.meta.workers.filter(({ longLeaseTasks }) => longLeaseTasks !== undefined)
--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -37,9 +37,18 @@
 /** Time limit of the queries to former pools that precede a submission. */
 const LOOKUP_LIMIT_MS = 1_500;
 
+/** Replies of a pool that settle a request that several pools were sent. */
+const DECISIVE_KINDS: ReadonlySet<JobReply['kind']> = new Set([
+  'state',
+  'cancelled',
+  'accepted',
+  'foreign-job',
+  'refused',
+]);
+
 /** Says whether a pool's reply settles a request that several pools were sent. */
 function isDecisive({ kind }: JobReply): boolean {
-  return kind === 'state' || kind === 'cancelled' || kind === 'accepted' || kind === 'foreign-job';
+  return DECISIVE_KINDS.has(kind);
 }
 
 /** Makes the reply to a request of which nothing was done and that is worth repeating. */
@@ -102,7 +111,8 @@
     const { queue } = origin;
     const { version, formerPools } = placement;
     if (formerPools.length > 0) {
-      // A pool that has the job has accepted it; one that has not takes it no more afterwards.
+      // A pool that has the job has accepted it, or refuses it as it was cancelled there; one that
+      // has not takes it no more afterwards.
       const lookup = { kind: 'lookup', jobId: request.spec.id, queue, version } as const;
       const byMs = Math.min(answerByMs, performance.now() + LOOKUP_LIMIT_MS);
       const { team } = request;
@@ -129,7 +139,8 @@
           return submit(request, origin, answerByMs);
         case 'status':
         case 'cancel': {
-          const reply = await chooseReply(queryAll(request, origin.queue, answerByMs));
+          const asked = request.kind === 'cancel' ? { ...request, origin } : request;
+          const reply = await chooseReply(queryAll(asked, origin.queue, answerByMs));
           // There may be a pool that this instance does not know of yet.
           const isOpen = reply.kind === 'no-such-job' && !directory.hasRecorded(origin.version);
           return isOpen ? makeUnavailable('queue-unrecorded') : reply;
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -4,6 +4,7 @@
  * not grow with what has ever run.
  */
 import type { LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
+import type { CancelTombstone } from 'vanilladock/lib/jobs/cancel-tombstones.js';
 import { decodeProgress, type Progress } from 'vanilladock/lib/jobs/progress.js';
 import type { JobRecord } from 'vanilladock/lib/jobs/spec.js';
 import { makeJobKey, makeProgressKey } from 'vanilladock/lib/jobs/store-queue.js';
@@ -50,6 +51,8 @@
 export interface StoredPool {
   readonly meta: PoolMeta;
   readonly jobs: readonly StoredJob[];
+  /** Jobs that were cancelled before they were submitted. */
+  readonly tombstones: readonly CancelTombstone[];
   /** Ids of jobs whose records are no longer needed. */
   readonly expiredJobs: readonly string[];
 }
@@ -116,6 +119,13 @@
     undatedIds.push(id);
     if (undatedIds.length > 2 * MAX_UNDATED) dropOldest();
   };
+  const takeTombstone = (jobId: string, { tombstone, endedAtMs = 0 }: Progress) => {
+    if (tombstone === undefined) {
+      dropJob(jobId);
+      return [];
+    }
+    return [{ jobId, cancelledAtMs: endedAtMs, ...tombstone }];
+  };
   const readAcceptedAt = (id: string) => {
     const text = texts.get(id);
     return text === undefined ? 0 : (JSON.parse(text) as JobRecord).acceptedAtMs;
@@ -140,12 +150,14 @@
     add: (records) => records.forEach(addRecord),
     decode: () => {
       dropOldest();
-      [...progresses.keys()].filter((id) => !texts.has(id)).forEach(dropJob);
+      const tombstones = [...progresses]
+        .filter(([id]) => !texts.has(id))
+        .flatMap(([id, progress]) => takeTombstone(id, progress));
       const jobs = [...texts].map(([id, text]) => ({
         record: JSON.parse(text) as JobRecord,
         progress: progresses.get(id),
       }));
-      return { meta: decodeMeta(metaText), jobs, expiredJobs: [...expired] };
+      return { meta: decodeMeta(metaText), jobs, tombstones, expiredJobs: [...expired] };
     },
   };
 }
--- a/packages/daemon/src/test/queue-gateway.test.ts
+++ b/packages/daemon/src/test/queue-gateway.test.ts
@@ -104,6 +104,28 @@
   clearInterval(keepAlive);
 });
 
+// Guards against a job that starts in the new pool of its queue after it was cancelled in the former.
+test('a submission whose job was cancelled in a former pool is refused', async () => {
+  const refused = {
+    kind: 'refused',
+    cause: 'queue',
+    why: 'cancelled',
+    retryAfterMs: undefined,
+  } as const;
+  const { answer, listAsked } = openGateway({ 'stalls lookup': refused });
+  assert.equal(await answer(SUBMIT), refused);
+  assert.equal(listAsked(), ['stalls lookup']);
+});
+
+test('a cancel names its queue and version to each pool, so that an older one is not confirmed', async () => {
+  const { answer, asked } = openGateway({});
+  assert.equal(await answer(CANCEL), UNKNOWN_JOB);
+  assert.equal(
+    asked.map((request) => (request.kind === 'cancel' ? request.origin : undefined)),
+    [ORIGIN, ORIGIN],
+  );
+});
+
 test('the pending jobs of a queue are counted in all its pools', async () => {
   const pending: QueueRequest = { kind: 'pending', pool: 'kilns', route: 'r', queue: ORIGIN.queue };
   const { answer } = openGateway({
--- a/packages/daemon/src/test/stored-pool.test.ts
+++ b/packages/daemon/src/test/stored-pool.test.ts
@@ -1,6 +1,7 @@
 /** What a planner keeps of the stored jobs of its pool, in whatever order they are read. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
+import { encodeTombstone } from 'vanilladock/lib/jobs/progress.js';
 import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import { createPoolDecoder, encodeMeta } from '../lib/jobs/stored-pool.js';
 import { POLICY, POOL, SPEC } from './job-fixtures.js';
@@ -82,4 +83,18 @@
   assert.equal(decode([]).meta, { generation: 0, workers: [] });
 });
 
+// Guards against a successor that starts a job whose cancel its predecessor has confirmed.
+test('a cancel of a job that was not submitted is kept as long as the state of an ended one', () => {
+  const makeTombstone = (id: string, endedAtMs: number): KeyedRecord => ({
+    key: `${POOL}:${id}:p`,
+    value: encodeTombstone({ jobId: id, queue: 'q', cancelledAtMs: endedAtMs }),
+  });
+  const decoder = createPoolDecoder(POOL, STATUS_MS, WALL_MS);
+  decoder.add([makeTombstone('new', WALL_MS - STATUS_MS), makeTombstone('old', WALL_MS - HOUR_MS)]);
+  const { jobs, tombstones, expiredJobs } = decoder.decode();
+  assert.equal(jobs, []);
+  assert.equal(tombstones, [{ jobId: 'new', queue: 'q', cancelledAtMs: WALL_MS - STATUS_MS }]);
+  assert.equal(expiredJobs, ['old']);
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/jobs/admit-job.ts
+++ b/packages/vanilladock/src/lib/jobs/admit-job.ts
@@ -39,7 +39,7 @@
   | { readonly kind: 'admitted' }
   | {
       readonly kind: 'refused';
-      readonly why: 'backlog' | 'never-runnable' | 'team-rate' | 'team-limit';
+      readonly why: 'backlog' | 'never-runnable' | 'team-rate' | 'team-limit' | 'cancelled';
       readonly retryAfterMs: number | undefined;
     };
 
--- a/packages/vanilladock/src/lib/jobs/job-intake.ts
+++ b/packages/vanilladock/src/lib/jobs/job-intake.ts
@@ -7,9 +7,10 @@
 import { admitJob } from './admit-job.js';
 import { closeJob } from './apply-ends.js';
 import { makeReceiptFields } from './call-receipt.js';
+import type { CancelTombstones } from './cancel-tombstones.js';
 import { computeWork } from './estimate.js';
 import type { MeanWork } from './mean-work.js';
-import type { PoolPlanner } from './planner-types.js';
+import type { CancelOutcome, CallSource, PoolPlanner } from './planner-types.js';
 import type { PoolContext } from './pool-context.js';
 import { computePoolLoad } from './pool-demand.js';
 import { renderStep } from './render-step.js';
@@ -24,6 +25,7 @@
   readonly meanWork: Pick<MeanWork, 'addJob'>;
   readonly teams: Pick<PoolTeams, 'classifyJob' | 'observeRefusal'>;
   readonly storeQueue: Pick<StoreQueue, 'addNew'>;
+  readonly tombstones: Pick<CancelTombstones, 'add' | 'blocks'>;
   /** Returns the cores that admission may count on from lending; 0 while that is not known. */
   readonly getReachableCores: (nowMs: number) => number;
 }
@@ -31,17 +33,23 @@
 /** As the functions of the planner. */
 export type JobIntake = Pick<PoolPlanner, 'submit' | 'cancel'>;
 
+/** Refusal of a job that was cancelled before its submission arrived. */
+const CANCELLED = { kind: 'refused', why: 'cancelled', retryAfterMs: undefined } as const;
+
 /** Creates the intake of a pool. */
 export function createJobIntake(options: JobIntakeOptions): JobIntake {
-  const { context, arrivals, meanWork, teams, storeQueue } = options;
+  const { context, arrivals, meanWork, teams, storeQueue, tombstones } = options;
   const { table, report } = context;
   const computeLoad = (nowMs: number) => {
     const load = computePoolLoad(table, nowMs);
     return { ...load, cores: Math.max(load.cores, options.getReachableCores(nowMs)) };
   };
-  const cancelJob = (jobId: string, at: Moment) => {
+  const cancelJob = (jobId: string, at: Moment, source: CallSource): CancelOutcome => {
+    const { team, queue } = source;
     const job = table.jobs.get(jobId);
-    if (job === undefined) return 'unknown';
+    if (job === undefined) {
+      return tombstones.add({ jobId, team, queue, cancelledAtMs: at.wallMs }, at.nowMs);
+    }
     if (job.phase !== 'active') return 'ended';
     closeJob(context, jobId, 'cancelled', at);
     return 'cancelling';
@@ -50,6 +58,18 @@
     submit: (spec, policy, at, { receipt, ...source } = {}) => {
       const { team } = source;
       if (table.jobs.has(spec.id)) return 'known';
+      if (tombstones.blocks(spec.id, team)) {
+        const received = makeReceiptFields(receipt, at.wallMs);
+        report({
+          event: 'job-refused',
+          job: spec.id,
+          route: spec.route,
+          team,
+          ...received,
+          ...CANCELLED,
+        });
+        return CANCELLED;
+      }
       const load = computeLoad(at.nowMs);
       const sizes = spec.steps.map((step) => step.size);
       const entitlement = teams.classifyJob(team, sizes, at.nowMs);
@@ -87,9 +107,9 @@
       storeQueue.addNew(spec.id);
       return admission;
     },
-    cancel: (jobId, at, { receipt } = {}) => {
-      const outcome = cancelJob(jobId, at);
-      const received = makeReceiptFields(receipt, at.wallMs);
+    cancel: (jobId, at, source = {}) => {
+      const outcome = cancelJob(jobId, at, source);
+      const received = makeReceiptFields(source.receipt, at.wallMs);
       report({ event: 'job-cancel', job: jobId, outcome, ...received });
       return outcome;
     },
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -4,6 +4,7 @@
 import type { WorkerTasks } from '../waves/plan-wave.js';
 import type { Admission } from './admit-job.js';
 import type { CallReceipt } from './call-receipt.js';
+import type { CancelTombstone } from './cancel-tombstones.js';
 import type { InheritanceOptions } from './inheritance.js';
 import type { LeaseHolder } from './lease-holder.js';
 import type { TimedReport } from './observe-report.js';
@@ -51,15 +52,21 @@
   readonly receipt?: CallReceipt | undefined;
 }
 
+/** What a cancel found and changed. */
+export type CancelOutcome = 'cancelling' | 'ended' | 'recorded' | 'refused';
+
 /** Planner of one pool. */
 export interface PoolPlanner {
   readonly table: TaskTable;
   readonly tickets: TicketRegistry;
+  /** Adds the tombstone of a job that an earlier planner stored. */
+  readonly loadTombstone: (tombstone: CancelTombstone, at: Moment) => void;
   /** Adds a job that an earlier planner stored; `progress` is undefined if none was stored. */
   readonly loadJob: (record: JobRecord, progress: Progress | undefined, at: Moment) => void;
   /**
    * Decides on a submission; an admitted job is queued to be stored and starts only afterwards. A
-   * job whose id is in the table is `known`, and its new specification is ignored.
+   * job whose id is in the table is `known`, and its new specification is ignored; one that was
+   * cancelled before it was submitted is refused and never starts.
    */
   readonly submit: (
     spec: JobSpec,
@@ -67,15 +74,18 @@
     at: Moment,
     source?: CallSource,
   ) => Admission | 'known';
-  /** Ends an active job; `ended` if it had ended before. The change still has to be stored. */
-  readonly cancel: (
-    jobId: string,
-    at: Moment,
-    source?: CallSource,
-  ) => 'cancelling' | 'ended' | 'unknown';
+  /**
+   * Ends an active job; `ended` if it had ended before. Of an unknown job a tombstone is `recorded`,
+   * unless that is `refused`. The change still has to be stored.
+   */
+  readonly cancel: (jobId: string, at: Moment, source?: CallSource) => CancelOutcome;
+  /** Says whether a job of a team was cancelled before it was submitted. */
+  readonly isCancelled: (jobId: string, team: string | undefined) => boolean;
   /** Gets the stored status; `unknown` also for a job that ended longer than `statusMs` ago. */
   readonly getJobStatus: (jobId: string) => JobStatus;
-  /** Says whether the job's current phase is stored; false for an unknown job. */
+  /**
+   * Says whether the job's current phase, or its tombstone, is stored; false for an unknown job.
+   */
   readonly isStored: (jobId: string) => boolean;
   /**
    * Counts the active, stored jobs of a queue of which no task has started; those whose queue is not
@@ -86,8 +96,8 @@
     readonly queue?: string | undefined;
   }) => number;
   /**
-   * Lists the queues of the jobs, ended ones included whose state can be queried; undefined if the
-   * queue of one of them is not known.
+   * Lists the queues of the jobs, ended ones included whose state can be queried, and of tombstones;
+   * undefined if the queue of one of them is not known.
    */
   readonly listQueues: () => ReadonlySet<string> | undefined;
   /** Applies the complete list of registered workers. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -6,6 +6,7 @@
  */
 import { createArrivalForecast } from '../lending/arrival-forecast.js';
 import { refreshEjections } from './eject-workers.js';
+import { createCancelTombstones } from './cancel-tombstones.js';
 import { createCrashWatch } from './crash-watch.js';
 import { createIsolation } from './isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
@@ -46,6 +47,12 @@
 /** Jobs that ended long ago are dropped, and their records removed, this often. */
 const DROP_INTERVAL_MS = 1_000;
 
+/**
+ * Tombstones are kept as long as the state of an ended job, and at least this long: longer than a
+ * submission can be on its way to the planner.
+ */
+const MIN_TOMBSTONE_MS = 120_000;
+
 const NO_TEAMS: TeamSources = {
   getDirectory: () => undefined,
   countPools: () => 1,
@@ -57,7 +64,8 @@
   const table = createTaskTable();
   const tickets = createTicketRegistry((stepKey) => table.recordJobChange(parseJobId(stepKey)));
   const dirtyJobs = new Set<string>();
-  const storeQueue = createStoreQueue(pool, table, dirtyJobs);
+  const tombstones = createCancelTombstones();
+  const storeQueue = createStoreQueue(pool, table, dirtyJobs, tombstones);
   const arrivals = createArrivalForecast();
   let reachable = { cores: 0, untilMs: 0 };
   const meanWork = createMeanWork();
@@ -84,6 +92,7 @@
     meanWork,
     teams,
     storeQueue,
+    tombstones,
     getReachableCores: (nowMs) =>
       nowMs < reachable.untilMs ? reachable.cores * REACHABLE_CORES_SHARE : 0,
   });
@@ -110,6 +119,8 @@
     if (isFull && nowMs >= nextDropMs) {
       nextDropMs = nowMs + DROP_INTERVAL_MS;
       storeQueue.addRemoved(dropFinishedJobs(table, options.statusMs, nowMs));
+      const keptMs = Math.max(options.statusMs, MIN_TOMBSTONE_MS);
+      storeQueue.addRemoved(tombstones.dropExpired(nowMs, keptMs));
     }
   };
   return {
@@ -121,8 +132,10 @@
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
+    loadTombstone: (tombstone, { nowMs }) => tombstones.load(tombstone, nowMs),
     submit: intake.submit,
     cancel: intake.cancel,
+    isCancelled: tombstones.blocks,
     getJobStatus: (jobId) => {
       const job = table.jobs.get(jobId);
       if (job === undefined) return 'unknown';
@@ -134,7 +147,7 @@
     },
     isStored: (jobId) => {
       const job = table.jobs.get(jobId);
-      return job !== undefined && job.storedPhase === job.phase;
+      return job === undefined ? tombstones.isStored(jobId) : job.storedPhase === job.phase;
     },
     countPending: ({ route, queue }) => {
       let count = 0;
@@ -149,9 +162,10 @@
     },
     listQueues: () => {
       const queues = new Set<string>();
-      for (const { record } of table.jobs.values()) {
-        if (record.queue === undefined) return undefined;
-        queues.add(record.queue);
+      const ofJobs = [...table.jobs.values()].map(({ record }) => record.queue);
+      for (const queue of [...ofJobs, ...tombstones.listQueues()]) {
+        if (queue === undefined) return undefined;
+        queues.add(queue);
       }
       return queues;
     },
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -2,6 +2,7 @@
  * Stored progress of a job, kept beside its submission: completed tasks, failed runs, crashes of
  * workers and the phase.
  */
+import type { CancelSource, CancelTombstone } from './cancel-tombstones.js';
 import type { CrashRecord, Suspicion } from './crash-evidence.js';
 import type { Job, JobPhase, Task } from './state.js';
 
@@ -20,6 +21,8 @@
   readonly occurrencesDone: readonly number[];
   /** When the job ended, in ms since 1970; absent while it is active and in old records. */
   readonly endedAtMs?: number | undefined;
+  /** Who cancelled the job before it was submitted; there is no record of the job beside it. */
+  readonly tombstone?: CancelSource | undefined;
 }
 
 /** Progress as decoded from the store; empty apart from the phase if the job has ended. */
@@ -35,6 +38,8 @@
   readonly occurrencesDone: ReadonlySet<number>;
   /** When the job ended, in ms since 1970; undefined while it is active and in old records. */
   readonly endedAtMs?: number | undefined;
+  /** Who cancelled the job, if that was before it was submitted; undefined for a submitted job. */
+  readonly tombstone?: CancelSource | undefined;
 }
 
 /** Makes the name of a task within its job, as `occurrence.step.index`. */
@@ -80,6 +85,19 @@
   return JSON.stringify(stored);
 }
 
+/** Encodes the tombstone of a job as the progress of one that has ended. */
+export function encodeTombstone({ cancelledAtMs, team, queue }: CancelTombstone): string {
+  const stored: StoredProgress = {
+    phase: 'cancelled',
+    done: [],
+    failedRuns: {},
+    occurrencesDone: [],
+    endedAtMs: cancelledAtMs,
+    tombstone: { team, queue },
+  };
+  return JSON.stringify(stored);
+}
+
 /** Decodes stored progress; the text must come from `encodeProgress`. Throws if it is not JSON. */
 export function decodeProgress(text: string): Progress {
   const stored = JSON.parse(text) as StoredProgress;
@@ -95,5 +113,6 @@
     ),
     occurrencesDone: new Set(stored.occurrencesDone),
     endedAtMs: stored.endedAtMs,
+    tombstone: stored.tombstone,
   };
 }
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -1,9 +1,10 @@
 /**
- * Queue of jobs whose record or current progress is not stored yet, and of those whose records are
- * to be removed from the store.
+ * Queue of jobs whose record, current progress or tombstone is not stored yet, and of those whose
+ * records are to be removed from the store.
  */
 import type { KeyedRecord } from '../ports/keyed-store.js';
-import { encodeProgress } from './progress.js';
+import type { CancelTombstones } from './cancel-tombstones.js';
+import { encodeProgress, encodeTombstone } from './progress.js';
 import type { JobPhase, Task } from './state.js';
 import { listUnstoredEnds, recordStoredEnds } from './stored-ends.js';
 import type { TaskTable } from './task-table.js';
@@ -42,6 +43,9 @@
 /** Number of jobs that one batch removes, so that it stays far below the size the store takes. */
 const MAX_REMOVALS = 500;
 
+/** Number of tombstones of one batch, for the same reason. */
+const MAX_TOMBSTONES_PER_BATCH = 1_000;
+
 /** Makes the key of a job's record. Ids contain no colon, so the key is unambiguous. */
 export function makeJobKey(pool: string, jobId: string): string {
   return `${pool}:${jobId}`;
@@ -57,17 +61,21 @@
   return task.failedRuns.length > 0 || task.crashes.length > 0 || task.state.kind === 'done';
 }
 
-/** Creates the queue of a pool; `dirtyJobs` holds the ids of jobs with unstored changes. */
+/**
+ * Creates the queue of a pool; `dirtyJobs` holds the ids of jobs with unstored changes. A tombstone
+ * that the store refused is in the next batch again.
+ */
 export function createStoreQueue(
   pool: string,
   table: TaskTable,
   dirtyJobs: Set<string>,
+  tombstones: Pick<CancelTombstones, 'listUnstored' | 'markStored'>,
 ): StoreQueue {
   const newJobs = new Set<string>();
   const removedJobs = new Set<string>();
-  /** Takes the ids of jobs to remove, and of new jobs that take the place of one. */
-  const takeRemoved = (): readonly string[] => {
-    const replaced = [...newJobs].filter((id) => removedJobs.has(id));
+  /** Takes the ids of jobs to remove, and of those that are stored anew in their place. */
+  const takeRemoved = (storedIds: readonly string[]): readonly string[] => {
+    const replaced = storedIds.filter((id) => removedJobs.has(id));
     const others = [...removedJobs].slice(0, MAX_REMOVALS);
     const taken = [...new Set([...replaced, ...others])];
     taken.forEach((id) => removedJobs.delete(id));
@@ -80,9 +88,11 @@
     },
     addRemoved: (jobIds) => jobIds.forEach((id) => removedJobs.add(id)),
     takeBatch: () => {
-      if (dirtyJobs.size === 0 && removedJobs.size === 0) return undefined;
-      const removed = takeRemoved();
-      // Before the records of a new job with the same id.
+      const added = tombstones.listUnstored().slice(0, MAX_TOMBSTONES_PER_BATCH);
+      if (dirtyJobs.size + removedJobs.size + added.length === 0) return undefined;
+      const tombstoneIds = added.map(({ jobId }) => jobId);
+      const removed = takeRemoved([...newJobs, ...tombstoneIds]);
+      // Before the records of a new job, or the tombstone, with the same id.
       const removals = removed.flatMap((id) =>
         [makeJobKey(pool, id), makeProgressKey(pool, id)].map((key) => ({ key, value: undefined })),
       );
@@ -104,16 +114,21 @@
             : [{ key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) }]),
         ];
       });
+      const tombstoneRecords = added.map((tombstone) => ({
+        key: makeProgressKey(pool, tombstone.jobId),
+        value: encodeTombstone(tombstone),
+      }));
       // Everything that these ends changed is in this batch or in an earlier one.
       const coveredEnds = listUnstoredEnds(table);
       dirtyJobs.clear();
       newJobs.clear();
       return {
-        records: [...removals, ...records],
+        records: [...removals, ...tombstoneRecords, ...records],
         newJobs: batchJobs,
         jobIds: [...phases.keys()],
         removedJobs: removed,
         handleStored: () => {
+          tombstones.markStored(tombstoneIds);
           phases.forEach((storedPhase, id) => {
             const storedCrashVersion = crashVersions.get(id) ?? 0;
             if (table.jobs.has(id)) table.updateJob(id, { storedPhase, storedCrashVersion });
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
@@ -0,0 +1,104 @@
+/** Jobs that are cancelled before they are submitted, in the planner of their pool. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { createCancelTombstones, MAX_TOMBSTONES } from '../../lib/jobs/cancel-tombstones.js';
+import { createHarness, makeJob, POLICY, POOL } from './planner-harness.js';
+
+/** Longer than a tombstone is kept. */
+const EXPIRED_MS = 122_000;
+
+const CANCELLED = { kind: 'refused', why: 'cancelled', retryAfterMs: undefined };
+
+const test = suite('cancel tombstones');
+
+const makeTombstone = (jobId: string, team?: string) => ({ jobId, team, cancelledAtMs: 1 });
+
+/** Opens a planner and a function that stores what is due and returns the keys with a value. */
+const openPlanner = () => {
+  const harness = createHarness();
+  const writeBatch = () => {
+    const batch = harness.planner.takeStoreBatch();
+    batch?.handleStored();
+    return batch?.records.map(({ key, value }) => `${value === undefined ? '-' : '+'}${key}`);
+  };
+  return { ...harness, writeBatch };
+};
+
+// Guards against a job that starts after its cancel was confirmed, as its submission arrives late.
+test('a submission after the cancel of its job is refused, and nothing starts', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  assert.is(planner.cancel('a', at(1)), 'recorded');
+  assert.not(planner.isStored('a'), 'the cancel is not confirmed before it is stored');
+  assert.equal(writeBatch(), [`+${POOL}:a:p`]);
+  assert.ok(planner.isStored('a'));
+  assert.equal(planner.submit(makeJob('a'), POLICY, at(2)), CANCELLED);
+  assert.is(planner.table.jobs.size, 0);
+  assert.is(planner.getJobStatus('a'), 'unknown', 'a job that nobody submitted is not shown');
+});
+
+test('a repeated cancel is recorded once', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  planner.cancel('a', at(1));
+  writeBatch();
+  assert.is(planner.cancel('a', at(2)), 'recorded');
+  assert.is(writeBatch(), undefined);
+});
+
+test('a tombstone that the store refuses is written again', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  planner.cancel('a', at(1));
+  planner.dropUnstored(planner.takeStoreBatch()!);
+  assert.not(planner.isStored('a'));
+  assert.equal(writeBatch(), [`+${POOL}:a:p`]);
+});
+
+test('a tombstone is removed in the end, and one of the same id outlives the removal', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  planner.cancel('a', at(1));
+  writeBatch();
+  planner.plan(at(EXPIRED_MS));
+  planner.cancel('a', at(EXPIRED_MS + 1));
+  assert.equal(writeBatch(), [`-${POOL}:a`, `-${POOL}:a:p`, `+${POOL}:a:p`]);
+  assert.is(writeBatch(), undefined);
+  planner.plan(at(2 * EXPIRED_MS + 2));
+  assert.equal(writeBatch(), [`-${POOL}:a`, `-${POOL}:a:p`]);
+  assert.equal(planner.submit(makeJob('a'), POLICY, at(2 * EXPIRED_MS + 3)), { kind: 'admitted' });
+});
+
+test('a tombstone that is not stored is not forgotten', () => {
+  const tombstones = createCancelTombstones();
+  tombstones.add(makeTombstone('a'), 0);
+  assert.equal(tombstones.dropExpired(EXPIRED_MS, 1), []);
+  tombstones.markStored(['a']);
+  assert.equal(tombstones.dropExpired(EXPIRED_MS, 1), ['a']);
+});
+
+// Guards against a flood of cancels of unknown jobs that displaces those that were confirmed.
+test('with too many tombstones a cancel is refused, and no earlier one is forgotten', () => {
+  const tombstones = createCancelTombstones();
+  for (let index = 0; index < MAX_TOMBSTONES; index += 1) {
+    assert.is(tombstones.add(makeTombstone(`${index}`), 0), 'recorded');
+  }
+  assert.is(tombstones.add(makeTombstone('one more'), 0), 'refused');
+  assert.is(tombstones.add(makeTombstone('0'), 0), 'recorded');
+  assert.ok(tombstones.blocks('0', undefined));
+  assert.not(tombstones.blocks('one more', undefined));
+});
+
+test('a team cannot keep another one from submitting a job, nor is its cancel confirmed', () => {
+  const tombstones = createCancelTombstones();
+  tombstones.add(makeTombstone('a', 'crew'), 0);
+  assert.ok(tombstones.blocks('a', 'crew'));
+  assert.not(tombstones.blocks('a', 'oven'));
+  assert.is(tombstones.add(makeTombstone('a', 'oven'), 0), 'refused');
+});
+
+test('the queues of tombstones count as queues of the pool', () => {
+  const { planner, at } = openPlanner();
+  planner.cancel('a', at(1), { queue: 'q' });
+  assert.equal([...(planner.listQueues() ?? [])], ['q']);
+  planner.cancel('b', at(1));
+  assert.is(planner.listQueues(), undefined);
+});
+
+test.run();
