Have the worker of a loop's test answer starts by the clock of its reports

Its worker answers reports by a clock that runs since the start of the process, and a start with the time 0. On a busy machine that is more than the tolerance behind, so that the planner rightly takes the worker for one that has started again and may hold a longer lease.

--- a/packages/daemon/src/test/worker-loop.test.ts
+++ b/packages/daemon/src/test/worker-loop.test.ts
@@ -60,7 +60,8 @@
   planner.takeStoreBatch()?.handleStored();
   planner.plan(makeMoment()).forEach((action) => {
     if (action.kind !== 'start') return;
-    planner.observeStart(action, { kind: 'accepted', clockMs: 0 }, makeMoment());
+    const clockMs = Math.round(performance.now());
+    planner.observeStart(action, { kind: 'accepted', clockMs }, makeMoment());
   });
   loop.wake();
   await waitFor(50);
