Refuse submissions after a pause so long that cancels of them are forgotten

Related path of the fault before: tombstones of cancels, and records of ended jobs, are kept for a limited time. An instance that is paused for longer than that finds submissions in its input that are older than what any planner knows, and would have them run, or run again. Queries and cancels go on.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -4,6 +4,7 @@
  */
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createLoggingGuard } from '../error-guard.js';
+import { startInputAgeWatch } from '../input-age.js';
 import { closeServer } from '../servers.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
 import {
@@ -125,6 +126,7 @@
     peers,
     log,
   });
+  const inputAge = startInputAgeWatch(log);
   const directory = startQueueDirectory({ store: options.store, config, log });
   /** Drops the records of queues that are sent elsewhere now and have no jobs left in a pool. */
   const dropLeftQueues = async () => {
@@ -158,7 +160,7 @@
   claims.start();
   return {
     gateway,
-    queues: createQueueGateway({ gateway, directory }),
+    queues: createQueueGateway({ gateway, directory, mayBeOld: inputAge.mayBeOld }),
     claims,
     isInContact: () => {
       const lastContactMs = Math.max(lastStoreContactMs, peers.getLastContactMs());
@@ -173,6 +175,7 @@
     },
     close: async (limitMs) => {
       clearInterval(dropTimer);
+      inputAge.stop();
       directory.stop();
       await closeServer(server, limitMs);
       peers.close();
--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -19,6 +19,8 @@
 export interface QueueGatewayOptions {
   readonly gateway: Pick<JobGateway, 'answer'>;
   readonly directory: Pick<QueueDirectory, 'findPlacement' | 'listFormerPools' | 'hasRecorded'>;
+  /** As `mayBeOld` of the watch of the input's age. */
+  readonly mayBeOld: () => boolean;
 }
 
 /** Gateway for the requests of callers. */
@@ -88,7 +90,11 @@
 }
 
 /** Creates the gateway. */
-export function createQueueGateway({ gateway, directory }: QueueGatewayOptions): QueueGateway {
+export function createQueueGateway({
+  gateway,
+  directory,
+  mayBeOld,
+}: QueueGatewayOptions): QueueGateway {
   const waitPlacement = async (
     pool: string,
     { queue, version }: QueueOrigin,
@@ -106,6 +112,8 @@
     origin: QueueOrigin,
     answerByMs: number,
   ): Promise<JobReply> => {
+    // The job may have been cancelled so long ago that no planner knows it any more.
+    if (mayBeOld()) return makeUnavailable('input-old');
     const placement = await waitPlacement(request.pool, origin);
     if (placement === undefined) return makeUnavailable('queue-unrecorded');
     const { queue } = origin;
--- a/packages/daemon/src/test/queue-gateway.test.ts
+++ b/packages/daemon/src/test/queue-gateway.test.ts
@@ -23,6 +23,7 @@
   replies: Readonly<Record<string, JobReply>>,
   formerPools: readonly string[] = ['stalls'],
   placedVersion: number | 'unrecorded' = 8,
+  isOld = false,
 ) => {
   const isRecorded = placedVersion !== 'unrecorded';
   const asked: JobRequest[] = [];
@@ -38,6 +39,7 @@
       listFormerPools: () => formerPools,
       hasRecorded: () => isRecorded,
     },
+    mayBeOld: () => isOld,
   });
   const answer = (request: QueueRequest) => gateway.answer(request, ORIGIN);
   return { answer, listAsked: () => asked.map(({ pool, kind }) => `${pool} ${kind}`), asked };
@@ -126,6 +128,14 @@
   );
 });
 
+// Guards against a job that starts after a pause so long that its cancel is forgotten.
+test('a submission that may be old is refused as not run, and other requests go on', async () => {
+  const { answer, listAsked } = openGateway({}, [], 8, true);
+  assert.is((await answer(SUBMIT)).kind, 'unavailable');
+  assert.equal(await answer(CANCEL), UNKNOWN_JOB);
+  assert.equal(listAsked(), ['kilns cancel']);
+});
+
 test('the pending jobs of a queue are counted in all its pools', async () => {
   const pending: QueueRequest = { kind: 'pending', pool: 'kilns', route: 'r', queue: ORIGIN.queue };
   const { answer } = openGateway({
--- a/packages/daemon/src/test/queue-simulation.ts
+++ b/packages/daemon/src/test/queue-simulation.ts
@@ -116,7 +116,11 @@
   const openInstance = (config: FleetConfig | undefined) => {
     const subject = new BehaviorSubject<FleetConfig | undefined>(config);
     const directory = startQueueDirectory({ store, config: subject, log: SILENT_LOG });
-    return { subject, directory, queues: createQueueGateway({ gateway: { answer }, directory }) };
+    return {
+      subject,
+      directory,
+      queues: createQueueGateway({ gateway: { answer }, directory, mayBeOld: () => false }),
+    };
   };
   const instances = Array.from({ length: INSTANCES }, () => openInstance(newest));
   const findPool = (config: FleetConfig | undefined) => config?.routes[0]?.pool;
