Start the members of a gang with one checkpoint, the newest known

Work that was saved was done again.

Cause: each start carried the checkpoint that its own task had last been reported with, and members are reported at different times, or a member's worker was lost before its first checkpoint, so that one began anew and the others went on. Besides, the checkpoint that was reported last replaced any other, so that the late end of an earlier run took the place of a later run's; and the report in which a successor finds a run gave it none, so that the task began anew if the worker was lost before its second report.

A checkpoint now has the number of its run. One of an earlier run does not replace that of a later one, a gang takes the newest of all its members for all its starts, and an adopted run brings its own.

--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -1,5 +1,6 @@
 /** Applies the ends of runs to tasks, occurrences and jobs. */
 import type { RunEnd } from '../ports/task-workers.js';
+import { observeCheckpoint } from './checkpoints.js';
 import type { PoolContext } from './pool-context.js';
 import { isStepDone } from './ready-steps.js';
 import { makeAvoidance, type Job, type JobPhase, type Moment, type Task } from './state.js';
@@ -110,8 +111,11 @@
   const isCurrent =
     state.kind === 'assigned' && state.workerId === end.workerId && state.run === end.run;
   const step = table.findStep(task);
-  const checkpoint =
-    step.isCheckpointing && end.checkpoint !== '' ? end.checkpoint : task.checkpoint;
+  const checkpoint = observeCheckpoint(task, step, {
+    value: end.checkpoint,
+    run: end.run,
+    reportedMs: at.nowMs,
+  });
   const lastRun = Math.max(task.lastRun, end.run);
   const updated = table.moveTask(task, state, { checkpoint, lastRun });
   if (state.kind === 'done') return;
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -6,6 +6,7 @@
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
 import type { Resources } from '../ports/workers.js';
 import { applyEnd } from './apply-ends.js';
+import { observeCheckpoint, type Checkpoint } from './checkpoints.js';
 import { recordFailedRun } from './eject-workers.js';
 import { computeEarliestWorkerMs, isStartLate } from './lease-clock.js';
 import { computeFirstLease } from './first-lease.js';
@@ -45,6 +46,11 @@
   return step === undefined ? undefined : computeFootprint(step);
 }
 
+/** Makes the checkpoint that a row of a report names. */
+function makeCheckpoint({ checkpoint, run }: RunningTask, { nowMs }: Moment): Checkpoint {
+  return { value: checkpoint, run, reportedMs: nowMs };
+}
+
 /** Records a run that belongs to no task, or whose task is done or assigned to another run. */
 function recordOrphan(
   context: PoolContext,
@@ -89,8 +95,10 @@
     lastProgressMs: at.nowMs,
     load: row.load,
   });
+  const step = context.table.findStep(task);
   context.table.moveTask(task, makeAdopted(assignment), {
     lastRun: Math.max(task.lastRun, row.run),
+    checkpoint: observeCheckpoint(task, step, makeCheckpoint(row, at)),
   });
   context.table.updateJob(task.jobId, { hasStarted: true });
   context.report({
@@ -120,8 +128,7 @@
     lastProgressMs: hasRisen || state.confirmedMs === undefined ? at.nowMs : state.lastProgressMs,
     load: row.load,
   };
-  const checkpoint =
-    step.isCheckpointing && row.checkpoint !== '' ? row.checkpoint : task.checkpoint;
+  const checkpoint = observeCheckpoint(task, step, makeCheckpoint(row, at));
   context.table.moveTask(task, updated, { checkpoint });
   const isStalled = at.nowMs - updated.lastProgressMs > STALL_MS;
   const canStall =
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -1,5 +1,6 @@
 /** One pass over the queue: places the waiting tasks of jobs, and marks them as assigned. */
 import { createCandidates, type Candidates } from './candidates.js';
+import { chooseCheckpoint } from './checkpoints.js';
 import { chooseWorker, isEligible, isFitting } from './choose-worker.js';
 import { isToBeIsolated } from './crash-evidence.js';
 import { releaseNeededWorkers } from './eject-workers.js';
@@ -134,7 +135,7 @@
     startable: StartableStep,
     task: Task,
     worker: Worker,
-    run: number,
+    { run, checkpoint }: Pick<StartAction, 'run' | 'checkpoint'>,
   ): StartAction => {
     const { id, address } = worker.entry;
     const leaseUntilMs = makeLease(worker);
@@ -160,7 +161,7 @@
       run,
       payload: startable.job.record.spec.payload,
       leaseUntilMs,
-      checkpoint: startable.step.isCheckpointing ? task.checkpoint : '',
+      checkpoint,
       ticket: findStepTicket(makeStartableKey(startable), worker),
     };
   };
@@ -192,6 +193,7 @@
     const gangSize = computeMultiple(startable.step.size, waiting.length);
     if (!teams.hasRoom(startable.job, gangSize)) return;
     const run = Math.max(...waiting.map((task) => task.lastRun)) + 1;
+    const checkpoint = chooseCheckpoint(waiting);
     const candidates = selectCandidates(startable, listAll());
     const planned: StartAction[] = [];
     for (const task of waiting) {
@@ -202,7 +204,7 @@
         releaseGang(waiting);
         return;
       }
-      planned.push(assignTask(startable, task, worker, run));
+      planned.push(assignTask(startable, task, worker, { run, checkpoint }));
       candidates.refreshWorker(worker.entry.id);
     }
     starts.push(...planned);
@@ -227,7 +229,8 @@
           : chooseWorker(candidates.list(), request);
       if (worker === undefined) return task;
       logEffect(task, worker, request);
-      starts.push(assignTask(startable, task, worker, task.lastRun + 1));
+      const checkpoint = chooseCheckpoint([task]);
+      starts.push(assignTask(startable, task, worker, { run: task.lastRun + 1, checkpoint }));
       candidates.refreshWorker(worker.entry.id);
       const { isLasting, isFilling } = startable.step;
       const mayRepeat = !isLasting && !isFilling && isRepeatable(task);
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -1,6 +1,7 @@
 /** State of the jobs, tasks and workers of one pool, as held in memory by its planner. */
 import type { Resources } from '../ports/workers.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
+import type { Checkpoint } from './checkpoints.js';
 import type { CrashRecord } from './crash-evidence.js';
 import type { JobRecord, StepSpec } from './spec.js';
 
@@ -93,8 +94,8 @@
   readonly crashes: readonly CrashRecord[];
   /** Highest run number that may have been used for the task. */
   readonly lastRun: number;
-  /** Newest known checkpoint; empty if there is none. */
-  readonly checkpoint: string;
+  /** Newest known checkpoint. */
+  readonly checkpoint: Checkpoint;
   /** Workers on which the task failed or stalled, or that rejected its start. */
   readonly avoidedWorkerIds: readonly string[];
   readonly state: TaskState;
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -5,6 +5,7 @@
  */
 import { addResources } from '../placement/resources.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
+import { NO_CHECKPOINT } from './checkpoints.js';
 import { makeTaskSuffix } from './progress.js';
 import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
 import { makeJob, type JobOrigin } from './make-job.js';
@@ -187,7 +188,7 @@
       failedRuns: origin?.progress?.failedRuns.get(suffix) ?? [],
       crashes: origin?.progress?.crashes.get(suffix) ?? [],
       lastRun: origin?.runBase ?? 0,
-      checkpoint: '',
+      checkpoint: NO_CHECKPOINT,
       avoidedWorkerIds: [],
       state: { kind: 'waiting', notBeforeMs: 0 },
     };
