Stop the started members of a gang as soon as another one cannot start

Cause: a rejected start returned its own task alone to the queue, a start without a response was stopped alone. Nothing ended the others, although the gang cannot become complete with that run number.

Both now mark the other members that have the same run as to be stopped, whether their starts were answered or not; a worker rejects a start that arrives after its stop. A start that is rejected for that reason (`old-run` while it is being stopped) says nothing against its worker, and neither pauses it nor is it avoided. A gang whose runs a report has confirmed goes on when a response is lost, as before.

--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -9,7 +9,8 @@
 import type { PoolContext } from './pool-context.js';
 import { releaseUnendedRun } from './run-release.js';
 import { makeStepKey } from './spec.js';
-import { makeAvoidance, type Moment } from './state.js';
+import { makeAvoidance, type Moment, type Task } from './state.js';
+import { stopOtherMembers } from './stop-gang.js';
 import type { TicketRegistry } from './tickets.js';
 
 /** Delay before a rejected task is started again. */
@@ -66,10 +67,40 @@
   report({ event: 'worker-clock-back', worker: workerId, clockMs, expectedMs });
 }
 
+/**
+ * Returns a task whose start was rejected to the queue, and keeps new tasks off the worker for a
+ * while, unless it only says that the run was stopped before its start arrived.
+ */
+function handleRejection(
+  context: PoolContext,
+  tickets: TicketRegistry,
+  task: Task,
+  { worker, run }: StartAction,
+  why: Rejection,
+  { nowMs }: Moment,
+): void {
+  const { state } = task;
+  const wasStopped = why === 'old-run' && state.kind === 'assigned' && state.phase === 'stopping';
+  const change = wasStopped ? {} : makeAvoidance(task, worker.id);
+  releaseUnendedRun(
+    context,
+    context.table.moveTask(task, state, change),
+    { proof: 'start-rejected', why },
+    { nowMs, notBeforeMs: nowMs + START_RETRY_MS },
+  );
+  stopOtherMembers(context, task, run);
+  if (wasStopped) return;
+  if (why === 'no-ticket') {
+    const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
+    tickets.dropTicket(stepKey, worker.id);
+  } else startPause(context, worker.id, why, nowMs);
+}
+
 /**
  * Applies the outcome of a start: a rejected task returns to the queue unless its run was confirmed
- * before, and an unconfirmed run with an unknown outcome is to be stopped. Changes nothing if the
- * task has another run by now. `at` is when the outcome was known.
+ * before, and an unconfirmed run with an unknown outcome is to be stopped; the other members of a
+ * gang are stopped in both cases. Changes nothing if the task has another run by now. `at` is when
+ * the outcome was known.
  */
 export function observeStart(
   context: PoolContext,
@@ -104,19 +135,12 @@
     }
     case 'rejected':
       if (state.confirmedMs !== undefined) return;
-      releaseUnendedRun(
-        context,
-        table.moveTask(task, state, makeAvoidance(task, action.worker.id)),
-        { proof: 'start-rejected', why: outcome.why },
-        { nowMs: at.nowMs, notBeforeMs: at.nowMs + START_RETRY_MS },
-      );
-      if (outcome.why === 'no-ticket') {
-        const stepKey = makeStepKey(task.jobId, task.occurrence, task.stepIndex);
-        tickets.dropTicket(stepKey, action.worker.id);
-      } else startPause(context, action.worker.id, outcome.why, at.nowMs);
+      handleRejection(context, tickets, task, action, outcome.why, at);
       return;
     case 'unknown':
-      if (state.phase === 'starting') table.moveTask(task, { ...state, phase: 'stopping' });
+      if (state.phase !== 'starting') return;
+      table.moveTask(task, { ...state, phase: 'stopping' });
+      stopOtherMembers(context, task, action.run);
       return;
     default:
       outcome satisfies never;
