--- a/packages/daemon/src/test/simulated-worker.ts
+++ b/packages/daemon/src/test/simulated-worker.ts
@@ -25,7 +25,11 @@
 
 const FULL_PERCENT = 100;
 
-interface Run {
+/** A run makes a checkpoint this often. */
+const CHECKPOINT_MS = 200;
+
+/** A run that goes on. */
+export interface Run {
   readonly taskKey: string;
   readonly run: number;
   readonly startedMs: number;
@@ -35,7 +39,7 @@
 
 /** Observer of what happens on all workers. */
 export interface RunObserver {
-  readonly handleStart: (taskKey: string, run: number) => void;
+  readonly handleStart: (taskKey: string, run: number, order: StartOrder) => void;
   /** Called when the planner has confirmed that the end of a run is stored. */
   readonly handleAcknowledged: (end: EndedTask) => void;
 }
@@ -43,6 +47,12 @@
 /** One incarnation of a worker. */
 export type Incarnation = ReturnType<typeof createIncarnation>;
 
+/** Makes the checkpoint that a run has at a time; empty before the first. */
+function makeCheckpoint({ taskKey, run, startedMs }: Run, nowMs: number): string {
+  const count = Math.floor((nowMs - startedMs) / CHECKPOINT_MS);
+  return count === 0 ? '' : `${taskKey}/${run}/${count}`;
+}
+
 /** Creates an incarnation that starts now; `getDurationMs` says how long a task runs. */
 export function createIncarnation(
   bornMs: number,
@@ -58,11 +68,13 @@
   let leaseUntilMs = 0;
 
   const readClockMs = () => Math.round((performance.now() - startedMs) * CLOCK_RATE);
-  const closeRun = ({ taskKey, run }: Pick<Run, 'taskKey' | 'run'>, how: RunEnd) => {
+  const closeRun = (closed: Run, how: RunEnd) => {
+    const { taskKey, run } = closed;
+    const checkpoint = makeCheckpoint(closed, performance.now());
     endCount += 1;
     runs.delete(taskKey);
     highestEndedRuns.set(taskKey, Math.max(run, highestEndedRuns.get(taskKey) ?? 0));
-    ended = [...ended, { number: endCount, taskKey, run, how, checkpoint: '' }];
+    ended = [...ended, { number: endCount, taskKey, run, how, checkpoint }];
   };
   const closeDue = () => {
     const nowMs = performance.now();
@@ -93,13 +105,20 @@
       closeDue();
       return runs.has(taskKey);
     },
-    start: ({ taskKey, run, ...order }: StartOrder): OrderOutcome => {
+    listRuns: (): readonly Run[] => {
+      closeDue();
+      return [...runs.values()];
+    },
+    /** Ends a run as one whose gang was broken up. */
+    stopRun: (run: Run) => closeRun(run, 'broken'),
+    start: (order: StartOrder): OrderOutcome => {
+      const { taskKey, run } = order;
       if (isFenced(order.fencingToken)) return { kind: 'rejected', why: 'fenced' };
       if (runs.get(taskKey)?.run === run) return { kind: 'accepted', clockMs: readClockMs() };
       if (run <= (highestEndedRuns.get(taskKey) ?? 0)) return { kind: 'rejected', why: 'old-run' };
       if (order.leaseUntilMs <= readClockMs()) return { kind: 'rejected', why: 'late' };
       renewLease(order.leaseUntilMs);
-      observer.handleStart(taskKey, run);
+      observer.handleStart(taskKey, run, order);
       const durationMs = getDurationMs(taskKey);
       runs.set(taskKey, { taskKey, run, startedMs: performance.now(), durationMs });
       return { kind: 'accepted', clockMs: readClockMs() };
@@ -124,10 +143,12 @@
         await waitFor(POLL_INTERVAL_MS);
         closeDue();
       }
-      const running = [...runs.values()].map(({ taskKey, run, ...times }) => {
+      const running = [...runs.values()].map((known) => {
+        const { taskKey, run, ...times } = known;
+        const checkpoint = makeCheckpoint(known, performance.now());
         const share = (performance.now() - times.startedMs) / times.durationMs;
         const percent = times.durationMs === Infinity ? FULL_PERCENT : share * FULL_PERCENT;
-        return { taskKey, run, checkpoint: '', percent, load: 0 };
+        return { taskKey, run, checkpoint, percent, load: 0 };
       });
       return { kind: 'report', report: { bornMs, clockMs: readClockMs(), running, ended } };
     },
