A task that is cancelled before its submission is read is not queued

No caller can reach it yet, as `createTasksHandler` is not mounted in the entry, and nothing implements its ports; the fold is what any implementation would answer from.

The fold now ends such an id as `cancelled`, `not-run`. It is kept among the 20,000 tasks that ended last, which bounds it and makes a repeated or late submission known; so is that of a task that was refused. The cancellation of a task that has ended stays void. A flood of cancellations of unknown ids makes ended tasks be forgotten sooner, as a flood of submissions does; an entry that mounts the interface has to limit both. Entries before and after this commit fold such records differently, so their digests differ until all have it.

--- /dev/null
+++ b/packages/vanilladock/src/lib/placement/fold-finished.ts
@@ -0,0 +1,48 @@
+/** Keeps how the newest tasks ended, so that a submission that is repeated or late is known. */
+import { setVoid } from './fold-void.js';
+import type { CancellationRecord } from './records.js';
+import type { FinishedTask, PlacementState } from './state.js';
+
+/** Finished tasks that are kept; an older one that is submitted again counts as new. */
+export const FINISHED_KEPT = 20_000;
+
+/** Stores how a task ended; evicts the one that finished first when there are too many. */
+export function addFinished(
+  state: PlacementState,
+  taskId: string,
+  entry: FinishedTask,
+): PlacementState {
+  const finished = state.finished.set(taskId, entry);
+  const finishedOrder = state.finishedOrder.push({ taskId, offset: entry.offset });
+  const oldest = finishedOrder.first();
+  if (finishedOrder.size <= FINISHED_KEPT || oldest === undefined) {
+    return { ...state, finished, finishedOrder };
+  }
+  const isNewest = finished.get(oldest.taskId)?.offset === oldest.offset;
+  return {
+    ...state,
+    finished: isNewest ? finished.remove(oldest.taskId) : finished,
+    finishedOrder: finishedOrder.shift(),
+  };
+}
+
+/**
+ * Ends a task that the log does not have, or that was refused: a submission that was sent before the
+ * cancellation and is read after it is then known, and has no effect.
+ */
+export function foldEarlyCancellation(
+  state: PlacementState,
+  { taskId, by, id }: CancellationRecord,
+  offset: number,
+): PlacementState {
+  const ended = state.finished.get(taskId);
+  if (ended !== undefined && ended.result !== 'refused') return setVoid(state, id, 'no-such-task');
+  return addFinished(state, taskId, {
+    result: 'cancelled',
+    verdict: 'not-run',
+    reason: `cancelled by ${by} before it was accepted`,
+    team: ended?.team ?? '',
+    workerId: undefined,
+    offset,
+  });
+}
--- a/packages/vanilladock/src/lib/placement/fold.ts
+++ b/packages/vanilladock/src/lib/placement/fold.ts
@@ -9,6 +9,7 @@
 import type { Verdict } from '../verdict.js';
 import { findPlacementDuty } from './duty.js';
 import { foldEvidence } from './fold-evidence.js';
+import { addFinished, foldEarlyCancellation } from './fold-finished.js';
 import {
   addLease,
   addQuickCores,
@@ -38,9 +39,6 @@
 } from './state.js';
 import { EMPTY_TEAM, EMPTY_WORKER } from './state.js';
 
-/** Finished tasks that are kept; an older one that is submitted again counts as new. */
-export const FINISHED_KEPT = 20_000;
-
 /** Queued tasks, over all teams and per team, beyond which submissions are refused. */
 export const QUEUED_MAX = 60_000;
 export const QUEUED_MAX_PER_TEAM = 5_000;
@@ -64,20 +62,8 @@
 ): PlacementState {
   const entry = { ...end, team: task.team, workerId: task.lease?.workerId };
   const counted = addQuickCores(state, task, -1);
-  const finished = counted.finished.set(task.taskId, entry);
-  const key = { taskId: task.taskId, offset: end.offset };
-  const finishedOrder = counted.finishedOrder.push(key);
   const tasks = counted.tasks.remove(task.taskId);
-  return dropOldest({ ...counted, tasks, finished, finishedOrder });
-}
-
-/** Evicts the task that finished first when too many are kept. */
-function dropOldest(state: PlacementState): PlacementState {
-  const oldest = state.finishedOrder.first();
-  if (state.finishedOrder.size <= FINISHED_KEPT || oldest === undefined) return state;
-  const isNewest = state.finished.get(oldest.taskId)?.offset === oldest.offset;
-  const finished = isNewest ? state.finished.remove(oldest.taskId) : state.finished;
-  return { ...state, finished, finishedOrder: state.finishedOrder.shift() };
+  return addFinished({ ...counted, tasks }, task.taskId, entry);
 }
 
 /** Estimates the cores that a submitted task needs. */
@@ -273,7 +259,7 @@
   offset: number,
 ): PlacementState {
   const task = state.tasks.get(record.taskId);
-  if (task === undefined) return setVoid(state, record.id, 'no-such-task');
+  if (task === undefined) return foldEarlyCancellation(state, record, offset);
   if (task.lease !== undefined) {
     const marked = {
       ...state,
--- a/packages/vanilladock/src/lib/placement/state.ts
+++ b/packages/vanilladock/src/lib/placement/state.ts
@@ -54,6 +54,7 @@
   readonly result: TaskResult;
   readonly verdict: Verdict;
   readonly reason: string;
+  /** Empty for a task that was cancelled before its submission was read. */
   readonly team: string;
   /** Worker whose lease ended with the task; undefined when the task ended in its queue. */
   readonly workerId: string | undefined;
--- a/packages/vanilladock/src/test/placement-fold.test.ts
+++ b/packages/vanilladock/src/test/placement-fold.test.ts
@@ -2,12 +2,8 @@
 import { is } from 'immutable';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import {
-  ATTEMPTS_MAX,
-  FINISHED_KEPT,
-  LAPSES_MAX,
-  QUEUED_MAX_PER_TEAM,
-} from '../lib/placement/fold.js';
+import { FINISHED_KEPT } from '../lib/placement/fold-finished.js';
+import { ATTEMPTS_MAX, LAPSES_MAX, QUEUED_MAX_PER_TEAM } from '../lib/placement/fold.js';
 import { createPlacementState } from '../lib/placement/state.js';
 import {
   foldAll,
@@ -108,6 +104,42 @@
   assert.is(state.queues.size, 0);
 });
 
+// Guards against work that nobody wants: a submission that was sent before its cancel is read after it.
+test('a task that is cancelled before its submission arrives is not queued', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0, kind: 'task.cancellation' } as const;
+  const state = foldAll([{ ...cancel, taskId: 't' }, makeSubmission('t')]);
+  assert.is(state.queued, 0);
+  assert.is(state.finished.get('t')?.result, 'cancelled');
+  assert.is(state.finished.get('t')?.verdict, 'not-run');
+});
+
+test('a refused task that is cancelled is not queued when it is sent again', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0, kind: 'task.cancellation' } as const;
+  const refused = makeSubmission('t', { declared: makeSize(-1) });
+  const state = foldAll([refused, { ...cancel, taskId: 't' }, makeSubmission('t')]);
+  assert.is(state.queued, 0);
+  assert.is(state.finished.get('t')?.result, 'cancelled');
+});
+
+test('a cancel of a task that has ended changes nothing', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0, kind: 'task.cancellation' } as const;
+  const ended = [makeSubmission('t'), makeLease('t'), makeOutcome('t', 1, 'succeeded')];
+  const state = foldAll([...ended, { ...cancel, taskId: 't' }]);
+  assert.is(state.finished.get('t')?.result, 'succeeded');
+  assert.is(state.voids.get('c'), 'no-such-task');
+});
+
+test('cancels of unknown tasks are kept up to the limit of ended ones', () => {
+  const cancel = { version: 1, id: 'c', by: 'b', at: 0, kind: 'task.cancellation' } as const;
+  const many = Array.from({ length: FINISHED_KEPT + 2 }, (_, index) => ({
+    ...cancel,
+    taskId: `t${index}`,
+  }));
+  const state = foldAll(many);
+  assert.is(state.finished.size, FINISHED_KEPT);
+  assert.not.ok(state.finished.has('t1'));
+});
+
 test('a task ends after three failed attempts or six lapsed leases', () => {
   const buildAttempts = (result: 'failed' | 'lapsed', times: number) =>
     Array.from({ length: times }, (_, index) => [
