Guard that a call that was given up in the queue of connections is not sent

Held before and after: a start that waits behind a silent worker's eight calls is given up after its time limit and destroyed, and Node's agent does not send it when a connection becomes free.

--- a/packages/daemon/src/test/http-client.test.ts
+++ b/packages/daemon/src/test/http-client.test.ts
@@ -1,6 +1,7 @@
 /** Tests of the HTTP client with calls that cannot be made and answers that are too large. */
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
@@ -11,6 +12,12 @@
 const CASES = 300;
 const CHUNK_BYTES = 1_048_576;
 
+/** Connections to one address that the client opens by default. */
+const DEFAULT_CONNECTIONS = 8;
+
+/** Time limit of the calls that hold all connections. */
+const HOLDER_MS = 200;
+
 /** Discard port of loopback, where nothing listens. */
 const NOBODY = '127.0.0.1:9';
 
@@ -90,4 +97,31 @@
   server.closeAllConnections();
 });
 
+// Guards against a start that is sent after its job was cancelled, once a silent worker's calls end.
+test('a call that is given up while it waits for a connection is never sent', async () => {
+  const received: string[] = [];
+  const server = createServer((request) => void received.push(request.url ?? ''));
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const client = createHttpClient({ error: () => {} });
+  const send = (path: string, timeoutMs: number) =>
+    client.send({ ...CALL, address, path, timeoutMs });
+  const holders = Array.from({ length: DEFAULT_CONNECTIONS }, (_, index) =>
+    send(`/holder${index}`, HOLDER_MS),
+  );
+  const given = await send('/given-up', HOLDER_MS / 4);
+  assert.equal(given, { kind: 'none', reason: 'timeout', isRefused: false });
+  const next = send('/next', 3 * HOLDER_MS);
+  await Promise.all(holders);
+  await delay(HOLDER_MS);
+  client.close();
+  await next;
+  server.close();
+  server.closeAllConnections();
+  assert.ok(received.includes('/next'), 'a call that waited longer was sent');
+  assert.not.ok(received.includes('/given-up'));
+});
+
 test.run();
