Play gangs whose starts are refused, and find members that wait in vain

The machine of cancelled jobs has workers that refuse starts for a while now, and a member of a gang that waits 3 s for the others, with nothing lost since a second before its start, counts as a violation.

--- a/packages/daemon/src/test/cancelled-jobs-machine.test.ts
+++ b/packages/daemon/src/test/cancelled-jobs-machine.test.ts
@@ -2,7 +2,8 @@
  * State-machine test of a pool's planners and cancelled jobs: two workers carry orders out late
  * without an answer, start again under their ids and are cut off, while planners take over from each
  * other. After a cancel was acknowledged no start of its job may be sent, what runs has to end, and
- * each start has its job's payload and a checkpoint of its own task or gang.
+ * each start has its job's payload and a checkpoint of its own task or gang. No member of a gang may
+ * wait in vain for one whose start was only refused.
  */
 import { install } from '@sinonjs/fake-timers';
 import fc from 'fast-check';
@@ -42,18 +43,24 @@
 
 const CHECK_MS = 100;
 
+/** A member of a gang counts as waiting in vain if nothing was lost for this long before its start. */
+const CALM_MS = 1_000;
+
 const LENIENT_POLICY = { ...POLICY, maxAttempts: 100, stretch: 100, targetLatencyMs: 100_000 };
 
 const JOB_KINDS = ['lasting', 'gang', 'steps', 'repeated'] as const;
 
 type JobKind = (typeof JOB_KINDS)[number];
 
+/** What becomes of the orders to a worker; with `refused`, starts alone are rejected. */
+type Harm = 'lost' | 'unanswered' | 'late' | 'refused';
+
 type Fault =
   | { readonly kind: 'restart'; readonly worker: 0 | 1; readonly afterMs: number }
   | {
       readonly kind: 'harm';
       readonly worker: 0 | 1;
-      readonly orders: 'lost' | 'unanswered' | 'late';
+      readonly orders: Harm;
       readonly afterMs: number;
     }
   | { readonly kind: 'take-over' }
@@ -70,7 +77,7 @@
 interface Place {
   readonly id: string;
   incarnation: Incarnation | undefined;
-  orders: 'answered' | 'lost' | 'unanswered' | 'late';
+  orders: 'answered' | Harm;
 }
 
 const CHECKPOINTING: StepSpec = { ...STEP, isCheckpointing: true, estimateMs: BATCH_MS };
@@ -118,6 +125,8 @@
   let bornCount = 0;
   let token = 0;
   let lastFaultMs = 0;
+  /** As `lastFaultMs`, without refusals and cancels. */
+  let lastLossMs = 0;
 
   const pickMs = (maxMs: number) => {
     random = (random * 48_271) % 2_147_483_647;
@@ -180,13 +189,18 @@
       if (orders === 'lost' || incarnation === undefined) return NEVER;
       const outcome = await execute(incarnation);
       await waitFor(pickMs(30));
-      return orders === 'answered' && place.incarnation === incarnation ? outcome : NEVER;
+      const isAnswered = orders === 'answered' || orders === 'refused';
+      return isAnswered && place.incarnation === incarnation ? outcome : NEVER;
     };
     return Promise.race([answerCall(), unanswered]);
   };
   const workers: TaskWorkers = {
-    startTask: ({ id }, order) => {
+    startTask: async ({ id }, order) => {
       checkOrder(order);
+      if (places.find((place) => place.id === id)?.orders === 'refused') {
+        await waitFor(pickMs(60));
+        return { kind: 'rejected', why: 'unhealthy' };
+      }
       return sendCall<OrderOutcome>(id, TIMEOUT_MS, (w) => w.start(order));
     },
     stopTask: ({ id }, order) => sendCall<OrderOutcome>(id, TIMEOUT_MS, (w) => w.stop(order)),
@@ -213,8 +227,11 @@
     );
     members.forEach(({ incarnation, run, gang }) => {
       if (members.filter((other) => other.gang === gang).length > 1) completeGangs.add(gang);
-      else if (completeGangs.has(gang) || nowMs - run.startedMs > GANG_WAIT_MS) {
+      else if (completeGangs.has(gang)) incarnation?.stopRun(run);
+      else if (nowMs - run.startedMs > GANG_WAIT_MS) {
         incarnation?.stopRun(run);
+        const hasLoss = lastLossMs > run.startedMs - CALM_MS;
+        if (!hasLoss) violations.push(`${run.taskKey} run ${run.run} has waited alone`);
       }
     });
   };
@@ -232,8 +249,12 @@
   let runner = startRunner();
   const ticker = setInterval(() => {
     const nowMs = performance.now();
-    const isHarmed = places.some((place) => place.orders !== 'answered' || !place.incarnation);
-    if (isHarmed) lastFaultMs = nowMs;
+    const isLost = places.some(
+      ({ orders, incarnation }) =>
+        incarnation === undefined || (orders !== 'answered' && orders !== 'refused'),
+    );
+    if (isLost) lastLossMs = nowMs;
+    if (isLost || places.some(({ orders }) => orders === 'refused')) lastFaultMs = nowMs;
     stopIncompleteGangs(nowMs);
     checkRuns(nowMs);
   }, CHECK_MS);
@@ -267,6 +288,7 @@
         runner.stop();
         runner = startRunner();
         lastFaultMs = performance.now();
+        lastLossMs = performance.now();
         return;
       case 'late-starts':
         places.forEach((place) => Object.assign(place, { orders: 'late' }));
@@ -310,7 +332,7 @@
   fc.record({
     kind: fc.constant('harm' as const),
     worker,
-    orders: fc.constantFrom('lost' as const, 'unanswered' as const, 'late' as const),
+    orders: fc.constantFrom<Harm>('lost', 'unanswered', 'late', 'refused', 'refused'),
     afterMs: fc.integer({ min: 100, max: 5_000 }),
   }),
   fc.constant({ kind: 'take-over' } as const),
