Confirm no cancel of what pools said before the version was recorded

What callers saw (in the model): a job that was accepted in a pool goes on after its cancel was answered with 410, and a GET of it with 410 too, at an instance that had just received a version of the configuration.

Cause: the gateway of queues listed the pools to ask when the request came, and looked only after their replies whether the version was recorded. Recorded meanwhile, it confirmed the word of the pools it had known before: an instance that had missed the version that sent the queue to kilns, and back to stalls by the next, asked stalls alone, whose floor that next version is not below.

Fix: whether all pools are known is read at the same moment as their list. Pools that a newer version adds later are no gap, as a former pool closes its queue for older versions before they accept.

--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -148,9 +148,10 @@
         case 'status':
         case 'cancel': {
           const asked = request.kind === 'cancel' ? { ...request, origin } : request;
+          // If not, there may be a pool that is not asked; one that becomes known meanwhile is not either.
+          const areAllKnown = directory.hasRecorded(origin.version);
           const reply = await chooseReply(queryAll(asked, origin.queue, answerByMs));
-          // There may be a pool that this instance does not know of yet.
-          const isOpen = reply.kind === 'no-such-job' && !directory.hasRecorded(origin.version);
+          const isOpen = reply.kind === 'no-such-job' && !areAllKnown;
           return isOpen ? makeUnavailable('queue-unrecorded') : reply;
         }
         case 'pending':
--- a/packages/daemon/src/test/cancelled-jobs-machine.test.ts
+++ b/packages/daemon/src/test/cancelled-jobs-machine.test.ts
@@ -75,4 +75,21 @@
   assert.equal(violations, []);
 });
 
+// Guards against a cancel that is confirmed without a pool that the instance learns of meanwhile.
+test('a cancel during the recording of a version is not confirmed beside a job', async () => {
+  const toKilns = { kind: 'publish', pool: 'kilns', delaysMs: [1, 1, 5_000] } as const;
+  const toStalls = { kind: 'publish', pool: 'stalls', delaysMs: [1, 1, 1] } as const;
+  const violations: string[] = [];
+  for (let waitMs = 20; waitMs < 180; waitMs += 10) {
+    const found = await runCase(waitMs, [
+      { step: toKilns, waitMs: 700 },
+      { step: { kind: 'submit', id: 'a', instance: 0 }, waitMs: 400 },
+      { step: toStalls, waitMs },
+      { step: { kind: 'cancel', id: 'a', instance: 2 }, waitMs: 300 },
+    ]);
+    violations.push(...found);
+  }
+  assert.equal(violations, []);
+});
+
 test.run();
--- a/packages/daemon/src/test/queue-gateway.test.ts
+++ b/packages/daemon/src/test/queue-gateway.test.ts
@@ -128,6 +128,29 @@
   );
 });
 
+// Guards against a 410 for a job in a pool that was recorded only after the pools were asked.
+test('what pools said before the version was recorded does not mean that no job exists', async () => {
+  let isRecorded = false;
+  const { answer } = createQueueGateway({
+    gateway: {
+      answer: () => {
+        isRecorded = true;
+        return Promise.resolve(UNKNOWN_JOB);
+      },
+    },
+    directory: {
+      findPlacement: () => undefined,
+      listFormerPools: () => (isRecorded ? ['stalls'] : []),
+      hasRecorded: () => isRecorded,
+    },
+    mayBeOld: () => false,
+  });
+  assert.is((await answer(CANCEL, ORIGIN)).kind, 'unavailable');
+  isRecorded = false;
+  assert.is((await answer(STATUS, ORIGIN)).kind, 'unavailable');
+  assert.equal(await answer(CANCEL, ORIGIN), UNKNOWN_JOB);
+});
+
 // Guards against a job that starts after a pause so long that its cancel is forgotten.
 test('a submission that may be old is refused as not run, and other requests go on', async () => {
   const { answer, listAsked } = openGateway({}, [], 8, true);
