Keep a job's records apart from the tombstone of another team's cancel

What callers saw (in the planner alone): a job that one team submitted and that was accepted, under an id that another team had cancelled before within 120 s, would be lost: the next planner takes it for cancelled, and once the tombstone has expired the records of the job are removed with it, so that the next planner answers 410.

Cause: a tombstone holds only for the team that cancelled, but its record has the key of the job's progress. An admitted job of another team was stored beside it, and the tombstone's removal takes both keys of the id.

Fix: a job that is admitted in spite of a tombstone takes its place: the tombstone is dropped, and its record is removed in the append that stores the job, before it. The team that cancelled stays kept out: its submission of the id is refused as another team's job for as long as the job is known, which is at least as long as a tombstone of the default times. If the store refuses that append, job and tombstone are both gone from memory, and only a later submission of the first team under that id would be taken.

--- a/packages/vanilladock/src/lib/jobs/cancel-tombstones.ts
+++ b/packages/vanilladock/src/lib/jobs/cancel-tombstones.ts
@@ -31,6 +31,8 @@
   readonly load: (tombstone: CancelTombstone, nowMs: number) => void;
   /** Says whether a submission of the job by a team must be refused. */
   readonly blocks: (jobId: string, team: string | undefined) => boolean;
+  /** Drops the tombstone of a job; returns whether there was one. */
+  readonly drop: (jobId: string) => boolean;
   /** Says whether the tombstone of a job is stored; false if there is none. */
   readonly isStored: (jobId: string) => boolean;
   /** Lists the tombstones that are not stored yet. */
@@ -84,6 +86,10 @@
       const entry = entries.get(jobId);
       return entry !== undefined && isSameTeam(entry.tombstone.team, team);
     },
+    drop: (jobId) => {
+      unstoredIds.delete(jobId);
+      return entries.delete(jobId);
+    },
     isStored: (jobId) => entries.get(jobId)?.isStored === true,
     listUnstored: () =>
       [...unstoredIds].flatMap((id) => {
--- a/packages/vanilladock/src/lib/jobs/job-intake.ts
+++ b/packages/vanilladock/src/lib/jobs/job-intake.ts
@@ -24,8 +24,8 @@
   readonly arrivals: Pick<ArrivalForecast, 'add'>;
   readonly meanWork: Pick<MeanWork, 'addJob'>;
   readonly teams: Pick<PoolTeams, 'classifyJob' | 'observeRefusal'>;
-  readonly storeQueue: Pick<StoreQueue, 'addNew'>;
-  readonly tombstones: Pick<CancelTombstones, 'add' | 'blocks'>;
+  readonly storeQueue: Pick<StoreQueue, 'addNew' | 'addRemoved'>;
+  readonly tombstones: Pick<CancelTombstones, 'add' | 'blocks' | 'drop'>;
   /** Returns the cores that admission may count on from lending; 0 while that is not known. */
   readonly getReachableCores: (nowMs: number) => number;
 }
@@ -104,6 +104,8 @@
       };
       const origin = { progress: undefined, runBase: 0, storedPhase: 'none' } as const;
       meanWork.addJob(table.addJob(record, origin, at));
+      // One of another team: its records have the keys of the job's, and the job's id refuses that team.
+      if (tombstones.drop(spec.id)) storeQueue.addRemoved([spec.id]);
       storeQueue.addNew(spec.id);
       return admission;
     },
--- a/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
+++ b/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
@@ -13,15 +13,20 @@
 
 const makeTombstone = (jobId: string, team?: string) => ({ jobId, team, cancelledAtMs: 1 });
 
-/** Opens a planner and a function that stores what is due and returns the keys with a value. */
+/** Opens a planner, a function that stores what is due and tells the keys, and what is stored. */
 const openPlanner = () => {
   const harness = createHarness();
+  const stored = new Set<string>();
   const writeBatch = () => {
     const batch = harness.planner.takeStoreBatch();
     batch?.handleStored();
+    batch?.records.forEach(({ key, value }) => {
+      if (value === undefined) stored.delete(key);
+      else stored.add(key);
+    });
     return batch?.records.map(({ key, value }) => `${value === undefined ? '-' : '+'}${key}`);
   };
-  return { ...harness, writeBatch };
+  return { ...harness, writeBatch, stored };
 };
 
 // Guards against a job that starts after its cancel was confirmed, as its submission arrives late.
@@ -93,6 +98,40 @@
   assert.is(tombstones.add(makeTombstone('a', 'oven'), 0), 'refused');
 });
 
+// Guards against an accepted job that its next planner takes for cancelled, as another team's id was.
+test('a job has nothing stored of a tombstone that another team has left under its id', () => {
+  const { planner, at, writeBatch, stored } = openPlanner();
+  planner.cancel('a', at(1), { team: 'crew' });
+  writeBatch();
+  assert.equal(planner.submit(makeJob('a'), POLICY, at(2), { team: 'oven' }), { kind: 'admitted' });
+  writeBatch();
+  assert.equal([...stored], [`${POOL}:a`]);
+  assert.ok(planner.isStored('a'));
+});
+
+// Guards against an accepted job whose records are removed with the tombstone of another team.
+test('a job outlives the tombstone that another team has left under its id', () => {
+  const { planner, at, writeBatch, stored } = openPlanner();
+  planner.cancel('a', at(1), { team: 'crew' });
+  writeBatch();
+  planner.submit(makeJob('a'), POLICY, at(2), { team: 'oven' });
+  writeBatch();
+  planner.plan(at(EXPIRED_MS));
+  writeBatch();
+  assert.ok(stored.has(`${POOL}:a`));
+});
+
+test('a tombstone that the store refused is not stored beside the job of another team', () => {
+  const { planner, at, writeBatch, stored } = openPlanner();
+  planner.cancel('a', at(1), { team: 'crew' });
+  const refused = planner.takeStoreBatch()!;
+  planner.submit(makeJob('a'), POLICY, at(2), { team: 'oven' });
+  planner.dropUnstored(refused);
+  writeBatch();
+  writeBatch();
+  assert.equal([...stored], [`${POOL}:a`]);
+});
+
 test('the queues of tombstones count as queues of the pool', () => {
   const { planner, at } = openPlanner();
   planner.cancel('a', at(1), { queue: 'q' });
