Leave no tombstones in former pools, so that cancels do not keep them in the records

What callers saw (by reading, and in one test): a cancel goes to every pool of its queue, and each former pool that does not have the job kept a tombstone of it for 120 s, also of jobs that run in the new pool. As the queues of tombstones count as queues of the pool, a queue that was sent elsewhere once and has one cancel in 120 s never leaves its former pool: each submission asks that pool's planner first and is refused with 503 while it is being replaced. 33 cancels a second fill the former pool's 4,000 tombstones, and its own queues' cancels of unknown jobs are refused then. And a submission that is repeated got 429 by such a tombstone though the new pool has the job.

Fix: the gateway says which pools are former ones by the version of the cancel. Such a pool, if it does not have the job, closes its queue for versions below that one before it answers, as a lookup has it do; in the steady state it is closed already, so that there is no write. What is handed in under that version or a newer one asks the pool that the version names, which has the tombstone.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -81,6 +81,19 @@
   return isStored ? { kind: 'accepted' } : { kind: 'unknown', why: 'the store has not answered' };
 }
 
+/** Replies that the pool does not have a job, once it accepts none under an older version any more. */
+async function closeForOlder(
+  context: AnswerContext,
+  { queue, version }: QueueOrigin,
+): Promise<JobReply> {
+  if (version < context.getFloor(queue)) return makeUnavailable('config-older');
+
+  const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
+  return isRecorded && !context.isStopped()
+    ? { kind: 'no-such-job' }
+    : makeUnavailable('store-away');
+}
+
 /** Answers whether the pool has a job; if not, it will not accept it under an older version. */
 async function answerLookup(
   context: AnswerContext,
@@ -91,13 +104,7 @@
   if (context.planner.isCancelled(jobId, team)) {
     return { kind: 'refused', cause: 'queue', why: 'cancelled', retryAfterMs: undefined };
   }
-  if (version < context.getFloor(queue)) {
-    return makeUnavailable('config-older');
-  }
-  const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
-  return isRecorded && !context.isStopped()
-    ? { kind: 'no-such-job' }
-    : makeUnavailable('store-away');
+  return closeForOlder(context, { queue, version });
 }
 
 /** Says why the cancel of an unknown job cannot be recorded now; undefined if it can. */
@@ -114,10 +121,13 @@
 /** Cancels a job, or records that an unknown one is cancelled; confirms it only once it is stored. */
 async function cancelJob(
   context: AnswerContext,
-  { jobId, team, origin, receipt }: Extract<JobRequest, { kind: 'cancel' }>,
+  { jobId, team, origin, receipt, isFormerPool }: Extract<JobRequest, { kind: 'cancel' }>,
 ): Promise<JobReply> {
   const { planner, waitStored, isStopped, schedulePlan } = context;
   const isKnown = planner.table.jobs.has(jobId);
+  if (!isKnown && isFormerPool === true && origin !== undefined) {
+    return closeForOlder(context, origin);
+  }
   const confirmed = { kind: isKnown ? 'cancelled' : 'no-such-job' } as const;
   const obstacle = isKnown ? undefined : findCancelObstacle(context, origin);
   if (obstacle !== undefined) return makeUnavailable(obstacle);
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -58,6 +58,11 @@
       readonly team?: string | undefined;
       /** As for `submit`. */
       readonly origin?: QueueOrigin | undefined;
+      /**
+       * Whether the version of `origin` sends the queue to another pool, which is asked too; then an
+       * unknown job is excluded as by a `lookup`, without a record of its own.
+       */
+      readonly isFormerPool?: boolean | undefined;
       /** As for `submit`. */
       readonly receipt?: CallReceipt | undefined;
     }
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -78,7 +78,12 @@
   }),
   jobSchema.extend({ kind: z.literal('lookup'), queue: z.string(), version: z.number() }),
   jobSchema.extend({ kind: z.literal('status') }),
-  jobSchema.extend({ kind: z.literal('cancel'), origin, receipt }),
+  jobSchema.extend({
+    kind: z.literal('cancel'),
+    origin,
+    isFormerPool: z.boolean().optional(),
+    receipt,
+  }),
   z.object({
     kind: z.literal('pending'),
     pool,
--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -137,8 +137,12 @@
     queue: string,
     answerByMs: number,
   ): readonly Promise<JobReply>[] => {
-    const pools = [request.pool, ...directory.listFormerPools(queue, request.pool)];
-    return pools.map((pool) => gateway.answer({ ...request, pool }, answerByMs));
+    const former = directory
+      .listFormerPools(queue, request.pool)
+      .map((pool): QueueRequest =>
+        request.kind === 'cancel' ? { ...request, pool, isFormerPool: true } : { ...request, pool },
+      );
+    return [request, ...former].map((asked) => gateway.answer(asked, answerByMs));
   };
   return {
     answer: async (request, origin, answerByMs = Infinity) => {
--- a/packages/daemon/src/test/peer-calls.test.ts
+++ b/packages/daemon/src/test/peer-calls.test.ts
@@ -98,6 +98,7 @@
     { kind: 'submit', pool: POOL, spec: SPEC, policy: { ...POLICY, advice: ADVICE } },
     { kind: 'cancel', pool: POOL, jobId: 'a', team: undefined, receipt: RECEIPT },
     { kind: 'cancel', pool: POOL, jobId: 'a', origin: { queue: 'q', version: 1 } },
+    { kind: 'cancel', pool: POOL, jobId: 'a', isFormerPool: true },
     { kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY, receipt: RECEIPT },
     { kind: 'pending', pool: POOL, route: 'r' },
     { kind: 'evacuate', ...worker },
