--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -137,8 +137,12 @@
     queue: string,
     answerByMs: number,
   ): readonly Promise<JobReply>[] => {
-    const pools = [request.pool, ...directory.listFormerPools(queue, request.pool)];
-    return pools.map((pool) => gateway.answer({ ...request, pool }, answerByMs));
+    const former = directory
+      .listFormerPools(queue, request.pool)
+      .map((pool): QueueRequest =>
+        request.kind === 'cancel' ? { ...request, pool, isFormerPool: true } : { ...request, pool },
+      );
+    return [request, ...former].map((asked) => gateway.answer(asked, answerByMs));
   };
   return {
     answer: async (request, origin, answerByMs = Infinity) => {
@@ -148,9 +152,10 @@
         case 'status':
         case 'cancel': {
           const asked = request.kind === 'cancel' ? { ...request, origin } : request;
+          // If not, there may be a pool that is not asked; one that becomes known meanwhile is not either.
+          const areAllKnown = directory.hasRecorded(origin.version);
           const reply = await chooseReply(queryAll(asked, origin.queue, answerByMs));
-          // There may be a pool that this instance does not know of yet.
-          const isOpen = reply.kind === 'no-such-job' && !directory.hasRecorded(origin.version);
+          const isOpen = reply.kind === 'no-such-job' && !areAllKnown;
           return isOpen ? makeUnavailable('queue-unrecorded') : reply;
         }
         case 'pending':
