Wait at the start for settings and ports instead of ending

FAULT: an instance ended with 1 and a stack of minified code when its settings file was missing or half written, or when one of its four ports was in use, and so in each restart until that had passed. Cause: the settings were read once, each server was opened once, and the first error of either ended the process.

The servers are open before the instance begins, readiness first, so that one that cannot be reached claims no duty and says 503; the peers' is last, as peers count any answer of it as a call that may have run.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -2,6 +2,7 @@
  * One instance of the system in front of pools of workers: claims duties, runs the planners of the
  * pools whose duties it holds, and answers requests about jobs for all pools.
  */
+import type { Server } from 'node:http';
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createLoggingGuard } from '../error-guard.js';
 import { closeServer } from '../servers.js';
@@ -13,7 +14,7 @@
   type FleetSources,
 } from './fleet-runner.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
-import { createPeerClient, startPeerServer } from './peers.js';
+import { createPeerClient, servePeers } from './peers.js';
 import {
   startPoolRunner,
   type PoolFigures,
@@ -27,10 +28,8 @@
 export interface JobEntryOptions extends PoolSources, FleetSources {
   /** This instance as its peers know it, with the address of its server for peers. */
   readonly self: Member;
-  /** Host that the HTTP server for peers listens on. */
-  readonly peerHost: string;
-  /** Port that the HTTP server for peers listens on. */
-  readonly peerPort: number;
+  /** Server that listens for peers. */
+  readonly peerServer: Server;
 }
 
 /** A running instance. */
@@ -60,12 +59,9 @@
 /** Interval in which queues are looked for that have left a pool, in milliseconds. */
 const LEFT_QUEUES_INTERVAL_MS = 10_000;
 
-/**
- * Starts an instance; resolves once it listens for peers, before it holds any duty. Rejects when
- * its port for peers cannot be opened.
- */
-export async function startJobEntry(options: JobEntryOptions): Promise<JobEntry> {
-  const { self, config, log } = options;
+/** Starts an instance; it claims duties from now on, so that its servers are to be open. */
+export function startJobEntry(options: JobEntryOptions): JobEntry {
+  const { self, config, log, peerServer } = options;
   const peers = createPeerClient(log);
   const runners = new Map<string, PoolRunner>();
   let lastStoreContactMs = -Infinity;
@@ -150,7 +146,7 @@
     });
     config.value?.pools.forEach(({ name }) => startRunner(name));
   });
-  const server = await startPeerServer(options.peerHost, options.peerPort, {
+  servePeers(peerServer, {
     answer: gateway.answerLocally,
     answerNotice: claims.answerNotice,
     log,
@@ -174,7 +170,7 @@
     close: async (limitMs) => {
       clearInterval(dropTimer);
       directory.stop();
-      await closeServer(server, limitMs);
+      await closeServer(peerServer, limitMs);
       peers.close();
     },
   };
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -3,12 +3,11 @@
  * over HTTP on a separate port. After a request without an answer of status 200, a peer is sent no
  * requests for a short time.
  */
-import { createServer, type Server } from 'node:http';
+import type { Server } from 'node:http';
 import type { PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createHttpClient, encodeJsonBody, JSON_HEADERS, parseJsonBody } from '../http-client.js';
 import type { JsonLog } from '../json-log.js';
-import { openServer } from '../servers.js';
 import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
 import {
   isDutyView,
@@ -143,16 +142,9 @@
   }
 }
 
-/**
- * Starts the server for peers' calls; resolves once it listens and rejects when it cannot. A call
- * with a body over 1 MiB is cut off.
- */
-export async function startPeerServer(
-  host: string,
-  port: number,
-  handlers: PeerHandlers,
-): Promise<Server> {
-  const server = createServer((request, response) => {
+/** Answers the calls of peers that a server receives. A call with a body over 1 MiB is cut off. */
+export function servePeers(server: Server, handlers: PeerHandlers): void {
+  server.on('request', (request, response) => {
     const chunks: Buffer[] = [];
     let size = 0;
     request.on('data', (chunk: Buffer) => {
@@ -169,6 +161,4 @@
     });
   });
   server.keepAliveTimeout = 30_000;
-  await openServer(server, `${host}:${port}`);
-  return server;
 }
--- a/packages/daemon/src/lib/process-signals.ts
+++ b/packages/daemon/src/lib/process-signals.ts
@@ -33,11 +33,3 @@
     },
   };
 }
-
-/** Resolves when a signal is aborted, at once if it already is. */
-export function waitAborted(signal: AbortSignal): Promise<void> {
-  return new Promise((resolve) => {
-    if (signal.aborted) resolve();
-    else signal.addEventListener('abort', () => resolve(), { once: true });
-  });
-}
--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -14,6 +14,7 @@
   EADDRINUSE: 'the port is in use; choose another one or stop the process that uses it',
   EADDRNOTAVAIL: 'this instance does not have that address; correct the settings',
   EACCES: 'this process may not bind that port; choose another one',
+  EMFILE: 'this process has no file descriptor left; raise its limit',
 };
 
 /** Events with which Node's HTTP server hands over a request; the last two only to listeners. */
@@ -99,18 +100,32 @@
 
 /**
  * Opens a server at `ip:port` and resolves to the bound address. Rejects with an error whose
- * message advises the operator and whose `cause` is the original error.
+ * message advises the operator and whose `cause` is the original error; the server may then be
+ * opened again.
  */
 export function openServer(server: Server, address: string): Promise<string> {
   const [host, port] = address.split(':');
-  tables.set(server, watchConnections(server));
+  if (!tables.has(server)) tables.set(server, watchConnections(server));
   return new Promise((resolve, reject) => {
-    const handleError = (error: Error) => reject(makeListenError(address, error));
-    server.once('error', handleError);
-    server.listen(Number(port), host, () => {
+    const removeListeners = () => {
       server.off('error', handleError);
+      server.off('listening', handleListening);
+    };
+    const handleError = (error: Error) => {
+      removeListeners();
+      reject(makeListenError(address, error));
+    };
+    const handleListening = () => {
+      removeListeners();
       resolve(`${host}:${(server.address() as AddressInfo).port}`);
-    });
+    };
+    server.once('error', handleError);
+    server.once('listening', handleListening);
+    try {
+      server.listen(Number(port), host);
+    } catch (error) {
+      handleError(error as Error);
+    }
   });
 }
 
--- a/packages/daemon/src/test/peer-calls.test.ts
+++ b/packages/daemon/src/test/peer-calls.test.ts
@@ -8,7 +8,8 @@
 import { POLICY, POOL, SILENT_LOG, SPEC } from './job-fixtures.js';
 import type { LogFields } from '../lib/json-log.js';
 import type { JobRequest } from '../lib/jobs/job-request.js';
-import { createPeerClient, startPeerServer } from '../lib/jobs/peers.js';
+import { createPeerClient, servePeers } from '../lib/jobs/peers.js';
+import { openServer } from '../lib/servers.js';
 
 const test = suite('peer calls');
 
@@ -37,7 +38,8 @@
 const openPeer = async () => {
   const events: LogFields[] = [];
   const record = (fields: LogFields) => void events.push(fields);
-  const server = await startPeerServer('127.0.0.1', 0, {
+  const server = createServer();
+  servePeers(server, {
     answer: (request) =>
       request.kind === 'status'
         ? Promise.resolve({ kind: 'state', state: 'queued' })
@@ -47,6 +49,7 @@
     },
     log: { info: record, warn: record, error: record },
   });
+  await openServer(server, '127.0.0.1:0');
   return { server, events };
 };
 
