--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -81,6 +81,7 @@
   const startedMs = performance.now();
   let orderCount = 0;
   let isStopped = false;
+  let isListLost = false;
 
   const stop = () => {
     isStopped = true;
@@ -108,12 +109,17 @@
   };
   const waveRunner = createWaveRunner(duty, journal);
   const lender = createLender(duty);
+  /** Logs when the list becomes unavailable, and when it is available again. */
+  const recordList = (isLost: boolean) => {
+    if (isLost === isListLost) return;
+    isListLost = isLost;
+    if (isLost) log.warn({ event: 'dependency-lost', dependency: 'fleet' });
+    else log.info({ event: 'dependency-regained', dependency: 'fleet' });
+  };
   const runTick = async () => {
     const list = await fleet.listInstances();
-    if (list === undefined) {
-      log.warn({ event: 'dependency-lost', dependency: 'fleet' });
-      return FAILED_TICK_MS;
-    }
+    recordList(list === undefined);
+    if (list === undefined) return FAILED_TICK_MS;
     const instances = new Map(list.map((instance) => [instance.id, instance]));
     incarnationEnds.handleList(instances);
     await Promise.all([waveRunner.run(instances), lender.run(instances, waveRunner.listHeld())]);
--- a/packages/daemon/src/test/fleet-duty.test.ts
+++ b/packages/daemon/src/test/fleet-duty.test.ts
@@ -9,7 +9,8 @@
 
 const test = suite('fleet duty');
 
-test('one round that fails ends the fleet duty of an instance that keeps its claim', async () => {
+/** Runs the duty on a paused clock; `listInstances` gets the number of lists before this one. */
+const runDuty = async (listInstances: (count: number) => Promise<unknown>) => {
   const clock = install({ now: 0 });
   const events: LogFields[] = [];
   const record = (fields: LogFields) => void events.push(fields);
@@ -19,7 +20,7 @@
     fleet: {
       listInstances: () => {
         listCount += 1;
-        return listCount === 1 ? Promise.reject(new Error('planted')) : Promise.resolve([]);
+        return listInstances(listCount - 1);
       },
     },
     config: new BehaviorSubject(undefined),
@@ -32,11 +33,31 @@
     gateway: {},
     handleLost: () => {},
   } as unknown as FleetRunnerOptions);
-  await clock.tickAsync(3_000);
+  await clock.tickAsync(10_000);
   runner.stop();
   clock.uninstall();
+  return { events, listCount };
+};
+
+test('one round that fails ends the fleet duty of an instance that keeps its claim', async () => {
+  const { events, listCount } = await runDuty((count) =>
+    count === 0 ? Promise.reject(new Error('planted')) : Promise.resolve([]),
+  );
   assert.ok(listCount > 2);
   assert.equal(events[0], { event: 'round-failed', duty: 'fleet', reason: 'Error: planted' });
 });
 
+// Guards against a line in every round where there is no list of instances.
+test('a list of instances that is not available is logged once, and again when it is', async () => {
+  const { events, listCount } = await runDuty((count) =>
+    Promise.resolve(count < 5 ? undefined : []),
+  );
+  assert.ok(listCount > 6);
+  assert.equal(events.slice(0, 2), [
+    { event: 'dependency-lost', dependency: 'fleet' },
+    { event: 'dependency-regained', dependency: 'fleet' },
+  ]);
+  assert.is(events.filter(({ event }) => event === 'dependency-lost').length, 1);
+});
+
 test.run();
