--- a/packages/daemon/src/lib/json-log.ts
+++ b/packages/daemon/src/lib/json-log.ts
@@ -3,8 +3,8 @@
  * levels to standard output.
  */
 import loglevel from 'loglevel';
-import { createLineWriter } from './line-writer.js';
 import type { Settings } from './settings.js';
+import { errorLines, outLines } from './standard-lines.js';
 
 /** Fields of a log line; `event` names the kind of event. */
 export interface LogFields {
@@ -19,17 +19,12 @@
   readonly error: (fields: LogFields) => void;
 }
 
-const STDOUT = 1;
-const STDERR = 2;
-const outWriter = createLineWriter(STDOUT);
-const errorWriter = createLineWriter(STDERR);
-
 /**
  * Resolves once every line logged so far is written, or after a limit, to whether they all are. To
  * be awaited right before `process.exit`, which can lose a write in progress.
  */
 export async function drainLogs(limitMs: number): Promise<boolean> {
-  const drained = await Promise.all([outWriter.drain(limitMs), errorWriter.drain(limitMs)]);
+  const drained = await Promise.all([outLines.drain(limitMs), errorLines.drain(limitMs)]);
   return drained.every(Boolean);
 }
 
@@ -37,7 +32,7 @@
 export function createJsonLog(settings: Pick<Settings, 'id' | 'logLevel'>): JsonLog {
   const logger = loglevel.getLogger(settings.id);
   logger.methodFactory = (method) =>
-    method === 'error' || method === 'warn' ? errorWriter.write : outWriter.write;
+    method === 'error' || method === 'warn' ? errorLines.write : outLines.write;
   logger.setLevel(settings.logLevel, false);
   const isLevelDisabled = (level: loglevel.LogLevelNumbers) => logger.getLevel() > level;
   const format = (level: string, fields: LogFields) =>
