--- a/packages/daemon/src/lib/process-errors.ts
+++ b/packages/daemon/src/lib/process-errors.ts
@@ -31,6 +31,9 @@
 /** Longest text of a reason in a line, in characters. */
 const MAX_REASON = 500;
 
+/** Exit code of a process that has no work left though nobody has stopped it. */
+const EXIT_NOTHING_LEFT = 1;
+
 const KIB_PER_MIB = 1024;
 const MS_PER_SECOND = 1000;
 
@@ -107,6 +110,7 @@
   );
   source.on('beforeExit', () => {
     cause ??= 'nothing left to do';
+    process.exitCode ??= EXIT_NOTHING_LEFT;
   });
   // Before the line writers, which write what waits when the process exits.
   source.prependListener('exit', (code: number) => {
