Go on with claims, heartbeats and followed topics after an error in a round

What callers would see: since errors that nobody handles no longer end the process, one error in a round of an endless loop would leave the instance without its heartbeats, its claims or new configurations for good, while it counts as running. Before, the process ended and began again.

Cause: five loops run as promises that nobody waits for, each `while` without a handler: claims, heartbeats, the queries of the authority, the allotments, and the reading of each topic.

Tests: endless-loop.test.ts; of its three, "a topic is followed on after an error while it was read" and "duties are claimed after an error in a claim and in a heartbeat" fail before, with a rejection that nobody handles.

--- a/packages/daemon/src/lib/jobs/duty-authority.ts
+++ b/packages/daemon/src/lib/jobs/duty-authority.ts
@@ -13,6 +13,7 @@
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
+import { runEndlessLoop } from './endless-loop.js';
 
 /** Dependencies of a duty authority. */
 export interface DutyAuthorityOptions {
@@ -123,14 +124,11 @@
       superseded: superseded.length,
     });
   };
-  const run = async () => {
-    while (!isStopped) {
-      const nowMs = performance.now();
-      const isLate =
-        nowMs - lastHeartbeatMs > HEARTBEAT_LATE_MS || nowMs - lastReadMs > READ_LATE_MS;
-      if (isLate && listHeld().length > 0) await runRound();
-      await waitMs(QUERY_INTERVAL_MS);
-    }
+  const runRoundIfLate = async () => {
+    const nowMs = performance.now();
+    const isLate = nowMs - lastHeartbeatMs > HEARTBEAT_LATE_MS || nowMs - lastReadMs > READ_LATE_MS;
+    if (isLate && listHeld().length > 0) await runRound();
+    await waitMs(QUERY_INTERVAL_MS);
   };
   return {
     isInForce: (claim) => {
@@ -147,7 +145,11 @@
     observeHeartbeat: (sentMs) => {
       lastHeartbeatMs = Math.max(lastHeartbeatMs, sentMs);
     },
-    start: () => void run(),
+    start: () => {
+      const isOver = () => isStopped;
+      const loop = { where: 'authority', log, isStopped: isOver, runRound: runRoundIfLate };
+      void runEndlessLoop(loop);
+    },
     stop: () => {
       isStopped = true;
     },
--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -16,6 +16,7 @@
 import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
+import { runEndlessLoop } from './endless-loop.js';
 import { createDutyAuthority } from './duty-authority.js';
 import { createDutyNotices } from './duty-notices.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
@@ -172,25 +173,21 @@
     });
     return dutyToClaim !== undefined && claimDuty(dutyToClaim);
   };
-  const runClaims = async () => {
-    while (!isStopped) {
-      checkHeld();
-      const isRetryDue = await claimNext();
-      await waitMs(isRetryDue ? CLAIM_RETRY_MS : TICK_MS);
-    }
+  const runClaimRound = async () => {
+    checkHeld();
+    const isRetryDue = await claimNext();
+    await waitMs(isRetryDue ? CLAIM_RETRY_MS : TICK_MS);
   };
-  const runHeartbeats = async () => {
-    while (!isStopped) {
-      const sentMs = performance.now();
-      const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self)], {
-        kind: 'none',
-      });
-      if (outcome.kind === 'stored') {
-        handleContact();
-        authority.observeHeartbeat(sentMs);
-      }
-      await waitMs(Math.max(0, HEARTBEAT_MS - (performance.now() - sentMs)));
+  const runHeartbeat = async () => {
+    const sentMs = performance.now();
+    const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self)], {
+      kind: 'none',
+    });
+    if (outcome.kind === 'stored') {
+      handleContact();
+      authority.observeHeartbeat(sentMs);
     }
+    await waitMs(Math.max(0, HEARTBEAT_MS - (performance.now() - sentMs)));
   };
   const followOptions = { store, handleContact, log, pollMs: POLL_MS };
   /** Applies records of claims and heartbeats; one that is neither has no effect. */
@@ -269,8 +266,9 @@
         checkHeld();
         takeOwnClaims();
       });
-      void runClaims();
-      void runHeartbeats();
+      const loop = { log, isStopped: () => isStopped };
+      void runEndlessLoop({ ...loop, where: 'claims', runRound: runClaimRound });
+      void runEndlessLoop({ ...loop, where: 'heartbeats', runRound: runHeartbeat });
       authority.start();
     },
     dropDuty,
--- a/packages/daemon/src/lib/jobs/topic-follower.ts
+++ b/packages/daemon/src/lib/jobs/topic-follower.ts
@@ -11,6 +11,7 @@
 } from 'vanilladock/lib/ports/keyed-store.js';
 import type { Moment } from 'vanilladock/lib/jobs/state.js';
 import { readMoment, waitMs } from './clock.js';
+import { runEndlessLoop } from './endless-loop.js';
 
 /** Records of a followed partition, in order; a snapshot has the newest record of every key. */
 export interface TopicEvent {
@@ -92,13 +93,20 @@
           return read satisfies never;
       }
     };
-    const run = async () => {
-      let next: number | undefined;
-      while (!subscriber.closed) {
-        next = next === undefined ? await readSnapshot() : await readNext(next);
-        await waitMs(next === undefined ? RETRY_MS : pauseMs);
-      }
+    let next: number | undefined;
+    const runRound = async () => {
+      next = next === undefined ? await readSnapshot() : await readNext(next);
+      await waitMs(next === undefined ? RETRY_MS : pauseMs);
     };
-    void run();
+    void runEndlessLoop({
+      where: `follow ${where.topic}/${where.partition}`,
+      log,
+      isStopped: () => subscriber.closed,
+      runRound,
+      // What the failed round has passed on is not known, and a snapshot replaces it.
+      handleFailed: () => {
+        next = undefined;
+      },
+    });
   });
 }
--- a/packages/daemon/src/lib/teams/allotter.ts
+++ b/packages/daemon/src/lib/teams/allotter.ts
@@ -10,6 +10,7 @@
   type TeamShare,
 } from 'vanilladock/lib/teams/allotment-ledger.js';
 import { waitMs } from '../jobs/clock.js';
+import { runEndlessLoop } from '../jobs/endless-loop.js';
 import type { JobGateway } from '../jobs/job-gateway.js';
 import type { JsonLog } from '../json-log.js';
 
@@ -62,12 +63,10 @@
           .finally(() => busy.delete(pool));
       });
   };
-  const run = async () => {
-    while (!isStopped()) {
-      const config = getConfig();
-      if (config?.teams !== undefined) runRound(config);
-      await waitMs(config?.teams === undefined ? IDLE_MS : computeRoundMs(config.pools.length));
-    }
+  const runRoundIfDue = async () => {
+    const config = getConfig();
+    if (config?.teams !== undefined) runRound(config);
+    await waitMs(config?.teams === undefined ? IDLE_MS : computeRoundMs(config.pools.length));
   };
-  void run();
+  void runEndlessLoop({ where: 'allotments', log, isStopped, runRound: runRoundIfDue });
 }
