Keep a repeated cancel of an unknown job as long as the first one

What callers saw (in the planner alone): a job starts after its cancel was answered with 410, if the same id had been cancelled once before: the second cancel was confirmed by the tombstone of the first, which may expire in the next second, and for a tombstone that was loaded late it was the next planner that took it for expired.

Fix: the cancel of a job whose tombstone is older than 30 s, by either clock, has it stored and kept anew, before it is confirmed. A caller that repeats its cancel at once costs no write more.

--- a/packages/vanilladock/src/lib/jobs/cancel-tombstones.ts
+++ b/packages/vanilladock/src/lib/jobs/cancel-tombstones.ts
@@ -23,7 +23,8 @@
 /** Tombstones of one pool. */
 export interface CancelTombstones {
   /**
-   * Adds a tombstone at the monotonic time `nowMs`. `refused`: there are too many, or another team
+   * Adds a tombstone at the monotonic time `nowMs`, or has one that is no longer new kept and stored
+   * anew, as the repeated cancel is confirmed as the first was. `refused`: there are too many, or another team
    * has cancelled the same id, so that nothing is recorded.
    */
   readonly add: (tombstone: CancelTombstone, nowMs: number) => 'recorded' | 'refused';
@@ -51,6 +52,9 @@
  */
 export const MAX_TOMBSTONES = 4_000;
 
+/** Age up to which a tombstone is kept as it is when its cancel is repeated, in milliseconds. */
+const RENEWAL_AGE_MS = 30_000;
+
 interface Entry {
   readonly tombstone: CancelTombstone;
   readonly isStored: boolean;
@@ -63,19 +67,26 @@
   return team === undefined || other === undefined || team === other;
 }
 
+/** Says whether a repeated cancel has to be recorded anew; of a loaded one only the wall time is known. */
+function isRenewalDue(known: Entry, { cancelledAtMs }: CancelTombstone, nowMs: number): boolean {
+  const ageMs = Math.max(nowMs - known.sinceMs, cancelledAtMs - known.tombstone.cancelledAtMs);
+  return ageMs > RENEWAL_AGE_MS;
+}
+
 /** Creates the tombstones of a pool that has none. */
 export function createCancelTombstones(): CancelTombstones {
   const entries = new Map<string, Entry>();
   const unstoredIds = new Set<string>();
   return {
     add: (tombstone, nowMs) => {
-      const { jobId, team } = tombstone;
+      const { jobId, team, cancelledAtMs } = tombstone;
       const known = entries.get(jobId);
       if (known !== undefined) {
-        return isSameTeam(known.tombstone.team, team) ? 'recorded' : 'refused';
-      }
-      if (entries.size >= MAX_TOMBSTONES) return 'refused';
-      entries.set(jobId, { tombstone, isStored: false, sinceMs: nowMs });
+        if (!isSameTeam(known.tombstone.team, team)) return 'refused';
+        if (!isRenewalDue(known, tombstone, nowMs)) return 'recorded';
+      } else if (entries.size >= MAX_TOMBSTONES) return 'refused';
+      const recorded = { ...tombstone, ...known?.tombstone, cancelledAtMs };
+      entries.set(jobId, { tombstone: recorded, isStored: false, sinceMs: nowMs });
       unstoredIds.add(jobId);
       return 'recorded';
     },
--- a/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
+++ b/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
@@ -49,6 +49,27 @@
   assert.is(writeBatch(), undefined);
 });
 
+// Guards against a submission that starts right after a repeated cancel, as the first one has expired.
+test('a repeated cancel is kept as long as the first one, and stored before it is confirmed', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  planner.cancel('a', at(1));
+  writeBatch();
+  planner.cancel('a', at(119_000));
+  assert.not(planner.isStored('a'));
+  assert.equal(writeBatch(), [`+${POOL}:a:p`]);
+  planner.plan(at(EXPIRED_MS));
+  assert.equal(planner.submit(makeJob('a'), POLICY, at(EXPIRED_MS + 1)), CANCELLED);
+});
+
+// Guards against a tombstone that the planner after the next takes for expired.
+test('the repeated cancel of a tombstone that was loaded late is stored anew', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  const { wallMs } = at(0);
+  planner.loadTombstone({ ...makeTombstone('a'), cancelledAtMs: wallMs - 100_000 }, at(0));
+  planner.cancel('a', at(1));
+  assert.equal(writeBatch(), [`+${POOL}:a:p`]);
+});
+
 test('a tombstone that the store refuses is written again', () => {
   const { planner, at, writeBatch } = openPlanner();
   planner.cancel('a', at(1));
