Do not retry a cancel that cannot be recorded until others have expired

What callers saw (by a test of the gateway): while a pool has its 4,000 tombstones, each cancel of an unknown job made 13 attempts within 1.8 s, each a call to the planner and a log line job-cancel, and was answered with 503 in the end. So a flood of cancels of unknown ids was multiplied by 13 just when the bound was to limit it.

All other replies ask for 1 s and are retried as before. The caller gets its 503 at once, with Retry-After.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -27,6 +27,9 @@
 /** How long a reply waits for the store. */
 const STORE_TIMEOUT_MS = 900;
 
+/** Delay after which a cancel is worth retrying that cannot be recorded until others have expired. */
+const CANCEL_RETRY_AFTER_MS = 10_000;
+
 /** Range of the random delay added to retries of callers that an unavailable store refused. */
 const STORE_RETRY_SPREAD_MS = 2_000;
 
@@ -37,8 +40,8 @@
 }
 
 /** Makes the reply to a request of which nothing was done and that is worth repeating. */
-function makeUnavailable(why: string): JobReply {
-  return { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS };
+function makeUnavailable(why: string, retryAfterMs = RETRY_AFTER_MS): JobReply {
+  return { kind: 'unavailable', why, retryAfterMs };
 }
 
 /** Submits a job to the planner; the reply is `accepted` only once the job is stored. */
@@ -133,7 +136,9 @@
   if (obstacle !== undefined) return makeUnavailable(obstacle);
 
   const outcome = planner.cancel(jobId, readMoment(), { team, queue: origin?.queue, receipt });
-  if (outcome === 'refused') return makeUnavailable('cancel-not-recorded');
+  if (outcome === 'refused') {
+    return makeUnavailable('cancel-not-recorded', CANCEL_RETRY_AFTER_MS);
+  }
 
   if (outcome !== 'cancelling' && planner.isStored(jobId)) return confirmed;
 
--- a/packages/daemon/src/lib/jobs/request-retries.ts
+++ b/packages/daemon/src/lib/jobs/request-retries.ts
@@ -13,7 +13,7 @@
 /** An attempt may follow one redirect. */
 const CALLS_PER_ATTEMPT = 2;
 
-/** How long a query or cancel is retried. */
+/** How long a query or cancel is retried; a reply that asks for a longer pause is final. */
 const QUERY_RETRY_LIMIT_MS = 1_800;
 
 /** How long a submission is retried while no planner is available, as during a hand-over. */
@@ -53,6 +53,7 @@
     case 'unknown':
       return true;
     case 'unavailable':
+      if (reply.retryAfterMs > QUERY_RETRY_LIMIT_MS) return false;
       return kind !== 'submit' || mayBeStored || ageMs <= HANDOVER_RETRY_LIMIT_MS;
     case 'refused':
       // The job may have been stored by an earlier attempt, so that a refusal could be wrong.
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -126,4 +126,13 @@
   assert.is((await gateway.answer(cancel)).kind, 'unknown');
 });
 
+// Guards against a flood of cancels that is multiplied while the pool can record no more of them.
+test('a cancel that cannot succeed soon is not retried', async () => {
+  const cancel = { kind: 'cancel', pool: 'stalls', jobId: 'a' } as const;
+  const full: JobReply = { kind: 'unavailable', why: 'cancel-not-recorded', retryAfterMs: 10_000 };
+  const { gateway, asked } = openGateway([full]);
+  assert.equal(await gateway.answer(cancel), full);
+  assert.is(asked.length, 1);
+});
+
 test.run();
