Send no submission on after a long pause that it was under way in

What callers saw (in the gateway alone): a submission that an instance had read before a pause was sent on after it, however long that was: as the next attempt, to the planner that a reply named, or once a lookup or the wait for a version was over. The age of the input was checked only where a submission comes in. After a pause of more than 120 s its cancel has been forgotten by then, so that the job would start after a 410.

Fix: the gateway asks the same watch before each sending of a submission, also to its own planner.

Evidence: the case of job-gateway.test.ts, a retry and a redirect, fails without the check and passes with it.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -118,15 +118,16 @@
             handleLost: (why) => claims.dropDuty(FLEET_DUTY, why),
           });
   };
+  const inputAge = startInputAgeWatch(log);
   const gateway = createJobGateway({
     findRunner: (pool) => runners.get(pool),
     findHolder: claims.findHolder,
     listMembers: claims.listMembers,
     selfId: self.id,
     peers,
+    mayBeOld: inputAge.mayBeOld,
     log,
   });
-  const inputAge = startInputAgeWatch(log);
   const directory = startQueueDirectory({ store: options.store, config, log });
   /** Drops the records of queues that are sent elsewhere now and have no jobs left in a pool. */
   const dropLeftQueues = async () => {
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -26,6 +26,8 @@
   readonly listMembers: () => readonly Member[];
   readonly selfId: string;
   readonly peers: PeerClient;
+  /** As `mayBeOld` of the watch of the input's age. */
+  readonly mayBeOld: () => boolean;
   readonly log: JsonLog;
 }
 
@@ -56,7 +58,7 @@
 
 /** Creates the gateway. */
 export function createJobGateway(options: GatewayOptions): JobGateway {
-  const { findRunner, findHolder, listMembers, selfId, peers, log } = options;
+  const { findRunner, findHolder, listMembers, selfId, peers, mayBeOld, log } = options;
   const refuse = (why: string): JobReply => ({
     kind: 'unavailable',
     why,
@@ -81,13 +83,17 @@
     const others = listMembers().filter((member) => member.id !== selfId);
     return others[Math.floor(Math.random() * others.length)];
   };
+  /** Says whether the instance was paused so long that a submission must not be sent any more. */
+  const isTooOld = ({ kind }: JobRequest) => kind === 'submit' && mayBeOld();
   const answerOnce = async (request: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
+    if (isTooOld(request)) return refuse('input-old');
     if (findRunner(request.pool) !== undefined) return answerLocally(request);
     const peer = findPeer(request.pool);
     if (peer === undefined) return refuse('no-planner');
     const reply = await sendRequest(peer, request, answerByMs);
     if (reply.kind !== 'elsewhere') return reply;
     if (reply.holder.id === selfId || reply.holder.id === peer.id) return refuse('no-planner');
+    if (isTooOld(request)) return refuse('input-old');
     const redirected = await sendRequest(reply.holder, request, answerByMs);
     return redirected.kind === 'elsewhere' ? refuse('no-planner') : redirected;
   };
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -25,7 +25,11 @@
   retryAfterMs: 1_000,
 };
 
-const openGateway = (replies: readonly JobReply[], isKnown = true) => {
+const openGateway = (
+  replies: readonly JobReply[],
+  isKnown = true,
+  mayBeOld: () => boolean = () => false,
+) => {
   const asked: string[] = [];
   const timeouts: number[] = [];
   const events: LogFields[] = [];
@@ -48,6 +52,7 @@
       getLastContactMs: () => 0,
       close: () => {},
     },
+    mayBeOld,
     log: { info: record, warn: record, error: record },
   });
   return { gateway, asked, timeouts, events };
@@ -135,4 +140,20 @@
   assert.is(asked.length, 1);
 });
 
+// Guards against a job that starts after a long pause, as its submission was on its way through it.
+test('a submission that was under way in a long pause is not sent again', async () => {
+  const cases: readonly JobReply[] = [UNAVAILABLE, { kind: 'elsewhere', holder: OTHER }];
+  for (const first of cases) {
+    let checks = 0;
+    const observeLongPause = () => {
+      checks += 1;
+      return checks > 1;
+    };
+    const { gateway, asked } = openGateway([first, { kind: 'accepted' }], true, observeLongPause);
+    const reply = await gateway.answer(SUBMIT);
+    assert.ok(reply.kind === 'unavailable' && reply.why === 'input-old', first.kind);
+    assert.equal(asked, ['b~1']);
+  }
+});
+
 test.run();
