--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -3,6 +3,7 @@
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
 import type { Fleet, FleetConfig, FleetFence, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 import type { JobGateway } from './job-gateway.js';
@@ -149,6 +150,10 @@
     isStopped: () => isStopped,
     log,
   });
-  void run();
+  const guard = createErrorGuard((where, error) => {
+    log.error({ event: 'duty-failed', duty: FLEET_DUTY, where, ...makeErrorFields(error) });
+    handleLoss('duty-failed');
+  });
+  guard.watch('journal', run());
   return { claim, stop };
 }
--- a/packages/daemon/src/test/fleet-duty.test.ts
+++ b/packages/daemon/src/test/fleet-duty.test.ts
@@ -10,13 +10,17 @@
 const test = suite('fleet duty');
 
 /** Runs the duty on a paused clock; `listInstances` gets the number of lists before this one. */
-const runDuty = async (listInstances: (count: number) => Promise<unknown>) => {
+const runDuty = async (
+  listInstances: (count: number) => Promise<unknown>,
+  store = createMemoryStore().store,
+) => {
   const clock = install({ now: 0 });
   const events: LogFields[] = [];
   const record = (fields: LogFields) => void events.push(fields);
+  const lost: string[] = [];
   let listCount = 0;
   const runner = startFleetRunner({
-    store: createMemoryStore().store,
+    store,
     fleet: {
       listInstances: () => {
         listCount += 1;
@@ -31,12 +35,12 @@
     claim: { duty: 'fleet', holder: 'a', token: 1 },
     holder: 'a',
     gateway: {},
-    handleLost: () => {},
+    handleLost: (why: string) => void lost.push(why),
   } as unknown as FleetRunnerOptions);
   await clock.tickAsync(10_000);
   runner.stop();
   clock.uninstall();
-  return { events, listCount };
+  return { events, listCount, lost };
 };
 
 test('one round that fails ends the fleet duty of an instance that keeps its claim', async () => {
@@ -47,6 +51,16 @@
   assert.equal(events[0], { event: 'round-failed', duty: 'fleet', reason: 'Error: planted' });
 });
 
+// Guards against a fleet duty that is held and not carried out.
+test('an error while the journal is loaded gives up the fleet duty', async () => {
+  const readNewest = () => Promise.reject(new Error('planted'));
+  const store = { ...createMemoryStore().store, readNewest };
+  const { events, listCount, lost } = await runDuty(() => Promise.resolve([]), store);
+  assert.is(listCount, 0);
+  assert.equal(lost, ['duty-failed']);
+  assert.is(events[0]?.event, 'duty-failed');
+});
+
 // Guards against a line in every round where there is no list of instances.
 test('a list of instances that is not available is logged once, and again when it is', async () => {
   const { events, listCount } = await runDuty((count) =>
