--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -27,6 +27,9 @@
 /** How long a reply waits for the store. */
 const STORE_TIMEOUT_MS = 900;
 
+/** Delay after which a cancel is worth retrying that cannot be recorded until others have expired. */
+const CANCEL_RETRY_AFTER_MS = 10_000;
+
 /** Range of the random delay added to retries of callers that an unavailable store refused. */
 const STORE_RETRY_SPREAD_MS = 2_000;
 
@@ -37,8 +40,8 @@
 }
 
 /** Makes the reply to a request of which nothing was done and that is worth repeating. */
-function makeUnavailable(why: string): JobReply {
-  return { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS };
+function makeUnavailable(why: string, retryAfterMs = RETRY_AFTER_MS): JobReply {
+  return { kind: 'unavailable', why, retryAfterMs };
 }
 
 /** Submits a job to the planner; the reply is `accepted` only once the job is stored. */
@@ -81,6 +84,19 @@
   return isStored ? { kind: 'accepted' } : { kind: 'unknown', why: 'the store has not answered' };
 }
 
+/** Replies that the pool does not have a job, once it accepts none under an older version any more. */
+async function closeForOlder(
+  context: AnswerContext,
+  { queue, version }: QueueOrigin,
+): Promise<JobReply> {
+  if (version < context.getFloor(queue)) return makeUnavailable('config-older');
+
+  const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
+  return isRecorded && !context.isStopped()
+    ? { kind: 'no-such-job' }
+    : makeUnavailable('store-away');
+}
+
 /** Answers whether the pool has a job; if not, it will not accept it under an older version. */
 async function answerLookup(
   context: AnswerContext,
@@ -91,13 +107,7 @@
   if (context.planner.isCancelled(jobId, team)) {
     return { kind: 'refused', cause: 'queue', why: 'cancelled', retryAfterMs: undefined };
   }
-  if (version < context.getFloor(queue)) {
-    return makeUnavailable('config-older');
-  }
-  const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
-  return isRecorded && !context.isStopped()
-    ? { kind: 'no-such-job' }
-    : makeUnavailable('store-away');
+  return closeForOlder(context, { queue, version });
 }
 
 /** Says why the cancel of an unknown job cannot be recorded now; undefined if it can. */
@@ -114,16 +124,21 @@
 /** Cancels a job, or records that an unknown one is cancelled; confirms it only once it is stored. */
 async function cancelJob(
   context: AnswerContext,
-  { jobId, team, origin, receipt }: Extract<JobRequest, { kind: 'cancel' }>,
+  { jobId, team, origin, receipt, isFormerPool }: Extract<JobRequest, { kind: 'cancel' }>,
 ): Promise<JobReply> {
   const { planner, waitStored, isStopped, schedulePlan } = context;
   const isKnown = planner.table.jobs.has(jobId);
+  if (!isKnown && isFormerPool === true && origin !== undefined) {
+    return closeForOlder(context, origin);
+  }
   const confirmed = { kind: isKnown ? 'cancelled' : 'no-such-job' } as const;
   const obstacle = isKnown ? undefined : findCancelObstacle(context, origin);
   if (obstacle !== undefined) return makeUnavailable(obstacle);
 
   const outcome = planner.cancel(jobId, readMoment(), { team, queue: origin?.queue, receipt });
-  if (outcome === 'refused') return makeUnavailable('cancel-not-recorded');
+  if (outcome === 'refused') {
+    return makeUnavailable('cancel-not-recorded', CANCEL_RETRY_AFTER_MS);
+  }
 
   if (outcome !== 'cancelling' && planner.isStored(jobId)) return confirmed;
 
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -3,6 +3,7 @@
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
 import type { Fleet, FleetConfig, FleetFence, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 import type { JobGateway } from './job-gateway.js';
@@ -81,6 +82,7 @@
   const startedMs = performance.now();
   let orderCount = 0;
   let isStopped = false;
+  let isListLost = false;
 
   const stop = () => {
     isStopped = true;
@@ -108,12 +110,17 @@
   };
   const waveRunner = createWaveRunner(duty, journal);
   const lender = createLender(duty);
+  /** Logs when the list becomes unavailable, and when it is available again. */
+  const recordList = (isLost: boolean) => {
+    if (isLost === isListLost) return;
+    isListLost = isLost;
+    if (isLost) log.warn({ event: 'dependency-lost', dependency: 'fleet' });
+    else log.info({ event: 'dependency-regained', dependency: 'fleet' });
+  };
   const runTick = async () => {
     const list = await fleet.listInstances();
-    if (list === undefined) {
-      log.warn({ event: 'dependency-lost', dependency: 'fleet' });
-      return FAILED_TICK_MS;
-    }
+    recordList(list === undefined);
+    if (list === undefined) return FAILED_TICK_MS;
     const instances = new Map(list.map((instance) => [instance.id, instance]));
     incarnationEnds.handleList(instances);
     await Promise.all([waveRunner.run(instances), lender.run(instances, waveRunner.listHeld())]);
@@ -143,6 +150,10 @@
     isStopped: () => isStopped,
     log,
   });
-  void run();
+  const guard = createErrorGuard((where, error) => {
+    log.error({ event: 'duty-failed', duty: FLEET_DUTY, where, ...makeErrorFields(error) });
+    handleLoss('duty-failed');
+  });
+  guard.watch('journal', run());
   return { claim, stop };
 }
--- a/packages/daemon/src/test/fleet-duty.test.ts
+++ b/packages/daemon/src/test/fleet-duty.test.ts
@@ -9,17 +9,22 @@
 
 const test = suite('fleet duty');
 
-test('one round that fails ends the fleet duty of an instance that keeps its claim', async () => {
+/** Runs the duty on a paused clock; `listInstances` gets the number of lists before this one. */
+const runDuty = async (
+  listInstances: (count: number) => Promise<unknown>,
+  store = createMemoryStore().store,
+) => {
   const clock = install({ now: 0 });
   const events: LogFields[] = [];
   const record = (fields: LogFields) => void events.push(fields);
+  const lost: string[] = [];
   let listCount = 0;
   const runner = startFleetRunner({
-    store: createMemoryStore().store,
+    store,
     fleet: {
       listInstances: () => {
         listCount += 1;
-        return listCount === 1 ? Promise.reject(new Error('planted')) : Promise.resolve([]);
+        return listInstances(listCount - 1);
       },
     },
     config: new BehaviorSubject(undefined),
@@ -30,13 +35,43 @@
     claim: { duty: 'fleet', holder: 'a', token: 1 },
     holder: 'a',
     gateway: {},
-    handleLost: () => {},
+    handleLost: (why: string) => void lost.push(why),
   } as unknown as FleetRunnerOptions);
-  await clock.tickAsync(3_000);
+  await clock.tickAsync(10_000);
   runner.stop();
   clock.uninstall();
+  return { events, listCount, lost };
+};
+
+test('one round that fails ends the fleet duty of an instance that keeps its claim', async () => {
+  const { events, listCount } = await runDuty((count) =>
+    count === 0 ? Promise.reject(new Error('planted')) : Promise.resolve([]),
+  );
   assert.ok(listCount > 2);
   assert.equal(events[0], { event: 'round-failed', duty: 'fleet', reason: 'Error: planted' });
 });
 
+// Guards against a fleet duty that is held and not carried out.
+test('an error while the journal is loaded gives up the fleet duty', async () => {
+  const readNewest = () => Promise.reject(new Error('planted'));
+  const store = { ...createMemoryStore().store, readNewest };
+  const { events, listCount, lost } = await runDuty(() => Promise.resolve([]), store);
+  assert.is(listCount, 0);
+  assert.equal(lost, ['duty-failed']);
+  assert.is(events[0]?.event, 'duty-failed');
+});
+
+// Guards against a line in every round where there is no list of instances.
+test('a list of instances that is not available is logged once, and again when it is', async () => {
+  const { events, listCount } = await runDuty((count) =>
+    Promise.resolve(count < 5 ? undefined : []),
+  );
+  assert.ok(listCount > 6);
+  assert.equal(events.slice(0, 2), [
+    { event: 'dependency-lost', dependency: 'fleet' },
+    { event: 'dependency-regained', dependency: 'fleet' },
+  ]);
+  assert.is(events.filter(({ event }) => event === 'dependency-lost').length, 1);
+});
+
 test.run();
--- a/packages/daemon/src/test/job-gateway.test.ts
+++ b/packages/daemon/src/test/job-gateway.test.ts
@@ -25,7 +25,11 @@
   retryAfterMs: 1_000,
 };
 
-const openGateway = (replies: readonly JobReply[], isKnown = true) => {
+const openGateway = (
+  replies: readonly JobReply[],
+  isKnown = true,
+  mayBeOld: () => boolean = () => false,
+) => {
   const asked: string[] = [];
   const timeouts: number[] = [];
   const events: LogFields[] = [];
@@ -48,6 +52,7 @@
       getLastContactMs: () => 0,
       close: () => {},
     },
+    mayBeOld,
     log: { info: record, warn: record, error: record },
   });
   return { gateway, asked, timeouts, events };
@@ -126,4 +131,29 @@
   assert.is((await gateway.answer(cancel)).kind, 'unknown');
 });
 
+// Guards against a flood of cancels that is multiplied while the pool can record no more of them.
+test('a cancel that cannot succeed soon is not retried', async () => {
+  const cancel = { kind: 'cancel', pool: 'stalls', jobId: 'a' } as const;
+  const full: JobReply = { kind: 'unavailable', why: 'cancel-not-recorded', retryAfterMs: 10_000 };
+  const { gateway, asked } = openGateway([full]);
+  assert.equal(await gateway.answer(cancel), full);
+  assert.is(asked.length, 1);
+});
+
+// Guards against a job that starts after a long pause, as its submission was on its way through it.
+test('a submission that was under way in a long pause is not sent again', async () => {
+  const cases: readonly JobReply[] = [UNAVAILABLE, { kind: 'elsewhere', holder: OTHER }];
+  for (const first of cases) {
+    let checks = 0;
+    const observeLongPause = () => {
+      checks += 1;
+      return checks > 1;
+    };
+    const { gateway, asked } = openGateway([first, { kind: 'accepted' }], true, observeLongPause);
+    const reply = await gateway.answer(SUBMIT);
+    assert.ok(reply.kind === 'unavailable' && reply.why === 'input-old', first.kind);
+    assert.equal(asked, ['b~1']);
+  }
+});
+
 test.run();
--- a/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
+++ b/packages/vanilladock/src/test/jobs/cancel-tombstones.test.ts
@@ -13,15 +13,20 @@
 
 const makeTombstone = (jobId: string, team?: string) => ({ jobId, team, cancelledAtMs: 1 });
 
-/** Opens a planner and a function that stores what is due and returns the keys with a value. */
+/** Opens a planner, a function that stores what is due and tells the keys, and what is stored. */
 const openPlanner = () => {
   const harness = createHarness();
+  const stored = new Set<string>();
   const writeBatch = () => {
     const batch = harness.planner.takeStoreBatch();
     batch?.handleStored();
+    batch?.records.forEach(({ key, value }) => {
+      if (value === undefined) stored.delete(key);
+      else stored.add(key);
+    });
     return batch?.records.map(({ key, value }) => `${value === undefined ? '-' : '+'}${key}`);
   };
-  return { ...harness, writeBatch };
+  return { ...harness, writeBatch, stored };
 };
 
 // Guards against a job that starts after its cancel was confirmed, as its submission arrives late.
@@ -44,6 +49,27 @@
   assert.is(writeBatch(), undefined);
 });
 
+// Guards against a submission that starts right after a repeated cancel, as the first one has expired.
+test('a repeated cancel is kept as long as the first one, and stored before it is confirmed', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  planner.cancel('a', at(1));
+  writeBatch();
+  planner.cancel('a', at(119_000));
+  assert.not(planner.isStored('a'));
+  assert.equal(writeBatch(), [`+${POOL}:a:p`]);
+  planner.plan(at(EXPIRED_MS));
+  assert.equal(planner.submit(makeJob('a'), POLICY, at(EXPIRED_MS + 1)), CANCELLED);
+});
+
+// Guards against a tombstone that the planner after the next takes for expired.
+test('the repeated cancel of a tombstone that was loaded late is stored anew', () => {
+  const { planner, at, writeBatch } = openPlanner();
+  const { wallMs } = at(0);
+  planner.loadTombstone({ ...makeTombstone('a'), cancelledAtMs: wallMs - 100_000 }, at(0));
+  planner.cancel('a', at(1));
+  assert.equal(writeBatch(), [`+${POOL}:a:p`]);
+});
+
 test('a tombstone that the store refuses is written again', () => {
   const { planner, at, writeBatch } = openPlanner();
   planner.cancel('a', at(1));
@@ -93,6 +119,40 @@
   assert.is(tombstones.add(makeTombstone('a', 'oven'), 0), 'refused');
 });
 
+// Guards against an accepted job that its next planner takes for cancelled, as another team's id was.
+test('a job has nothing stored of a tombstone that another team has left under its id', () => {
+  const { planner, at, writeBatch, stored } = openPlanner();
+  planner.cancel('a', at(1), { team: 'crew' });
+  writeBatch();
+  assert.equal(planner.submit(makeJob('a'), POLICY, at(2), { team: 'oven' }), { kind: 'admitted' });
+  writeBatch();
+  assert.equal([...stored], [`${POOL}:a`]);
+  assert.ok(planner.isStored('a'));
+});
+
+// Guards against an accepted job whose records are removed with the tombstone of another team.
+test('a job outlives the tombstone that another team has left under its id', () => {
+  const { planner, at, writeBatch, stored } = openPlanner();
+  planner.cancel('a', at(1), { team: 'crew' });
+  writeBatch();
+  planner.submit(makeJob('a'), POLICY, at(2), { team: 'oven' });
+  writeBatch();
+  planner.plan(at(EXPIRED_MS));
+  writeBatch();
+  assert.ok(stored.has(`${POOL}:a`));
+});
+
+test('a tombstone that the store refused is not stored beside the job of another team', () => {
+  const { planner, at, writeBatch, stored } = openPlanner();
+  planner.cancel('a', at(1), { team: 'crew' });
+  const refused = planner.takeStoreBatch()!;
+  planner.submit(makeJob('a'), POLICY, at(2), { team: 'oven' });
+  planner.dropUnstored(refused);
+  writeBatch();
+  writeBatch();
+  assert.equal([...stored], [`${POOL}:a`]);
+});
+
 test('the queues of tombstones count as queues of the pool', () => {
   const { planner, at } = openPlanner();
   planner.cancel('a', at(1), { queue: 'q' });
