Keep ended jobs and tombstones for 120 s whatever the settings say

Found by the review: the decoder of a take-over, and the states of jobs that were known and cancelled, took status_s as it is, while the promise of a confirmed cancel needs as long as a submission can be on its way. One bound where the instance starts its planners takes the place of one in the planner. By reading; 189 tests of machines, queues, jobs, pools and late submissions pass.

--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -57,6 +57,12 @@
 /** An instance without a response of the store or a peer for this long counts as isolated. */
 const CONTACT_TIMEOUT_MS = 2_500;
 
+/**
+ * The states of ended jobs and the tombstones of cancelled ones are kept at least this long, whatever
+ * the settings say: longer than a submission can be on its way to a planner.
+ */
+const MIN_STATUS_MS = 120_000;
+
 /** Interval in which queues are looked for that have left a pool, in milliseconds. */
 const LEFT_QUEUES_INTERVAL_MS = 10_000;
 
@@ -88,6 +94,7 @@
     if (claim === undefined || runners.has(pool)) return;
     const runner = startPoolRunner({
       ...options,
+      statusMs: Math.max(options.statusMs, MIN_STATUS_MS),
       pool,
       claim,
       isInForce: () => claims.isInForce(claim),
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -47,12 +47,6 @@
 /** Jobs that ended long ago are dropped, and their records removed, this often. */
 const DROP_INTERVAL_MS = 1_000;
 
-/**
- * Tombstones are kept as long as the state of an ended job, and at least this long: longer than a
- * submission can be on its way to the planner.
- */
-const MIN_TOMBSTONE_MS = 120_000;
-
 const NO_TEAMS: TeamSources = {
   getDirectory: () => undefined,
   countPools: () => 1,
@@ -119,8 +113,7 @@
     if (isFull && nowMs >= nextDropMs) {
       nextDropMs = nowMs + DROP_INTERVAL_MS;
       storeQueue.addRemoved(dropFinishedJobs(table, options.statusMs, nowMs));
-      const keptMs = Math.max(options.statusMs, MIN_TOMBSTONE_MS);
-      storeQueue.addRemoved(tombstones.dropExpired(nowMs, keptMs));
+      storeQueue.addRemoved(tombstones.dropExpired(nowMs, options.statusMs));
     }
   };
   return {
