Make the reply 'unavailable' in one place

Read as a newcomer would: the same reply was written out in the gateway for jobs, the gateway for queues, the planner's answers and the calls to peers.

--- a/packages/daemon/src/lib/input-age.ts
+++ b/packages/daemon/src/lib/input-age.ts
@@ -20,7 +20,7 @@
 const NOTE_INTERVAL_MS = 500;
 
 /** Time after a pause in which calls that arrived before its end are still read. */
-const READ_MS = 1_000;
+const BACKLOG_READ_MS = 1_000;
 
 /** Reads both clocks. */
 function readClocks(): ClockPair {
@@ -36,8 +36,8 @@
     const pausedMs = computeElapsedMs(noted, current);
     noted = current;
     if (pausedMs <= MAX_INPUT_AGE_MS) return;
-    oldUntilMs = current.nowMs + READ_MS;
-    log.warn({ event: 'input-old', pausedMs: Math.round(pausedMs), untilMs: READ_MS });
+    oldUntilMs = current.nowMs + BACKLOG_READ_MS;
+    log.warn({ event: 'input-old', pausedMs: Math.round(pausedMs), untilMs: BACKLOG_READ_MS });
   };
   const timer = setInterval(observeTime, NOTE_INTERVAL_MS);
   timer.unref();
--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -2,7 +2,13 @@
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import { isForeignJob } from 'vanilladock/lib/jobs/spec.js';
 import { readMoment } from './clock.js';
-import { RETRY_AFTER_MS, type JobReply, type JobRequest, type QueueOrigin } from './job-request.js';
+import {
+  makeUnavailable,
+  RETRY_AFTER_MS,
+  type JobReply,
+  type JobRequest,
+  type QueueOrigin,
+} from './job-request.js';
 import type { PoolStateWriter } from './pool-state-writer.js';
 
 /** Planner and callbacks that requests are answered with. */
@@ -39,11 +45,6 @@
   return job !== undefined && isForeignJob(job.record, team);
 }
 
-/** Makes the reply to a request of which nothing was done and that is worth repeating. */
-function makeUnavailable(why: string, retryAfterMs = RETRY_AFTER_MS): JobReply {
-  return { kind: 'unavailable', why, retryAfterMs };
-}
-
 /** Submits a job to the planner; the reply is `accepted` only once the job is stored. */
 async function submitJob(
   context: AnswerContext,
--- a/packages/daemon/src/lib/jobs/job-gateway.ts
+++ b/packages/daemon/src/lib/jobs/job-gateway.ts
@@ -5,7 +5,7 @@
 import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
-import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
+import { makeUnavailable, type JobReply, type JobRequest } from './job-request.js';
 import type { PeerClient } from './peers.js';
 import type { PoolRunner } from './pool-runner.js';
 import {
@@ -59,17 +59,12 @@
 /** Creates the gateway. */
 export function createJobGateway(options: GatewayOptions): JobGateway {
   const { findRunner, findHolder, listMembers, selfId, peers, mayBeOld, log } = options;
-  const refuse = (why: string): JobReply => ({
-    kind: 'unavailable',
-    why,
-    retryAfterMs: RETRY_AFTER_MS,
-  });
   const answerLocally = async (request: JobRequest): Promise<JobReply> => {
     const runner = findRunner(request.pool);
     if (runner !== undefined) return runner.answer(request);
     const holder = findHolder(makePoolDuty(request.pool));
     return holder === undefined || holder.member.id === selfId
-      ? refuse('not-the-planner')
+      ? makeUnavailable('not-the-planner')
       : { kind: 'elsewhere', holder: holder.member };
   };
   const sendRequest = (peer: Member, request: JobRequest, answerByMs: number) => {
@@ -86,16 +81,17 @@
   /** Says whether the instance was paused so long that a submission must not be sent any more. */
   const isTooOld = ({ kind }: JobRequest) => kind === 'submit' && mayBeOld();
   const answerOnce = async (request: JobRequest, answerByMs = Infinity): Promise<JobReply> => {
-    if (isTooOld(request)) return refuse('input-old');
+    if (isTooOld(request)) return makeUnavailable('input-old');
     if (findRunner(request.pool) !== undefined) return answerLocally(request);
     const peer = findPeer(request.pool);
-    if (peer === undefined) return refuse('no-planner');
+    if (peer === undefined) return makeUnavailable('no-planner');
     const reply = await sendRequest(peer, request, answerByMs);
     if (reply.kind !== 'elsewhere') return reply;
-    if (reply.holder.id === selfId || reply.holder.id === peer.id) return refuse('no-planner');
-    if (isTooOld(request)) return refuse('input-old');
+    if (reply.holder.id === selfId || reply.holder.id === peer.id)
+      return makeUnavailable('no-planner');
+    if (isTooOld(request)) return makeUnavailable('input-old');
     const redirected = await sendRequest(reply.holder, request, answerByMs);
-    return redirected.kind === 'elsewhere' ? refuse('no-planner') : redirected;
+    return redirected.kind === 'elsewhere' ? makeUnavailable('no-planner') : redirected;
   };
   /** Adds when this instance received a change from its caller. */
   const addReceipt = (request: JobRequest): JobRequest =>
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -116,3 +116,8 @@
   | { readonly kind: 'unavailable'; readonly why: string; readonly retryAfterMs: number }
   /** A submission or cancel may have taken effect. */
   | { readonly kind: 'unknown'; readonly why: string };
+
+/** Makes the reply to a request of which nothing was done and that is worth repeating. */
+export function makeUnavailable(why: string, retryAfterMs: number = RETRY_AFTER_MS): JobReply {
+  return { kind: 'unavailable', why, retryAfterMs };
+}
--- a/packages/daemon/src/lib/jobs/peers.ts
+++ b/packages/daemon/src/lib/jobs/peers.ts
@@ -8,7 +8,7 @@
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createHttpClient, encodeJsonBody, JSON_HEADERS, parseJsonBody } from '../http-client.js';
 import type { JsonLog } from '../json-log.js';
-import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
+import { makeUnavailable, type JobReply, type JobRequest } from './job-request.js';
 import {
   isDutyView,
   isJobReply,
@@ -69,7 +69,7 @@
     },
     send: async (peer, request, timeoutMs) => {
       if ((unresponsiveUntilMs.get(peer.id) ?? 0) > performance.now()) {
-        return { kind: 'unavailable', why: 'peer-silent', retryAfterMs: RETRY_AFTER_MS };
+        return makeUnavailable('peer-silent');
       }
       const outcome = await http.send({
         address: peer.address,
@@ -87,9 +87,7 @@
       unresponsiveUntilMs.set(peer.id, performance.now() + UNRESPONSIVE_PAUSE_MS);
       if (outcome.kind === 'answer') return { kind: 'unknown', why: `peer-${outcome.status}` };
       const why = `peer-${outcome.reason}`;
-      return outcome.isRefused
-        ? { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS }
-        : { kind: 'unknown', why };
+      return outcome.isRefused ? makeUnavailable(why) : { kind: 'unknown', why };
     },
     getLastContactMs: () => lastContactMs,
     close: http.close,
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -21,7 +21,7 @@
 import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import { readMoment } from './clock.js';
 import { createContainedWorkers } from './contained-workers.js';
-import { RETRY_AFTER_MS, type JobReply, type JobRequest } from './job-request.js';
+import { makeUnavailable, type JobReply, type JobRequest } from './job-request.js';
 import { createPlanPauseLog } from './plan-pause-log.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
 import { createPoolStore } from './pool-store.js';
@@ -258,7 +258,7 @@
     claim,
     answer: async (request) => {
       if (planner === undefined || isStopped) {
-        return { kind: 'unavailable', why: 'pool-loading', retryAfterMs: RETRY_AFTER_MS };
+        return makeUnavailable('pool-loading');
       }
       const context = {
         planner,
--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -5,7 +5,12 @@
  */
 import { waitMs } from './clock.js';
 import type { JobGateway } from './job-gateway.js';
-import { RETRY_AFTER_MS, type JobReply, type JobRequest, type QueueOrigin } from './job-request.js';
+import {
+  makeUnavailable,
+  type JobReply,
+  type JobRequest,
+  type QueueOrigin,
+} from './job-request.js';
 import type { QueueDirectory, QueuePlacement } from './queue-directory.js';
 import { RETRY_PAUSE_MS } from './request-retries.js';
 
@@ -53,11 +58,6 @@
   return DECISIVE_KINDS.has(kind);
 }
 
-/** Makes the reply to a request of which nothing was done and that is worth repeating. */
-function makeUnavailable(why: string): JobReply {
-  return { kind: 'unavailable', why, retryAfterMs: RETRY_AFTER_MS };
-}
-
 /**
  * Chooses the reply of several pools: the first decisive one as soon as it arrives, else one that
  * leaves the answer open, else that no pool has the job.
