Record a version of the queues again after an error in an attempt

What callers would see (by a test with a planted error; no run of the system has shown it): after one exception while an instance records a version of the configuration, it refuses every submission with 503 (queue-unrecorded) until the next version, while its readiness says that it serves. No other instance takes over, as each records for itself.

Cause: the loop that records ran inside a guard that logs, and ended with the error; it is started only by a new configuration. It is of the class of the loops that go on after an error in a round; this one was left out.

Fix: an error counts as a failed attempt. It is logged as before, the records are read anew, and the next attempt follows after 1.25 s, so that a lasting fault has a bounded number of lines.

Evidence: the case of queue-directory.test.ts, in which the first read of the newest records throws, found no placement after 5 s before, and finds it after; the six other cases of the file pass in both.

--- a/packages/daemon/src/lib/jobs/queue-directory.ts
+++ b/packages/daemon/src/lib/jobs/queue-directory.ts
@@ -16,7 +16,7 @@
   type QueueHome,
   type QueueHomes,
 } from 'vanilladock/lib/queues/queue-homes.js';
-import { createLoggingGuard } from '../error-guard.js';
+import { createLoggingGuard, makeErrorFields } from '../error-guard.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 
@@ -74,6 +74,9 @@
 /** Pause after a call to the store that failed. */
 const RETRY_MS = 250;
 
+/** Further pause after an attempt that failed by an error; it bounds the lines of a lasting fault. */
+const FAILED_PAUSE_MS = 1_000;
+
 /** Starts the directory; it reads and records whenever there is a new version. */
 export function startQueueDirectory(options: QueueDirectoryOptions): QueueDirectory {
   const { store, config, log } = options;
@@ -165,6 +168,18 @@
         return plan satisfies never;
     }
   };
+  /** As `recordVersion`; an error counts as a failed attempt, as nothing else would start another. */
+  const runAttempt = async (wanted: FleetConfig): Promise<boolean> => {
+    try {
+      return await recordVersion(wanted);
+    } catch (error) {
+      log.error({ event: 'queues-failed', where: 'record', ...makeErrorFields(error) });
+      // What the failed attempt has read or appended is not known.
+      next = undefined;
+      await waitMs(FAILED_PAUSE_MS);
+      return false;
+    }
+  };
   const recordNewest = async () => {
     if (isRecording) return;
     isRecording = true;
@@ -174,7 +189,7 @@
         const wanted = config.value;
         if (wanted === undefined) break;
         if (version >= 0) await waitMs(Math.random() * SPREAD_MS);
-        if (await recordVersion(wanted)) triedVersion = wanted.version;
+        if (await runAttempt(wanted)) triedVersion = wanted.version;
         else await waitMs(RETRY_MS);
       }
     } finally {
--- a/packages/daemon/src/test/queue-directory.test.ts
+++ b/packages/daemon/src/test/queue-directory.test.ts
@@ -189,4 +189,22 @@
     second.stop();
   }));
 
+// Guards against an instance that is ready and refuses every submission until the next version.
+test('an error while a version is recorded is logged, and the version is recorded afterwards', () =>
+  runCase(async (clock) => {
+    const opened = openStore();
+    let isPlanted = true;
+    const readNewest: typeof opened.store.readNewest = (...inputs) => {
+      if (!isPlanted) return opened.store.readNewest(...inputs);
+      isPlanted = false;
+      throw new Error('planted');
+    };
+    const store = { ...opened.store, readNewest };
+    const directory = openDirectory({ ...opened, store }, makeConfig(7, 'stalls'));
+    await clock.tickAsync(5 * SECOND_MS);
+    assert.not(isPlanted);
+    assert.equal(directory.findPlacement(QUEUE, 'stalls', 7), { version: 7, formerPools: [] });
+    directory.stop();
+  }));
+
 test.run();
