--- a/packages/daemon/src/lib/jobs/fenced-writer.ts
+++ b/packages/daemon/src/lib/jobs/fenced-writer.ts
@@ -33,7 +33,10 @@
    * when a later holder has taken over or the writer was closed.
    */
   readonly load: (startReading: () => RecordHandler) => Promise<boolean>;
-  /** Appends the records together, after all earlier writes have their outcome. */
+  /**
+   * Appends the records together, after all earlier writes have their outcome. After one that was
+   * rejected because of an error, the writer is closed.
+   */
   readonly write: (records: readonly KeyedRecord[]) => Promise<WriteOutcome>;
   /** Ends all retries; writes that would be retried resolve to `lost`. */
   readonly close: () => void;
@@ -83,7 +86,10 @@
   };
   const write = (records: readonly KeyedRecord[]): Promise<WriteOutcome> => {
     const written = queue.then(() => writeNow(records));
-    queue = written;
+    // Whether a write that failed by an error is stored is not known, so that none may follow it.
+    queue = written.catch(() => {
+      isClosed = true;
+    });
     return written;
   };
   /** Claims the epoch by an empty write; resolves to whether the writer holds it. */
--- a/packages/daemon/src/test/fleet-duty.test.ts
+++ b/packages/daemon/src/test/fleet-duty.test.ts
@@ -5,6 +5,8 @@
 import { suite } from 'uvu';
 import { startFleetRunner, type FleetRunnerOptions } from '../lib/jobs/fleet-runner.js';
 import type { LogFields } from '../lib/json-log.js';
+import type { WaveOrder } from 'vanilladock/lib/ports/fleet.js';
+import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import { createMemoryStore } from './memory-store.js';
 
 const test = suite('fleet duty');
@@ -13,6 +15,7 @@
 const runDuty = async (
   listInstances: (count: number) => Promise<unknown>,
   store = createMemoryStore().store,
+  orders: readonly WaveOrder[] = [],
 ) => {
   const clock = install({ now: 0 });
   const events: LogFields[] = [];
@@ -28,7 +31,8 @@
       },
     },
     config: new BehaviorSubject(undefined),
-    waves: new BehaviorSubject(new Map()),
+    waves: new BehaviorSubject(new Map(orders.map((order) => [order.wave, order]))),
+    publishWave: () => Promise.resolve(true),
     holderGapMs: 0,
     fleetOrdersPerSecond: 100,
     log: { info: record, warn: record, error: record },
@@ -61,6 +65,28 @@
   assert.is(events[0]?.event, 'duty-failed');
 });
 
+// Guards against waves that stand for good, as each write after one that failed would fail too.
+test('an error in a write of the journal gives up the fleet duty', async () => {
+  const { store } = createMemoryStore();
+  let appends = 0;
+  const append: KeyedStore['append'] = (...inputs) => {
+    appends += 1;
+    // The first append is the empty one that fences off earlier holders.
+    return appends === 2 ? Promise.reject(new Error('planted')) : store.append(...inputs);
+  };
+  const order = { wave: 1, instances: ['m1'], durationMs: 1_000, maxConcurrent: 1 };
+  const instance = {
+    id: 'm1',
+    pool: 'stalls',
+    state: 'up',
+    dataCentre: 'hobart',
+    workerId: undefined,
+  };
+  const { lost } = await runDuty(() => Promise.resolve([instance]), { ...store, append }, [order]);
+  assert.is(appends, 2);
+  assert.equal(lost, ['ledger-fenced']);
+});
+
 // Guards against a line in every round where there is no list of instances.
 test('a list of instances that is not available is logged once, and again when it is', async () => {
   const { events, listCount } = await runDuty((count) =>
