Do not wait a second time for readers of the log that have not read

The plan of a stop leaves 0.5 s of the grace period after its last deadline, so that a stop that needs its whole time would go beyond it.

Cause: the process waits 0.2 s for both outputs to be written. If that was in vain, the handlers of the exit repeat their writes for 1 s more, one output after the other.

Fix: after a flush in vain the exit writes what the outputs take at once, and waits no more. An exit without a flush waits as before. A reader that is slower than the flush may lose the last lines, also the one that names the cause.

--- a/packages/daemon/src/lib/line-writer.ts
+++ b/packages/daemon/src/lib/line-writer.ts
@@ -21,7 +21,7 @@
 
 /**
  * Longest time for which the exit of the process repeats writes to a full pipe, in milliseconds; a
- * process that can wait uses `drain`.
+ * process that can wait uses `drain`, and has waited enough if that was in vain.
  */
 const EXIT_LIMIT_MS = 1_000;
 
@@ -50,14 +50,15 @@
   }
 }
 
-/** Writes bytes synchronously; gives up at an error or when a pipe stays full for too long. */
-function writeAtExit(fileDescriptor: number, bytes: Buffer): void {
-  const endMs = performance.now() + EXIT_LIMIT_MS;
+/** Writes bytes synchronously; gives up at an error or when a pipe is full for `limitMs`. */
+function writeAtExit(fileDescriptor: number, bytes: Buffer, limitMs: number): void {
+  const endMs = performance.now() + limitMs;
   const rest: WriteInProgress = { bytes, start: 0, isInThread: false };
-  while (rest.start < bytes.length && performance.now() < endMs) {
+  while (rest.start < bytes.length) {
     const { written, errorCode } = writeNow(fileDescriptor, rest);
     rest.start += written;
     if (errorCode !== undefined && errorCode !== FULL_PIPE) return;
+    if (errorCode === FULL_PIPE && performance.now() >= endMs) return;
   }
 }
 
@@ -68,6 +69,8 @@
   let current: WriteInProgress | undefined;
   /** Set once a write took only a part: it never blocks, so that no thread is needed. */
   let isNonBlocking = false;
+  /** Whether the last `drain` has reached its limit. */
+  let hasDrainedInVain = false;
   let waiters: (() => void)[] = [];
 
   const handleWritten = (active: WriteInProgress, { written, errorCode }: WriteOutcome) => {
@@ -112,7 +115,8 @@
     addDropNotice();
     // A thread completes its write before the process ends, unless the pipe is full.
     const rest = current?.isInThread === false ? current.bytes.subarray(current.start) : '';
-    writeAtExit(fileDescriptor, Buffer.concat([Buffer.from(rest), Buffer.from(pending, 'utf8')]));
+    const bytes = Buffer.concat([Buffer.from(rest), Buffer.from(pending, 'utf8')]);
+    writeAtExit(fileDescriptor, bytes, hasDrainedInVain ? 0 : EXIT_LIMIT_MS);
     pending = '';
   });
   return {
@@ -130,10 +134,12 @@
       new Promise((resolve) => {
         const timer = setTimeout(() => {
           waiters = waiters.filter((waiter) => waiter !== handleDrained);
+          hasDrainedInVain = true;
           resolve(false);
         }, limitMs);
         const handleDrained = () => {
           clearTimeout(timer);
+          hasDrainedInVain = false;
           resolve(true);
         };
         waiters.push(handleDrained);
--- a/packages/daemon/src/test/standard-lines-exit.test.ts
+++ b/packages/daemon/src/test/standard-lines-exit.test.ts
@@ -45,6 +45,19 @@
   });
 });
 
+// Guards against a stop that lasts beyond its grace period, as both outputs are waited for once more.
+test('a process that has tried in vain to flush its log does not wait for its readers again', async () => {
+  const measure = `
+    await drainLogs(200);
+    const startedMs = performance.now();
+    process.once('exit', () => {
+      if (performance.now() - startedMs > 500) process.exitCode = 4;
+    });
+    process.exit(3);
+  `;
+  assert.is(await runUnread(measure, false), 3);
+});
+
 test('a write to a stream whose reader has gone does not end the process', async () => {
   const write = `
     process.stdout.write('x');
