--- a/packages/vanilladock/src/lib/jobs/cancel-tombstones.ts
+++ b/packages/vanilladock/src/lib/jobs/cancel-tombstones.ts
@@ -24,8 +24,8 @@
 export interface CancelTombstones {
   /**
    * Adds a tombstone at the monotonic time `nowMs`, or has one that is no longer new kept and stored
-   * anew, as the repeated cancel is confirmed as the first was. `refused`: there are too many, or another team
-   * has cancelled the same id, so that nothing is recorded.
+   * anew, as the repeated cancel is confirmed as the first was. `refused`: there are too many, or
+   * another team has cancelled the same id, so that nothing is recorded.
    */
   readonly add: (tombstone: CancelTombstone, nowMs: number) => 'recorded' | 'refused';
   /** Adds a tombstone that an earlier planner has stored. */
@@ -67,7 +67,9 @@
   return team === undefined || other === undefined || team === other;
 }
 
-/** Says whether a repeated cancel has to be recorded anew; of a loaded one only the wall time is known. */
+/**
+ * Says whether a repeated cancel has to be recorded anew. Of a loaded one only the wall time is known.
+ */
 function isRenewalDue(known: Entry, { cancelledAtMs }: CancelTombstone, nowMs: number): boolean {
   const ageMs = Math.max(nowMs - known.sinceMs, cancelledAtMs - known.tombstone.cancelledAtMs);
   return ageMs > RENEWAL_AGE_MS;
