Write the refusal of a cancelled job once

Found by reading the whole change once more. A submission that arrives after its cancel was refused by two copies of the same value, one for the planner of the queue and one for the lookup in a former pool, which have to agree. Both take it now from where admissions are defined. Looked at and left: the age of the input is asked in the gateway for queues and in that for jobs, as the one covers what was read after a pause and the other a pause on the way; the steps of the two machines of queues differ in their ranges. Behaviour, checks and bounds as before: 32 tests of cancelled jobs, moved queues, tombstones, gateways and late submissions pass.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -1,4 +1,5 @@
 /** Answers requests about jobs from a pool's planner; changes are confirmed only once stored. */
+import { CANCELLED_REFUSAL } from 'vanilladock/lib/jobs/admit-job.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import { isForeignJob } from 'vanilladock/lib/jobs/spec.js';
 import { readMoment } from './clock.js';
@@ -106,7 +107,7 @@
   if (isForeign(context, jobId, team)) return { kind: 'foreign-job' };
   if (context.planner.table.jobs.has(jobId)) return answerStored(context, jobId);
   if (context.planner.isCancelled(jobId, team)) {
-    return { kind: 'refused', cause: 'queue', why: 'cancelled', retryAfterMs: undefined };
+    return { ...CANCELLED_REFUSAL, cause: 'queue' };
   }
   return closeForOlder(context, { queue, version });
 }
--- a/packages/vanilladock/src/lib/jobs/admit-job.ts
+++ b/packages/vanilladock/src/lib/jobs/admit-job.ts
@@ -43,6 +43,13 @@
       readonly retryAfterMs: number | undefined;
     };
 
+/** Refusal of a job that was cancelled before its submission arrived. */
+export const CANCELLED_REFUSAL = {
+  kind: 'refused',
+  why: 'cancelled',
+  retryAfterMs: undefined,
+} as const satisfies Admission;
+
 /** Says whether some step requires more than the largest worker has. */
 function isNeverRunnable(spec: JobSpec, largestWorker: Resources): boolean {
   return spec.steps.some((step) => !isWithin(step.size, largestWorker));
--- a/packages/vanilladock/src/lib/jobs/job-intake.ts
+++ b/packages/vanilladock/src/lib/jobs/job-intake.ts
@@ -4,7 +4,7 @@
  */
 import type { ArrivalForecast } from '../lending/arrival-forecast.js';
 import type { PoolTeams } from '../teams/pool-teams.js';
-import { admitJob } from './admit-job.js';
+import { admitJob, CANCELLED_REFUSAL } from './admit-job.js';
 import { closeJob } from './apply-ends.js';
 import { makeReceiptFields } from './call-receipt.js';
 import type { CancelTombstones } from './cancel-tombstones.js';
@@ -33,9 +33,6 @@
 /** As the functions of the planner. */
 export type JobIntake = Pick<PoolPlanner, 'submit' | 'cancel'>;
 
-/** Refusal of a job that was cancelled before its submission arrived. */
-const CANCELLED = { kind: 'refused', why: 'cancelled', retryAfterMs: undefined } as const;
-
 /** Creates the intake of a pool. */
 export function createJobIntake(options: JobIntakeOptions): JobIntake {
   const { context, arrivals, meanWork, teams, storeQueue, tombstones } = options;
@@ -66,9 +63,9 @@
           route: spec.route,
           team,
           ...received,
-          ...CANCELLED,
+          ...CANCELLED_REFUSAL,
         });
-        return CANCELLED;
+        return CANCELLED_REFUSAL;
       }
       const load = computeLoad(at.nowMs);
       const sizes = spec.steps.map((step) => step.size);
