--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -134,6 +134,7 @@
       duty,
       at: endOffset,
       outcome: outcome.kind,
+      unclaimedMs: Math.round(unclaimedDuties.getAgeMs(duty, sent.nowMs)),
       previousHolder: previous?.holder,
       previousToken: previous?.token,
     });
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -25,6 +25,7 @@
 import { createPlanPauseLog } from './plan-pause-log.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
 import { createPoolStore } from './pool-store.js';
+import { createSettlingLog } from './settling-log.js';
 import { takeOverPool } from './take-over.js';
 import { createWorkerLoops } from './worker-loops.js';
 
@@ -108,7 +109,9 @@
     token: claim.token,
     partitions: options.storePartitions,
   });
-  const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, performance.now());
+  const claimedMs = performance.now();
+  const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, claimedMs);
+  const settlingLog = createSettlingLog({ pool, token: claim.token, claimedMs, log });
   let planner: PoolPlanner | undefined;
   let isStopped = false;
   let isPlanScheduled = false;
@@ -123,7 +126,7 @@
     subscription?.unsubscribe();
     loops.stop();
     stateWriter.stop();
-    log.info({ event: 'pool-released', pool, token: claim.token });
+    settlingLog.logEnd(performance.now());
   };
   const handleLoss = (why: string) => {
     if (isStopped) return;
@@ -159,6 +162,7 @@
       const at = readMoment();
       pauseLog.observePlan(at.nowMs);
       planner.plan(at).forEach((action) => guard.watch('action', runAction(action)));
+      settlingLog.observeWaits(planner.explainWaits(at.nowMs), at.nowMs);
     } else {
       pauseLog.observeSkip(performance.now());
     }
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -32,14 +32,14 @@
 } as unknown as TaskWorkers;
 
 /** Starts a runner with one worker; `state` says whether its claim is in force. */
-const openRunner = () => {
+const openRunner = (store = STORE) => {
   const lines: LogFields[] = [];
   const logLine = (fields: LogFields) => lines.push(fields);
   const state = { isInForce: true };
   const entries = new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map([['w1', ENTRY]]));
   const runner = startPoolRunner({
     ...RUNNER_BASE,
-    store: STORE,
+    store,
     workers: WORKERS,
     entries,
     log: { info: logLine, warn: logLine, error: logLine },
@@ -161,4 +161,30 @@
   );
 });
 
+// Guards against waits that no log shows, because each planner ends before they do.
+test('says what inherited jobs still wait for when the planner ends', async () => {
+  const clock = install({ now: 0 });
+  const meta = { generation: 1, workers: [{ id: 'w9', bornMs: 1 }], isSettled: true };
+  const record = { key: `${POOL}:meta`, value: JSON.stringify(meta), offset: 0 };
+  const store: KeyedStore = {
+    ...STORE,
+    readNewest: async () => ({ kind: 'records', records: [record], end: 1 }),
+  };
+  const ended = openRunner(store);
+  await clock.tickAsync(SECOND_MS);
+  ended.runner.stop();
+  const settled = openRunner(store);
+  await clock.tickAsync(8 * SECOND_MS);
+  settled.runner.stop();
+  clock.uninstall();
+  const [released] = ended.listLines('pool-released');
+  assert.is(released?.phase, 'waiting');
+  assert.is(released?.heldMs, SECOND_MS);
+  assert.equal(released?.unreported, ['w9']);
+  const [line] = settled.listLines('pool-settled');
+  assert.equal(line?.unreported, ['w9']);
+  assert.ok(Number(line?.waitedMs) > 4 * SECOND_MS, `${line?.waitedMs} ms`);
+  assert.is(settled.listLines('pool-released')[0]?.phase, 'settled');
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -14,6 +14,14 @@
   readonly claimedMs: number;
 }
 
+/** What inherited jobs wait for. */
+export interface InheritanceWaits {
+  /** Whether an earlier planner may still send orders. */
+  readonly mayPredecessorOrder: boolean;
+  /** Ids of the workers that may hold a lease from an earlier planner and have not reported. */
+  readonly unreportedWorkers: readonly string[];
+}
+
 /** Inheritance of a planner. Times are monotonic, in milliseconds. */
 export interface Inheritance {
   /**
@@ -39,6 +47,8 @@
    * a worker that has not reported yet.
    */
   readonly isUncertain: (nowMs: number) => boolean;
+  /** Explains what inherited jobs wait for; undefined unless `isUncertain` holds. */
+  readonly explainWaits: (nowMs: number) => InheritanceWaits | undefined;
   /**
    * Says whether a task may run under a long lease on a worker that has not reported yet, although
    * the others are certain.
@@ -86,6 +96,10 @@
   };
   const isUnseen = (workerId: string, nowMs: number) =>
     unreported.has(workerId) && nowMs < computeLeaseEndMs(MAX_LEASE_MS);
+  const isUncertain = (nowMs: number) =>
+    nowMs < predecessorUntilMs ||
+    (unreported.size > 0 && nowMs < computeLeaseEndMs(LEASE_MS)) ||
+    (restartedIds.size > 0 && nowMs < computeLeaseEndMs(MAX_LEASE_MS));
   return {
     recordReport: (workerId, sentMs) => {
       if (sentMs < predecessorUntilMs) return;
@@ -108,10 +122,14 @@
     },
     mayPredecessorOrder: (nowMs) => nowMs < predecessorUntilMs,
     mayHoldLease: isPossibleHolder,
-    isUncertain: (nowMs) =>
-      nowMs < predecessorUntilMs ||
-      (unreported.size > 0 && nowMs < computeLeaseEndMs(LEASE_MS)) ||
-      (restartedIds.size > 0 && nowMs < computeLeaseEndMs(MAX_LEASE_MS)),
+    isUncertain,
+    explainWaits: (nowMs) =>
+      isUncertain(nowMs)
+        ? {
+            mayPredecessorOrder: nowMs < predecessorUntilMs,
+            unreportedWorkers: [...unreported.keys()],
+          }
+        : undefined,
     mayRunUnseen: (taskKey, nowMs) => {
       const workerId = longLeases.get(taskKey);
       return workerId !== undefined && isUnseen(workerId, nowMs);
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -5,7 +5,7 @@
 import type { Admission } from './admit-job.js';
 import type { CallReceipt } from './call-receipt.js';
 import type { CancelTombstone } from './cancel-tombstones.js';
-import type { InheritanceOptions } from './inheritance.js';
+import type { InheritanceOptions, InheritanceWaits } from './inheritance.js';
 import type { LeaseHolder } from './lease-holder.js';
 import type { TimedReport } from './observe-report.js';
 import type { PaceAction } from './pace.js';
@@ -130,6 +130,8 @@
   readonly observePredecessorStopped: (at: Moment) => void;
   /** Says whether orders of earlier planners can no longer take effect. */
   readonly isSettled: (nowMs: number) => boolean;
+  /** As `explainWaits` of the inheritance. */
+  readonly explainWaits: (nowMs: number) => InheritanceWaits | undefined;
   /** Applies the outcome of a start that `plan` returned. */
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
   /** Applies the outcome of a stop that `plan` returned. */
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -180,6 +180,7 @@
     observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: ({ nowMs }) => inheritance.observePredecessorStopped(nowMs),
     isSettled: (nowMs) => !inheritance.isUncertain(nowMs),
+    explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
     evacuate: (workerId, at) => {
