--- a/packages/daemon/src/test/simulated-worker.ts
+++ b/packages/daemon/src/test/simulated-worker.ts
@@ -111,6 +111,8 @@
     },
     /** Ends a run as one whose gang was broken up. */
     stopRun: (run: Run) => closeRun(run, 'broken'),
+    /** Ends a run that goes on as one that has failed. */
+    failRun: (run: Run) => closeRun(run, 'failed'),
     start: (order: StartOrder): OrderOutcome => {
       const { taskKey, run } = order;
       if (isFenced(order.fencingToken)) return { kind: 'rejected', why: 'fenced' };
