Take orders as ended only of the planner that wrote the pool's metadata

Callers could see a task run twice. A planner takes its predecessor's orders as ended when the holder of the claim before its own has stopped and the stored metadata say that they are settled. The released claim was not even named, so that any release counted as a stop.

Metadata now name the token of the planner that wrote them, and a release names the token that it releases. Records without tokens, of earlier versions, count as before. The planners' part of an instance is a module of its own now, as the simulation needs it.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -18,7 +18,7 @@
 import { readMoment, waitMs } from './clock.js';
 import { runEndlessLoop } from './endless-loop.js';
 import { createDutyAuthority } from './duty-authority.js';
-import { createDutyNotices } from './duty-notices.js';
+import { createDutyNotices, type Predecessor } from './duty-notices.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
 import { releaseDuties } from './duty-release.js';
 import { createHeldDuties } from './held-duties.js';
@@ -41,7 +41,7 @@
   /** Processes a holder's notice and returns what is known about the duties that it names. */
   readonly answerNotice: (notice: SentNotice) => PeerDutyView;
   /** As `queryPredecessor` of the notices. */
-  readonly queryPredecessor: (claim: Claim) => Promise<boolean>;
+  readonly queryPredecessor: (claim: Claim) => Promise<Predecessor>;
   readonly start: () => void;
   /** Gives up a duty, for instance after another holder's token was observed. */
   readonly dropDuty: (duty: string, why: string) => void;
@@ -276,8 +276,8 @@
     stop: async () => {
       isStopped = true;
       authority.stop();
-      const duties = heldDuties.dropAll();
-      await releaseDuties({ store, self, duties, getClaimsEnd: () => nextOffset, log });
+      const claims = heldDuties.dropAll();
+      await releaseDuties({ store, self, claims, getClaimsEnd: () => nextOffset, log });
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -34,6 +34,14 @@
   readonly log: JsonLog;
 }
 
+/** What is known of the holder that precedes a claim. */
+export interface Predecessor {
+  /** Whether it is known to have stopped. */
+  readonly hasStopped: boolean;
+  /** Token of the claim that precedes; undefined if there is none, or an old release hides it. */
+  readonly token: number | undefined;
+}
+
 /** Notices of one instance. */
 export interface DutyNotices {
   /** Sends a notice in this instance's name; a peer that answers counts as alive. */
@@ -44,11 +52,11 @@
    */
   readonly answer: (notice: SentNotice) => PeerDutyView;
   /**
-   * Resolves to whether the holder preceding a claim of this instance is known to have stopped;
-   * true at once without a known predecessor. Sends the claim until the predecessor answers, and
-   * resolves to false when it has not within `SUCCESSION_MS` or this instance stops.
+   * Resolves to what is known of the holder preceding a claim of this instance; it has stopped if
+   * none is known. Sends the claim until the predecessor answers; it has not stopped when it has
+   * not answered within `SUCCESSION_MS` or this instance stops.
    */
-  readonly queryPredecessor: (claim: Claim) => Promise<boolean>;
+  readonly queryPredecessor: (claim: Claim) => Promise<Predecessor>;
 }
 
 /** Pause between notices to a predecessor that does not answer. */
@@ -108,7 +116,10 @@
         hasStopped,
         waitedMs: Math.round(performance.now() - startedMs),
       });
-      return hasStopped;
+      return {
+        hasStopped,
+        token: previous?.holder === '' ? previous.releasedToken : previous?.token,
+      };
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/duty-release.ts
+++ b/packages/daemon/src/lib/jobs/duty-release.ts
@@ -3,17 +3,22 @@
  * effect in any order, also late: a release is stored only while nothing has been claimed since, and
  * a departure names the incarnation that has left.
  */
-import { encodeClaim, encodeDeparture, type Member } from 'vanilladock/lib/duties/claim-table.js';
+import {
+  encodeDeparture,
+  encodeRelease,
+  type Claim,
+  type Member,
+} from 'vanilladock/lib/duties/claim-table.js';
 import type { AppendOutcome, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
 
-/** Duties to release, and the store that keeps them. */
+/** Claims to release, and the store that keeps them. */
 export interface DutyReleaseOptions {
   readonly store: KeyedStore;
   readonly self: Member;
-  readonly duties: readonly string[];
+  readonly claims: readonly Claim[];
   /** Returns the end of the claims as of the last read; undefined before the first. */
   readonly getClaimsEnd: () => number | undefined;
   readonly log: JsonLog;
@@ -33,9 +38,9 @@
  * are free once the departure is read.
  */
 async function appendReleases(options: DutyReleaseOptions): Promise<AppendOutcome['kind']> {
-  const { store, duties, getClaimsEnd } = options;
+  const { store, claims, getClaimsEnd } = options;
   const startedMs = performance.now();
-  const records = duties.map((duty) => encodeClaim(duty, undefined));
+  const records = claims.map(encodeRelease);
   for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
     const offset = getClaimsEnd();
     if (offset === undefined) return 'refused';
@@ -49,14 +54,14 @@
 
 /** Releases the duties and reports that this instance has left. */
 export async function releaseDuties(options: DutyReleaseOptions): Promise<void> {
-  const { store, self, duties, log } = options;
+  const { store, self, claims, log } = options;
   const [outcome, departure] = await Promise.all([
-    duties.length === 0 ? 'stored' : appendReleases(options),
+    claims.length === 0 ? 'stored' : appendReleases(options),
     store.append(HEARTBEATS, [encodeDeparture(self)], { kind: 'none' }),
   ]);
   log.info({
     event: 'duties-released',
-    count: duties.length,
+    count: claims.length,
     outcome,
     departure: departure.kind,
   });
--- a/packages/daemon/src/lib/jobs/held-duties.ts
+++ b/packages/daemon/src/lib/jobs/held-duties.ts
@@ -28,8 +28,8 @@
   readonly takeOwnClaims: () => void;
   /** Gives up each duty on which there is a newer claim. */
   readonly checkHeld: () => void;
-  /** Gives up all duties and takes none from now on; returns which were held. */
-  readonly dropAll: () => readonly string[];
+  /** Gives up all duties and takes none from now on; returns the claims that were held. */
+  readonly dropAll: () => readonly Claim[];
 }
 
 /** Creates an empty set of duties. */
@@ -74,9 +74,9 @@
     },
     dropAll: () => {
       isStopped = true;
-      const duties = [...held.value.keys()];
+      const claims = [...held.value.values()];
       held.next(new Map());
-      return duties;
+      return claims;
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -16,12 +16,8 @@
 } from './fleet-runner.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
 import { createPeerClient, servePeers } from './peers.js';
-import {
-  startPoolRunner,
-  type PoolFigures,
-  type PoolRunner,
-  type PoolSources,
-} from './pool-runner.js';
+import type { PoolFigures, PoolSources } from './pool-runner.js';
+import { startPoolRunners } from './pool-runners.js';
 import { startQueueDirectory } from './queue-directory.js';
 import { createQueueGateway, type QueueGateway } from './queue-gateway.js';
 
@@ -70,13 +66,13 @@
 export function startJobEntry(options: JobEntryOptions): JobEntry {
   const { self, config, log, peerServer } = options;
   const peers = createPeerClient(log);
-  const runners = new Map<string, PoolRunner>();
   let lastStoreContactMs = -Infinity;
   const recordStoreContact = () => {
     lastStoreContactMs = performance.now();
   };
+  const listPools = () => config.value?.pools.map(({ name }) => name) ?? [];
   const listDuties = () => {
-    const pools = config.value?.pools.map((pool) => makePoolDuty(pool.name)) ?? [];
+    const pools = listPools().map(makePoolDuty);
     return pools.length === 0 ? [] : [...pools, FLEET_DUTY];
   };
   const claims = createDutyClaims({
@@ -88,24 +84,12 @@
     sendNotice: peers.sendNotice,
     log,
   });
-  const startRunner = (pool: string) => {
-    const duty = makePoolDuty(pool);
-    const claim = claims.held.value.get(duty);
-    if (claim === undefined || runners.has(pool)) return;
-    const runner = startPoolRunner({
-      ...options,
-      statusMs: Math.max(options.statusMs, MIN_STATUS_MS),
-      pool,
-      claim,
-      isInForce: () => claims.isInForce(claim),
-      queryPredecessor: () => claims.queryPredecessor(claim),
-      handleLost: (why) => {
-        runners.delete(pool);
-        claims.dropDuty(duty, why);
-      },
-    });
-    runners.set(pool, runner);
-  };
+  const runners = startPoolRunners({
+    ...options,
+    statusMs: Math.max(options.statusMs, MIN_STATUS_MS),
+    claims,
+    listPools,
+  });
   let fleetRunner: FleetRunner | undefined;
   const updateFleetRunner = (claim: Claim | undefined) => {
     if (fleetRunner?.claim.token === claim?.token) return;
@@ -123,7 +107,7 @@
   };
   const inputAge = startInputAgeWatch(log);
   const gateway = createJobGateway({
-    findRunner: (pool) => runners.get(pool),
+    findRunner: runners.find,
     findHolder: claims.findHolder,
     listMembers: claims.listMembers,
     selfId: self.id,
@@ -134,7 +118,7 @@
   const directory = startQueueDirectory({ store: options.store, config, log });
   /** Drops the records of queues that are sent elsewhere now and have no jobs left in a pool. */
   const dropLeftQueues = async () => {
-    for (const [pool, runner] of [...runners]) {
+    for (const [pool, runner] of runners.list()) {
       const left = directory.listLeftQueues(pool);
       const closed = await runner.closeQueues(left, directory.getVersion());
       await directory.removePool(closed, pool);
@@ -146,16 +130,7 @@
     LEFT_QUEUES_INTERVAL_MS,
   );
   dropTimer.unref();
-  claims.held.subscribe((held) => {
-    updateFleetRunner(held.get(FLEET_DUTY));
-    [...runners].forEach(([pool, runner]) => {
-      const claim = held.get(makePoolDuty(pool));
-      if (claim?.token === runner.claim.token) return;
-      runners.delete(pool);
-      runner.stop();
-    });
-    config.value?.pools.forEach(({ name }) => startRunner(name));
-  });
+  claims.held.subscribe((held) => updateFleetRunner(held.get(FLEET_DUTY)));
   servePeers(peerServer, {
     answer: gateway.answerLocally,
     answerNotice: claims.answerNotice,
@@ -170,13 +145,9 @@
       const lastContactMs = Math.max(lastStoreContactMs, peers.getLastContactMs());
       return performance.now() - lastContactMs < CONTACT_TIMEOUT_MS;
     },
-    listPoolFigures: () => [...runners.values()].flatMap((runner) => runner.getFigures() ?? []),
+    listPoolFigures: () => runners.list().flatMap(([, runner]) => runner.getFigures() ?? []),
     recordStoreContact,
-    release: async () => {
-      runners.forEach((runner) => runner.stop());
-      runners.clear();
-      await claims.stop();
-    },
+    release: claims.stop,
     close: async (limitMs) => {
       clearInterval(dropTimer);
       inputAge.stop();
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -20,13 +20,16 @@
 import { answerRequest } from './answer-request.js';
 import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import { readMoment } from './clock.js';
+import type { Predecessor } from './duty-notices.js';
 import { createContainedWorkers } from './contained-workers.js';
 import { makeUnavailable, type JobReply, type JobRequest } from './job-request.js';
 import { createPlanPauseLog } from './plan-pause-log.js';
+import { watchPredecessor } from './predecessor-watch.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
 import { createPoolStore } from './pool-store.js';
 import { createSettlingLog } from './settling-log.js';
-import { takeOverPool } from './take-over.js';
+import type { PoolMeta } from './stored-pool.js';
+import { countTaken, takeOverPool } from './take-over.js';
 import { createWorkerLoops } from './worker-loops.js';
 
 /** Dependencies that the instance provides to the runner of every pool. */
@@ -51,8 +54,8 @@
   readonly claim: Claim;
   /** Says whether orders may be given under the claim now. */
   readonly isInForce: () => boolean;
-  /** Queries the preceding planner; resolves to whether it is known to have stopped. */
-  readonly queryPredecessor: () => Promise<boolean>;
+  /** Queries the preceding planner. */
+  readonly queryPredecessor: () => Promise<Predecessor>;
   /** Called when a later planner has taken over the pool. */
   readonly handleLost: (why: string) => void;
 }
@@ -104,6 +107,7 @@
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, advisor, log } = options;
   const workers = createContainedWorkers(options.workers, log);
+  const predecessor = watchPredecessor(options.queryPredecessor);
   const store = createPoolStore({
     ...options,
     token: claim.token,
@@ -203,19 +207,13 @@
     loops.update(planner);
     schedulePlan();
   };
-  /** Ends the wait for the predecessor's orders as soon as it is known to have stopped. */
-  const waitPredecessor = async (query: Promise<boolean>, isPredecessorSettled: boolean) => {
-    const hasStopped = await query;
-    // A predecessor that did not have the reports of all workers yet may itself have succeeded a
-    // planner that still gives orders.
-    if (hasStopped && isPredecessorSettled) planner?.observePredecessorStopped(readMoment());
+  const waitPredecessor = async (loaded: PoolPlanner, stored: PoolMeta) => {
+    await predecessor.apply(loaded, stored);
     loops.wakeAll();
     schedulePlan();
   };
   const load = async () => {
-    const startedMs = performance.now();
-    const predecessorQuery = options.queryPredecessor();
-    const stored = await takeOverPool(store);
+    const stored = await takeOverPool(store, claim.token);
     if (stored === undefined || isStopped) {
       handleLoss('store-fenced');
       return;
@@ -226,29 +224,18 @@
       report: (event) => log.info({ pool, ...event }),
       runBase: stored.previous.generation * RUNS_PER_GENERATION,
       inheritedWorkers: stored.meta.workers,
-      claimedMs: startedMs,
+      claimedMs,
       statusMs: options.statusMs,
       teams: options.teams,
     });
     const active = planner;
-    const isPredecessorSettled = stored.previous.isSettled !== false;
-    guard.watch('predecessor', waitPredecessor(predecessorQuery, isPredecessorSettled));
+    guard.watch('predecessor', waitPredecessor(active, stored.previous));
     stored.jobs.forEach(({ record, progress }) => active.loadJob(record, progress, loadedAt));
     stored.tombstones.forEach((tombstone) => active.loadTombstone(tombstone, loadedAt));
     active.removeStored(stored.expiredJobs);
-    log.info({
-      event: 'pool-taken',
-      pool,
-      token: claim.token,
-      generation: stored.meta.generation,
-      jobs: stored.jobs.length,
-      tombstones: stored.tombstones.length,
-      expiredJobs: stored.expiredJobs.length,
-      inheritedWorkers: stored.meta.workers.length,
-      longLeases: stored.meta.workers.filter(({ longLeaseTasks }) => longLeaseTasks !== undefined)
-        .length,
-      loadMs: Math.round(loadedAt.nowMs - startedMs),
-    });
+    const loadMs = Math.round(loadedAt.nowMs - claimedMs);
+    const { token } = claim;
+    log.info({ event: 'pool-taken', pool, token, ...countTaken(stored), loadMs });
     subscription = options.entries.subscribe(guard.wrap('entries', observeEntries));
     const runTick = () => {
       loops.update(active);
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -26,6 +26,8 @@
   generation: z.number(),
   /** The workers that may hold leases. */
   workers: z.array(holderSchema).readonly(),
+  /** Fencing token of the newest planner; absent in old records. */
+  token: z.number().optional(),
   /**
    * Whether the newest planner has reports of all its predecessor's workers; absent in old records,
    * which count as settled.
--- a/packages/daemon/src/lib/jobs/take-over.ts
+++ b/packages/daemon/src/lib/jobs/take-over.ts
@@ -9,18 +9,34 @@
   readonly previous: PoolMeta;
 }
 
+/** Counts what a planner begins with, for the log. */
+export function countTaken({ meta, jobs, tombstones, expiredJobs }: TakenPool) {
+  const { generation, workers } = meta;
+  return {
+    generation,
+    jobs: jobs.length,
+    tombstones: tombstones.length,
+    expiredJobs: expiredJobs.length,
+    inheritedWorkers: workers.length,
+    longLeases: workers.filter(({ longLeaseTasks }) => longLeaseTasks !== undefined).length,
+  };
+}
+
 /** Pause before refused metadata are written again. */
 const RETRY_MS = 250;
 
 /**
- * Takes over a pool; resolves once the new generation is recorded, so that no two planners number
+ * Takes over a pool under the claim with this token; resolves once the new generation is recorded, so that no two planners number
  * their runs alike. Undefined if another planner has taken over or the store was closed.
  */
-export async function takeOverPool(store: PoolStore): Promise<TakenPool | undefined> {
+export async function takeOverPool(
+  store: PoolStore,
+  token: number,
+): Promise<TakenPool | undefined> {
   const stored = await store.load();
   if (stored === undefined) return undefined;
   const previous = stored.meta;
-  const meta = { ...previous, generation: previous.generation + 1, isSettled: false };
+  const meta = { ...previous, generation: previous.generation + 1, token, isSettled: false };
   for (;;) {
     const outcome = await store.write([store.encodeMeta(meta)]);
     if (outcome === 'stored') return { ...stored, meta, previous };
--- a/packages/daemon/src/test/double-run-machine.test.ts
+++ b/packages/daemon/src/test/double-run-machine.test.ts
@@ -10,7 +10,7 @@
 import { BehaviorSubject } from 'rxjs';
 import type { OrderOutcome, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
-import { ENTRY, POLICY, POOL, SILENT_LOG, SPEC, STEP } from './job-fixtures.js';
+import { ENTRY, makeStoppedQuery, POLICY, POOL, SILENT_LOG, SPEC, STEP } from './job-fixtures.js';
 import { createMemoryStore, NEVER, waitFor } from './memory-store.js';
 import { createIncarnation, type Incarnation } from './simulated-worker.js';
 
@@ -158,7 +158,7 @@
       pool: POOL,
       claim: { duty: `pool/${POOL}`, holder: 'a', token },
       isInForce: () => isInForce,
-      queryPredecessor: () => Promise.resolve(true),
+      queryPredecessor: makeStoppedQuery(token - 1),
       handleLost: (why) => violations.push(`pool lost: ${why}`),
     });
   };
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -235,7 +235,7 @@
     const claim = fleet.get(successor)!.held.value.get(DUTY)!;
     const query = fleet.get(successor)!.queryPredecessor(claim);
     await clock.tickAsync(SECOND_MS);
-    assert.is(await Promise.race([query, NEVER]), true);
+    assert.is((await Promise.race([query, NEVER])).hasStopped, true);
   }));
 
 test.run();
--- a/packages/daemon/src/test/job-fixtures.ts
+++ b/packages/daemon/src/test/job-fixtures.ts
@@ -55,6 +55,10 @@
 
 export const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
 
+/** Makes the query of a planner that has stopped. */
+export const makeStoppedQuery = (token: number | undefined) => () =>
+  Promise.resolve({ hasStopped: true, token });
+
 /** Options of a pool's runner that most tests leave alone; its claim is always in force. */
 export const RUNNER_BASE = {
   storePartitions: 8,
@@ -64,6 +68,6 @@
   pool: POOL,
   claim: { duty: `pool/${POOL}`, holder: 'a', token: 1 },
   isInForce: () => true,
-  queryPredecessor: () => Promise.resolve(true),
+  queryPredecessor: makeStoppedQuery(undefined),
   handleLost: () => {},
 };
--- a/packages/daemon/src/test/late-orders-simulation.ts
+++ b/packages/daemon/src/test/late-orders-simulation.ts
@@ -12,7 +12,7 @@
   WorkerEntry,
 } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
-import { ENTRY, POLICY, POOL, RUNNER_BASE, SPEC, STEP } from './job-fixtures.js';
+import { ENTRY, makeStoppedQuery, POLICY, POOL, RUNNER_BASE, SPEC, STEP } from './job-fixtures.js';
 import { createMemoryStore, NEVER, waitFor } from './memory-store.js';
 import { createIncarnation, type Incarnation } from './simulated-worker.js';
 
@@ -207,6 +207,7 @@
       workers,
       entries,
       claim: { duty: `pool/${POOL}`, holder: 'a', token },
+      queryPredecessor: makeStoppedQuery(token - 1),
       handleLost: (why) => violations.push(`pool lost: ${why}`),
     });
   };
--- a/packages/daemon/src/test/pool-runner.test.ts
+++ b/packages/daemon/src/test/pool-runner.test.ts
@@ -5,7 +5,7 @@
 import { BehaviorSubject } from 'rxjs';
 import type { WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
-import { ENTRY, POLICY, POOL, RUNNER_BASE, SPEC, STEP } from './job-fixtures.js';
+import { ENTRY, makeStoppedQuery, POLICY, POOL, RUNNER_BASE, SPEC, STEP } from './job-fixtures.js';
 import { CALL_MS, createMemoryStore } from './memory-store.js';
 import { createMemoryWorker, TASK_MS } from './memory-worker.js';
 
@@ -29,6 +29,7 @@
       workers,
       entries: new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map([['w1', ENTRY]])),
       claim: { duty: `pool/${POOL}`, holder: `${token}`, token },
+      queryPredecessor: makeStoppedQuery(token - 1),
     });
   const first = startRunner(1);
   await clock.tickAsync(SECOND_MS);
--- /dev/null
+++ b/packages/daemon/src/test/predecessor-watch.test.ts
@@ -0,0 +1,46 @@
+/** What a planner takes from what is known of the planners before it. */
+import { install } from '@sinonjs/fake-timers';
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import type { Predecessor } from '../lib/jobs/duty-notices.js';
+import { watchPredecessor } from '../lib/jobs/predecessor-watch.js';
+import type { PoolMeta } from '../lib/jobs/stored-pool.js';
+
+/** Applies what is known to a planner that records it; the metadata are settled and of token 5. */
+const applyPredecessor = async (known: Partial<Predecessor>, meta: Partial<PoolMeta> = {}) => {
+  const clock = install({ now: 0 });
+  const calls: string[] = [];
+  const planner = {
+    observePredecessorStopped: () => calls.push('stopped'),
+  } as unknown as PoolPlanner;
+  const predecessor = { hasStopped: true, token: 5, ...known };
+  const watch = watchPredecessor(() => Promise.resolve(predecessor));
+  const stored = { generation: 1, workers: [], token: 5, isSettled: true, ...meta };
+  const applied = watch.apply(planner, stored);
+  await clock.tickAsync(1);
+  await applied;
+  clock.uninstall();
+  return calls;
+};
+
+const test = suite('predecessor watch');
+
+test('the planner that wrote the metadata ends the waits by its stop', async () => {
+  assert.equal(await applyPredecessor({}), ['stopped']);
+  assert.equal(await applyPredecessor({ hasStopped: false }), []);
+  assert.equal(await applyPredecessor({}, { isSettled: false }), []);
+});
+
+// Guards against a task that runs twice: between the planner that still orders and the next one, an
+// instance claimed the pool that never loaded it, and that one has stopped.
+test('the stop of an instance that never loaded the pool ends no wait for the planner before', async () => {
+  assert.equal(await applyPredecessor({ token: 6 }), []);
+  assert.equal(await applyPredecessor({ token: undefined }), [], 'an unknown holder');
+});
+
+test('metadata of an earlier version, which name no planner, are taken for those of the last', async () => {
+  assert.equal(await applyPredecessor({ token: 6 }, { token: undefined }), ['stopped']);
+});
+
+test.run();
--- a/packages/daemon/src/test/queue-directory.test.ts
+++ b/packages/daemon/src/test/queue-directory.test.ts
@@ -7,7 +7,7 @@
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
 import { startQueueDirectory } from '../lib/jobs/queue-directory.js';
-import { POLICY, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
+import { makeStoppedQuery, POLICY, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
 import { NEVER } from './memory-store.js';
 import { createPartitionedStore } from './partitioned-store.js';
 
@@ -157,6 +157,7 @@
         ...RUNNER_BASE,
         store,
         claim: { ...RUNNER_BASE.claim, token },
+        queryPredecessor: makeStoppedQuery(token - 1),
         workers: { renew: () => NEVER } as unknown as TaskWorkers,
         entries: new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map()),
       });
--- a/packages/daemon/src/test/queue-simulation.ts
+++ b/packages/daemon/src/test/queue-simulation.ts
@@ -12,7 +12,7 @@
 import { startPoolRunner, type PoolRunner } from '../lib/jobs/pool-runner.js';
 import { startQueueDirectory } from '../lib/jobs/queue-directory.js';
 import { createQueueGateway, type QueueRequest } from '../lib/jobs/queue-gateway.js';
-import { POLICY, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
+import { makeStoppedQuery, POLICY, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
 import { createPartitionedStore } from './partitioned-store.js';
 
@@ -95,6 +95,7 @@
       store,
       pool,
       claim: { duty: `pool/${pool}`, holder: 'a', token },
+      queryPredecessor: makeStoppedQuery(runners.get(pool)?.claim.token),
       workers: { renew: () => NEVER } as unknown as TaskWorkers,
       entries: new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map()),
       statusMs: 60 * SECOND_MS,
--- a/packages/daemon/src/test/simulated-instance.ts
+++ b/packages/daemon/src/test/simulated-instance.ts
@@ -6,7 +6,8 @@
 import { createDutyClaims, type DutyClaims } from '../lib/jobs/duty-claims.js';
 import { makePoolDuty } from '../lib/jobs/job-gateway.js';
 import type { SentNotice } from '../lib/jobs/peer-messages.js';
-import { startPoolRunner, type PoolRunner, type PoolSources } from '../lib/jobs/pool-runner.js';
+import type { PoolRunner, PoolSources } from '../lib/jobs/pool-runner.js';
+import { startPoolRunners } from '../lib/jobs/pool-runners.js';
 import type { LogFields } from '../lib/json-log.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PeerOutcome } from 'vanilladock/lib/duties/authority.js';
@@ -35,7 +36,6 @@
 /** Starts an instance. */
 export function startSimulatedInstance(options: SimulatedInstanceOptions): SimulatedInstance {
   const { self, pools, handleLog } = options;
-  const runners = new Map<string, PoolRunner>();
   let isGone = false;
   let lastStoreContactMs = -Infinity;
 
@@ -74,49 +74,23 @@
     sendNotice: makeCall(options.sendNotice),
     log,
   });
-  const startRunner = (pool: string) => {
-    const duty = makePoolDuty(pool);
-    const claim = claims.held.value.get(duty);
-    if (claim === undefined || runners.has(pool)) return;
-    const runner = startPoolRunner({
-      ...options,
-      store,
-      workers,
-      log,
-      pool,
-      claim,
-      isInForce: () => claims.isInForce(claim),
-      queryPredecessor: () => claims.queryPredecessor(claim),
-      handleLost: (why) => {
-        runners.delete(pool);
-        claims.dropDuty(duty, why);
-      },
-    });
-    runners.set(pool, runner);
-  };
-  claims.held.subscribe((held) => {
-    [...runners].forEach(([pool, runner]) => {
-      const claim = held.get(makePoolDuty(pool));
-      if (claim?.token === runner.claim.token) return;
-      runners.delete(pool);
-      runner.stop();
-    });
-    pools.forEach(startRunner);
+  const runners = startPoolRunners({
+    ...options,
+    store,
+    workers,
+    log,
+    claims,
+    listPools: () => pools,
   });
   claims.start();
-  const release = async () => {
-    runners.forEach((runner) => runner.stop());
-    runners.clear();
-    await claims.stop();
-  };
   return {
     self,
     claims,
-    findRunner: (pool) => runners.get(pool),
-    release,
+    findRunner: runners.find,
+    release: claims.stop,
     end: () => {
       isGone = true;
-      void release();
+      void claims.stop();
     },
     isGone: () => isGone,
   };
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -27,6 +27,8 @@
   readonly holder: string;
   /** Offset of the record; the fencing token. */
   readonly token: number;
+  /** Token of the claim that a release ends; undefined for other claims and in old releases. */
+  readonly releasedToken?: number | undefined;
 }
 
 /** Table of claims and members. All times are monotonic, in milliseconds. */
@@ -76,13 +78,22 @@
 const memberRecordSchema = memberSchema.extend({ hasLeft: z.boolean().default(false) });
 
 /** Value of the record of a claim; the holder is empty in that of a release. */
-const claimRecordSchema = z.object({ holder: z.string(), member: memberSchema.optional() });
+const claimRecordSchema = z.object({
+  holder: z.string(),
+  member: memberSchema.optional(),
+  releasedToken: z.number().optional(),
+});
+
+/** Encodes a claim by a member. */
+export function encodeClaim(duty: string, member: Member): KeyedRecord {
+  return { key: `${DUTY_PREFIX}${duty}`, value: JSON.stringify({ holder: member.id, member }) };
+}
 
-/** Encodes a claim by a member; without a member, encodes the release of the duty. */
-export function encodeClaim(duty: string, member: Member | undefined): KeyedRecord {
+/** Encodes the release of a duty by the holder of a claim. */
+export function encodeRelease({ duty, token }: Claim): KeyedRecord {
   return {
     key: `${DUTY_PREFIX}${duty}`,
-    value: JSON.stringify({ holder: member?.id ?? '', member }),
+    value: JSON.stringify({ holder: '', releasedToken: token }),
   };
 }
 
@@ -158,10 +169,10 @@
       const duty = key.slice(DUTY_PREFIX.length);
       const parsed = parseJson(claimRecordSchema, value);
       if (parsed === undefined) return false;
-      const { holder, member } = parsed;
+      const { holder, member, releasedToken } = parsed;
       const current = claims.get(duty);
       if (current !== undefined && current.token >= offset) return true;
-      claims.set(duty, { duty, holder, token: offset });
+      claims.set(duty, { duty, holder, token: offset, releasedToken });
       // A claim proves that its holder is alive, so it counts as a heartbeat.
       if (member !== undefined) observeMember(member, nowMs);
       return true;
--- a/packages/vanilladock/src/test/claim-table.test.ts
+++ b/packages/vanilladock/src/test/claim-table.test.ts
@@ -7,6 +7,7 @@
   encodeClaim,
   encodeDeparture,
   encodeHeartbeat,
+  encodeRelease,
   MEMBER_TTL_MS,
   type Member,
 } from '../lib/duties/claim-table.js';
@@ -59,7 +60,7 @@
   const table = createClaimTable();
   table.apply({ ...encodeHeartbeat(makeMember('a')), offset: 0 }, 0);
   table.apply({ ...encodeClaim('d', makeMember('a')), offset: 1 }, 0);
-  table.apply({ ...encodeClaim('d', undefined), offset: 2 }, 1);
+  table.apply({ ...encodeRelease({ duty: 'd', holder: 'a~1', token: 1 }), offset: 2 }, 1);
   assert.is(table.findLiveClaim('d', 2), undefined);
   table.apply({ ...encodeDeparture(makeMember('a')), offset: 3 }, 2);
   assert.equal(table.listMembers(3), []);
