Let waits for earlier planners go on over successive planners

What callers saw: lasting tasks stand for up to 30 s while instances are stopped one after the other (LOST). Cause: a wait lived in one planner only. A planner that ended before it had settled made its successor wait 2.6 s for orders and 4.3 s for leases from its own claim, so that with stops closer together than that no planner ever settled. What began the chain was an order of calls: the first renewals of a planner were sent some microseconds before it took in that its predecessor had stopped, so that no first report counted; the next came after a long poll (0.7 s) or the pause of an idle worker (2 s).

The answer to the notice with which a successor asks its predecessor now carries a hand-over: for how long planners before it may still order, and which workers may run something, with the time since their lease may last have been extended. All are lengths of time, counted by the clock of whoever holds them, and from the receipt of the answer; no clocks are compared. A planner that never loaded passes on what it was told. The settled mark of the metadata now only says that no planner before their writer orders any more; leases follow from the list of holders. A stop counts from when it is known.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -12,7 +12,7 @@
   type Claim,
   type Member,
 } from 'vanilladock/lib/duties/claim-table.js';
-import type { PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
+import type { DutyHandOver, PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
@@ -59,6 +59,8 @@
   /** Monotonic time of the store's last response, in milliseconds. */
   readonly getStoreContactMs: () => number;
   readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
+  /** Finds what this instance tells the next holder of a duty that it has given up. */
+  readonly findHandOver: (duty: string) => DutyHandOver | undefined;
   readonly log: JsonLog;
 }
 
@@ -218,6 +220,7 @@
     getReportsSinceMs: () =>
       performance.now() - lastReadMs > CONTACT_GAP_MS ? performance.now() : reportsSinceMs,
     dropDuty,
+    findHandOver: options.findHandOver,
     isStopped: () => isStopped,
     log,
   });
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -5,11 +5,13 @@
 import type { BehaviorSubject } from 'rxjs';
 import {
   SUCCESSION_MS,
+  type DutyHandOver,
   type DutyNotice,
   type PeerDutyView,
   type PeerOutcome,
 } from 'vanilladock/lib/duties/authority.js';
 import type { Claim, ClaimTable, Member } from 'vanilladock/lib/duties/claim-table.js';
+import type { TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 import type { SentNotice } from './peer-messages.js';
@@ -30,6 +32,8 @@
   /** Monotonic time since which this instance has received members' reports without a gap. */
   readonly getReportsSinceMs: () => number;
   readonly dropDuty: (duty: string, why: string) => void;
+  /** Finds what this instance tells the next holder of a duty that it has given up. */
+  readonly findHandOver: (duty: string) => DutyHandOver | undefined;
   readonly isStopped: () => boolean;
   readonly log: JsonLog;
 }
@@ -40,6 +44,10 @@
   readonly hasStopped: boolean;
   /** Token of the claim that precedes; undefined if there is none, or an old release hides it. */
   readonly token: number | undefined;
+  /** What it has told; undefined if it has not answered or does not know. */
+  readonly told: TimedHandOver | undefined;
+  /** Monotonic time in milliseconds since which this is known. */
+  readonly knownMs: number;
 }
 
 /** Notices of one instance. */
@@ -70,14 +78,39 @@
     if (outcome.kind === 'answered') table.observeMember(peer, performance.now());
     return outcome;
   };
+  /** Lists what the holders of older claims of this instance tell those of the given ones. */
+  const listHandOvers = (claims: readonly Claim[]): readonly DutyHandOver[] =>
+    claims.flatMap(({ duty, token }) => {
+      const handOver = options.findHandOver(duty);
+      return handOver !== undefined && handOver.token < token ? [handOver] : [];
+    });
   const findNewer = ({ duty, token }: Claim): readonly Claim[] => {
     const newest = held.value.get(duty) ?? table.findClaim(duty);
     return newest !== undefined && newest.token > token ? [newest] : [];
   };
-  /** Notifies a member of a claim; resolves to whether it has answered. */
-  const sendClaim = async (member: Member, claim: Claim): Promise<boolean> => {
+  /** Notifies a member of a claim; undefined if it has not answered. */
+  const sendClaim = async (member: Member, claim: Claim): Promise<PeerDutyView | undefined> => {
     const storeAgeMs = Math.max(0, performance.now() - options.getStoreContactMs());
-    return (await send(member, { storeAgeMs, held: [claim] })).kind === 'answered';
+    const outcome = await send(member, { storeAgeMs, held: [claim] });
+    return outcome.kind === 'answered' ? outcome.view : undefined;
+  };
+  /** Asks a predecessor once; undefined if it may go on. */
+  const queryOnce = async (
+    previous: Claim | undefined,
+    claim: Claim,
+  ): Promise<Pick<Predecessor, 'told'> | undefined> => {
+    const member = previous === undefined ? undefined : table.findKnownMember(previous.holder);
+    // A holder that has left, or whose process has a later incarnation, gives no orders; any answer
+    // from its address shows that it has stopped as well.
+    if (member === undefined) return { told: undefined };
+    const view =
+      member.id === self.id
+        ? { handOvers: listHandOvers([claim]) }
+        : await sendClaim(member, claim);
+    if (view === undefined) return undefined;
+    const handOver = view.handOvers?.find(({ duty }) => duty === claim.duty);
+    // What is left of a wait may have become less on the way, but not more.
+    return { told: handOver && { handOver, atMs: performance.now() } };
   };
   return {
     send,
@@ -94,31 +127,31 @@
       return {
         newer: namedClaims.flatMap(findNewer),
         claiming: namedClaims.map(({ duty }) => duty).filter((duty) => pendingClaims.has(duty)),
+        handOvers: listHandOvers(namedClaims),
       };
     },
     queryPredecessor: async (claim) => {
       const startedMs = performance.now();
       const previous = findPrevious(claim.duty);
-      let hasStopped = false;
-      while (!hasStopped && !isStopped() && performance.now() - startedMs < SUCCESSION_MS) {
-        const member = previous === undefined ? undefined : table.findKnownMember(previous.holder);
-        // A holder that has left, or whose process has a later incarnation, gives no orders; any
-        // answer from its address shows that it has stopped as well.
-        hasStopped =
-          member === undefined || member.id === self.id || (await sendClaim(member, claim));
-        if (!hasStopped) await waitMs(RETRY_MS);
+      let reply: Pick<Predecessor, 'told'> | undefined;
+      while (!reply && !isStopped() && performance.now() - startedMs < SUCCESSION_MS) {
+        reply = await queryOnce(previous, claim);
+        if (!reply) await waitMs(RETRY_MS);
       }
       log.info({
         event: 'predecessor-asked',
         duty: claim.duty,
         token: claim.token,
         predecessor: previous?.holder,
-        hasStopped,
+        hasStopped: reply !== undefined,
+        toldOfToken: reply?.told?.handOver.token,
         waitedMs: Math.round(performance.now() - startedMs),
       });
       return {
-        hasStopped,
+        hasStopped: reply !== undefined,
         token: previous?.holder === '' ? previous.releasedToken : previous?.token,
+        told: reply?.told,
+        knownMs: performance.now(),
       };
     },
   };
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -14,6 +14,7 @@
   type FleetRunner,
   type FleetSources,
 } from './fleet-runner.js';
+import { createHandOverMemory } from './hand-over-memory.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
 import { createPeerClient, servePeers } from './peers.js';
 import type { PoolFigures, PoolSources } from './pool-runner.js';
@@ -66,6 +67,7 @@
 export function startJobEntry(options: JobEntryOptions): JobEntry {
   const { self, config, log, peerServer } = options;
   const peers = createPeerClient(log);
+  const handOvers = createHandOverMemory();
   let lastStoreContactMs = -Infinity;
   const recordStoreContact = () => {
     lastStoreContactMs = performance.now();
@@ -82,6 +84,7 @@
     handleContact: recordStoreContact,
     getStoreContactMs: () => lastStoreContactMs,
     sendNotice: peers.sendNotice,
+    findHandOver: (duty) => handOvers.find(duty, performance.now()),
     log,
   });
   const runners = startPoolRunners({
@@ -89,6 +92,7 @@
     statusMs: Math.max(options.statusMs, MIN_STATUS_MS),
     claims,
     listPools,
+    handOvers,
   });
   let fleetRunner: FleetRunner | undefined;
   const updateFleetRunner = (claim: Claim | undefined) => {
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -6,6 +6,7 @@
 import { memberSchema, type Member } from 'vanilladock/lib/duties/claim-table.js';
 import { z } from 'zod';
 import type { JobReply, JobRequest } from './job-request.js';
+import { leaseHolderSchema } from './stored-pool.js';
 
 /** A duty notice with its sender. */
 export interface SentNotice extends DutyNotice {
@@ -110,7 +111,17 @@
   storeAgeMs: z.number(),
   held: z.array(claimSchema),
 });
-const viewSchema = z.object({ newer: z.array(claimSchema), claiming: z.array(z.string()) });
+const handOverSchema = z.object({
+  duty: z.string(),
+  token: z.number(),
+  earlierOrdersMs: amountSchema,
+  leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
+});
+const viewSchema = z.object({
+  newer: z.array(claimSchema),
+  claiming: z.array(z.string()),
+  handOvers: z.array(handOverSchema).optional(),
+});
 
 /** Kinds of replies whose further fields are only passed on. */
 const OTHER_REPLIES = [
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -6,6 +6,11 @@
  */
 import type { BehaviorSubject, Subscription } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
+import {
+  refreshHandOver,
+  type HandOver,
+  type TimedHandOver,
+} from 'vanilladock/lib/jobs/hand-over.js';
 import { createPoolPlanner, type PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { QueueFigures } from 'vanilladock/lib/jobs/standing-queue.js';
 import type { ExclusionCounts } from 'vanilladock/lib/jobs/worker-exclusion.js';
@@ -85,6 +90,11 @@
   readonly closeQueues: (queues: readonly string[], version: number) => Promise<readonly string[]>;
   /** Returns the present figures; undefined while the stored state is loading. */
   readonly getFigures: () => PoolFigures | undefined;
+  /**
+   * Returns what the next planner has to know; undefined before a stop, and if neither this planner
+   * nor the one before it has told anything.
+   */
+  readonly getHandOver: () => HandOver | undefined;
   readonly stop: () => void;
 }
 
@@ -121,10 +131,16 @@
   let isPlanScheduled = false;
   let ticker: NodeJS.Timeout | undefined;
   let subscription: Subscription | undefined;
+  /** What this planner tells; set when it stops. */
+  let telling: TimedHandOver | undefined;
 
   const stop = () => {
     if (isStopped) return;
     isStopped = true;
+    const atMs = performance.now();
+    telling = planner
+      ? { handOver: planner.makeHandOver(claim.token, atMs), atMs }
+      : predecessor.getTold();
     store.close();
     clearInterval(ticker);
     subscription?.unsubscribe();
@@ -283,6 +299,7 @@
       const pausedMs = pauseLog.getPausedMs(nowMs);
       return planner === undefined ? undefined : { pool, pausedMs, ...planner.getFigures(nowMs) };
     },
+    getHandOver: () => telling && refreshHandOver(telling, performance.now()),
     stop,
   };
 }
--- a/packages/daemon/src/lib/jobs/pool-runners.ts
+++ b/packages/daemon/src/lib/jobs/pool-runners.ts
@@ -1,4 +1,5 @@
 /** Runs the planners of the pools whose duties an instance holds. */
+import type { HandOverMemory } from './hand-over-memory.js';
 import type { DutyClaims } from './duty-claims.js';
 import { makePoolDuty } from './job-gateway.js';
 import { startPoolRunner, type PoolRunner, type PoolSources } from './pool-runner.js';
@@ -7,6 +8,8 @@
 export interface PoolRunnersOptions extends PoolSources {
   readonly claims: DutyClaims;
   readonly listPools: () => readonly string[];
+  /** Gets what the planners tell that have stopped. */
+  readonly handOvers: HandOverMemory;
 }
 
 /** Runners of one instance. */
@@ -18,7 +21,7 @@
 
 /** Starts a runner for each pool whose duty is held, now and later, and stops it with its claim. */
 export function startPoolRunners(options: PoolRunnersOptions): PoolRunners {
-  const { claims, listPools } = options;
+  const { claims, listPools, handOvers } = options;
   const runners = new Map<string, PoolRunner>();
 
   const stopRunner = (pool: string) => {
@@ -26,6 +29,7 @@
     if (runner === undefined) return;
     runners.delete(pool);
     runner.stop();
+    handOvers.keep(makePoolDuty(pool), runner.getHandOver(), performance.now());
   };
   const startRunner = (pool: string) => {
     const duty = makePoolDuty(pool);
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -79,7 +79,7 @@
     const planner = getPlanner();
     if (planner === undefined) return;
     const nowMs = performance.now();
-    const isSettled = planner.isSettled(nowMs);
+    const isSettled = planner.computeEarlierOrdersMs(nowMs) === 0;
     planner.markWorkersRecorded(holderIds);
     const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
     const hasSameHolders = planner.hasStoredHolders(holders, nowMs);
--- a/packages/daemon/src/lib/jobs/predecessor-watch.ts
+++ b/packages/daemon/src/lib/jobs/predecessor-watch.ts
@@ -1,6 +1,7 @@
 /** Ends a planner's waits for earlier planners of its pool once it is known that they have stopped. */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
-import { readMoment } from './clock.js';
+import type { TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
+import { waitMs } from './clock.js';
 import type { Predecessor } from './duty-notices.js';
 import type { PoolMeta } from './stored-pool.js';
 
@@ -8,9 +9,11 @@
 export interface PredecessorWatch {
   /**
    * Applies what is known of them, or becomes known, to the loaded planner; `stored` is the metadata
-   * that it has found. Resolves when nothing more will be known.
+   * that it has found. Resolves when none of them sends orders any more.
    */
   readonly apply: (planner: PoolPlanner, stored: PoolMeta) => Promise<void>;
+  /** Returns what the preceding planner has told, or what it was told; undefined if nothing. */
+  readonly getTold: () => TimedHandOver | undefined;
 }
 
 /** Says whether metadata were written by the planner with the token; old ones do not tell. */
@@ -20,15 +23,21 @@
 
 /** Starts to query the preceding planner. */
 export function watchPredecessor(query: () => Promise<Predecessor>): PredecessorWatch {
-  const queried = query();
+  let told: TimedHandOver | undefined;
+  const queried = query().then((predecessor) => {
+    ({ told } = predecessor);
+    return predecessor;
+  });
   return {
     apply: async (planner, stored) => {
-      const { hasStopped, token } = await queried;
-      // A predecessor that did not have the reports of all workers yet may itself have succeeded a
-      // planner that still gives orders, and so may one that never loaded the pool.
-      if (hasStopped && stored.isSettled !== false && isWriter(stored, token)) {
-        planner.observePredecessorStopped(readMoment());
+      const { hasStopped, token, knownMs } = await queried;
+      // Only the planner that wrote the metadata, or a later one, knows of all orders before them.
+      if (told !== undefined && told.handOver.token === stored.token) planner.observeHandOver(told);
+      else if (hasStopped && stored.isSettled !== false && isWriter(stored, token)) {
+        planner.observePredecessorStopped(knownMs);
       }
+      await waitMs(planner.computeEarlierOrdersMs(performance.now()));
     },
+    getTold: () => told,
   };
 }
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -11,14 +11,17 @@
 import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import { z } from 'zod';
 
-/** A possible lease holder; old records have its id alone. */
+/** A possible lease holder. */
+export const leaseHolderSchema = z.object({
+  id: z.string(),
+  bornMs: z.number(),
+  longLeaseTasks: z.array(z.string()).readonly().optional(),
+});
+
+/** A stored lease holder; old records have its id alone. */
 const holderSchema = z.union([
   z.string().transform((id): LeaseHolder => ({ id, bornMs: 0 })),
-  z.object({
-    id: z.string(),
-    bornMs: z.number(),
-    longLeaseTasks: z.array(z.string()).readonly().optional(),
-  }),
+  leaseHolderSchema,
 ]);
 
 const metaSchema = z.object({
@@ -29,8 +32,8 @@
   /** Fencing token of the newest planner; absent in old records. */
   token: z.number().optional(),
   /**
-   * Whether the newest planner has reports of all its predecessor's workers; absent in old records,
-   * which count as settled.
+   * Whether no planner before the newest one sends orders any more; absent in old records, which
+   * count as settled.
    */
   isSettled: z.boolean().optional(),
   /** Lowest versions under which submissions are taken; absent while none has been recorded. */
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -88,6 +88,7 @@
       listDuties: () => [DUTY],
       handleContact,
       getStoreContactMs: () => contactMs,
+      findHandOver: () => undefined,
       sendNotice: async (peer, notice) => {
         noticeCount += 1;
         await waitFor(1);
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -20,6 +20,7 @@
     listDuties: () => ['pool/stalls'],
     handleContact: () => {},
     getStoreContactMs: () => 0,
+    findHandOver: () => undefined,
     sendNotice: () => Promise.resolve({ kind: 'silent' }),
     log: SILENT_LOG,
   });
--- a/packages/daemon/src/test/endless-loop.test.ts
+++ b/packages/daemon/src/test/endless-loop.test.ts
@@ -99,6 +99,7 @@
       listDuties: () => ['pool/stalls'],
       handleContact: () => {},
       getStoreContactMs: () => 0,
+      findHandOver: () => undefined,
       sendNotice: () => Promise.resolve({ kind: 'silent' }),
       log: SILENT_LOG,
     });
--- a/packages/daemon/src/test/job-fixtures.ts
+++ b/packages/daemon/src/test/job-fixtures.ts
@@ -55,9 +55,9 @@
 
 export const SILENT_LOG = { info: () => {}, warn: () => {}, error: () => {} };
 
-/** Makes the query of a planner that has stopped. */
+/** Makes the query of a planner that has stopped and tells nothing but that. */
 export const makeStoppedQuery = (token: number | undefined) => () =>
-  Promise.resolve({ hasStopped: true, token });
+  Promise.resolve({ hasStopped: true, token, told: undefined, knownMs: performance.now() });
 
 /** Options of a pool's runner that most tests leave alone; its claim is always in force. */
 export const RUNNER_BASE = {
--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -18,7 +18,7 @@
       writes < WRITE_COUNT
         ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
         : undefined,
-    isSettled: () => true,
+    computeEarlierOrdersMs: () => 0,
     hasStoredHolders: (stored: ReadonlyMap<string, unknown>) =>
       stored.size === (writes < NEW_WORKER_AT ? 1 : 2),
     listLeaseHolders: () =>
--- a/packages/daemon/src/test/predecessor-watch.test.ts
+++ b/packages/daemon/src/test/predecessor-watch.test.ts
@@ -2,19 +2,24 @@
 import { install } from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
+import type { HandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { Predecessor } from '../lib/jobs/duty-notices.js';
 import { watchPredecessor } from '../lib/jobs/predecessor-watch.js';
 import type { PoolMeta } from '../lib/jobs/stored-pool.js';
 
+const HAND_OVER: HandOver = { token: 5, earlierOrdersMs: 0, leases: [] };
+
 /** Applies what is known to a planner that records it; the metadata are settled and of token 5. */
 const applyPredecessor = async (known: Partial<Predecessor>, meta: Partial<PoolMeta> = {}) => {
   const clock = install({ now: 0 });
   const calls: string[] = [];
   const planner = {
-    observePredecessorStopped: () => calls.push('stopped'),
+    observeHandOver: () => calls.push('hand-over'),
+    observePredecessorStopped: (nowMs: number) => calls.push(`stopped at ${nowMs}`),
+    computeEarlierOrdersMs: () => 0,
   } as unknown as PoolPlanner;
-  const predecessor = { hasStopped: true, token: 5, ...known };
+  const predecessor = { hasStopped: true, token: 5, told: undefined, knownMs: 3, ...known };
   const watch = watchPredecessor(() => Promise.resolve(predecessor));
   const stored = { generation: 1, workers: [], token: 5, isSettled: true, ...meta };
   const applied = watch.apply(planner, stored);
@@ -26,8 +31,10 @@
 
 const test = suite('predecessor watch');
 
-test('the planner that wrote the metadata ends the waits by its stop', async () => {
-  assert.equal(await applyPredecessor({}), ['stopped']);
+test('the planner that wrote the metadata ends the waits by its stop or by what it tells', async () => {
+  assert.equal(await applyPredecessor({}), ['stopped at 3']);
+  const told = { handOver: HAND_OVER, atMs: 2 };
+  assert.equal(await applyPredecessor({ told }), ['hand-over']);
   assert.equal(await applyPredecessor({ hasStopped: false }), []);
   assert.equal(await applyPredecessor({}, { isSettled: false }), []);
 });
@@ -37,10 +44,12 @@
 test('the stop of an instance that never loaded the pool ends no wait for the planner before', async () => {
   assert.equal(await applyPredecessor({ token: 6 }), []);
   assert.equal(await applyPredecessor({ token: undefined }), [], 'an unknown holder');
+  const told = { handOver: { ...HAND_OVER, token: 4 }, atMs: 2 };
+  assert.equal(await applyPredecessor({ token: 6, told }), [], 'told by an older one');
 });
 
 test('metadata of an earlier version, which name no planner, are taken for those of the last', async () => {
-  assert.equal(await applyPredecessor({ token: 6 }, { token: undefined }), ['stopped']);
+  assert.equal(await applyPredecessor({ token: 6 }, { token: undefined }), ['stopped at 3']);
 });
 
 test.run();
--- a/packages/daemon/src/test/simulated-instance.ts
+++ b/packages/daemon/src/test/simulated-instance.ts
@@ -4,6 +4,7 @@
  */
 import { FLEET_DUTY } from '../lib/jobs/fleet-runner.js';
 import { createDutyClaims, type DutyClaims } from '../lib/jobs/duty-claims.js';
+import { createHandOverMemory } from '../lib/jobs/hand-over-memory.js';
 import { makePoolDuty } from '../lib/jobs/job-gateway.js';
 import type { SentNotice } from '../lib/jobs/peer-messages.js';
 import type { PoolRunner, PoolSources } from '../lib/jobs/pool-runner.js';
@@ -63,6 +64,7 @@
     renew: makeCall(options.workers.renew),
     pace: makeCall(options.workers.pace),
   };
+  const handOvers = createHandOverMemory();
   const claims = createDutyClaims({
     store,
     self,
@@ -72,6 +74,7 @@
     },
     getStoreContactMs: () => lastStoreContactMs,
     sendNotice: makeCall(options.sendNotice),
+    findHandOver: (duty) => handOvers.find(duty, performance.now()),
     log,
   });
   const runners = startPoolRunners({
@@ -81,6 +84,7 @@
     log,
     claims,
     listPools: () => pools,
+    handOvers,
   });
   claims.start();
   return {
--- a/packages/daemon/src/test/unclaimed-duties.test.ts
+++ b/packages/daemon/src/test/unclaimed-duties.test.ts
@@ -57,6 +57,7 @@
     listDuties: () => DUTIES,
     handleContact: () => {},
     getStoreContactMs: () => performance.now(),
+    findHandOver: () => undefined,
     sendNotice: () => Promise.resolve({ kind: 'silent' }),
     log: SILENT_LOG,
   });
--- a/packages/vanilladock/src/lib/duties/authority.ts
+++ b/packages/vanilladock/src/lib/duties/authority.ts
@@ -5,6 +5,7 @@
  * so a successor that cannot reach it still knows by when its last order was sent.
  */
 import { computeElapsedMs, type ClockPair } from '../clock-pair.js';
+import type { HandOver } from '../jobs/hand-over.js';
 import type { Claim } from './claim-table.js';
 
 /** Milliseconds that authority lasts, from when the holder sent the confirming request. */
@@ -30,6 +31,13 @@
   readonly newer: readonly Claim[];
   /** Duties for which the peer has sent a claim whose outcome it does not know yet. */
   readonly claiming: readonly string[];
+  /** What the peer's planners tell that have stopped lately, for the duties in the notice. */
+  readonly handOvers?: readonly DutyHandOver[] | undefined;
+}
+
+/** What the last holder of a duty tells. */
+export interface DutyHandOver extends HandOver {
+  readonly duty: string;
 }
 
 /** Outcome of one notice; a peer that did not respond may have claimed a duty. */
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -1,5 +1,6 @@
 /** Tracks until when tasks of an earlier planner may still run or start unseen on workers. */
 import { SUCCESSION_MS } from '../duties/authority.js';
+import type { TimedHandOver } from './hand-over.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
 
@@ -36,8 +37,17 @@
   readonly recordIncarnation: (workerId: string, bornMs: number) => void;
   /** Records that no lease from an earlier planner is valid any more, once that is certain. */
   readonly expire: (nowMs: number) => void;
-  /** Records that the preceding planner sends no orders after `nowMs`. */
+  /** Records that no earlier planner sends orders after `nowMs`. */
   readonly observePredecessorStopped: (nowMs: number) => void;
+  /**
+   * Applies what the preceding planner tells: its list of leases replaces the inherited one, but for
+   * the workers that have reported since.
+   */
+  readonly observeHandOver: (timed: TimedHandOver) => void;
+  /** Returns until when earlier planners may send orders; in the past once they may not. */
+  readonly getPredecessorUntilMs: () => number;
+  /** Returns when earlier planners may last extend the lease of a worker that has not reported. */
+  readonly getLastOrderMs: (workerId: string) => number;
   /** Says whether an earlier planner may still send orders. */
   readonly mayPredecessorOrder: (nowMs: number) => boolean;
   /** Says whether a worker that has not reported may hold a lease from an earlier planner. */
@@ -73,53 +83,74 @@
 
 /** Creates the inheritance of a planner. */
 export function createInheritance(options: InheritanceOptions): Inheritance {
-  const inherited = new Map(options.inheritedWorkers.map((holder) => [holder.id, holder]));
-  const unreported = new Map(inherited);
-  /** Unreported workers with an incarnation that the earlier planner did not know. */
-  const restartedIds = new Set<string>();
-  /** Workers on which tasks may run under long leases, by task key. */
-  const longLeases = new Map<string, string>();
-  inherited.forEach(({ id, longLeaseTasks = [] }) =>
-    longLeaseTasks.forEach((key) => longLeases.set(key, id)),
-  );
+  const inherited = new Map<string, LeaseHolder>();
+  const unreported = new Map<string, LeaseHolder>();
+  /** Incarnations that the workers' entries name, by worker id. */
+  const listedBornMs = new Map<string, number>();
+  /** When the lease of a worker may last have been extended, as the preceding planner tells. */
+  const orderedMs = new Map<string, number>();
   let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
 
+  const getLastOrderMs = (workerId: string) => orderedMs.get(workerId) ?? predecessorUntilMs;
   /** Computes when leases of this length have ended that an earlier planner gave last. */
-  const computeLeaseEndMs = (leaseMs: number) =>
-    predecessorUntilMs + leaseMs / (1 - CLOCK_DRIFT) + INHERITED_LEASE_MARGIN_MS;
-  const hasLongLeases = (holder: LeaseHolder) =>
-    restartedIds.has(holder.id) || holder.longLeaseTasks !== undefined;
+  const computeLeaseEndMs = (workerId: string, leaseMs: number) =>
+    getLastOrderMs(workerId) + leaseMs / (1 - CLOCK_DRIFT) + INHERITED_LEASE_MARGIN_MS;
+  /** Says whether an unreported worker has an incarnation that the earlier planner did not know. */
+  const hasRestarted = (holder: LeaseHolder) =>
+    hasOtherIncarnation(holder, listedBornMs.get(holder.id) ?? 0);
+  const isHeldFor = (workerId: string, leaseMs: number, nowMs: number) =>
+    unreported.has(workerId) && nowMs < computeLeaseEndMs(workerId, leaseMs);
   const isPossibleHolder = (workerId: string, nowMs: number) => {
     const holder = unreported.get(workerId);
-    const isLong = holder !== undefined && hasLongLeases(holder);
-    return nowMs < computeLeaseEndMs(isLong ? MAX_LEASE_MS : LEASE_MS);
+    const isLong =
+      holder !== undefined && (hasRestarted(holder) || holder.longLeaseTasks !== undefined);
+    return nowMs < computeLeaseEndMs(workerId, isLong ? MAX_LEASE_MS : LEASE_MS);
   };
-  const isUnseen = (workerId: string, nowMs: number) =>
-    unreported.has(workerId) && nowMs < computeLeaseEndMs(MAX_LEASE_MS);
+  /** Says whether any inherited task may run on a worker that has not reported. */
+  const isUnknown = (holder: LeaseHolder, nowMs: number) =>
+    isHeldFor(holder.id, hasRestarted(holder) ? MAX_LEASE_MS : LEASE_MS, nowMs);
   const isUncertain = (nowMs: number) =>
     nowMs < predecessorUntilMs ||
-    (unreported.size > 0 && nowMs < computeLeaseEndMs(LEASE_MS)) ||
-    (restartedIds.size > 0 && nowMs < computeLeaseEndMs(MAX_LEASE_MS));
+    [...unreported.values()].some((holder) => isUnknown(holder, nowMs));
+  /** Workers on which tasks may run under long leases, by task key. */
+  const longLeases = new Map<string, string>();
+  const addHolder = (holder: LeaseHolder) => {
+    inherited.set(holder.id, holder);
+    unreported.set(holder.id, holder);
+    holder.longLeaseTasks?.forEach((key) => longLeases.set(key, holder.id));
+  };
+  const isUnseen = (workerId: string, nowMs: number) => isHeldFor(workerId, MAX_LEASE_MS, nowMs);
+  options.inheritedWorkers.forEach(addHolder);
   return {
     recordReport: (workerId, sentMs) => {
       if (sentMs < predecessorUntilMs) return;
       unreported.delete(workerId);
-      restartedIds.delete(workerId);
     },
     recordIncarnation: (workerId, bornMs) => {
-      if (hasOtherIncarnation(unreported.get(workerId), bornMs)) restartedIds.add(workerId);
+      if (unreported.has(workerId)) listedBornMs.set(workerId, bornMs);
     },
     expire: (nowMs) => {
       [...unreported.keys()]
         .filter((id) => !isPossibleHolder(id, nowMs))
-        .forEach((id) => {
-          unreported.delete(id);
-          restartedIds.delete(id);
-        });
+        .forEach((id) => unreported.delete(id));
     },
     observePredecessorStopped: (nowMs) => {
       predecessorUntilMs = Math.min(predecessorUntilMs, nowMs);
     },
+    observeHandOver: ({ handOver, atMs }) => {
+      predecessorUntilMs = Math.min(predecessorUntilMs, atMs + handOver.earlierOrdersMs);
+      const reportedIds = new Set([...inherited.keys()].filter((id) => !unreported.has(id)));
+      unreported.clear();
+      longLeases.clear();
+      handOver.leases
+        .filter(({ id }) => !reportedIds.has(id))
+        .forEach(({ orderedAgoMs, ...holder }) => {
+          addHolder(holder);
+          orderedMs.set(holder.id, atMs - orderedAgoMs);
+        });
+    },
+    getPredecessorUntilMs: () => predecessorUntilMs,
+    getLastOrderMs,
     mayPredecessorOrder: (nowMs) => nowMs < predecessorUntilMs,
     mayHoldLease: isPossibleHolder,
     isUncertain,
--- a/packages/vanilladock/src/lib/jobs/lease-holder.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-holder.ts
@@ -29,7 +29,7 @@
 }
 
 /** Makes the record of a worker at the monotonic time `nowMs`. */
-function makeLeaseHolder(worker: Worker, nowMs: number): LeaseHolder {
+export function makeLeaseHolder(worker: Worker, nowMs: number): LeaseHolder {
   const { id, bornMs } = worker.entry;
   if (!hasLongLease(worker, nowMs)) return { id, bornMs };
   return { id, bornMs, longLeaseTasks: [...worker.tasks, ...worker.orphanedRuns.keys()] };
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -5,6 +5,7 @@
 import type { Admission } from './admit-job.js';
 import type { CallReceipt } from './call-receipt.js';
 import type { CancelTombstone } from './cancel-tombstones.js';
+import type { HandOver, TimedHandOver } from './hand-over.js';
 import type { InheritanceOptions, InheritanceWaits } from './inheritance.js';
 import type { LeaseHolder } from './lease-holder.js';
 import type { TimedReport } from './observe-report.js';
@@ -126,11 +127,15 @@
    * or the end of its lease, shows whether that was the present one.
    */
   readonly observeEndNotice: (workerId: string, at: Moment) => void;
-  /** Records that the preceding planner sends no orders after `at`. */
-  readonly observePredecessorStopped: (at: Moment) => void;
-  /** Says whether orders of earlier planners can no longer take effect. */
-  readonly isSettled: (nowMs: number) => boolean;
-  /** As `explainWaits` of the inheritance. */
+  /** Records that no earlier planner sends orders after the monotonic time `nowMs`. */
+  readonly observePredecessorStopped: (nowMs: number) => void;
+  /** Applies what the preceding planner tells. */
+  readonly observeHandOver: (timed: TimedHandOver) => void;
+  /** Computes the time in milliseconds for which earlier planners may still send orders. */
+  readonly computeEarlierOrdersMs: (nowMs: number) => number;
+  /** Makes what the next planner has to know; this one must send no orders after `nowMs`. */
+  readonly makeHandOver: (token: number, nowMs: number) => HandOver;
+  /** Explains what inherited jobs wait for; undefined once they may go on. */
   readonly explainWaits: (nowMs: number) => InheritanceWaits | undefined;
   /** Applies the outcome of a start that `plan` returned. */
   readonly observeStart: (action: StartAction, outcome: OrderOutcome, at: Moment) => void;
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -10,6 +10,7 @@
 import { createCrashWatch } from './crash-watch.js';
 import { createIsolation } from './isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
+import { makeHandOver } from './hand-over.js';
 import { createInheritance } from './inheritance.js';
 import { createJobIntake } from './job-intake.js';
 import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
@@ -178,8 +179,11 @@
     observeMissedReport: incarnations.observeMissedReport,
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
     observeEndNotice: incarnations.observeEndNotice,
-    observePredecessorStopped: ({ nowMs }) => inheritance.observePredecessorStopped(nowMs),
-    isSettled: (nowMs) => !inheritance.isUncertain(nowMs),
+    observePredecessorStopped: inheritance.observePredecessorStopped,
+    observeHandOver: inheritance.observeHandOver,
+    computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
+    makeHandOver: (token, nowMs) =>
+      makeHandOver({ token, workers: table.workers, inheritance }, nowMs),
     explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -3,6 +3,7 @@
 import type { CrashWatch } from './crash-watch.js';
 import { observeEntryCapacity } from './worker-capacity.js';
 import { createEndedIncarnations } from './ended-incarnations.js';
+import { ORDER_DELAY_MS } from './hand-over.js';
 import type { Inheritance } from './inheritance.js';
 import { CLOCK_DRIFT, hasLeaseExpired, MAX_LEASE_MS } from './lease-clock.js';
 import { hasStoredHolders, listLeaseHolders, type LeaseHolder } from './lease-holder.js';
@@ -73,9 +74,6 @@
 /** How long an evacuation order remains in effect after it was last given. */
 export const EVACUATION_ORDER_TTL_MS = 3_000;
 
-/** Time in which a start that was sent has arrived or been given up, in milliseconds. */
-const ORDER_DELAY_MS = 1_000;
-
 /** Says whether a task's run is listed in a report of its worker's incarnation. */
 function isReported({ state }: Task): boolean {
   return state.kind === 'assigned' && state.isReported;
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/hand-over.test.ts
@@ -0,0 +1,118 @@
+/** Waits of successive planners of a pool, of which each tells the next one what is left of them. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import { SUCCESSION_MS } from '../../lib/duties/authority.js';
+import { refreshHandOver, type HandOver } from '../../lib/jobs/hand-over.js';
+import { LEASE_MS, MAX_LEASE_MS } from '../../lib/jobs/lease-clock.js';
+import {
+  createHarness,
+  makeEntry,
+  makeJob,
+  POLICY,
+  WALL_MS,
+  type Harness,
+} from './planner-harness.js';
+
+const TOKEN = 7;
+
+/** Time after the last order by which leases of each length have ended. */
+const LEASE_END_MS = LEASE_MS + 400;
+const LONG_LEASE_END_MS = MAX_LEASE_MS + 600;
+
+const ENTRIES = [makeEntry('w1'), makeEntry('w22')];
+
+/** Loads job `a` at 0 in a planner that inherits two workers, of which `w1` answers no calls. */
+const takeOver = (hasPredecessor = false) => {
+  const harness = createHarness({
+    runBase: 100,
+    inheritedWorkers: ['w1', 'w22'],
+    hasPredecessor,
+  });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  harness.planner.loadJob(record, undefined, harness.at(0));
+  harness.planner.observeWorkers(ENTRIES, harness.at(0));
+  harness.planner.markWorkersRecorded(['w1', 'w22']);
+  harness.planner.observeMissedReport('w1', harness.at(10));
+  return harness;
+};
+
+/** Takes over from a planner that has told this much at 0. */
+const takeOverFrom = (handOver: HandOver) => {
+  const harness = takeOver(true);
+  harness.planner.observeHandOver({ handOver, atMs: 0 });
+  harness.report('w22', 10);
+  return harness;
+};
+
+const isStarting = ({ planStarts }: Harness, nowMs: number) => planStarts(nowMs).length > 0;
+
+const test = suite('hand-over');
+
+// Guards against inherited tasks that never start while planners follow each other quickly.
+test('the wait for a worker without answers goes on over planners', () => {
+  const first = takeOver();
+  first.report('w22', 10);
+  assert.is(isStarting(first, 2_000), false);
+  const second = takeOverFrom(first.planner.makeHandOver(TOKEN, 2_000));
+  assert.is(isStarting(second, 1_500), false);
+  const third = takeOverFrom(second.planner.makeHandOver(TOKEN + 1, 1_500));
+  assert.is(isStarting(third, LEASE_END_MS - 3_700), false, 'the lease may last');
+  assert.is(isStarting(third, LEASE_END_MS - 3_500), true, 'in all, the wait is one lease');
+});
+
+// Guards against a task that runs twice, as an older planner still orders when a second one is gone.
+test('a planner that was not settled leaves the rest of its wait to the next one', () => {
+  const first = takeOver(true);
+  const handOver = first.planner.makeHandOver(TOKEN, 1_000);
+  assert.is(handOver.earlierOrdersMs, SUCCESSION_MS - 1_000);
+  const second = takeOverFrom(handOver);
+  second.report('w1', 20);
+  assert.is(isStarting(second, handOver.earlierOrdersMs - 1), false, 'reports may be too old');
+  ['w1', 'w22'].forEach((id) => second.report(id, handOver.earlierOrdersMs));
+  assert.is(isStarting(second, handOver.earlierOrdersMs + 1), true);
+});
+
+test('a worker that runs nothing keeps no inherited task waiting', () => {
+  const first = createHarness();
+  first.addWorkers(0, ...ENTRIES);
+  assert.equal(first.planner.makeHandOver(TOKEN, 100).leases, []);
+  const second = takeOverFrom(first.planner.makeHandOver(TOKEN, 100));
+  assert.is(isStarting(second, 11), true);
+});
+
+test('a worker that runs something is waited for from its last order on', () => {
+  const first = createHarness();
+  first.addWorkers(0, makeEntry('w1'));
+  first.submit(makeJob('b'), 1);
+  first.accept(first.planStarts(2), 3);
+  first.planner.observeMissedReport('w1', first.at(500));
+  const { leases } = first.planner.makeHandOver(TOKEN, 3_003);
+  assert.equal(leases, [{ id: 'w1', bornMs: 1, orderedAgoMs: 2_000 }]);
+  const aged = refreshHandOver(
+    { handOver: first.planner.makeHandOver(TOKEN, 3_003), atMs: 50 },
+    550,
+  );
+  assert.is(aged.leases[0]?.orderedAgoMs, 2_500);
+});
+
+// Guards against a task that runs twice on a worker that restarted while planners took over.
+test('a worker that has restarted since is waited for as long as the longest lease', () => {
+  const leases = [{ id: 'w1', bornMs: 1, orderedAgoMs: 1_000 }];
+  const harness = takeOverFrom({ token: TOKEN, earlierOrdersMs: 0, leases });
+  const entries = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
+  harness.planner.observeWorkers(entries, harness.at(100));
+  harness.planner.observeMissedReport('w1', harness.at(600));
+  assert.is(isStarting(harness, LEASE_END_MS), false);
+  assert.is(isStarting(harness, LONG_LEASE_END_MS - 1_000), true);
+});
+
+test('a hand-over does not bring back a worker that has reported', () => {
+  const harness = takeOver();
+  ['w1', 'w22'].forEach((id) => harness.report(id, 20));
+  const leases = [{ id: 'w1', bornMs: 1, orderedAgoMs: 0 }];
+  const handOver = { token: TOKEN, earlierOrdersMs: 0, leases };
+  harness.planner.observeHandOver({ handOver, atMs: 30 });
+  assert.is(isStarting(harness, 31), true);
+});
+
+test.run();
--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -129,8 +129,7 @@
     statusMs: 60_000,
     teams: options.teams,
   });
-  if (options.hasPredecessor !== true)
-    planner.observePredecessorStopped({ nowMs: 0, wallMs: WALL_MS });
+  if (options.hasPredecessor !== true) planner.observePredecessorStopped(0);
   const stored = new Map<string, string>();
   const makeMoment = (nowMs: number) => ({ nowMs, wallMs: WALL_MS + nowMs });
   const writeBatch = () => {
--- a/packages/vanilladock/src/test/jobs/pool-planner.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-planner.test.ts
@@ -173,7 +173,7 @@
   planner.loadJob({ spec, policy: POLICY, acceptedAtMs: WALL_MS }, undefined, at(0));
   addWorkers(10, makeEntry('w1'));
   assert.is(planStarts(20).length, 0, 'the predecessor may have started it');
-  planner.observePredecessorStopped(at(30));
+  planner.observePredecessorStopped(30);
   assert.is(planStarts(40).length, 0, 'the worker reported before the predecessor had stopped');
   report('w1', 60, [], [], 50);
   assert.is(planStarts(70).length, 1);
@@ -502,7 +502,7 @@
   assert.is(planner.evacuate('w1', at(200)), undefined);
   report('w1', 700, [makeRow('a.0.0.0', 1)]);
   assert.is(planner.evacuate('w1', at(710)), undefined);
-  planner.observePredecessorStopped(at(800));
+  planner.observePredecessorStopped(800);
   report('w1', 900, [makeRow('a.0.0.0', 1)]);
   assert.equal(planner.evacuate('w1', at(910)), { lastingTasks: 1, batchTasks: 0 });
 });
