Do not release a duty that another instance has claimed since

A pool can lose its new planner for some hundred milliseconds: an instance that stops releases its duties on the condition that the claims have not grown, and tries again when they have, up to six times. Its departure is stored at the same time, so that others may claim in between, and the next attempt then releases their claim. Each attempt now leaves out what has a newer claim.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -280,7 +280,14 @@
       isStopped = true;
       authority.stop();
       const claims = heldDuties.dropAll();
-      await releaseDuties({ store, self, claims, getClaimsEnd: () => nextOffset, log });
+      await releaseDuties({
+        store,
+        self,
+        claims,
+        getClaimsEnd: () => nextOffset,
+        isNewest: ({ duty, token }: Claim) => table.findClaim(duty)?.token === token,
+        log,
+      });
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/duty-release.ts
+++ b/packages/daemon/src/lib/jobs/duty-release.ts
@@ -21,6 +21,8 @@
   readonly claims: readonly Claim[];
   /** Returns the end of the claims as of the last read; undefined before the first. */
   readonly getClaimsEnd: () => number | undefined;
+  /** Says whether no newer claim than this one, or its release, had been read then. */
+  readonly isNewest: (claim: Claim) => boolean;
   readonly log: JsonLog;
 }
 
@@ -38,10 +40,12 @@
  * are free once the departure is read.
  */
 async function appendReleases(options: DutyReleaseOptions): Promise<AppendOutcome['kind']> {
-  const { store, claims, getClaimsEnd } = options;
+  const { store, claims, getClaimsEnd, isNewest } = options;
   const startedMs = performance.now();
-  const records = claims.map(encodeRelease);
   for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
+    // Another instance may have claimed a duty since the last attempt.
+    const records = claims.filter(isNewest).map(encodeRelease);
+    if (records.length === 0) return 'stored';
     const offset = getClaimsEnd();
     if (offset === undefined) return 'refused';
     const outcome = await store.append(CLAIMS, records, { kind: 'end', offset });
@@ -56,7 +60,7 @@
 export async function releaseDuties(options: DutyReleaseOptions): Promise<void> {
   const { store, self, claims, log } = options;
   const [outcome, departure] = await Promise.all([
-    claims.length === 0 ? 'stored' : appendReleases(options),
+    appendReleases(options),
     store.append(HEARTBEATS, [encodeDeparture(self)], { kind: 'none' }),
   ]);
   log.info({
