Plan pools on while an instance stops, until another one has claimed them

Cause: an instance gave up its duties at the SIGTERM and then lived on for 2.5 s and more; while all others were stopping too or were down, nobody could claim them.

An instance that stops marks its heartbeats as leaving. Its pools may be claimed by anyone who is not leaving, and until then, or until it takes no more calls (2.5 s), it plans them on and others pass it their requests. The fleet duty is given up at once as before, as the fleet wants a gap between the orders of two holders.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -20,7 +20,7 @@
 import { createDutyAuthority } from './duty-authority.js';
 import { createDutyNotices, type Predecessor } from './duty-notices.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
-import { releaseDuties } from './duty-release.js';
+import { reportLeaving, releaseDuties } from './duty-release.js';
 import { createHeldDuties } from './held-duties.js';
 import type { SentNotice } from './peer-messages.js';
 import { createUnclaimedDuties } from './unclaimed-duties.js';
@@ -45,8 +45,11 @@
   readonly start: () => void;
   /** Gives up a duty, for instance after another holder's token was observed. */
   readonly dropDuty: (duty: string, why: string) => void;
-  /** Releases every duty, announces the departure and stops claiming. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Stops claiming and releases the duties that are not held until another instance claims them; the
+   * others, and itself as a member, at the monotonic time `holdsUntilMs` or once they are claimed.
+   */
+  readonly stop: (holdsUntilMs: number) => Promise<void>;
 }
 
 /** Dependencies of the claims. */
@@ -54,6 +57,8 @@
   readonly store: KeyedStore;
   readonly self: Member;
   readonly listDuties: () => readonly string[];
+  /** Says whether a duty is held, when this instance stops, until another one claims it. */
+  readonly isHandedOver: (duty: string) => boolean;
   /** Called when the store has answered a read or stored a heartbeat. */
   readonly handleContact: () => void;
   /** Monotonic time of the store's last response, in milliseconds. */
@@ -107,6 +112,8 @@
   /** Duties on which a claim was sent whose outcome is not known. */
   const pendingClaims = new Set<string>();
   let nextOffset: number | undefined;
+  /** Whether no duty is claimed any more, although some may still be held. */
+  let isLeaving = false;
   let isStopped = false;
   let startedMs = 0;
   let claimsAllowedFromMs = 0;
@@ -164,8 +171,9 @@
     const nowMs = performance.now();
     const unclaimed = unclaimedDuties.list(nowMs).filter((duty) => !held.value.has(duty));
     const isSettled = nowMs - startedMs >= SETTLE_MS && nowMs >= claimsAllowedFromMs;
-    if (!isSettled || nowMs - lastReadMs > READ_GAP_MS || unclaimed.length === 0) return false;
-    const members = table.listMembers(nowMs);
+    if (isLeaving || !isSettled || nowMs - lastReadMs > READ_GAP_MS || unclaimed.length === 0)
+      return false;
+    const members = table.listClaimants(nowMs);
     const cores = table.listKnownMembers(nowMs).map((member) => member.cores);
     const openToAllAfterMs = (OPEN_TO_ALL_AFTER_MS * Math.max(self.cores, ...cores)) / self.cores;
     const chosen = chooseClaimants(unclaimed, countDutiesByHolder(nowMs), members);
@@ -181,9 +189,14 @@
     const isRetryDue = await claimNext();
     await waitMs(isRetryDue ? CLAIM_RETRY_MS : TICK_MS);
   };
+  const hasDuties = () => held.value.size > 0 || pendingClaims.size > 0;
+  /** Resolves once other instances have claimed every held duty, or when the time has come. */
+  const waitUntilClaimed = async (untilMs: number) => {
+    while (hasDuties() && performance.now() < untilMs) await waitMs(CLAIM_RETRY_MS);
+  };
   const runHeartbeat = async () => {
     const sentMs = performance.now();
-    const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self)], {
+    const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self, isLeaving)], {
       kind: 'none',
     });
     if (outcome.kind === 'stored') {
@@ -276,18 +289,23 @@
       authority.start();
     },
     dropDuty,
-    stop: async () => {
-      isStopped = true;
-      authority.stop();
-      const claims = heldDuties.dropAll();
-      await releaseDuties({
+    stop: async (holdsUntilMs) => {
+      isLeaving = true;
+      const release = {
         store,
         self,
-        claims,
         getClaimsEnd: () => nextOffset,
         isNewest: ({ duty, token }: Claim) => table.findClaim(duty)?.token === token,
         log,
-      });
+      };
+      const dropped = heldDuties.leave((duty) => !options.isHandedOver(duty));
+      if (hasDuties()) {
+        await reportLeaving({ ...release, claims: dropped });
+        await waitUntilClaimed(holdsUntilMs);
+      }
+      isStopped = true;
+      authority.stop();
+      await releaseDuties({ ...release, claims: [...dropped, ...heldDuties.leave(() => true)] });
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/duty-release.ts
+++ b/packages/daemon/src/lib/jobs/duty-release.ts
@@ -5,6 +5,7 @@
  */
 import {
   encodeDeparture,
+  encodeHeartbeat,
   encodeRelease,
   type Claim,
   type Member,
@@ -56,6 +57,16 @@
   return 'end-moved';
 }
 
+/** Releases duties and reports that this instance is leaving, but goes on with its other duties. */
+export async function reportLeaving(options: DutyReleaseOptions): Promise<void> {
+  const { store, self, claims, log } = options;
+  const [outcome, notice] = await Promise.all([
+    appendReleases(options),
+    store.append(HEARTBEATS, [encodeHeartbeat(self, true)], { kind: 'none' }),
+  ]);
+  log.info({ event: 'leaving', count: claims.length, outcome, notice: notice.kind });
+}
+
 /** Releases the duties and reports that this instance has left. */
 export async function releaseDuties(options: DutyReleaseOptions): Promise<void> {
   const { store, self, claims, log } = options;
--- a/packages/daemon/src/lib/jobs/held-duties.ts
+++ b/packages/daemon/src/lib/jobs/held-duties.ts
@@ -20,23 +20,26 @@
   /** Gives up a duty; without effect if it is not held. */
   readonly dropDuty: (duty: string, why: string) => void;
   /**
-   * Starts to hold a duty, unless the claim on it is held already or was given up, or all duties
-   * were.
+   * Starts to hold a duty, unless the claim on it is held already or was given up, or the duty is
+   * not taken any more.
    */
   readonly takeDuty: (claim: Claim) => void;
   /** Starts to hold the claims of this instance that were stored although the response was lost. */
   readonly takeOwnClaims: () => void;
   /** Gives up each duty on which there is a newer claim. */
   readonly checkHeld: () => void;
-  /** Gives up all duties and takes none from now on; returns the claims that were held. */
-  readonly dropAll: () => readonly Claim[];
+  /**
+   * Gives up the duties of which `isDropped` holds, and takes none of them from now on; returns their
+   * claims.
+   */
+  readonly leave: (isDropped: (duty: string) => boolean) => readonly Claim[];
 }
 
 /** Creates an empty set of duties. */
 export function createHeldDuties(options: HeldDutyOptions): HeldDuties {
   const { selfId, listDuties, table, unclaimedDuties, log } = options;
   const held = new BehaviorSubject<ReadonlyMap<string, Claim>>(new Map());
-  let isStopped = false;
+  let isRefused = (_: string) => false;
   const setHeld = (duty: string, claim: Claim | undefined) => {
     const updated = new Map(held.value);
     if (claim === undefined) updated.delete(duty);
@@ -52,7 +55,7 @@
   };
   const takeDuty = (claim: Claim) => {
     const isKnown = claim.token <= (held.value.get(claim.duty)?.token ?? -1);
-    if (isStopped || isKnown || unclaimedDuties.wasDropped(claim)) return;
+    if (isRefused(claim.duty) || isKnown || unclaimedDuties.wasDropped(claim)) return;
     log.info({ event: 'duty-held', ...claim });
     setHeld(claim.duty, claim);
   };
@@ -72,11 +75,11 @@
         if (newest !== undefined && newest.token > claim.token) dropDuty(duty, 'superseded');
       });
     },
-    dropAll: () => {
-      isStopped = true;
+    leave: (isDropped) => {
+      isRefused = isDropped;
       const claims = [...held.value.values()];
-      held.next(new Map());
-      return claims;
+      held.next(new Map([...held.value].filter(([duty]) => !isDropped(duty))));
+      return claims.filter(({ duty }) => isDropped(duty));
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -42,8 +42,11 @@
   readonly listPoolFigures: () => readonly PoolFigures[];
   /** Records a response of the store that the caller received outside of the claims. */
   readonly recordStoreContact: () => void;
-  /** Releases all duties; the gateway keeps answering through peers. */
-  readonly release: () => Promise<void>;
+  /**
+   * As `stop` of the claims: pools are planned on until another instance claims them. The gateway
+   * keeps answering, in the end through peers.
+   */
+  readonly release: (holdsUntilMs: number) => Promise<void>;
   /**
    * Closes the server for peers and the connections to them, after at most `limitMs` also those with
    * calls in progress; does not release the duties.
@@ -81,6 +84,8 @@
     store: options.store,
     self,
     listDuties,
+    // The fleet accepts no orders of two holders that are close together in time.
+    isHandedOver: (duty) => duty !== FLEET_DUTY,
     handleContact: recordStoreContact,
     getStoreContactMs: () => lastStoreContactMs,
     sendNotice: peers.sendNotice,
--- a/packages/daemon/src/lib/jobs/unclaimed-duties.ts
+++ b/packages/daemon/src/lib/jobs/unclaimed-duties.ts
@@ -7,7 +7,7 @@
   readonly table: ClaimTable;
 }
 
-/** Duties without a holder, as one instance observes them. */
+/** Duties without a holder that goes on with them, as one instance observes them. */
 export interface UnclaimedDuties {
   /** Lists the duties unclaimed at `nowMs` (monotonic); resets the age of all others. */
   readonly list: (nowMs: number) => readonly string[];
@@ -37,7 +37,7 @@
     return live !== undefined && live.token === droppedTokens.get(duty);
   };
   const isUnclaimed = (duty: string, nowMs: number) =>
-    table.findLiveClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
+    table.findLastingClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
   return {
     list: (nowMs) => {
       const unclaimed = new Set(listDuties().filter((duty) => isUnclaimed(duty, nowMs)));
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -88,6 +88,7 @@
       listDuties: () => [DUTY],
       handleContact,
       getStoreContactMs: () => contactMs,
+      isHandedOver: () => false,
       findHandOver: () => undefined,
       sendNotice: async (peer, notice) => {
         noticeCount += 1;
@@ -125,7 +126,7 @@
     assert.ok(holder !== undefined);
     assert.is(fleet.isInForce(holder), true);
     await runSteps(fleet, holder, clock);
-    fleet.fleet.forEach((claims) => void claims.stop());
+    fleet.fleet.forEach((claims) => void claims.stop(0));
   } finally {
     clock.uninstall();
   }
@@ -175,7 +176,7 @@
   await clock.tickAsync(5 * SECOND_MS);
   const current = claims.held.value.get(DUTY)!;
   const areInForce = [lost, current].map(claims.isInForce);
-  void claims.stop();
+  void claims.stop(0);
   clock.uninstall();
   assert.is(wasInForce, true);
   assert.ok(current.token > lost.token);
--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -17,8 +17,11 @@
 
 export const POOLS = ['stalls', 'kilns', 'looms'] as const;
 
-/** Longest time from a stop to the exit of the process. */
-const EXIT_MS = 2_500;
+/** Time for which a process that is told to stop plans on, unless another instance takes over. */
+const HOLD_MS = 2_500;
+
+/** Time from a stop to the exit of the process. */
+const EXIT_MS = 2_600;
 
 /** Time from the exit of a process to its next start. */
 const START_AGAIN_MS = 700;
@@ -146,7 +149,7 @@
       const { instance, isStopping } = process;
       if (instance === undefined || isStopping) return;
       process.isStopping = true;
-      void instance.release();
+      void instance.release(performance.now() + HOLD_MS);
       await waitFor(EXIT_MS);
       await stopProcess(process, instance);
     },
--- a/packages/daemon/src/test/leaving-instances.test.ts
+++ b/packages/daemon/src/test/leaving-instances.test.ts
@@ -1,4 +1,4 @@
-/** Instances that are told to stop and give up their duties. */
+/** Instances that are told to stop and go on with their duties until others have claimed them. */
 import { install, type Clock } from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
@@ -12,6 +12,11 @@
 const POOL_DUTY = 'pool/stalls';
 const FLEET_DUTY = 'fleet';
 const SECOND_MS = 1_000;
+const STEP_MS = 10;
+
+/** Time for which an instance that stops goes on with duties that nobody claims. */
+const HOLD_MS = 2_500;
+
 /** Instances on one store, which reach each other. */
 const openFleet = () => {
   const store: KeyedStore = createPolledStore({ pickMs: () => 2, handleStored: () => {} });
@@ -21,6 +26,7 @@
       store,
       self: { id: `${name}~1`, name, address: name, cores: 1 },
       listDuties: () => [POOL_DUTY, FLEET_DUTY],
+      isHandedOver: (duty) => duty !== FLEET_DUTY,
       handleContact: () => {},
       getStoreContactMs: () => performance.now(),
       sendNotice: async (peer, notice) => {
@@ -34,7 +40,13 @@
     claims.start();
     return claims;
   };
-  return { store, openInstance };
+  /** Counts the instances that may give orders for a duty. */
+  const countHolders = (duty: string) =>
+    [...fleet.values()].filter(({ held, isInForce }) => {
+      const claim = held.value.get(duty);
+      return claim !== undefined && isInForce(claim);
+    }).length;
+  return { store, openInstance, countHolders };
 };
 
 const runCase = async (run: (clock: Clock) => Promise<void>) => {
@@ -48,6 +60,60 @@
 
 const test = suite('leaving instances');
 
+// Guards against leases that lapse, as nobody plans a pool between the stop of one instance and the
+// claim of the next.
+test('a pool has an owner all the time while its instance stops', () =>
+  runCase(async (clock) => {
+    const { openInstance, countHolders } = openFleet();
+    const first = openInstance('a');
+    await clock.tickAsync(2 * SECOND_MS);
+    assert.is(first.held.value.size, 2);
+    const stopped = first.stop(performance.now() + HOLD_MS);
+    await clock.tickAsync(SECOND_MS);
+    assert.is(first.held.value.has(POOL_DUTY), true, 'nobody else is there');
+    const second = openInstance('b');
+    let withoutOwnerMs = 0;
+    for (let ms = 0; ms < HOLD_MS; ms += STEP_MS) {
+      await clock.tickAsync(STEP_MS);
+      if (countHolders(POOL_DUTY) === 0) withoutOwnerMs += STEP_MS;
+    }
+    await stopped;
+    assert.is(withoutOwnerMs <= STEP_MS, true, `${withoutOwnerMs} ms without an owner`);
+    assert.equal([...second.held.value.keys()].sort(), [FLEET_DUTY, POOL_DUTY]);
+    assert.is(first.held.value.size, 0);
+    void second.stop(0);
+  }));
+
+test('the fleet duty is given up at once, and a pool that nobody claims when the time is over', () =>
+  runCase(async (clock) => {
+    const { openInstance, countHolders } = openFleet();
+    const only = openInstance('a');
+    await clock.tickAsync(2 * SECOND_MS);
+    const stopped = only.stop(performance.now() + HOLD_MS);
+    assert.equal([...only.held.value.keys()], [POOL_DUTY]);
+    await clock.tickAsync(HOLD_MS - STEP_MS);
+    assert.is(countHolders(POOL_DUTY), 1);
+    await clock.tickAsync(SECOND_MS / 2);
+    await stopped;
+    assert.is(countHolders(POOL_DUTY), 0);
+  }));
+
+test('an instance that stops claims nothing, and none of those that are stopping is chosen to', () =>
+  runCase(async (clock) => {
+    const { openInstance, countHolders } = openFleet();
+    const instances = ['a', 'b', 'c'].map((name) => openInstance(name));
+    await clock.tickAsync(2 * SECOND_MS);
+    const owner = instances.find(({ held }) => held.value.has(POOL_DUTY))!;
+    const others = instances.filter((instance) => instance !== owner);
+    const stops = [others[0]!, owner].map((each) => each.stop(performance.now() + HOLD_MS));
+    await clock.tickAsync(SECOND_MS);
+    assert.is(others[1]!.held.value.has(POOL_DUTY), true, 'held by the one that stays');
+    assert.is(countHolders(POOL_DUTY), 1);
+    await clock.tickAsync(HOLD_MS);
+    await Promise.all(stops);
+    void others[1]!.stop(0);
+  }));
+
 // Guards against a pool that loses its planner to a repeated release of the planner before.
 test('a release that is tried again leaves out a duty that another instance has claimed since', () =>
   runCase(async (clock) => {
@@ -57,7 +123,7 @@
     const member = { id: 'b~1', name: 'b', address: 'b', cores: 1 };
     // Stored before the release, and not read yet when it is sent.
     void store.append(CLAIMS, [encodeClaim(POOL_DUTY, member)], { kind: 'none' });
-    const stopped = first.stop();
+    const stopped = first.stop(0);
     await clock.tickAsync(SECOND_MS);
     await stopped;
     const newest = store.readNewest(CLAIMS);
--- a/packages/daemon/src/test/simulated-instance.ts
+++ b/packages/daemon/src/test/simulated-instance.ts
@@ -27,8 +27,8 @@
   readonly self: Member;
   readonly claims: DutyClaims;
   readonly findRunner: (pool: string) => PoolRunner | undefined;
-  /** Gives up everything as an entry does that is told to stop. */
-  readonly release: () => Promise<void>;
+  /** Gives up everything as an entry does that is told to stop, until the given time at the latest. */
+  readonly release: (holdsUntilMs: number) => Promise<void>;
   /** Ends the process: from now on it sends nothing and gets no answers. */
   readonly end: () => void;
   readonly isGone: () => boolean;
@@ -69,6 +69,7 @@
     store,
     self,
     listDuties: () => [...pools.map(makePoolDuty), FLEET_DUTY],
+    isHandedOver: (duty) => duty !== FLEET_DUTY,
     handleContact: () => {
       lastStoreContactMs = performance.now();
     },
@@ -94,7 +95,7 @@
     release: claims.stop,
     end: () => {
       isGone = true;
-      void claims.stop();
+      void claims.stop(0);
     },
     isGone: () => isGone,
   };
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -42,6 +42,8 @@
   readonly observeMember: (member: Member, lastReportMs: number) => void;
   /** Lists the members that are considered alive at `nowMs`. */
   readonly listMembers: (nowMs: number) => readonly Member[];
+  /** Lists those of them that are not leaving, and so may claim duties. */
+  readonly listClaimants: (nowMs: number) => readonly Member[];
   /** Lists the members that reported within a longer period; some of them may be gone. */
   readonly listKnownMembers: (nowMs: number) => readonly Member[];
   /** Finds the member with this id; undefined if it is unknown or no longer considered alive. */
@@ -52,6 +54,11 @@
   readonly findClaim: (duty: string) => Claim | undefined;
   /** Finds the newest claim; undefined if the duty is free or the holder is not alive. */
   readonly findLiveClaim: (duty: string, nowMs: number) => Claim | undefined;
+  /**
+   * Finds the newest claim that keeps others from claiming; undefined also if its holder is leaving,
+   * which goes on with the duty until another claim is stored.
+   */
+  readonly findLastingClaim: (duty: string, nowMs: number) => Claim | undefined;
 }
 
 /** A member without a heartbeat for more than this many milliseconds is considered gone. */
@@ -74,8 +81,14 @@
   cores: z.number().positive(),
 });
 
-/** Value of a member's record; `hasLeft` is true in the last one of an incarnation. */
-const memberRecordSchema = memberSchema.extend({ hasLeft: z.boolean().default(false) });
+/**
+ * Value of a member's record; `isLeaving` is true once it stops, and `hasLeft` in the last one of an
+ * incarnation.
+ */
+const memberRecordSchema = memberSchema.extend({
+  isLeaving: z.boolean().default(false),
+  hasLeft: z.boolean().default(false),
+});
 
 /** Value of the record of a claim; the holder is empty in that of a release. */
 const claimRecordSchema = z.object({
@@ -97,9 +110,12 @@
   };
 }
 
-/** Encodes the heartbeat of a member; it replaces those of earlier incarnations. */
-export function encodeHeartbeat(member: Member): KeyedRecord {
-  return { key: `${MEMBER_PREFIX}${member.name}`, value: JSON.stringify(member) };
+/**
+ * Encodes the heartbeat of a member, which may be leaving; it replaces those of earlier incarnations.
+ */
+export function encodeHeartbeat(member: Member, isLeaving = false): KeyedRecord {
+  const value = JSON.stringify(isLeaving ? { ...member, isLeaving } : member);
+  return { key: `${MEMBER_PREFIX}${member.name}`, value };
 }
 
 /** Encodes the departure of a member under the key of its heartbeat. */
@@ -113,18 +129,25 @@
   return Number(id.slice(id.lastIndexOf('~') + 1));
 }
 
+/** A member with the monotonic time of its last report, in milliseconds. */
+interface KnownMember {
+  readonly member: Member;
+  readonly lastReportMs: number;
+  readonly isLeaving: boolean;
+}
+
 /** Creates an empty table. */
 export function createClaimTable(): ClaimTable {
   const claims = new Map<string, Claim>();
-  const members = new Map<string, { readonly member: Member; readonly lastReportMs: number }>();
+  const members = new Map<string, KnownMember>();
   const isAlive = (lastReportMs: number, nowMs: number) => nowMs - lastReportMs <= MEMBER_TTL_MS;
   const listReportedWithin = (nowMs: number, ttlMs: number) =>
     [...members.values()]
       .filter(({ lastReportMs }) => nowMs - lastReportMs <= ttlMs)
       .map(({ member }) => member);
-  const findMember = (id: string, nowMs: number) => {
+  const findAlive = (id: string, nowMs: number) => {
     const found = [...members.values()].find(({ member }) => member.id === id);
-    return found !== undefined && isAlive(found.lastReportMs, nowMs) ? found.member : undefined;
+    return found !== undefined && isAlive(found.lastReportMs, nowMs) ? found : undefined;
   };
   /** Newest incarnation that has left, by name; what is stored of it later proves nothing. */
   const departedIds = new Map<string, string>();
@@ -142,6 +165,7 @@
     members.set(member.name, {
       member,
       lastReportMs: Math.max(lastReportMs, known?.lastReportMs ?? -Infinity),
+      isLeaving: known?.isLeaving ?? false,
     });
   };
   const applyMember = (name: string, value: string | undefined, nowMs: number): boolean => {
@@ -151,10 +175,10 @@
     }
     const parsed = parseJson(memberRecordSchema, value);
     if (parsed === undefined) return false;
-    const { hasLeft, ...member } = parsed;
+    const { hasLeft, isLeaving, ...member } = parsed;
     if (hasLeft) departedIds.set(name, member.id);
     else if (!hasDeparted(member) && !isSuperseded(member, nowMs)) {
-      members.set(name, { member, lastReportMs: nowMs });
+      members.set(name, { member, lastReportMs: nowMs, isLeaving });
     }
     // A departure that is stored late must not remove the next incarnation.
     if (hasLeft && members.get(name)?.member.id === member.id) members.delete(name);
@@ -180,13 +204,21 @@
     observeMember,
     listMembers: (nowMs) => listReportedWithin(nowMs, MEMBER_TTL_MS),
     listKnownMembers: (nowMs) => listReportedWithin(nowMs, KNOWN_TTL_MS),
-    findMember,
+    listClaimants: (nowMs) =>
+      listReportedWithin(nowMs, MEMBER_TTL_MS).filter(
+        ({ name }) => members.get(name)?.isLeaving === false,
+      ),
+    findMember: (id, nowMs) => findAlive(id, nowMs)?.member,
     findKnownMember: (id) => [...members.values()].find(({ member }) => member.id === id)?.member,
     findClaim: (duty) => claims.get(duty),
     findLiveClaim: (duty, nowMs) => {
       const claim = claims.get(duty);
-      if (claim === undefined || claim.holder === '') return undefined;
-      return findMember(claim.holder, nowMs) === undefined ? undefined : claim;
+      return claim && findAlive(claim.holder, nowMs) && claim;
+    },
+    findLastingClaim: (duty, nowMs) => {
+      const claim = claims.get(duty);
+      const holder = claim && findAlive(claim.holder, nowMs);
+      return holder?.isLeaving === false ? claim : undefined;
     },
   };
 }
