Wait for workers that have not been called yet, also after their leases

Cause, from that trace: the wait for inherited workers runs from the claim; a planner that needs longer than that to load, for want of processor time, has not called any worker when it is over, and starts tasks whose ends live workers still list.

A lease that is over proves that nothing runs, not that nothing has ended. A test of long leases now lets the call to the next incarnation fail, as a loop does.

--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -81,8 +81,14 @@
   return known !== 0 && bornMs !== 0 && known !== bornMs;
 }
 
-/** Creates the inheritance of a planner. */
-export function createInheritance(options: InheritanceOptions): Inheritance {
+/**
+ * Creates the inheritance of a planner. `isAwaited` says of a worker whether its first answer to this
+ * planner is still to come: its lists may name what has ended, also after its lease.
+ */
+export function createInheritance(
+  options: InheritanceOptions,
+  isAwaited: (workerId: string) => boolean,
+): Inheritance {
   const inherited = new Map<string, LeaseHolder>();
   const unreported = new Map<string, LeaseHolder>();
   /** Incarnations that the workers' entries name, by worker id. */
@@ -99,7 +105,8 @@
   const hasRestarted = (holder: LeaseHolder) =>
     hasOtherIncarnation(holder, listedBornMs.get(holder.id) ?? 0);
   const isHeldFor = (workerId: string, leaseMs: number, nowMs: number) =>
-    unreported.has(workerId) && nowMs < computeLeaseEndMs(workerId, leaseMs);
+    unreported.has(workerId) &&
+    (nowMs < computeLeaseEndMs(workerId, leaseMs) || isAwaited(workerId));
   const isPossibleHolder = (workerId: string, nowMs: number) => {
     const holder = unreported.get(workerId);
     const isLong =
@@ -131,7 +138,7 @@
     },
     expire: (nowMs) => {
       [...unreported.keys()]
-        .filter((id) => !isPossibleHolder(id, nowMs))
+        .filter((id) => !isPossibleHolder(id, nowMs) && !isAwaited(id))
         .forEach((id) => unreported.delete(id));
     },
     observePredecessorStopped: (nowMs) => {
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -67,7 +67,13 @@
   const baseContext: PoolContext = { table, dirtyJobs, report: options.report };
   const interference = createPoolInterference(baseContext);
   const context: PoolContext = { ...baseContext, interference };
-  const inheritance = createInheritance(options);
+  /** Says whether a worker has not been called yet, or not been listed as no worker has. */
+  const isAwaited = (workerId: string) => {
+    const worker = table.workers.get(workerId);
+    if (worker === undefined) return table.workers.size === 0;
+    return worker.isListed && worker.clock === undefined && worker.missedReports === 0;
+  };
+  const inheritance = createInheritance(options, isAwaited);
   const crashWatch = createCrashWatch(context);
   const incarnations = createWorkerIncarnations(context, inheritance, crashWatch);
   const isolation = createIsolation({
--- a/packages/vanilladock/src/test/jobs/hand-over.test.ts
+++ b/packages/vanilladock/src/test/jobs/hand-over.test.ts
@@ -115,4 +115,18 @@
   assert.is(isStarting(harness, 31), true);
 });
 
+// Guards against a task that starts again although its worker lists that it is done.
+test('a worker that has not been called yet is waited for after its lease too', () => {
+  const harness = createHarness({ runBase: 100, inheritedWorkers: ['w1', 'w22'] });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  harness.planner.loadJob(record, undefined, harness.at(0));
+  harness.planner.plan(harness.at(LEASE_END_MS));
+  harness.planner.observeWorkers(ENTRIES, harness.at(LEASE_END_MS));
+  harness.planner.markWorkersRecorded(['w1', 'w22']);
+  harness.report('w22', LEASE_END_MS + 10);
+  assert.is(isStarting(harness, LEASE_END_MS + 11), false, 'the first call is under way');
+  harness.planner.observeMissedReport('w1', harness.at(LEASE_END_MS + 400));
+  assert.is(isStarting(harness, LEASE_END_MS + 401), true);
+});
+
 test.run();
--- a/packages/vanilladock/src/test/jobs/long-leases.test.ts
+++ b/packages/vanilladock/src/test/jobs/long-leases.test.ts
@@ -98,6 +98,7 @@
 test('a restart that the predecessor did not know of makes every inherited task wait', () => {
   const { planner, at, listStarts } = takeOver({ id: 'w1', bornMs: 1 });
   planner.observeWorkers([makeEntry('w1', { bornMs: 2 }), makeEntry('w22')], at(900));
+  planner.observeMissedReport('w1', at(1_500));
   assert.equal(listStarts(SHORT_MS), []);
   assert.equal(listStarts(MAX_LEASE_MS), []);
   assert.equal(listStarts(LONG_MS), [TASK, 'b.0.0.0']);
