Carry the hand-over in the release when nobody has claimed the pool

Cause: a planner that nobody can ask any more has told nothing, so that the next one waits for leases from its own claim. The record with which it releases the duty now has its hand-over; its times count from when the record is read, which is later than they were measured.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -295,6 +295,7 @@
         store,
         self,
         getClaimsEnd: () => nextOffset,
+        findHandOver: options.findHandOver,
         isNewest: ({ duty, token }: Claim) => table.findClaim(duty)?.token === token,
         log,
       };
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -102,7 +102,7 @@
     const member = previous === undefined ? undefined : table.findKnownMember(previous.holder);
     // A holder that has left, or whose process has a later incarnation, gives no orders; any answer
     // from its address shows that it has stopped as well.
-    if (member === undefined) return { told: undefined };
+    if (member === undefined) return { told: previous?.told };
     const view =
       member.id === self.id
         ? { handOvers: listHandOvers([claim]) }
--- a/packages/daemon/src/lib/jobs/duty-release.ts
+++ b/packages/daemon/src/lib/jobs/duty-release.ts
@@ -10,6 +10,7 @@
   type Claim,
   type Member,
 } from 'vanilladock/lib/duties/claim-table.js';
+import type { HandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import type { AppendOutcome, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
@@ -24,6 +25,8 @@
   readonly getClaimsEnd: () => number | undefined;
   /** Says whether no newer claim than this one, or its release, had been read then. */
   readonly isNewest: (claim: Claim) => boolean;
+  /** Finds what the next holder of a duty is told. */
+  readonly findHandOver: (duty: string) => HandOver | undefined;
   readonly log: JsonLog;
 }
 
@@ -41,11 +44,13 @@
  * are free once the departure is read.
  */
 async function appendReleases(options: DutyReleaseOptions): Promise<AppendOutcome['kind']> {
-  const { store, claims, getClaimsEnd, isNewest } = options;
+  const { store, claims, getClaimsEnd, isNewest, findHandOver } = options;
   const startedMs = performance.now();
   for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
     // Another instance may have claimed a duty since the last attempt.
-    const records = claims.filter(isNewest).map(encodeRelease);
+    const records = claims
+      .filter(isNewest)
+      .map((claim) => encodeRelease(claim, findHandOver(claim.duty)));
     if (records.length === 0) return 'stored';
     const offset = getClaimsEnd();
     if (offset === undefined) return 'refused';
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -4,9 +4,9 @@
  */
 import type { DutyNotice, PeerDutyView } from 'vanilladock/lib/duties/authority.js';
 import { memberSchema, type Member } from 'vanilladock/lib/duties/claim-table.js';
+import { handOverSchema } from 'vanilladock/lib/jobs/hand-over.js';
 import { z } from 'zod';
 import type { JobReply, JobRequest } from './job-request.js';
-import { leaseHolderSchema } from './stored-pool.js';
 
 /** A duty notice with its sender. */
 export interface SentNotice extends DutyNotice {
@@ -111,16 +111,10 @@
   storeAgeMs: z.number(),
   held: z.array(claimSchema),
 });
-const handOverSchema = z.object({
-  duty: z.string(),
-  token: z.number(),
-  earlierOrdersMs: amountSchema,
-  leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
-});
 const viewSchema = z.object({
   newer: z.array(claimSchema),
   claiming: z.array(z.string()),
-  handOvers: z.array(handOverSchema).optional(),
+  handOvers: z.array(handOverSchema.extend({ duty: z.string() })).optional(),
 });
 
 /** Kinds of replies whose further fields are only passed on. */
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -3,7 +3,7 @@
  * ago than its state can be queried nothing is kept but its id, so that the memory of a take-over does
  * not grow with what has ever run.
  */
-import type { LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
+import { leaseHolderSchema, type LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
 import type { CancelTombstone } from 'vanilladock/lib/jobs/cancel-tombstones.js';
 import { decodeProgress, type Progress } from 'vanilladock/lib/jobs/progress.js';
 import type { JobRecord } from 'vanilladock/lib/jobs/spec.js';
@@ -11,13 +11,6 @@
 import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import { z } from 'zod';
 
-/** A possible lease holder. */
-export const leaseHolderSchema = z.object({
-  id: z.string(),
-  bornMs: z.number(),
-  longLeaseTasks: z.array(z.string()).readonly().optional(),
-});
-
 /** A stored lease holder; old records have its id alone. */
 const holderSchema = z.union([
   z.string().transform((id): LeaseHolder => ({ id, bornMs: 0 })),
--- a/packages/daemon/src/test/stops-in-series.test.ts
+++ b/packages/daemon/src/test/stops-in-series.test.ts
@@ -21,6 +21,9 @@
 /** Times between two stops, in milliseconds. */
 const STOP_INTERVALS_MS = [1_300, 2_000] as const;
 
+/** Time between two stops of all instances, in which each lives for less than a lease. */
+const TOGETHER_INTERVAL_MS = 4_500;
+
 const SERIES_MS = 28 * SECOND_MS;
 
 /** Longest time of a lasting task without a run. */
@@ -94,6 +97,13 @@
     );
 };
 
+/** Lists stops of all instances at the same moment, again and again. */
+const listStopsTogether = (intervalMs: number): readonly Stop[] =>
+  Array.from(
+    { length: Math.ceil(SERIES_MS / intervalMs) },
+    (_, index) => index * intervalMs,
+  ).flatMap((atMs) => INSTANCES.map((instance) => ({ atMs, instance })));
+
 const runSeries = async ({ seed, jobs, stops, isWorkerCut }: Series): Promise<Finding> => {
   const clock = createMovingClock();
   try {
@@ -175,6 +185,14 @@
     ),
   );
 
+const listSeriesTogether = (isWorkerCut: boolean): ReadonlyMap<string, Series> =>
+  new Map(
+    SEEDS.map((seed): [string, Series] => {
+      const stops = listStopsTogether(TOGETHER_INTERVAL_MS);
+      return [`all at once, seed ${seed}`, { seed, jobs: JOB_COUNTS[0], stops, isWorkerCut }];
+    }),
+  );
+
 type Fault =
   | { readonly kind: 'stop' | 'kill'; readonly instance: number }
   | {
@@ -281,6 +299,13 @@
   assert.equal(await listFaults(new Map(series)), []);
 });
 
+// Guards against waits that begin anew because nobody can ask the planner that has gone.
+test('lasting tasks run again within 9 s while all instances are stopped at once', async () => {
+  const series = [...listSeriesTogether(false), ...listSeriesTogether(true)];
+  const named = series.map(([name, one]) => [`${name}, cut ${one.isWorkerCut}`, one] as const);
+  assert.equal(await listFaults(new Map(named)), []);
+});
+
 // Guards against a task that runs twice because a planner took too little to wait for.
 test('no task runs twice at once, whatever instances stop or die and workers miss', async () => {
   const property = fc.asyncProperty(
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -5,6 +5,7 @@
  */
 import murmurHash from 'imurmurhash';
 import { z } from 'zod';
+import { handOverSchema, type HandOver, type TimedHandOver } from '../jobs/hand-over.js';
 import { parseJson } from '../parse-json.js';
 import type { KeyedRecord, StoredKeyedRecord } from '../ports/keyed-store.js';
 
@@ -29,6 +30,8 @@
   readonly token: number;
   /** Token of the claim that a release ends; undefined for other claims and in old releases. */
   readonly releasedToken?: number | undefined;
+  /** What the holder that has released the duty tells, as of when the release was read. */
+  readonly told?: TimedHandOver | undefined;
 }
 
 /** Table of claims and members. All times are monotonic, in milliseconds. */
@@ -95,6 +98,7 @@
   holder: z.string(),
   member: memberSchema.optional(),
   releasedToken: z.number().optional(),
+  handOver: handOverSchema.optional(),
 });
 
 /** Encodes a claim by a member. */
@@ -102,11 +106,11 @@
   return { key: `${DUTY_PREFIX}${duty}`, value: JSON.stringify({ holder: member.id, member }) };
 }
 
-/** Encodes the release of a duty by the holder of a claim. */
-export function encodeRelease({ duty, token }: Claim): KeyedRecord {
+/** Encodes the release of a duty by the holder of a claim, with what it tells the next one. */
+export function encodeRelease({ duty, token }: Claim, handOver?: HandOver): KeyedRecord {
   return {
     key: `${DUTY_PREFIX}${duty}`,
-    value: JSON.stringify({ holder: '', releasedToken: token }),
+    value: JSON.stringify({ holder: '', releasedToken: token, handOver }),
   };
 }
 
@@ -193,10 +197,11 @@
       const duty = key.slice(DUTY_PREFIX.length);
       const parsed = parseJson(claimRecordSchema, value);
       if (parsed === undefined) return false;
-      const { holder, member, releasedToken } = parsed;
+      const { holder, member, releasedToken, handOver } = parsed;
       const current = claims.get(duty);
       if (current !== undefined && current.token >= offset) return true;
-      claims.set(duty, { duty, holder, token: offset, releasedToken });
+      const told = handOver && { handOver, atMs: nowMs };
+      claims.set(duty, { duty, holder, token: offset, releasedToken, told });
       // A claim proves that its holder is alive, so it counts as a heartbeat.
       if (member !== undefined) observeMember(member, nowMs);
       return true;
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -3,8 +3,9 @@
  * time that has passed or is left, measured by the clock of the planner that tells it, so that waits
  * go on over successive planners instead of beginning anew with each.
  */
+import { z } from 'zod';
 import type { Inheritance } from './inheritance.js';
-import { makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
+import { leaseHolderSchema, makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
 import type { Worker } from './state.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
@@ -29,6 +30,13 @@
   readonly atMs: number;
 }
 
+/** A hand-over, as messages and records state it. */
+export const handOverSchema = z.object({
+  token: z.number(),
+  earlierOrdersMs: z.number().nonnegative(),
+  leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
+});
+
 /** Sources of a hand-over. */
 export interface HandOverSources {
   readonly token: number;
--- a/packages/vanilladock/src/lib/jobs/lease-holder.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-holder.ts
@@ -4,6 +4,7 @@
  * meant for its earlier incarnation, whose clock was ahead, and grants what they name up to the
  * longest lease. A successor that cannot call the worker has to wait for that.
  */
+import { z } from 'zod';
 import { computeEarliestWorkerMs, LEASE_MARGIN_MS, LEASE_MS } from './lease-clock.js';
 import type { Worker } from './state.js';
 
@@ -19,6 +20,13 @@
   readonly longLeaseTasks?: readonly string[] | undefined;
 }
 
+/** A worker that may hold leases, as messages and records state it. */
+export const leaseHolderSchema = z.object({
+  id: z.string(),
+  bornMs: z.number(),
+  longLeaseTasks: z.array(z.string()).readonly().optional(),
+});
+
 /**
  * Says whether a worker may hold a lease that is longer than orders to its present incarnation name,
  * at the monotonic time `nowMs`. Until its first report, one that may have got orders does.
