Hand over workers whose ends are not stored, and late orders in full

Found by the review of the hand-over, before it was in force anywhere: a planner that learns of an end and stops before it has stored it (its write is fenced by its successor) told of no lease on that worker, as nothing runs there any more; the successor waited for nobody and started the task again (TWICE). Workers with ends that are not stored are handed over now, so that their report comes first.

Beside it: a worker that has restarted and not reported is waited for from the stop of the planner on, not from its last order, as the order may be carried out by an incarnation that came later; and what the planner itself knows of long leases is added to what it inherited. hand-over.test.ts: 2 of 9 fail before.

--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -20,7 +20,7 @@
   readonly token: number;
   /** Time in milliseconds for which planners before it may still send orders. */
   readonly earlierOrdersMs: number;
-  /** All workers that may run something, or hold a lease of an earlier planner. */
+  /** All workers that may run something, list ends that are not stored, or have not reported. */
   readonly leases: readonly HeldLease[];
 }
 
@@ -50,24 +50,44 @@
 /** Time in which an order that was sent has arrived or been given up, in milliseconds. */
 export const ORDER_DELAY_MS = 1_000;
 
-/** Computes when an order of this planner may last have extended a worker's lease. */
-function computeOwnOrderMs({ lastReportMs, lastLeaseCallMs }: Worker, nowMs: number): number {
+/**
+ * Computes when an order of this planner may last have extended a worker's lease. An order to a
+ * worker that has not reported may still be carried out by an incarnation that is not known yet.
+ */
+function computeOwnOrderMs(worker: Worker, nowMs: number): number {
+  const { clock, lastReportMs, lastLeaseCallMs } = worker;
+  if (clock === undefined) return nowMs;
   return Math.min(nowMs, Math.max(lastReportMs, lastLeaseCallMs) + ORDER_DELAY_MS);
 }
 
+/** Says whether a worker may run something, or lists ends that are not stored. */
+function isToBeAsked({ tasks, orphanedRuns, lastEnd, storedEnd }: Worker): boolean {
+  return tasks.size > 0 || orphanedRuns.size > 0 || lastEnd > storedEnd;
+}
+
+/** Merges what an earlier planner and this one know of a worker that has not reported. */
+function mergeLeases(earlier: HeldLease, own: HeldLease | undefined): HeldLease {
+  if (own === undefined) return earlier;
+  const tasks = [...(earlier.longLeaseTasks ?? []), ...(own.longLeaseTasks ?? [])];
+  return {
+    ...earlier,
+    longLeaseTasks: tasks.length === 0 ? undefined : tasks,
+    orderedAgoMs: Math.min(earlier.orderedAgoMs, own.orderedAgoMs),
+  };
+}
+
 /** Makes the hand-over of a planner that stops at the monotonic time `nowMs`. */
 export function makeHandOver(sources: HandOverSources, nowMs: number): HandOver {
   const { token, workers, inheritance } = sources;
   const leases = new Map<string, HeldLease>();
   workers.forEach((worker, id) => {
-    if (worker.tasks.size === 0 && worker.orphanedRuns.size === 0) return;
+    if (!isToBeAsked(worker)) return;
     const orderedAgoMs = nowMs - computeOwnOrderMs(worker, nowMs);
     leases.set(id, { ...makeLeaseHolder(worker, nowMs), orderedAgoMs });
   });
   inheritance.listUnreported().forEach((holder) => {
-    const orderedAgoMs = nowMs - inheritance.getLastOrderMs(holder.id);
-    const ownAgoMs = leases.get(holder.id)?.orderedAgoMs ?? orderedAgoMs;
-    leases.set(holder.id, { ...holder, orderedAgoMs: Math.min(orderedAgoMs, ownAgoMs) });
+    const earlier = { ...holder, orderedAgoMs: nowMs - inheritance.getLastOrderMs(holder.id) };
+    leases.set(holder.id, mergeLeases(earlier, leases.get(holder.id)));
   });
   const earlierOrdersMs = Math.max(0, inheritance.getPredecessorUntilMs() - nowMs);
   return { token, earlierOrdersMs, leases: [...leases.values()] };
--- a/packages/vanilladock/src/test/jobs/hand-over.test.ts
+++ b/packages/vanilladock/src/test/jobs/hand-over.test.ts
@@ -6,6 +6,7 @@
 import { LEASE_MS, MAX_LEASE_MS } from '../../lib/jobs/lease-clock.js';
 import {
   createHarness,
+  makeEnd,
   makeEntry,
   makeJob,
   POLICY,
@@ -95,6 +96,34 @@
   assert.is(aged.leases[0]?.orderedAgoMs, 2_500);
 });
 
+// Guards against a task that starts again after its end: the planner that knew of it could not store it.
+test('a worker whose ends are not stored is asked before inherited tasks go on', () => {
+  const first = createHarness();
+  first.addWorkers(0, makeEntry('w1'));
+  first.submit(makeJob('a'), 1);
+  const [start] = first.planStarts(2);
+  first.accept([start!], 3);
+  first.report('w1', 500, [], [makeEnd(1, start!.taskKey, start!.run)]);
+  const second = takeOverFrom(first.planner.makeHandOver(TOKEN, 501));
+  assert.is(isStarting(second, 11), false);
+  second.report('w1', 20, [], [makeEnd(1, start!.taskKey, start!.run)]);
+  assert.is(isStarting(second, 21), false);
+});
+
+// Guards against a task that runs twice: an order is carried out late, by the next incarnation.
+test('a restarted worker without a report is waited for from the stop of its planner on', () => {
+  const first = createHarness();
+  first.addWorkers(0, makeEntry('w1'));
+  first.submit(makeJob('a'), 1);
+  const [start] = first.planStarts(2);
+  first.planner.observeStart(start!, { kind: 'unknown' }, first.at(900));
+  first.planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], first.at(3_000));
+  first.planner.observeMissedReport('w1', first.at(3_500));
+  const { leases } = first.planner.makeHandOver(TOKEN, 4_000);
+  const lease = { id: 'w1', bornMs: 2, longLeaseTasks: [start!.taskKey], orderedAgoMs: 0 };
+  assert.equal(leases, [lease]);
+});
+
 // Guards against a task that runs twice on a worker that restarted while planners took over.
 test('a worker that has restarted since is waited for as long as the longest lease', () => {
   const leases = [{ id: 'w1', bornMs: 1, orderedAgoMs: 1_000 }];
