Hold and claim pools as long as an instance that stops stays anyway

An instance that has answered a notice takes no older claim of its own any more, of which it may learn late.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -46,10 +46,11 @@
   /** Gives up a duty, for instance after another holder's token was observed. */
   readonly dropDuty: (duty: string, why: string) => void;
   /**
-   * Stops claiming and releases the duties that are not held until another instance claims them; the
-   * others, and itself as a member, at the monotonic time `holdsUntilMs` or once they are claimed.
+   * Leaves: releases at once the duties that are not handed over, and all others when `mayHold` says
+   * false. Until then it goes on with what nobody else claims, and claims only what has no holder and
+   * no other instance to claim it.
    */
-  readonly stop: (holdsUntilMs: number) => Promise<void>;
+  readonly stop: (mayHold: () => boolean) => Promise<void>;
 }
 
 /** Dependencies of the claims. */
@@ -112,7 +113,7 @@
   /** Duties on which a claim was sent whose outcome is not known. */
   const pendingClaims = new Set<string>();
   let nextOffset: number | undefined;
-  /** Whether no duty is claimed any more, although some may still be held. */
+  /** Whether this instance is to stop; it may still hold duties. */
   let isLeaving = false;
   let isStopped = false;
   let startedMs = 0;
@@ -167,13 +168,20 @@
     });
     return counts;
   };
+  /** Says whether this instance may claim a duty that no staying instance holds. */
+  const isOpen = (duty: string, nowMs: number) => {
+    if (held.value.has(duty)) return false;
+    if (!isLeaving) return true;
+    return options.isHandedOver(duty) && table.findLiveClaim(duty, nowMs) === undefined;
+  };
   const claimNext = async (): Promise<boolean> => {
     const nowMs = performance.now();
-    const unclaimed = unclaimedDuties.list(nowMs).filter((duty) => !held.value.has(duty));
+    const unclaimed = unclaimedDuties.list(nowMs).filter((duty) => isOpen(duty, nowMs));
     const isSettled = nowMs - startedMs >= SETTLE_MS && nowMs >= claimsAllowedFromMs;
-    if (isLeaving || !isSettled || nowMs - lastReadMs > READ_GAP_MS || unclaimed.length === 0)
-      return false;
-    const members = table.listClaimants(nowMs);
+    if (!isSettled || nowMs - lastReadMs > READ_GAP_MS || unclaimed.length === 0) return false;
+    const staying = table.listClaimants(nowMs);
+    if (isLeaving && staying.length > 0) return false;
+    const members = isLeaving ? table.listMembers(nowMs) : staying;
     const cores = table.listKnownMembers(nowMs).map((member) => member.cores);
     const openToAllAfterMs = (OPEN_TO_ALL_AFTER_MS * Math.max(self.cores, ...cores)) / self.cores;
     const chosen = chooseClaimants(unclaimed, countDutiesByHolder(nowMs), members);
@@ -189,11 +197,6 @@
     const isRetryDue = await claimNext();
     await waitMs(isRetryDue ? CLAIM_RETRY_MS : TICK_MS);
   };
-  const hasDuties = () => held.value.size > 0 || pendingClaims.size > 0;
-  /** Resolves once other instances have claimed every held duty, or when the time has come. */
-  const waitUntilClaimed = async (untilMs: number) => {
-    while (hasDuties() && performance.now() < untilMs) await waitMs(CLAIM_RETRY_MS);
-  };
   const runHeartbeat = async () => {
     const sentMs = performance.now();
     const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self, isLeaving)], {
@@ -233,6 +236,7 @@
     getReportsSinceMs: () =>
       performance.now() - lastReadMs > CONTACT_GAP_MS ? performance.now() : reportsSinceMs,
     dropDuty,
+    observeNewer: unclaimedDuties.observeNewer,
     findHandOver: options.findHandOver,
     isStopped: () => isStopped,
     log,
@@ -289,7 +293,7 @@
       authority.start();
     },
     dropDuty,
-    stop: async (holdsUntilMs) => {
+    stop: async (mayHold) => {
       isLeaving = true;
       const release = {
         store,
@@ -300,10 +304,8 @@
         log,
       };
       const dropped = heldDuties.leave((duty) => !options.isHandedOver(duty));
-      if (hasDuties()) {
-        await reportLeaving({ ...release, claims: dropped });
-        await waitUntilClaimed(holdsUntilMs);
-      }
+      if (mayHold()) await reportLeaving({ ...release, claims: dropped });
+      while (mayHold()) await waitMs(CLAIM_RETRY_MS);
       isStopped = true;
       authority.stop();
       await releaseDuties({ ...release, claims: [...dropped, ...heldDuties.leave(() => true)] });
--- a/packages/daemon/src/lib/jobs/duty-notices.ts
+++ b/packages/daemon/src/lib/jobs/duty-notices.ts
@@ -32,6 +32,8 @@
   /** Monotonic time since which this instance has received members' reports without a gap. */
   readonly getReportsSinceMs: () => number;
   readonly dropDuty: (duty: string, why: string) => void;
+  /** As `observeNewer` of the unclaimed duties. */
+  readonly observeNewer: (claim: Claim) => void;
   /** Finds what this instance tells the next holder of a duty that it has given up. */
   readonly findHandOver: (duty: string) => DutyHandOver | undefined;
   readonly isStopped: () => boolean;
@@ -123,6 +125,8 @@
       namedClaims.forEach(({ duty, token }) => {
         const ownClaim = held.value.get(duty);
         if (ownClaim !== undefined && ownClaim.token < token) dropDuty(duty, 'holder-told');
+        // The answer says that this instance has stopped, also if it learns late of an own claim.
+        options.observeNewer({ duty, holder: member.id, token });
       });
       return {
         newer: namedClaims.flatMap(findNewer),
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -46,7 +46,7 @@
    * As `stop` of the claims: pools are planned on until another instance claims them. The gateway
    * keeps answering, in the end through peers.
    */
-  readonly release: (holdsUntilMs: number) => Promise<void>;
+  readonly release: (mayHold: () => boolean) => Promise<void>;
   /**
    * Closes the server for peers and the connections to them, after at most `limitMs` also those with
    * calls in progress; does not release the duties.
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -134,19 +134,21 @@
   /** What this planner tells; set when it stops. */
   let telling: TimedHandOver | undefined;
 
+  const recordTelling = () => {
+    const atMs = performance.now();
+    const told = predecessor.getTold();
+    telling = planner ? { handOver: planner.makeHandOver(claim.token, atMs), atMs } : told;
+  };
   const stop = () => {
     if (isStopped) return;
     isStopped = true;
-    const atMs = performance.now();
-    telling = planner
-      ? { handOver: planner.makeHandOver(claim.token, atMs), atMs }
-      : predecessor.getTold();
     store.close();
     clearInterval(ticker);
     subscription?.unsubscribe();
     loops.stop();
     stateWriter.stop();
     settlingLog.logEnd(performance.now());
+    guard.wrap('hand-over', recordTelling)();
   };
   const handleLoss = (why: string) => {
     if (isStopped) return;
--- a/packages/daemon/src/lib/jobs/unclaimed-duties.ts
+++ b/packages/daemon/src/lib/jobs/unclaimed-duties.ts
@@ -20,6 +20,8 @@
   readonly reset: () => void;
   /** Records that this instance gives up a claim. */
   readonly observeDrop: (claim: Claim) => void;
+  /** Records that another instance has made this claim, so that no older one is taken any more. */
+  readonly observeNewer: (claim: Claim) => void;
   /** Says whether this instance gave up this claim or a newer one. */
   readonly wasDropped: (claim: Claim) => boolean;
 }
@@ -55,6 +57,9 @@
     observeDrop: ({ duty, token }) => {
       droppedTokens.set(duty, token);
     },
+    observeNewer: ({ duty, token }) => {
+      droppedTokens.set(duty, Math.max(token - 1, droppedTokens.get(duty) ?? -1));
+    },
     wasDropped: ({ duty, token }) => token <= (droppedTokens.get(duty) ?? -1),
   };
 }
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -126,7 +126,7 @@
     assert.ok(holder !== undefined);
     assert.is(fleet.isInForce(holder), true);
     await runSteps(fleet, holder, clock);
-    fleet.fleet.forEach((claims) => void claims.stop(0));
+    fleet.fleet.forEach((claims) => void claims.stop(() => false));
   } finally {
     clock.uninstall();
   }
@@ -176,7 +176,7 @@
   await clock.tickAsync(5 * SECOND_MS);
   const current = claims.held.value.get(DUTY)!;
   const areInForce = [lost, current].map(claims.isInForce);
-  void claims.stop(0);
+  void claims.stop(() => false);
   clock.uninstall();
   assert.is(wasInForce, true);
   assert.ok(current.token > lost.token);
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -48,7 +48,7 @@
   };
   const dutyClaims = startClaims(store);
   await clock.tickAsync(2 * SECOND_MS);
-  void dutyClaims.stop(0);
+  void dutyClaims.stop(() => false);
   clock.uninstall();
   assert.ok(claims > 0, 'no claim at all');
   assert.ok(claims <= 8, `${claims} claims in two seconds`);
@@ -83,7 +83,7 @@
   const heldAfterDrop = dutyClaims.held.value.get('pool/stalls');
   await clock.tickAsync(2 * SECOND_MS);
   const heldLater = dutyClaims.held.value.get('pool/stalls');
-  void dutyClaims.stop(0);
+  void dutyClaims.stop(() => false);
   clock.uninstall();
   assert.is(held?.token, 0, 'the instance holds the claim that the store has');
   assert.is(heldAfterDrop, undefined, 'a claim that was given up is not held again');
@@ -123,7 +123,7 @@
   await clock.tickAsync(2 * SECOND_MS);
   assert.is(dutyClaims.held.value.size, 1);
   isLate = true;
-  const stopped = dutyClaims.stop(0);
+  const stopped = dutyClaims.stop(() => false);
   const successor = { ...SELF, id: 'entry-1~1', name: 'entry-1' };
   addRecords([encodeClaim('pool/stalls', successor)]);
   await clock.tickAsync(4 * SECOND_MS);
@@ -163,7 +163,7 @@
   };
   const dutyClaims = startClaims(store);
   while (!isClaiming) await clock.tickAsync(10);
-  const stopped = dutyClaims.stop(0);
+  const stopped = dutyClaims.stop(() => false);
   await clock.tickAsync(SECOND_MS);
   await stopped;
   const liveClaim = table.findLiveClaim('pool/stalls', performance.now());
--- a/packages/daemon/src/test/endless-loop.test.ts
+++ b/packages/daemon/src/test/endless-loop.test.ts
@@ -107,7 +107,7 @@
     dutyClaims.start();
     await clock.tickAsync(8 * SECOND_MS);
     const held = [...dutyClaims.held.value.keys()];
-    void dutyClaims.stop(0);
+    void dutyClaims.stop(() => false);
     await clock.tickAsync(SECOND_MS);
     clock.uninstall();
     assert.is(failed.size, 2, 'an error was not planted');
--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -149,7 +149,8 @@
       const { instance, isStopping } = process;
       if (instance === undefined || isStopping) return;
       process.isStopping = true;
-      void instance.release(performance.now() + HOLD_MS);
+      const holdsUntilMs = performance.now() + HOLD_MS;
+      void instance.release(() => performance.now() < holdsUntilMs);
       await waitFor(EXIT_MS);
       await stopProcess(process, instance);
     },
--- a/packages/daemon/src/test/leaving-instances.test.ts
+++ b/packages/daemon/src/test/leaving-instances.test.ts
@@ -7,6 +7,7 @@
 import { createDutyClaims, type DutyClaims } from '../lib/jobs/duty-claims.js';
 import { CLAIMS } from '../lib/jobs/duty-partitions.js';
 import { SILENT_LOG } from './job-fixtures.js';
+import { NEVER } from './memory-store.js';
 import { createPolledStore } from './polled-store.js';
 
 const POOL_DUTY = 'pool/stalls';
@@ -17,13 +18,19 @@
 /** Time for which an instance that stops goes on with duties that nobody claims. */
 const HOLD_MS = 2_500;
 
+/** Says for a time that duties may be held. */
+const makeHold = (ms: number) => {
+  const untilMs = performance.now() + ms;
+  return () => performance.now() < untilMs;
+};
+
 /** Instances on one store, which reach each other. */
 const openFleet = () => {
   const store: KeyedStore = createPolledStore({ pickMs: () => 2, handleStored: () => {} });
   const fleet = new Map<string, DutyClaims>();
-  const openInstance = (name: string) => {
+  const openInstance = (name: string, change: Partial<KeyedStore> = {}) => {
     const claims = createDutyClaims({
-      store,
+      store: { ...store, ...change },
       self: { id: `${name}~1`, name, address: name, cores: 1 },
       listDuties: () => [POOL_DUTY, FLEET_DUTY],
       isHandedOver: (duty) => duty !== FLEET_DUTY,
@@ -68,7 +75,7 @@
     const first = openInstance('a');
     await clock.tickAsync(2 * SECOND_MS);
     assert.is(first.held.value.size, 2);
-    const stopped = first.stop(performance.now() + HOLD_MS);
+    const stopped = first.stop(makeHold(HOLD_MS));
     await clock.tickAsync(SECOND_MS);
     assert.is(first.held.value.has(POOL_DUTY), true, 'nobody else is there');
     const second = openInstance('b');
@@ -81,7 +88,7 @@
     assert.is(withoutOwnerMs <= STEP_MS, true, `${withoutOwnerMs} ms without an owner`);
     assert.equal([...second.held.value.keys()].sort(), [FLEET_DUTY, POOL_DUTY]);
     assert.is(first.held.value.size, 0);
-    void second.stop(0);
+    void second.stop(() => false);
   }));
 
 test('the fleet duty is given up at once, and a pool that nobody claims when the time is over', () =>
@@ -89,7 +96,7 @@
     const { openInstance, countHolders } = openFleet();
     const only = openInstance('a');
     await clock.tickAsync(2 * SECOND_MS);
-    const stopped = only.stop(performance.now() + HOLD_MS);
+    const stopped = only.stop(makeHold(HOLD_MS));
     assert.equal([...only.held.value.keys()], [POOL_DUTY]);
     await clock.tickAsync(HOLD_MS - STEP_MS);
     assert.is(countHolders(POOL_DUTY), 1);
@@ -105,13 +112,50 @@
     await clock.tickAsync(2 * SECOND_MS);
     const owner = instances.find(({ held }) => held.value.has(POOL_DUTY))!;
     const others = instances.filter((instance) => instance !== owner);
-    const stops = [others[0]!, owner].map((each) => each.stop(performance.now() + HOLD_MS));
+    const stops = [others[0]!, owner].map((each) => each.stop(makeHold(HOLD_MS)));
     await clock.tickAsync(SECOND_MS);
     assert.is(others[1]!.held.value.has(POOL_DUTY), true, 'held by the one that stays');
     assert.is(countHolders(POOL_DUTY), 1);
     await clock.tickAsync(HOLD_MS);
     await Promise.all(stops);
-    void others[1]!.stop(0);
+    void others[1]!.stop(() => false);
+  }));
+
+// Guards against a pool without an owner while processes are alive, as all of them are stopping.
+test('an instance that stops claims a pool without a holder if no other instance can', () =>
+  runCase(async (clock) => {
+    const { openInstance, countHolders } = openFleet();
+    const first = openInstance('a');
+    await clock.tickAsync(2 * SECOND_MS);
+    const second = openInstance('b');
+    await clock.tickAsync(SECOND_MS);
+    const stops = [first.stop(makeHold(SECOND_MS)), second.stop(makeHold(HOLD_MS))];
+    assert.is(first.held.value.has(POOL_DUTY), true);
+    await clock.tickAsync(2 * SECOND_MS);
+    assert.is(second.held.value.has(POOL_DUTY), true, 'taken over when the first has left');
+    assert.is(countHolders(POOL_DUTY), 1);
+    await clock.tickAsync(SECOND_MS);
+    await Promise.all(stops);
+  }));
+
+// Guards against two planners of a pool: an instance has answered that it has stopped, and then takes
+// an older claim of its own, of which it has learned late.
+test('an own claim that is older than one of which a peer has told is not taken any more', () =>
+  runCase(async (clock) => {
+    const { store, openInstance } = openFleet();
+    const claims = openInstance('a', {
+      append: (where, records, guard) => {
+        const stored = store.append(where, records, guard);
+        return where.partition === CLAIMS.partition ? stored.then(() => NEVER) : stored;
+      },
+    });
+    await clock.tickAsync(SECOND_MS / 2);
+    const member = { id: 'b~1', name: 'b', address: 'b', cores: 1 };
+    const newer = [POOL_DUTY, FLEET_DUTY].map((duty) => ({ duty, holder: member.id, token: 99 }));
+    claims.answerNotice({ member, storeAgeMs: 0, held: newer });
+    await clock.tickAsync(2 * SECOND_MS);
+    assert.equal([...claims.held.value.keys()], []);
+    void claims.stop(() => false);
   }));
 
 // Guards against a pool that loses its planner to a repeated release of the planner before.
@@ -123,7 +167,7 @@
     const member = { id: 'b~1', name: 'b', address: 'b', cores: 1 };
     // Stored before the release, and not read yet when it is sent.
     void store.append(CLAIMS, [encodeClaim(POOL_DUTY, member)], { kind: 'none' });
-    const stopped = first.stop(0);
+    const stopped = first.stop(() => false);
     await clock.tickAsync(SECOND_MS);
     await stopped;
     const newest = store.readNewest(CLAIMS);
--- a/packages/daemon/src/test/simulated-instance.ts
+++ b/packages/daemon/src/test/simulated-instance.ts
@@ -27,8 +27,8 @@
   readonly self: Member;
   readonly claims: DutyClaims;
   readonly findRunner: (pool: string) => PoolRunner | undefined;
-  /** Gives up everything as an entry does that is told to stop, until the given time at the latest. */
-  readonly release: (holdsUntilMs: number) => Promise<void>;
+  /** Gives up everything as an entry does that is told to stop. */
+  readonly release: DutyClaims['stop'];
   /** Ends the process: from now on it sends nothing and gets no answers. */
   readonly end: () => void;
   readonly isGone: () => boolean;
@@ -95,7 +95,7 @@
     release: claims.stop,
     end: () => {
       isGone = true;
-      void claims.stop(0);
+      void claims.stop(() => false);
     },
     isGone: () => isGone,
   };
--- a/packages/daemon/src/test/unclaimed-duties.test.ts
+++ b/packages/daemon/src/test/unclaimed-duties.test.ts
@@ -68,7 +68,7 @@
   dutyClaims.dropDuty('pool/a', 'worker-fenced');
   await clock.tickAsync(SECOND_MS);
   const reclaimed = dutyClaims.held.value.get('pool/a');
-  void dutyClaims.stop(0);
+  void dutyClaims.stop(() => false);
   clock.uninstall();
   assert.is(heldCount, DUTIES.length);
   assert.is(reclaimed?.token, DUTIES.length);
--- a/packages/vanilladock/src/lib/shutdown/shutdown-plan.ts
+++ b/packages/vanilladock/src/lib/shutdown/shutdown-plan.ts
@@ -81,6 +81,14 @@
   return isTaken ? { kind: 'take', answerByMs: plan.answersByMs } : { kind: 'refuse' };
 }
 
+/**
+ * Says whether an instance that stops goes on with duties that nobody else takes: as long as it stays
+ * for its calls, so that its exit does not wait for them.
+ */
+export function isHoldingDuties(plan: ShutdownPlan, openCalls: number, nowMs: number): boolean {
+  return nowMs < plan.takesUntilMs || (openCalls > 0 && nowMs < plan.answersByMs);
+}
+
 /** Decides the next step of a stop; 'close' ends it. */
 export function decideShutdownStep(
   plan: ShutdownPlan,
