Count stopping runs among the possible causes of a crash

Callers saw a sound job as `failed`: it had lost two workers, the second of them under a job that its caller had cancelled 20 ms before.

Cause: whether a job was alone on a crashed worker was decided by the tasks that were assigned there. A run of a job that was cancelled or given up belongs to no task any more, but goes on until it has stopped (up to stop_grace_ms), and a start that no report has listed was left out when the worker restarted under its id. So the only other job there was taken for the cause, and given up if that was its second crash.

Evidence: the new test of crash-watch.test.ts fails on the code before (status `failed` instead of `running`).

Fix: a silence names all jobs with runs on the worker that may have been the cause, those without a task included, when the worker stopped to answer. A crash names a job only if it is the only one of these.

--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -9,7 +9,6 @@
   decideGiveUp,
   isMassLoss,
   isTelling,
-  PROVEN_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
 import { makeIncarnationKey } from './ended-incarnations.js';
@@ -112,8 +111,6 @@
     const { id: workerId, bornMs } = worker.entry;
     const machine = getMachine(worker.entry);
     const isMass = isMassLoss(silences.countCoincident(silence), silences.hasCommonJob(silence));
-    const unproven = silence.runs.filter(({ aliveMs }) => aliveMs < PROVEN_RUN_MS);
-    const jobIds = new Set(unproven.map(({ jobId }) => jobId));
     silence.runs.forEach((run) => {
       const suspicion = classifyCrash(run.aliveMs, isMass);
       const task = table.findTask(run.taskKey);
@@ -128,7 +125,10 @@
         machine,
         isConfirmed: isEnded && run.isConfirmed,
         suspicion,
-        isAlone: jobIds.size === 1 && !machineCrashes.hasCrashedWithout(machine, run.jobId, nowMs),
+        isAlone:
+          silence.possibleCauses.size === 1 &&
+          silence.possibleCauses.has(run.jobId) &&
+          !machineCrashes.hasCrashedWithout(machine, run.jobId, nowMs),
         atMs: nowMs,
       };
       addToIndex(run.taskKey, record);
@@ -240,8 +240,8 @@
       }
       addRecords(worker, silence, true, nowMs);
       updateToConfirmed(entry, nowMs);
-      const jobIds = silence.runs.map(({ jobId }) => jobId);
-      machineCrashes.add(getMachine(entry), jobIds, nowMs);
+      const jobIds = new Set([...silence.runs.map(({ jobId }) => jobId), ...added.possibleCauses]);
+      machineCrashes.add(getMachine(entry), [...jobIds], nowMs);
       if (silence.runs.length > 0) logCrash(worker, silence, nowMs);
     },
     observeEntry: (entry, { nowMs }) => {
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -2,8 +2,10 @@
  * Remembers when workers stopped to answer, and with which runs, so that crashes at the same moment
  * can be told from single ones. Load pattern: a rack, a data centre or a whole pool is lost at once.
  */
+import { PROVEN_RUN_MS } from './crash-evidence.js';
 import { makeIncarnationKey } from './ended-incarnations.js';
 import type { PoolContext } from './pool-context.js';
+import { parseTaskKey } from './spec.js';
 import type { Task, Worker } from './state.js';
 import { listWorkerTasks } from './worker-loss.js';
 
@@ -28,6 +30,8 @@
   /** Whether the worker was to end: it was draining, or its instance was being evacuated. */
   readonly isEndPlanned: boolean;
   readonly runs: readonly SilencedRun[];
+  /** Jobs of all runs there that may have been the cause, also of runs that belong to no task. */
+  readonly possibleCauses: ReadonlySet<string>;
   /** Whether the end of the incarnation was dealt with; its entry may remain listed for a while. */
   readonly isSettled: boolean;
 }
@@ -71,6 +75,20 @@
   return [{ taskKey, jobId, run: state.run, aliveMs, isConfirmed, isReported: state.isReported }];
 }
 
+/**
+ * Lists the jobs whose runs may be the cause of a crash. A run that belongs to no task, such as one of
+ * a job that was cancelled or given up, goes on until it has stopped; its age is not known.
+ */
+function listPossibleCauses(
+  { orphanedRuns }: Worker,
+  runs: readonly SilencedRun[],
+): ReadonlySet<string> {
+  return new Set([
+    ...runs.filter(({ aliveMs }) => aliveMs < PROVEN_RUN_MS).map(({ jobId }) => jobId),
+    ...[...orphanedRuns.keys()].map((key) => parseTaskKey(key).jobId),
+  ]);
+}
+
 /** Finds the time at which a worker last answered a renewal or a start. */
 function findLastSign(worker: Worker, tasks: readonly Task[]): number {
   const confirmations = tasks.map(({ state }) =>
@@ -98,8 +116,15 @@
       const tasks = listWorkerTasks(context, worker);
       const lastSignMs = findLastSign(worker, tasks);
       const runs = tasks.flatMap((task) => makeRun(task, lastSignMs));
-      const isEndPlanned = isEnding(worker, nowMs);
-      const silence = { workerId, bornMs, atMs: nowMs, isEndPlanned, runs, isSettled: false };
+      const silence: Silence = {
+        workerId,
+        bornMs,
+        atMs: nowMs,
+        isEndPlanned: isEnding(worker, nowMs),
+        runs,
+        possibleCauses: listPossibleCauses(worker, runs),
+        isSettled: false,
+      };
       silences.set(key, silence);
       return silence;
     },
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -169,4 +169,28 @@
   assert.is(readProgress('a')!.phase, 'failed');
 });
 
+// Guards against a sound job that is given up for the crash of a cancelled one beside it.
+test('a crash under a run that is being stopped does not name the only other job there', () => {
+  const { planner, at, events, ...harness } = openRunning();
+  harness.report('w1', 1_000, [makeRow(TASK, 1)]);
+  planner.observeIncarnationEnd('w1', 1, at(1_100));
+  harness.store();
+  harness.submit(makeJob('b'), 1_110);
+  const starts = harness.planStarts(1_120);
+  assert.equal(
+    starts.map(({ worker }) => worker.id),
+    ['w22', 'w22'],
+  );
+  harness.accept(starts, 1_125);
+  const rows = starts.map(({ taskKey, run }) => makeRow(taskKey, run));
+  harness.report('w22', 1_200, rows);
+  planner.cancel('b', at(1_300));
+  planner.observeIncarnationEnd('w22', 1, at(1_320));
+  planner.plan(at(1_330));
+  harness.store();
+  assert.is(planner.getJobStatus('a'), 'running');
+  assert.equal(listCrashes({ planner }).length, 2);
+  assert.not(events.some(({ event }) => event === 'job-given-up'));
+});
+
 test.run();
