Say that a job does not exist only under a version that is new enough

Callers got 410 for an accepted job from an instance that did not have the newest version of the configuration yet.

Cause: a version sends a queue to another pool, an instance that has it hands a job in there. An instance with the version before asks the former pool alone, as it cannot know of the other one, and its "no such job" was passed on. A cancel was refused there already (config-older), a GET was not.

Fix: a GET names its queue and version, as a cancel does. A job is accepted in another pool only after the former pool has closed its queue for older versions and stored that; from then on its planner, and each next one, answers a GET under an older version for an unknown job with 503. A message without them, of an instance before this version, is answered as before.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -46,6 +46,14 @@
   return job !== undefined && isForeignJob(job.record, team);
 }
 
+/**
+ * Says whether a version of the configuration is too old for a queue: the pool may have told others
+ * that it does not have a job, which another pool has accepted since.
+ */
+function isTooOld(context: AnswerContext, origin: QueueOrigin | undefined): boolean {
+  return origin !== undefined && origin.version < context.getFloor(origin.queue);
+}
+
 /** Submits a job to the planner; the reply is `accepted` only once the job is stored. */
 async function submitJob(
   context: AnswerContext,
@@ -56,9 +64,7 @@
   const { id } = spec;
   if (isForeign(context, id, team)) return { kind: 'foreign-job' };
   const isKnown = planner.table.jobs.has(id);
-  if (!isKnown && origin !== undefined && origin.version < context.getFloor(origin.queue)) {
-    return makeUnavailable('config-older');
-  }
+  if (!isKnown && isTooOld(context, origin)) return makeUnavailable('config-older');
   if (context.isStoreUnavailable() && planner.getJobStatus(id) === 'unknown') {
     // Spreads the retries, so that callers do not all return at once when the store recovers.
     const retryAfterMs = RETRY_AFTER_MS + Math.random() * STORE_RETRY_SPREAD_MS;
@@ -87,12 +93,10 @@
 }
 
 /** Replies that the pool does not have a job, once it accepts none under an older version any more. */
-async function closeForOlder(
-  context: AnswerContext,
-  { queue, version }: QueueOrigin,
-): Promise<JobReply> {
-  if (version < context.getFloor(queue)) return makeUnavailable('config-older');
+async function closeForOlder(context: AnswerContext, origin: QueueOrigin): Promise<JobReply> {
+  if (isTooOld(context, origin)) return makeUnavailable('config-older');
 
+  const { queue, version } = origin;
   const isRecorded = await context.recordFloors([queue], version, STORE_TIMEOUT_MS);
   return isRecorded && !context.isStopped()
     ? { kind: 'no-such-job' }
@@ -117,9 +121,7 @@
   context: AnswerContext,
   origin: QueueOrigin | undefined,
 ): string | undefined {
-  if (origin !== undefined && origin.version < context.getFloor(origin.queue)) {
-    return 'config-older';
-  }
+  if (isTooOld(context, origin)) return 'config-older';
   return context.isStoreUnavailable() ? 'store-away' : undefined;
 }
 
@@ -171,7 +173,10 @@
     case 'status': {
       if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
       const state = planner.getJobStatus(request.jobId);
-      return state === 'unknown' ? { kind: 'no-such-job' } : { kind: 'state', state };
+      if (state !== 'unknown') return { kind: 'state', state };
+      return isTooOld(context, request.origin)
+        ? makeUnavailable('config-older')
+        : { kind: 'no-such-job' };
     }
     case 'pending':
       return { kind: 'pending', count: planner.countPending(request) };
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -49,6 +49,8 @@
       readonly jobId: string;
       /** As for `submit`. */
       readonly team?: string | undefined;
+      /** As for `submit`; under a version that is too old, an unknown job may be in another pool. */
+      readonly origin?: QueueOrigin | undefined;
     }
   | {
       readonly kind: 'cancel';
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -77,7 +77,7 @@
     receipt,
   }),
   jobSchema.extend({ kind: z.literal('lookup'), queue: z.string(), version: z.number() }),
-  jobSchema.extend({ kind: z.literal('status') }),
+  jobSchema.extend({ kind: z.literal('status'), origin }),
   jobSchema.extend({
     kind: z.literal('cancel'),
     origin,
--- a/packages/daemon/src/lib/jobs/queue-gateway.ts
+++ b/packages/daemon/src/lib/jobs/queue-gateway.ts
@@ -151,7 +151,7 @@
           return submit(request, origin, answerByMs);
         case 'status':
         case 'cancel': {
-          const asked = request.kind === 'cancel' ? { ...request, origin } : request;
+          const asked = { ...request, origin };
           // If not, there may be a pool that is not asked; one that becomes known meanwhile is not either.
           const areAllKnown = directory.hasRecorded(origin.version);
           const reply = await chooseReply(queryAll(asked, origin.queue, answerByMs));
--- a/packages/daemon/src/test/queue-moves-machine.test.ts
+++ b/packages/daemon/src/test/queue-moves-machine.test.ts
@@ -27,6 +27,11 @@
     maxLength: INSTANCES,
   }),
 });
+const asks = fc.record({
+  kind: fc.constant('ask' as const),
+  id: fc.constantFrom(...JOB_IDS),
+  instance,
+});
 const others: readonly fc.Arbitrary<Step>[] = [
   fc.record({
     kind: fc.constant('take-over' as const),
@@ -41,6 +46,7 @@
     step: fc.oneof(
       { weight: 6, arbitrary: submits },
       { weight: 4, arbitrary: publishes },
+      { weight: 3, arbitrary: asks },
       ...others.map((arbitrary) => ({ weight: 1, arbitrary })),
     ),
     waitMs: fc.oneof(fc.integer({ min: 1, max: 60 }), fc.integer({ min: 1, max: 900 })),
@@ -58,4 +64,14 @@
   await fc.assert(property, { numRuns: CASES, seed: SEED, endOnFailure: true });
 });
 
+// Guards against a 410 for an accepted job from an instance that does not have its version yet.
+test('an instance behind does not say that a job does not exist that another pool accepted', async () => {
+  const found = await runCase(1, [
+    { step: { kind: 'publish', pool: 'kilns', delaysMs: [900, 5, 5] }, waitMs: 100 },
+    { step: { kind: 'submit', id: 'a', instance: 1 }, waitMs: 400 },
+    { step: { kind: 'ask', id: 'a', instance: 0 }, waitMs: 200 },
+  ]);
+  assert.equal(found, []);
+});
+
 test.run();
--- a/packages/daemon/src/test/queue-simulation.ts
+++ b/packages/daemon/src/test/queue-simulation.ts
@@ -43,6 +43,8 @@
       readonly heldMs?: number;
     }
   | { readonly kind: 'cancel'; readonly id: string; readonly instance: number }
+  /** Asks an instance for the state of a job, under whatever version it has. */
+  | { readonly kind: 'ask'; readonly id: string; readonly instance: number }
   | { readonly kind: 'take-over'; readonly pool: PoolName; readonly downMs: number }
   /** A planner takes over from one that goes on, and that some requests still reach. */
   | { readonly kind: 'supersede'; readonly pool: PoolName; readonly knownAfterMs: number }
@@ -85,6 +87,7 @@
   const accepted = new Set<string>();
   /** Jobs whose cancel was confirmed, whether or not they were known. */
   const cancelled = new Set<string>();
+  const found: string[] = [];
   let token = 0;
   let newest = makeConfig(1, 'stalls');
 
@@ -150,6 +153,12 @@
     const reply = await answerCall(number, (pool) => ({ kind: 'cancel', pool, jobId: id }));
     if (reply?.kind === 'cancelled' || reply?.kind === 'no-such-job') cancelled.add(id);
   };
+  /** Asks for the state of a job; one that was accepted before must be known. */
+  const queryJob = async (id: string, number: number) => {
+    const wasAccepted = accepted.has(id);
+    const reply = await answerCall(number, (pool) => ({ kind: 'status', pool, jobId: id }));
+    if (wasAccepted && reply?.kind === 'no-such-job') found.push(`${id} was said not to exist`);
+  };
   /** Has a planner take over a pool at once; the one before learns of it later, or when it writes. */
   const startSuperseding = async (pool: PoolName, knownAfterMs: number) => {
     const earlier = runners.get(pool);
@@ -177,6 +186,8 @@
         return submit(step.id, step.instance, step.heldMs ?? 0);
       case 'cancel':
         return cancel(step.id, step.instance);
+      case 'ask':
+        return queryJob(step.id, step.instance);
       case 'supersede':
         return startSuperseding(step.pool, step.knownAfterMs);
       case 'delay':
@@ -205,13 +216,12 @@
         step satisfies never;
     }
   };
-  /** Lists what is wrong once everything has settled. */
+  /** Lists what was wrong on the way, and what is once everything has settled. */
   const check = async (clock: Clock): Promise<readonly string[]> => {
     instances.forEach(({ subject }) => subject.next(newest));
     delaysMs.clear();
     await clock.tickAsync(SETTLE_MS);
     const pool = findPool(newest) ?? 'stalls';
-    const found: string[] = [];
     const checkJob = async (id: string) => {
       const status = { kind: 'status', jobId: id } as const;
       const replies = POOLS.map((name) => runners.get(name)!.answer({ ...status, pool: name }));
