Keep an inherited job's state although two clocks differ

Callers could get 410 for a job that had ended less than status_s ago, and a repeated submission of it would have been taken for a new job.

Cause: a successor computed how long ago a job had ended from its own wall clock and that of the planner that had recorded the end, and dropped the job, and its records, status_s after that. The tolerance for clocks that differ (60 s) was only applied to what is loaded, not to what is dropped a moment later. With status_s of 120 s a clock that is 2 s ahead took 2 s off it.

Fix: the age at which a loaded job is dropped allows for the same difference of clocks as the one at which it is not loaded. The test on counting goes on from the end of a job assumed equal clocks: its two bounds, 100 ms before and 1.1 s after, are kept and lie later by the tolerance.

--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -5,6 +5,7 @@
  */
 import type { LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
 import type { CancelTombstone } from 'vanilladock/lib/jobs/cancel-tombstones.js';
+import { CLOCK_TOLERANCE_MS } from 'vanilladock/lib/jobs/make-job.js';
 import { decodeProgress, type Progress } from 'vanilladock/lib/jobs/progress.js';
 import type { JobRecord } from 'vanilladock/lib/jobs/spec.js';
 import { makeJobKey, makeProgressKey } from 'vanilladock/lib/jobs/store-queue.js';
@@ -68,9 +69,6 @@
   readonly decode: () => StoredPool;
 }
 
-/** Time by which the clocks of two instances may differ, in milliseconds. */
-const CLOCK_TOLERANCE_MS = 60_000;
-
 /** Of ended jobs that do not say when they ended, as in old records, so many are kept. */
 const MAX_UNDATED = 5_000;
 
--- a/packages/vanilladock/src/lib/jobs/make-job.ts
+++ b/packages/vanilladock/src/lib/jobs/make-job.ts
@@ -13,11 +13,21 @@
   readonly storedPhase: Job['storedPhase'];
 }
 
+/** Time by which the wall clocks of two instances may differ, in milliseconds. */
+export const CLOCK_TOLERANCE_MS = 60_000;
+
+/**
+ * Computes for how long a job has ended at least, in milliseconds; the planner that recorded its end
+ * may have had another clock.
+ */
+function computeEndedAgo(endedAtMs: number | undefined, wallMs: number): number {
+  return Math.max(0, wallMs - CLOCK_TOLERANCE_MS - (endedAtMs ?? wallMs));
+}
+
 /** Makes the job at a moment, without occurrences. */
 export function makeJob(record: JobRecord, origin: JobOrigin, { nowMs, wallMs }: Moment): Job {
   const ageMs = Math.max(0, wallMs - record.acceptedAtMs);
   const { phase = 'active', endedAtMs } = origin.progress ?? {};
-  const endedAgoMs = Math.max(0, wallMs - (endedAtMs ?? wallMs));
   const arrivedMs = nowMs - ageMs;
   return {
     record,
@@ -35,7 +45,7 @@
     failedWorkerIds: [],
     crashVersion: 0,
     storedCrashVersion: 0,
-    finishedMs: phase === 'active' ? undefined : nowMs - endedAgoMs,
+    finishedMs: phase === 'active' ? undefined : nowMs - computeEndedAgo(endedAtMs, wallMs),
     endedAtMs,
   };
 }
--- a/packages/vanilladock/src/test/jobs/removed-jobs.test.ts
+++ b/packages/vanilladock/src/test/jobs/removed-jobs.test.ts
@@ -2,6 +2,7 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import type { KeyedRecord } from '../../lib/ports/keyed-store.js';
+import { CLOCK_TOLERANCE_MS } from '../../lib/jobs/make-job.js';
 import { createHarness, makeJob, POLICY, POOL, WALL_MS } from './planner-harness.js';
 
 /** How long the harness keeps the status of an ended job. */
@@ -76,10 +77,8 @@
   );
 });
 
-test('a successor goes on to count the time since the end of a job', () => {
-  const { stored } = openCancelled();
-  const text = stored.get(`${POOL}:a:p`)!;
-  assert.is((JSON.parse(text) as { readonly endedAtMs: number }).endedAtMs, WALL_MS + 10);
+/** Opens a successor that is told, by its own clock, how long ago the job `a` has ended. */
+const openSuccessor = (endedAgoMs: number) => {
   const successor = createHarness({ runBase: 100 });
   const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
   const progress = {
@@ -88,13 +87,31 @@
     failedRuns: new Map(),
     crashes: new Map(),
     occurrencesDone: new Set<number>(),
-    endedAtMs: WALL_MS - STATUS_MS / 2,
+    endedAtMs: WALL_MS - endedAgoMs,
   };
   successor.planner.loadJob(record, progress, successor.at(0));
-  successor.planner.plan(successor.at(STATUS_MS / 2 - 100));
-  assert.is(successor.planner.getJobStatus('a'), 'cancelled');
-  successor.planner.plan(successor.at(STATUS_MS / 2 + 1_100));
-  assert.is(successor.planner.getJobStatus('a'), 'unknown');
+  return successor;
+};
+
+test('a successor goes on to count the time since the end of a job', () => {
+  const { stored } = openCancelled();
+  const text = stored.get(`${POOL}:a:p`)!;
+  assert.is((JSON.parse(text) as { readonly endedAtMs: number }).endedAtMs, WALL_MS + 10);
+  const { planner, at } = openSuccessor(STATUS_MS / 2 + CLOCK_TOLERANCE_MS);
+  planner.plan(at(STATUS_MS / 2 - 100));
+  assert.is(planner.getJobStatus('a'), 'cancelled');
+  planner.plan(at(STATUS_MS / 2 + 1_100));
+  assert.is(planner.getJobStatus('a'), 'unknown');
+});
+
+// Guards against a 410 within `status_s`, and a repeated submission that is taken for a new job.
+test('a successor whose clock is ahead does not forget a job that has just ended', () => {
+  const { planner, at } = openSuccessor(CLOCK_TOLERANCE_MS);
+  planner.plan(at(STATUS_MS - 100));
+  assert.is(planner.getJobStatus('a'), 'cancelled');
+  assert.is(planner.submit(makeJob('a'), POLICY, at(STATUS_MS - 90)), 'known');
+  planner.plan(at(STATUS_MS + 1_100));
+  assert.is(planner.getJobStatus('a'), 'unknown');
 });
 
 test.run();
