Test what callers were told against what next planners load

What was accepted and not cancelled is loaded by each next planner; what was only refused or unavailable is not; a confirmed cancel holds; nothing else is cancelled.

--- a/packages/daemon/src/test/queue-simulation.ts
+++ b/packages/daemon/src/test/queue-simulation.ts
@@ -87,6 +87,8 @@
   const accepted = new Set<string>();
   /** Jobs whose cancel was confirmed, whether or not they were known. */
   const cancelled = new Set<string>();
+  /** Jobs of which a submission was not rejected. */
+  const unrejected = new Set<string>();
   const found: string[] = [];
   let token = 0;
   let newest = makeConfig(1, 'stalls');
@@ -148,6 +150,7 @@
       policy: POLICY,
     }));
     if (reply?.kind === 'accepted') accepted.add(id);
+    if (reply?.kind !== 'refused' && reply?.kind !== 'unavailable') unrejected.add(id);
   };
   const cancel = async (id: string, number: number) => {
     const reply = await answerCall(number, (pool) => ({ kind: 'cancel', pool, jobId: id }));
@@ -230,6 +233,8 @@
       if (cancelled.has(id) && states.some(({ state }) => state !== 'cancelled')) {
         found.push(`${id} was cancelled and goes on`);
       }
+      const isWaiting = states.some(({ state }) => state === 'queued');
+      if (isWaiting && !unrejected.has(id)) found.push(`${id} was rejected and waits to run`);
       if (homes > 1) found.push(`${id} lives in ${homes} pools`);
       if (!accepted.has(id)) return;
       const origin = { queue: QUEUE, version: newest.version };
