Store a crash once for all tasks of a job

A caller's job of thousands of small tasks, accepted with 2xx, could keep its pool from storing anything more once workers crashed under it: no new job of the queue accepted, no end of any job noted.

Cause: the progress of a job repeats each crash, some 50 to 75 bytes, under each of its tasks. The progress is one record; the platform takes at most `record_bytes` (262,144), and all that is due goes in one append, all or nothing, again and again. A submission may have 10,000 tasks.

By reading: a record that is refused stays due in each next batch.

Fix: each crash is in a table of the record once, tasks name their rows in it.

Left: 10,000 tasks of which most have failed and have also lost workers, or a batch of more than `call_bytes`, are refused as before.

--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -16,8 +16,15 @@
   readonly done: readonly string[];
   /** Numbers of failed runs by task, named as in `done`. */
   readonly failedRuns: Readonly<Record<string, readonly number[]>>;
-  /** Crashes under the runs of tasks, named as in `done`; absent in old records. */
+  /** Crashes as old records have them, whole under each task, named as in `done`. */
   readonly crashes?: Readonly<Record<string, readonly StoredCrash[]>>;
+  /**
+   * Crashes under the runs of tasks, each once, as a worker may be lost with thousands of tasks of a
+   * job; absent without any.
+   */
+  readonly crashTable?: readonly StoredCrash[];
+  /** Positions in `crashTable` of each task's crashes, oldest first; tasks are named as in `done`. */
+  readonly crashRows?: Readonly<Record<string, readonly number[]>>;
   readonly occurrencesDone: readonly number[];
   /** When the job ended, in ms since 1970; absent while it is active and in old records. */
   readonly endedAtMs?: number | undefined;
@@ -53,12 +60,45 @@
   return [workerId, bornMs, machine, isConfirmed, suspicion, isAlone];
 }
 
+/** Encodes the crashes of tasks; nothing without any. */
+function encodeCrashes(
+  tasks: readonly Task[],
+): Pick<StoredProgress, 'crashTable' | 'crashRows'> | undefined {
+  const positions = new Map<string, number>();
+  const crashTable: StoredCrash[] = [];
+  const addCrash = (crash: CrashRecord): number => {
+    const stored = encodeCrash(crash);
+    const key = JSON.stringify(stored);
+    const position = positions.get(key) ?? crashTable.length;
+    if (position === crashTable.length) crashTable.push(stored);
+    positions.set(key, position);
+    return position;
+  };
+  const rows = tasks.map((task) => [makeTaskSuffix(task), task.crashes.map(addCrash)] as const);
+  return rows.length === 0 ? undefined : { crashTable, crashRows: Object.fromEntries(rows) };
+}
+
 /** Decodes a crash. */
 function decodeCrash(stored: StoredCrash): CrashRecord {
   const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] = stored;
   return { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
 }
 
+/** Decodes the crashes of tasks, by task. */
+function decodeCrashes({
+  crashes = {},
+  crashTable = [],
+  crashRows = {},
+}: StoredProgress): Progress['crashes'] {
+  const known = crashTable.map(decodeCrash);
+  return new Map([
+    ...Object.entries(crashes).map(([task, list]) => [task, list.map(decodeCrash)] as const),
+    ...Object.entries(crashRows).map(
+      ([task, row]) => [task, row.flatMap((position) => known[position] ?? [])] as const,
+    ),
+  ]);
+}
+
 /** Encodes the progress of a job; only the phase is kept for finished jobs. */
 export function encodeProgress(job: Job, tasks: readonly Task[]): string {
   const isActive = job.phase === 'active';
@@ -72,13 +112,7 @@
     failedRuns: isActive
       ? Object.fromEntries(failed.map((task) => [makeTaskSuffix(task), task.failedRuns]))
       : {},
-    ...(isActive && crashed.length > 0
-      ? {
-          crashes: Object.fromEntries(
-            crashed.map((task) => [makeTaskSuffix(task), task.crashes.map(encodeCrash)]),
-          ),
-        }
-      : {}),
+    ...(isActive ? encodeCrashes(crashed) : undefined),
     occurrencesDone: isActive ? [...job.finishedOccurrences] : [],
     endedAtMs: job.endedAtMs,
   };
@@ -105,12 +139,7 @@
     phase: stored.phase,
     done: new Set(stored.done),
     failedRuns: new Map(Object.entries(stored.failedRuns)),
-    crashes: new Map(
-      Object.entries(stored.crashes ?? {}).map(([task, crashes]) => [
-        task,
-        crashes.map(decodeCrash),
-      ]),
-    ),
+    crashes: decodeCrashes(stored),
     occurrencesDone: new Set(stored.occurrencesDone),
     endedAtMs: stored.endedAtMs,
     tombstone: stored.tombstone,
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -0,0 +1,74 @@
+/** Tests of the stored progress of jobs: its size, and what a next planner reads from it. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { CrashRecord } from '../../lib/jobs/crash-evidence.js';
+import { decodeProgress, encodeProgress, type Progress } from '../../lib/jobs/progress.js';
+import { createHarness, makeJob, makeStep, POLICY, WALL_MS } from './planner-harness.js';
+
+/** Largest number of tasks that a submission may have. */
+const MAX_TASKS = 10_000;
+
+/** Largest record that the store takes. */
+const RECORD_BYTES = 262_144;
+
+const ACTIVE: Progress = {
+  phase: 'active',
+  done: new Set(),
+  failedRuns: new Map(),
+  crashes: new Map(),
+  occurrencesDone: new Set(),
+};
+
+const makeCrash = (workerId: string, change: Partial<CrashRecord> = {}): CrashRecord => ({
+  workerId,
+  bornMs: WALL_MS,
+  machine: `machine-${workerId}`,
+  isConfirmed: true,
+  suspicion: 'mass',
+  isAlone: false,
+  atMs: 0,
+  ...change,
+});
+
+/** Makes the progress of a job of `count` tasks as a planner with these records stores it. */
+const makeStored = (count: number, crashes: ReadonlyMap<string, readonly CrashRecord[]>) => {
+  const { planner, at } = createHarness({ runBase: 100 });
+  const spec = makeJob('a', [makeStep({ count })]);
+  const record = { spec, policy: POLICY, acceptedAtMs: WALL_MS };
+  planner.loadJob(record, { ...ACTIVE, crashes }, at(0));
+  return encodeProgress(planner.table.jobs.get('a')!, planner.table.listJobTasks('a'));
+};
+
+const test = suite('progress');
+
+// Guards against a pool that stores nothing any more, as the store refuses the record of one job.
+test('the progress of the largest job fits into a record when its workers have crashed', () => {
+  const crashes = ['w1', 'w2', 'w3'].map((id) => makeCrash(id));
+  const suffixes = Array.from({ length: MAX_TASKS }, (_, index) => `0.0.${index}`);
+  const text = makeStored(MAX_TASKS, new Map(suffixes.map((suffix) => [suffix, crashes])));
+  assert.ok(Buffer.byteLength(text) < RECORD_BYTES, `${Buffer.byteLength(text)} bytes`);
+  const read = decodeProgress(text).crashes;
+  assert.is(read.size, MAX_TASKS);
+  assert.equal(read.get('0.0.9999'), crashes);
+});
+
+test('crashes are read as they were stored, in their order, also from old records', () => {
+  const first = makeCrash('w1', { suspicion: 'recent', isConfirmed: false });
+  const second = makeCrash('w2', { suspicion: 'earlier', isAlone: true });
+  const crashes = new Map([
+    ['0.0.0', [first, second]],
+    ['0.0.1', [second, makeCrash('w1', { suspicion: 'explained' })]],
+  ]);
+  const text = makeStored(3, crashes);
+  assert.equal([...decodeProgress(text).crashes], [...crashes]);
+  const old = {
+    phase: 'active',
+    done: [],
+    failedRuns: {},
+    crashes: { '0.0.0': [['w1', WALL_MS, 'machine-w1', false, 'recent', false]] },
+    occurrencesDone: [],
+  };
+  assert.equal([...decodeProgress(JSON.stringify(old)).crashes], [['0.0.0', [first]]]);
+});
+
+test.run();
