Read what has arrived before an answer closes its connection

Cause: a stopping instance closes a connection with an answer if no other call on it is open. It looked at calls that had been read. After the event loop had been held up, an answer could come before the calls that had waited on its connection all the while; these were read in the same turn, behind the answer that closed, and no answer could be sent any more.

Outside a stop nothing changes.

--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -147,6 +147,16 @@
   }
 }
 
+/**
+ * Resolves when what has arrived by now on open connections has been read: at the end of the next
+ * turn of the event loop, as the present one may have looked for input before. What is done then is
+ * done before more is read.
+ */
+export async function waitArrived(): Promise<void> {
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+}
+
 /**
  * Closes a server that `openServer` opened: stops accepting connections, closes each one when it
  * becomes idle, and after `limitMs` milliseconds closes the rest along with their requests. Resolves
