Read what has arrived before a closing server ends connections

Cause: closeServer decides by timers which connections are idle, and when its limit is reached. Timers run before input, and a connection whose call waits unread looks idle.

Idle connections are now judged after what has arrived has been read, and when the limit is reached, calls that have arrived are read, and answered if that takes no waiting, before all connections are closed. This is eight turns of the event loop; the limit still ends requests that wait for something.

--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -132,14 +132,17 @@
 /** Turns of the event loop that accept a whole backlog, as each may accept one connection only. */
 const INPUT_TURNS = 512;
 
+/** Turns of the event loop that read what has arrived on open connections and answer it at once. */
+const ANSWER_TURNS = 8;
+
 /**
  * Resolves when the input that has arrived by now has been handled, at the latest after `limitMs`.
  * In a process that gets little processor time, timers run before connections and requests that
- * have waited for long.
+ * have waited for long. `turns` is the number of turns of the event loop that the input may take.
  */
-export async function waitInput(limitMs = Infinity): Promise<void> {
+export async function waitInput(limitMs = Infinity, turns = INPUT_TURNS): Promise<void> {
   const startedMs = performance.now();
-  for (let turn = 0; turn < INPUT_TURNS; turn += 1) {
+  for (let turn = 0; turn < turns; turn += 1) {
     if (performance.now() - startedMs > limitMs) return;
     await new Promise((resolve) => {
       setImmediate(resolve);
@@ -166,11 +169,13 @@
   const table = tables.get(server) ?? new Map<Socket, ConnectionUse>();
   return new Promise((resolve) => {
     let cutRequests = 0;
-    const timer = setTimeout(() => {
+    const closeAll = () => {
       cutRequests = [...table.values()].reduce((sum, { openRequests }) => sum + openRequests, 0);
       server.closeAllConnections();
-    }, limitMs);
-    const idleTimer = setInterval(() => closeIdle(table), IDLE_CHECK_INTERVAL_MS);
+    };
+    const timer = setTimeout(() => void waitInput(Infinity, ANSWER_TURNS).then(closeAll), limitMs);
+    const closeIdleAfterInput = () => void waitArrived().then(() => closeIdle(table));
+    const idleTimer = setInterval(closeIdleAfterInput, IDLE_CHECK_INTERVAL_MS);
     // The method of Node's HTTP server would cut answers that are still being written.
     NetServer.prototype.close.call(server, () => {
       clearTimeout(timer);
@@ -178,6 +183,6 @@
       server.close();
       resolve(cutRequests);
     });
-    closeIdle(table);
+    closeIdleAfterInput();
   });
 }
--- a/packages/daemon/src/test/wait-input.test.ts
+++ b/packages/daemon/src/test/wait-input.test.ts
@@ -10,6 +10,8 @@
 const test = suite('wait for input');
 
 const CONNECTION_COUNT = 30;
+const CLOSE_LIMIT_MS = 100;
+const HELD_UP_MS = 400;
 
 /** Index of the flag that the caller's thread sets when it has sent all calls. */
 const SENT = 0;
@@ -79,4 +81,25 @@
   assert.equal(await ended, [CONNECTION_COUNT]);
 });
 
+// Guards against calls that wait unread, in a process that is held up, when the limit is reached.
+test('a request that arrives during the closing is read and answered at its limit', async () => {
+  const server = createServer((_, response) => response.end('whole'));
+  await openServer(server, '127.0.0.1:0');
+  const { port } = server.address() as AddressInfo;
+  const open = connect(port, '127.0.0.1');
+  await Promise.all([once(open, 'connect'), once(server, 'connection')]);
+  let text = '';
+  open.setEncoding('utf8').on('data', (chunk: string) => {
+    text += chunk;
+  });
+  open.on('error', () => {});
+  const closed = closeServer(server, CLOSE_LIMIT_MS);
+  open.write('GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n');
+  const flag = new Int32Array(new SharedArrayBuffer(Int32Array.BYTES_PER_ELEMENT));
+  Atomics.wait(flag, 0, 0, HELD_UP_MS);
+  await closed;
+  if (!open.closed) await once(open, 'close');
+  assert.match(text, /200 OK[^]*whole/);
+});
+
 test.run();
