Deny a job only while no later planner can have it

What callers could see: 410 for an accepted job (LOST) from a planner that was superseded and does not know it. Cause: a GET of an unknown job was answered from the planner's own table, whether or not its claim was in force.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -21,6 +21,8 @@
   readonly isStoreUnavailable: () => boolean;
   /** Says whether the runner has stopped or lost the pool, so that nothing more is stored. */
   readonly isStopped: () => boolean;
+  /** Says whether no later planner can have the pool; else one may have accepted jobs. */
+  readonly isInForce: () => boolean;
   /** As `getFloor` of the pool's state writer. */
   readonly getFloor: PoolStateWriter['getFloor'];
   /** As `recordFloors` of the pool's state writer. */
@@ -174,6 +176,7 @@
       if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
       const state = planner.getJobStatus(request.jobId);
       if (state !== 'unknown') return { kind: 'state', state };
+      if (!context.isInForce()) return makeUnavailable('claim-unconfirmed');
       return isTooOld(context, request.origin)
         ? makeUnavailable('config-older')
         : { kind: 'no-such-job' };
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -276,6 +276,7 @@
         getFloor: stateWriter.getFloor,
         recordFloors: stateWriter.recordFloors,
         isStopped: () => isStopped,
+        isInForce: options.isInForce,
         wakeWorker: loops.wake,
         schedulePlan,
       };
