Hand over the stops that are on their way

A hand-over now names the runs whose stop was ordered, and the successor adopts them as stopping. hand-over.test.ts, "a run that the planner before has ordered to stop does not count as at work", fails without (both tasks are stopped). A planner that tells nothing, as it was killed, leaves the fault as it was.

--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod';
 import type { Inheritance } from './inheritance.js';
 import { leaseHolderSchema, makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
-import type { Worker } from './state.js';
+import type { Task, Worker } from './state.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
 export interface HeldLease extends LeaseHolder {
@@ -22,6 +22,16 @@
   readonly earlierOrdersMs: number;
   /** All workers that may run something, list ends that are not stored, or have not reported. */
   readonly leases: readonly HeldLease[];
+  /** Runs of which a stop is on its way; absent in those of earlier versions. */
+  readonly stoppedRuns?: readonly RunName[] | undefined;
+  /** Token of a later planner that passes this on because it has not ordered anything. */
+  readonly passedOnBy?: number | undefined;
+}
+
+/** A run of a task. */
+export interface RunName {
+  readonly taskKey: string;
+  readonly run: number;
 }
 
 /** A hand-over with the monotonic time in milliseconds to which its times refer. */
@@ -35,12 +45,15 @@
   token: z.number(),
   earlierOrdersMs: z.number().nonnegative(),
   leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
+  stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
+  passedOnBy: z.number().optional(),
 });
 
 /** Sources of a hand-over. */
 export interface HandOverSources {
   readonly token: number;
   readonly workers: ReadonlyMap<string, Worker>;
+  readonly findTask: (taskKey: string) => Task | undefined;
   readonly inheritance: Pick<
     Inheritance,
     'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs'
@@ -78,7 +91,7 @@
 
 /** Makes the hand-over of a planner that stops at the monotonic time `nowMs`. */
 export function makeHandOver(sources: HandOverSources, nowMs: number): HandOver {
-  const { token, workers, inheritance } = sources;
+  const { token, workers, findTask, inheritance } = sources;
   const leases = new Map<string, HeldLease>();
   workers.forEach((worker, id) => {
     if (!isToBeAsked(worker)) return;
@@ -90,7 +103,15 @@
     leases.set(holder.id, mergeLeases(earlier, leases.get(holder.id)));
   });
   const earlierOrdersMs = Math.max(0, inheritance.getPredecessorUntilMs() - nowMs);
-  return { token, earlierOrdersMs, leases: [...leases.values()] };
+  const stoppedRuns = [...workers.values()].flatMap(({ tasks }) =>
+    [...tasks].flatMap((taskKey) => {
+      const state = findTask(taskKey)?.state;
+      return state?.kind === 'assigned' && state.phase === 'stopping'
+        ? [{ taskKey, run: state.run }]
+        : [];
+    }),
+  );
+  return { token, earlierOrdersMs, leases: [...leases.values()], stoppedRuns };
 }
 
 /** Brings the times of a hand-over to the monotonic time `nowMs`. */
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -1,6 +1,6 @@
 /** Tracks until when tasks of an earlier planner may still run or start unseen on workers. */
 import { SUCCESSION_MS } from '../duties/authority.js';
-import type { TimedHandOver } from './hand-over.js';
+import type { RunName, TimedHandOver } from './hand-over.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
 
@@ -44,6 +44,8 @@
    * the workers that have reported since.
    */
   readonly observeHandOver: (timed: TimedHandOver) => void;
+  /** Says whether the preceding planner has ordered the stop of a run. */
+  readonly wasStopped: (run: RunName) => boolean;
   /** Returns until when earlier planners may send orders; in the past once they may not. */
   readonly getPredecessorUntilMs: () => number;
   /** Returns when earlier planners may last extend the lease of a worker that has not reported. */
@@ -95,6 +97,8 @@
   const listedBornMs = new Map<string, number>();
   /** When the lease of a worker may last have been extended, as the preceding planner tells. */
   const orderedMs = new Map<string, number>();
+  /** Runs that the preceding planner has ordered to stop, by task key. */
+  const stoppedRuns = new Map<string, number>();
   let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
 
   const getLastOrderMs = (workerId: string) => orderedMs.get(workerId) ?? predecessorUntilMs;
@@ -147,6 +151,7 @@
     observeHandOver: ({ handOver, atMs }) => {
       predecessorUntilMs = Math.min(predecessorUntilMs, atMs + handOver.earlierOrdersMs);
       const reportedIds = new Set([...inherited.keys()].filter((id) => !unreported.has(id)));
+      handOver.stoppedRuns?.forEach(({ taskKey, run }) => stoppedRuns.set(taskKey, run));
       unreported.clear();
       longLeases.clear();
       handOver.leases
@@ -156,6 +161,7 @@
           orderedMs.set(holder.id, atMs - orderedAgoMs);
         });
     },
+    wasStopped: ({ taskKey, run }) => stoppedRuns.get(taskKey) === run,
     getPredecessorUntilMs: () => predecessorUntilMs,
     getLastOrderMs,
     mayPredecessorOrder: (nowMs) => nowMs < predecessorUntilMs,
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -79,6 +79,7 @@
   context: PoolContext,
   worker: Worker,
   row: RunningTask,
+  wasStopped: Inheritance['wasStopped'],
   at: Moment,
 ): void {
   const task = context.table.findTask(row.taskKey);
@@ -87,7 +88,7 @@
     return;
   }
   const assignment = makeAssignment(worker.entry.id, row.run, {
-    phase: 'running',
+    phase: wasStopped(row) ? 'stopping' : 'running',
     confirmedMs: at.nowMs,
     isReported: true,
     leaseUntilMs: worker.leaseUntilMs,
@@ -248,7 +249,7 @@
  */
 export function observeReport(
   context: PoolContext,
-  inheritance: Pick<Inheritance, 'computeForeignLeaseMs'>,
+  inheritance: Pick<Inheritance, 'computeForeignLeaseMs' | 'wasStopped'>,
   workerId: string,
   timed: TimedReport,
   at: Moment,
@@ -276,7 +277,7 @@
       task.state.workerId === workerId &&
       task.state.run === row.run;
     if (isKnown) refreshKnownRun(context, task, row, at);
-    else recordUnknownRun(context, worker, row, at);
+    else recordUnknownRun(context, worker, row, inheritance.wasStopped, at);
   });
   if (report.ended.length < MAX_ENDS_PER_REPORT) releaseMissingRuns(context, worker, timed);
   table.refreshUsedCapacity(workerId);
--- a/packages/vanilladock/src/test/jobs/hand-over.test.ts
+++ b/packages/vanilladock/src/test/jobs/hand-over.test.ts
@@ -9,6 +9,8 @@
   makeEnd,
   makeEntry,
   makeJob,
+  makeRow,
+  makeStep,
   POLICY,
   WALL_MS,
   type Harness,
@@ -135,6 +137,40 @@
   assert.is(isStarting(harness, LONG_LEASE_END_MS - 1_000), true);
 });
 
+// Guards against a lasting task that is moved while another one of its step is being stopped.
+test('a run that the planner before has ordered to stop does not count as at work', () => {
+  const step = makeStep({ count: 2, isLasting: true, maxUnavailable: 1, maxPerWorker: 1 });
+  const first = createHarness();
+  first.addWorkers(0, ...ENTRIES);
+  first.submit(makeJob('b', [step]), 1);
+  const starts = first.planStarts(2);
+  first.accept(starts, 3);
+  const rows = new Map(
+    starts.map(({ worker, taskKey, run }) => [worker.id, makeRow(taskKey, run, { percent: 100 })]),
+  );
+  const third = makeEntry('w333');
+  const addThird = ({ planner, at, report }: Harness, nowMs: number) => {
+    planner.observeWorkers([...ENTRIES, third], at(nowMs));
+    planner.markWorkersRecorded(['w1', 'w22', 'w333']);
+    ['w1', 'w22'].forEach((id) => report(id, nowMs, [rows.get(id)!]));
+    report('w333', nowMs);
+  };
+  addThird(first, 10);
+  first.planner.evacuate('w1', first.at(11));
+  const stops = first.planner.plan(first.at(12)).filter(({ kind }) => kind === 'stop');
+  assert.is(stops.length, 1);
+  const second = createHarness({ runBase: 100, inheritedWorkers: ['w1', 'w22', 'w333'] });
+  const record = { spec: makeJob('b', [step]), policy: POLICY, acceptedAtMs: WALL_MS };
+  second.planner.loadJob(record, undefined, second.at(0));
+  second.planner.observeHandOver({ handOver: first.planner.makeHandOver(TOKEN, 13), atMs: 1 });
+  addThird(second, 5);
+  second.planner.evacuate('w22', second.at(6));
+  const again = second.planner
+    .plan(second.at(7))
+    .flatMap((action) => (action.kind === 'stop' ? [action.worker.id] : []));
+  assert.equal(again, ['w1'], 'the stop of before alone, once more');
+});
+
 test('a hand-over does not bring back a worker that has reported', () => {
   const harness = takeOver();
   ['w1', 'w22'].forEach((id) => harness.report(id, 20));
