Pass on a hand-over also for the metadata of a planner that ordered nothing

Found by the review, by reading: a planner that is stopped while its first metadata are being written leaves them with its own token, and passes on a hand-over with the token of the planner before, which its successor then ignores, so that waits begin anew. Such a planner has ordered nothing; its own token is added to what it passes on. predecessor-watch.test.ts has the case.

--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -136,8 +136,10 @@
 
   const recordTelling = () => {
     const atMs = performance.now();
-    const told = predecessor.getTold();
-    telling = planner ? { handOver: planner.makeHandOver(claim.token, atMs), atMs } : told;
+    const { token } = claim;
+    telling = planner
+      ? { handOver: planner.makeHandOver(token, atMs), atMs }
+      : predecessor.makePassedOn(token);
   };
   const stop = () => {
     if (isStopped) return;
--- a/packages/daemon/src/lib/jobs/predecessor-watch.ts
+++ b/packages/daemon/src/lib/jobs/predecessor-watch.ts
@@ -1,6 +1,6 @@
 /** Ends a planner's waits for earlier planners of its pool once it is known that they have stopped. */
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
-import type { TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
+import type { HandOver, TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import { waitMs } from './clock.js';
 import type { Predecessor } from './duty-notices.js';
 import type { PoolMeta } from './stored-pool.js';
@@ -12,8 +12,11 @@
    * that it has found. Resolves when none of them sends orders any more.
    */
   readonly apply: (planner: PoolPlanner, stored: PoolMeta) => Promise<void>;
-  /** Returns what the preceding planner has told, or what it was told; undefined if nothing. */
-  readonly getTold: () => TimedHandOver | undefined;
+  /**
+   * Makes what a planner under the token tells that has ordered nothing: what it was told itself;
+   * undefined if that is nothing.
+   */
+  readonly makePassedOn: (token: number) => TimedHandOver | undefined;
 }
 
 /** Says whether metadata were written by the planner with the token; old ones do not tell. */
@@ -21,6 +24,11 @@
   return meta.token === undefined || meta.token === token;
 }
 
+/** Says whether a hand-over covers the planner that wrote the metadata. */
+function isAbout({ token, passedOnBy }: HandOver, meta: PoolMeta): boolean {
+  return meta.token !== undefined && [token, passedOnBy].includes(meta.token);
+}
+
 /** Starts to query the preceding planner. */
 export function watchPredecessor(query: () => Promise<Predecessor>): PredecessorWatch {
   let told: TimedHandOver | undefined;
@@ -32,12 +40,12 @@
     apply: async (planner, stored) => {
       const { hasStopped, token, knownMs } = await queried;
       // Only the planner that wrote the metadata, or a later one, knows of all orders before them.
-      if (told !== undefined && told.handOver.token === stored.token) planner.observeHandOver(told);
+      if (told !== undefined && isAbout(told.handOver, stored)) planner.observeHandOver(told);
       else if (hasStopped && stored.isSettled !== false && isWriter(stored, token)) {
         planner.observePredecessorStopped(knownMs);
       }
       await waitMs(planner.computeEarlierOrdersMs(performance.now()));
     },
-    getTold: () => told,
+    makePassedOn: (token) => told && { ...told, handOver: { ...told.handOver, passedOnBy: token } },
   };
 }
--- a/packages/daemon/src/test/predecessor-watch.test.ts
+++ b/packages/daemon/src/test/predecessor-watch.test.ts
@@ -48,6 +48,18 @@
   assert.equal(await applyPredecessor({ token: 6, told }), [], 'told by an older one');
 });
 
+// Guards against waits that begin anew, as a planner stops while it writes its first metadata.
+test('what a planner passes on that has ordered nothing holds for its own metadata too', async () => {
+  const clock = install({ now: 0 });
+  const told = { handOver: { ...HAND_OVER, token: 4 }, atMs: 2 };
+  const predecessor = { hasStopped: true, token: 4, told, knownMs: 2 };
+  const watch = watchPredecessor(() => Promise.resolve(predecessor));
+  await clock.tickAsync(1);
+  clock.uninstall();
+  const passedOn = watch.makePassedOn(5);
+  assert.equal(await applyPredecessor({ told: passedOn }, { isSettled: false }), ['hand-over']);
+});
+
 test('metadata of an earlier version, which name no planner, are taken for those of the last', async () => {
   assert.equal(await applyPredecessor({ token: 6 }, { token: undefined }), ['stopped at 3']);
 });
