--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -7,10 +7,21 @@
 import { makeTaskKey } from 'vanilladock/lib/jobs/spec.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PeerOutcome } from 'vanilladock/lib/duties/authority.js';
+import type { LogFields } from '../lib/json-log.js';
 import type { SentNotice } from '../lib/jobs/peer-messages.js';
+import { BehaviorSubject } from 'rxjs';
+import type { WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import {
+  createLinkedStore,
+  isIncomingLost,
+  isOutgoingLost,
+  makeOpenLinks,
+  type Links,
+} from './instance-links.js';
 import { POLICY, SPEC, STEP } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
 import { createPlannerLives } from './planner-lives.js';
+import { createProcessClock, installProcessTimers, runOutside } from './process-clock.js';
 import { createPolledStore } from './polled-store.js';
 import { startSimulatedInstance, type SimulatedInstance } from './simulated-instance.js';
 import { createWorkerPlaces } from './worker-places.js';
@@ -47,12 +58,16 @@
 export interface SimulationOptions {
   readonly seed: number;
   readonly instances?: number;
+  readonly pools?: readonly string[];
   readonly workersPerPool?: number;
+  /** Called with what the instances log. */
+  readonly handleLog?: (instance: string, fields: LogFields) => void;
 }
 
 /** A process name with its present instance; undefined while it is down. */
 interface Process {
   readonly name: string;
+  readonly links: Links;
   instance: SimulatedInstance | undefined;
   isStopping: boolean;
 }
@@ -61,7 +76,8 @@
 
 /** Creates the simulation; time passes only when the clock in force ticks. */
 export function createInstanceSimulation(options: SimulationOptions) {
-  const { seed, instances = 4, workersPerPool = 4 } = options;
+  const { seed, instances = 4, workersPerPool = 4, pools = POOLS } = options;
+  installProcessTimers();
   const lives = createPlannerLives();
   let random = seed;
   let jobCount = 0;
@@ -74,7 +90,7 @@
   const pickWayMs = () => pick(MAX_WAY_MS);
   const store = createPolledStore({ pickMs: pickWayMs, handleStored: lives.observeStored });
   const places = createWorkerPlaces({
-    pools: POOLS,
+    pools,
     workersPerPool,
     pick,
     getDurationMs: (taskKey) => (taskKey.startsWith('lasting') ? Infinity : BATCH_MS),
@@ -85,34 +101,51 @@
     handleRenewed: lives.observeRenewal,
   });
   const processes: readonly Process[] = Array.from({ length: instances }, (_, index): Process => {
-    return { name: `entry-${index}`, instance: undefined, isStopping: false };
+    const links = makeOpenLinks();
+    return { name: `entry-${index}`, links, instance: undefined, isStopping: false };
   });
   /** Sends a notice to whichever incarnation is up at the address when it arrives. */
-  const sendNotice = async (peer: Member, notice: SentNotice): Promise<PeerOutcome> => {
+  const sendNotice = async (
+    { links }: Process,
+    peer: Member,
+    notice: SentNotice,
+  ): Promise<PeerOutcome> => {
     const answerNotice = async (): Promise<PeerOutcome> => {
       await waitFor(pickWayMs());
-      const receiver = processes.find(({ name }) => name === peer.address)?.instance;
-      if (receiver === undefined) return NEVER;
-      const view = receiver.claims.answerNotice(notice);
+      const process = processes.find(({ name }) => name === peer.address);
+      const receiver = process?.instance;
+      if (receiver === undefined || isOutgoingLost(links) || isIncomingLost(process!.links)) {
+        return NEVER;
+      }
+      const view = await receiver.clock.call(() => receiver.claims.answerNotice(notice));
       await waitFor(pickWayMs());
-      return receiver.isGone() ? NEVER : { kind: 'answered', view };
+      const isLost = receiver.isGone() || isOutgoingLost(process!.links) || isIncomingLost(links);
+      return isLost ? NEVER : { kind: 'answered', view };
     };
     const silent = waitFor(NOTICE_TIMEOUT_MS).then(() => ({ kind: 'silent' }) as const);
     return Promise.race([answerNotice(), silent]);
   };
   const openProcess = (process: Process) => {
-    const { name } = process;
+    const { name, links } = process;
+    const clock = createProcessClock();
+    const entries = new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map());
+    places.entries.subscribe((present) => void clock.call(() => entries.next(present)));
     const instance = startSimulatedInstance({
       self: { id: `${name}~${Date.now()}`, name, address: name, cores: 1 },
-      pools: POOLS,
-      store,
+      clock,
+      pools,
+      store: createLinkedStore(store, links, pick),
       storePartitions: 8,
-      workers: places.workers,
+      workers: places.createWorkers({ name, getOnlyWorker: () => links.onlyWorker }),
       advisor: { advise: () => NEVER },
-      entries: places.entries,
+      entries,
       statusMs: 120_000,
-      sendNotice,
-      handleLog: ({ id }, fields) => lives.observeLog(id, fields),
+      sendNotice: (peer, notice) => sendNotice(process, peer, notice),
+      handleLog: ({ id }, fields) =>
+        runOutside(() => {
+          lives.observeLog(id, fields);
+          options.handleLog?.(id, fields);
+        }),
     });
     Object.assign(process, { instance, isStopping: false });
   };
@@ -124,14 +157,23 @@
     await waitFor(START_AGAIN_MS);
     if (!isOver) openProcess(process);
   };
-  const findRunner = (pool: string) =>
-    processes.flatMap(({ instance }) => instance?.findRunner(pool) ?? []).at(0);
+  /** Finds the process whose planner of a pool has the newest claim. */
+  const findOwner = (pool: string) =>
+    processes
+      .flatMap((process, index) => {
+        const { instance } = process;
+        const runner = instance?.findRunner(pool);
+        return instance && runner ? [{ index, instance, runner }] : [];
+      })
+      .sort((a, b) => b.runner.claim.token - a.runner.claim.token)
+      .at(0);
   /** Submits a job to the planner of its pool until it is accepted; resolves to whether it was. */
   const submit = async (pool: string, id: string, step: StepSpec, attempts: number) => {
     const spec: JobSpec = { ...SPEC, id, steps: [step] };
     for (let attempt = 1; attempt <= attempts && !isOver; attempt += 1) {
       const request = { kind: 'submit', pool, spec, policy: LENIENT_POLICY } as const;
-      const reply = await findRunner(pool)?.answer(request);
+      const owner = findOwner(pool);
+      const reply = await owner?.instance.clock.call(() => owner.runner.answer(request));
       if (reply?.kind === 'accepted') return true;
       await waitFor(SUBMIT_RETRY_MS);
     }
@@ -154,6 +196,16 @@
       await waitFor(EXIT_MS);
       await stopProcess(process, instance);
     },
+    /** Returns the index of the process whose planner of a pool has the newest claim. */
+    findOwner: (pool: string) => findOwner(pool)?.index,
+    /** Sets links of a process, also of its later incarnations. */
+    setLinks: (index: number, changed: Partial<Links>) => {
+      Object.assign(processes[index]!.links, changed);
+    },
+    getName: (index: number) => processes[index]!.name,
+    /** Freezes a process for a time, unless it is down. */
+    freezeInstance: async (index: number, ms: number, isClockStanding: boolean) =>
+      processes[index]!.instance?.clock.freeze(ms, isClockStanding),
     /** Ends a process at once. */
     killInstance: async (index: number) => {
       const process = processes[index]!;
@@ -165,7 +217,7 @@
         Array.from({ length: count }, async (_, index) => {
           const id = `lasting${index}`;
           const step = { ...STEP, count: TASKS_PER_JOB, isLasting: true };
-          if (!(await submit(POOLS[index % POOLS.length]!, id, step, 50))) {
+          if (!(await submit(pools[index % pools.length]!, id, step, 50))) {
             places.violations.push(`${id} was not accepted`);
             return;
           }
@@ -178,7 +230,7 @@
     submitBatch: () => {
       jobCount += 1;
       const step = { ...STEP, count: 3, estimateMs: BATCH_MS };
-      return submit(POOLS[pick(POOLS.length) - 1]!, `batch${jobCount}`, step, 20);
+      return submit(pools[pick(pools.length) - 1]!, `batch${jobCount}`, step, 20);
     },
     pick,
     /** Ends everything. */
--- a/packages/daemon/src/test/simulated-instance.ts
+++ b/packages/daemon/src/test/simulated-instance.ts
@@ -13,10 +13,12 @@
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import { NEVER } from './memory-store.js';
+import { runOutside, type ProcessClock } from './process-clock.js';
 
 /** Dependencies of an instance. */
 export interface SimulatedInstanceOptions extends Omit<PoolSources, 'log'> {
   readonly self: Member;
+  readonly clock: ProcessClock;
   readonly pools: readonly string[];
   readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
   readonly handleLog: (self: Member, fields: LogFields) => void;
@@ -25,6 +27,7 @@
 /** An instance that runs, stops or is gone. */
 export interface SimulatedInstance {
   readonly self: Member;
+  readonly clock: ProcessClock;
   readonly claims: DutyClaims;
   readonly findRunner: (pool: string) => PoolRunner | undefined;
   /** Gives up everything as an entry does that is told to stop. */
@@ -34,9 +37,13 @@
   readonly isGone: () => boolean;
 }
 
-/** Starts an instance. */
+/** Starts an instance, under its clock. */
 export function startSimulatedInstance(options: SimulatedInstanceOptions): SimulatedInstance {
-  const { self, pools, handleLog } = options;
+  return options.clock.run(() => startInstance(options));
+}
+
+function startInstance(options: SimulatedInstanceOptions): SimulatedInstance {
+  const { self, clock, pools, handleLog } = options;
   let isGone = false;
   let lastStoreContactMs = -Infinity;
 
@@ -46,7 +53,8 @@
     ): ((...given: Arguments) => Promise<Value>) =>
     async (...given) => {
       if (isGone) return NEVER;
-      const value = await call(...given);
+      const value = await runOutside(() => call(...given));
+      await clock.waitAwake();
       return isGone ? NEVER : value;
     };
   const add = (fields: LogFields) => {
@@ -90,12 +98,13 @@
   claims.start();
   return {
     self,
+    clock,
     claims,
     findRunner: runners.find,
-    release: claims.stop,
+    release: (mayHold) => clock.call(() => claims.stop(mayHold)),
     end: () => {
       isGone = true;
-      void claims.stop(() => false);
+      void clock.call(() => claims.stop(() => false));
     },
     isGone: () => isGone,
   };
--- a/packages/daemon/src/test/worker-places.ts
+++ b/packages/daemon/src/test/worker-places.ts
@@ -28,6 +28,8 @@
   readonly pool: string;
   incarnation: Incarnation | undefined;
   lost: 'none' | 'orders' | 'answers';
+  /** Name of the only process that reaches it; undefined if all do. */
+  onlyFrom: string | undefined;
 }
 
 /** How long a lasting task has been without a run on any worker, in milliseconds. */
@@ -47,6 +49,13 @@
   gap: TaskGap;
 }
 
+/** A process that calls workers. */
+export interface Caller {
+  readonly name: string;
+  /** Gets the index of the only worker that it reaches; undefined if it reaches all. */
+  readonly getOnlyWorker: () => number | undefined;
+}
+
 /** How workers and tasks behave. */
 export interface PlaceOptions {
   readonly pools: readonly string[];
@@ -74,7 +83,7 @@
 
   const places: readonly Place[] = pools.flatMap((pool) =>
     Array.from({ length: workersPerPool }, (_, index): Place => {
-      return { id: `${pool}-w${index}`, pool, incarnation: undefined, lost: 'none' };
+      return { id: `${pool}-w${index}`, pool, incarnation: undefined, lost: 'none', onlyFrom: undefined };
     }),
   );
   const setEntry = ({ id, pool }: Place, bornMs: number | undefined) => {
@@ -109,6 +118,7 @@
     return incarnation;
   };
   const sendCall = async <T extends { readonly kind: string }>(
+    { name, getOnlyWorker }: Caller,
     id: string,
     timeoutMs: number,
     execute: (incarnation: Incarnation) => T | Promise<T>,
@@ -116,27 +126,37 @@
     const unanswered = waitFor(timeoutMs).then(() => ({ kind: 'unknown' }) as const);
     const answerCall = async () => {
       const place = places.find((item) => item.id === id)!;
+      const isReached = () => {
+        const only = getOnlyWorker();
+        const isOwn = only === undefined || places[only] === place;
+        return isOwn && (place.onlyFrom ?? name) === name;
+      };
       await waitFor(pick(MAX_WAY_MS));
+      if (!isReached()) return NEVER;
       if (place.lost === 'orders' || place.incarnation === undefined) return NEVER;
       const { incarnation } = place;
       const outcome = await execute(incarnation);
       await waitFor(pick(MAX_WAY_MS));
-      const isLost = place.lost !== 'none' || place.incarnation !== incarnation;
+      const isLost = place.lost !== 'none' || place.incarnation !== incarnation || !isReached();
       return isLost ? NEVER : outcome;
     };
     return Promise.race([answerCall(), unanswered]);
   };
-  const workers: TaskWorkers = {
-    startTask: ({ id }, order) => sendCall<OrderOutcome>(id, TIMEOUT_MS, (w) => w.start(order)),
-    stopTask: ({ id }, order) => sendCall<OrderOutcome>(id, TIMEOUT_MS, (w) => w.stop(order)),
+  /** Creates the workers as a process reaches them. */
+  const createWorkers = (caller: Caller): TaskWorkers => ({
+    startTask: ({ id }, order) =>
+      sendCall<OrderOutcome>(caller, id, TIMEOUT_MS, (w) => w.start(order)),
+    stopTask: ({ id }, order) =>
+      sendCall<OrderOutcome>(caller, id, TIMEOUT_MS, (w) => w.stop(order)),
     renew: async ({ id }, order) => {
       const sentMs = performance.now();
-      const outcome = await sendCall(id, TIMEOUT_MS + order.waitMs, (w) => w.renew(order));
+      const timeoutMs = TIMEOUT_MS + order.waitMs;
+      const outcome = await sendCall(caller, id, timeoutMs, (w) => w.renew(order));
       if (outcome.kind === 'report') options.handleRenewed(id, order.fencingToken, sentMs);
       return outcome;
     },
     pace: () => Promise.resolve({ kind: 'accepted', clockMs: 0 }),
-  };
+  });
   const watchTask = (taskKey: string, task: Watched, workerId: string | undefined) => {
     const nowMs = performance.now();
     const longestMs = nowMs - task.lastRunMs;
@@ -163,7 +183,7 @@
   const watchTimer = setInterval(watchRuns, WATCH_MS);
   return {
     entries,
-    workers,
+    createWorkers,
     violations,
     ids: places.map(({ id }) => id),
     /** Watches from now on for how long a task that is to last has no run. */
@@ -179,6 +199,10 @@
     setLost: (index: number, lost: Place['lost']) => {
       Object.assign(places[index]!, { lost });
     },
+    /** Sets the only process that reaches a worker; undefined if all do. */
+    setOnlyFrom: (index: number, onlyFrom: string | undefined) => {
+      Object.assign(places[index]!, { onlyFrom });
+    },
     /** Ends the incarnation of a worker and opens another under its id. */
     restart: async (index: number, afterMs: number) => {
       const place = places[index]!;
