--- a/packages/daemon/src/test/instance-links.ts
+++ b/packages/daemon/src/test/instance-links.ts
@@ -14,17 +14,23 @@
   peers: PeerWay;
   /** Index of the only worker that it reaches; undefined if it reaches all. */
   onlyWorker: number | undefined;
+  /** Additional time that it takes to read the stored state of a pool, in milliseconds. */
+  loadMs: number;
 }
 
 /** A call to the store without an answer counts as unanswered after this time. */
 const STORE_TIMEOUT_MS = 900;
 
+/** Topics of the stored states of pools. */
+const POOL_TOPICS = 'keyed.jobs-';
+
 const MAX_LATE_MS = 4_000;
 
 export const makeOpenLinks = (): Links => ({
   store: 'open',
   peers: 'open',
   onlyWorker: undefined,
+  loadMs: 0,
 });
 
 /** Says whether messages that a process sends to its peers are lost. */
@@ -58,6 +64,8 @@
     },
     readNewest: async (where, handlePage) => {
       const none = { kind: 'unavailable', reason } as const;
+      const loadMs = where.topic.startsWith(POOL_TOPICS) ? links.loadMs : 0;
+      await waitFor(loadMs);
       const outcome = await send(() => store.readNewest(where), STORE_TIMEOUT_MS, none);
       if (outcome.kind === 'unavailable' || handlePage === undefined) return outcome;
       handlePage(outcome.records);
--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -5,6 +5,7 @@
  */
 import type { JobSpec, StepSpec } from 'vanilladock/lib/jobs/spec.js';
 import { makeTaskKey } from 'vanilladock/lib/jobs/spec.js';
+import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import type { PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { LogFields } from '../lib/json-log.js';
@@ -88,7 +89,25 @@
     return 1 + (random % max);
   };
   const pickWayMs = () => pick(MAX_WAY_MS);
-  const store = createPolledStore({ pickMs: pickWayMs, handleStored: lives.observeStored });
+  let lostDuty = '';
+  let claimant = 0;
+  /** Cuts the sender of the claim that is to be lost off from the store's answers. */
+  const loseClaim = ({ key, value = '{}' }: KeyedRecord) => {
+    if (lostDuty === '' || !key.endsWith(lostDuty)) return;
+    const { holder } = JSON.parse(value) as { readonly holder?: string };
+    const index = processes.findIndex(({ instance }) => instance?.self.id === holder);
+    if (index < 0) return;
+    lostDuty = '';
+    claimant = index;
+    Object.assign(processes[index]!.links, { store: 'unanswered' });
+  };
+  const store = createPolledStore({
+    pickMs: pickWayMs,
+    handleStored: (records) => {
+      lives.observeStored(records);
+      records.forEach(loseClaim);
+    },
+  });
   const places = createWorkerPlaces({
     pools,
     workersPerPool,
@@ -202,6 +221,12 @@
     setLinks: (index: number, changed: Partial<Links>) => {
       Object.assign(processes[index]!.links, changed);
     },
+    /** Cuts the sender of the next claim on a duty off from the store's answers. */
+    loseNextClaim: (duty: string) => {
+      lostDuty = duty;
+    },
+    /** Returns the index of the process whose claim was last lost. */
+    getClaimant: () => claimant,
     getName: (index: number) => processes[index]!.name,
     /** Freezes a process for a time, unless it is down. */
     freezeInstance: async (index: number, ms: number, isClockStanding: boolean) =>
--- a/packages/daemon/src/test/owner-faults.ts
+++ b/packages/daemon/src/test/owner-faults.ts
@@ -10,12 +10,19 @@
 
 export const OWNED_POOL = 'stalls';
 
-/** An instance: the pool's owner, the one that was last cut off or frozen, or by its index. */
-export type Who = number | 'owner' | 'marked';
+/**
+ * An instance: the pool's owner, the one that was last cut off or frozen, the one whose claim was
+ * last stored without an answer, or by its index.
+ */
+export type Who = number | 'owner' | 'marked' | 'claimant';
 
 export type OwnerFault =
   | { readonly kind: 'none' }
   | { readonly kind: 'stop' | 'kill'; readonly who: Who }
+  /** The next claim on the pool is stored, and its sender gets no answers of the store. */
+  | { readonly kind: 'lose-claim'; readonly afterMs: number }
+  /** Loads of the pool's state take so much longer from now on. */
+  | { readonly kind: 'slow-loads'; readonly loadMs: number }
   /** An instance is cut off from the store and its peers, in one way or both. */
   | {
       readonly kind: 'cut';
@@ -44,7 +51,13 @@
       readonly lost: 'orders' | 'answers';
       readonly afterMs: number;
     }
-  | { readonly kind: 'restart'; readonly worker: number; readonly afterMs: number };
+  | {
+      readonly kind: 'restart';
+      readonly worker: number;
+      readonly afterMs: number;
+      /** Time until the entry of the new incarnation is known; drawn if it is not given. */
+      readonly entryMs?: number;
+    };
 
 export interface OwnerStep {
   readonly fault: OwnerFault;
@@ -59,6 +72,8 @@
   readonly workers?: number;
   /** Number of lasting jobs. */
   readonly jobs?: number;
+  /** Whether a job of short tasks is submitted at each step; if not given, it is. */
+  readonly hasBatches?: boolean;
   /** Time after the last step, in milliseconds. */
   readonly endMs?: number;
   readonly handleLog?: (instance: string, fields: LogFields) => void;
@@ -67,6 +82,8 @@
 /** What a series has led to. */
 export interface OwnerFinding {
   readonly violations: readonly string[];
+  /** Starts of tasks that had run to their end on a worker that was up; not wrong in a cut. */
+  readonly repeats: readonly string[];
   /** Number of claims on the pool that were taken up. */
   readonly owners: number;
 }
@@ -85,6 +102,8 @@
         return simulation.findOwner(OWNED_POOL) ?? marked;
       case 'marked':
         return marked;
+      case 'claimant':
+        return simulation.getClaimant();
       default:
         return who;
     }
@@ -99,6 +118,16 @@
       case 'kill':
         await simulation.killInstance(resolveWho(fault.who));
         return;
+      case 'slow-loads':
+        for (let index = 0; index < simulation.countInstances(); index += 1) {
+          simulation.setLinks(index, { loadMs: fault.loadMs });
+        }
+        return;
+      case 'lose-claim':
+        simulation.loseNextClaim(`pool/${OWNED_POOL}`);
+        await waitFor(fault.afterMs);
+        simulation.setLinks(simulation.getClaimant(), { store: 'open' });
+        return;
       case 'cut': {
         const index = resolveWho(fault.who);
         marked = index;
@@ -128,7 +157,7 @@
         places.setLost(fault.worker, 'none');
         return;
       case 'restart':
-        await places.restart(fault.worker, fault.afterMs);
+        await places.restart(fault.worker, fault.afterMs, fault.entryMs);
         return;
       default:
         fault satisfies never;
@@ -139,6 +168,7 @@
 /** Runs a series of faults. */
 export const runOwnerFaults = async (series: OwnerSeries): Promise<OwnerFinding> => {
   const { seed, steps, instances = 4, workers = 3, jobs = 4, endMs = END_MS } = series;
+  const { hasBatches = true } = series;
   const clock = createMovingClock();
   try {
     let owners = 0;
@@ -158,13 +188,14 @@
     void simulation.submitLasting(jobs);
     await clock.tickAsync(CALM_MS);
     for (const { fault, waitMs } of steps) {
-      void simulation.submitBatch();
+      if (hasBatches) void simulation.submitBatch();
       void applyFault(fault);
       await clock.tickAsync(waitMs);
     }
     await clock.tickAsync(endMs);
     simulation.close();
-    return { violations: [...new Set(simulation.violations)], owners };
+    const { repeats } = simulation.places;
+    return { violations: [...new Set(simulation.violations)], repeats, owners };
   } finally {
     clock.uninstall();
   }
--- a/packages/daemon/src/test/simulated-worker.ts
+++ b/packages/daemon/src/test/simulated-worker.ts
@@ -109,6 +109,9 @@
       closeDue();
       return [...runs.values()];
     },
+    /** Says whether a task has run to its end here, and no planner has confirmed that it is stored. */
+    listsDone: (taskKey: string) =>
+      ended.some((end) => end.taskKey === taskKey && end.how === 'done'),
     /** Ends a run as one whose gang was broken up. */
     stopRun: (run: Run) => closeRun(run, 'broken'),
     /** Ends a run that goes on as one that has failed. */
--- a/packages/daemon/src/test/worker-places.ts
+++ b/packages/daemon/src/test/worker-places.ts
@@ -20,6 +20,9 @@
 /** Time after which the entry of an incarnation that is gone is removed. */
 const STALE_ENTRY_MS = 2_000;
 
+/** Longest time from the start of an incarnation to its entry. */
+const MAX_ENTRY_MS = 900;
+
 const CORES = 8;
 
 /** A worker id with its present incarnation, and whether calls or answers are lost. */
@@ -75,6 +78,7 @@
   const { pools, workersPerPool, pick, getDurationMs, pickFailureMs } = options;
   const entries = new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map());
   const violations: string[] = [];
+  const repeats: string[] = [];
   const completed = new Set<string>();
   const workerOfRun = new Map<string, string>();
   const failsAtMs = new Map<string, number>();
@@ -83,7 +87,13 @@
 
   const places: readonly Place[] = pools.flatMap((pool) =>
     Array.from({ length: workersPerPool }, (_, index): Place => {
-      return { id: `${pool}-w${index}`, pool, incarnation: undefined, lost: 'none', onlyFrom: undefined };
+      return {
+        id: `${pool}-w${index}`,
+        pool,
+        incarnation: undefined,
+        lost: 'none',
+        onlyFrom: undefined,
+      };
     }),
   );
   const setEntry = ({ id, pool }: Place, bornMs: number | undefined) => {
@@ -100,6 +110,8 @@
     if (other !== undefined) {
       violations.push(`${what} on ${place.id} while it runs on ${other.id}`);
     }
+    const lister = places.find(({ incarnation }) => incarnation?.listsDone(taskKey));
+    if (lister !== undefined) repeats.push(`${what} on ${place.id}, done on ${lister.id}`);
     if (completed.has(taskKey)) violations.push(`${what} after its end`);
     const known = workerOfRun.get(what) ?? place.id;
     if (known !== place.id) violations.push(`${what} on ${place.id} and on ${known}`);
@@ -185,6 +197,8 @@
     entries,
     createWorkers,
     violations,
+    /** Starts of tasks that had run to their end on a worker that was up; not wrong in a cut. */
+    repeats,
     ids: places.map(({ id }) => id),
     /** Watches from now on for how long a task that is to last has no run. */
     watchLasting: (taskKey: string) => {
@@ -203,8 +217,11 @@
     setOnlyFrom: (index: number, onlyFrom: string | undefined) => {
       Object.assign(places[index]!, { onlyFrom });
     },
-    /** Ends the incarnation of a worker and opens another under its id. */
-    restart: async (index: number, afterMs: number) => {
+    /**
+     * Ends the incarnation of a worker and opens another under its id; its entry follows after
+     * `entryMs`, which is drawn if it is not given.
+     */
+    restart: async (index: number, afterMs: number, entryMs = pick(MAX_ENTRY_MS)) => {
       const place = places[index]!;
       const { incarnation } = place;
       Object.assign(place, { incarnation: undefined });
@@ -213,7 +230,7 @@
       const { bornMs } = openIncarnation(place);
       setTimeout(() => {
         if (place.incarnation?.bornMs === bornMs) setEntry(place, bornMs);
-      }, pick(900));
+      }, entryMs);
       await waitFor(STALE_ENTRY_MS);
       const isStale = entries.value.get(place.id)?.bornMs === incarnation?.bornMs;
       if (isStale) setEntry(place, undefined);
