--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -22,7 +22,7 @@
 import { POLICY, SPEC, STEP } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
 import { createPlannerLives } from './planner-lives.js';
-import { createProcessClock, installProcessTimers, runOutside } from './process-clock.js';
+import { createProcessClock, startProcessTimers, runOutside } from './process-clock.js';
 import { createPolledStore } from './polled-store.js';
 import { startSimulatedInstance, type SimulatedInstance } from './simulated-instance.js';
 import { createWorkerPlaces } from './worker-places.js';
@@ -78,7 +78,7 @@
 /** Creates the simulation; time passes only when the clock in force ticks. */
 export function createInstanceSimulation(options: SimulationOptions) {
   const { seed, instances = 4, workersPerPool = 4, pools = POOLS } = options;
-  installProcessTimers();
+  startProcessTimers();
   const lives = createPlannerLives();
   let random = seed;
   let jobCount = 0;
@@ -92,7 +92,7 @@
   let lostDuty = '';
   let claimant = 0;
   /** Cuts the sender of the claim that is to be lost off from the store's answers. */
-  const loseClaim = ({ key, value = '{}' }: KeyedRecord) => {
+  const handleClaim = ({ key, value = '{}' }: KeyedRecord) => {
     if (lostDuty === '' || !key.endsWith(lostDuty)) return;
     const { holder } = JSON.parse(value) as { readonly holder?: string };
     const index = processes.findIndex(({ instance }) => instance?.self.id === holder);
@@ -105,7 +105,7 @@
     pickMs: pickWayMs,
     handleStored: (records) => {
       lives.observeStored(records);
-      records.forEach(loseClaim);
+      records.forEach(handleClaim);
     },
   });
   const places = createWorkerPlaces({
--- a/packages/daemon/src/test/owners-machine.test.ts
+++ b/packages/daemon/src/test/owners-machine.test.ts
@@ -249,6 +249,16 @@
   await checkSeries(cases, makeSteps, { instances: 3, jobs: 1 }, true);
 });
 
+// Guards against a renewal whose ends are those of a worker's earlier incarnation, which number anew.
+test('a worker that has started again keeps the ends that its earlier incarnation numbered', async () => {
+  const makeSteps = (waitMs: number) => [
+    makeStep({ kind: 'none' }, 885),
+    makeStep({ kind: 'restart', worker: 0, afterMs: 107, entryMs: 737 }, waitMs),
+    makeStep({ kind: 'none' }, 641),
+  ];
+  await checkSeries(listCases([1, 2, 3], [379]), makeSteps, { jobs: 3 });
+});
+
 test('no task runs twice over a chain of owners of which one still reaches a worker', async () => {
   await checkRandom(chains, CHAIN_CASES, 2);
 });
--- a/packages/daemon/src/test/process-clock.ts
+++ b/packages/daemon/src/test/process-clock.ts
@@ -26,7 +26,7 @@
 const timers = new WeakSet<object>();
 
 /** Makes the timers in force those of the process that runs; ends with the fake clock. */
-export function installProcessTimers(): void {
+export function startProcessTimers(): void {
   const { setTimeout: plainTimeout, setInterval: plainInterval } = globalThis;
   const { clearTimeout: plainClear, clearInterval: plainClearInterval } = globalThis;
   const readMs = performance.now.bind(performance);
@@ -74,16 +74,16 @@
     addTimer: (handler, ms, isRepeated) => {
       let isOver = false;
       let dueMs = readMs() + ms;
-      const arm = () =>
-        runOutside(() => setTimeout(() => fire(), Math.max(0, Math.ceil(dueMs - readMs()))));
-      const fire = () => {
+      const startTimer = () =>
+        runOutside(() => setTimeout(() => handleDue(), Math.max(0, Math.ceil(dueMs - readMs()))));
+      const handleDue = () => {
         if (isOver) return;
-        if (isFrozen) waiting.push(fire);
-        else if (dueMs - readMs() > EARLY_MS) arm();
+        if (isFrozen) waiting.push(handleDue);
+        else if (dueMs - readMs() > EARLY_MS) startTimer();
         else {
           if (isRepeated) {
             dueMs = readMs() + ms;
-            arm();
+            startTimer();
           } else isOver = true;
           contexts.run(host, handler);
         }
@@ -96,7 +96,7 @@
         },
       };
       timers.add(timer);
-      arm();
+      startTimer();
       return timer;
     },
   };
