Name ends to forget only after a report that lists some

What callers could see: a task runs again although it is done (TWICE). Each renewal named the last stored end, which the worker then forgets with all before it. A worker that has started again under its id numbers its ends anew: a renewal for the earlier incarnation made the next one forget ends that nobody had seen, and the task was started again as missing.

Ends are named only in the renewal that follows a report of the same incarnation with ends in it; else 0 is named, which forgets nothing. What is left is a restart within the time between such a report and the next renewal, in which the next incarnation would have to be started, to get a task and to end it.

--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -59,6 +59,8 @@
   const { workerId, bornMs, planner, workers, fencingToken } = options;
   let isStopped = false;
   let endPause: (() => void) | undefined;
+  /** Whether the last answer was a report of this incarnation that lists ends. */
+  let hasListedEnds = false;
 
   const findWorker = () => {
     const worker = planner.table.workers.get(workerId);
@@ -94,13 +96,19 @@
       { id: workerId, address: worker.entry.address },
       {
         fencingToken,
-        lastSeenEnd: worker.storedEnd,
+        // The next incarnation numbers its ends anew and would forget them, so that ends are named
+        // only after a report that lists some.
+        lastSeenEnd: hasListedEnds ? worker.storedEnd : 0,
         leaseUntilMs,
         waitMs: isBusy && worker.clock !== undefined ? POLL_MS : 0,
       },
     );
     if (isStopped) return;
     const receivedAt = readMoment();
+    hasListedEnds =
+      outcome.kind === 'report' &&
+      (outcome.report.bornMs ?? bornMs) === bornMs &&
+      outcome.report.ended.length > 0;
     switch (outcome.kind) {
       case 'report': {
         const timedReport = {
