--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -12,15 +12,15 @@
   type Claim,
   type Member,
 } from 'vanilladock/lib/duties/claim-table.js';
-import type { PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
+import type { DutyHandOver, PeerDutyView, PeerOutcome } from 'vanilladock/lib/duties/authority.js';
 import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { readMoment, waitMs } from './clock.js';
 import { runEndlessLoop } from './endless-loop.js';
 import { createDutyAuthority } from './duty-authority.js';
-import { createDutyNotices } from './duty-notices.js';
+import { createDutyNotices, type Predecessor } from './duty-notices.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
-import { releaseDuties } from './duty-release.js';
+import { reportLeaving, releaseDuties } from './duty-release.js';
 import { createHeldDuties } from './held-duties.js';
 import type { SentNotice } from './peer-messages.js';
 import { createUnclaimedDuties } from './unclaimed-duties.js';
@@ -41,12 +41,16 @@
   /** Processes a holder's notice and returns what is known about the duties that it names. */
   readonly answerNotice: (notice: SentNotice) => PeerDutyView;
   /** As `queryPredecessor` of the notices. */
-  readonly queryPredecessor: (claim: Claim) => Promise<boolean>;
+  readonly queryPredecessor: (claim: Claim) => Promise<Predecessor>;
   readonly start: () => void;
   /** Gives up a duty, for instance after another holder's token was observed. */
   readonly dropDuty: (duty: string, why: string) => void;
-  /** Releases every duty, announces the departure and stops claiming. */
-  readonly stop: () => Promise<void>;
+  /**
+   * Leaves: releases at once the duties that are not handed over, and all others when `mayHold` says
+   * false. Until then it goes on with what nobody else claims, and claims only what has no holder and
+   * no other instance to claim it.
+   */
+  readonly stop: (mayHold: () => boolean) => Promise<void>;
 }
 
 /** Dependencies of the claims. */
@@ -54,11 +58,15 @@
   readonly store: KeyedStore;
   readonly self: Member;
   readonly listDuties: () => readonly string[];
+  /** Says whether a duty is held, when this instance stops, until another one claims it. */
+  readonly isHandedOver: (duty: string) => boolean;
   /** Called when the store has answered a read or stored a heartbeat. */
   readonly handleContact: () => void;
   /** Monotonic time of the store's last response, in milliseconds. */
   readonly getStoreContactMs: () => number;
   readonly sendNotice: (peer: Member, notice: SentNotice) => Promise<PeerOutcome>;
+  /** Finds what this instance tells the next holder of a duty that it has given up. */
+  readonly findHandOver: (duty: string) => DutyHandOver | undefined;
   readonly log: JsonLog;
 }
 
@@ -105,6 +113,8 @@
   /** Duties on which a claim was sent whose outcome is not known. */
   const pendingClaims = new Set<string>();
   let nextOffset: number | undefined;
+  /** Whether this instance is to stop; it may still hold duties. */
+  let isLeaving = false;
   let isStopped = false;
   let startedMs = 0;
   let claimsAllowedFromMs = 0;
@@ -134,6 +144,7 @@
       duty,
       at: endOffset,
       outcome: outcome.kind,
+      unclaimedMs: Math.round(unclaimedDuties.getAgeMs(duty, sent.nowMs)),
       previousHolder: previous?.holder,
       previousToken: previous?.token,
     });
@@ -157,12 +168,20 @@
     });
     return counts;
   };
+  /** Says whether this instance may claim a duty that no staying instance holds. */
+  const isOpen = (duty: string, nowMs: number) => {
+    if (held.value.has(duty)) return false;
+    if (!isLeaving) return true;
+    return options.isHandedOver(duty) && table.findLiveClaim(duty, nowMs) === undefined;
+  };
   const claimNext = async (): Promise<boolean> => {
     const nowMs = performance.now();
-    const unclaimed = unclaimedDuties.list(nowMs).filter((duty) => !held.value.has(duty));
+    const unclaimed = unclaimedDuties.list(nowMs).filter((duty) => isOpen(duty, nowMs));
     const isSettled = nowMs - startedMs >= SETTLE_MS && nowMs >= claimsAllowedFromMs;
     if (!isSettled || nowMs - lastReadMs > READ_GAP_MS || unclaimed.length === 0) return false;
-    const members = table.listMembers(nowMs);
+    const staying = table.listClaimants(nowMs);
+    if (isLeaving && staying.length > 0) return false;
+    const members = isLeaving ? table.listMembers(nowMs) : staying;
     const cores = table.listKnownMembers(nowMs).map((member) => member.cores);
     const openToAllAfterMs = (OPEN_TO_ALL_AFTER_MS * Math.max(self.cores, ...cores)) / self.cores;
     const chosen = chooseClaimants(unclaimed, countDutiesByHolder(nowMs), members);
@@ -180,7 +199,7 @@
   };
   const runHeartbeat = async () => {
     const sentMs = performance.now();
-    const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self)], {
+    const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self, isLeaving)], {
       kind: 'none',
     });
     if (outcome.kind === 'stored') {
@@ -217,6 +236,8 @@
     getReportsSinceMs: () =>
       performance.now() - lastReadMs > CONTACT_GAP_MS ? performance.now() : reportsSinceMs,
     dropDuty,
+    observeNewer: unclaimedDuties.observeNewer,
+    findHandOver: options.findHandOver,
     isStopped: () => isStopped,
     log,
   });
@@ -272,11 +293,22 @@
       authority.start();
     },
     dropDuty,
-    stop: async () => {
+    stop: async (mayHold) => {
+      isLeaving = true;
+      const release = {
+        store,
+        self,
+        getClaimsEnd: () => nextOffset,
+        findHandOver: options.findHandOver,
+        isNewest: ({ duty, token }: Claim) => table.findClaim(duty)?.token === token,
+        log,
+      };
+      const dropped = heldDuties.leave((duty) => !options.isHandedOver(duty));
+      if (mayHold()) await reportLeaving({ ...release, claims: dropped });
+      while (mayHold()) await waitMs(CLAIM_RETRY_MS);
       isStopped = true;
       authority.stop();
-      const duties = heldDuties.dropAll();
-      await releaseDuties({ store, self, duties, getClaimsEnd: () => nextOffset, log });
+      await releaseDuties({ ...release, claims: [...dropped, ...heldDuties.leave(() => true)] });
     },
   };
 }
--- a/packages/daemon/src/lib/jobs/duty-release.ts
+++ b/packages/daemon/src/lib/jobs/duty-release.ts
@@ -3,19 +3,30 @@
  * effect in any order, also late: a release is stored only while nothing has been claimed since, and
  * a departure names the incarnation that has left.
  */
-import { encodeClaim, encodeDeparture, type Member } from 'vanilladock/lib/duties/claim-table.js';
+import {
+  encodeDeparture,
+  encodeHeartbeat,
+  encodeRelease,
+  type Claim,
+  type Member,
+} from 'vanilladock/lib/duties/claim-table.js';
+import type { HandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import type { AppendOutcome, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
 import { CLAIMS, HEARTBEATS } from './duty-partitions.js';
 
-/** Duties to release, and the store that keeps them. */
+/** Claims to release, and the store that keeps them. */
 export interface DutyReleaseOptions {
   readonly store: KeyedStore;
   readonly self: Member;
-  readonly duties: readonly string[];
+  readonly claims: readonly Claim[];
   /** Returns the end of the claims as of the last read; undefined before the first. */
   readonly getClaimsEnd: () => number | undefined;
+  /** Says whether no newer claim than this one, or its release, had been read then. */
+  readonly isNewest: (claim: Claim) => boolean;
+  /** Finds what the next holder of a duty is told. */
+  readonly findHandOver: (duty: string) => HandOver | undefined;
   readonly log: JsonLog;
 }
 
@@ -33,10 +44,14 @@
  * are free once the departure is read.
  */
 async function appendReleases(options: DutyReleaseOptions): Promise<AppendOutcome['kind']> {
-  const { store, duties, getClaimsEnd } = options;
+  const { store, claims, getClaimsEnd, isNewest, findHandOver } = options;
   const startedMs = performance.now();
-  const records = duties.map((duty) => encodeClaim(duty, undefined));
   for (let attempt = 1; attempt <= MAX_ATTEMPTS; attempt += 1) {
+    // Another instance may have claimed a duty since the last attempt.
+    const records = claims
+      .filter(isNewest)
+      .map((claim) => encodeRelease(claim, findHandOver(claim.duty)));
+    if (records.length === 0) return 'stored';
     const offset = getClaimsEnd();
     if (offset === undefined) return 'refused';
     const outcome = await store.append(CLAIMS, records, { kind: 'end', offset });
@@ -47,16 +62,26 @@
   return 'end-moved';
 }
 
+/** Releases duties and reports that this instance is leaving, but goes on with its other duties. */
+export async function reportLeaving(options: DutyReleaseOptions): Promise<void> {
+  const { store, self, claims, log } = options;
+  const [outcome, notice] = await Promise.all([
+    appendReleases(options),
+    store.append(HEARTBEATS, [encodeHeartbeat(self, true)], { kind: 'none' }),
+  ]);
+  log.info({ event: 'leaving', count: claims.length, outcome, notice: notice.kind });
+}
+
 /** Releases the duties and reports that this instance has left. */
 export async function releaseDuties(options: DutyReleaseOptions): Promise<void> {
-  const { store, self, duties, log } = options;
+  const { store, self, claims, log } = options;
   const [outcome, departure] = await Promise.all([
-    duties.length === 0 ? 'stored' : appendReleases(options),
+    appendReleases(options),
     store.append(HEARTBEATS, [encodeDeparture(self)], { kind: 'none' }),
   ]);
   log.info({
     event: 'duties-released',
-    count: duties.length,
+    count: claims.length,
     outcome,
     departure: departure.kind,
   });
--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -4,6 +4,7 @@
  */
 import type { DutyNotice, PeerDutyView } from 'vanilladock/lib/duties/authority.js';
 import { memberSchema, type Member } from 'vanilladock/lib/duties/claim-table.js';
+import { handOverSchema } from 'vanilladock/lib/jobs/hand-over.js';
 import { z } from 'zod';
 import type { JobReply, JobRequest } from './job-request.js';
 
@@ -77,7 +78,7 @@
     receipt,
   }),
   jobSchema.extend({ kind: z.literal('lookup'), queue: z.string(), version: z.number() }),
-  jobSchema.extend({ kind: z.literal('status') }),
+  jobSchema.extend({ kind: z.literal('status'), origin }),
   jobSchema.extend({
     kind: z.literal('cancel'),
     origin,
@@ -110,7 +111,11 @@
   storeAgeMs: z.number(),
   held: z.array(claimSchema),
 });
-const viewSchema = z.object({ newer: z.array(claimSchema), claiming: z.array(z.string()) });
+const viewSchema = z.object({
+  newer: z.array(claimSchema),
+  claiming: z.array(z.string()),
+  handOvers: z.array(handOverSchema.extend({ duty: z.string() })).optional(),
+});
 
 /** Kinds of replies whose further fields are only passed on. */
 const OTHER_REPLIES = [
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -6,6 +6,11 @@
  */
 import type { BehaviorSubject, Subscription } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
+import {
+  refreshHandOver,
+  type HandOver,
+  type TimedHandOver,
+} from 'vanilladock/lib/jobs/hand-over.js';
 import { createPoolPlanner, type PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { QueueFigures } from 'vanilladock/lib/jobs/standing-queue.js';
 import type { ExclusionCounts } from 'vanilladock/lib/jobs/worker-exclusion.js';
@@ -20,12 +25,16 @@
 import { answerRequest } from './answer-request.js';
 import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import { readMoment } from './clock.js';
+import type { Predecessor } from './duty-notices.js';
 import { createContainedWorkers } from './contained-workers.js';
 import { makeUnavailable, type JobReply, type JobRequest } from './job-request.js';
 import { createPlanPauseLog } from './plan-pause-log.js';
+import { watchPredecessor } from './predecessor-watch.js';
 import { createPoolStateWriter } from './pool-state-writer.js';
 import { createPoolStore } from './pool-store.js';
-import { takeOverPool } from './take-over.js';
+import { createSettlingLog } from './settling-log.js';
+import type { PoolMeta } from './stored-pool.js';
+import { countTaken, takeOverPool } from './take-over.js';
 import { createWorkerLoops } from './worker-loops.js';
 
 /** Dependencies that the instance provides to the runner of every pool. */
@@ -50,8 +59,8 @@
   readonly claim: Claim;
   /** Says whether orders may be given under the claim now. */
   readonly isInForce: () => boolean;
-  /** Queries the preceding planner; resolves to whether it is known to have stopped. */
-  readonly queryPredecessor: () => Promise<boolean>;
+  /** Queries the preceding planner. */
+  readonly queryPredecessor: () => Promise<Predecessor>;
   /** Called when a later planner has taken over the pool. */
   readonly handleLost: (why: string) => void;
 }
@@ -81,6 +90,11 @@
   readonly closeQueues: (queues: readonly string[], version: number) => Promise<readonly string[]>;
   /** Returns the present figures; undefined while the stored state is loading. */
   readonly getFigures: () => PoolFigures | undefined;
+  /**
+   * Returns what the next planner has to know; undefined before a stop, and if neither this planner
+   * nor the one before it has told anything.
+   */
+  readonly getHandOver: () => HandOver | undefined;
   readonly stop: () => void;
 }
 
@@ -103,18 +117,30 @@
 export function startPoolRunner(options: PoolRunnerOptions): PoolRunner {
   const { pool, claim, advisor, log } = options;
   const workers = createContainedWorkers(options.workers, log);
+  const predecessor = watchPredecessor(options.queryPredecessor);
   const store = createPoolStore({
     ...options,
     token: claim.token,
     partitions: options.storePartitions,
   });
-  const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, performance.now());
+  const claimedMs = performance.now();
+  const pauseLog = createPlanPauseLog({ pool, token: claim.token, log }, claimedMs);
+  const settlingLog = createSettlingLog({ pool, token: claim.token, claimedMs, log });
   let planner: PoolPlanner | undefined;
   let isStopped = false;
   let isPlanScheduled = false;
   let ticker: NodeJS.Timeout | undefined;
   let subscription: Subscription | undefined;
+  /** What this planner tells; set when it stops. */
+  let telling: TimedHandOver | undefined;
 
+  const recordTelling = () => {
+    const atMs = performance.now();
+    const { token } = claim;
+    telling = planner
+      ? { handOver: planner.makeHandOver(token, atMs), atMs }
+      : predecessor.makePassedOn(token);
+  };
   const stop = () => {
     if (isStopped) return;
     isStopped = true;
@@ -123,7 +149,8 @@
     subscription?.unsubscribe();
     loops.stop();
     stateWriter.stop();
-    log.info({ event: 'pool-released', pool, token: claim.token });
+    settlingLog.logEnd(performance.now());
+    guard.wrap('hand-over', recordTelling)();
   };
   const handleLoss = (why: string) => {
     if (isStopped) return;
@@ -159,6 +186,7 @@
       const at = readMoment();
       pauseLog.observePlan(at.nowMs);
       planner.plan(at).forEach((action) => guard.watch('action', runAction(action)));
+      settlingLog.observeWaits(planner.explainWaits(at.nowMs), at.nowMs);
     } else {
       pauseLog.observeSkip(performance.now());
     }
@@ -199,19 +227,13 @@
     loops.update(planner);
     schedulePlan();
   };
-  /** Ends the wait for the predecessor's orders as soon as it is known to have stopped. */
-  const waitPredecessor = async (query: Promise<boolean>, isPredecessorSettled: boolean) => {
-    const hasStopped = await query;
-    // A predecessor that did not have the reports of all workers yet may itself have succeeded a
-    // planner that still gives orders.
-    if (hasStopped && isPredecessorSettled) planner?.observePredecessorStopped(readMoment());
+  const waitPredecessor = async (loaded: PoolPlanner, stored: PoolMeta) => {
+    await predecessor.apply(loaded, stored);
     loops.wakeAll();
     schedulePlan();
   };
   const load = async () => {
-    const startedMs = performance.now();
-    const predecessorQuery = options.queryPredecessor();
-    const stored = await takeOverPool(store);
+    const stored = await takeOverPool(store, claim.token);
     if (stored === undefined || isStopped) {
       handleLoss('store-fenced');
       return;
@@ -222,29 +244,18 @@
       report: (event) => log.info({ pool, ...event }),
       runBase: stored.previous.generation * RUNS_PER_GENERATION,
       inheritedWorkers: stored.meta.workers,
-      claimedMs: startedMs,
+      claimedMs,
       statusMs: options.statusMs,
       teams: options.teams,
     });
     const active = planner;
-    const isPredecessorSettled = stored.previous.isSettled !== false;
-    guard.watch('predecessor', waitPredecessor(predecessorQuery, isPredecessorSettled));
+    guard.watch('predecessor', waitPredecessor(active, stored.previous));
     stored.jobs.forEach(({ record, progress }) => active.loadJob(record, progress, loadedAt));
     stored.tombstones.forEach((tombstone) => active.loadTombstone(tombstone, loadedAt));
     active.removeStored(stored.expiredJobs);
-    log.info({
-      event: 'pool-taken',
-      pool,
-      token: claim.token,
-      generation: stored.meta.generation,
-      jobs: stored.jobs.length,
-      tombstones: stored.tombstones.length,
-      expiredJobs: stored.expiredJobs.length,
-      inheritedWorkers: stored.meta.workers.length,
-      longLeases: stored.meta.workers.filter(({ longLeaseTasks }) => longLeaseTasks !== undefined)
-        .length,
-      loadMs: Math.round(loadedAt.nowMs - startedMs),
-    });
+    const loadMs = Math.round(loadedAt.nowMs - claimedMs);
+    const { token } = claim;
+    log.info({ event: 'pool-taken', pool, token, ...countTaken(stored), loadMs });
     subscription = options.entries.subscribe(guard.wrap('entries', observeEntries));
     const runTick = () => {
       loops.update(active);
@@ -267,6 +278,7 @@
         getFloor: stateWriter.getFloor,
         recordFloors: stateWriter.recordFloors,
         isStopped: () => isStopped,
+        isInForce: options.isInForce,
         wakeWorker: loops.wake,
         schedulePlan,
       };
@@ -292,6 +304,7 @@
       const pausedMs = pauseLog.getPausedMs(nowMs);
       return planner === undefined ? undefined : { pool, pausedMs, ...planner.getFigures(nowMs) };
     },
+    getHandOver: () => telling && refreshHandOver(telling, performance.now()),
     stop,
   };
 }
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -3,22 +3,19 @@
  * ago than its state can be queried nothing is kept but its id, so that the memory of a take-over does
  * not grow with what has ever run.
  */
-import type { LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
+import { leaseHolderSchema, type LeaseHolder } from 'vanilladock/lib/jobs/lease-holder.js';
 import type { CancelTombstone } from 'vanilladock/lib/jobs/cancel-tombstones.js';
+import { CLOCK_TOLERANCE_MS } from 'vanilladock/lib/jobs/make-job.js';
 import { decodeProgress, type Progress } from 'vanilladock/lib/jobs/progress.js';
 import type { JobRecord } from 'vanilladock/lib/jobs/spec.js';
 import { makeJobKey, makeProgressKey } from 'vanilladock/lib/jobs/store-queue.js';
 import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import { z } from 'zod';
 
-/** A possible lease holder; old records have its id alone. */
+/** A stored lease holder; old records have its id alone. */
 const holderSchema = z.union([
   z.string().transform((id): LeaseHolder => ({ id, bornMs: 0 })),
-  z.object({
-    id: z.string(),
-    bornMs: z.number(),
-    longLeaseTasks: z.array(z.string()).readonly().optional(),
-  }),
+  leaseHolderSchema,
 ]);
 
 const metaSchema = z.object({
@@ -26,9 +23,11 @@
   generation: z.number(),
   /** The workers that may hold leases. */
   workers: z.array(holderSchema).readonly(),
+  /** Fencing token of the newest planner; absent in old records. */
+  token: z.number().optional(),
   /**
-   * Whether the newest planner has reports of all its predecessor's workers; absent in old records,
-   * which count as settled.
+   * Whether no planner before the newest one sends orders any more; absent in old records, which
+   * count as settled.
    */
   isSettled: z.boolean().optional(),
   /** Lowest versions under which submissions are taken; absent while none has been recorded. */
@@ -68,9 +67,6 @@
   readonly decode: () => StoredPool;
 }
 
-/** Time by which the clocks of two instances may differ, in milliseconds. */
-const CLOCK_TOLERANCE_MS = 60_000;
-
 /** Of ended jobs that do not say when they ended, as in old records, so many are kept. */
 const MAX_UNDATED = 5_000;
 
--- a/packages/daemon/src/lib/jobs/unclaimed-duties.ts
+++ b/packages/daemon/src/lib/jobs/unclaimed-duties.ts
@@ -7,7 +7,7 @@
   readonly table: ClaimTable;
 }
 
-/** Duties without a holder, as one instance observes them. */
+/** Duties without a holder that goes on with them, as one instance observes them. */
 export interface UnclaimedDuties {
   /** Lists the duties unclaimed at `nowMs` (monotonic); resets the age of all others. */
   readonly list: (nowMs: number) => readonly string[];
@@ -20,6 +20,8 @@
   readonly reset: () => void;
   /** Records that this instance gives up a claim. */
   readonly observeDrop: (claim: Claim) => void;
+  /** Records that another instance has made this claim, so that no older one is taken any more. */
+  readonly observeNewer: (claim: Claim) => void;
   /** Says whether this instance gave up this claim or a newer one. */
   readonly wasDropped: (claim: Claim) => boolean;
 }
@@ -37,7 +39,7 @@
     return live !== undefined && live.token === droppedTokens.get(duty);
   };
   const isUnclaimed = (duty: string, nowMs: number) =>
-    table.findLiveClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
+    table.findLastingClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
   return {
     list: (nowMs) => {
       const unclaimed = new Set(listDuties().filter((duty) => isUnclaimed(duty, nowMs)));
@@ -55,6 +57,9 @@
     observeDrop: ({ duty, token }) => {
       droppedTokens.set(duty, token);
     },
+    observeNewer: ({ duty, token }) => {
+      droppedTokens.set(duty, Math.max(token - 1, droppedTokens.get(duty) ?? -1));
+    },
     wasDropped: ({ duty, token }) => token <= (droppedTokens.get(duty) ?? -1),
   };
 }
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -88,6 +88,8 @@
       listDuties: () => [DUTY],
       handleContact,
       getStoreContactMs: () => contactMs,
+      isHandedOver: () => false,
+      findHandOver: () => undefined,
       sendNotice: async (peer, notice) => {
         noticeCount += 1;
         await waitFor(1);
@@ -124,7 +126,7 @@
     assert.ok(holder !== undefined);
     assert.is(fleet.isInForce(holder), true);
     await runSteps(fleet, holder, clock);
-    fleet.fleet.forEach((claims) => void claims.stop());
+    fleet.fleet.forEach((claims) => void claims.stop(() => false));
   } finally {
     clock.uninstall();
   }
@@ -174,7 +176,7 @@
   await clock.tickAsync(5 * SECOND_MS);
   const current = claims.held.value.get(DUTY)!;
   const areInForce = [lost, current].map(claims.isInForce);
-  void claims.stop();
+  void claims.stop(() => false);
   clock.uninstall();
   assert.is(wasInForce, true);
   assert.ok(current.token > lost.token);
@@ -235,7 +237,7 @@
     const claim = fleet.get(successor)!.held.value.get(DUTY)!;
     const query = fleet.get(successor)!.queryPredecessor(claim);
     await clock.tickAsync(SECOND_MS);
-    assert.is(await Promise.race([query, NEVER]), true);
+    assert.is((await Promise.race([query, NEVER])).hasStopped, true);
   }));
 
 test.run();
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -5,6 +5,7 @@
  */
 import murmurHash from 'imurmurhash';
 import { z } from 'zod';
+import { handOverSchema, type HandOver, type TimedHandOver } from '../jobs/hand-over.js';
 import { parseJson } from '../parse-json.js';
 import type { KeyedRecord, StoredKeyedRecord } from '../ports/keyed-store.js';
 
@@ -27,6 +28,10 @@
   readonly holder: string;
   /** Offset of the record; the fencing token. */
   readonly token: number;
+  /** Token of the claim that a release ends; undefined for other claims and in old releases. */
+  readonly releasedToken?: number | undefined;
+  /** What the holder that has released the duty tells, as of when the release was read. */
+  readonly told?: TimedHandOver | undefined;
 }
 
 /** Table of claims and members. All times are monotonic, in milliseconds. */
@@ -40,6 +45,8 @@
   readonly observeMember: (member: Member, lastReportMs: number) => void;
   /** Lists the members that are considered alive at `nowMs`. */
   readonly listMembers: (nowMs: number) => readonly Member[];
+  /** Lists those of them that are not leaving, and so may claim duties. */
+  readonly listClaimants: (nowMs: number) => readonly Member[];
   /** Lists the members that reported within a longer period; some of them may be gone. */
   readonly listKnownMembers: (nowMs: number) => readonly Member[];
   /** Finds the member with this id; undefined if it is unknown or no longer considered alive. */
@@ -50,6 +57,11 @@
   readonly findClaim: (duty: string) => Claim | undefined;
   /** Finds the newest claim; undefined if the duty is free or the holder is not alive. */
   readonly findLiveClaim: (duty: string, nowMs: number) => Claim | undefined;
+  /**
+   * Finds the newest claim that keeps others from claiming; undefined also if its holder is leaving,
+   * which goes on with the duty until another claim is stored.
+   */
+  readonly findLastingClaim: (duty: string, nowMs: number) => Claim | undefined;
 }
 
 /** A member without a heartbeat for more than this many milliseconds is considered gone. */
@@ -72,23 +84,42 @@
   cores: z.number().positive(),
 });
 
-/** Value of a member's record; `hasLeft` is true in the last one of an incarnation. */
-const memberRecordSchema = memberSchema.extend({ hasLeft: z.boolean().default(false) });
+/**
+ * Value of a member's record; `isLeaving` is true once it stops, and `hasLeft` in the last one of an
+ * incarnation.
+ */
+const memberRecordSchema = memberSchema.extend({
+  isLeaving: z.boolean().default(false),
+  hasLeft: z.boolean().default(false),
+});
 
 /** Value of the record of a claim; the holder is empty in that of a release. */
-const claimRecordSchema = z.object({ holder: z.string(), member: memberSchema.optional() });
+const claimRecordSchema = z.object({
+  holder: z.string(),
+  member: memberSchema.optional(),
+  releasedToken: z.number().optional(),
+  handOver: handOverSchema.optional(),
+});
+
+/** Encodes a claim by a member. */
+export function encodeClaim(duty: string, member: Member): KeyedRecord {
+  return { key: `${DUTY_PREFIX}${duty}`, value: JSON.stringify({ holder: member.id, member }) };
+}
 
-/** Encodes a claim by a member; without a member, encodes the release of the duty. */
-export function encodeClaim(duty: string, member: Member | undefined): KeyedRecord {
+/** Encodes the release of a duty by the holder of a claim, with what it tells the next one. */
+export function encodeRelease({ duty, token }: Claim, handOver?: HandOver): KeyedRecord {
   return {
     key: `${DUTY_PREFIX}${duty}`,
-    value: JSON.stringify({ holder: member?.id ?? '', member }),
+    value: JSON.stringify({ holder: '', releasedToken: token, handOver }),
   };
 }
 
-/** Encodes the heartbeat of a member; it replaces those of earlier incarnations. */
-export function encodeHeartbeat(member: Member): KeyedRecord {
-  return { key: `${MEMBER_PREFIX}${member.name}`, value: JSON.stringify(member) };
+/**
+ * Encodes the heartbeat of a member, which may be leaving; it replaces those of earlier incarnations.
+ */
+export function encodeHeartbeat(member: Member, isLeaving = false): KeyedRecord {
+  const value = JSON.stringify(isLeaving ? { ...member, isLeaving } : member);
+  return { key: `${MEMBER_PREFIX}${member.name}`, value };
 }
 
 /** Encodes the departure of a member under the key of its heartbeat. */
@@ -102,18 +133,25 @@
   return Number(id.slice(id.lastIndexOf('~') + 1));
 }
 
+/** A member with the monotonic time of its last report, in milliseconds. */
+interface KnownMember {
+  readonly member: Member;
+  readonly lastReportMs: number;
+  readonly isLeaving: boolean;
+}
+
 /** Creates an empty table. */
 export function createClaimTable(): ClaimTable {
   const claims = new Map<string, Claim>();
-  const members = new Map<string, { readonly member: Member; readonly lastReportMs: number }>();
+  const members = new Map<string, KnownMember>();
   const isAlive = (lastReportMs: number, nowMs: number) => nowMs - lastReportMs <= MEMBER_TTL_MS;
   const listReportedWithin = (nowMs: number, ttlMs: number) =>
     [...members.values()]
       .filter(({ lastReportMs }) => nowMs - lastReportMs <= ttlMs)
       .map(({ member }) => member);
-  const findMember = (id: string, nowMs: number) => {
+  const findAlive = (id: string, nowMs: number) => {
     const found = [...members.values()].find(({ member }) => member.id === id);
-    return found !== undefined && isAlive(found.lastReportMs, nowMs) ? found.member : undefined;
+    return found !== undefined && isAlive(found.lastReportMs, nowMs) ? found : undefined;
   };
   /** Newest incarnation that has left, by name; what is stored of it later proves nothing. */
   const departedIds = new Map<string, string>();
@@ -131,6 +169,7 @@
     members.set(member.name, {
       member,
       lastReportMs: Math.max(lastReportMs, known?.lastReportMs ?? -Infinity),
+      isLeaving: known?.isLeaving ?? false,
     });
   };
   const applyMember = (name: string, value: string | undefined, nowMs: number): boolean => {
@@ -140,10 +179,10 @@
     }
     const parsed = parseJson(memberRecordSchema, value);
     if (parsed === undefined) return false;
-    const { hasLeft, ...member } = parsed;
+    const { hasLeft, isLeaving, ...member } = parsed;
     if (hasLeft) departedIds.set(name, member.id);
     else if (!hasDeparted(member) && !isSuperseded(member, nowMs)) {
-      members.set(name, { member, lastReportMs: nowMs });
+      members.set(name, { member, lastReportMs: nowMs, isLeaving });
     }
     // A departure that is stored late must not remove the next incarnation.
     if (hasLeft && members.get(name)?.member.id === member.id) members.delete(name);
@@ -158,10 +197,11 @@
       const duty = key.slice(DUTY_PREFIX.length);
       const parsed = parseJson(claimRecordSchema, value);
       if (parsed === undefined) return false;
-      const { holder, member } = parsed;
+      const { holder, member, releasedToken, handOver } = parsed;
       const current = claims.get(duty);
       if (current !== undefined && current.token >= offset) return true;
-      claims.set(duty, { duty, holder, token: offset });
+      const told = handOver && { handOver, atMs: nowMs };
+      claims.set(duty, { duty, holder, token: offset, releasedToken, told });
       // A claim proves that its holder is alive, so it counts as a heartbeat.
       if (member !== undefined) observeMember(member, nowMs);
       return true;
@@ -169,13 +209,21 @@
     observeMember,
     listMembers: (nowMs) => listReportedWithin(nowMs, MEMBER_TTL_MS),
     listKnownMembers: (nowMs) => listReportedWithin(nowMs, KNOWN_TTL_MS),
-    findMember,
+    listClaimants: (nowMs) =>
+      listReportedWithin(nowMs, MEMBER_TTL_MS).filter(
+        ({ name }) => members.get(name)?.isLeaving === false,
+      ),
+    findMember: (id, nowMs) => findAlive(id, nowMs)?.member,
     findKnownMember: (id) => [...members.values()].find(({ member }) => member.id === id)?.member,
     findClaim: (duty) => claims.get(duty),
     findLiveClaim: (duty, nowMs) => {
       const claim = claims.get(duty);
-      if (claim === undefined || claim.holder === '') return undefined;
-      return findMember(claim.holder, nowMs) === undefined ? undefined : claim;
+      return claim && findAlive(claim.holder, nowMs) && claim;
+    },
+    findLastingClaim: (duty, nowMs) => {
+      const claim = claims.get(duty);
+      const holder = claim && findAlive(claim.holder, nowMs);
+      return holder?.isLeaving === false ? claim : undefined;
     },
   };
 }
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -1,5 +1,6 @@
 /** Tracks until when tasks of an earlier planner may still run or start unseen on workers. */
 import { SUCCESSION_MS } from '../duties/authority.js';
+import type { RunName, TimedHandOver } from './hand-over.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
 
@@ -14,6 +15,14 @@
   readonly claimedMs: number;
 }
 
+/** What inherited jobs wait for. */
+export interface InheritanceWaits {
+  /** Whether an earlier planner may still send orders. */
+  readonly mayPredecessorOrder: boolean;
+  /** Ids of the workers that may hold a lease from an earlier planner and have not reported. */
+  readonly unreportedWorkers: readonly string[];
+}
+
 /** Inheritance of a planner. Times are monotonic, in milliseconds. */
 export interface Inheritance {
   /**
@@ -28,8 +37,19 @@
   readonly recordIncarnation: (workerId: string, bornMs: number) => void;
   /** Records that no lease from an earlier planner is valid any more, once that is certain. */
   readonly expire: (nowMs: number) => void;
-  /** Records that the preceding planner sends no orders after `nowMs`. */
+  /** Records that no earlier planner sends orders after `nowMs`. */
   readonly observePredecessorStopped: (nowMs: number) => void;
+  /**
+   * Applies what the preceding planner tells: its list of leases replaces the inherited one, but for
+   * the workers that have reported since.
+   */
+  readonly observeHandOver: (timed: TimedHandOver) => void;
+  /** Says whether the preceding planner has ordered the stop of a run. */
+  readonly wasStopped: (run: RunName) => boolean;
+  /** Returns until when earlier planners may send orders; in the past once they may not. */
+  readonly getPredecessorUntilMs: () => number;
+  /** Returns when earlier planners may last extend the lease of a worker that has not reported. */
+  readonly getLastOrderMs: (workerId: string) => number;
   /** Says whether an earlier planner may still send orders. */
   readonly mayPredecessorOrder: (nowMs: number) => boolean;
   /** Says whether a worker that has not reported may hold a lease from an earlier planner. */
@@ -39,6 +59,8 @@
    * a worker that has not reported yet.
    */
   readonly isUncertain: (nowMs: number) => boolean;
+  /** Explains what inherited jobs wait for; undefined unless `isUncertain` holds. */
+  readonly explainWaits: (nowMs: number) => InheritanceWaits | undefined;
   /**
    * Says whether a task may run under a long lease on a worker that has not reported yet, although
    * the others are certain.
@@ -61,57 +83,97 @@
   return known !== 0 && bornMs !== 0 && known !== bornMs;
 }
 
-/** Creates the inheritance of a planner. */
-export function createInheritance(options: InheritanceOptions): Inheritance {
-  const inherited = new Map(options.inheritedWorkers.map((holder) => [holder.id, holder]));
-  const unreported = new Map(inherited);
-  /** Unreported workers with an incarnation that the earlier planner did not know. */
-  const restartedIds = new Set<string>();
-  /** Workers on which tasks may run under long leases, by task key. */
-  const longLeases = new Map<string, string>();
-  inherited.forEach(({ id, longLeaseTasks = [] }) =>
-    longLeaseTasks.forEach((key) => longLeases.set(key, id)),
-  );
+/**
+ * Creates the inheritance of a planner. `isAwaited` says of a worker whether its first answer to this
+ * planner is still to come: its lists may name what has ended, also after its lease.
+ */
+export function createInheritance(
+  options: InheritanceOptions,
+  isAwaited: (workerId: string) => boolean,
+): Inheritance {
+  const inherited = new Map<string, LeaseHolder>();
+  const unreported = new Map<string, LeaseHolder>();
+  /** Incarnations that the workers' entries name, by worker id. */
+  const listedBornMs = new Map<string, number>();
+  /** When the lease of a worker may last have been extended, as the preceding planner tells. */
+  const orderedMs = new Map<string, number>();
+  /** Runs that the preceding planner has ordered to stop, by task key. */
+  const stoppedRuns = new Map<string, number>();
   let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
 
+  const getLastOrderMs = (workerId: string) => orderedMs.get(workerId) ?? predecessorUntilMs;
   /** Computes when leases of this length have ended that an earlier planner gave last. */
-  const computeLeaseEndMs = (leaseMs: number) =>
-    predecessorUntilMs + leaseMs / (1 - CLOCK_DRIFT) + INHERITED_LEASE_MARGIN_MS;
-  const hasLongLeases = (holder: LeaseHolder) =>
-    restartedIds.has(holder.id) || holder.longLeaseTasks !== undefined;
+  const computeLeaseEndMs = (workerId: string, leaseMs: number) =>
+    getLastOrderMs(workerId) + leaseMs / (1 - CLOCK_DRIFT) + INHERITED_LEASE_MARGIN_MS;
+  /** Says whether an unreported worker has an incarnation that the earlier planner did not know. */
+  const hasRestarted = (holder: LeaseHolder) =>
+    hasOtherIncarnation(holder, listedBornMs.get(holder.id) ?? 0);
+  const isHeldFor = (workerId: string, leaseMs: number, nowMs: number) =>
+    unreported.has(workerId) &&
+    (nowMs < computeLeaseEndMs(workerId, leaseMs) || isAwaited(workerId));
   const isPossibleHolder = (workerId: string, nowMs: number) => {
     const holder = unreported.get(workerId);
-    const isLong = holder !== undefined && hasLongLeases(holder);
-    return nowMs < computeLeaseEndMs(isLong ? MAX_LEASE_MS : LEASE_MS);
+    const isLong =
+      holder !== undefined && (hasRestarted(holder) || holder.longLeaseTasks !== undefined);
+    return nowMs < computeLeaseEndMs(workerId, isLong ? MAX_LEASE_MS : LEASE_MS);
   };
-  const isUnseen = (workerId: string, nowMs: number) =>
-    unreported.has(workerId) && nowMs < computeLeaseEndMs(MAX_LEASE_MS);
+  /** Says whether any inherited task may run on a worker that has not reported. */
+  const isUnknown = (holder: LeaseHolder, nowMs: number) =>
+    isHeldFor(holder.id, hasRestarted(holder) ? MAX_LEASE_MS : LEASE_MS, nowMs);
+  const isUncertain = (nowMs: number) =>
+    nowMs < predecessorUntilMs ||
+    [...unreported.values()].some((holder) => isUnknown(holder, nowMs));
+  /** Workers on which tasks may run under long leases, by task key. */
+  const longLeases = new Map<string, string>();
+  const addHolder = (holder: LeaseHolder) => {
+    inherited.set(holder.id, holder);
+    unreported.set(holder.id, holder);
+    holder.longLeaseTasks?.forEach((key) => longLeases.set(key, holder.id));
+  };
+  const isUnseen = (workerId: string, nowMs: number) => isHeldFor(workerId, MAX_LEASE_MS, nowMs);
+  options.inheritedWorkers.forEach(addHolder);
   return {
     recordReport: (workerId, sentMs) => {
       if (sentMs < predecessorUntilMs) return;
       unreported.delete(workerId);
-      restartedIds.delete(workerId);
     },
     recordIncarnation: (workerId, bornMs) => {
-      if (hasOtherIncarnation(unreported.get(workerId), bornMs)) restartedIds.add(workerId);
+      if (unreported.has(workerId)) listedBornMs.set(workerId, bornMs);
     },
     expire: (nowMs) => {
       [...unreported.keys()]
-        .filter((id) => !isPossibleHolder(id, nowMs))
-        .forEach((id) => {
-          unreported.delete(id);
-          restartedIds.delete(id);
-        });
+        .filter((id) => !isPossibleHolder(id, nowMs) && !isAwaited(id))
+        .forEach((id) => unreported.delete(id));
     },
     observePredecessorStopped: (nowMs) => {
       predecessorUntilMs = Math.min(predecessorUntilMs, nowMs);
     },
+    observeHandOver: ({ handOver, atMs }) => {
+      predecessorUntilMs = Math.min(predecessorUntilMs, atMs + handOver.earlierOrdersMs);
+      const reportedIds = new Set([...inherited.keys()].filter((id) => !unreported.has(id)));
+      handOver.stoppedRuns?.forEach(({ taskKey, run }) => stoppedRuns.set(taskKey, run));
+      unreported.clear();
+      longLeases.clear();
+      handOver.leases
+        .filter(({ id }) => !reportedIds.has(id))
+        .forEach(({ orderedAgoMs, ...holder }) => {
+          addHolder(holder);
+          orderedMs.set(holder.id, atMs - orderedAgoMs);
+        });
+    },
+    wasStopped: ({ taskKey, run }) => stoppedRuns.get(taskKey) === run,
+    getPredecessorUntilMs: () => predecessorUntilMs,
+    getLastOrderMs,
     mayPredecessorOrder: (nowMs) => nowMs < predecessorUntilMs,
     mayHoldLease: isPossibleHolder,
-    isUncertain: (nowMs) =>
-      nowMs < predecessorUntilMs ||
-      (unreported.size > 0 && nowMs < computeLeaseEndMs(LEASE_MS)) ||
-      (restartedIds.size > 0 && nowMs < computeLeaseEndMs(MAX_LEASE_MS)),
+    isUncertain,
+    explainWaits: (nowMs) =>
+      isUncertain(nowMs)
+        ? {
+            mayPredecessorOrder: nowMs < predecessorUntilMs,
+            unreportedWorkers: [...unreported.keys()],
+          }
+        : undefined,
     mayRunUnseen: (taskKey, nowMs) => {
       const workerId = longLeases.get(taskKey);
       return workerId !== undefined && isUnseen(workerId, nowMs);
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -10,6 +10,7 @@
 import { createCrashWatch } from './crash-watch.js';
 import { createIsolation } from './isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
+import { makeHandOver } from './hand-over.js';
 import { createInheritance } from './inheritance.js';
 import { createJobIntake } from './job-intake.js';
 import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
@@ -66,7 +67,13 @@
   const baseContext: PoolContext = { table, dirtyJobs, report: options.report };
   const interference = createPoolInterference(baseContext);
   const context: PoolContext = { ...baseContext, interference };
-  const inheritance = createInheritance(options);
+  /** Says whether a worker has not been called yet, or not been listed as no worker has. */
+  const isAwaited = (workerId: string) => {
+    const worker = table.workers.get(workerId);
+    if (worker === undefined) return table.workers.size === 0;
+    return worker.isListed && worker.clock === undefined && worker.missedReports === 0;
+  };
+  const inheritance = createInheritance(options, isAwaited);
   const crashWatch = createCrashWatch(context);
   const incarnations = createWorkerIncarnations(context, inheritance, crashWatch);
   const isolation = createIsolation({
@@ -178,8 +185,12 @@
     observeMissedReport: incarnations.observeMissedReport,
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
     observeEndNotice: incarnations.observeEndNotice,
-    observePredecessorStopped: ({ nowMs }) => inheritance.observePredecessorStopped(nowMs),
-    isSettled: (nowMs) => !inheritance.isUncertain(nowMs),
+    observePredecessorStopped: inheritance.observePredecessorStopped,
+    observeHandOver: inheritance.observeHandOver,
+    computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
+    makeHandOver: (token, nowMs) =>
+      makeHandOver({ token, workers: table.workers, findTask: table.findTask, inheritance }, nowMs),
+    explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
     evacuate: (workerId, at) => {
