--- a/packages/daemon/src/lib/jobs/unclaimed-duties.ts
+++ b/packages/daemon/src/lib/jobs/unclaimed-duties.ts
@@ -39,7 +39,7 @@
     return live !== undefined && live.token === droppedTokens.get(duty);
   };
   const isUnclaimed = (duty: string, nowMs: number) =>
-    table.findLastingClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
+    table.findStayingClaim(duty, nowMs) === undefined || isGivenUp(duty, nowMs);
   return {
     list: (nowMs) => {
       const unclaimed = new Set(listDuties().filter((duty) => isUnclaimed(duty, nowMs)));
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -61,7 +61,7 @@
    * Finds the newest claim that keeps others from claiming; undefined also if its holder is leaving,
    * which goes on with the duty until another claim is stored.
    */
-  readonly findLastingClaim: (duty: string, nowMs: number) => Claim | undefined;
+  readonly findStayingClaim: (duty: string, nowMs: number) => Claim | undefined;
 }
 
 /** A member without a heartbeat for more than this many milliseconds is considered gone. */
@@ -220,7 +220,7 @@
       const claim = claims.get(duty);
       return claim && findAlive(claim.holder, nowMs) && claim;
     },
-    findLastingClaim: (duty, nowMs) => {
+    findStayingClaim: (duty, nowMs) => {
       const claim = claims.get(duty);
       const holder = claim && findAlive(claim.holder, nowMs);
       return holder?.isLeaving === false ? claim : undefined;
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -89,9 +89,8 @@
   };
 }
 
-/** Makes the hand-over of a planner that stops at the monotonic time `nowMs`. */
-export function makeHandOver(sources: HandOverSources, nowMs: number): HandOver {
-  const { token, workers, findTask, inheritance } = sources;
+/** Lists the workers that the next planner has to ask or to wait for. */
+function listLeases({ workers, inheritance }: HandOverSources, nowMs: number): HeldLease[] {
   const leases = new Map<string, HeldLease>();
   workers.forEach((worker, id) => {
     if (!isToBeAsked(worker)) return;
@@ -102,16 +101,28 @@
     const earlier = { ...holder, orderedAgoMs: nowMs - inheritance.getLastOrderMs(holder.id) };
     leases.set(holder.id, mergeLeases(earlier, leases.get(holder.id)));
   });
-  const earlierOrdersMs = Math.max(0, inheritance.getPredecessorUntilMs() - nowMs);
-  const stoppedRuns = [...workers.values()].flatMap(({ tasks }) =>
-    [...tasks].flatMap((taskKey) => {
-      const state = findTask(taskKey)?.state;
-      return state?.kind === 'assigned' && state.phase === 'stopping'
-        ? [{ taskKey, run: state.run }]
-        : [];
-    }),
-  );
-  return { token, earlierOrdersMs, leases: [...leases.values()], stoppedRuns };
+  return [...leases.values()];
+}
+
+/** Lists the runs whose stop was ordered and whose end is not known. */
+function listStoppedRuns({ workers, findTask }: HandOverSources): RunName[] {
+  const taskKeys = [...workers.values()].flatMap(({ tasks }) => [...tasks]);
+  return taskKeys.flatMap((taskKey) => {
+    const state = findTask(taskKey)?.state;
+    const isStopping = state?.kind === 'assigned' && state.phase === 'stopping';
+    return isStopping ? [{ taskKey, run: state.run }] : [];
+  });
+}
+
+/** Makes the hand-over of a planner that stops at the monotonic time `nowMs`. */
+export function makeHandOver(sources: HandOverSources, nowMs: number): HandOver {
+  const untilMs = sources.inheritance.getPredecessorUntilMs();
+  return {
+    token: sources.token,
+    earlierOrdersMs: Math.max(0, untilMs - nowMs),
+    leases: listLeases(sources, nowMs),
+    stoppedRuns: listStoppedRuns(sources),
+  };
 }
 
 /** Brings the times of a hand-over to the monotonic time `nowMs`. */
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -117,7 +117,7 @@
       holder !== undefined && (hasRestarted(holder) || holder.longLeaseTasks !== undefined);
     return nowMs < computeLeaseEndMs(workerId, isLong ? MAX_LEASE_MS : LEASE_MS);
   };
-  /** Says whether any inherited task may run on a worker that has not reported. */
+  /** Says whether any inherited task may run, or have ended, on a worker that has not reported. */
   const isUnknown = (holder: LeaseHolder, nowMs: number) =>
     isHeldFor(holder.id, hasRestarted(holder) ? MAX_LEASE_MS : LEASE_MS, nowMs);
   const isUncertain = (nowMs: number) =>
