--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -105,10 +105,7 @@
     );
     if (isStopped) return;
     const receivedAt = readMoment();
-    hasListedEnds =
-      outcome.kind === 'report' &&
-      (outcome.report.bornMs ?? bornMs) === bornMs &&
-      outcome.report.ended.length > 0;
+    hasListedEnds = false;
     switch (outcome.kind) {
       case 'report': {
         const timedReport = {
@@ -117,6 +114,8 @@
           receivedMs: receivedAt.nowMs,
         };
         options.handlePaces(planner.observeReport(workerId, timedReport, receivedAt));
+        const { ended, bornMs: reportedMs = bornMs } = outcome.report;
+        hasListedEnds = reportedMs === bornMs && ended.length > 0;
         await options.handleReport(workerId, receivedAt);
         return;
       }
