--- a/packages/daemon/src/lib/jobs/hand-over-memory.ts
+++ b/packages/daemon/src/lib/jobs/hand-over-memory.ts
@@ -1,15 +1,11 @@
 /** Keeps for a while what the planners of this instance that have stopped tell the next ones. */
 import type { DutyHandOver } from 'vanilladock/lib/duties/authority.js';
-import {
-  refreshHandOver,
-  type HandOver,
-  type TimedHandOver,
-} from 'vanilladock/lib/jobs/hand-over.js';
+import { refreshHandOver, type TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
 
 /** Kept hand-overs; times are monotonic, in milliseconds. */
 export interface HandOverMemory {
-  /** Keeps what a planner tells that has stopped at `nowMs`; undefined if it tells nothing. */
-  readonly keep: (duty: string, handOver: HandOver | undefined, nowMs: number) => void;
+  /** Keeps what a planner tells that has stopped; undefined if it tells nothing. */
+  readonly keep: (duty: string, timed: TimedHandOver | undefined) => void;
   /** Finds the newest hand-over of a duty, with its times brought to `nowMs`. */
   readonly find: (duty: string, nowMs: number) => DutyHandOver | undefined;
 }
@@ -21,9 +17,9 @@
 export function createHandOverMemory(): HandOverMemory {
   const kept = new Map<string, TimedHandOver>();
   return {
-    keep: (duty, handOver, nowMs) => {
-      if (handOver === undefined) kept.delete(duty);
-      else kept.set(duty, { handOver, atMs: nowMs });
+    keep: (duty, timed) => {
+      if (timed === undefined) kept.delete(duty);
+      else kept.set(duty, timed);
     },
     find: (duty, nowMs) => {
       const found = kept.get(duty);
--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -6,11 +6,7 @@
  */
 import type { BehaviorSubject, Subscription } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
-import {
-  refreshHandOver,
-  type HandOver,
-  type TimedHandOver,
-} from 'vanilladock/lib/jobs/hand-over.js';
+import type { TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import { createPoolPlanner, type PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { QueueFigures } from 'vanilladock/lib/jobs/standing-queue.js';
 import type { ExclusionCounts } from 'vanilladock/lib/jobs/worker-exclusion.js';
@@ -94,7 +90,7 @@
    * Returns what the next planner has to know; undefined before a stop, and if neither this planner
    * nor the one before it has told anything.
    */
-  readonly getHandOver: () => HandOver | undefined;
+  readonly getHandOver: () => TimedHandOver | undefined;
   readonly stop: () => void;
 }
 
@@ -304,7 +300,7 @@
       const pausedMs = pauseLog.getPausedMs(nowMs);
       return planner === undefined ? undefined : { pool, pausedMs, ...planner.getFigures(nowMs) };
     },
-    getHandOver: () => telling && refreshHandOver(telling, performance.now()),
+    getHandOver: () => telling,
     stop,
   };
 }
--- a/packages/daemon/src/lib/jobs/pool-runners.ts
+++ b/packages/daemon/src/lib/jobs/pool-runners.ts
@@ -29,7 +29,7 @@
     if (runner === undefined) return;
     runners.delete(pool);
     runner.stop();
-    handOvers.keep(makePoolDuty(pool), runner.getHandOver(), performance.now());
+    handOvers.keep(makePoolDuty(pool), runner.getHandOver());
   };
   const startRunner = (pool: string) => {
     const duty = makePoolDuty(pool);
--- a/packages/daemon/src/lib/jobs/settling-log.ts
+++ b/packages/daemon/src/lib/jobs/settling-log.ts
@@ -40,8 +40,10 @@
       if (phase === 'settled') return;
       phase = waits === undefined ? 'settled' : 'waiting';
       // The last thing that was waited for is named when the wait ends.
-      if (waits !== undefined) lastWaits = waits;
-      if (waits !== undefined) return;
+      if (waits !== undefined) {
+        lastWaits = waits;
+        return;
+      }
       const waitedMs = Math.round(nowMs - claimedMs);
       log.info({ event: 'pool-settled', pool, token, waitedMs, ...makeFields() });
     },
--- a/packages/daemon/src/lib/jobs/take-over.ts
+++ b/packages/daemon/src/lib/jobs/take-over.ts
@@ -26,8 +26,8 @@
 const RETRY_MS = 250;
 
 /**
- * Takes over a pool under the claim with this token; resolves once the new generation is recorded, so that no two planners number
- * their runs alike. Undefined if another planner has taken over or the store was closed.
+ * Takes over a pool under the claim with this token; resolves once the new generation is recorded,
+ * so that no two planners number their runs alike. Undefined if another planner has taken over or the store was closed.
  */
 export async function takeOverPool(
   store: PoolStore,
