--- a/packages/measure/src/lib/placement/run-checks.ts
+++ b/packages/measure/src/lib/placement/run-checks.ts
@@ -2,7 +2,7 @@
  * Checks a run by the execution spans that the workers recorded, independently of the planner's
  * state.
  */
-import type { TaskRun } from '@vanilladock/stand-ins/lib/worker-core.js';
+import type { TaskRun } from '@vanilladock/stand-ins/lib/worker-model.js';
 import { TEAM_QUOTA_CORES } from './workload.js';
 import type { WorkTask } from './workload.js';
 
--- a/packages/measure/src/lib/placement/scenario.ts
+++ b/packages/measure/src/lib/placement/scenario.ts
@@ -5,7 +5,7 @@
  * milliseconds of the simulation's clock.
  */
 import { createWorkerCore } from '@vanilladock/stand-ins/lib/worker-core.js';
-import type { TaskRun, WorkerCore } from '@vanilladock/stand-ins/lib/worker-core.js';
+import type { TaskRun, WorkerCore } from '@vanilladock/stand-ins/lib/worker-model.js';
 import { createRandom } from 'vanilladock';
 import type { Random, WorkerCommand } from 'vanilladock';
 import type { PoolView } from 'vanilladock/lib/placement/plan-input.js';
--- a/packages/measure/src/lib/placement/workload.ts
+++ b/packages/measure/src/lib/placement/workload.ts
@@ -3,7 +3,7 @@
  * 241 pools, 340 teams, task kinds whose declared sizes are wrong by a factor of up to ten, and
  * some tasks that can never succeed.
  */
-import type { Work } from '@vanilladock/stand-ins/lib/worker-core.js';
+import type { Work } from '@vanilladock/stand-ins/lib/worker-model.js';
 import type { Random, Resources, Urgency } from 'vanilladock';
 import type { PoolView, WorkerView } from 'vanilladock/lib/placement/plan-input.js';
 
--- a/packages/measure/src/test/placement-run-checks.test.ts
+++ b/packages/measure/src/test/placement-run-checks.test.ts
@@ -1,5 +1,5 @@
 /** Tests that the checks of the placement measurement detect the violations they look for. */
-import type { TaskRun } from '@vanilladock/stand-ins/lib/worker-core.js';
+import type { TaskRun } from '@vanilladock/stand-ins/lib/worker-model.js';
 import { createRandom } from 'vanilladock';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
--- a/packages/stand-ins/src/lib/worker.ts
+++ b/packages/stand-ins/src/lib/worker.ts
@@ -9,7 +9,7 @@
 import type { AddressInfo } from 'node:net';
 import type { Resources, WorkerCommand, WorkerReport } from 'vanilladock/lib/ports/workers.js';
 import { createWorkerCore } from './worker-core.js';
-import type { Behaviour, TaskRun, Work } from './worker-core.js';
+import type { Behaviour, TaskRun, Work } from './worker-model.js';
 
 /** Options of a worker stand-in. */
 export interface WorkerStandInOptions {
--- a/packages/stand-ins/src/test/worker.test.ts
+++ b/packages/stand-ins/src/test/worker.test.ts
@@ -3,7 +3,7 @@
 import { suite } from 'uvu';
 import type { WorkerCommand, WorkerReport } from 'vanilladock/lib/ports/workers.js';
 import { createWorkerCore } from '../lib/worker-core.js';
-import type { TaskRun, Work } from '../lib/worker-core.js';
+import type { TaskRun, Work } from '../lib/worker-model.js';
 import { startWorkerStandIn } from '../lib/worker.js';
 
 const SIZE = { cores: 2, memoryMb: 1_000, accelerators: 0 };
--- a/packages/vanilladock/src/lib/placement/plan-load.ts
+++ b/packages/vanilladock/src/lib/placement/plan-load.ts
@@ -5,7 +5,7 @@
  */
 import { addResources, isWithin, subtractResources } from './resources.js';
 import type { Resources } from '../ports/workers.js';
-import type { PlanContext } from './plan-worker.js';
+import type { PlanContext } from './plan-context.js';
 import {
   CONFIRMED_AFTER_MS,
   UNRESPONSIVE_AFTER_MS,
--- a/packages/vanilladock/src/lib/placement/plan-pool.ts
+++ b/packages/vanilladock/src/lib/placement/plan-pool.ts
@@ -22,8 +22,8 @@
 } from './plan-load.js';
 import type { PoolLoad, WorkerLoad } from './plan-load.js';
 import { isReservationReady, planCheckpoints, planThrottle } from './plan-preemption.js';
-import { recordEndOnce } from './plan-worker.js';
-import type { PlanContext } from './plan-worker.js';
+import { recordEndOnce } from './plan-context.js';
+import type { PlanContext } from './plan-context.js';
 import { EMPTY_TEAM } from './state.js';
 import type { TaskState, TeamQueue } from './state.js';
 
--- a/packages/vanilladock/src/lib/placement/plan-quarantine.ts
+++ b/packages/vanilladock/src/lib/placement/plan-quarantine.ts
@@ -3,7 +3,7 @@
 import { APPEND_TIMEOUT_MS, UNRESPONSIVE_AFTER_MS } from './plan-input.js';
 import type { PoolView, WorkerView } from './plan-input.js';
 import { getWorkerMemory } from './planner-memory.js';
-import type { PlanContext } from './plan-worker.js';
+import type { PlanContext } from './plan-context.js';
 import {
   computeProbeDelay,
   explainEvidence,
--- a/packages/vanilladock/src/lib/placement/plan.ts
+++ b/packages/vanilladock/src/lib/placement/plan.ts
@@ -10,8 +10,9 @@
 import type { PlanInput, PoolView } from './plan-input.js';
 import { computePendingCores, planPool } from './plan-pool.js';
 import { planQuarantine } from './plan-quarantine.js';
-import { observeNewestReport, planUnlisted, planRenewal, planWorker } from './plan-worker.js';
-import type { PlanContext } from './plan-worker.js';
+import { observeNewestReport } from './plan-context.js';
+import type { PlanContext } from './plan-context.js';
+import { planUnlisted, planRenewal, planWorker } from './plan-worker.js';
 import { createPlannerMemory, dropResolved, getWorkerMemory } from './planner-memory.js';
 import { createRecordMaker } from './record-maker.js';
 
