Carry the fleet duty out in a module of its own

startFleetHolder runs the fleet duty under each claim of an instance, as startPoolRunners does for pools; job-entry.ts only wires it. No change of behaviour: fleet-duty and leaving-instances pass as before (10 tests).

--- /dev/null
+++ b/packages/daemon/src/lib/jobs/fleet-holder.ts
@@ -0,0 +1,36 @@
+/** Carries out the fleet duty while this instance holds it. */
+import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
+import type { DutyClaims } from './duty-claims.js';
+import {
+  FLEET_DUTY,
+  startFleetRunner,
+  type FleetRunner,
+  type FleetSources,
+} from './fleet-runner.js';
+import type { JobGateway } from './job-gateway.js';
+
+/** Dependencies of the holder. */
+export interface FleetHolderOptions extends FleetSources {
+  readonly claims: Pick<DutyClaims, 'held' | 'dropDuty'>;
+  /** Name of this instance, with which the fleet's orders are fenced. */
+  readonly holder: string;
+  readonly gateway: JobGateway;
+}
+
+/** Runs the duty under each claim of this instance, now and later, and stops it with the claim. */
+export function startFleetHolder(options: FleetHolderOptions): void {
+  const { claims } = options;
+  let runner: FleetRunner | undefined;
+  const updateRunner = (claim: Claim | undefined) => {
+    if (runner?.claim.token === claim?.token) return;
+    runner?.stop();
+    runner =
+      claim &&
+      startFleetRunner({
+        ...options,
+        claim,
+        handleLost: (why) => claims.dropDuty(FLEET_DUTY, why),
+      });
+  };
+  claims.held.subscribe((held) => updateRunner(held.get(FLEET_DUTY)));
+}
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -3,17 +3,13 @@
  * pools whose duties it holds, and answers requests about jobs for all pools.
  */
 import type { Server } from 'node:http';
-import type { Claim, Member } from 'vanilladock/lib/duties/claim-table.js';
+import type { Member } from 'vanilladock/lib/duties/claim-table.js';
 import { createLoggingGuard } from '../error-guard.js';
 import { startInputAgeWatch } from '../input-age.js';
 import { closeServer } from '../servers.js';
 import { createDutyClaims, type DutyClaims } from './duty-claims.js';
-import {
-  FLEET_DUTY,
-  startFleetRunner,
-  type FleetRunner,
-  type FleetSources,
-} from './fleet-runner.js';
+import { startFleetHolder } from './fleet-holder.js';
+import { FLEET_DUTY, type FleetSources } from './fleet-runner.js';
 import { createHandOverMemory } from './hand-over-memory.js';
 import { createJobGateway, makePoolDuty, type JobGateway } from './job-gateway.js';
 import { createPeerClient, servePeers } from './peers.js';
@@ -99,21 +95,6 @@
     listPools,
     handOvers,
   });
-  let fleetRunner: FleetRunner | undefined;
-  const updateFleetRunner = (claim: Claim | undefined) => {
-    if (fleetRunner?.claim.token === claim?.token) return;
-    fleetRunner?.stop();
-    fleetRunner =
-      claim === undefined
-        ? undefined
-        : startFleetRunner({
-            ...options,
-            claim,
-            holder: self.name,
-            gateway,
-            handleLost: (why) => claims.dropDuty(FLEET_DUTY, why),
-          });
-  };
   const inputAge = startInputAgeWatch(log);
   const gateway = createJobGateway({
     findRunner: runners.find,
@@ -139,7 +120,7 @@
     LEFT_QUEUES_INTERVAL_MS,
   );
   dropTimer.unref();
-  claims.held.subscribe((held) => updateFleetRunner(held.get(FLEET_DUTY)));
+  startFleetHolder({ ...options, claims, holder: self.name, gateway });
   servePeers(peerServer, {
     answer: gateway.answerLocally,
     answerNotice: claims.answerNotice,
