Count the gap between holders of the fleet duty from the last order

Operators saw maintenance waves stand, and pools that got no instances, for as long as instances were stopped one after the other 1 to 3 s apart: nobody sent the fleet an order.

Cause: each holder of the fleet duty waited lease_ms (3 s) from its own claim, whatever had been ordered before it, and did nothing meanwhile. The platform wants that gap between the last order of one holder and the first of the next. Also a step that a holder had loaded as begun counted as ended 1 s after it was loaded, so that holders of 1.1 s never recorded an end.

A holder now tells the next one for how long nothing has been ordered, in the answer to its notice and in the record of a release, measured by its own clock; one that has ordered nothing passes on what it was told. An order counts until its answer, one in flight or without an answer 1.5 s longer. Without that, the full wait from the claim stays. While orders wait a holder drains, records ended maintenance and counts surplus.

--- a/packages/daemon/src/lib/jobs/fleet-holder.ts
+++ b/packages/daemon/src/lib/jobs/fleet-holder.ts
@@ -7,11 +7,14 @@
   type FleetRunner,
   type FleetSources,
 } from './fleet-runner.js';
+import type { HandOverMemory } from './hand-over-memory.js';
 import type { JobGateway } from './job-gateway.js';
 
 /** Dependencies of the holder. */
 export interface FleetHolderOptions extends FleetSources {
-  readonly claims: Pick<DutyClaims, 'held' | 'dropDuty'>;
+  readonly claims: Pick<DutyClaims, 'held' | 'dropDuty' | 'queryPredecessor'>;
+  /** Gets what the holders tell that have stopped. */
+  readonly handOvers: HandOverMemory;
   /** Name of this instance, with which the fleet's orders are fenced. */
   readonly holder: string;
   readonly gateway: JobGateway;
@@ -19,16 +22,18 @@
 
 /** Runs the duty under each claim of this instance, now and later, and stops it with the claim. */
 export function startFleetHolder(options: FleetHolderOptions): void {
-  const { claims } = options;
+  const { claims, handOvers } = options;
   let runner: FleetRunner | undefined;
   const updateRunner = (claim: Claim | undefined) => {
     if (runner?.claim.token === claim?.token) return;
     runner?.stop();
+    if (runner !== undefined) handOvers.keep(FLEET_DUTY, runner.getHandOver());
     runner =
       claim &&
       startFleetRunner({
         ...options,
         claim,
+        queryPredecessor: () => claims.queryPredecessor(claim),
         handleLost: (why) => claims.dropDuty(FLEET_DUTY, why),
       });
   };
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -1,11 +1,14 @@
 /** Runs the fleet duty under one claim: maintenance waves, and lending between pools. */
 import type { BehaviorSubject } from 'rxjs';
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
+import type { TimedHandOver } from 'vanilladock/lib/jobs/hand-over.js';
 import type { Fleet, FleetConfig, FleetFence, WaveOrder } from 'vanilladock/lib/ports/fleet.js';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import { createErrorGuard, makeErrorFields } from '../error-guard.js';
 import type { JsonLog } from '../json-log.js';
 import { waitMs } from './clock.js';
+import type { Predecessor } from './duty-notices.js';
+import { createFleetOrderGap } from './fleet-order-gap.js';
 import type { JobGateway } from './job-gateway.js';
 import { createLender } from './lender.js';
 import { createEvacuations, type Evacuations } from './evacuations.js';
@@ -40,6 +43,8 @@
   /** Name of this instance, with which the fleet's orders are fenced. */
   readonly holder: string;
   readonly gateway: JobGateway;
+  /** Resolves to what is known of the holder before. */
+  readonly queryPredecessor: () => Promise<Predecessor>;
   /** Called when a later holder has taken over the duty. */
   readonly handleLost: (why: string) => void;
 }
@@ -55,13 +60,17 @@
   /** Stops the duty and reports its loss; has no effect once it has stopped. */
   readonly handleLoss: (why: string) => void;
   readonly isStopped: () => boolean;
+  /** Says whether orders may be sent now; until then only what precedes them is done. */
+  readonly mayOrder: () => boolean;
 }
 
 /** A running fleet duty. */
 export interface FleetRunner {
   readonly claim: Claim;
-  /** Stops after the round in progress, whose orders may still be sent. */
+  /** Stops: from now on no order is sent. */
   readonly stop: () => void;
+  /** Returns what this holder tells the next one; it has to have stopped. */
+  readonly getHandOver: () => TimedHandOver;
 }
 
 const TICK_MS = 250;
@@ -73,19 +82,35 @@
 const ORDERS_PER_CLAIM = 1_000_000;
 
 /**
- * Starts the fleet duty. The first orders follow once the journal is loaded and `holderGapMs` has
- * passed.
+ * Starts the fleet duty. The first orders follow once the journal is loaded and nothing has been
+ * ordered for `holderGapMs`; rounds without orders begin before.
  */
 export function startFleetRunner(options: FleetRunnerOptions): FleetRunner {
-  const { claim, holder, fleet, log } = options;
+  const { claim, holder, log } = options;
   const journal = createWaveJournal(options.store, claim.token, log);
-  const startedMs = performance.now();
+  const claimedMs = performance.now();
+  const gap = createFleetOrderGap({
+    fleet: options.fleet,
+    token: claim.token,
+    gapMs: options.holderGapMs,
+    claimedMs,
+  });
+  const { fleet } = gap;
   let orderCount = 0;
   let isStopped = false;
   let isListLost = false;
+  let isWaitLogged = false;
 
+  /** Logs once how long orders had to wait; they still had to if the duty ends before. */
+  const recordWait = (isWaiting: boolean) => {
+    if (isWaitLogged) return;
+    isWaitLogged = true;
+    const waitedMs = Math.round(performance.now() - claimedMs);
+    log.info({ event: 'fleet-wait', token: claim.token, waitedMs, isWaiting });
+  };
   const stop = () => {
     isStopped = true;
+    recordWait(true);
     journal.close();
   };
   const handleLoss = (why: string) => {
@@ -101,12 +126,14 @@
   const incarnationEnds = createIncarnationEnds(options.gateway);
   const duty: FleetDuty = {
     ...options,
+    fleet,
     evacuations: createEvacuations(options.gateway),
     incarnationEnds,
     tickMs: TICK_MS,
     takeFence,
     handleLoss,
     isStopped: () => isStopped,
+    mayOrder: () => !isStopped && gap.isOver(performance.now()),
   };
   const waveRunner = createWaveRunner(duty, journal);
   const lender = createLender(duty);
@@ -123,6 +150,7 @@
     if (list === undefined) return FAILED_TICK_MS;
     const instances = new Map(list.map((instance) => [instance.id, instance]));
     incarnationEnds.handleList(instances);
+    if (duty.mayOrder()) recordWait(false);
     await Promise.all([waveRunner.run(instances), lender.run(instances, waveRunner.listHeld())]);
     return TICK_MS;
   };
@@ -140,9 +168,13 @@
       handleLoss('ledger-fenced');
       return;
     }
-    await waitMs(Math.max(0, options.holderGapMs - (performance.now() - startedMs)));
     while (!isStopped) await waitMs(await runRound());
   };
+  const observePredecessor = async () => {
+    gap.observePredecessor(await options.queryPredecessor());
+    const earlierOrdersMs = gap.findEarlierOrderMs();
+    if (earlierOrdersMs !== undefined) journal.observeEarlierOrders(earlierOrdersMs);
+  };
   startAllotter({
     claim,
     gateway: options.gateway,
@@ -155,5 +187,6 @@
     handleLoss('duty-failed');
   });
   guard.watch('journal', run());
-  return { claim, stop };
+  guard.watch('predecessor', observePredecessor());
+  return { claim, stop, getHandOver: () => gap.makeHandOver(performance.now()) };
 }
--- a/packages/daemon/src/lib/jobs/job-entry.ts
+++ b/packages/daemon/src/lib/jobs/job-entry.ts
@@ -120,7 +120,7 @@
     LEFT_QUEUES_INTERVAL_MS,
   );
   dropTimer.unref();
-  startFleetHolder({ ...options, claims, holder: self.name, gateway });
+  startFleetHolder({ ...options, claims, handOvers, holder: self.name, gateway });
   servePeers(peerServer, {
     answer: gateway.answerLocally,
     answerNotice: claims.answerNotice,
--- a/packages/daemon/src/lib/jobs/lender.ts
+++ b/packages/daemon/src/lib/jobs/lender.ts
@@ -40,7 +40,7 @@
 
 /** Creates the lender. */
 export function createLender(duty: FleetDuty): Lender {
-  const { fleet, config, gateway, evacuations, incarnationEnds, log, isStopped } = duty;
+  const { fleet, config, gateway, evacuations, incarnationEnds, log, isStopped, mayOrder } = duty;
   const ordersPerTick = (duty.fleetOrdersPerSecond * duty.tickMs) / MS_PER_SECOND;
   const maxMoves = Math.max(1, Math.floor(ordersPerTick * LENDING_ORDER_SHARE));
   const surplusSinceMs = new Map<string, number>();
@@ -92,7 +92,7 @@
     const { workerId, from } = move;
     const hasNoTasks = from === standbyPool || workerId === undefined;
     if (!hasNoTasks && !(await drainWorker(from, workerId))) return;
-    if (!isStopped()) await sendMove(move);
+    if (mayOrder()) await sendMove(move);
   };
   /** Forgets the open moves that have taken effect, and those that are not repeated any more. */
   const dropClosedMoves = (instances: ReadonlyMap<string, FleetInstance>) => {
@@ -139,6 +139,7 @@
         maxMoves,
       });
       reachableCores = plan.reachableCores;
+      if (!mayOrder()) return;
       if (plan.moves.length > 0) {
         log.info({
           event: 'lending-plan',
--- a/packages/daemon/src/lib/jobs/wave-journal.ts
+++ b/packages/daemon/src/lib/jobs/wave-journal.ts
@@ -23,9 +23,12 @@
   readonly load: () => Promise<boolean>;
   /**
    * Lists the stored steps of a wave by instance; empty if there are none. Times are monotonic and
-   * not stored: a step of an earlier holder has the time at which it was loaded.
+   * not stored: a step of an earlier holder has the time of the last order of those, or if that is
+   * not known the time at which it was loaded.
    */
   readonly listSteps: (wave: number) => ReadonlyMap<string, WaveStep>;
+  /** Takes in the latest monotonic time in milliseconds at which an earlier holder has ordered. */
+  readonly observeEarlierOrders: (untilMs: number) => void;
   /** Says whether the wave was stored as completed when the journal was loaded. */
   readonly isCompleted: (wave: number) => boolean;
   /** Stores the step that an instance has reached in a wave. */
@@ -43,6 +46,8 @@
   const writer = createFencedWriter({ store, where: PARTITION, producer: PRODUCER, token, log });
   const steps = new Map<number, Map<string, WaveStep>>();
   const completed = new Set<number>();
+  let earlierOrdersMs = Infinity;
+  let loadedMs = Infinity;
   const getSteps = (wave: number) => {
     const waveSteps = steps.get(wave) ?? new Map<string, WaveStep>();
     steps.set(wave, waveSteps);
@@ -55,7 +60,9 @@
     if (stepMatch?.[1] === undefined || stepMatch[2] === undefined) return;
     const stored = JSON.parse(value) as { readonly kind: WaveStep['kind'] };
     const step: WaveStep =
-      stored.kind === 'done' ? { kind: 'done' } : { kind: stored.kind, atMs: performance.now() };
+      stored.kind === 'done'
+        ? { kind: 'done' }
+        : { kind: stored.kind, atMs: Math.min(performance.now(), earlierOrdersMs) };
     getSteps(Number(stepMatch[1])).set(stepMatch[2], step);
   };
   const makeStepKey = (wave: number, instance: string) => `wave/${wave}/${instance}`;
@@ -67,9 +74,19 @@
           if (value !== undefined) apply(key, value);
         });
       });
+      loadedMs = performance.now();
       return isLoaded;
     },
     listSteps: getSteps,
+    observeEarlierOrders: (untilMs) => {
+      earlierOrdersMs = untilMs;
+      steps.forEach((waveSteps) =>
+        waveSteps.forEach((step, instance) => {
+          if (step.kind === 'done' || step.atMs <= untilMs || step.atMs > loadedMs) return;
+          waveSteps.set(instance, { ...step, atMs: untilMs });
+        }),
+      );
+    },
     isCompleted: (wave) => completed.has(wave),
     write: async (wave, instance, step) => {
       const value = JSON.stringify({ kind: step.kind });
--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -35,6 +35,7 @@
     takeFence,
     handleLoss,
     isStopped,
+    mayOrder,
   } = duty;
   const memories = new Map<number, WaveMemory>();
 
@@ -78,6 +79,7 @@
     return { isReady, content: evacuation?.content };
   };
   const startMaintenance = async (order: WaveOrder, instance: FleetInstance) => {
+    if (!mayOrder()) return;
     const { id, pool, workerId } = instance;
     const isRepeated = journal.listSteps(order.wave).has(id);
     /** Removes the step of an order that is not carried out, unless an earlier one still may be. */
--- a/packages/daemon/src/test/fleet-duty.test.ts
+++ b/packages/daemon/src/test/fleet-duty.test.ts
@@ -34,6 +34,7 @@
     waves: new BehaviorSubject(new Map(orders.map((order) => [order.wave, order]))),
     publishWave: () => Promise.resolve(true),
     holderGapMs: 0,
+    queryPredecessor: () => new Promise(() => {}),
     fleetOrdersPerSecond: 100,
     log: { info: record, warn: record, error: record },
     claim: { duty: 'fleet', holder: 'a', token: 1 },
--- a/packages/daemon/src/test/lender.test.ts
+++ b/packages/daemon/src/test/lender.test.ts
@@ -37,6 +37,7 @@
     outcome: { kind: 'unknown' } as FleetOutcome,
     lastingCores: 0,
     isStopped: false,
+    isWaiting: false,
     handleEvacuation: () => {},
   };
   const instances = new Map([1, 2, 3, 4].map((index) => [`m${index}`, makeInstance(index)]));
@@ -82,6 +83,7 @@
     takeFence: () => ({ holder: 'a', token: 1 }),
     handleLoss: () => {},
     isStopped: () => state.isStopped,
+    mayOrder: () => !state.isStopped && !state.isWaiting,
   } as unknown as FleetDuty;
   const lender = createLender(duty);
   return { moves, evacuated, state, instances, runRound: () => lender.run(instances, new Set()) };
@@ -158,4 +160,17 @@
   assert.equal(moves, ['m1']);
 });
 
+// Guards against a surplus that begins anew with each holder of the fleet duty.
+test('a surplus counts while orders have to wait, and nothing is moved or drained', async () => {
+  const { moves, evacuated, state, runRound } = createSetup();
+  state.isWaiting = true;
+  await runRound();
+  await clock.tickAsync(SURPLUS_DELAY_MS);
+  await runRound();
+  assert.equal([...moves, ...evacuated], []);
+  state.isWaiting = false;
+  await runRound();
+  assert.equal(moves, ['m1']);
+});
+
 test.run();
--- a/packages/daemon/src/test/wave-runner.test.ts
+++ b/packages/daemon/src/test/wave-runner.test.ts
@@ -34,6 +34,7 @@
     writeMs: 0,
     outcome: { kind: 'done' } as FleetOutcome,
     isStopped: false,
+    isWaiting: false,
   };
   const journal = {
     listSteps: () => steps,
@@ -74,6 +75,7 @@
     takeFence: () => ({ holder: 'a', token: 1 }),
     handleLoss: () => {},
     isStopped: () => state.isStopped,
+    mayOrder: () => !state.isStopped && !state.isWaiting,
   } as unknown as FleetDuty;
   const runner = createWaveRunner(duty, journal);
   const runRound = (instance = INSTANCE) => runner.run(new Map([[instance.id, instance]]));
@@ -178,4 +180,16 @@
   assert.is(steps.get('m1')?.kind, 'begun');
 });
 
+// Guards against holders of the fleet duty that begin to drain only when they may order.
+test('workers are drained while orders have to wait, and nothing is ordered or recorded', async () => {
+  const { orders, steps, state, runRound } = createSetup();
+  state.isWaiting = true;
+  await runRound();
+  await runRound();
+  assert.equal([orders.length, steps.size], [0, 0]);
+  state.isWaiting = false;
+  await runRound();
+  assert.is(orders.length, 1);
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -1,7 +1,8 @@
 /**
- * What a planner that has stopped tells its successor of waits that are not over. Each is given as
- * time that has passed or is left, measured by the clock of the planner that tells it, so that waits
- * go on over successive planners instead of beginning anew with each.
+ * What a planner that has stopped tells its successor of waits that are not over, and a holder of the
+ * fleet duty of its orders. Each is given as
+ * time that has passed or is left, measured by the clock of the one that tells it, so that waits
+ * go on over successive holders instead of beginning anew with each.
  */
 import { z } from 'zod';
 import type { Inheritance } from './inheritance.js';
@@ -24,6 +25,11 @@
   readonly leases: readonly HeldLease[];
   /** Runs of which a stop is on its way; absent in those of earlier versions. */
   readonly stoppedRuns?: readonly RunName[] | undefined;
+  /**
+   * Time in milliseconds since the fleet may last have carried out an order of this holder or of one
+   * before it; negative if it still may for that long. Only the fleet duty tells it.
+   */
+  readonly fleetOrderAgoMs?: number | undefined;
   /** Token of a later planner that passes this on because it has not ordered anything. */
   readonly passedOnBy?: number | undefined;
 }
@@ -46,6 +52,7 @@
   earlierOrdersMs: z.number().nonnegative(),
   leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
   stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
+  fleetOrderAgoMs: z.number().optional(),
   passedOnBy: z.number().optional(),
 });
 
@@ -130,6 +137,9 @@
   const elapsedMs = nowMs - atMs;
   return {
     ...handOver,
+    ...(handOver.fleetOrderAgoMs === undefined
+      ? {}
+      : { fleetOrderAgoMs: handOver.fleetOrderAgoMs + elapsedMs }),
     earlierOrdersMs: Math.max(0, handOver.earlierOrdersMs - elapsedMs),
     leases: handOver.leases.map((lease) => ({
       ...lease,
