Send the fleet no orders without authority

A holder of the fleet duty that was cut off from the store went on to move and maintain instances until a peer told it of its successor, while docs and the line authority-lapsed say that no order is sent then.

Cause: planners ask whether their claim is in force, the fleet duty did not. Evidence: a test of the duty with a claim that is out of force from 2 to 6 s found 16 orders in that time, and finds none now; before and after it the orders go on.

The fixture of fleet-duty got the new dependency, its checks stand.

--- a/packages/daemon/src/lib/jobs/fleet-holder.ts
+++ b/packages/daemon/src/lib/jobs/fleet-holder.ts
@@ -12,7 +12,7 @@
 
 /** Dependencies of the holder. */
 export interface FleetHolderOptions extends FleetSources {
-  readonly claims: Pick<DutyClaims, 'held' | 'dropDuty' | 'queryPredecessor'>;
+  readonly claims: Pick<DutyClaims, 'held' | 'isInForce' | 'dropDuty' | 'queryPredecessor'>;
   /** Gets what the holders tell that have stopped. */
   readonly handOvers: HandOverMemory;
   /** Name of this instance, with which the fleet's orders are fenced. */
@@ -33,6 +33,7 @@
       startFleetRunner({
         ...options,
         claim,
+        isInForce: () => claims.isInForce(claim),
         queryPredecessor: () => claims.queryPredecessor(claim),
         handleLost: (why) => claims.dropDuty(FLEET_DUTY, why),
       });
--- a/packages/daemon/src/lib/jobs/fleet-runner.ts
+++ b/packages/daemon/src/lib/jobs/fleet-runner.ts
@@ -43,6 +43,8 @@
   /** Name of this instance, with which the fleet's orders are fenced. */
   readonly holder: string;
   readonly gateway: JobGateway;
+  /** Says whether orders may be given under the claim now. */
+  readonly isInForce: () => boolean;
   /** Resolves to what is known of the holder before. */
   readonly queryPredecessor: () => Promise<Predecessor>;
   /** Called when a later holder has taken over the duty. */
@@ -133,7 +135,7 @@
     takeFence,
     handleLoss,
     isStopped: () => isStopped,
-    mayOrder: () => !isStopped && gap.isOver(performance.now()),
+    mayOrder: () => !isStopped && options.isInForce() && gap.isOver(performance.now()),
   };
   const waveRunner = createWaveRunner(duty, journal);
   const lender = createLender(duty);
--- a/packages/daemon/src/lib/jobs/wave-runner.ts
+++ b/packages/daemon/src/lib/jobs/wave-runner.ts
@@ -89,7 +89,7 @@
     if (!(await writeStep(order, id, { kind: 'ordered', atMs: performance.now() }))) return;
     const { isReady, content } = await checkDrained(instance);
     if (isStopped()) return;
-    if (!isReady) {
+    if (!isReady || !mayOrder()) {
       await dropStep();
       return;
     }
--- a/packages/daemon/src/test/fleet-duty.test.ts
+++ b/packages/daemon/src/test/fleet-duty.test.ts
@@ -11,16 +11,26 @@
 
 const test = suite('fleet duty');
 
+const ORDER = { wave: 1, instances: ['m1'], durationMs: 1_000, maxConcurrent: 1 };
+
+/** Lists an instance without a worker. */
+const listOne = () =>
+  Promise.resolve([
+    { id: 'm1', pool: 'stalls', state: 'up', dataCentre: 'hobart', workerId: undefined },
+  ]);
+
 /** Runs the duty on a paused clock; `listInstances` gets the number of lists before this one. */
 const runDuty = async (
   listInstances: (count: number) => Promise<unknown>,
   store = createMemoryStore().store,
   orders: readonly WaveOrder[] = [],
+  isInForce = () => true,
 ) => {
   const clock = install({ now: 0 });
   const events: LogFields[] = [];
   const record = (fields: LogFields) => void events.push(fields);
   const lost: string[] = [];
+  const orderTimesMs: number[] = [];
   let listCount = 0;
   const runner = startFleetRunner({
     store,
@@ -29,11 +39,16 @@
         listCount += 1;
         return listInstances(listCount - 1);
       },
+      maintainInstance: () => {
+        orderTimesMs.push(performance.now());
+        return Promise.resolve({ kind: 'unknown' });
+      },
     },
     config: new BehaviorSubject(undefined),
     waves: new BehaviorSubject(new Map(orders.map((order) => [order.wave, order]))),
     publishWave: () => Promise.resolve(true),
     holderGapMs: 0,
+    isInForce,
     queryPredecessor: () => new Promise(() => {}),
     fleetOrdersPerSecond: 100,
     log: { info: record, warn: record, error: record },
@@ -45,7 +60,7 @@
   await clock.tickAsync(10_000);
   runner.stop();
   clock.uninstall();
-  return { events, listCount, lost };
+  return { events, listCount, lost, orderTimesMs };
 };
 
 test('one round that fails ends the fleet duty of an instance that keeps its claim', async () => {
@@ -75,19 +90,23 @@
     // The first append is the empty one that fences off earlier holders.
     return appends === 2 ? Promise.reject(new Error('planted')) : store.append(...inputs);
   };
-  const order = { wave: 1, instances: ['m1'], durationMs: 1_000, maxConcurrent: 1 };
-  const instance = {
-    id: 'm1',
-    pool: 'stalls',
-    state: 'up',
-    dataCentre: 'hobart',
-    workerId: undefined,
-  };
-  const { lost } = await runDuty(() => Promise.resolve([instance]), { ...store, append }, [order]);
+  const { lost } = await runDuty(listOne, { ...store, append }, [ORDER]);
   assert.is(appends, 2);
   assert.equal(lost, ['ledger-fenced']);
 });
 
+// Guards against two holders that order at the same time, as one cannot confirm its claim.
+test('no order is sent while the claim is not in force', async () => {
+  const isInForce = () => performance.now() < 2_000 || performance.now() > 6_000;
+  const { orderTimesMs } = await runDuty(listOne, undefined, [ORDER], isInForce);
+  assert.ok(orderTimesMs.some((atMs) => atMs < 2_000));
+  assert.ok(orderTimesMs.some((atMs) => atMs > 6_000));
+  assert.equal(
+    orderTimesMs.filter((atMs) => atMs >= 2_000 && atMs <= 6_000),
+    [],
+  );
+});
+
 // Guards against a line in every round where there is no list of instances.
 test('a list of instances that is not available is logged once, and again when it is', async () => {
   const { events, listCount } = await runDuty((count) =>
