Divide a team's limit by wants, not what is free of it

Cause: targets never went below what a pool uses. A pool that refills at once kept its allotment whatever another one waited for.

Now the limit is divided by what each pool uses and wants. Each pool that waits gets one task first, pools in which the team runs nothing before others, so that neither a pool that wants little nor one whose oldest job never starts is passed over for good. A pool above its part starts nothing until enough has ended; as its tasks may last, the others share what it does not use. As a pool gives way now, two cases must not take from one what no other can use: while a holder may raise nothing it lowers nothing for others either, and a pool that has not answered for two rounds wants nothing.

Evidence: three tests of allotments.test.ts.

--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -85,10 +85,19 @@
   jobsPerSecond: 0,
 };
 
+/**
+ * Rounds without an answer after which no other pool gives way to a pool; what is in force there
+ * stays counted.
+ */
+const MAX_UNANSWERED_ROUNDS = 2;
+
 /** Creates the ledger of a holder that starts at the monotonic time `startedMs`. */
 export function createAllotmentLedger(startedMs: number): AllotmentLedger {
   /** Teams by pool, for the pools that have answered. */
   const reportsByPool = new Map<string, Map<string, TeamReport>>();
+  /** Rounds since a pool last answered. */
+  const unansweredRounds = new Map<string, number>();
+  const isUnanswered = (pool: string) => (unansweredRounds.get(pool) ?? 0) > MAX_UNANSWERED_ROUNDS;
   const findUses = (team: string, pools: readonly string[]): ReadonlyMap<string, TeamReport> =>
     new Map(
       pools.flatMap((pool) => {
@@ -96,7 +105,9 @@
         const isSmall = pools.length <= MAX_POOLS_FOR_ALL;
         const report =
           reports?.get(team) ?? (isSmall && reports !== undefined ? NO_USE : undefined);
-        return report === undefined ? [] : [[pool, report] as const];
+        if (report === undefined) return [];
+        const wanted = isUnanswered(pool) ? report.used : report.wanted;
+        return [[pool, { ...report, wanted }] as const];
       }),
     );
   const recordSent = (pool: string, team: string, report: TeamReport, allotment: Resources) => {
@@ -108,6 +119,7 @@
       const hasAllAnswered = pools.every((pool) => reportsByPool.has(pool));
       const mayRaise = hasAllAnswered || nowMs - startedMs > LEARN_MS;
       const messages = new Map<string, Record<string, TeamShare>>(pools.map((pool) => [pool, {}]));
+      pools.forEach((pool) => unansweredRounds.set(pool, (unansweredRounds.get(pool) ?? 0) + 1));
       teams.forEach(({ name, limit }) => {
         const uses = findUses(name, pools);
         const allotments = computeAllotments(limit, uses, mayRaise);
@@ -124,6 +136,7 @@
       return messages;
     },
     observeReport: (pool, { teams, isSettled }) => {
+      unansweredRounds.delete(pool);
       const before = reportsByPool.get(pool);
       const reports = Object.entries(teams).map(([team, report]) => {
         const known = before?.get(team);
--- a/packages/vanilladock/src/lib/teams/compute-allotments.ts
+++ b/packages/vanilladock/src/lib/teams/compute-allotments.ts
@@ -30,49 +30,84 @@
   readonly held: number;
 }
 
-/**
- * Distributes what is free among the needs in whole tasks; shares come in order of precedence for
- * what is left after rounding down.
- */
-function spreadByNeed(free: number, shares: readonly Share[], needs: readonly number[]) {
-  const totalNeed = needs.reduce((sum, need) => sum + need, 0);
+/** Relative rounding error that a sum of allotments may have. */
+const ROUNDING = 1e-9;
+
+/** Pools in order of precedence for what cannot be divided. */
+type Shares = readonly Share[];
+
+const sumAmounts = (amounts: readonly number[]) => amounts.reduce((sum, amount) => sum + amount, 0);
+
+/** Gives each pool that waits for a task one of them, as far as the amount goes. */
+function giveOneTaskEach(amount: number, shares: Shares): readonly number[] {
+  let left = amount;
+  return shares.map(({ wanted, unit }) => {
+    const gain = unit > 0 ? Math.min(wanted, unit) : 0;
+    if (gain > left) return 0;
+    left -= gain;
+    return gain;
+  });
+}
+
+/** Divides an amount that is less than what is wanted, by wants and in whole tasks. */
+function spreadByWants(amount: number, shares: Shares): readonly number[] {
+  const first = giveOneTaskEach(amount, shares);
+  const wants = shares.map(({ wanted }, index) => Math.max(0, wanted - (first[index] ?? 0)));
+  const rest = Math.max(0, amount - sumAmounts(first));
+  const totalWant = sumAmounts(wants);
   const gains = shares.map(({ unit }, index) => {
-    const part = (free * (needs[index] ?? 0)) / totalNeed;
+    const part = totalWant > 0 ? Math.min(1, rest / totalWant) * (wants[index] ?? 0) : 0;
     return unit > 0 ? Math.floor(part / unit) * unit : part;
   });
-  let left = free - gains.reduce((sum, gain) => sum + gain, 0);
+  let left = rest - sumAmounts(gains);
   return shares.map(({ unit }, index) => {
-    const gain = gains[index] ?? 0;
-    const isNeeded = gain < (needs[index] ?? 0) && unit > 0 && unit <= left;
-    if (isNeeded) left -= unit;
-    return isNeeded ? gain + unit : gain;
+    const gain = (first[index] ?? 0) + (gains[index] ?? 0);
+    const isWanted = (gains[index] ?? 0) < (wants[index] ?? 0) && unit > 0 && unit <= left;
+    if (isWanted) left -= unit;
+    return isWanted ? gain + unit : gain;
   });
 }
 
-/** Computes the allotments that suit the needs best, as if all could be changed at once. */
-function computeTargets(limit: number, shares: readonly Share[]): readonly number[] {
-  const free = limit - shares.reduce((sum, { used }) => sum + used, 0);
-  if (free <= 0) return shares.map(({ used }) => used);
-  const needs = shares.map(({ used, wanted }) => Math.max(0, wanted - used));
-  const surplus = free - needs.reduce((sum, need) => sum + need, 0);
-  const gains =
-    surplus >= 0
-      ? needs.map((need) => need + surplus / shares.length)
-      : spreadByNeed(free, shares, needs);
-  return shares.map(({ used }, index) => used + (gains[index] ?? 0));
+/**
+ * Divides the limit by wants. A pool that uses more than its part is to get no more until enough of
+ * its tasks have ended; as they may last, the others share what it does not use.
+ */
+function spreadAmongWaiting(limit: number, shares: Shares): readonly number[] {
+  const targets = shares.map(() => 0);
+  let rest = limit;
+  let indexes: readonly number[] = shares.map((_, index) => index);
+  for (;;) {
+    const members = indexes.flatMap((index) => shares[index] ?? []);
+    const parts = spreadByWants(Math.max(0, rest), members);
+    indexes.forEach((index, place) => {
+      targets[index] = parts[place] ?? 0;
+    });
+    const isAbove = (index: number) => (shares[index]?.used ?? 0) > (targets[index] ?? 0);
+    const above = indexes.filter(isAbove);
+    if (above.length === 0) return targets;
+    rest -= sumAmounts(above.map((index) => shares[index]?.used ?? 0));
+    indexes = indexes.filter((index) => !above.includes(index));
+  }
+}
+
+/** Computes the allotments that suit the wants best, as if all could be changed at once. */
+function computeTargets(limit: number, shares: Shares): readonly number[] {
+  const wants = shares.map(({ used, wanted }) => Math.max(used, wanted));
+  const surplus = limit - sumAmounts(wants);
+  return surplus >= 0
+    ? wants.map((want) => want + surplus / shares.length)
+    : spreadAmongWaiting(limit, shares);
 }
 
 /**
  * Computes the allotments of one resource that may be sent now. Each leaves room for what may be in
  * force in the other pools; what is used there may be an overestimate and is no reason to allot it.
+ * While none may be raised, none is lowered for another pool either.
  */
-function computeAmounts(
-  limit: number,
-  shares: readonly Share[],
-  mayRaise: boolean,
-): readonly number[] {
+function computeAmounts(limit: number, shares: Shares, mayRaise: boolean): readonly number[] {
+  let inForce = sumAmounts(shares.map(({ held, used }) => Math.max(held, used)));
+  if (!mayRaise && inForce <= limit * (1 + ROUNDING)) return shares.map(({ held }) => held);
   const targets = computeTargets(limit, shares);
-  let inForce = shares.reduce((sum, { held, used }) => sum + Math.max(held, used), 0);
   return shares.map(({ held, used }, index) => {
     const own = Math.max(held, used);
     const highest = mayRaise ? Math.max(held, limit - (inForce - own)) : held;
@@ -82,6 +117,11 @@
   });
 }
 
+/** Says whether a pool waits while nothing of the team runs there. */
+const isIdle = ({ used, wanted }: PoolUse) =>
+  RESOURCE_NAMES.every((name) => used[name] <= 0) &&
+  RESOURCE_NAMES.some((name) => wanted[name] > 0);
+
 /**
  * Computes the allotments of a team by pool. With `mayRaise` false, as long as the use of some pool
  * is not known, allotments are only lowered. A resource without a limit is allotted 0.
@@ -92,7 +132,9 @@
   mayRaise: boolean,
 ): ReadonlyMap<string, Resources> {
   // One order for all resources, so that what is left of each goes to the same pool.
-  const ordered = [...uses].sort(([, a], [, b]) => b.oldestWaitMs - a.oldestWaitMs);
+  const ordered = [...uses].sort(
+    ([, a], [, b]) => Number(isIdle(b)) - Number(isIdle(a)) || b.oldestWaitMs - a.oldestWaitMs,
+  );
   const amounts = RESOURCE_NAMES.map((name) => {
     const shares = ordered.map(([, { used, wanted, unit, held }]) => ({
       used: used[name],
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -5,127 +5,12 @@
 import * as fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import {
-  computeRoundMs,
-  createAllotmentLedger,
-  type TeamReport,
-} from '../../lib/teams/allotment-ledger.js';
-import { computeAllotments, type PoolUse } from '../../lib/teams/compute-allotments.js';
-import {
-  createTeamBudget,
-  type AllotMessage,
-  type TeamBudget,
-} from '../../lib/teams/team-budget.js';
-import { createTeamDirectory } from '../../lib/teams/team-directory.js';
+import { computeRoundMs, createAllotmentLedger } from '../../lib/teams/allotment-ledger.js';
+import { computeAllotments } from '../../lib/teams/compute-allotments.js';
+import { LIMIT, makeAmount, makeUse, openScene, TEAM, TOLERANCE } from './allotment-scene.js';
 
 const test = suite('allotments');
 
-const TEAM = 'fishmongers';
-const TOLERANCE = 0.1;
-const LIMIT = 100;
-const makeAmount = (cores: number) => ({ cores, memoryMb: 0, accelerators: 0 });
-const makeUse = (
-  change: Partial<Record<'used' | 'wanted' | 'unit' | 'held', number>>,
-): PoolUse => ({
-  used: makeAmount(change.used ?? 0),
-  wanted: makeAmount(change.wanted ?? 0),
-  unit: makeAmount(change.unit ?? 0),
-  held: makeAmount(change.held ?? 0),
-  oldestWaitMs: 0,
-});
-
-/** One pool: its planner, and what the team runs and wants there. */
-interface Pool {
-  readonly name: string;
-  budget: TeamBudget;
-  used: number;
-  /** What the planner counts as used in addition, as its predecessor may have started it. */
-  unseen: number;
-  waiting: number;
-}
-
-/** Pools with one team, and the holder of the duty that divides its limit. */
-const openScene = (poolCount: number, limit = LIMIT) => {
-  let directory = createTeamDirectory([]);
-  const setLimit = (cores: number) => {
-    const team = { name: TEAM, jobsPerSecond: 1, limit: makeAmount(cores) };
-    directory = createTeamDirectory([{ team, keys: [] }]);
-  };
-  setLimit(limit);
-  const makeBudget = () =>
-    createTeamBudget({
-      getDirectory: () => directory,
-      countPools: () => poolCount,
-      limitTolerance: TOLERANCE,
-    });
-  const pools = Array.from({ length: poolCount }, (_, index): Pool => {
-    return { name: `p${index}`, budget: makeBudget(), used: 0, unseen: 0, waiting: 0 };
-  });
-  let token = 1;
-  let sequence = 0;
-  let nowMs = 0;
-  let ledger = createAllotmentLedger(nowMs);
-  const late: { readonly pool: Pool; readonly message: AllotMessage }[] = [];
-  const makeReport = (pool: Pool, unit: number): TeamReport => ({
-    ...makeUse({
-      used: pool.used + pool.unseen,
-      wanted: pool.used + pool.unseen + pool.waiting,
-      unit,
-    }),
-    held: pool.budget.getAllotment(TEAM),
-    jobsPerSecond: 0,
-  });
-  return {
-    pools,
-    setLimit,
-    sumUsed: () => pools.reduce((sum, { used }) => sum + used, 0),
-    /** Runs a round; messages to the pools in `lost` get no answer, those in `delayed` come later. */
-    runRound: (lost: readonly number[] = [], delayed: readonly number[] = [], unit = 1) => {
-      nowMs += 200;
-      sequence += 1;
-      const names = pools.map(({ name }) => name);
-      ledger.plan(directory.teams, names, nowMs).forEach((shares, name) => {
-        const index = names.indexOf(name);
-        const pool = pools[index]!;
-        const message = { token, sequence, shares };
-        if (delayed.includes(index)) {
-          late.push({ pool, message });
-          return;
-        }
-        pool.budget.apply(message);
-        if (lost.includes(index)) return;
-        const teams = { [TEAM]: makeReport(pool, unit) };
-        ledger.observeReport(name, { teams, isSettled: pool.unseen === 0 });
-      });
-    },
-    deliverLate: () => late.splice(0).forEach(({ pool, message }) => pool.budget.apply(message)),
-    replacePlanner: (index: number, unseen = 0) => {
-      pools[index]!.budget = makeBudget();
-      pools[index]!.unseen = unseen;
-    },
-    settlePlanners: () =>
-      pools.forEach((pool) => {
-        pool.unseen = 0;
-      }),
-    replaceHolder: () => {
-      token += 1;
-      sequence = 0;
-      ledger = createAllotmentLedger(nowMs);
-    },
-    /** Starts a task in a pool if its planner lets it; returns whether it did. */
-    startTask: (index: number, size: number) => {
-      const pool = pools[index]!;
-      const isFree = pool.budget.hasRoom(
-        TEAM,
-        makeAmount(pool.used + pool.unseen),
-        makeAmount(size),
-      );
-      if (isFree) pool.used += size;
-      return isFree;
-    },
-  };
-};
-
 const POOLS = 4;
 const index = fc.nat(POOLS - 1);
 const step = fc.oneof(
@@ -197,6 +82,68 @@
   assert.is(started.length, 1);
 });
 
+/** Runs rounds in which each task lasts for as many rounds as there are pools and all refill at once. */
+const countStartsWithRefills = (scene: ReturnType<typeof openScene>, rounds: number) => {
+  const starts = scene.pools.map(() => 0);
+  for (let round = 0; round < rounds; round += 1) {
+    scene.runRound();
+    scene.pools.forEach((pool, number) => {
+      if (pool.used > 0 && round % scene.pools.length === number) pool.used -= 1;
+      while (pool.waiting > 0 && scene.startTask(number, 1)) starts[number]! += 1;
+    });
+  }
+  return starts;
+};
+
+// Guards against a pool that waits while another one, which refills at once, keeps the whole limit.
+test('a pool that refills at once gives way to one that waits, also to one that wants little', () => {
+  [100, 2].forEach((waiting) => {
+    const scene = openScene(2, 8);
+    scene.pools[0]!.waiting = 100;
+    countStartsWithRefills(scene, 4);
+    assert.is(scene.pools[0]!.used, 8);
+    scene.pools[1]!.waiting = waiting;
+    const [, started] = countStartsWithRefills(scene, 8);
+    assert.ok(started! >= 2, `${started} starts for ${waiting} tasks`);
+  });
+});
+
+// Guards against a pool that waits because others refill what one with lasting tasks does not give up.
+test('pools that wait share what a pool above its part does not give up', () => {
+  const scene = openScene(3, 10);
+  scene.pools[0]!.waiting = 30;
+  for (let round = 0; round < 3; round += 1) scene.runRound();
+  for (let task = 0; task < 8; task += 1) assert.ok(scene.startTask(0, 1));
+  [1, 2].forEach((number) => {
+    scene.pools[number]!.waiting = 6;
+  });
+  const starts = [0, 0, 0];
+  for (let round = 0; round < 12; round += 1) {
+    scene.runRound();
+    [1, 2].forEach((number) => {
+      const pool = scene.pools[number]!;
+      if (round % 2 === 0) pool.used = 0;
+      while (scene.startTask(number, 1)) starts[number]! += 1;
+    });
+  }
+  assert.ok(Math.min(starts[1]!, starts[2]!) >= 2, `starts ${starts.join()}`);
+});
+
+// Guards against a limit that is kept for a pool whose planner is gone.
+test('a pool that has not answered for some rounds takes nothing from one that refills', () => {
+  const scene = openScene(2, 8);
+  scene.pools[0]!.waiting = 100;
+  countStartsWithRefills(scene, 4);
+  scene.pools[1]!.waiting = 100;
+  scene.runRound();
+  for (let round = 0; round < 12; round += 1) {
+    scene.runRound([1]);
+    scene.pools[0]!.used -= 1;
+    while (scene.startTask(0, 1));
+  }
+  assert.ok(scene.pools[0]!.used >= 6, `${scene.pools[0]!.used} of 8 in use`);
+});
+
 test('a limit lowered below what runs starts nothing until enough has ended', () => {
   const scene = openScene(2);
   scene.pools.forEach((pool) => {
