Keep what teams were allotted when the holder that allots changes

Cause: the first message of a new holder to a pool that it does not know names no team, and a team that is missing had no allotment. The planner reported 0, and nothing is raised before every pool has answered. State that has to survive its owner, the division in force, was lost at the first words of the next one.

Evidence: the first new test: after a change of the holder a pool that uses its whole allotment could not start anything in 5 rounds in which another pool does not answer.

Now a team that the new holder has not named keeps what it had, and reports it as held, for 4 s from the first message of that holder: one that gets no answer of a pool counts it as using nothing after 6.7 s (second new test). An empty message does not replace the rates of the other pools either.

--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -193,10 +193,12 @@
       job.record.team !== undefined &&
       listStartableSteps(job).every(({ step }) => !hasTeamRoom(job.record.team, step.size)),
     applyMessage: (message, nowMs) => {
-      if (budget.apply(message)) {
-        const others = Object.entries(message.shares).map(
-          ([team, { otherJobsPerSecond }]) => [team, otherJobsPerSecond] as const,
-        );
+      budget.dropExpired(nowMs);
+      const others = Object.entries(message.shares).map(
+        ([team, { otherJobsPerSecond }]) => [team, otherJobsPerSecond] as const,
+      );
+      // The first messages of a holder name no team.
+      if (budget.apply(message, nowMs) && others.length > 0) {
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
       return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs) };
@@ -210,6 +212,7 @@
       })),
     refresh: (nowMs) => {
       plannedMs = nowMs;
+      budget.dropExpired(nowMs);
       if (!inheritance.isUncertain(nowMs)) {
         unseen = new Map();
         return;
--- a/packages/vanilladock/src/lib/teams/team-budget.ts
+++ b/packages/vanilladock/src/lib/teams/team-budget.ts
@@ -4,7 +4,8 @@
  * allotment that the holder of the fleet duty has sent. Without one, or beyond it, the team has the
  * pool's part of the tolerance on its limit, which needs no coordination, as the parts of all pools
  * add up to the tolerance. If the holder has divided a higher limit than the planner knows, as it
- * does not reach the store, each planner scales its part down.
+ * does not reach the store, each planner scales its part down. A new holder first learns what is in
+ * force, so what the one before allotted stays in force for a while until it allots anything.
  */
 import { NO_RESOURCES } from '../jobs/free-capacity.js';
 import { RESOURCE_NAMES } from '../placement/resources.js';
@@ -27,14 +28,16 @@
   readonly token: number;
   /** Rises with each message of a holder. */
   readonly sequence: number;
-  /** By team; a team that is missing has no allotment. */
+  /** By team; a team that this holder has never named keeps what it had, for a while. */
   readonly shares: Readonly<Record<string, TeamShare>>;
 }
 
 /** Budget of the teams in one pool. */
 export interface TeamBudget {
   /** Applies a message; returns false and changes nothing if a later one was applied before. */
-  readonly apply: (message: AllotMessage) => boolean;
+  readonly apply: (message: AllotMessage, nowMs: number) => boolean;
+  /** Drops the allotments of earlier holders that are no longer in force at `nowMs`. */
+  readonly dropExpired: (nowMs: number) => void;
   /** Says whether a team, which uses `used` at most, may use `size` more. */
   readonly hasRoom: (team: string, used: Resources, size: Resources) => boolean;
   /** Gets the allotment in force; zero without one. */
@@ -44,26 +47,55 @@
   readonly listAllotted: () => readonly string[];
 }
 
+/**
+ * Time for which an allotment of an earlier holder stays in force, from the first message of the new
+ * one, in milliseconds. A new holder counts a pool that never answers as using nothing after 6.7 s.
+ */
+const KEPT_MS = 4_000;
+
+/** Allotments of earlier holders. */
+interface KeptShares {
+  readonly shares: AllotMessage['shares'];
+  readonly untilMs: number;
+}
+
 /** Creates the budget of a pool that has no allotments yet. */
 export function createTeamBudget(sources: TeamSources): TeamBudget {
   let newest: AllotMessage | undefined;
+  let kept: KeptShares | undefined;
   const findLimit = (team: string) => sources.getDirectory()?.teams.get(team)?.limit;
-  const getAllotment = (team: string) => newest?.shares[team]?.allotment ?? NO_RESOURCES;
+  const findShare = (team: string) => newest?.shares[team] ?? kept?.shares[team];
+  const getAllotment = (team: string) => findShare(team)?.allotment ?? NO_RESOURCES;
   const isNewer = ({ token, sequence }: AllotMessage) =>
     newest === undefined ||
     token > newest.token ||
     (token === newest.token && sequence > newest.sequence);
+  const dropExpired = (nowMs: number) => {
+    if (kept !== undefined && nowMs >= kept.untilMs) kept = undefined;
+  };
+  /** Keeps what is in force for a new holder; what an even earlier one allotted ends first. */
+  const recordKept = (nowMs: number) => {
+    const shares = { ...kept?.shares, ...newest?.shares };
+    kept = { shares, untilMs: Math.min(kept?.untilMs ?? Infinity, nowMs + KEPT_MS) };
+  };
   return {
-    apply: (message) => {
+    apply: (message, nowMs) => {
       if (!isNewer(message)) return false;
+      dropExpired(nowMs);
+      if (newest !== undefined && message.token > newest.token) recordKept(nowMs);
+      if (kept !== undefined) {
+        const unnamed = Object.entries(kept.shares).filter(([team]) => !(team in message.shares));
+        kept = unnamed.length > 0 ? { ...kept, shares: Object.fromEntries(unnamed) } : undefined;
+      }
       newest = message;
       return true;
     },
+    dropExpired,
     hasRoom: (team, used, size) => {
       const limit = findLimit(team);
       if (limit === undefined) return true;
       const allotment = getAllotment(team);
-      const divided = newest?.shares[team]?.limit ?? limit;
+      const divided = findShare(team)?.limit ?? limit;
       const floorShare = sources.limitTolerance / Math.max(1, sources.countPools());
       return RESOURCE_NAMES.every((name) => {
         if (limit[name] <= 0 || size[name] <= 0) return true;
@@ -78,6 +110,8 @@
       if (limit === undefined) return false;
       return RESOURCE_NAMES.some((name) => limit[name] > 0 && size[name] > limit[name]);
     },
-    listAllotted: () => Object.keys(newest?.shares ?? {}),
+    listAllotted: () => [
+      ...new Set([...Object.keys(newest?.shares ?? {}), ...Object.keys(kept?.shares ?? {})]),
+    ],
   };
 }
--- a/packages/vanilladock/src/test/teams/allotment-scene.ts
+++ b/packages/vanilladock/src/test/teams/allotment-scene.ts
@@ -80,13 +80,14 @@
           late.push({ pool, message });
           return;
         }
-        pool.budget.apply(message);
+        pool.budget.apply(message, nowMs);
         if (lost.includes(index)) return;
         const teams = { [TEAM]: makeReport(pool, unit) };
         ledger.observeReport(name, { teams, isSettled: pool.unseen === 0 });
       });
     },
-    deliverLate: () => late.splice(0).forEach(({ pool, message }) => pool.budget.apply(message)),
+    deliverLate: () =>
+      late.splice(0).forEach(({ pool, message }) => pool.budget.apply(message, nowMs)),
     replacePlanner: (index: number, unseen = 0) => {
       pools[index]!.budget = makeBudget();
       pools[index]!.unseen = unseen;
@@ -103,6 +104,7 @@
     /** Starts a task in a pool if its planner lets it; returns whether it did. */
     startTask: (index: number, size: number) => {
       const pool = pools[index]!;
+      pool.budget.dropExpired(nowMs);
       const isFree = pool.budget.hasRoom(
         TEAM,
         makeAmount(pool.used + pool.unseen),
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -144,6 +144,31 @@
   assert.ok(scene.pools[0]!.used >= 6, `${scene.pools[0]!.used} of 8 in use`);
 });
 
+// Guards against a limit that no pool may use while a new holder learns what is in force.
+test('a new holder takes nothing from a pool that refills before it may give it to another', () => {
+  const scene = openScene(3, 8);
+  scene.pools[0]!.waiting = 100;
+  countStartsWithRefills(scene, 4);
+  scene.replaceHolder();
+  scene.pools[1]!.waiting = 100;
+  for (let round = 0; round < 5; round += 1) scene.runRound([2]);
+  scene.pools[0]!.used -= 4;
+  assert.ok(scene.startTask(0, 4));
+});
+
+// Guards against starts above the limit: a holder counts a pool that never answers as using nothing.
+test('what an earlier holder allotted ends before a new one gives it to others unanswered', () => {
+  const scene = openScene(2, 8);
+  scene.pools[0]!.waiting = 100;
+  countStartsWithRefills(scene, 4);
+  scene.replaceHolder();
+  scene.pools[0]!.used = 0;
+  for (let round = 0; round < 19; round += 1) scene.runRound([0]);
+  assert.ok(scene.startTask(0, 1));
+  for (let round = 0; round < 3; round += 1) scene.runRound([0]);
+  assert.not.ok(scene.startTask(0, 1));
+});
+
 test('a limit lowered below what runs starts nothing until enough has ended', () => {
   const scene = openScene(2);
   scene.pools.forEach((pool) => {
