Tell what teams use on a worker that does not answer

Cause: what runs on that worker is known to the planner that stops and was lost with it; the hand-over names the lease only.

Now the hand-over says for a worker that does not answer what each team may use there at most, by the table of the stopped planner. A successor counts that, as long as the worker does not report; where it is not known, the capacity, as before: after a kill, for a lease that may be long, for a worker that has restarted since, and where an earlier planner's runs are unknown too. All teams are named, as the successor may know a limit that the stopped planner does not. Pools without jobs of teams tell nothing more.

A type for amounts in messages has moved from peer-messages.ts to resources.ts.

--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -5,6 +5,7 @@
 import type { DutyNotice, PeerDutyView } from 'vanilladock/lib/duties/authority.js';
 import { memberSchema, type Member } from 'vanilladock/lib/duties/claim-table.js';
 import { handOverSchema } from 'vanilladock/lib/jobs/hand-over.js';
+import { resourcesSchema } from 'vanilladock/lib/placement/resources.js';
 import { z } from 'zod';
 import type { JobReply, JobRequest } from './job-request.js';
 
@@ -13,12 +14,6 @@
   readonly member: Member;
 }
 
-const amountSchema = z.number().nonnegative();
-const resourcesSchema = z.object({
-  cores: amountSchema,
-  memoryMb: amountSchema,
-  accelerators: amountSchema,
-});
 const stepSchema = z.object({
   count: z.int().nonnegative(),
   size: resourcesSchema,
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -4,14 +4,21 @@
  * go on over successive planners instead of beginning anew with each.
  */
 import { z } from 'zod';
+import { resourcesSchema } from '../placement/resources.js';
+import { addTeamUse, sumTeamUse, type TeamUse } from '../teams/team-usage.js';
 import type { Inheritance } from './inheritance.js';
 import { leaseHolderSchema, makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
-import type { Task, Worker } from './state.js';
+import type { Job, Task, Worker } from './state.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
 export interface HeldLease extends LeaseHolder {
   /** In milliseconds; negative if earlier planners may still extend the lease for that long. */
   readonly orderedAgoMs: number;
+  /**
+   * What teams may use there at most, of a worker that does not answer; absent if it is not known,
+   * and in hand-overs of earlier versions.
+   */
+  readonly teamUse?: TeamUse | undefined;
 }
 
 /** What a planner tells; it sends no orders any more. */
@@ -44,7 +51,12 @@
 export const handOverSchema = z.object({
   token: z.number(),
   earlierOrdersMs: z.number().nonnegative(),
-  leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
+  leases: z.array(
+    leaseHolderSchema.extend({
+      orderedAgoMs: z.number(),
+      teamUse: z.record(z.string(), resourcesSchema).optional(),
+    }),
+  ),
   stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
   passedOnBy: z.number().optional(),
 });
@@ -56,8 +68,9 @@
   readonly findTask: (taskKey: string) => Task | undefined;
   readonly inheritance: Pick<
     Inheritance,
-    'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs'
+    'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs' | 'getTeamUse'
   >;
+  readonly jobs: ReadonlyMap<string, Job>;
 }
 
 /** Time in which an order that was sent has arrived or been given up, in milliseconds. */
@@ -78,27 +91,42 @@
   return tasks.size > 0 || orphanedRuns.size > 0 || lastEnd > storedEnd;
 }
 
+/** Makes what this planner knows of a worker; the incarnation of a long lease may run more. */
+function makeOwnLease(sources: HandOverSources, worker: Worker, nowMs: number): HeldLease {
+  const holder = makeLeaseHolder(worker, nowMs);
+  const orderedAgoMs = nowMs - computeOwnOrderMs(worker, nowMs);
+  const isAnswering = worker.clock !== undefined && worker.missedReports === 0;
+  if (isAnswering || holder.longLeaseTasks !== undefined) return { ...holder, orderedAgoMs };
+  const hasTeams = [...sources.jobs.values()].some(({ record }) => record.team !== undefined);
+  if (!hasTeams) return { ...holder, orderedAgoMs };
+  const teamUse = Object.fromEntries(sumTeamUse(worker, sources.jobs));
+  return { ...holder, orderedAgoMs, teamUse };
+}
+
 /** Merges what an earlier planner and this one know of a worker that has not reported. */
 function mergeLeases(earlier: HeldLease, own: HeldLease | undefined): HeldLease {
   if (own === undefined) return earlier;
   const tasks = [...(earlier.longLeaseTasks ?? []), ...(own.longLeaseTasks ?? [])];
+  const isUseKnown = earlier.teamUse !== undefined && own.teamUse !== undefined;
   return {
     ...earlier,
     longLeaseTasks: tasks.length === 0 ? undefined : tasks,
     orderedAgoMs: Math.min(earlier.orderedAgoMs, own.orderedAgoMs),
+    teamUse: isUseKnown ? addTeamUse(earlier.teamUse, own.teamUse) : undefined,
   };
 }
 
 /** Lists the workers that the next planner has to ask or to wait for. */
-function listLeases({ workers, inheritance }: HandOverSources, nowMs: number): HeldLease[] {
+function listLeases(sources: HandOverSources, nowMs: number): HeldLease[] {
+  const { workers, inheritance } = sources;
   const leases = new Map<string, HeldLease>();
   workers.forEach((worker, id) => {
     if (!isToBeAsked(worker)) return;
-    const orderedAgoMs = nowMs - computeOwnOrderMs(worker, nowMs);
-    leases.set(id, { ...makeLeaseHolder(worker, nowMs), orderedAgoMs });
+    leases.set(id, makeOwnLease(sources, worker, nowMs));
   });
   inheritance.listUnreported().forEach((holder) => {
-    const earlier = { ...holder, orderedAgoMs: nowMs - inheritance.getLastOrderMs(holder.id) };
+    const orderedAgoMs = nowMs - inheritance.getLastOrderMs(holder.id);
+    const earlier = { ...holder, orderedAgoMs, teamUse: inheritance.getTeamUse(holder.id) };
     leases.set(holder.id, mergeLeases(earlier, leases.get(holder.id)));
   });
   return [...leases.values()];
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -3,6 +3,7 @@
 import type { RunName, TimedHandOver } from './hand-over.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
+import type { TeamUse } from '../teams/team-usage.js';
 
 /** What a planner inherits from its predecessor. */
 export interface InheritanceOptions {
@@ -50,6 +51,11 @@
   readonly getPredecessorUntilMs: () => number;
   /** Returns when earlier planners may last extend the lease of a worker that has not reported. */
   readonly getLastOrderMs: (workerId: string) => number;
+  /**
+   * Returns what teams may use on a worker that has not reported, by orders of earlier planners;
+   * undefined if the preceding planner has not told it, or the worker has restarted since.
+   */
+  readonly getTeamUse: (workerId: string) => TeamUse | undefined;
   /** Says whether an earlier planner may still send orders. */
   readonly mayPredecessorOrder: (nowMs: number) => boolean;
   /** Says whether a worker that has not reported may hold a lease from an earlier planner. */
@@ -97,6 +103,8 @@
   const listedBornMs = new Map<string, number>();
   /** When the lease of a worker may last have been extended, as the preceding planner tells. */
   const orderedMs = new Map<string, number>();
+  /** What teams may use on a worker, as the preceding planner tells. */
+  const teamUses = new Map<string, TeamUse>();
   /** Runs that the preceding planner has ordered to stop, by task key. */
   const stoppedRuns = new Map<string, number>();
   let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
@@ -156,14 +164,19 @@
       longLeases.clear();
       handOver.leases
         .filter(({ id }) => !reportedIds.has(id))
-        .forEach(({ orderedAgoMs, ...holder }) => {
+        .forEach(({ orderedAgoMs, teamUse, ...holder }) => {
           addHolder(holder);
+          if (teamUse !== undefined) teamUses.set(holder.id, teamUse);
           orderedMs.set(holder.id, atMs - orderedAgoMs);
         });
     },
     wasStopped: ({ taskKey, run }) => stoppedRuns.get(taskKey) === run,
     getPredecessorUntilMs: () => predecessorUntilMs,
     getLastOrderMs,
+    getTeamUse: (workerId) => {
+      const holder = unreported.get(workerId);
+      return holder === undefined || hasRestarted(holder) ? undefined : teamUses.get(workerId);
+    },
     mayPredecessorOrder: (nowMs) => nowMs < predecessorUntilMs,
     mayHoldLease: isPossibleHolder,
     isUncertain,
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -189,7 +189,16 @@
     observeHandOver: inheritance.observeHandOver,
     computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
     makeHandOver: (token, nowMs) =>
-      makeHandOver({ token, workers: table.workers, findTask: table.findTask, inheritance }, nowMs),
+      makeHandOver(
+        {
+          token,
+          workers: table.workers,
+          findTask: table.findTask,
+          inheritance,
+          jobs: table.jobs,
+        },
+        nowMs,
+      ),
     explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
--- a/packages/vanilladock/src/lib/placement/resources.ts
+++ b/packages/vanilladock/src/lib/placement/resources.ts
@@ -1,9 +1,19 @@
 /** Arithmetic and comparison of resource amounts. */
+import { z } from 'zod';
 import type { Resources } from '../ports/workers.js';
 
 /** Names of the resources, for what is done to each of them. */
 export const RESOURCE_NAMES = ['cores', 'memoryMb', 'accelerators'] as const;
 
+const amountSchema = z.number().nonnegative();
+
+/** An amount, as messages and records state it. */
+export const resourcesSchema = z.object({
+  cores: amountSchema,
+  memoryMb: amountSchema,
+  accelerators: amountSchema,
+});
+
 /** Adds two amounts. */
 export function addResources(a: Resources, b: Resources): Resources {
   return {
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -19,7 +19,10 @@
   readonly table: TaskTable;
   readonly sources: TeamSources;
   /** What may run of inherited jobs that no report has shown yet. */
-  readonly inheritance: Pick<Inheritance, 'isUncertain' | 'mayPredecessorOrder' | 'listUnreported'>;
+  readonly inheritance: Pick<
+    Inheritance,
+    'isUncertain' | 'mayPredecessorOrder' | 'listUnreported' | 'getTeamUse'
+  >;
   readonly report: (event: DecisionEvent) => void;
 }
 
@@ -113,15 +116,19 @@
   /** When each team's limit was last logged. */
   const loggedMs = new Map<string, number>();
 
-  /** Sums the capacity of the workers on which runs of an earlier planner may be left unseen. */
-  const sumUnreported = (): Resources => {
+  /**
+   * Lists for each worker that has not reported what runs of a team that an earlier planner has left
+   * may use there unseen: what that one has told, or else the capacity.
+   */
+  const listUnreported = (): readonly ((team: string) => Resources)[] => {
     const largest = [...table.workers.values()]
       .map(({ entry }) => entry.capacity)
       .reduce(computeMaximum, NO_RESOURCES);
-    return inheritance
-      .listUnreported()
-      .map(({ id }) => table.workers.get(id)?.largestCapacity ?? largest)
-      .reduce(addResources, NO_RESOURCES);
+    return inheritance.listUnreported().map(({ id }) => {
+      const told = inheritance.getTeamUse(id);
+      const capacity = table.workers.get(id)?.largestCapacity ?? largest;
+      return (team) => (told === undefined ? capacity : (told[team] ?? NO_RESOURCES));
+    });
   };
   const getUsed = (team: string): Resources => {
     const used = table.teamUsage.get(team);
@@ -220,11 +227,16 @@
       if (nowMs - estimatedMs < ESTIMATE_INTERVAL_MS) return;
       estimatedMs = nowMs;
       const inherited = [...table.activeJobs.values()].filter((job) => job.isInherited);
-      const capacity = inheritance.mayPredecessorOrder(nowMs) ? undefined : sumUnreported();
+      const unreported = inheritance.mayPredecessorOrder(nowMs) ? undefined : listUnreported();
       unseen = new Map(
         [...sumWaiting(inherited)].map(([team, { sum }]) => [
           team,
-          capacity === undefined ? sum : computeMinimum(sum, capacity),
+          unreported === undefined
+            ? sum
+            : computeMinimum(
+                sum,
+                unreported.map((estimate) => estimate(team)).reduce(addResources, NO_RESOURCES),
+              ),
         ]),
       );
     },
--- a/packages/vanilladock/src/lib/teams/team-usage.ts
+++ b/packages/vanilladock/src/lib/teams/team-usage.ts
@@ -21,6 +21,18 @@
   return use;
 }
 
+/** What each team uses, by its name. */
+export type TeamUse = Readonly<Record<string, Resources>>;
+
+/** Adds what teams use at two places. */
+export function addTeamUse(a: TeamUse, b: TeamUse): TeamUse {
+  const sums = new Map(Object.entries(a));
+  Object.entries(b).forEach(([team, use]) =>
+    sums.set(team, addResources(sums.get(team) ?? NO_RESOURCES, use)),
+  );
+  return Object.fromEntries(sums);
+}
+
 /** Sums of one pool. */
 export interface TeamUsage {
   /** Replaces what the teams use on one worker; runs that are being stopped still count. */
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -11,6 +11,7 @@
   makeEnd,
   makeEntry,
   makeJob,
+  makeRow,
   makeStep,
   POLICY,
   WALL_MS,
@@ -113,6 +114,42 @@
   assert.is(harness.planStarts(3).length, 4);
 });
 
+// Guards against a team that stands until a lease has ended although the planner before has stopped.
+test('on a worker without a report only that counts which a stopped planner tells of it', () => {
+  const entries = [makeEntry('w1'), makeEntry('w22'), makeEntry('w333')];
+  const first = createHarness({ teams: makeTeams({ hot: 8 }) });
+  first.addWorkers(0, ...entries);
+  sendAllotments(first, { hot: 2 }, 1, 8);
+  const spec = makeJob('a', [makeStep({ count: 40 })]);
+  first.submit(spec, 0, POLICY, 'hot');
+  const starts = first.planStarts(1);
+  first.accept(starts, 2);
+  const silent = starts[0]!.worker.id;
+  first.planner.observeMissedReport(silent, first.at(2));
+  const second = createHarness({
+    runBase: 100,
+    inheritedWorkers: entries.map(({ id }) => id),
+    hasPredecessor: true,
+    teams: makeTeams({ hot: 8 }),
+  });
+  const record = { spec, policy: POLICY, team: 'hot', acceptedAtMs: WALL_MS };
+  second.planner.loadJob(record, undefined, second.at(0));
+  second.planner.observeHandOver({ handOver: first.planner.makeHandOver(7, 3), atMs: 0 });
+  second.planner.observeWorkers(entries, second.at(1));
+  second.planner.markWorkersRecorded(entries.map(({ id }) => id));
+  entries
+    .filter(({ id }) => id !== silent)
+    .forEach(({ id }) => {
+      const own = starts.filter(({ worker }) => worker.id === id);
+      const rows = own.map(({ taskKey, run }) => makeRow(taskKey, run));
+      second.report(id, 10, rows);
+    });
+  sendAllotments(second, { hot: 8 }, 1, 8);
+  second.submit(makeJob('b', [makeStep({ count: 8 })]), 11, POLICY, 'hot');
+  assert.is(starts.length, 2);
+  assert.is(second.planStarts(12).length, 6);
+});
+
 test('a holder that knows only an older, higher limit lets no planner start beyond the new one', () => {
   const harness = createHarness({ teams: makeTeams({ hot: 4 }) });
   harness.addWorkers(0, makeEntry('w1'), makeEntry('w2'));
