Hand a team's allotments over to the next planner of a pool

What callers saw: while instances are stopped one after the other, the holder of the fleet duty and planners change together.

Cause: the allotments in force were known to the stopped planner alone.

Now the hand-over has those of the teams with jobs, with the holder's token and sequence and the time for which they are valid: 3.5 s from the last message that the stopped planner had. That is less than the 6.7 s after which a new holder counts a pool that never answers as using nothing, with 2.6 s for which the holder before it may still have sent. The successor ignores them if a later message came first, and reports them as held. A length of validity that is read late is too long, which is the unsafe direction, so only the answer to a notice has them; a stored release has not. The time for which a new holder leaves an earlier one's allotments in force is the same 3.5 s now (4 s before).

--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -6,6 +6,7 @@
 import { memberSchema, type Member } from 'vanilladock/lib/duties/claim-table.js';
 import { handOverSchema } from 'vanilladock/lib/jobs/hand-over.js';
 import { resourcesSchema } from 'vanilladock/lib/placement/resources.js';
+import { teamShareSchema } from 'vanilladock/lib/teams/team-budget.js';
 import { z } from 'zod';
 import type { JobReply, JobRequest } from './job-request.js';
 
@@ -50,11 +51,6 @@
     .object({ decideMs: z.number(), perWorkerMs: z.number(), validMs: z.number() })
     .optional(),
 });
-const shareSchema = z.object({
-  allotment: resourcesSchema,
-  limit: resourcesSchema,
-  otherJobsPerSecond: z.number(),
-});
 const pool = z.string().min(1);
 const workerId = z.string().min(1);
 const team = z.string().optional();
@@ -94,7 +90,7 @@
     message: z.object({
       token: z.number(),
       sequence: z.number(),
-      shares: z.record(z.string(), shareSchema),
+      shares: z.record(z.string(), teamShareSchema),
     }),
   }),
   z.object({ kind: z.literal('life-ended'), pool, workerId }),
--- a/packages/vanilladock/src/lib/duties/claim-table.ts
+++ b/packages/vanilladock/src/lib/duties/claim-table.ts
@@ -106,8 +106,12 @@
   return { key: `${DUTY_PREFIX}${duty}`, value: JSON.stringify({ holder: member.id, member }) };
 }
 
-/** Encodes the release of a duty by the holder of a claim, with what it tells the next one. */
-export function encodeRelease({ duty, token }: Claim, handOver?: HandOver): KeyedRecord {
+/**
+ * Encodes the release of a duty by the holder of a claim, with what it tells the next one, but for
+ * allotments: the record may be read when others have them.
+ */
+export function encodeRelease({ duty, token }: Claim, told?: HandOver): KeyedRecord {
+  const handOver = told && { ...told, allotments: undefined };
   return {
     key: `${DUTY_PREFIX}${duty}`,
     value: JSON.stringify({ holder: '', releasedToken: token, handOver }),
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -5,6 +5,7 @@
  */
 import { z } from 'zod';
 import { resourcesSchema } from '../placement/resources.js';
+import { toldAllotmentsSchema, type ToldAllotments } from '../teams/team-budget.js';
 import { addTeamUse, sumTeamUse, type TeamUse } from '../teams/team-usage.js';
 import type { Inheritance } from './inheritance.js';
 import { leaseHolderSchema, makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
@@ -31,6 +32,11 @@
   readonly leases: readonly HeldLease[];
   /** Runs of which a stop is on its way; absent in those of earlier versions. */
   readonly stoppedRuns?: readonly RunName[] | undefined;
+  /**
+   * What teams were allotted; absent in what is stored, as it may be read late, and in hand-overs of
+   * earlier versions.
+   */
+  readonly allotments?: ToldAllotments | undefined;
   /** Token of a later planner that passes this on because it has not ordered anything. */
   readonly passedOnBy?: number | undefined;
 }
@@ -58,6 +64,7 @@
     }),
   ),
   stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
+  allotments: toldAllotmentsSchema.optional(),
   passedOnBy: z.number().optional(),
 });
 
@@ -71,6 +78,7 @@
     'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs' | 'getTeamUse'
   >;
   readonly jobs: ReadonlyMap<string, Job>;
+  readonly allotments: ToldAllotments | undefined;
 }
 
 /** Time in which an order that was sent has arrived or been given up, in milliseconds. */
@@ -150,14 +158,17 @@
     earlierOrdersMs: Math.max(0, untilMs - nowMs),
     leases: listLeases(sources, nowMs),
     stoppedRuns: listStoppedRuns(sources),
+    allotments: sources.allotments,
   };
 }
 
 /** Brings the times of a hand-over to the monotonic time `nowMs`. */
 export function refreshHandOver({ handOver, atMs }: TimedHandOver, nowMs: number): HandOver {
   const elapsedMs = nowMs - atMs;
+  const { allotments } = handOver;
   return {
     ...handOver,
+    allotments: allotments && { ...allotments, validMs: allotments.validMs - elapsedMs },
     earlierOrdersMs: Math.max(0, handOver.earlierOrdersMs - elapsedMs),
     leases: handOver.leases.map((lease) => ({
       ...lease,
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -186,7 +186,11 @@
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
     observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: inheritance.observePredecessorStopped,
-    observeHandOver: inheritance.observeHandOver,
+    observeHandOver: (timed) => {
+      inheritance.observeHandOver(timed);
+      const { allotments } = timed.handOver;
+      if (allotments !== undefined) teams.applyTold(allotments, timed.atMs);
+    },
     computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
     makeHandOver: (token, nowMs) =>
       makeHandOver(
@@ -196,6 +200,7 @@
           findTask: table.findTask,
           inheritance,
           jobs: table.jobs,
+          allotments: teams.makeTold(nowMs),
         },
         nowMs,
       ),
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -12,7 +12,12 @@
 import { listStartableSteps } from '../jobs/waiting-tasks.js';
 import type { PoolReport, TeamReport } from './allotment-ledger.js';
 import { createRateShares } from './rate-shares.js';
-import { createTeamBudget, type AllotMessage, type TeamSources } from './team-budget.js';
+import {
+  createTeamBudget,
+  type AllotMessage,
+  type TeamSources,
+  type ToldAllotments,
+} from './team-budget.js';
 
 /** Dependencies of the teams of a pool. */
 export interface PoolTeamOptions {
@@ -60,6 +65,10 @@
   readonly isHeldBack: (job: Job) => boolean;
   /** Applies a message of the holder of the fleet duty; returns the reports on the teams. */
   readonly applyMessage: (message: AllotMessage, nowMs: number) => PoolReport;
+  /** Applies the allotments that the planner before told at the monotonic time `atMs`. */
+  readonly applyTold: (told: ToldAllotments, atMs: number) => void;
+  /** Makes what the next planner is told of the allotments of teams with jobs in the pool. */
+  readonly makeTold: (nowMs: number) => ToldAllotments | undefined;
   /** Lists the figures of the teams that use or were allotted anything. */
   readonly listFigures: () => readonly TeamFigures[];
   /** Estimates anew what may run unseen; to be called before each plan. */
@@ -210,6 +219,11 @@
       }
       return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs) };
     },
+    applyTold: budget.applyTold,
+    makeTold: (nowMs) => {
+      const teams = [...table.activeJobs.values()].flatMap(({ record }) => record.team ?? []);
+      return budget.makeTold(new Set(teams), nowMs);
+    },
     listFigures: () =>
       [...new Set([...table.teamUsage.listTeams(), ...budget.listAllotted()])].map((team) => ({
         team,
--- a/packages/vanilladock/src/lib/teams/team-budget.ts
+++ b/packages/vanilladock/src/lib/teams/team-budget.ts
@@ -5,10 +5,12 @@
  * pool's part of the tolerance on its limit, which needs no coordination, as the parts of all pools
  * add up to the tolerance. If the holder has divided a higher limit than the planner knows, as it
  * does not reach the store, each planner scales its part down. A new holder first learns what is in
- * force, so what the one before allotted stays in force for a while until it allots anything.
+ * force, so what the one before allotted stays in force for a while until it allots anything; a new
+ * planner goes on with what the one before it tells.
  */
+import { z } from 'zod';
 import { NO_RESOURCES } from '../jobs/free-capacity.js';
-import { RESOURCE_NAMES } from '../placement/resources.js';
+import { RESOURCE_NAMES, resourcesSchema } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import type { TeamShare } from './allotment-ledger.js';
 import type { TeamDirectory } from './team-directory.js';
@@ -32,10 +34,35 @@
   readonly shares: Readonly<Record<string, TeamShare>>;
 }
 
+/** A team's share, as messages state it. */
+export const teamShareSchema = z.object({
+  allotment: resourcesSchema,
+  limit: resourcesSchema,
+  otherJobsPerSecond: z.number(),
+});
+
+/** Allotments that a planner which has stopped tells the next one. */
+export interface ToldAllotments extends AllotMessage {
+  /** Time in milliseconds for which they stay in force without a message of the holder. */
+  readonly validMs: number;
+}
+
+/** Told allotments, as messages state them. */
+export const toldAllotmentsSchema = z.object({
+  token: z.number(),
+  sequence: z.number(),
+  shares: z.record(z.string(), teamShareSchema),
+  validMs: z.number(),
+});
+
 /** Budget of the teams in one pool. */
 export interface TeamBudget {
   /** Applies a message; returns false and changes nothing if a later one was applied before. */
   readonly apply: (message: AllotMessage, nowMs: number) => boolean;
+  /** Applies what the planner before told at `atMs`, unless a later message was applied. */
+  readonly applyTold: (told: ToldAllotments, atMs: number) => void;
+  /** Makes what the next planner is told of these teams; undefined if nothing is in force. */
+  readonly makeTold: (teams: ReadonlySet<string>, nowMs: number) => ToldAllotments | undefined;
   /** Drops the allotments of earlier holders that are no longer in force at `nowMs`. */
   readonly dropExpired: (nowMs: number) => void;
   /** Says whether a team, which uses `used` at most, may use `size` more. */
@@ -48,12 +75,14 @@
 }
 
 /**
- * Time for which an allotment of an earlier holder stays in force, from the first message of the new
- * one, in milliseconds. A new holder counts a pool that never answers as using nothing after 6.7 s.
+ * Time for which an allotment stays in force without a message that names it, in milliseconds: that
+ * of an earlier holder from the first message of the new one, that of an earlier planner from its
+ * last message. A new holder counts a pool that never answers as using nothing after 6.7 s, and the
+ * holder before it may send messages for up to 2.6 s of these.
  */
-const KEPT_MS = 4_000;
+const KEPT_MS = 3_500;
 
-/** Allotments of earlier holders. */
+/** Allotments of earlier holders, or of an earlier planner. */
 interface KeptShares {
   readonly shares: AllotMessage['shares'];
   readonly untilMs: number;
@@ -62,6 +91,8 @@
 /** Creates the budget of a pool that has no allotments yet. */
 export function createTeamBudget(sources: TeamSources): TeamBudget {
   let newest: AllotMessage | undefined;
+  /** When the last message was applied. */
+  let appliedMs = 0;
   let kept: KeptShares | undefined;
   const findLimit = (team: string) => sources.getDirectory()?.teams.get(team)?.limit;
   const findShare = (team: string) => newest?.shares[team] ?? kept?.shares[team];
@@ -88,8 +119,22 @@
         kept = unnamed.length > 0 ? { ...kept, shares: Object.fromEntries(unnamed) } : undefined;
       }
       newest = message;
+      appliedMs = nowMs;
       return true;
     },
+    applyTold: ({ token, sequence, shares, validMs }, atMs) => {
+      const message = { token, sequence, shares: {} };
+      if (!isNewer(message)) return;
+      newest = message;
+      kept = { shares, untilMs: atMs + validMs };
+    },
+    makeTold: (teams, nowMs) => {
+      if (newest === undefined) return undefined;
+      const validMs = Math.min(kept?.untilMs ?? Infinity, appliedMs + KEPT_MS) - nowMs;
+      const all = Object.entries({ ...kept?.shares, ...newest.shares });
+      const shares = Object.fromEntries(all.filter(([team]) => teams.has(team)));
+      return validMs > 0 ? { ...newest, shares, validMs } : undefined;
+    },
     dropExpired,
     hasRoom: (team, used, size) => {
       const limit = findLimit(team);
--- a/packages/vanilladock/src/test/teams/allotment-scene.ts
+++ b/packages/vanilladock/src/test/teams/allotment-scene.ts
@@ -92,6 +92,13 @@
       pools[index]!.budget = makeBudget();
       pools[index]!.unseen = unseen;
     },
+    /** Replaces a planner that stops by one to which it tells what is in force. */
+    handOver: (index: number) => {
+      const pool = pools[index]!;
+      const told = pool.budget.makeTold(new Set([TEAM]), nowMs);
+      pool.budget = makeBudget();
+      if (told !== undefined) pool.budget.applyTold(told, nowMs);
+    },
     settlePlanners: () =>
       pools.forEach((pool) => {
         pool.unseen = 0;
