--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -186,10 +186,24 @@
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
     observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: inheritance.observePredecessorStopped,
-    observeHandOver: inheritance.observeHandOver,
+    observeHandOver: (timed) => {
+      inheritance.observeHandOver(timed);
+      const { allotments } = timed.handOver;
+      if (allotments !== undefined) teams.applyTold(allotments, timed.atMs);
+    },
     computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
     makeHandOver: (token, nowMs) =>
-      makeHandOver({ token, workers: table.workers, findTask: table.findTask, inheritance }, nowMs),
+      makeHandOver(
+        {
+          token,
+          workers: table.workers,
+          findTask: table.findTask,
+          inheritance,
+          jobs: table.jobs,
+          allotments: teams.makeTold(nowMs),
+        },
+        nowMs,
+      ),
     explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -12,14 +12,22 @@
 import { listStartableSteps } from '../jobs/waiting-tasks.js';
 import type { PoolReport, TeamReport } from './allotment-ledger.js';
 import { createRateShares } from './rate-shares.js';
-import { createTeamBudget, type AllotMessage, type TeamSources } from './team-budget.js';
+import {
+  createTeamBudget,
+  type AllotMessage,
+  type TeamSources,
+  type ToldAllotments,
+} from './team-budget.js';
 
 /** Dependencies of the teams of a pool. */
 export interface PoolTeamOptions {
   readonly table: TaskTable;
   readonly sources: TeamSources;
   /** What may run of inherited jobs that no report has shown yet. */
-  readonly inheritance: Pick<Inheritance, 'isUncertain' | 'mayPredecessorOrder' | 'listUnreported'>;
+  readonly inheritance: Pick<
+    Inheritance,
+    'isUncertain' | 'mayPredecessorOrder' | 'listUnreported' | 'getTeamUse'
+  >;
   readonly report: (event: DecisionEvent) => void;
 }
 
@@ -57,6 +65,10 @@
   readonly isHeldBack: (job: Job) => boolean;
   /** Applies a message of the holder of the fleet duty; returns the reports on the teams. */
   readonly applyMessage: (message: AllotMessage, nowMs: number) => PoolReport;
+  /** Applies the allotments that the planner before told at the monotonic time `atMs`. */
+  readonly applyTold: (told: ToldAllotments, atMs: number) => void;
+  /** Makes what the next planner is told of the allotments of teams with jobs in the pool. */
+  readonly makeTold: (nowMs: number) => ToldAllotments | undefined;
   /** Lists the figures of the teams that use or were allotted anything. */
   readonly listFigures: () => readonly TeamFigures[];
   /** Estimates anew what may run unseen; to be called before each plan. */
@@ -113,15 +125,19 @@
   /** When each team's limit was last logged. */
   const loggedMs = new Map<string, number>();
 
-  /** Sums the capacity of the workers on which runs of an earlier planner may be left unseen. */
-  const sumUnreported = (): Resources => {
+  /**
+   * Lists for each worker that has not reported what runs of a team that an earlier planner has left
+   * may use there unseen: what that one has told, or else the capacity.
+   */
+  const listUnreported = (): readonly ((team: string) => Resources)[] => {
     const largest = [...table.workers.values()]
       .map(({ entry }) => entry.capacity)
       .reduce(computeMaximum, NO_RESOURCES);
-    return inheritance
-      .listUnreported()
-      .map(({ id }) => table.workers.get(id)?.largestCapacity ?? largest)
-      .reduce(addResources, NO_RESOURCES);
+    return inheritance.listUnreported().map(({ id }) => {
+      const told = inheritance.getTeamUse(id);
+      const capacity = table.workers.get(id)?.largestCapacity ?? largest;
+      return (team) => (told === undefined ? capacity : (told[team] ?? NO_RESOURCES));
+    });
   };
   const getUsed = (team: string): Resources => {
     const used = table.teamUsage.get(team);
@@ -193,14 +209,21 @@
       job.record.team !== undefined &&
       listStartableSteps(job).every(({ step }) => !hasTeamRoom(job.record.team, step.size)),
     applyMessage: (message, nowMs) => {
-      if (budget.apply(message)) {
-        const others = Object.entries(message.shares).map(
-          ([team, { otherJobsPerSecond }]) => [team, otherJobsPerSecond] as const,
-        );
+      budget.dropExpired(nowMs);
+      const others = Object.entries(message.shares).map(
+        ([team, { otherJobsPerSecond }]) => [team, otherJobsPerSecond] as const,
+      );
+      // The first messages of a holder name no team.
+      if (budget.apply(message, nowMs) && others.length > 0) {
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
       return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs) };
     },
+    applyTold: budget.applyTold,
+    makeTold: (nowMs) => {
+      const teams = [...table.activeJobs.values()].flatMap(({ record }) => record.team ?? []);
+      return budget.makeTold(new Set(teams), nowMs);
+    },
     listFigures: () =>
       [...new Set([...table.teamUsage.listTeams(), ...budget.listAllotted()])].map((team) => ({
         team,
@@ -210,6 +233,7 @@
       })),
     refresh: (nowMs) => {
       plannedMs = nowMs;
+      budget.dropExpired(nowMs);
       if (!inheritance.isUncertain(nowMs)) {
         unseen = new Map();
         return;
@@ -217,11 +241,16 @@
       if (nowMs - estimatedMs < ESTIMATE_INTERVAL_MS) return;
       estimatedMs = nowMs;
       const inherited = [...table.activeJobs.values()].filter((job) => job.isInherited);
-      const capacity = inheritance.mayPredecessorOrder(nowMs) ? undefined : sumUnreported();
+      const unreported = inheritance.mayPredecessorOrder(nowMs) ? undefined : listUnreported();
       unseen = new Map(
         [...sumWaiting(inherited)].map(([team, { sum }]) => [
           team,
-          capacity === undefined ? sum : computeMinimum(sum, capacity),
+          unreported === undefined
+            ? sum
+            : computeMinimum(
+                sum,
+                unreported.map((estimate) => estimate(team)).reduce(addResources, NO_RESOURCES),
+              ),
         ]),
       );
     },
