Answer what has arrived at the end of a stop with little processor time

Cause: calls wait in the kernel's backlog from early in the stop on, as taking one costs 1.6 ms of processor time and 50 arrive a second; reading them ended after 1 s by the clock, with 1.5 s left; and 16 ms a second went to reading the store for claims, configuration and workers, which no longer served anybody. Taking costs about twice of refusing (0.85 ms).

Calls that may have waited for more than 1 s, as the event loop has not been idle, are refused during a stop.

The test of the followers fails without the change; the others are of new functions.

--- a/packages/daemon/src/lib/jobs/duty-claims.ts
+++ b/packages/daemon/src/lib/jobs/duty-claims.ts
@@ -2,7 +2,7 @@
  * Claims duties and finds their holders. Every instance appends heartbeats to one partition,
  * claims unclaimed duties by conditional appends to another, and reads both.
  */
-import type { BehaviorSubject } from 'rxjs';
+import { Subject, takeUntil, type BehaviorSubject } from 'rxjs';
 import {
   chooseClaimants,
   createClaimTable,
@@ -48,7 +48,7 @@
   /**
    * Leaves: releases at once the duties that are not handed over, and all others when `mayHold` says
    * false. Until then it goes on with what nobody else claims, and claims only what has no holder and
-   * no other instance to claim it.
+   * no other instance to claim it. Resolves when the release has ended; nothing is read after that.
    */
   readonly stop: (mayHold: () => boolean) => Promise<void>;
 }
@@ -194,14 +194,12 @@
   };
   const runClaimRound = async () => {
     checkHeld();
-    const isRetryDue = await claimNext();
-    await waitMs(isRetryDue ? CLAIM_RETRY_MS : TICK_MS);
+    await waitMs((await claimNext()) ? CLAIM_RETRY_MS : TICK_MS);
   };
   const runHeartbeat = async () => {
     const sentMs = performance.now();
-    const outcome = await store.append(HEARTBEATS, [encodeHeartbeat(self, isLeaving)], {
-      kind: 'none',
-    });
+    const records = [encodeHeartbeat(self, isLeaving)];
+    const outcome = await store.append(HEARTBEATS, records, { kind: 'none' });
     if (outcome.kind === 'stored') {
       handleContact();
       authority.observeHeartbeat(sentMs);
@@ -223,6 +221,7 @@
     handleRead: (sent) => authority.observeRead(sent),
   });
   const heartbeats = watchTopic({ ...followOptions, where: HEARTBEATS, pauseMs: TICK_MS });
+  const released = new Subject<void>();
   const listMembers = () => table.listMembers(Math.min(performance.now(), lastReadMs));
   const listOthers = (members: readonly Member[]) => members.filter(({ id }) => id !== self.id);
   const notices = createDutyNotices({
@@ -268,7 +267,7 @@
     start: () => {
       startedMs = performance.now();
       lastReadMs = startedMs;
-      heartbeats.subscribe(({ records }) => {
+      heartbeats.pipe(takeUntil(released)).subscribe(({ records }) => {
         const nowMs = performance.now();
         if (nowMs - lastReadMs > CONTACT_GAP_MS) reportsSinceMs = nowMs;
         if (nowMs - lastReadMs > READ_GAP_MS) {
@@ -278,7 +277,7 @@
         lastReadMs = nowMs;
         applyRecords(records);
       });
-      newClaims.subscribe(({ records, next }) => {
+      newClaims.pipe(takeUntil(released)).subscribe(({ records, next }) => {
         applyRecords(records);
         nextOffset = next;
         sentClaims.forEach(({ at: claimOffset }, duty) => {
@@ -309,6 +308,7 @@
       isStopped = true;
       authority.stop();
       await releaseDuties({ ...release, claims: [...dropped, ...heldDuties.leave(() => true)] });
+      released.next();
     },
   };
 }
--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -172,4 +172,28 @@
   assert.is(liveClaim, undefined, 'no process holds the duty');
 });
 
+// Guards against a process that spends the processor time of its last answers on reading the store.
+test('nothing is read after the release', async () => {
+  const clock = install({ now: 0 });
+  let reads = 0;
+  const store: KeyedStore = {
+    append: () => Promise.resolve({ kind: 'stored', offset: 1, end: 2 }),
+    read: async (_, from) => {
+      reads += 1;
+      await waitMs(100);
+      return { kind: 'records', records: [], next: from, end: from };
+    },
+    readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
+  };
+  const dutyClaims = startClaims(store);
+  await clock.tickAsync(SECOND_MS);
+  const stopped = dutyClaims.stop(() => false);
+  await clock.tickAsync(SECOND_MS);
+  await stopped;
+  const before = reads;
+  await clock.tickAsync(2 * SECOND_MS);
+  clock.uninstall();
+  assert.is(reads, before);
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/shutdown/shutdown-plan.ts
+++ b/packages/vanilladock/src/lib/shutdown/shutdown-plan.ts
@@ -45,6 +45,12 @@
  */
 const TAKING_MS = 2_500;
 
+/**
+ * Time that calls may have waited unread while a stopping instance still takes them. Beyond it more
+ * calls arrive than it can serve, and a refusal costs half of the processor time.
+ */
+const MAX_INPUT_WAIT_MS = 1_000;
+
 /** Part of the grace period that is left when the last answer is due, at most. */
 const ANSWER_RESERVE_MS = 1_000;
 
@@ -67,6 +73,11 @@
   };
 }
 
+/** Plans that no calls are taken while those that are read may have waited for too long. */
+export function planIntake(plan: ShutdownPlan, inputWaitMs: number): ShutdownPlan {
+  return inputWaitMs > MAX_INPUT_WAIT_MS ? { ...plan, takesUntilMs: -Infinity } : plan;
+}
+
 /**
  * Decides whether a call is taken whose single attempt may last `attemptMs`. Without a plan the
  * instance is not stopping.
@@ -89,6 +100,15 @@
   return nowMs < plan.takesUntilMs || (openCalls > 0 && nowMs < plan.answersByMs);
 }
 
+/**
+ * Computes how long, in ms, what has arrived may still be read and answered before the connections
+ * are closed: as long as answers are given, or, when the calls have taken that time, until the close.
+ */
+export function computeReadingMs(plan: ShutdownPlan, nowMs: number): number {
+  const readsUntilMs = nowMs < plan.answersByMs ? plan.answersByMs : plan.closesByMs;
+  return Math.max(0, readsUntilMs - nowMs);
+}
+
 /** Decides the next step of a stop; 'close' ends it. */
 export function decideShutdownStep(
   plan: ShutdownPlan,
--- a/packages/vanilladock/src/test/shutdown/shutdown-plan.test.ts
+++ b/packages/vanilladock/src/test/shutdown/shutdown-plan.test.ts
@@ -3,8 +3,10 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import {
+  computeReadingMs,
   decideIntake,
   decideShutdownStep,
+  planIntake,
   planShutdown,
 } from 'vanilladock/lib/shutdown/shutdown-plan.js';
 
@@ -69,4 +71,20 @@
   assert.is(decideShutdownStep(plan, unreleased, plan.answersByMs), 'close');
 });
 
+// Guards against calls that are cut at the end of a stop because ones that had waited were taken.
+test('a stopping instance takes calls only while they have not waited for long', () => {
+  const decide = (waitMs: number) =>
+    decideIntake(planIntake(plan, waitMs), ATTEMPT_MS, STARTED_MS + 100).kind;
+  assert.equal([decide(900), decide(1_100), decide(0)], ['take', 'refuse', 'take']);
+});
+
+// Guards against calls that are cut unread, in a process without processor time, with time left.
+test('what has arrived is read until answers are due, or until the close when that is later', () => {
+  const times = [STARTED_MS + 2_600, plan.answersByMs, plan.closesByMs + 1];
+  assert.equal(
+    times.map((nowMs) => computeReadingMs(plan, nowMs)),
+    [2_400, 500, 0],
+  );
+});
+
 test.run();
