Take in what runs and has ended of inherited occurrences at once

Cause: the tasks of an occurrence were created by the first plan at which it is due. A report that comes before that plan names tasks which the planner does not have: an end was counted as noted and had no effect, so that the worker forgot it, and a run was stopped as one that belongs to no task. Progress was encoded from the occurrences that are open, so that a write before that left out the others.

Fix: a job is loaded with the occurrences that are due or have stored progress, and a report opens those that an earlier planner has begun, before its ends and runs are applied. Their other tasks start when they are due by the present clock.

--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -11,6 +11,7 @@
 import { computeEarliestWorkerMs, isStartLate } from './lease-clock.js';
 import { computeFirstLease } from './first-lease.js';
 import type { Inheritance } from './inheritance.js';
+import { openBegunOccurrence } from './job-lifecycle.js';
 import type { PoolContext } from './pool-context.js';
 import { computeFootprint } from './free-capacity.js';
 import { parseTaskKey } from './spec.js';
@@ -208,6 +209,15 @@
   else context.table.updateWorker(workerId, { failures: NO_FAILURES });
 }
 
+/** Opens the occurrences of inherited jobs whose tasks a report names and that are not open yet. */
+function openReported({ table }: PoolContext, { running, ended }: TaskReport, at: Moment): void {
+  [...running, ...ended].forEach(({ taskKey }) => {
+    if (table.findTask(taskKey) !== undefined) return;
+    const { jobId, occurrence } = parseTaskKey(taskKey);
+    openBegunOccurrence(table, jobId, occurrence, at);
+  });
+}
+
 /** Applies the ends in the report that have not been applied yet. */
 function applyEnds(context: PoolContext, workerId: string, timed: TimedReport, at: Moment): void {
   const { table } = context;
@@ -266,6 +276,7 @@
     missedReports: 0,
   });
   observeReportedCapacity(context, workerId, report.capacity, at.nowMs);
+  openReported(context, report, at);
   applyEnds(context, workerId, timed, at);
   const worker = table.workers.get(workerId);
   if (worker === undefined) return;
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -13,7 +13,7 @@
 import { makeHandOver } from './hand-over.js';
 import { createInheritance } from './inheritance.js';
 import { createJobIntake } from './job-intake.js';
-import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
+import { dropFinishedJobs, openDueOccurrences, openLoadedOccurrences } from './job-lifecycle.js';
 import { observeStart, observeStop } from './observe-orders.js';
 import { observeReport } from './observe-report.js';
 import { createMeanWork } from './mean-work.js';
@@ -129,6 +129,7 @@
     loadJob: (record, progress, at) => {
       const storedPhase = progress?.phase ?? 'active';
       const job = table.addJob(record, { progress, runBase: options.runBase, storedPhase }, at);
+      openLoadedOccurrences(table, job, progress, at);
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -54,6 +54,12 @@
   return `${task.occurrence}.${task.stepIndex}.${task.index}`;
 }
 
+/** Lists the numbers of the open occurrences that have any progress. */
+export function listBegunOccurrences({ done, failedRuns, crashes }: Progress): ReadonlySet<number> {
+  const suffixes = [...done, ...failedRuns.keys(), ...crashes.keys()];
+  return new Set(suffixes.map((suffix) => Number(suffix.split('.')[0])));
+}
+
 /** Encodes a crash. */
 function encodeCrash(crash: CrashRecord): StoredCrash {
   const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone } = crash;
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -119,8 +119,9 @@
 /** Parses the id of the job and the index of the step from the key of a task. */
 export function parseTaskKey(taskKey: string): {
   readonly jobId: string;
+  readonly occurrence: number;
   readonly stepIndex: number;
 } {
-  const [jobId = '', , stepIndex] = taskKey.split('.');
-  return { jobId, stepIndex: Number(stepIndex) };
+  const [jobId = '', occurrence, stepIndex] = taskKey.split('.');
+  return { jobId, occurrence: Number(occurrence), stepIndex: Number(stepIndex) };
 }
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -47,8 +47,11 @@
   readonly addJob: (record: JobRecord, origin: JobOrigin, at: Moment) => Job;
   /** Applies changes to a job and returns it; throws if it is not in the table. */
   readonly updateJob: (jobId: string, change: Partial<Job>) => Job;
-  /** Creates the tasks of an occurrence; does nothing if it is open already. */
-  readonly openOccurrence: (jobId: string, number: number) => void;
+  /**
+   * Creates the tasks of an occurrence, which start no earlier than `notBeforeMs` on the monotonic
+   * clock, by default at once; does nothing if it is open already.
+   */
+  readonly openOccurrence: (jobId: string, number: number, notBeforeMs?: number) => void;
   /** Removes the tasks of a finished job or occurrence; running ones become orphaned runs. */
   readonly dropTasks: (tasks: readonly Task[]) => void;
   /** Removes a job; its tasks have to be dropped before. */
@@ -175,7 +178,11 @@
     }
     return moved;
   };
-  const openTask = (job: Job, occurrence: number, stepIndex: number, index: number) => {
+  const openTask = (
+    job: Job,
+    { occurrence, stepIndex, index }: Pick<Task, 'occurrence' | 'stepIndex' | 'index'>,
+    notBeforeMs: number,
+  ) => {
     const origin = origins.get(job.record.spec.id);
     const key = makeTaskKey(job.record.spec.id, occurrence, stepIndex, index);
     const suffix = makeTaskSuffix({ occurrence, stepIndex, index });
@@ -190,13 +197,13 @@
       lastRun: origin?.runBase ?? 0,
       checkpoint: NO_CHECKPOINT,
       avoidedWorkerIds: [],
-      state: { kind: 'waiting', notBeforeMs: 0 },
+      state: { kind: 'waiting', notBeforeMs },
     };
     tasks.set(key, task);
     if (task.crashes.length > 0) crashedTaskKeys.add(key);
     if (origin?.progress?.done.has(suffix) === true) moveTask(task, { kind: 'done' });
   };
-  const openOccurrence = (jobId: string, number: number) => {
+  const openOccurrence = (jobId: string, number: number, notBeforeMs = 0) => {
     const job = getJob(jobId);
     if (job.occurrences.has(number)) return;
     const { steps } = job.record.spec;
@@ -204,7 +211,9 @@
     job.occurrences.set(number, occurrence);
     changes.addJob(jobId);
     steps.forEach((step, stepIndex) => {
-      for (let index = 0; index < step.count; index += 1) openTask(job, number, stepIndex, index);
+      for (let index = 0; index < step.count; index += 1) {
+        openTask(job, { occurrence: number, stepIndex, index }, notBeforeMs);
+      }
     });
   };
   const listJobTasks = (jobId: string): readonly Task[] => {
