Show an inherited job as running whose runs are known

What callers see: a job with occurrences that was `running` is shown as `queued`, and counted as pending, after a take-over, if an occurrence has ended and none of the next has; so is one whose runs have only failed or crashed their worker.

Cause: whether an inherited job has started was read from its done tasks alone, which finished occurrences no longer have. Found by reading; the new case fails on the code before (`queued`). Fix: any stored result counts.

--- a/packages/vanilladock/src/lib/jobs/make-job.ts
+++ b/packages/vanilladock/src/lib/jobs/make-job.ts
@@ -1,6 +1,6 @@
 /** Makes the state of a job that is new to a planner. */
 import { computeObjectiveMs, computeTailChains, computeWork } from './estimate.js';
-import type { Progress } from './progress.js';
+import { hasAnyProgress, type Progress } from './progress.js';
 import { isLastingJob, type JobRecord } from './spec.js';
 import type { Job, Moment } from './state.js';
 
@@ -33,7 +33,7 @@
     record,
     phase,
     storedPhase: origin.storedPhase,
-    hasStarted: (origin.progress?.done.size ?? 0) > 0,
+    hasStarted: origin.progress !== undefined && hasAnyProgress(origin.progress),
     arrivedMs,
     objectiveAtMs: arrivedMs + computeObjectiveMs(record.spec, record.policy),
     workCoreSeconds: computeWork(record.spec),
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -54,6 +54,12 @@
   return `${task.occurrence}.${task.stepIndex}.${task.index}`;
 }
 
+/** Says whether any run of the job is known to have ended. */
+export function hasAnyProgress(progress: Progress): boolean {
+  const { done, failedRuns, crashes, occurrencesDone } = progress;
+  return done.size + failedRuns.size + crashes.size + occurrencesDone.size > 0;
+}
+
 /** Lists the numbers of the open occurrences that have any progress. */
 export function listBegunOccurrences({ done, failedRuns, crashes }: Progress): ReadonlySet<number> {
   const suffixes = [...done, ...failedRuns.keys(), ...crashes.keys()];
--- a/packages/vanilladock/src/test/jobs/inherited-occurrences.test.ts
+++ b/packages/vanilladock/src/test/jobs/inherited-occurrences.test.ts
@@ -78,4 +78,11 @@
   assert.is(planner.table.workers.get('w1')!.orphanedRuns.size, 2);
 });
 
+// Guards against a running job that is shown as `queued`, and counted as pending, after a take-over.
+test('a job of which an occurrence has ended has started', () => {
+  const { planner } = openSuccessor([], [0]);
+  assert.is(planner.getJobStatus('a'), 'running');
+  assert.is(planner.countPending({ route: SPEC.route }), 0);
+});
+
 test.run();
