Count status_s from when the end of a job is stored

What callers see: 410 for a completed job before `status_s` are over, if the store was away when the job ended; a repeat of the submission is then taken for a new job. While the end is not stored the job is shown as `running`, so that the time in which `completed` could be read was `status_s` less the outage.

Cause: the time was counted from the end itself. Evidence: by reading; the new case fails on the code before (`unknown` 61 s after an end that the store had refused at first, with a `status_s` of 60 s). Fix: it begins with the first look, one a second, at which the end is stored. What a next planner counts is as before, from the end plus the 60 s by which clocks may differ.

Changed test: the fixture of removed-jobs.test.ts makes a plan after the end is stored, as a planner does at once; its expectations are the same.

--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -35,7 +35,7 @@
   const lateMs = Math.round(at.nowMs - job.objectiveAtMs);
   report({ event: 'job-ended', job: jobId, phase, ageMs, lateMs });
   table.dropTasks(table.listJobTasks(jobId));
-  table.updateJob(jobId, { phase, finishedMs: at.nowMs, endedAtMs: at.wallMs });
+  table.updateJob(jobId, { phase, endedAtMs: at.wallMs });
   dirtyJobs.add(jobId);
 }
 
--- a/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
+++ b/packages/vanilladock/src/lib/jobs/job-lifecycle.ts
@@ -55,17 +55,22 @@
 }
 
 /**
- * Drops the jobs whose end is stored and more than `statusMs` ago at the monotonic time `nowMs`;
- * returns their ids.
+ * Drops the jobs whose state could be given for more than `statusMs` at the monotonic time `nowMs`;
+ * returns their ids. That time begins at the first call after their end was stored.
  */
 export function dropFinishedJobs(
   table: TaskTable,
   statusMs: number,
   nowMs: number,
 ): readonly string[] {
-  const expired = [...table.jobs]
-    .filter(([, { finishedMs }]) => finishedMs !== undefined && nowMs - finishedMs > statusMs)
-    .filter(([, { storedPhase, phase }]) => storedPhase === phase)
+  const given = [...table.jobs].filter(
+    ([, { phase, storedPhase }]) => phase !== 'active' && storedPhase === phase,
+  );
+  given.forEach(([id, { finishedMs }]) => {
+    if (finishedMs === undefined) table.updateJob(id, { finishedMs: nowMs });
+  });
+  const expired = given
+    .filter(([, { finishedMs = nowMs }]) => nowMs - finishedMs > statusMs)
     .map(([id]) => id);
   expired.forEach(table.dropJob);
   return expired;
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -158,9 +158,12 @@
   readonly crashVersion: number;
   /** Value of `crashVersion` up to which they are stored. */
   readonly storedCrashVersion: number;
-  /** When the job ended; monotonic, may be negative for an inherited job. Undefined while active. */
+  /**
+   * Since when the state of the ended job can be given, as it is stored; monotonic, may be negative
+   * for an inherited job. Undefined until that is known.
+   */
   readonly finishedMs: number | undefined;
-  /** The same in milliseconds since 1970, for the store; undefined also in old records. */
+  /** When the job ended, in ms since 1970; undefined while it is active and in old records. */
   readonly endedAtMs: number | undefined;
 }
 
--- a/packages/vanilladock/src/test/jobs/removed-jobs.test.ts
+++ b/packages/vanilladock/src/test/jobs/removed-jobs.test.ts
@@ -33,6 +33,7 @@
   writeBatch();
   harness.planner.cancel('a', harness.at(10));
   writeBatch();
+  harness.planner.plan(harness.at(20));
   return { ...harness, stored, writeBatch, submit };
 };
 
@@ -50,6 +51,22 @@
   assert.is(writeBatch(), undefined);
 });
 
+// Guards against a 410 within `status_s` of an end that a store that was away has kept from callers.
+test('the time for which the state of a job is given begins when it can be given', () => {
+  const { planner, at, store, submit } = createHarness();
+  submit(makeJob('a'), 1);
+  planner.cancel('a', at(10));
+  planner.plan(at(20));
+  planner.dropUnstored(planner.takeStoreBatch()!);
+  assert.is(planner.getJobStatus('a'), 'queued');
+  store();
+  planner.plan(at(STATUS_MS / 2));
+  planner.plan(at(STATUS_MS + 1_100));
+  assert.is(planner.getJobStatus('a'), 'cancelled');
+  planner.plan(at(1.5 * STATUS_MS + 1_100));
+  assert.is(planner.getJobStatus('a'), 'unknown');
+});
+
 test('a removal that the store refuses is tried again', () => {
   const { planner, at, stored, writeBatch } = openCancelled();
   planner.plan(at(STATUS_MS + 1_100));
