Take no job for one that another queue has under its id

What callers see: a submission whose id a job of another queue of the same pool, or of a former pool of its queue, has already is answered 2xx and never runs; GET shows the other job, and DELETE cancels that one, which its own caller then finds `cancelled`.

Cause: a planner looked jobs up by id, and compared the team but not the queue. Callers choose ids, so that it takes two of them that choose the same one. Fix: a job answers for the queue that its record names; records without one answer for all, as before. A submission under a taken id is refused as for another team's, and a cancel needs no tombstone, since the id is taken.

--- a/packages/daemon/src/lib/jobs/answer-request.ts
+++ b/packages/daemon/src/lib/jobs/answer-request.ts
@@ -1,7 +1,7 @@
 /** Answers requests about jobs from a pool's planner; changes are confirmed only once stored. */
 import { CANCELLED_REFUSAL } from 'vanilladock/lib/jobs/admit-job.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
-import { isForeignJob } from 'vanilladock/lib/jobs/spec.js';
+import { isForeignJob, isOfOtherQueue } from 'vanilladock/lib/jobs/spec.js';
 import { readMoment } from './clock.js';
 import {
   makeUnavailable,
@@ -48,6 +48,16 @@
   return job !== undefined && isForeignJob(job.record, team);
 }
 
+/** Says whether the pool has a job of this id that was submitted to another queue. */
+function isElsewhereQueued(
+  { planner }: AnswerContext,
+  jobId: string,
+  queue: string | undefined,
+): boolean {
+  const job = planner.table.jobs.get(jobId);
+  return job !== undefined && isOfOtherQueue(job.record, queue);
+}
+
 /**
  * Says whether a version of the configuration is too old for a queue: the pool may have told others
  * that it does not have a job, which another pool has accepted since.
@@ -64,7 +74,9 @@
   const { planner } = context;
   const { origin, team, spec, policy, receipt } = request;
   const { id } = spec;
-  if (isForeign(context, id, team)) return { kind: 'foreign-job' };
+  if (isForeign(context, id, team) || isElsewhereQueued(context, id, origin?.queue)) {
+    return { kind: 'foreign-job' };
+  }
   const isKnown = planner.table.jobs.has(id);
   if (!isKnown && isTooOld(context, origin)) return makeUnavailable('config-older');
   if (context.isStoreUnavailable() && planner.getJobStatus(id) === 'unknown') {
@@ -111,6 +123,7 @@
   { jobId, queue, version, team }: Extract<JobRequest, { kind: 'lookup' }>,
 ): Promise<JobReply> {
   if (isForeign(context, jobId, team)) return { kind: 'foreign-job' };
+  if (isElsewhereQueued(context, jobId, queue)) return closeForOlder(context, { queue, version });
   if (context.planner.table.jobs.has(jobId)) return answerStored(context, jobId);
   if (context.planner.isCancelled(jobId, team)) {
     return { ...CANCELLED_REFUSAL, cause: 'queue' };
@@ -133,13 +146,16 @@
   { jobId, team, origin, receipt, isFormerPool }: Extract<JobRequest, { kind: 'cancel' }>,
 ): Promise<JobReply> {
   const { planner, waitStored, isStopped, schedulePlan } = context;
-  const isKnown = planner.table.jobs.has(jobId);
+  const isElsewhere = isElsewhereQueued(context, jobId, origin?.queue);
+  const isKnown = planner.table.jobs.has(jobId) && !isElsewhere;
   if (!isKnown && isFormerPool === true && origin !== undefined) {
     return closeForOlder(context, origin);
   }
   const confirmed = { kind: isKnown ? 'cancelled' : 'no-such-job' } as const;
   const obstacle = isKnown ? undefined : findCancelObstacle(context, origin);
   if (obstacle !== undefined) return makeUnavailable(obstacle);
+  // The other job keeps a submission under its id out, and has the key that a tombstone would get.
+  if (isElsewhere) return confirmed;
 
   const outcome = planner.cancel(jobId, readMoment(), { team, queue: origin?.queue, receipt });
   if (outcome === 'refused') {
@@ -174,7 +190,8 @@
       return cancelJob(context, request);
     case 'status': {
       if (isForeign(context, request.jobId, request.team)) return { kind: 'no-such-job' };
-      const state = planner.getJobStatus(request.jobId);
+      const isElsewhere = isElsewhereQueued(context, request.jobId, request.origin?.queue);
+      const state = isElsewhere ? 'unknown' : planner.getJobStatus(request.jobId);
       if (state !== 'unknown') return { kind: 'state', state };
       if (!context.isInForce()) return makeUnavailable('claim-unconfirmed');
       return isTooOld(context, request.origin)
--- a/packages/daemon/src/lib/jobs/job-request.ts
+++ b/packages/daemon/src/lib/jobs/job-request.ts
@@ -102,7 +102,7 @@
   | { readonly kind: 'state'; readonly state: JobState }
   /** In reply to a cancel: nor will a submission of the job be accepted that arrives later. */
   | { readonly kind: 'no-such-job' }
-  /** The id of the submitted job is that of another team's job; nothing was done. */
+  /** The id of the submitted job is that of another team's or queue's job; nothing was done. */
   | { readonly kind: 'foreign-job' }
   /** The job has ended, by this cancel or before it, and that is stored. */
   | { readonly kind: 'cancelled' }
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -96,6 +96,11 @@
   return team !== undefined && record.team !== undefined && record.team !== team;
 }
 
+/** Says whether a job was submitted to another queue; undefined stands for any. */
+export function isOfOtherQueue(record: JobRecord, queue: string | undefined): boolean {
+  return queue !== undefined && record.queue !== undefined && record.queue !== queue;
+}
+
 /** Says whether any step of the job is lasting. */
 export function isLastingJob(spec: JobSpec): boolean {
   return spec.steps.some((step) => step.isLasting);
