Keep only the last failed run of a lasting task

Cause: the numbers of all failed runs of a task are part of its job's progress. Tasks that last are started again however they end and have no last attempt, so that the record of their job grew by 4 to 6 bytes with each failure; beyond the 262,144 bytes that the store takes, some 45,000 failures of a job's tasks (computed), it refuses each write of the pool, as that record is part of it.

Evidence: the new case fails on the code before (500 failures). Fix: of a lasting task only the last failed run is kept, by which an end that is listed again to a next planner changes nothing.

--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -89,7 +89,8 @@
   if (job === undefined) return;
   const step = table.findStep(task);
   if (task.failedRuns.includes(end.run)) return;
-  const failedRuns = [...task.failedRuns, end.run];
+  // A lasting task has no last attempt, so that its record must not grow with them.
+  const failedRuns = step.isLasting ? [end.run] : [...task.failedRuns, end.run];
   const change = { failedRuns, ...makeAvoidance(task, end.workerId) };
   const current = table.moveTask(task, task.state, change);
   dirtyJobs.add(task.jobId);
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -87,7 +87,8 @@
   readonly stepIndex: number;
   readonly index: number;
   /**
-   * Numbers of its failed runs; an end that is reported again after a take-over counts only once.
+   * Numbers of its failed runs, only the last one of a lasting task; an end that is reported again
+   * after a take-over counts only once.
    */
   readonly failedRuns: readonly number[];
   /** Crashes of workers under its runs, oldest first. */
--- a/packages/vanilladock/src/test/jobs/progress.test.ts
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -3,7 +3,16 @@
 import { suite } from 'uvu';
 import type { CrashRecord } from '../../lib/jobs/crash-evidence.js';
 import { decodeProgress, encodeProgress, type Progress } from '../../lib/jobs/progress.js';
-import { createHarness, makeJob, makeStep, POLICY, WALL_MS } from './planner-harness.js';
+import {
+  createHarness,
+  makeEnd,
+  makeEntry,
+  makeJob,
+  makeStep,
+  POLICY,
+  POOL,
+  WALL_MS,
+} from './planner-harness.js';
 
 /** Largest number of tasks that a submission may have. */
 const MAX_TASKS = 10_000;
@@ -52,6 +61,23 @@
   assert.equal(read.get('0.0.9999'), crashes);
 });
 
+// Guards against the same for a job that lasts for days and whose tasks fail now and then.
+test('the progress of a lasting job does not grow with the failures of its tasks', () => {
+  const { report, submit, addWorkers, store, stored } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ isLasting: true })]), 1);
+  const countBytes = (failures: number) => {
+    const ends = Array.from({ length: failures }, (_, index) =>
+      makeEnd(index + 1, 'a.0.0.0', index + 1, 'failed'),
+    );
+    report('w1', failures, [], ends);
+    store();
+    return stored.get(`${POOL}:a:p`)!.length;
+  };
+  const once = countBytes(1);
+  assert.ok(countBytes(500) < once + 10);
+});
+
 test('crashes are read as they were stored, in their order, also from old records', () => {
   const first = makeCrash('w1', { suspicion: 'recent', isConfirmed: false });
   const second = makeCrash('w2', { suspicion: 'earlier', isAlone: true });
