Drop what crashes say of a task once a run of it has gone on for long

Cause: each crash within 10 s of the start of a run was recorded for its task, for the lifetime of the task.

The two new cases fail on the code before. 36 cases on crashes pass; what a task that crashes each of its workers costs is the same.

Fix: a report that shows a run at work for 10 s, after which a crash is not counted either, drops the records of its task.

--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -45,8 +45,11 @@
 /** A run that has gone on for this long is not suspected, and needs no worker of its own. */
 export const PROVEN_RUN_MS = 4_000;
 
-/** A crash after a run of this length is not counted at all. */
-const LONG_RUN_MS = 10_000;
+/**
+ * A crash after a run of this length is not counted at all, and such a run ends what earlier crashes
+ * say of its task: else those of machines add up over the lifetime of a lasting one.
+ */
+export const LONG_RUN_MS = 10_000;
 
 /** Number of workers lost at one moment from which the loss of one of them says little. */
 const MASS_LOSS_WORKERS = 3;
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -9,6 +9,7 @@
   decideGiveUp,
   isMassLoss,
   isTelling,
+  LONG_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
 import { makeIncarnationKey } from './ended-incarnations.js';
@@ -34,6 +35,8 @@
   readonly observeSilence: (worker: Worker, at: Moment) => void;
   /** Records that an incarnation answers. */
   readonly observeAnswer: (entry: WorkerEntry) => void;
+  /** Drops the crashes of the tasks that have gone on for long on a worker that has just reported. */
+  readonly dropDisproved: (worker: Worker, nowMs: number) => void;
   /** Records that a worker's incarnation has ended; to be called while its runs are assigned. */
   readonly observeEnd: (worker: Worker, at: Moment, end: IncarnationEnd) => void;
   /** Records a new incarnation, which shows that an earlier one on its machine has ended. */
@@ -224,6 +227,14 @@
         updateRecords(key, (record) => (record.isConfirmed ? record : undefined));
       }
     },
+    dropDisproved: ({ tasks }, nowMs) => {
+      if (table.crashedTaskKeys.size === 0) return;
+      tasks.forEach((key) => {
+        const task = table.crashedTaskKeys.has(key) ? table.findTask(key) : undefined;
+        if (task === undefined || task.state.kind !== 'assigned') return;
+        if (nowMs - (task.state.confirmedMs ?? nowMs) >= LONG_RUN_MS) setCrashes(task, []);
+      });
+    },
     observeEnd: (worker, { nowMs }, { isOrdered, isSameId }) => {
       const { entry } = worker;
       const wasSilent = silences.find(entry.id, entry.bornMs) !== undefined;
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -177,7 +177,10 @@
       if (hasMissedReports) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, inheritance, workerId, timed, at);
       const reporter = table.workers.get(workerId);
-      if (reporter !== undefined) crashWatch.observeAnswer(reporter.entry);
+      if (reporter !== undefined) {
+        crashWatch.observeAnswer(reporter.entry);
+        crashWatch.dropDisproved(reporter, at.nowMs);
+      }
       incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
       interference.observeReport(workerId, at.nowMs);
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -122,6 +122,22 @@
   assert.equal(listCrashes(harness), [['w1', false]]);
 });
 
+// Guards against a sound lasting job given up for crashes that are minutes or days apart.
+test('a run that goes on for long ends what earlier crashes say of its task', () => {
+  const { planner, at, ...harness } = openRunning();
+  planner.observeIncarnationEnd('w1', 1, at(50));
+  harness.store();
+  const [start] = harness.planStarts(60);
+  harness.accept([start!], 70);
+  const row = makeRow(TASK, start!.run);
+  harness.report('w22', 10_060, [row]);
+  assert.equal(listCrashes({ planner }), [['w1', true]]);
+  harness.report('w22', 10_080, [{ ...row, percent: 20 }]);
+  assert.equal(listCrashes({ planner }), []);
+  harness.store();
+  assert.is(harness.readProgress('a')!.crashes.size, 0);
+});
+
 test('a task is not started again before the crash under it is stored', () => {
   const { planner, at, planStarts, store } = openRunning();
   planner.observeIncarnationEnd('w1', 1, at(50));
--- a/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
@@ -148,6 +148,25 @@
 test('no job is given up when two fifths of the workers lose power four times', () =>
   runMassLosses(true));
 
+// Guards against sound jobs that last given up once enough workers have crashed in their lifetime.
+test('no lasting job is given up as single workers crash now and then', () => {
+  const scene = openCrashScene({
+    workers: 10,
+    lastingJobs: 4,
+    jobsPerSecond: 0.5,
+    downMs: 1_500,
+    isDeadly: () => false,
+  });
+  let random = 1;
+  for (let count = 0; count < 150; count += 1) {
+    random = (random * 48_271) % 2_147_483_647;
+    scene.play(scene.getNowMs() + (random % 10_000));
+    const ids = scene.listWorkerIds();
+    scene.crash(ids[random % ids.length]!);
+  }
+  assert.not(scene.events.some(({ event }) => event === 'job-given-up'));
+});
+
 test('no job is given up for a machine that crashes again and again', () => {
   const scene = openCrashScene({ workers: 6, lastingJobs: 2, isDeadly: () => false, downMs: 500 });
   const findFlapping = () =>
