--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -35,7 +35,7 @@
   const lateMs = Math.round(at.nowMs - job.objectiveAtMs);
   report({ event: 'job-ended', job: jobId, phase, ageMs, lateMs });
   table.dropTasks(table.listJobTasks(jobId));
-  table.updateJob(jobId, { phase, finishedMs: at.nowMs, endedAtMs: at.wallMs });
+  table.updateJob(jobId, { phase, endedAtMs: at.wallMs });
   dirtyJobs.add(jobId);
 }
 
@@ -89,7 +89,8 @@
   if (job === undefined) return;
   const step = table.findStep(task);
   if (task.failedRuns.includes(end.run)) return;
-  const failedRuns = [...task.failedRuns, end.run];
+  // A lasting task has no last attempt, so that its record must not grow with them.
+  const failedRuns = step.isLasting ? [end.run] : [...task.failedRuns, end.run];
   const change = { failedRuns, ...makeAvoidance(task, end.workerId) };
   const current = table.moveTask(task, task.state, change);
   dirtyJobs.add(task.jobId);
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -87,7 +87,8 @@
   readonly stepIndex: number;
   readonly index: number;
   /**
-   * Numbers of its failed runs; an end that is reported again after a take-over counts only once.
+   * Numbers of its failed runs, only the last one of a lasting task; an end that is reported again
+   * after a take-over counts only once.
    */
   readonly failedRuns: readonly number[];
   /** Crashes of workers under its runs, oldest first. */
@@ -158,9 +159,12 @@
   readonly crashVersion: number;
   /** Value of `crashVersion` up to which they are stored. */
   readonly storedCrashVersion: number;
-  /** When the job ended; monotonic, may be negative for an inherited job. Undefined while active. */
+  /**
+   * Since when the state of the ended job can be given, as it is stored; monotonic, may be negative
+   * for an inherited job. Undefined until that is known.
+   */
   readonly finishedMs: number | undefined;
-  /** The same in milliseconds since 1970, for the store; undefined also in old records. */
+  /** When the job ended, in ms since 1970; undefined while it is active and in old records. */
   readonly endedAtMs: number | undefined;
 }
 
