--- a/packages/measure/src/lib/planner-cost.ts
+++ b/packages/measure/src/lib/planner-cost.ts
@@ -116,7 +116,7 @@
     claimedMs: 0,
     statusMs: STATUS_MS,
   });
-  planner.observePredecessorStopped(performance.now());
+  planner.observePredecessorStopped(nowMs);
   const ids = Array.from({ length: workerCount }, (_, index) => `w${index}`);
   const listRunning = (workerId: string) =>
     [...(planner.table.workers.get(workerId)?.tasks ?? [])].map((taskKey) => ({
