Store what teams may use at most in a pool, for successors of killed planners

Cause: state that has to survive its owner, the bound on what a team uses in the pool, was in the planner.

Now it is stored with the pool's metadata. A planner starts nothing beyond it, and stores a higher one before it uses a higher allotment; a successor counts no more as unseen, also while its predecessor may order, whose writes it fences before it reads. A write whose outcome is open binds too. A report to the holder that precedes the first plan estimates what is unseen now as well; before, it said nothing was.

Existing tests: the double of the planner in pool-state-writer.test.ts has the two new methods, the planner harness passes the ceilings.

--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -180,6 +180,7 @@
       claimedMs,
       statusMs: options.statusMs,
       teams: options.teams,
+      teamCeilings: stored.previous.teamCeilings,
     });
     const active = planner;
     guard.watch('predecessor', waitPredecessor(active, stored.previous));
--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -83,11 +83,15 @@
     planner.markWorkersRecorded(holderIds);
     const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
     const hasSameHolders = planner.hasStoredHolders(holders, nowMs);
-    if (hasSameHolders && hasSameFloors && isSettled === meta.isSettled) return;
+    const isSame = hasSameHolders && hasSameFloors && isSettled === meta.isSettled;
+    const teamCeilings = planner.planTeamCeilings(nowMs, !isSame);
+    if (isSame && teamCeilings === undefined) return;
     const workers = planner.listLeaseHolders(nowMs);
     const stated = floors === NO_FLOORS ? {} : { floors };
-    const updated = { ...meta, workers, isSettled, ...stated };
+    const updated = { ...meta, workers, isSettled, teamCeilings, ...stated };
     const outcome = await store.write([store.encodeMeta(updated)]);
+    // A lost one may have been stored.
+    if (outcome !== 'lost') planner.observeCeilingsWrite(outcome === 'stored');
     if (outcome !== 'stored') return;
     setMeta(updated);
     planner.markWorkersRecorded(holderIds);
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -10,6 +10,7 @@
 import type { JobRecord } from 'vanilladock/lib/jobs/spec.js';
 import { makeJobKey, makeProgressKey } from 'vanilladock/lib/jobs/store-queue.js';
 import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
+import { teamCeilingsSchema } from 'vanilladock/lib/teams/team-ceilings.js';
 import { z } from 'zod';
 
 /** A stored lease holder; old records have its id alone. */
@@ -30,6 +31,8 @@
    * count as settled.
    */
   isSettled: z.boolean().optional(),
+  /** What the teams may use at most by the orders of planners so far; absent in old records. */
+  teamCeilings: teamCeilingsSchema.optional(),
   /** Lowest versions under which submissions are taken; absent while none has been recorded. */
   floors: z.object({ base: z.number(), byQueue: z.record(z.string(), z.number()) }).optional(),
 });
--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -19,6 +19,8 @@
         ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
         : undefined,
     computeEarlierOrdersMs: () => 0,
+    planTeamCeilings: () => undefined,
+    observeCeilingsWrite: () => {},
     hasStoredHolders: (stored: ReadonlyMap<string, unknown>) =>
       stored.size === (writes < NEW_WORKER_AT ? 1 : 2),
     listLeaseHolders: () =>
@@ -50,4 +52,36 @@
   assert.ok(newWorker.atWrite <= NEW_WORKER_AT + 3, `recorded after write ${newWorker.atWrite}`);
 });
 
+// Guards against starts beyond a ceiling of a write whose outcome is open.
+test('the planner is told of a write of ceilings unless its outcome is open', async () => {
+  const told: boolean[] = [];
+  const written: unknown[] = [];
+  const outcomes = ['refused', 'stored', 'lost'] as const;
+  const planner = {
+    takeStoreBatch: () => undefined,
+    computeEarlierOrdersMs: () => 0,
+    hasStoredHolders: () => true,
+    listLeaseHolders: () => [],
+    markWorkersRecorded: () => {},
+    planTeamCeilings: () => ({ fishmongers: { cores: written.length } }),
+    observeCeilingsWrite: (isStored: boolean) => told.push(isStored),
+  };
+  const store = {
+    write: () => Promise.resolve(outcomes[written.length - 1]),
+    encodeMeta: (meta: { readonly teamCeilings?: unknown }) => written.push(meta.teamCeilings),
+  };
+  const stateWriter = createPoolStateWriter({
+    store: store as unknown as PoolStore,
+    getPlanner: () => planner as unknown as PoolPlanner,
+    schedulePlan: () => {},
+    handleLost: () => {},
+    handleFailed: (error) => {
+      throw error;
+    },
+  });
+  for (let write = 0; write < outcomes.length; write += 1) await stateWriter.writeDirty();
+  assert.equal(told, [false, true]);
+  assert.equal(written.at(-1), { fishmongers: { cores: 2 } });
+});
+
 test.run();
--- a/packages/daemon/src/test/stored-pool.test.ts
+++ b/packages/daemon/src/test/stored-pool.test.ts
@@ -76,6 +76,12 @@
   assert.ok(ids.every(isNew) && !expired.some(isNew));
 });
 
+test('ceilings of teams are read from the metadata', () => {
+  const teamCeilings = { fishmongers: { cores: 2 }, restaurants: {} };
+  const value = JSON.stringify({ generation: 2, workers: [], teamCeilings });
+  assert.equal(decode([{ key: `${POOL}:meta`, value }]).meta.teamCeilings, teamCeilings);
+});
+
 test('metadata of an earlier version of the program are read', () => {
   const value = JSON.stringify({ generation: 2, workers: ['w1'] });
   const { meta } = decode([{ key: `${POOL}:meta`, value }]);
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -23,6 +23,7 @@
 import type { InterferenceFigures } from '../interference/pool-interference.js';
 import type { TeamFigures } from '../teams/pool-teams.js';
 import type { AllotMessage, TeamSources } from '../teams/team-budget.js';
+import type { TeamCeilings } from '../teams/team-ceilings.js';
 import type { TicketRegistry } from './tickets.js';
 import type { ExclusionCounts } from './worker-exclusion.js';
 
@@ -45,6 +46,8 @@
   readonly statusMs: number;
   /** Absent where no teams are known; their jobs then have no limits. */
   readonly teams?: TeamSources | undefined;
+  /** What the teams could use at most by the orders of earlier planners; absent if none is known. */
+  readonly teamCeilings?: TeamCeilings | undefined;
 }
 
 /** Who submitted or cancels a job, where, and how the call came in. */
@@ -175,6 +178,13 @@
   readonly listLeaseHolders: (nowMs: number) => readonly LeaseHolder[];
   /** Says whether these records, by worker id, are as good as those that would be listed now. */
   readonly hasStoredHolders: (stored: ReadonlyMap<string, LeaseHolder>, nowMs: number) => boolean;
+  /**
+   * Plans which ceilings of teams to store now; undefined if those that are stored will do and nothing
+   * is written anyway.
+   */
+  readonly planTeamCeilings: (nowMs: number, isWrittenAnyway: boolean) => TeamCeilings | undefined;
+  /** Records whether the write of the ceilings planned last was stored. */
+  readonly observeCeilingsWrite: (isStored: boolean) => void;
   /** Records that workers are stored as possible lease holders; until then they get no tasks. */
   readonly markWorkersRecorded: (ids: readonly string[]) => void;
 }
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -85,6 +85,7 @@
     table,
     sources: options.teams ?? NO_TEAMS,
     inheritance,
+    inheritedCeilings: options.teamCeilings ?? {},
     report: options.report,
   });
   const intake = createJobIntake({
@@ -271,6 +272,8 @@
     dropUnstored: storeQueue.dropUnstored,
     listLeaseHolders: incarnations.listLeaseHolders,
     hasStoredHolders: incarnations.hasStoredHolders,
+    planTeamCeilings: teams.planCeilings,
+    observeCeilingsWrite: teams.observeCeilingsWrite,
     markWorkersRecorded: (ids) =>
       ids
         .filter((id) => table.workers.get(id)?.isRecorded === false)
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -12,6 +12,8 @@
 import { listStartableSteps } from '../jobs/waiting-tasks.js';
 import type { PoolReport, TeamReport } from './allotment-ledger.js';
 import { createRateShares } from './rate-shares.js';
+import { createCeilingKeeper, type CeilingNeed, type TeamCeilings } from './team-ceilings.js';
+import { sumWaiting } from './sum-waiting.js';
 import {
   createTeamBudget,
   type AllotMessage,
@@ -28,6 +30,8 @@
     Inheritance,
     'isUncertain' | 'mayPredecessorOrder' | 'listUnreported' | 'getTeamUse'
   >;
+  /** What the teams could use at most by the orders of earlier planners. */
+  readonly inheritedCeilings: TeamCeilings;
   readonly report: (event: DecisionEvent) => void;
 }
 
@@ -69,6 +73,10 @@
   readonly applyTold: (told: ToldAllotments, atMs: number) => void;
   /** Makes what the next planner is told of the allotments of teams with jobs in the pool. */
   readonly makeTold: (nowMs: number) => ToldAllotments | undefined;
+  /** Plans which ceilings to store now; undefined if those that are stored will do. */
+  readonly planCeilings: (nowMs: number, isWrittenAnyway: boolean) => TeamCeilings | undefined;
+  /** Records whether the write of the ceilings planned last was stored. */
+  readonly observeCeilingsWrite: (isStored: boolean) => void;
   /** Lists the figures of the teams that use or were allotted anything. */
   readonly listFigures: () => readonly TeamFigures[];
   /** Estimates anew what may run unseen; to be called before each plan. */
@@ -81,45 +89,22 @@
 /** Minimum time between two estimates of what may run unseen. */
 const ESTIMATE_INTERVAL_MS = 100;
 
-/** Waiting tasks of one team. */
-interface Waiting {
-  readonly sum: Resources;
-  readonly unit: Resources;
-  readonly sinceMs: number;
-}
-
-/** Sums the tasks that could start, by team. */
-function sumWaiting(jobs: Iterable<Job>): Map<string, Waiting> {
-  const sums = new Map<string, Waiting>();
-  for (const job of jobs) {
-    const { team } = job.record;
-    const steps = team === undefined ? [] : listStartableSteps(job);
-    steps.forEach(({ step, stepRun }) => {
-      const known = sums.get(team ?? '') ?? {
-        sum: NO_RESOURCES,
-        unit: NO_RESOURCES,
-        sinceMs: Infinity,
-      };
-      sums.set(team ?? '', {
-        sum: addResources(known.sum, computeMultiple(step.size, stepRun.waiting.size)),
-        unit: computeMaximum(known.unit, step.size),
-        sinceMs: Math.min(known.sinceMs, job.arrivedMs),
-      });
-    });
-  }
-  return sums;
-}
+/** Minimum time between two looks at the ceilings while no allotment changes. */
+const CEILINGS_INTERVAL_MS = 250;
 
 /** Creates the teams of a pool. */
 export function createPoolTeams(options: PoolTeamOptions): PoolTeams {
-  const { table, sources, inheritance, report } = options;
+  const { table, sources, inheritance, inheritedCeilings, report } = options;
   const budget = createTeamBudget(sources);
+  const ceilings = createCeilingKeeper(inheritedCeilings);
   const rates = createRateShares();
   /** Teams of which a start was held back at the last look, for the log. */
   const limited = new Set<string>();
   /** What may run unseen, by team. */
   let unseen: ReadonlyMap<string, Resources> = new Map();
   let estimatedMs = -Infinity;
+  /** When ceilings are looked at again, unless allotments change before. */
+  let nextCeilingsMs = -Infinity;
   /** Time of the present plan. */
   let plannedMs = 0;
   /** When each team's limit was last logged. */
@@ -144,6 +129,45 @@
     const hidden = unseen.get(team);
     return hidden === undefined ? used : addResources(used, hidden);
   };
+  /** Estimates what may run unseen, by team; no more than the ceiling of the earlier planners. */
+  const estimateUnseen = (nowMs: number) => {
+    if (!inheritance.isUncertain(nowMs)) {
+      unseen = new Map();
+      return;
+    }
+    if (nowMs - estimatedMs < ESTIMATE_INTERVAL_MS) return;
+    estimatedMs = nowMs;
+    const inherited = [...table.activeJobs.values()].filter((job) => job.isInherited);
+    const unreported = inheritance.mayPredecessorOrder(nowMs) ? undefined : listUnreported();
+    unseen = new Map(
+      [...sumWaiting(inherited)].map(([team, { sum }]) => {
+        const onWorkers = unreported
+          ?.map((estimate) => estimate(team))
+          .reduce(addResources, NO_RESOURCES);
+        const most = computeMinimum(sum, { ...sum, ...inheritedCeilings[team] });
+        return [team, onWorkers === undefined ? most : computeMinimum(most, onWorkers)];
+      }),
+    );
+  };
+  /** Lists what the teams with a limit need that have a ceiling, an allotment, or use anything. */
+  const listNeeds = (): ReadonlyMap<string, CeilingNeed> => {
+    const floorShare = sources.limitTolerance / Math.max(1, sources.countPools());
+    const directory = sources.getDirectory();
+    const names = [
+      ...ceilings.listTeams(),
+      ...table.teamUsage.listTeams(),
+      ...unseen.keys(),
+      ...budget.listAllotted(),
+    ];
+    return new Map(
+      [...new Set(names)].flatMap((team): readonly [string, CeilingNeed][] => {
+        const limit = directory?.teams.get(team)?.limit;
+        if (limit === undefined) return [];
+        const least = computeMaximum(computeMultiple(limit, floorShare), getUsed(team));
+        return [[team, { limit, need: computeMaximum(least, budget.getAllotment(team)) }]];
+      }),
+    );
+  };
   /** Logs that the limit holds a team back, and when it no longer does, at most once in a while. */
   const logLimit = (team: string, isLimited: boolean, size: Resources) => {
     if (limited.has(team) === isLimited) return;
@@ -160,8 +184,11 @@
       size,
     });
   };
-  const hasTeamRoom = (team: string | undefined, size: Resources) =>
-    team === undefined || budget.hasRoom(team, getUsed(team), size);
+  const hasTeamRoom = (team: string | undefined, size: Resources) => {
+    if (team === undefined) return true;
+    const used = getUsed(team);
+    return budget.hasRoom(team, used, size) && ceilings.hasRoom(team, used, size);
+  };
   const listReports = (nowMs: number): Readonly<Record<string, TeamReport>> => {
     const inRate = rates.list(nowMs);
     const waiting = sumWaiting(table.activeJobs.values());
@@ -210,20 +237,32 @@
       listStartableSteps(job).every(({ step }) => !hasTeamRoom(job.record.team, step.size)),
     applyMessage: (message, nowMs) => {
       budget.dropExpired(nowMs);
+      estimateUnseen(nowMs);
       const others = Object.entries(message.shares).map(
         ([team, { otherJobsPerSecond }]) => [team, otherJobsPerSecond] as const,
       );
       // The first messages of a holder name no team.
-      if (budget.apply(message, nowMs) && others.length > 0) {
+      const isApplied = budget.apply(message, nowMs);
+      if (isApplied) nextCeilingsMs = nowMs;
+      if (isApplied && others.length > 0) {
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
       return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs) };
     },
-    applyTold: budget.applyTold,
+    applyTold: (told, atMs) => {
+      budget.applyTold(told, atMs);
+      nextCeilingsMs = atMs;
+    },
     makeTold: (nowMs) => {
       const teams = [...table.activeJobs.values()].flatMap(({ record }) => record.team ?? []);
       return budget.makeTold(new Set(teams), nowMs);
     },
+    planCeilings: (nowMs, isWrittenAnyway) => {
+      if (nowMs < nextCeilingsMs && !isWrittenAnyway) return undefined;
+      nextCeilingsMs = nowMs + CEILINGS_INTERVAL_MS;
+      return ceilings.plan(listNeeds(), nowMs, isWrittenAnyway);
+    },
+    observeCeilingsWrite: ceilings.observeWrite,
     listFigures: () =>
       [...new Set([...table.teamUsage.listTeams(), ...budget.listAllotted()])].map((team) => ({
         team,
@@ -234,25 +273,7 @@
     refresh: (nowMs) => {
       plannedMs = nowMs;
       budget.dropExpired(nowMs);
-      if (!inheritance.isUncertain(nowMs)) {
-        unseen = new Map();
-        return;
-      }
-      if (nowMs - estimatedMs < ESTIMATE_INTERVAL_MS) return;
-      estimatedMs = nowMs;
-      const inherited = [...table.activeJobs.values()].filter((job) => job.isInherited);
-      const unreported = inheritance.mayPredecessorOrder(nowMs) ? undefined : listUnreported();
-      unseen = new Map(
-        [...sumWaiting(inherited)].map(([team, { sum }]) => [
-          team,
-          unreported === undefined
-            ? sum
-            : computeMinimum(
-                sum,
-                unreported.map((estimate) => estimate(team)).reduce(addResources, NO_RESOURCES),
-              ),
-        ]),
-      );
+      estimateUnseen(nowMs);
     },
   };
 }
--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -9,6 +9,7 @@
 import type { LeaseHolder } from '../../lib/jobs/lease-holder.js';
 import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
 import type { TeamSources } from '../../lib/teams/team-budget.js';
+import type { TeamCeilings } from '../../lib/teams/team-ceilings.js';
 import { decodeProgress, type Progress } from '../../lib/jobs/progress.js';
 import type { StartAction } from '../../lib/jobs/plan-starts.js';
 import type { JobPolicy, JobSpec, StepSpec } from '../../lib/jobs/spec.js';
@@ -119,6 +120,7 @@
     /** Receives the entries of the decision log. */
     readonly report?: (event: DecisionEvent) => void;
     readonly teams?: TeamSources;
+    readonly teamCeilings?: TeamCeilings;
   } = {},
 ): Harness {
   const planner = createPoolPlanner(POOL, {
@@ -128,6 +130,7 @@
     claimedMs: 0,
     statusMs: 60_000,
     teams: options.teams,
+    teamCeilings: options.teamCeilings,
   });
   if (options.hasPredecessor !== true) planner.observePredecessorStopped(0);
   const stored = new Map<string, string>();
--- a/packages/vanilladock/src/test/teams/pool-teams.test.ts
+++ b/packages/vanilladock/src/test/teams/pool-teams.test.ts
@@ -152,6 +152,29 @@
   assert.is(second.planStarts(12).length, 6);
 });
 
+// Guards against a team that stands until a lease has ended after planners were killed.
+test('a successor of killed planners counts no more as unseen than they could use', () => {
+  const harness = createHarness({
+    runBase: 100,
+    inheritedWorkers: ['w1', 'w22'],
+    hasPredecessor: true,
+    teams: makeTeams({ hot: 4 }),
+    teamCeilings: { hot: { cores: 1 } },
+  });
+  const spec = makeJob('a', [makeStep({ count: 40 })]);
+  const record = { spec, policy: POLICY, team: 'hot', acceptedAtMs: WALL_MS };
+  harness.planner.loadJob(record, undefined, harness.at(0));
+  harness.addWorkers(0, makeEntry('w333'), makeEntry('w4444'));
+  const { hot } = sendAllotments(harness, { hot: 4 }, 1, 4);
+  assert.is(hot?.used.cores, 1);
+  harness.submit(makeJob('b', [makeStep({ count: 8 })]), 1, POLICY, 'hot');
+  assert.is(harness.planStarts(2).length, 0, 'a higher ceiling is not stored');
+  assert.equal(harness.planner.planTeamCeilings(3, false), { hot: { cores: 4 } });
+  assert.is(harness.planStarts(210).length, 0, 'nor is it while its write is under way');
+  harness.planner.observeCeilingsWrite(true);
+  assert.is(harness.planStarts(420).length, 3);
+});
+
 // Guards against teams that start nothing while one holder of the fleet duty follows another.
 test('a successor of a stopped planner goes on with its allotments for a while', () => {
   const first = createHarness({ teams: makeTeams({ hot: 8, calm: 8 }) });
