Number runs above those of a planner that has lived for long

What callers would see: after a take-over a lasting task stands although there is capacity (LOST), for as long as its workers reject its starts as old: one number each, with a pause of up to 2 s of the worker between.

Cause: each planner numbers the runs of inherited tasks from 100 times its generation on. A lasting task that fails now and then uses more than 100 numbers under a planner that goes on for hours, and workers reject those that are not above what has run there. Numbers that two planners have used may also be taken for each other.

Fix: a task goes on above its last failed run where that is beyond the generation, and a start that is rejected as old leaves out 100 numbers.

--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -22,6 +22,9 @@
 /** First pause of a worker that rejected a start for another reason. */
 const REJECTION_PAUSE_MS = 100;
 
+/** Numbers that are left out after a run that its worker rejects as old. */
+const SKIPPED_RUNS = 100;
+
 /** Limit of the pauses of a worker, which double until it accepts a start. */
 const MAX_PAUSE_MS = 2_000;
 
@@ -82,9 +85,12 @@
   const { state } = task;
   const wasStopped = why === 'old-run' && state.kind === 'assigned' && state.phase === 'stopping';
   const change = wasStopped ? {} : makeAvoidance(task, worker.id);
+  // The worker has seen a higher number, of an earlier planner that this one knows nothing of.
+  const isBehind = why === 'old-run' && !wasStopped;
+  const lastRun = isBehind ? task.lastRun + SKIPPED_RUNS : task.lastRun;
   releaseUnendedRun(
     context,
-    context.table.moveTask(task, state, change),
+    context.table.moveTask(task, state, { ...change, lastRun }),
     { proof: 'start-rejected', why },
     { nowMs, notBeforeMs: nowMs + START_RETRY_MS },
   );
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -74,6 +74,15 @@
   readonly takeChanges: () => TableChanges;
 }
 
+/**
+ * Finds a number that runs of earlier planners have not gone beyond; of a task that fails often, they
+ * may have used more numbers than a generation has.
+ */
+function findLastRun(failedRuns: readonly number[], runBase: number): number {
+  const lastFailed = Math.max(0, ...failedRuns);
+  return lastFailed > runBase ? lastFailed + runBase : runBase;
+}
+
 /** Creates empty tables. */
 export function createTaskTable(): TaskTable {
   const jobs = new Map<string, Job>();
@@ -186,15 +195,16 @@
     const origin = origins.get(job.record.spec.id);
     const key = makeTaskKey(job.record.spec.id, occurrence, stepIndex, index);
     const suffix = makeTaskSuffix({ occurrence, stepIndex, index });
+    const failedRuns = origin?.progress?.failedRuns.get(suffix) ?? [];
     const task: Task = {
       key,
       jobId: job.record.spec.id,
       occurrence,
       stepIndex,
       index,
-      failedRuns: origin?.progress?.failedRuns.get(suffix) ?? [],
+      failedRuns,
       crashes: origin?.progress?.crashes.get(suffix) ?? [],
-      lastRun: origin?.runBase ?? 0,
+      lastRun: findLastRun(failedRuns, origin?.runBase ?? 0),
       checkpoint: NO_CHECKPOINT,
       avoidedWorkerIds: [],
       state: { kind: 'waiting', notBeforeMs },
