--- a/packages/vanilladock/src/lib/jobs/make-job.ts
+++ b/packages/vanilladock/src/lib/jobs/make-job.ts
@@ -24,6 +24,15 @@
   return Math.max(0, wallMs - CLOCK_TOLERANCE_MS - (endedAtMs ?? wallMs));
 }
 
+/**
+ * Finds a number that runs of earlier planners have not gone beyond; of a task that fails often, they
+ * may have used more numbers than a generation has.
+ */
+export function findLastRun(failedRuns: readonly number[], runBase: number): number {
+  const lastFailed = Math.max(0, ...failedRuns);
+  return lastFailed > runBase ? lastFailed + runBase : runBase;
+}
+
 /** Makes the job at a moment, without occurrences. */
 export function makeJob(record: JobRecord, origin: JobOrigin, { nowMs, wallMs }: Moment): Job {
   const ageMs = Math.max(0, wallMs - record.acceptedAtMs);
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -93,6 +93,8 @@
   readonly failedRuns: readonly number[];
   /** Crashes of workers under its runs, oldest first. */
   readonly crashes: readonly CrashRecord[];
+  /** Number of its runs that this planner has stopped as stalled. */
+  readonly stalls: number;
   /** Highest run number that may have been used for the task. */
   readonly lastRun: number;
   /** Newest known checkpoint. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -8,7 +8,7 @@
 import { NO_CHECKPOINT } from './checkpoints.js';
 import { makeTaskSuffix } from './progress.js';
 import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
-import { makeJob, type JobOrigin } from './make-job.js';
+import { findLastRun, makeJob, type JobOrigin } from './make-job.js';
 import { makeWorker } from './make-worker.js';
 import { makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
 import { createTeamUsage, sumTeamUse, type TeamUsage } from '../teams/team-usage.js';
@@ -74,15 +74,6 @@
   readonly takeChanges: () => TableChanges;
 }
 
-/**
- * Finds a number that runs of earlier planners have not gone beyond; of a task that fails often, they
- * may have used more numbers than a generation has.
- */
-function findLastRun(failedRuns: readonly number[], runBase: number): number {
-  const lastFailed = Math.max(0, ...failedRuns);
-  return lastFailed > runBase ? lastFailed + runBase : runBase;
-}
-
 /** Creates empty tables. */
 export function createTaskTable(): TaskTable {
   const jobs = new Map<string, Job>();
@@ -206,6 +197,7 @@
       crashes: origin?.progress?.crashes.get(suffix) ?? [],
       lastRun: findLastRun(failedRuns, origin?.runBase ?? 0),
       checkpoint: NO_CHECKPOINT,
+      stalls: 0,
       avoidedWorkerIds: [],
       state: { kind: 'waiting', notBeforeMs },
     };
