Store what is due of a pool in calls that the store takes

Cause: one append had the records of all jobs with changes. The store takes 2,097,152 bytes in a call (`call_bytes`) and refuses more; the changes were then due again, in the same append. Some 190 jobs of which 1,000 tasks are done each are enough, or 20 of 10,000 (computed).

Fix: a batch takes jobs up to 1 MB, the longest due first, and is followed by the next at once. Ends count as stored, and calls as confirmed, only once all that was due with them is stored.

--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -93,7 +93,7 @@
     planner.markWorkersRecorded(holderIds);
     schedulePlan();
   };
-  const writeOnce = async (): Promise<'stored' | 'idle' | 'failed'> => {
+  const writeOnce = async (): Promise<'stored' | 'stored-partly' | 'idle' | 'failed'> => {
     const planner = getPlanner();
     const batch = planner?.takeStoreBatch();
     if (planner === undefined || batch === undefined) return 'idle';
@@ -104,7 +104,7 @@
       case 'stored':
         batch.handleStored();
         schedulePlan();
-        return 'stored';
+        return batch.isPartial ? 'stored-partly' : 'stored';
       case 'refused':
         planner.dropUnstored(batch);
         return 'failed';
@@ -117,14 +117,15 @@
   };
   const writeAll = async () => {
     let result: Awaited<ReturnType<typeof writeOnce>> = 'stored';
-    while (result === 'stored' && !isStopped) {
+    while ((result === 'stored' || result === 'stored-partly') && !isStopped) {
       // Before every batch: under load there is always another one, and new workers wait for their
       // record.
       await recordMeta();
       const waiting = waiters.splice(0);
       result = await writeOnce();
       const isStored = result !== 'failed';
-      waiting.forEach((resolve) => resolve(isStored));
+      if (result === 'stored-partly') waiters.unshift(...waiting);
+      else waiting.forEach((resolve) => resolve(isStored));
     }
   };
   const writeDirty = async () => {
--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -5,7 +5,7 @@
 import type { KeyedRecord } from '../ports/keyed-store.js';
 import type { CancelTombstones } from './cancel-tombstones.js';
 import { encodeProgress, encodeTombstone } from './progress.js';
-import type { JobPhase, Task } from './state.js';
+import type { Job, JobPhase, Task } from './state.js';
 import { listUnstoredEnds, recordStoredEnds } from './stored-ends.js';
 import type { TaskTable } from './task-table.js';
 
@@ -18,9 +18,11 @@
   readonly jobIds: readonly string[];
   /** Jobs whose records this batch removes or replaces. */
   readonly removedJobs: readonly string[];
+  /** Whether something else is due that does not fit into this batch. */
+  readonly isPartial: boolean;
   /**
-   * Marks the phases in this batch, and all ends applied before it, as stored; to be called once
-   * the batch is stored.
+   * Marks the phases in this batch as stored, and all ends applied before it unless it is partial; to
+   * be called once the batch is stored.
    */
   readonly handleStored: () => void;
 }
@@ -32,15 +34,18 @@
   /** Adds jobs that are no longer known; their records are removed from the store. */
   readonly addRemoved: (jobIds: readonly string[]) => void;
   /**
-   * Removes and returns everything that has to be stored now; undefined if there is nothing. The
-   * caller reports the outcome by `handleStored` or `dropUnstored` before it takes the next batch.
+   * Removes and returns what has to be stored now, as much as fits into a call to the store, the
+   * longest due first; undefined if there is nothing. The caller reports the outcome by `handleStored` or `dropUnstored` before it takes the next batch.
    */
   readonly takeBatch: () => StoreBatch | undefined;
   /** Drops submissions that the store refused and requeues the other jobs of the batch. */
   readonly dropUnstored: (batch: StoreBatch) => void;
 }
 
-/** Number of jobs that one batch removes, so that it stays far below the size the store takes. */
+/** Bytes of the records of jobs from which on a batch takes no more; the store takes about twice that. */
+const MAX_JOB_BYTES = 1_000_000;
+
+/** Number of jobs that one batch removes, so that it stays far below that size. */
 const MAX_REMOVALS = 500;
 
 /** Number of tombstones of one batch, for the same reason. */
@@ -81,6 +86,18 @@
     taken.forEach((id) => removedJobs.delete(id));
     return taken;
   };
+  /** Encodes what is stored of a job: its submission if it is new, and its progress if it has any. */
+  const encodeJob = (job: Job, isNew: boolean) => {
+    const { id } = job.record.spec;
+    const tasks = table.listJobTasks(id);
+    const hasNoProgress = isNew && job.phase === 'active' && !tasks.some(hasResult);
+    return [
+      ...(isNew ? [{ key: makeJobKey(pool, id), value: JSON.stringify(job.record) }] : []),
+      ...(hasNoProgress
+        ? []
+        : [{ key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) }]),
+    ];
+  };
   return {
     addNew: (jobId) => {
       newJobs.add(jobId);
@@ -98,35 +115,36 @@
       );
       const phases = new Map<string, JobPhase>();
       const crashVersions = new Map<string, number>();
-      const batchJobs = [...newJobs];
-      const records = [...dirtyJobs].flatMap((id): readonly KeyedRecord[] => {
+      const batchJobs: string[] = [];
+      const records: KeyedRecord[] = [];
+      let jobBytes = 0;
+      for (const id of dirtyJobs) {
+        if (jobBytes >= MAX_JOB_BYTES) break;
         const job = table.jobs.get(id);
-        if (job === undefined) return [];
-        phases.set(id, job.phase);
-        crashVersions.set(id, job.crashVersion);
-        const tasks = table.listJobTasks(id);
-        const isNew = newJobs.has(id);
-        const hasNoProgress = isNew && job.phase === 'active' && !tasks.some(hasResult);
-        return [
-          ...(isNew ? [{ key: makeJobKey(pool, id), value: JSON.stringify(job.record) }] : []),
-          ...(hasNoProgress
-            ? []
-            : [{ key: makeProgressKey(pool, id), value: encodeProgress(job, tasks) }]),
-        ];
-      });
+        const isNew = newJobs.delete(id);
+        dirtyJobs.delete(id);
+        if (job !== undefined) {
+          phases.set(id, job.phase);
+          crashVersions.set(id, job.crashVersion);
+          if (isNew) batchJobs.push(id);
+          const encoded = encodeJob(job, isNew);
+          records.push(...encoded);
+          jobBytes += encoded.reduce((sum, { value }) => sum + Buffer.byteLength(value), 0);
+        }
+      }
+      const isPartial = dirtyJobs.size > 0;
       const tombstoneRecords = added.map((tombstone) => ({
         key: makeProgressKey(pool, tombstone.jobId),
         value: encodeTombstone(tombstone),
       }));
       // Everything that these ends changed is in this batch or in an earlier one.
-      const coveredEnds = listUnstoredEnds(table);
-      dirtyJobs.clear();
-      newJobs.clear();
+      const coveredEnds = isPartial ? [] : listUnstoredEnds(table);
       return {
         records: [...removals, ...tombstoneRecords, ...records],
         newJobs: batchJobs,
         jobIds: [...phases.keys()],
         removedJobs: removed,
+        isPartial,
         handleStored: () => {
           tombstones.markStored(tombstoneIds);
           phases.forEach((storedPhase, id) => {
