--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -8,7 +8,7 @@
 import { NO_CHECKPOINT } from './checkpoints.js';
 import { makeTaskSuffix } from './progress.js';
 import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
-import { makeJob, type JobOrigin } from './make-job.js';
+import { findLastRun, makeJob, type JobOrigin } from './make-job.js';
 import { makeWorker } from './make-worker.js';
 import { makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
 import { createTeamUsage, sumTeamUse, type TeamUsage } from '../teams/team-usage.js';
@@ -186,16 +186,18 @@
     const origin = origins.get(job.record.spec.id);
     const key = makeTaskKey(job.record.spec.id, occurrence, stepIndex, index);
     const suffix = makeTaskSuffix({ occurrence, stepIndex, index });
+    const failedRuns = origin?.progress?.failedRuns.get(suffix) ?? [];
     const task: Task = {
       key,
       jobId: job.record.spec.id,
       occurrence,
       stepIndex,
       index,
-      failedRuns: origin?.progress?.failedRuns.get(suffix) ?? [],
+      failedRuns,
       crashes: origin?.progress?.crashes.get(suffix) ?? [],
-      lastRun: origin?.runBase ?? 0,
+      lastRun: findLastRun(failedRuns, origin?.runBase ?? 0),
       checkpoint: NO_CHECKPOINT,
+      stalls: 0,
       avoidedWorkerIds: [],
       state: { kind: 'waiting', notBeforeMs },
     };
