Drop answers on the pools of queues that others have overtaken

What callers could see: 410 for an accepted job, for up to 10 s and more, at an instance that has recorded the newest version: a pool that has jobs of the queue is not asked.

Cause: two tasks of an instance read the records of queues, one for each new version and one each 10 s to drop pools that were left. Records of an answer that arrives after newer ones were applied replaced them, as the newest record of a queue counts.

Evidence: the new case fails on the code before (the pool of the version between is missing). 25 cases on queues pass. Fix: an answer counts only if nothing was read or appended since it was asked for; appends in parts go on from their own end.

--- a/packages/daemon/src/lib/jobs/queue-directory.ts
+++ b/packages/daemon/src/lib/jobs/queue-directory.ts
@@ -98,16 +98,22 @@
   const readNewest = async (): Promise<boolean> => {
     const newest = await store.readNewest(HOMES);
     if (newest.kind === 'unavailable') return false;
+    if (next !== undefined) return true;
     recorded = NO_HOMES;
     applyRecords(newest.records);
     next = newest.end;
     return true;
   };
-  /** Reads to the end of the partition; resolves to whether that was reached. */
+  /**
+   * Reads to the end of the partition; resolves to whether that was reached. An answer that another
+   * call has overtaken is dropped, as its records would replace newer ones.
+   */
   const readAll = async (): Promise<boolean> => {
     while (!isStopped) {
       if (next === undefined && !(await readNewest())) return false;
-      const read = await store.read(HOMES, next ?? 0, 0);
+      const from = next;
+      const read = await store.read(HOMES, from ?? 0, 0);
+      if (next !== from) continue;
       switch (read.kind) {
         case 'records':
           applyRecords(read.records);
@@ -130,13 +136,18 @@
    * stored. Of many, a first part may be.
    */
   const append = async (records: readonly KeyedRecord[]): Promise<boolean> => {
+    let offset = next;
     for (let start = 0; start < records.length; start += MAX_RECORDS) {
-      if (next === undefined) return false;
+      if (offset === undefined) return false;
       const part = records.slice(start, start + MAX_RECORDS);
-      const outcome = await store.append(HOMES, part, { kind: 'end', offset: next });
+      const outcome = await store.append(HOMES, part, { kind: 'end', offset });
       if (outcome.kind !== 'stored') return false;
-      applyRecords(part);
-      next = outcome.end;
+      // Else another call has read them meanwhile.
+      if (next === offset) {
+        applyRecords(part);
+        next = outcome.end;
+      }
+      offset = outcome.end;
     }
     return true;
   };
--- a/packages/daemon/src/test/queue-directory.test.ts
+++ b/packages/daemon/src/test/queue-directory.test.ts
@@ -8,7 +8,7 @@
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
 import { startQueueDirectory } from '../lib/jobs/queue-directory.js';
 import { makeStoppedQuery, POLICY, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
-import { NEVER } from './memory-store.js';
+import { NEVER, waitFor } from './memory-store.js';
 import { createPartitionedStore } from './partitioned-store.js';
 
 const SECOND_MS = 1_000;
@@ -120,6 +120,44 @@
     [newer, directory].forEach(({ stop }) => stop());
   }));
 
+// Guards against a 410 for a job in a pool that a late answer of the store has made unknown again.
+test('an answer of the store that others have overtaken takes nothing back', () =>
+  runCase(async (clock) => {
+    const opened = openStore();
+    let heldMs = 0;
+    const read: typeof opened.store.read = async (...call) => {
+      const waitMs = heldMs;
+      heldMs = 0;
+      const answer = await opened.store.read(...call);
+      await waitFor(waitMs);
+      return answer;
+    };
+    const slow = openDirectory(
+      { ...opened, store: { ...opened.store, read } },
+      makeConfig(7, 'stalls'),
+    );
+    const other = openDirectory(opened, makeConfig(7, 'stalls'));
+    await clock.tickAsync(SECOND_MS);
+    other.config.next(makeConfig(8, 'kilns'));
+    await clock.tickAsync(SECOND_MS);
+    heldMs = 4 * SECOND_MS;
+    void slow.removePool([OTHER], 'kilns');
+    for (const [version, pool] of [
+      [8, 'kilns'],
+      [9, 'looms'],
+      [10, 'ovens'],
+    ] as const) {
+      other.config.next(makeConfig(version, pool));
+      slow.config.next(makeConfig(version, pool));
+      await clock.tickAsync(SECOND_MS);
+    }
+    const former = ['stalls', 'kilns', 'looms'];
+    assert.equal(slow.listFormerPools(QUEUE, 'ovens'), former);
+    await clock.tickAsync(2 * SECOND_MS);
+    assert.equal(slow.listFormerPools(QUEUE, 'ovens'), former);
+    [slow, other].forEach(({ stop }) => stop());
+  }));
+
 test('a version with very many queues is recorded in parts, its mark last', () =>
   runCase(async (clock) => {
     const opened = openStore();
