Store many finished occurrences of a job as a range

Cause: the numbers of all finished occurrences are listed in the job's progress. Evidence: the new case fails on the code before (588,961 bytes for 100,000). Fix: from 1,000 on, those below the first that is open are stored as their number alone. Shorter lists are as before, so that versions before read them; of longer ones such a version would run the occurrences below again, during a replacement or after a way back.

--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -6,6 +6,12 @@
 import type { CrashRecord, Suspicion } from './crash-evidence.js';
 import type { Job, JobPhase, Task } from './state.js';
 
+/**
+ * Up to this number, finished occurrences are listed one by one, as versions before read them; the
+ * record must not grow with them.
+ */
+const MAX_LISTED_OCCURRENCES = 1_000;
+
 /** A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone. */
 type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean];
 
@@ -25,7 +31,10 @@
   readonly crashTable?: readonly StoredCrash[];
   /** Positions in `crashTable` of each task's crashes, oldest first; tasks are named as in `done`. */
   readonly crashRows?: Readonly<Record<string, readonly number[]>>;
+  /** Numbers of the finished occurrences, but for those below `occurrencesBelow`. */
   readonly occurrencesDone: readonly number[];
+  /** All occurrences below this number are finished; absent for 0. */
+  readonly occurrencesBelow?: number | undefined;
   /** When the job ended, in ms since 1970; absent while it is active and in old records. */
   readonly endedAtMs?: number | undefined;
   /** Who cancelled the job before it was submitted; there is no record of the job beside it. */
@@ -111,6 +120,17 @@
   ]);
 }
 
+/** Encodes the numbers of finished occurrences. */
+function encodeOccurrences(
+  finished: ReadonlySet<number>,
+): Pick<StoredProgress, 'occurrencesDone' | 'occurrencesBelow'> {
+  if (finished.size <= MAX_LISTED_OCCURRENCES) return { occurrencesDone: [...finished] };
+  let occurrencesBelow = 0;
+  while (finished.has(occurrencesBelow)) occurrencesBelow += 1;
+  const occurrencesDone = [...finished].filter((number) => number >= occurrencesBelow);
+  return { occurrencesDone, occurrencesBelow };
+}
+
 /** Encodes the progress of a job; only the phase is kept for finished jobs. */
 export function encodeProgress(job: Job, tasks: readonly Task[]): string {
   const isActive = job.phase === 'active';
@@ -125,7 +145,7 @@
       ? Object.fromEntries(failed.map((task) => [makeTaskSuffix(task), task.failedRuns]))
       : {},
     ...(isActive ? encodeCrashes(crashed) : undefined),
-    occurrencesDone: isActive ? [...job.finishedOccurrences] : [],
+    ...(isActive ? encodeOccurrences(job.finishedOccurrences) : { occurrencesDone: [] }),
     endedAtMs: job.endedAtMs,
   };
   return JSON.stringify(stored);
@@ -147,12 +167,16 @@
 /** Decodes stored progress; the text must come from `encodeProgress`. Throws if it is not JSON. */
 export function decodeProgress(text: string): Progress {
   const stored = JSON.parse(text) as StoredProgress;
+  const { occurrencesBelow = 0 } = stored;
   return {
     phase: stored.phase,
     done: new Set(stored.done),
     failedRuns: new Map(Object.entries(stored.failedRuns)),
     crashes: decodeCrashes(stored),
-    occurrencesDone: new Set(stored.occurrencesDone),
+    occurrencesDone: new Set([
+      ...Array.from({ length: occurrencesBelow }, (_, number) => number),
+      ...stored.occurrencesDone,
+    ]),
     endedAtMs: stored.endedAtMs,
     tombstone: stored.tombstone,
   };
--- a/packages/vanilladock/src/test/jobs/progress.test.ts
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -61,6 +61,19 @@
   assert.equal(read.get('0.0.9999'), crashes);
 });
 
+// Guards against the same for a job with an occurrence each second for days.
+test('the progress of a job does not grow with its finished occurrences', () => {
+  const { planner, at } = createHarness({ runBase: 100 });
+  const change = { repeatCount: 200_000, startAtMs: WALL_MS + 1_000, intervalMs: 1 };
+  const record = { spec: makeJob('a', undefined, change), policy: POLICY, acceptedAtMs: WALL_MS };
+  const occurrencesDone = new Set(Array.from({ length: 100_000 }, (_, number) => number));
+  occurrencesDone.add(100_007);
+  planner.loadJob(record, { ...ACTIVE, occurrencesDone }, at(0));
+  const text = encodeProgress(planner.table.jobs.get('a')!, []);
+  assert.ok(text.length < 200, `${text.length} bytes`);
+  assert.equal(decodeProgress(text).occurrencesDone, occurrencesDone);
+});
+
 // Guards against the same for a job that lasts for days and whose tasks fail now and then.
 test('the progress of a lasting job does not grow with the failures of its tasks', () => {
   const { report, submit, addWorkers, store, stored } = createHarness();
