Take an inherited instance that is live after its drain for rebooted

Cause: the log says that a permit is open, not how far it was carried out; that was known to its executor alone. The next one drained again, which the platform confirms without effect once the instance has been rebooted.

The port says that a drained instance is listed as leaving until its reboot, and that a restored one refuses the drain. So the next executor ends the permit as returned when its drain is confirmed and a list requested settleMs later shows the instance as live; only for permits older than its claim, as nobody else can have rebooted the others.

Evidence: the test of the executor waits for ever on the code before.

--- a/packages/daemon/src/lib/fleet/maintenance-duty.ts
+++ b/packages/daemon/src/lib/fleet/maintenance-duty.ts
@@ -77,6 +77,8 @@
   const requestEnds = new Map<string, number>();
   let absences = createAbsences();
   let executor = createExecutorState();
+  /** Fencing token of the first round; undefined while this entry does not hold the duty. */
+  let heldSince: number | undefined;
 
   const logWave = (decision: WaveDecision) => {
     const subject = decision.kind === 'wave-stopped' ? decision.wave : decision.pool;
@@ -146,7 +148,8 @@
       { ...makeHead(entryId), kind: 'maintenance.observation', lost, returned, fence } as const,
     ];
   };
-  const runPermits = ({ state, list, known }: MaintenanceRound) => {
+  const runPermits = ({ state, list, known, fence }: MaintenanceRound) => {
+    heldSince ??= fence;
     const observed = {
       list,
       instances: known,
@@ -154,6 +157,7 @@
       isConfirmed: (permitId: string, operation: PermitOperation) =>
         confirmedKeys.has(`${permitId}/${operation}`),
       isEnded: (permitId: string) => endedPermits.has(permitId),
+      heldSince,
       policyOf: createPolicyLookup(state.config.config),
       atMs: Date.now(),
     };
@@ -167,6 +171,7 @@
     runRound: (round) => [...runPermits(round), ...planLosses(round), ...planPermits(round)],
     reset: () => {
       executor = createExecutorState();
+      heldSince = undefined;
       absences = createAbsences();
       confirmedKeys.clear();
       endedPermits.clear();
--- a/packages/measure/src/lib/wave/maintenance-driver.ts
+++ b/packages/measure/src/lib/wave/maintenance-driver.ts
@@ -99,7 +99,9 @@
       confirmed.has(`${permitId}/${operation}`);
     const isEnded = (permitId: string) => ended.has(permitId);
     const { instances } = environment;
-    const observed = { list, instances, work, isConfirmed, isEnded, policyOf, atMs: nowMs };
+    const known = { list, instances, work, isConfirmed, isEnded, policyOf, atMs: nowMs };
+    // This planner keeps its state when another one has held the duty in between.
+    const observed = { ...known, heldSince: 0 };
     const step = decidePermitActions(executor, state, observed, nowMs);
     executor = step.state;
     return step.actions;
--- a/packages/vanilladock/src/lib/maintenance/executor.ts
+++ b/packages/vanilladock/src/lib/maintenance/executor.ts
@@ -2,8 +2,9 @@
  * Carries out open permits, one pure step at a time: checkpoint tasks and drain, reboot, wait for
  * an observed return, restore, write the outcome. Every operation is idempotent by its permit id
  * and is repeated until confirmed, so an executor that takes over starts again from the drain. When
- * the platform refuses the drain, the permit has already ended there and is released; at worst an
- * instance is rebooted twice. A confirmed restore also ends the permit at the platform, so that a
+ * the platform refuses the drain, the permit has already ended there and is released; when it confirms
+ * the drain and lists the instance as live, the earlier executor has rebooted it. At worst an instance
+ * is rebooted twice. A confirmed restore also ends the permit at the platform, so that a
  * late reboot from a superseded executor is refused. Hence a permit is released only after its
  * restore was confirmed.
  */
@@ -50,7 +51,11 @@
 
 /** Progress of a permit; times are on the executor's monotonic clock. */
 export type PermitProgress =
-  | { readonly phase: 'draining'; readonly sinceMs: number }
+  | {
+      readonly phase: 'draining';
+      readonly sinceMs: number;
+      readonly confirmedAtMs: number | undefined;
+    }
   | {
       readonly phase: 'rebooting';
       readonly sinceMs: number;
@@ -85,6 +90,8 @@
    * earlier executor restored the instance and terminated before it wrote the outcome.
    */
   readonly isEnded: (permitId: string) => boolean;
+  /** Fencing token with which this executor took over; permits before it may be rebooted already. */
+  readonly heldSince: number;
   readonly policyOf: PolicyOf;
   /** Date in milliseconds since 1970. */
   readonly atMs: number;
@@ -148,14 +155,31 @@
   return { progress, actions: listOperation(context, 'restore') };
 }
 
-/** Decides the next step of a permit whose instance is being drained. */
+/** Says whether a list shows what was confirmed at a time; that takes a while. */
+function isSettled({ observations, settings }: PermitContext, confirmedAtMs: number | undefined) {
+  if (confirmedAtMs === undefined) return false;
+  return observations.list.requestedAtMs >= confirmedAtMs + settings.settleMs;
+}
+
+/**
+ * Decides the next step of a permit whose instance is being drained. A drained instance is listed as
+ * leaving until its reboot, which only an earlier executor can have ordered by then; from its return
+ * on it is in service, and need not become idle.
+ */
 function decideDraining(
   context: PermitContext,
   progress: PermitProgress & { readonly phase: 'draining' },
 ): PermitStep {
-  const work = context.observations.work.get(context.instanceId);
+  const { list, work: allWork, isConfirmed, heldSince } = context.observations;
+  const work = allWork.get(context.instanceId);
+  const isDrained = isConfirmed(context.permit.id, 'drain');
+  const confirmedAtMs = progress.confirmedAtMs ?? (isDrained ? context.nowMs : undefined);
+  const isInherited = context.permit.offset < heldSince;
+  if (isInherited && isSettled(context, confirmedAtMs) && isLive(list, context.instanceId)) {
+    return startRestore(context, 'returned', 'seen-after-reboot');
+  }
   if (context.isOverBudget) return startRestore(context, 'gave-back', 'budget-lost-before-reboot');
-  if (context.observations.isConfirmed(context.permit.id, 'drain') && work === 0) {
+  if (isDrained && work === 0) {
     const rebooting = {
       phase: 'rebooting',
       sinceMs: context.nowMs,
@@ -170,7 +194,8 @@
     work === undefined || work === 0
       ? []
       : [{ kind: 'checkpoint', instanceId: context.instanceId, tasks: work }];
-  return { progress, actions: [...listOperation(context, 'drain'), ...checkpoint] };
+  const actions = [...listOperation(context, 'drain'), ...checkpoint];
+  return { progress: { ...progress, confirmedAtMs }, actions };
 }
 
 /** Decides the next step during a reboot; its time limit is suspended while the domain is lost. */
@@ -180,10 +205,7 @@
 ): PermitStep {
   const isConfirmed = context.observations.isConfirmed(context.permit.id, 'reboot');
   const confirmedAtMs = progress.confirmedAtMs ?? (isConfirmed ? context.nowMs : undefined);
-  const isSettled =
-    confirmedAtMs !== undefined &&
-    context.observations.list.requestedAtMs >= confirmedAtMs + context.settings.settleMs;
-  if (isSettled && isLive(context.observations.list, context.instanceId)) {
+  if (isSettled(context, confirmedAtMs) && isLive(context.observations.list, context.instanceId)) {
     return startRestore(context, 'returned', 'seen-after-reboot');
   }
   if (context.isDomainLost) {
@@ -210,7 +232,8 @@
 
 /** Decides the next step of one permit. */
 function decidePermit(context: PermitContext, progress: PermitProgress | undefined): PermitStep {
-  const current = progress ?? { phase: 'draining', sinceMs: context.nowMs };
+  const current =
+    progress ?? ({ phase: 'draining', sinceMs: context.nowMs, confirmedAtMs: undefined } as const);
   if (current.phase !== 'restoring' && context.observations.isEnded(context.permit.id)) {
     return startRestore(context, 'gave-back', 'ended-before');
   }
--- a/packages/vanilladock/src/test/maintenance-waves.test.ts
+++ b/packages/vanilladock/src/test/maintenance-waves.test.ts
@@ -200,6 +200,7 @@
       work: new Map([['a-0', work]]),
       isConfirmed: (_permitId: string, operation: string) => confirmed.has(operation),
       isEnded: () => false,
+      heldSince: 0,
       policyOf: () => policy,
       atMs: NOW_MS,
       ...rest,
@@ -308,4 +309,25 @@
   });
 });
 
+// Guards against a wave that stands: an earlier executor has rebooted the instance, which is back in
+// service and never idle.
+test('an executor that takes over takes a drained instance that is live for rebooted', () => {
+  const fleet = setUp();
+  const heldSince = fleet.appendPermit('a-0') + 1;
+  const busy = createExecutor(fleet);
+  busy.run(0, 1, { heldSince });
+  busy.setConfirmed('drain');
+  assert.equal(formatActions(busy.run(1_000, 1, { heldSince })), ['checkpoint 1']);
+  assert.equal(formatActions(busy.run(90_999, 1, { heldSince })), ['checkpoint 1']);
+  const instances = new Map(fleet.instances);
+  instances.set('a-0', { ...instances.get('a-0')!, state: 'leaving' });
+  const leaving = { heldSince, list: { instances, requestedAtMs: 91_000 } };
+  assert.equal(formatActions(busy.run(91_000, 1, leaving)), ['checkpoint 1'], 'not rebooted');
+  assert.equal(formatActions(busy.run(91_000, 1)), ['checkpoint 1'], 'an own permit');
+  assert.equal(formatActions(busy.run(91_000, 1, { heldSince })), ['restore']);
+  busy.setConfirmed('restore');
+  const ended = formatActions(busy.run(92_000, 1, { heldSince }));
+  assert.equal(ended, ['returned: seen-after-reboot']);
+});
+
 test.run();
