--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -136,18 +136,20 @@
 const ANSWER_TURNS = 8;
 
 /**
- * Resolves when the input that has arrived by now has been handled, at the latest after `limitMs`.
+ * Resolves when the input that has arrived by now has been handled, at the latest after `limitMs`,
+ * to whether all of it has been.
  * In a process that gets little processor time, timers run before connections and requests that
  * have waited for long. `turns` is the number of turns of the event loop that the input may take.
  */
-export async function waitInput(limitMs = Infinity, turns = INPUT_TURNS): Promise<void> {
+export async function waitInput(limitMs = Infinity, turns = INPUT_TURNS): Promise<boolean> {
   const startedMs = performance.now();
   for (let turn = 0; turn < turns; turn += 1) {
-    if (performance.now() - startedMs > limitMs) return;
+    if (performance.now() - startedMs > limitMs) return false;
     await new Promise((resolve) => {
       setImmediate(resolve);
     });
   }
+  return true;
 }
 
 /**
