Leave failures out of a record that the store would refuse

What users would see, of a job of some 10,000 tasks most of which have failed three times: its pool accepts no job and notes no end any more.

Fix: above 250,000 characters the record goes without failures and crashes. A next planner may then try a task more often than `max_attempts`; before, there was none that could store anything.

--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -12,6 +12,9 @@
  */
 const MAX_LISTED_OCCURRENCES = 1_000;
 
+/** A record of more characters is stored without what failed; the store takes 262,144 bytes. */
+const MAX_RECORD_CHARS = 250_000;
+
 /** A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone. */
 type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean];
 
@@ -131,7 +134,10 @@
   return { occurrencesDone, occurrencesBelow };
 }
 
-/** Encodes the progress of a job; only the phase is kept for finished jobs. */
+/**
+ * Encodes the progress of a job; only the phase is kept for finished jobs. Failures and crashes are left
+ * out if the record would be too large with them, as the pool could store nothing any more.
+ */
 export function encodeProgress(job: Job, tasks: readonly Task[]): string {
   const isActive = job.phase === 'active';
   const failed = tasks.filter((task) => task.failedRuns.length > 0 && task.state.kind !== 'done');
@@ -148,7 +154,9 @@
     ...(isActive ? encodeOccurrences(job.finishedOccurrences) : { occurrencesDone: [] }),
     endedAtMs: job.endedAtMs,
   };
-  return JSON.stringify(stored);
+  const text = JSON.stringify(stored);
+  if (text.length <= MAX_RECORD_CHARS) return text;
+  return JSON.stringify({ ...stored, failedRuns: {}, crashTable: undefined, crashRows: undefined });
 }
 
 /** Encodes the tombstone of a job as the progress of one that has ended. */
--- a/packages/vanilladock/src/test/jobs/progress.test.ts
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -61,6 +61,22 @@
   assert.equal(read.get('0.0.9999'), crashes);
 });
 
+// Guards against the same for a job whose tasks have nearly all failed several times.
+test('the progress of the largest job fits into a record when its tasks have failed', () => {
+  const { planner, at } = createHarness({ runBase: 100 });
+  const spec = makeJob('a', [makeStep({ count: MAX_TASKS })]);
+  const suffixes = Array.from({ length: MAX_TASKS }, (_, index) => `0.0.${index}`);
+  const failedRuns = new Map(
+    suffixes.slice(10).map((suffix) => [suffix, [10_101, 10_202, 10_303]]),
+  );
+  const done = new Set(suffixes.slice(0, 10));
+  const record = { spec, policy: POLICY, acceptedAtMs: WALL_MS };
+  planner.loadJob(record, { ...ACTIVE, failedRuns, done }, at(0));
+  const text = encodeProgress(planner.table.jobs.get('a')!, planner.table.listJobTasks('a'));
+  assert.ok(text.length < RECORD_BYTES, `${text.length} bytes`);
+  assert.equal(decodeProgress(text).done, done);
+});
+
 // Guards against the same for a job with an occurrence each second for days.
 test('the progress of a job does not grow with its finished occurrences', () => {
   const { planner, at } = createHarness({ runBase: 100 });
