Serve pools by turns where a team's limit has room for one of them

Cause: when the task in `stalls` ends, both pools run nothing, and the order by the oldest job gives the limit to `stalls` again. The rest of 1 core was allotted to no pool, as it is less than the largest task that waits, although tasks of 1 core did.

Now the holder knows for how long a team has run nothing in a pool, and of pools without runs the one that has been so for longest comes first. The rest goes to the first pool that wants more.

--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -5,7 +5,12 @@
  */
 import { SUCCESSION_MS } from '../duties/authority.js';
 import { CLOCK_DRIFT, LEASE_MS } from '../jobs/lease-clock.js';
-import { computeMaximum, computeMinimum, NO_RESOURCES } from '../jobs/free-capacity.js';
+import {
+  computeMaximum,
+  computeMinimum,
+  isSameCapacity,
+  NO_RESOURCES,
+} from '../jobs/free-capacity.js';
 import { addResources, subtractResources } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import { computeAllotments, type PoolUse } from './compute-allotments.js';
@@ -95,10 +100,22 @@
 export function createAllotmentLedger(startedMs: number): AllotmentLedger {
   /** Teams by pool, for the pools that have answered. */
   const reportsByPool = new Map<string, Map<string, TeamReport>>();
+  /** When a team was last seen to use anything in a pool, by pool and team. */
+  const lastUsedMs = new Map<string, number>();
   /** Rounds since a pool last answered. */
   const unansweredRounds = new Map<string, number>();
   const isUnanswered = (pool: string) => (unansweredRounds.get(pool) ?? 0) > MAX_UNANSWERED_ROUNDS;
-  const findUses = (team: string, pools: readonly string[]): ReadonlyMap<string, TeamReport> =>
+  /** Computes for how long a team has used nothing in a pool. */
+  const computeIdleMs = (pool: string, team: string, used: Resources, nowMs: number) => {
+    const key = `${pool}/${team}`;
+    if (!isSameCapacity(used, NO_RESOURCES)) lastUsedMs.set(key, nowMs);
+    return nowMs - (lastUsedMs.get(key) ?? startedMs);
+  };
+  const findUses = (
+    team: string,
+    pools: readonly string[],
+    nowMs: number,
+  ): ReadonlyMap<string, TeamReport> =>
     new Map(
       pools.flatMap((pool) => {
         const reports = reportsByPool.get(pool);
@@ -107,7 +124,8 @@
           reports?.get(team) ?? (isSmall && reports !== undefined ? NO_USE : undefined);
         if (report === undefined) return [];
         const wanted = isUnanswered(pool) ? report.used : report.wanted;
-        return [[pool, { ...report, wanted }] as const];
+        const idleMs = computeIdleMs(pool, team, report.used, nowMs);
+        return [[pool, { ...report, wanted, idleMs }] as const];
       }),
     );
   const recordSent = (pool: string, team: string, report: TeamReport, allotment: Resources) => {
@@ -121,7 +139,7 @@
       const messages = new Map<string, Record<string, TeamShare>>(pools.map((pool) => [pool, {}]));
       pools.forEach((pool) => unansweredRounds.set(pool, (unansweredRounds.get(pool) ?? 0) + 1));
       teams.forEach(({ name, limit }) => {
-        const uses = findUses(name, pools);
+        const uses = findUses(name, pools, nowMs);
         const allotments = computeAllotments(limit, uses, mayRaise);
         const total = [...uses.values()].reduce((sum, { jobsPerSecond }) => sum + jobsPerSecond, 0);
         uses.forEach((report, pool) => {
--- a/packages/vanilladock/src/lib/teams/compute-allotments.ts
+++ b/packages/vanilladock/src/lib/teams/compute-allotments.ts
@@ -20,6 +20,8 @@
   readonly held: Resources;
   /** How long the oldest of its waiting jobs has waited, in milliseconds. */
   readonly oldestWaitMs: number;
+  /** For how long nothing of the team has run there, in milliseconds, where that is known. */
+  readonly idleMs?: number | undefined;
 }
 
 /** One resource of a team in one pool. */
@@ -60,12 +62,15 @@
     return unit > 0 ? Math.floor(part / unit) * unit : part;
   });
   let left = rest - sumAmounts(gains);
-  return shares.map(({ unit }, index) => {
+  const parts = shares.map(({ unit }, index) => {
     const gain = (first[index] ?? 0) + (gains[index] ?? 0);
     const isWanted = (gains[index] ?? 0) < (wants[index] ?? 0) && unit > 0 && unit <= left;
     if (isWanted) left -= unit;
     return isWanted ? gain + unit : gain;
   });
+  // Smaller tasks than the largest may fit into the rest.
+  const next = parts.findIndex((part, index) => part < (shares[index]?.wanted ?? 0));
+  return parts.map((part, index) => (index === next ? part + Math.max(0, left) : part));
 }
 
 /**
@@ -133,7 +138,10 @@
 ): ReadonlyMap<string, Resources> {
   // One order for all resources, so that what is left of each goes to the same pool.
   const ordered = [...uses].sort(
-    ([, a], [, b]) => Number(isIdle(b)) - Number(isIdle(a)) || b.oldestWaitMs - a.oldestWaitMs,
+    ([, a], [, b]) =>
+      Number(isIdle(b)) - Number(isIdle(a)) ||
+      (b.idleMs ?? 0) - (a.idleMs ?? 0) ||
+      b.oldestWaitMs - a.oldestWaitMs,
   );
   const amounts = RESOURCE_NAMES.map((name) => {
     const shares = ordered.map(([, { used, wanted, unit, held }]) => ({
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -171,6 +171,33 @@
   assert.not.ok(scene.startTask(0, 1));
 });
 
+// Guards against a pool that waits while another one, whose jobs are older, runs one task after the other.
+test('pools of which the limit serves one at a time are served by turns', () => {
+  const scene = openScene(2, 3);
+  scene.pools.forEach((pool) => {
+    pool.waiting = 100;
+  });
+  const starts = [0, 0];
+  for (let round = 0; round < 24; round += 1) {
+    scene.runRound([], [], 2);
+    scene.pools.forEach((pool, number) => {
+      if (round % 4 === 0) pool.used = 0;
+      if (scene.startTask(number, 2)) starts[number]! += 1;
+    });
+  }
+  assert.ok(Math.min(...starts) >= 2, `starts ${starts.join()}`);
+});
+
+// Guards against what is left of a limit for no pool, although a smaller task waits.
+test('what is less than the largest waiting task is allotted too', () => {
+  const wants = { wanted: 8, unit: 2 };
+  const uses = new Map([
+    ['a', makeUse({ ...wants, used: 2, held: 2 })],
+    ['b', makeUse(wants)],
+  ]);
+  assert.is(computeAllotments(makeAmount(3), uses, true).get('b')?.cores, 1);
+});
+
 test('a limit lowered below what runs starts nothing until enough has ended', () => {
   const scene = openScene(2);
   scene.pools.forEach((pool) => {
