Take no allotments that rest on the report of an earlier planner

What is wrong: a message of the holder that arrives late, after another planner has taken the pool over, was applied by that one, which knows no sequence. By then the holder may have given the allotment to another pool, and the team starts above its limit.

Now a planner names itself in its reports by the number of its first runs, which no planner before it in the pool has, and the holder names in a message the planner whose report it rests on. Without the name, from versions before, messages count as before.

--- a/packages/daemon/src/lib/jobs/peer-messages.ts
+++ b/packages/daemon/src/lib/jobs/peer-messages.ts
@@ -91,6 +91,7 @@
       token: z.number(),
       sequence: z.number(),
       shares: z.record(z.string(), teamShareSchema),
+      planner: z.number().optional(),
     }),
   }),
   z.object({ kind: z.literal('life-ended'), pool, workerId }),
--- a/packages/daemon/src/lib/teams/allotter.ts
+++ b/packages/daemon/src/lib/teams/allotter.ts
@@ -41,7 +41,8 @@
     log.info({ event: hasAnswered ? 'allotments-known' : 'allotments-unknown', pool, why });
   };
   const sendShares = async (pool: string, shares: Readonly<Record<string, TeamShare>>) => {
-    const message = { token: claim.token, sequence, shares };
+    const planner = ledger.getPlanner(pool);
+    const message = { token: claim.token, sequence, shares, planner };
     const reply = await gateway.answerOnce({ kind: 'allot', pool, message });
     if (reply.kind === 'team-use') ledger.observeReport(pool, reply.report);
     observeAnswer(pool, reply.kind === 'team-use', 'why' in reply ? String(reply.why) : reply.kind);
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -86,6 +86,7 @@
     sources: options.teams ?? NO_TEAMS,
     inheritance,
     inheritedCeilings: options.teamCeilings ?? {},
+    planner: options.runBase,
     report: options.report,
   });
   const intake = createJobIntake({
--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -30,6 +30,8 @@
    * contains all that may have been.
    */
   readonly isSettled: boolean;
+  /** Number of the planner, which none before it in the pool has; absent in earlier versions. */
+  readonly planner?: number | undefined;
 }
 
 /** What is sent to the planner of a pool about one team. */
@@ -53,6 +55,8 @@
     pools: readonly string[],
     nowMs: number,
   ) => ReadonlyMap<string, Readonly<Record<string, TeamShare>>>;
+  /** Gets the number of the planner that answered last; undefined if that is not known. */
+  readonly getPlanner: (pool: string) => number | undefined;
   /** Takes in the answer of a pool's planner. */
   readonly observeReport: (pool: string, report: PoolReport) => void;
 }
@@ -100,6 +104,8 @@
 export function createAllotmentLedger(startedMs: number): AllotmentLedger {
   /** Teams by pool, for the pools that have answered. */
   const reportsByPool = new Map<string, Map<string, TeamReport>>();
+  /** Numbers of the planners that answered last, by pool. */
+  const planners = new Map<string, number | undefined>();
   /** When a team was last seen to use anything in a pool, by pool and team. */
   const lastUsedMs = new Map<string, number>();
   /** Rounds since a pool last answered. */
@@ -153,7 +159,9 @@
       });
       return messages;
     },
-    observeReport: (pool, { teams, isSettled }) => {
+    getPlanner: (pool) => planners.get(pool),
+    observeReport: (pool, { teams, isSettled, planner }) => {
+      planners.set(pool, planner);
       unansweredRounds.delete(pool);
       const before = reportsByPool.get(pool);
       const reports = Object.entries(teams).map(([team, report]) => {
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -32,6 +32,8 @@
   >;
   /** What the teams could use at most by the orders of earlier planners. */
   readonly inheritedCeilings: TeamCeilings;
+  /** Number of the planner, which none before it in the pool has. */
+  readonly planner: number;
   readonly report: (event: DecisionEvent) => void;
 }
 
@@ -94,8 +96,8 @@
 
 /** Creates the teams of a pool. */
 export function createPoolTeams(options: PoolTeamOptions): PoolTeams {
-  const { table, sources, inheritance, inheritedCeilings, report } = options;
-  const budget = createTeamBudget(sources);
+  const { table, sources, inheritance, inheritedCeilings, planner, report } = options;
+  const budget = createTeamBudget(sources, planner);
   const ceilings = createCeilingKeeper(inheritedCeilings);
   const rates = createRateShares();
   /** Teams of which a start was held back at the last look, for the log. */
@@ -247,7 +249,7 @@
       if (isApplied && others.length > 0) {
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
-      return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs) };
+      return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs), planner };
     },
     applyTold: (told, atMs) => {
       budget.applyTold(told, atMs);
--- a/packages/vanilladock/src/lib/teams/team-budget.ts
+++ b/packages/vanilladock/src/lib/teams/team-budget.ts
@@ -32,6 +32,11 @@
   readonly sequence: number;
   /** By team; a team that this holder has never named keeps what it had, for a while. */
   readonly shares: Readonly<Record<string, TeamShare>>;
+  /**
+   * Number of the planner whose report they are based on; for another one they are not meant. Absent
+   * in messages of earlier versions.
+   */
+  readonly planner?: number | undefined;
 }
 
 /** A team's share, as messages state it. */
@@ -88,8 +93,8 @@
   readonly untilMs: number;
 }
 
-/** Creates the budget of a pool that has no allotments yet. */
-export function createTeamBudget(sources: TeamSources): TeamBudget {
+/** Creates the budget of the planner with this number, which has no allotments yet. */
+export function createTeamBudget(sources: TeamSources, planner: number): TeamBudget {
   let newest: AllotMessage | undefined;
   /** When the last message was applied. */
   let appliedMs = 0;
@@ -110,8 +115,11 @@
     kept = { shares, untilMs: Math.min(kept?.untilMs ?? Infinity, nowMs + KEPT_MS) };
   };
   return {
-    apply: (message, nowMs) => {
-      if (!isNewer(message)) return false;
+    apply: (sent, nowMs) => {
+      if (!isNewer(sent)) return false;
+      // One to an earlier planner, which may be late, says nothing of what is in force now.
+      const isMeant = sent.planner === undefined || sent.planner === planner;
+      const message = isMeant ? sent : { ...sent, shares: {} };
       dropExpired(nowMs);
       if (newest !== undefined && message.token > newest.token) recordKept(nowMs);
       if (kept !== undefined) {
--- a/packages/vanilladock/src/test/teams/allotment-scene.ts
+++ b/packages/vanilladock/src/test/teams/allotment-scene.ts
@@ -25,6 +25,8 @@
 /** One pool: its planner, and what the team runs and wants there. */
 interface Pool {
   readonly name: string;
+  /** Number of its present planner. */
+  planner: number;
   budget: TeamBudget;
   used: number;
   /** What the planner counts as used in addition, as its predecessor may have started it. */
@@ -40,14 +42,17 @@
     directory = createTeamDirectory([{ team, keys: [] }]);
   };
   setLimit(limit);
-  const makeBudget = () =>
-    createTeamBudget({
-      getDirectory: () => directory,
-      countPools: () => poolCount,
-      limitTolerance: TOLERANCE,
-    });
+  const makeBudget = (planner: number) =>
+    createTeamBudget(
+      {
+        getDirectory: () => directory,
+        countPools: () => poolCount,
+        limitTolerance: TOLERANCE,
+      },
+      planner,
+    );
   const pools = Array.from({ length: poolCount }, (_, index): Pool => {
-    return { name: `p${index}`, budget: makeBudget(), used: 0, unseen: 0, waiting: 0 };
+    return { name: `p${index}`, planner: 0, budget: makeBudget(0), used: 0, unseen: 0, waiting: 0 };
   });
   let token = 1;
   let sequence = 0;
@@ -75,7 +80,7 @@
       ledger.plan(directory.teams, names, nowMs).forEach((shares, name) => {
         const index = names.indexOf(name);
         const pool = pools[index]!;
-        const message = { token, sequence, shares };
+        const message = { token, sequence, shares, planner: ledger.getPlanner(name) };
         if (delayed.includes(index)) {
           late.push({ pool, message });
           return;
@@ -83,20 +88,24 @@
         pool.budget.apply(message, nowMs);
         if (lost.includes(index)) return;
         const teams = { [TEAM]: makeReport(pool, unit) };
-        ledger.observeReport(name, { teams, isSettled: pool.unseen === 0 });
+        const { planner } = pool;
+        ledger.observeReport(name, { teams, isSettled: pool.unseen === 0, planner });
       });
     },
     deliverLate: () =>
       late.splice(0).forEach(({ pool, message }) => pool.budget.apply(message, nowMs)),
     replacePlanner: (index: number, unseen = 0) => {
-      pools[index]!.budget = makeBudget();
-      pools[index]!.unseen = unseen;
+      const pool = pools[index]!;
+      pool.planner += 1;
+      pool.budget = makeBudget(pool.planner);
+      pool.unseen = unseen;
     },
     /** Replaces a planner that stops by one to which it tells what is in force. */
     handOver: (index: number) => {
       const pool = pools[index]!;
       const told = pool.budget.makeTold(new Set([TEAM]), nowMs);
-      pool.budget = makeBudget();
+      pool.planner += 1;
+      pool.budget = makeBudget(pool.planner);
       if (told !== undefined) pool.budget.applyTold(told, nowMs);
     },
     settlePlanners: () =>
--- a/packages/vanilladock/src/test/teams/allotments.test.ts
+++ b/packages/vanilladock/src/test/teams/allotments.test.ts
@@ -198,6 +198,21 @@
   assert.is(computeAllotments(makeAmount(3), uses, true).get('b')?.cores, 1);
 });
 
+// Guards against a limit that is exceeded by a message to a planner that another one has succeeded.
+test('a message that arrives late at the next planner of a pool allots nothing', () => {
+  const scene = openScene(2, 8);
+  scene.pools[0]!.waiting = 100;
+  for (let round = 0; round < 3; round += 1) scene.runRound();
+  scene.runRound([], [0]);
+  scene.pools[0]!.waiting = 0;
+  scene.pools[1]!.waiting = 100;
+  for (let round = 0; round < 4; round += 1) scene.runRound();
+  assert.ok(scene.startTask(1, 8));
+  scene.replacePlanner(0);
+  scene.deliverLate();
+  assert.not.ok(scene.startTask(0, 8));
+});
+
 test('a limit lowered below what runs starts nothing until enough has ended', () => {
   const scene = openScene(2);
   scene.pools.forEach((pool) => {
