Store what is left of a planner's wait for earlier orders

Cause: what a planner has waited for was in the planner. Its successor waited 2.6 s from its own claim for those before it, although 1.3 s and more of these had passed.

Now the metadata of a planner that is not settled name the time for which those before it may still have ordered, renewed each 0.5 s. A successor that knows that the writer has ended waits for this time from its own reading. A length left that is read later than it was written is too long, never too short; the first write of each planner removes what the previous one stored, which is about other planners. Without the field, as in metadata of earlier versions, and without a known writer, the wait is 2.6 s as before.

Cost: five writes of the metadata at most for a planner whose predecessor cannot be asked or was not settled.

--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -57,6 +57,9 @@
 /** A store that has not answered a write for this long counts as unavailable. */
 const STORE_UNAVAILABLE_AFTER_MS = 600;
 
+/** What is left of the wait for orders of earlier planners is stored this often, in milliseconds. */
+const EARLIER_ORDERS_INTERVAL_MS = 500;
+
 /** Creates the state writer of a pool. */
 export function createPoolStateWriter(options: PoolStateWriterOptions): PoolStateWriter {
   const { store, getPlanner, schedulePlan, handleLost } = options;
@@ -66,12 +69,15 @@
   let holders: ReadonlyMap<string, LeaseHolder> = new Map();
   let holderIds: readonly string[] = [];
   let floors: VersionFloors = NO_FLOORS;
+  /** When the metadata were stored last. */
+  let storedMs = 0;
   let isWriting = false;
   let writingSinceMs: number | undefined;
   let isStopped = false;
 
   const setMeta = (stored: PoolMeta) => {
     meta = stored;
+    storedMs = performance.now();
     holders = new Map(stored.workers.map((holder) => [holder.id, holder]));
     holderIds = [...holders.keys()];
   };
@@ -79,16 +85,19 @@
     const planner = getPlanner();
     if (planner === undefined) return;
     const nowMs = performance.now();
-    const isSettled = planner.computeEarlierOrdersMs(nowMs) === 0;
+    const earlierMs = planner.computeEarlierOrdersMs(nowMs);
+    const isSettled = earlierMs === 0;
     planner.markWorkersRecorded(holderIds);
     const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
     const hasSameHolders = planner.hasStoredHolders(holders, nowMs);
-    const isSame = hasSameHolders && hasSameFloors && isSettled === meta.isSettled;
+    const isTold = isSettled || nowMs - storedMs < EARLIER_ORDERS_INTERVAL_MS;
+    const isSame = hasSameHolders && hasSameFloors && isSettled === meta.isSettled && isTold;
     const teamCeilings = planner.planTeamCeilings(nowMs, !isSame);
     if (isSame && teamCeilings === undefined) return;
     const workers = planner.listLeaseHolders(nowMs);
     const stated = floors === NO_FLOORS ? {} : { floors };
-    const updated = { ...meta, workers, isSettled, teamCeilings, ...stated };
+    const earlierOrdersMs = isSettled ? undefined : earlierMs;
+    const updated = { ...meta, workers, isSettled, earlierOrdersMs, teamCeilings, ...stated };
     const outcome = await store.write([store.encodeMeta(updated)]);
     // A lost one may have been stored.
     if (outcome !== 'lost') planner.observeCeilingsWrite(outcome === 'stored');
--- a/packages/daemon/src/lib/jobs/predecessor-watch.ts
+++ b/packages/daemon/src/lib/jobs/predecessor-watch.ts
@@ -29,6 +29,21 @@
   return meta.token !== undefined && [token, passedOnBy].includes(meta.token);
 }
 
+/**
+ * Computes when no planner before this one orders any more, if the one that wrote the metadata stopped
+ * at `stoppedMs`; undefined if it did not know how long those before it may order. A length that is
+ * read after it was stored is too long, never too short.
+ */
+function computeOrdersEndMs(
+  { isSettled, earlierOrdersMs, token }: PoolMeta,
+  stoppedMs: number,
+  readMs: number,
+): number | undefined {
+  if (isSettled !== false) return stoppedMs;
+  if (earlierOrdersMs === undefined || token === undefined) return undefined;
+  return Math.max(stoppedMs, readMs + earlierOrdersMs);
+}
+
 /** Starts to query the preceding planner. */
 export function watchPredecessor(query: () => Promise<Predecessor>): PredecessorWatch {
   let told: TimedHandOver | undefined;
@@ -38,11 +53,13 @@
   });
   return {
     apply: async (planner, stored) => {
+      const readMs = performance.now();
       const { hasStopped, token, knownMs } = await queried;
       // Only the planner that wrote the metadata, or a later one, knows of all orders before them.
       if (told !== undefined && isAbout(told.handOver, stored)) planner.observeHandOver(told);
-      else if (hasStopped && stored.isSettled !== false && isWriter(stored, token)) {
-        planner.observePredecessorStopped(knownMs);
+      else if (hasStopped && isWriter(stored, token)) {
+        const endMs = computeOrdersEndMs(stored, knownMs, readMs);
+        if (endMs !== undefined) planner.observePredecessorStopped(endMs);
       }
       await waitMs(planner.computeEarlierOrdersMs(performance.now()));
     },
--- a/packages/daemon/src/lib/jobs/stored-pool.ts
+++ b/packages/daemon/src/lib/jobs/stored-pool.ts
@@ -31,6 +31,11 @@
    * count as settled.
    */
   isSettled: z.boolean().optional(),
+  /**
+   * Time in milliseconds for which planners before the newest one may have sent orders, from some time
+   * before the record was stored; absent if that is not known, or settled.
+   */
+  earlierOrdersMs: z.number().nonnegative().optional(),
   /** What the teams may use at most by the orders of planners so far; absent in old records. */
   teamCeilings: teamCeilingsSchema.optional(),
   /** Lowest versions under which submissions are taken; absent while none has been recorded. */
--- a/packages/daemon/src/lib/jobs/take-over.ts
+++ b/packages/daemon/src/lib/jobs/take-over.ts
@@ -36,7 +36,14 @@
   const stored = await store.load();
   if (stored === undefined) return undefined;
   const previous = stored.meta;
-  const meta = { ...previous, generation: previous.generation + 1, token, isSettled: false };
+  const meta = {
+    ...previous,
+    generation: previous.generation + 1,
+    token,
+    isSettled: false,
+    // What is known of it is about the planners before the previous one.
+    earlierOrdersMs: undefined,
+  };
   for (;;) {
     const outcome = await store.write([store.encodeMeta(meta)]);
     if (outcome === 'stored') return { ...stored, meta, previous };
--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -1,9 +1,11 @@
 /** The state writer of a pool under steady load. */
+import { install } from '@sinonjs/fake-timers';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import { createPoolStateWriter } from '../lib/jobs/pool-state-writer.js';
 import type { PoolStore } from '../lib/jobs/pool-store.js';
+import type { PoolMeta } from '../lib/jobs/stored-pool.js';
 
 const WRITE_COUNT = 40;
 const NEW_WORKER_AT = 5;
@@ -52,6 +54,46 @@
   assert.ok(newWorker.atWrite <= NEW_WORKER_AT + 3, `recorded after write ${newWorker.atWrite}`);
 });
 
+// Guards against waits that begin anew with each planner that is killed before it is settled.
+test('what is left of the wait for earlier orders is stored each half second', async () => {
+  const clock = install({ now: 0 });
+  const written: unknown[] = [];
+  const planner = {
+    takeStoreBatch: () => undefined,
+    computeEarlierOrdersMs: (nowMs: number) => Math.max(0, 1_200 - nowMs),
+    planTeamCeilings: () => undefined,
+    hasStoredHolders: () => true,
+    listLeaseHolders: () => [],
+    markWorkersRecorded: () => {},
+    observeCeilingsWrite: () => {},
+  };
+  const store = {
+    write: () => Promise.resolve('stored'),
+    encodeMeta: ({ isSettled, earlierOrdersMs }: PoolMeta) =>
+      written.push([isSettled, earlierOrdersMs]),
+  };
+  const stateWriter = createPoolStateWriter({
+    store: store as unknown as PoolStore,
+    getPlanner: () => planner as unknown as PoolPlanner,
+    schedulePlan: () => {},
+    handleLost: () => {},
+    handleFailed: (error) => {
+      throw error;
+    },
+  });
+  stateWriter.setMeta({ generation: 2, workers: [], isSettled: false });
+  for (let nowMs = 100; nowMs <= 1_500; nowMs += 100) {
+    await clock.tickAsync(100);
+    await stateWriter.writeDirty();
+  }
+  clock.uninstall();
+  assert.equal(written, [
+    [false, 700],
+    [false, 200],
+    [true, undefined],
+  ]);
+});
+
 // Guards against starts beyond a ceiling of a write whose outcome is open.
 test('the planner is told of a write of ceilings unless its outcome is open', async () => {
   const told: boolean[] = [];
--- a/packages/daemon/src/test/predecessor-watch.test.ts
+++ b/packages/daemon/src/test/predecessor-watch.test.ts
@@ -39,6 +39,16 @@
   assert.equal(await applyPredecessor({}, { isSettled: false }), []);
 });
 
+// Guards against waits that begin anew with each planner that is killed before it is settled.
+test('the wait for orders goes on from what a killed planner has stored of it', async () => {
+  const meta = { isSettled: false, earlierOrdersMs: 400 };
+  assert.equal(await applyPredecessor({}, meta), ['stopped at 400']);
+  assert.equal(await applyPredecessor({ knownMs: 700 }, meta), ['stopped at 700']);
+  assert.equal(await applyPredecessor({ hasStopped: false }, meta), [], 'it may order itself');
+  assert.equal(await applyPredecessor({ token: 6 }, meta), [], 'another one has stopped');
+  assert.equal(await applyPredecessor({}, { ...meta, token: undefined }), [], 'of no known writer');
+});
+
 // Guards against a task that runs twice: between the planner that still orders and the next one, an
 // instance claimed the pool that never loaded it, and that one has stopped.
 test('the stop of an instance that never loaded the pool ends no wait for the planner before', async () => {
