Compute a pool's demand without its batch tasks where only lasting ones count

Cause: each request for the demand of a pool, one a round of lending, went over the tasks of all workers to add up the lasting ones, and over all jobs that are kept to count whether there were eight.

Change: workers without lasting tasks are left out, as the table counts these, and the count ends at eight.

--- a/packages/vanilladock/src/lib/jobs/pool-demand.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-demand.ts
@@ -34,10 +34,11 @@
 /** Says whether the pool has had enough batch jobs to estimate its peak demand. */
 function hasEnoughBatchJobs(table: TaskTable): boolean {
   let count = 0;
-  table.jobs.forEach((job) => {
+  for (const job of table.jobs.values()) {
     if (!job.isLasting) count += 1;
-  });
-  return count >= MIN_JOBS_FOR_DEMAND;
+    if (count >= MIN_JOBS_FOR_DEMAND) return true;
+  }
+  return false;
 }
 
 /** Sums sizes, each multiplied by its count. */
@@ -150,6 +151,7 @@
 function sumLastingTasks(table: TaskTable): Resources {
   return sumSizes(
     [...table.workers.values()]
+      .filter(({ lastingTasks }) => lastingTasks > 0)
       .flatMap((worker) => [...worker.tasks])
       .flatMap((key) => table.findTask(key) ?? [])
       .map((task) => table.findStep(task))
