Make a reported run and its task field by field

Cause: each report makes a new assignment and a new task of each run in it, by a spread of the one before. The engine derives a new hidden class for a copy from that of its source, so that a chain of copies by one spread soon takes the slow path for each of them.

Change: both are made with all their fields named; the type of a task's changes names what may change.

--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -120,14 +120,21 @@
   if (state.kind !== 'assigned') return;
   const step = context.table.findStep(task);
   const hasRisen = row.percent > state.percent;
+  // A spread of what the spread before has made is slow in the engine.
   const updated: Assignment = {
-    ...state,
+    kind: 'assigned',
+    workerId: state.workerId,
+    run: state.run,
     phase: state.phase === 'starting' ? 'running' : state.phase,
     confirmedMs: state.confirmedMs ?? at.nowMs,
     isReported: true,
+    stopSentMs: state.stopSentMs,
+    stopAnsweredMs: state.stopAnsweredMs,
+    leaseUntilMs: state.leaseUntilMs,
     percent: row.percent,
     lastProgressMs: hasRisen || state.confirmedMs === undefined ? at.nowMs : state.lastProgressMs,
     load: row.load,
+    pacePercent: state.pacePercent,
   };
   const checkpoint = observeCheckpoint(task, step, makeCheckpoint(row, at));
   context.table.moveTask(task, updated, { checkpoint });
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -101,6 +101,31 @@
   readonly state: TaskState;
 }
 
+/** What may change of a task beside its state. */
+export type TaskChange = Partial<
+  Pick<Task, 'failedRuns' | 'crashes' | 'lastRun' | 'checkpoint' | 'avoidedWorkerIds'>
+>;
+
+/**
+ * Makes the task that replaces another. Each report makes one of each run in it, and a spread of
+ * what a spread has made is slow in the engine.
+ */
+export function makeMovedTask(task: Task, state: TaskState, change: TaskChange): Task {
+  return {
+    key: task.key,
+    jobId: task.jobId,
+    occurrence: task.occurrence,
+    stepIndex: task.stepIndex,
+    index: task.index,
+    failedRuns: change.failedRuns ?? task.failedRuns,
+    crashes: change.crashes ?? task.crashes,
+    lastRun: change.lastRun ?? task.lastRun,
+    checkpoint: change.checkpoint ?? task.checkpoint,
+    avoidedWorkerIds: change.avoidedWorkerIds ?? task.avoidedWorkerIds,
+    state,
+  };
+}
+
 /** Makes the change that adds a worker to those that a task avoids if others fit. */
 export function makeAvoidance(task: Task, workerId: string): Pick<Task, 'avoidedWorkerIds'> {
   return { avoidedWorkerIds: [...new Set([...task.avoidedWorkerIds, workerId])] };
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -13,12 +13,14 @@
 import { makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
 import { createTeamUsage, sumTeamUse, type TeamUsage } from '../teams/team-usage.js';
 import {
+  makeMovedTask,
   makeStepRun,
   type Job,
   type Moment,
   type Occurrence,
   type StepRun,
   type Task,
+  type TaskChange,
   type TaskState,
   type Worker,
 } from './state.js';
@@ -54,7 +56,7 @@
   /** Removes a job; its tasks have to be dropped before. */
   readonly dropJob: (jobId: string) => void;
   /** Moves a task to a state, applies further changes and returns the task that replaces it. */
-  readonly moveTask: (task: Task, state: TaskState, change?: Partial<Task>) => Task;
+  readonly moveTask: (task: Task, state: TaskState, change?: TaskChange) => Task;
   /** Adds a worker that has not reported; replaces one of the same id. */
   readonly addWorker: (entry: WorkerEntry) => Worker;
   /** Applies changes to a worker; does nothing if it is unknown. */
@@ -156,10 +158,10 @@
         task.state satisfies never;
     }
   };
-  const moveTask = (task: Task, state: TaskState, change: Partial<Task> = {}): Task => {
+  const moveTask = (task: Task, state: TaskState, change: TaskChange = {}): Task => {
     const previousWorkerId = task.state.kind === 'assigned' ? task.state.workerId : undefined;
     const nextWorkerId = state.kind === 'assigned' ? state.workerId : undefined;
-    const moved: Task = { ...task, ...change, state };
+    const moved = makeMovedTask(task, state, change);
     changes.addJob(task.jobId);
     if (moved.crashes.length > 0) crashedTaskKeys.add(task.key);
     else crashedTaskKeys.delete(task.key);
