--- a/packages/daemon/src/lib/jobs/pool-state-writer.ts
+++ b/packages/daemon/src/lib/jobs/pool-state-writer.ts
@@ -57,6 +57,9 @@
 /** A store that has not answered a write for this long counts as unavailable. */
 const STORE_UNAVAILABLE_AFTER_MS = 600;
 
+/** What is left of the wait for orders of earlier planners is stored this often, in milliseconds. */
+const EARLIER_ORDERS_INTERVAL_MS = 500;
+
 /** Creates the state writer of a pool. */
 export function createPoolStateWriter(options: PoolStateWriterOptions): PoolStateWriter {
   const { store, getPlanner, schedulePlan, handleLost } = options;
@@ -66,12 +69,15 @@
   let holders: ReadonlyMap<string, LeaseHolder> = new Map();
   let holderIds: readonly string[] = [];
   let floors: VersionFloors = NO_FLOORS;
+  /** When the metadata were stored last. */
+  let storedMs = 0;
   let isWriting = false;
   let writingSinceMs: number | undefined;
   let isStopped = false;
 
   const setMeta = (stored: PoolMeta) => {
     meta = stored;
+    storedMs = performance.now();
     holders = new Map(stored.workers.map((holder) => [holder.id, holder]));
     holderIds = [...holders.keys()];
   };
@@ -79,21 +85,28 @@
     const planner = getPlanner();
     if (planner === undefined) return;
     const nowMs = performance.now();
-    const isSettled = planner.computeEarlierOrdersMs(nowMs) === 0;
+    const earlierMs = planner.computeEarlierOrdersMs(nowMs);
+    const isSettled = earlierMs === 0;
     planner.markWorkersRecorded(holderIds);
     const hasSameFloors = floors === (meta.floors ?? NO_FLOORS);
     const hasSameHolders = planner.hasStoredHolders(holders, nowMs);
-    if (hasSameHolders && hasSameFloors && isSettled === meta.isSettled) return;
+    const isTold = isSettled || nowMs - storedMs < EARLIER_ORDERS_INTERVAL_MS;
+    const isSame = hasSameHolders && hasSameFloors && isSettled === meta.isSettled && isTold;
+    const teamCeilings = planner.planTeamCeilings(nowMs, !isSame);
+    if (isSame && teamCeilings === undefined) return;
     const workers = planner.listLeaseHolders(nowMs);
     const stated = floors === NO_FLOORS ? {} : { floors };
-    const updated = { ...meta, workers, isSettled, ...stated };
+    const earlierOrdersMs = isSettled ? undefined : earlierMs;
+    const updated = { ...meta, workers, isSettled, earlierOrdersMs, teamCeilings, ...stated };
     const outcome = await store.write([store.encodeMeta(updated)]);
+    // A lost one may have been stored.
+    if (outcome !== 'lost') planner.observeCeilingsWrite(outcome === 'stored');
     if (outcome !== 'stored') return;
     setMeta(updated);
     planner.markWorkersRecorded(holderIds);
     schedulePlan();
   };
-  const writeOnce = async (): Promise<'stored' | 'idle' | 'failed'> => {
+  const writeOnce = async (): Promise<'stored' | 'stored-partly' | 'idle' | 'failed'> => {
     const planner = getPlanner();
     const batch = planner?.takeStoreBatch();
     if (planner === undefined || batch === undefined) return 'idle';
@@ -104,7 +117,7 @@
       case 'stored':
         batch.handleStored();
         schedulePlan();
-        return 'stored';
+        return batch.isPartial ? 'stored-partly' : 'stored';
       case 'refused':
         planner.dropUnstored(batch);
         return 'failed';
@@ -117,14 +130,15 @@
   };
   const writeAll = async () => {
     let result: Awaited<ReturnType<typeof writeOnce>> = 'stored';
-    while (result === 'stored' && !isStopped) {
+    while ((result === 'stored' || result === 'stored-partly') && !isStopped) {
       // Before every batch: under load there is always another one, and new workers wait for their
       // record.
       await recordMeta();
       const waiting = waiters.splice(0);
       result = await writeOnce();
       const isStored = result !== 'failed';
-      waiting.forEach((resolve) => resolve(isStored));
+      if (result === 'stored-partly') waiters.unshift(...waiting);
+      else waiting.forEach((resolve) => resolve(isStored));
     }
   };
   const writeDirty = async () => {
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -1,17 +1,26 @@
 /**
- * What a planner that has stopped tells its successor of waits that are not over. Each is given as
- * time that has passed or is left, measured by the clock of the planner that tells it, so that waits
- * go on over successive planners instead of beginning anew with each.
+ * What a planner that has stopped tells its successor of waits that are not over, and a holder of the
+ * fleet duty of its orders. Each is given as time that has passed or is left, measured by the clock
+ * of the one that tells it, so that waits go on over successive holders instead of beginning anew
+ * with each.
  */
 import { z } from 'zod';
+import { resourcesSchema } from '../placement/resources.js';
+import { toldAllotmentsSchema, type ToldAllotments } from '../teams/team-budget.js';
+import { addTeamUse, sumTeamUse, type TeamUse } from '../teams/team-usage.js';
 import type { Inheritance } from './inheritance.js';
 import { leaseHolderSchema, makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
-import type { Task, Worker } from './state.js';
+import type { Job, Task, Worker } from './state.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
 export interface HeldLease extends LeaseHolder {
   /** In milliseconds; negative if earlier planners may still extend the lease for that long. */
   readonly orderedAgoMs: number;
+  /**
+   * What teams may use there at most, of a worker that does not answer; absent if it is not known,
+   * and in hand-overs of earlier versions.
+   */
+  readonly teamUse?: TeamUse | undefined;
 }
 
 /** What a planner tells; it sends no orders any more. */
@@ -24,6 +33,16 @@
   readonly leases: readonly HeldLease[];
   /** Runs of which a stop is on its way; absent in those of earlier versions. */
   readonly stoppedRuns?: readonly RunName[] | undefined;
+  /**
+   * Time in milliseconds since the fleet may last have carried out an order of this holder or of one
+   * before it; negative if it still may for that long. Only the fleet duty tells it.
+   */
+  readonly fleetOrderAgoMs?: number | undefined;
+  /**
+   * What teams were allotted; absent in what is stored, as it may be read late, and in hand-overs of
+   * earlier versions.
+   */
+  readonly allotments?: ToldAllotments | undefined;
   /** Token of a later planner that passes this on because it has not ordered anything. */
   readonly passedOnBy?: number | undefined;
 }
@@ -44,8 +63,15 @@
 export const handOverSchema = z.object({
   token: z.number(),
   earlierOrdersMs: z.number().nonnegative(),
-  leases: z.array(leaseHolderSchema.extend({ orderedAgoMs: z.number() })),
+  leases: z.array(
+    leaseHolderSchema.extend({
+      orderedAgoMs: z.number(),
+      teamUse: z.record(z.string(), resourcesSchema).optional(),
+    }),
+  ),
   stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
+  fleetOrderAgoMs: z.number().optional(),
+  allotments: toldAllotmentsSchema.optional(),
   passedOnBy: z.number().optional(),
 });
 
@@ -56,8 +82,10 @@
   readonly findTask: (taskKey: string) => Task | undefined;
   readonly inheritance: Pick<
     Inheritance,
-    'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs'
+    'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs' | 'getTeamUse'
   >;
+  readonly jobs: ReadonlyMap<string, Job>;
+  readonly allotments: ToldAllotments | undefined;
 }
 
 /** Time in which an order that was sent has arrived or been given up, in milliseconds. */
@@ -78,27 +106,42 @@
   return tasks.size > 0 || orphanedRuns.size > 0 || lastEnd > storedEnd;
 }
 
+/** Makes what this planner knows of a worker; the incarnation of a long lease may run more. */
+function makeOwnLease(sources: HandOverSources, worker: Worker, nowMs: number): HeldLease {
+  const holder = makeLeaseHolder(worker, nowMs);
+  const orderedAgoMs = nowMs - computeOwnOrderMs(worker, nowMs);
+  const isAnswering = worker.clock !== undefined && worker.missedReports === 0;
+  if (isAnswering || holder.longLeaseTasks !== undefined) return { ...holder, orderedAgoMs };
+  const hasTeams = [...sources.jobs.values()].some(({ record }) => record.team !== undefined);
+  if (!hasTeams) return { ...holder, orderedAgoMs };
+  const teamUse = Object.fromEntries(sumTeamUse(worker, sources.jobs));
+  return { ...holder, orderedAgoMs, teamUse };
+}
+
 /** Merges what an earlier planner and this one know of a worker that has not reported. */
 function mergeLeases(earlier: HeldLease, own: HeldLease | undefined): HeldLease {
   if (own === undefined) return earlier;
   const tasks = [...(earlier.longLeaseTasks ?? []), ...(own.longLeaseTasks ?? [])];
+  const isUseKnown = earlier.teamUse !== undefined && own.teamUse !== undefined;
   return {
     ...earlier,
     longLeaseTasks: tasks.length === 0 ? undefined : tasks,
     orderedAgoMs: Math.min(earlier.orderedAgoMs, own.orderedAgoMs),
+    teamUse: isUseKnown ? addTeamUse(earlier.teamUse, own.teamUse) : undefined,
   };
 }
 
 /** Lists the workers that the next planner has to ask or to wait for. */
-function listLeases({ workers, inheritance }: HandOverSources, nowMs: number): HeldLease[] {
+function listLeases(sources: HandOverSources, nowMs: number): HeldLease[] {
+  const { workers, inheritance } = sources;
   const leases = new Map<string, HeldLease>();
   workers.forEach((worker, id) => {
     if (!isToBeAsked(worker)) return;
-    const orderedAgoMs = nowMs - computeOwnOrderMs(worker, nowMs);
-    leases.set(id, { ...makeLeaseHolder(worker, nowMs), orderedAgoMs });
+    leases.set(id, makeOwnLease(sources, worker, nowMs));
   });
   inheritance.listUnreported().forEach((holder) => {
-    const earlier = { ...holder, orderedAgoMs: nowMs - inheritance.getLastOrderMs(holder.id) };
+    const orderedAgoMs = nowMs - inheritance.getLastOrderMs(holder.id);
+    const earlier = { ...holder, orderedAgoMs, teamUse: inheritance.getTeamUse(holder.id) };
     leases.set(holder.id, mergeLeases(earlier, leases.get(holder.id)));
   });
   return [...leases.values()];
@@ -122,14 +165,18 @@
     earlierOrdersMs: Math.max(0, untilMs - nowMs),
     leases: listLeases(sources, nowMs),
     stoppedRuns: listStoppedRuns(sources),
+    allotments: sources.allotments,
   };
 }
 
 /** Brings the times of a hand-over to the monotonic time `nowMs`. */
 export function refreshHandOver({ handOver, atMs }: TimedHandOver, nowMs: number): HandOver {
   const elapsedMs = nowMs - atMs;
+  const { allotments, fleetOrderAgoMs } = handOver;
   return {
     ...handOver,
+    fleetOrderAgoMs: fleetOrderAgoMs === undefined ? undefined : fleetOrderAgoMs + elapsedMs,
+    allotments: allotments && { ...allotments, validMs: allotments.validMs - elapsedMs },
     earlierOrdersMs: Math.max(0, handOver.earlierOrdersMs - elapsedMs),
     leases: handOver.leases.map((lease) => ({
       ...lease,
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -13,7 +13,7 @@
 import { makeHandOver } from './hand-over.js';
 import { createInheritance } from './inheritance.js';
 import { createJobIntake } from './job-intake.js';
-import { dropFinishedJobs, openDueOccurrences } from './job-lifecycle.js';
+import { dropFinishedJobs, openDueOccurrences, openLoadedOccurrences } from './job-lifecycle.js';
 import { observeStart, observeStop } from './observe-orders.js';
 import { observeReport } from './observe-report.js';
 import { createMeanWork } from './mean-work.js';
@@ -85,6 +85,8 @@
     table,
     sources: options.teams ?? NO_TEAMS,
     inheritance,
+    inheritedCeilings: options.teamCeilings ?? {},
+    planner: options.runBase,
     report: options.report,
   });
   const intake = createJobIntake({
@@ -129,6 +131,7 @@
     loadJob: (record, progress, at) => {
       const storedPhase = progress?.phase ?? 'active';
       const job = table.addJob(record, { progress, runBase: options.runBase, storedPhase }, at);
+      openLoadedOccurrences(table, job, progress, at);
       meanWork.addJob(job);
       crashWatch.observeLoadedJob(record.spec.id);
     },
@@ -176,7 +179,10 @@
       if (hasMissedReports) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, inheritance, workerId, timed, at);
       const reporter = table.workers.get(workerId);
-      if (reporter !== undefined) crashWatch.observeAnswer(reporter.entry);
+      if (reporter !== undefined) {
+        crashWatch.observeAnswer(reporter.entry);
+        crashWatch.dropDisproved(reporter, at.nowMs);
+      }
       incarnations.recordReport(workerId, timed.sentMs);
       inheritance.recordReport(workerId, timed.sentMs);
       interference.observeReport(workerId, at.nowMs);
@@ -186,10 +192,24 @@
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
     observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: inheritance.observePredecessorStopped,
-    observeHandOver: inheritance.observeHandOver,
+    observeHandOver: (timed) => {
+      inheritance.observeHandOver(timed);
+      const { allotments } = timed.handOver;
+      if (allotments !== undefined) teams.applyTold(allotments, timed.atMs);
+    },
     computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
     makeHandOver: (token, nowMs) =>
-      makeHandOver({ token, workers: table.workers, findTask: table.findTask, inheritance }, nowMs),
+      makeHandOver(
+        {
+          token,
+          workers: table.workers,
+          findTask: table.findTask,
+          inheritance,
+          jobs: table.jobs,
+          allotments: teams.makeTold(nowMs),
+        },
+        nowMs,
+      ),
     explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
@@ -257,6 +277,8 @@
     dropUnstored: storeQueue.dropUnstored,
     listLeaseHolders: incarnations.listLeaseHolders,
     hasStoredHolders: incarnations.hasStoredHolders,
+    planTeamCeilings: teams.planCeilings,
+    observeCeilingsWrite: teams.observeCeilingsWrite,
     markWorkersRecorded: (ids) =>
       ids
         .filter((id) => table.workers.get(id)?.isRecorded === false)
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -6,6 +6,15 @@
 import type { CrashRecord, Suspicion } from './crash-evidence.js';
 import type { Job, JobPhase, Task } from './state.js';
 
+/**
+ * Up to this number, finished occurrences are listed one by one, as versions before read them; the
+ * record must not grow with them.
+ */
+const MAX_LISTED_OCCURRENCES = 1_000;
+
+/** A record of more characters is stored without what failed; the store takes 262,144 bytes. */
+const MAX_RECORD_CHARS = 250_000;
+
 /** A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone. */
 type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean];
 
@@ -25,7 +34,10 @@
   readonly crashTable?: readonly StoredCrash[];
   /** Positions in `crashTable` of each task's crashes, oldest first; tasks are named as in `done`. */
   readonly crashRows?: Readonly<Record<string, readonly number[]>>;
+  /** Numbers of the finished occurrences, but for those below `occurrencesBelow`. */
   readonly occurrencesDone: readonly number[];
+  /** All occurrences below this number are finished; absent for 0. */
+  readonly occurrencesBelow?: number | undefined;
   /** When the job ended, in ms since 1970; absent while it is active and in old records. */
   readonly endedAtMs?: number | undefined;
   /** Who cancelled the job before it was submitted; there is no record of the job beside it. */
@@ -54,6 +66,18 @@
   return `${task.occurrence}.${task.stepIndex}.${task.index}`;
 }
 
+/** Says whether any run of the job is known to have ended. */
+export function hasAnyProgress(progress: Progress): boolean {
+  const { done, failedRuns, crashes, occurrencesDone } = progress;
+  return done.size + failedRuns.size + crashes.size + occurrencesDone.size > 0;
+}
+
+/** Lists the numbers of the open occurrences that have any progress. */
+export function listBegunOccurrences({ done, failedRuns, crashes }: Progress): ReadonlySet<number> {
+  const suffixes = [...done, ...failedRuns.keys(), ...crashes.keys()];
+  return new Set(suffixes.map((suffix) => Number(suffix.split('.')[0])));
+}
+
 /** Encodes a crash. */
 function encodeCrash(crash: CrashRecord): StoredCrash {
   const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone } = crash;
@@ -99,7 +123,21 @@
   ]);
 }
 
-/** Encodes the progress of a job; only the phase is kept for finished jobs. */
+/** Encodes the numbers of finished occurrences. */
+function encodeOccurrences(
+  finished: ReadonlySet<number>,
+): Pick<StoredProgress, 'occurrencesDone' | 'occurrencesBelow'> {
+  if (finished.size <= MAX_LISTED_OCCURRENCES) return { occurrencesDone: [...finished] };
+  let occurrencesBelow = 0;
+  while (finished.has(occurrencesBelow)) occurrencesBelow += 1;
+  const occurrencesDone = [...finished].filter((number) => number >= occurrencesBelow);
+  return { occurrencesDone, occurrencesBelow };
+}
+
+/**
+ * Encodes the progress of a job; only the phase is kept for finished jobs. Failures and crashes are left
+ * out if the record would be too large with them, as the pool could store nothing any more.
+ */
 export function encodeProgress(job: Job, tasks: readonly Task[]): string {
   const isActive = job.phase === 'active';
   const failed = tasks.filter((task) => task.failedRuns.length > 0 && task.state.kind !== 'done');
@@ -113,10 +151,12 @@
       ? Object.fromEntries(failed.map((task) => [makeTaskSuffix(task), task.failedRuns]))
       : {},
     ...(isActive ? encodeCrashes(crashed) : undefined),
-    occurrencesDone: isActive ? [...job.finishedOccurrences] : [],
+    ...(isActive ? encodeOccurrences(job.finishedOccurrences) : { occurrencesDone: [] }),
     endedAtMs: job.endedAtMs,
   };
-  return JSON.stringify(stored);
+  const text = JSON.stringify(stored);
+  if (text.length <= MAX_RECORD_CHARS) return text;
+  return JSON.stringify({ ...stored, failedRuns: {}, crashTable: undefined, crashRows: undefined });
 }
 
 /** Encodes the tombstone of a job as the progress of one that has ended. */
@@ -135,12 +175,16 @@
 /** Decodes stored progress; the text must come from `encodeProgress`. Throws if it is not JSON. */
 export function decodeProgress(text: string): Progress {
   const stored = JSON.parse(text) as StoredProgress;
+  const { occurrencesBelow = 0 } = stored;
   return {
     phase: stored.phase,
     done: new Set(stored.done),
     failedRuns: new Map(Object.entries(stored.failedRuns)),
     crashes: decodeCrashes(stored),
-    occurrencesDone: new Set(stored.occurrencesDone),
+    occurrencesDone: new Set([
+      ...Array.from({ length: occurrencesBelow }, (_, number) => number),
+      ...stored.occurrencesDone,
+    ]),
     endedAtMs: stored.endedAtMs,
     tombstone: stored.tombstone,
   };
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -87,11 +87,14 @@
   readonly stepIndex: number;
   readonly index: number;
   /**
-   * Numbers of its failed runs; an end that is reported again after a take-over counts only once.
+   * Numbers of its failed runs, only the last one of a lasting task; an end that is reported again
+   * after a take-over counts only once.
    */
   readonly failedRuns: readonly number[];
   /** Crashes of workers under its runs, oldest first. */
   readonly crashes: readonly CrashRecord[];
+  /** Number of its runs that this planner has stopped as stalled. */
+  readonly stalls: number;
   /** Highest run number that may have been used for the task. */
   readonly lastRun: number;
   /** Newest known checkpoint. */
@@ -101,6 +104,32 @@
   readonly state: TaskState;
 }
 
+/** What may change of a task beside its state. */
+export type TaskChange = Partial<
+  Pick<Task, 'failedRuns' | 'crashes' | 'stalls' | 'lastRun' | 'checkpoint' | 'avoidedWorkerIds'>
+>;
+
+/**
+ * Makes the task that replaces another. Each report makes one of each run in it, and a spread of
+ * what a spread has made is slow in the engine.
+ */
+export function makeMovedTask(task: Task, state: TaskState, change: TaskChange): Task {
+  return {
+    key: task.key,
+    jobId: task.jobId,
+    occurrence: task.occurrence,
+    stepIndex: task.stepIndex,
+    index: task.index,
+    failedRuns: change.failedRuns ?? task.failedRuns,
+    crashes: change.crashes ?? task.crashes,
+    stalls: change.stalls ?? task.stalls,
+    lastRun: change.lastRun ?? task.lastRun,
+    checkpoint: change.checkpoint ?? task.checkpoint,
+    avoidedWorkerIds: change.avoidedWorkerIds ?? task.avoidedWorkerIds,
+    state,
+  };
+}
+
 /** Makes the change that adds a worker to those that a task avoids if others fit. */
 export function makeAvoidance(task: Task, workerId: string): Pick<Task, 'avoidedWorkerIds'> {
   return { avoidedWorkerIds: [...new Set([...task.avoidedWorkerIds, workerId])] };
@@ -158,9 +187,12 @@
   readonly crashVersion: number;
   /** Value of `crashVersion` up to which they are stored. */
   readonly storedCrashVersion: number;
-  /** When the job ended; monotonic, may be negative for an inherited job. Undefined while active. */
+  /**
+   * Since when the state of the ended job can be given, as it is stored; monotonic, may be negative
+   * for an inherited job. Undefined until that is known.
+   */
   readonly finishedMs: number | undefined;
-  /** The same in milliseconds since 1970, for the store; undefined also in old records. */
+  /** When the job ended, in ms since 1970; undefined while it is active and in old records. */
   readonly endedAtMs: number | undefined;
 }
 
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -8,17 +8,19 @@
 import { NO_CHECKPOINT } from './checkpoints.js';
 import { makeTaskSuffix } from './progress.js';
 import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
-import { makeJob, type JobOrigin } from './make-job.js';
+import { findLastRun, makeJob, type JobOrigin } from './make-job.js';
 import { makeWorker } from './make-worker.js';
 import { makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
 import { createTeamUsage, sumTeamUse, type TeamUsage } from '../teams/team-usage.js';
 import {
+  makeMovedTask,
   makeStepRun,
   type Job,
   type Moment,
   type Occurrence,
   type StepRun,
   type Task,
+  type TaskChange,
   type TaskState,
   type Worker,
 } from './state.js';
@@ -47,14 +49,17 @@
   readonly addJob: (record: JobRecord, origin: JobOrigin, at: Moment) => Job;
   /** Applies changes to a job and returns it; throws if it is not in the table. */
   readonly updateJob: (jobId: string, change: Partial<Job>) => Job;
-  /** Creates the tasks of an occurrence; does nothing if it is open already. */
-  readonly openOccurrence: (jobId: string, number: number) => void;
+  /**
+   * Creates the tasks of an occurrence, which start no earlier than `notBeforeMs` on the monotonic
+   * clock, by default at once; does nothing if it is open already.
+   */
+  readonly openOccurrence: (jobId: string, number: number, notBeforeMs?: number) => void;
   /** Removes the tasks of a finished job or occurrence; running ones become orphaned runs. */
   readonly dropTasks: (tasks: readonly Task[]) => void;
   /** Removes a job; its tasks have to be dropped before. */
   readonly dropJob: (jobId: string) => void;
   /** Moves a task to a state, applies further changes and returns the task that replaces it. */
-  readonly moveTask: (task: Task, state: TaskState, change?: Partial<Task>) => Task;
+  readonly moveTask: (task: Task, state: TaskState, change?: TaskChange) => Task;
   /** Adds a worker that has not reported; replaces one of the same id. */
   readonly addWorker: (entry: WorkerEntry) => Worker;
   /** Applies changes to a worker; does nothing if it is unknown. */
@@ -156,10 +161,10 @@
         task.state satisfies never;
     }
   };
-  const moveTask = (task: Task, state: TaskState, change: Partial<Task> = {}): Task => {
+  const moveTask = (task: Task, state: TaskState, change: TaskChange = {}): Task => {
     const previousWorkerId = task.state.kind === 'assigned' ? task.state.workerId : undefined;
     const nextWorkerId = state.kind === 'assigned' ? state.workerId : undefined;
-    const moved: Task = { ...task, ...change, state };
+    const moved = makeMovedTask(task, state, change);
     changes.addJob(task.jobId);
     if (moved.crashes.length > 0) crashedTaskKeys.add(task.key);
     else crashedTaskKeys.delete(task.key);
@@ -175,28 +180,34 @@
     }
     return moved;
   };
-  const openTask = (job: Job, occurrence: number, stepIndex: number, index: number) => {
+  const openTask = (
+    job: Job,
+    { occurrence, stepIndex, index }: Pick<Task, 'occurrence' | 'stepIndex' | 'index'>,
+    notBeforeMs: number,
+  ) => {
     const origin = origins.get(job.record.spec.id);
     const key = makeTaskKey(job.record.spec.id, occurrence, stepIndex, index);
     const suffix = makeTaskSuffix({ occurrence, stepIndex, index });
+    const failedRuns = origin?.progress?.failedRuns.get(suffix) ?? [];
     const task: Task = {
       key,
       jobId: job.record.spec.id,
       occurrence,
       stepIndex,
       index,
-      failedRuns: origin?.progress?.failedRuns.get(suffix) ?? [],
+      failedRuns,
       crashes: origin?.progress?.crashes.get(suffix) ?? [],
-      lastRun: origin?.runBase ?? 0,
+      lastRun: findLastRun(failedRuns, origin?.runBase ?? 0),
       checkpoint: NO_CHECKPOINT,
+      stalls: 0,
       avoidedWorkerIds: [],
-      state: { kind: 'waiting', notBeforeMs: 0 },
+      state: { kind: 'waiting', notBeforeMs },
     };
     tasks.set(key, task);
     if (task.crashes.length > 0) crashedTaskKeys.add(key);
     if (origin?.progress?.done.has(suffix) === true) moveTask(task, { kind: 'done' });
   };
-  const openOccurrence = (jobId: string, number: number) => {
+  const openOccurrence = (jobId: string, number: number, notBeforeMs = 0) => {
     const job = getJob(jobId);
     if (job.occurrences.has(number)) return;
     const { steps } = job.record.spec;
@@ -204,7 +215,9 @@
     job.occurrences.set(number, occurrence);
     changes.addJob(jobId);
     steps.forEach((step, stepIndex) => {
-      for (let index = 0; index < step.count; index += 1) openTask(job, number, stepIndex, index);
+      for (let index = 0; index < step.count; index += 1) {
+        openTask(job, { occurrence: number, stepIndex, index }, notBeforeMs);
+      }
     });
   };
   const listJobTasks = (jobId: string): readonly Task[] => {
--- a/packages/vanilladock/src/lib/teams/allotment-ledger.ts
+++ b/packages/vanilladock/src/lib/teams/allotment-ledger.ts
@@ -5,7 +5,12 @@
  */
 import { SUCCESSION_MS } from '../duties/authority.js';
 import { CLOCK_DRIFT, LEASE_MS } from '../jobs/lease-clock.js';
-import { computeMaximum, computeMinimum, NO_RESOURCES } from '../jobs/free-capacity.js';
+import {
+  computeMaximum,
+  computeMinimum,
+  isSameCapacity,
+  NO_RESOURCES,
+} from '../jobs/free-capacity.js';
 import { addResources, subtractResources } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import { computeAllotments, type PoolUse } from './compute-allotments.js';
@@ -25,6 +30,8 @@
    * contains all that may have been.
    */
   readonly isSettled: boolean;
+  /** Number of the planner, which none before it in the pool has; absent in earlier versions. */
+  readonly planner?: number | undefined;
 }
 
 /** What is sent to the planner of a pool about one team. */
@@ -48,6 +55,8 @@
     pools: readonly string[],
     nowMs: number,
   ) => ReadonlyMap<string, Readonly<Record<string, TeamShare>>>;
+  /** Gets the number of the planner that answered last; undefined if that is not known. */
+  readonly getPlanner: (pool: string) => number | undefined;
   /** Takes in the answer of a pool's planner. */
   readonly observeReport: (pool: string, report: PoolReport) => void;
 }
@@ -85,18 +94,44 @@
   jobsPerSecond: 0,
 };
 
+/**
+ * Rounds without an answer after which no other pool gives way to a pool; what is in force there
+ * stays counted.
+ */
+const MAX_UNANSWERED_ROUNDS = 2;
+
 /** Creates the ledger of a holder that starts at the monotonic time `startedMs`. */
 export function createAllotmentLedger(startedMs: number): AllotmentLedger {
   /** Teams by pool, for the pools that have answered. */
   const reportsByPool = new Map<string, Map<string, TeamReport>>();
-  const findUses = (team: string, pools: readonly string[]): ReadonlyMap<string, TeamReport> =>
+  /** Numbers of the planners that answered last, by pool. */
+  const planners = new Map<string, number | undefined>();
+  /** When a team was last seen to use anything in a pool, by pool and team. */
+  const lastUsedMs = new Map<string, number>();
+  /** Rounds since a pool last answered. */
+  const unansweredRounds = new Map<string, number>();
+  const isUnanswered = (pool: string) => (unansweredRounds.get(pool) ?? 0) > MAX_UNANSWERED_ROUNDS;
+  /** Computes for how long a team has used nothing in a pool. */
+  const computeIdleMs = (pool: string, team: string, used: Resources, nowMs: number) => {
+    const key = `${pool}/${team}`;
+    if (!isSameCapacity(used, NO_RESOURCES)) lastUsedMs.set(key, nowMs);
+    return nowMs - (lastUsedMs.get(key) ?? startedMs);
+  };
+  const findUses = (
+    team: string,
+    pools: readonly string[],
+    nowMs: number,
+  ): ReadonlyMap<string, TeamReport> =>
     new Map(
       pools.flatMap((pool) => {
         const reports = reportsByPool.get(pool);
         const isSmall = pools.length <= MAX_POOLS_FOR_ALL;
         const report =
           reports?.get(team) ?? (isSmall && reports !== undefined ? NO_USE : undefined);
-        return report === undefined ? [] : [[pool, report] as const];
+        if (report === undefined) return [];
+        const wanted = isUnanswered(pool) ? report.used : report.wanted;
+        const idleMs = computeIdleMs(pool, team, report.used, nowMs);
+        return [[pool, { ...report, wanted, idleMs }] as const];
       }),
     );
   const recordSent = (pool: string, team: string, report: TeamReport, allotment: Resources) => {
@@ -108,8 +143,9 @@
       const hasAllAnswered = pools.every((pool) => reportsByPool.has(pool));
       const mayRaise = hasAllAnswered || nowMs - startedMs > LEARN_MS;
       const messages = new Map<string, Record<string, TeamShare>>(pools.map((pool) => [pool, {}]));
+      pools.forEach((pool) => unansweredRounds.set(pool, (unansweredRounds.get(pool) ?? 0) + 1));
       teams.forEach(({ name, limit }) => {
-        const uses = findUses(name, pools);
+        const uses = findUses(name, pools, nowMs);
         const allotments = computeAllotments(limit, uses, mayRaise);
         const total = [...uses.values()].reduce((sum, { jobsPerSecond }) => sum + jobsPerSecond, 0);
         uses.forEach((report, pool) => {
@@ -123,7 +159,10 @@
       });
       return messages;
     },
-    observeReport: (pool, { teams, isSettled }) => {
+    getPlanner: (pool) => planners.get(pool),
+    observeReport: (pool, { teams, isSettled, planner }) => {
+      planners.set(pool, planner);
+      unansweredRounds.delete(pool);
       const before = reportsByPool.get(pool);
       const reports = Object.entries(teams).map(([team, report]) => {
         const known = before?.get(team);
--- a/packages/vanilladock/src/test/jobs/progress.test.ts
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -3,7 +3,16 @@
 import { suite } from 'uvu';
 import type { CrashRecord } from '../../lib/jobs/crash-evidence.js';
 import { decodeProgress, encodeProgress, type Progress } from '../../lib/jobs/progress.js';
-import { createHarness, makeJob, makeStep, POLICY, WALL_MS } from './planner-harness.js';
+import {
+  createHarness,
+  makeEnd,
+  makeEntry,
+  makeJob,
+  makeStep,
+  POLICY,
+  POOL,
+  WALL_MS,
+} from './planner-harness.js';
 
 /** Largest number of tasks that a submission may have. */
 const MAX_TASKS = 10_000;
@@ -52,6 +61,52 @@
   assert.equal(read.get('0.0.9999'), crashes);
 });
 
+// Guards against the same for a job whose tasks have nearly all failed several times.
+test('the progress of the largest job fits into a record when its tasks have failed', () => {
+  const { planner, at } = createHarness({ runBase: 100 });
+  const spec = makeJob('a', [makeStep({ count: MAX_TASKS })]);
+  const suffixes = Array.from({ length: MAX_TASKS }, (_, index) => `0.0.${index}`);
+  const failedRuns = new Map(
+    suffixes.slice(10).map((suffix) => [suffix, [10_101, 10_202, 10_303]]),
+  );
+  const done = new Set(suffixes.slice(0, 10));
+  const record = { spec, policy: POLICY, acceptedAtMs: WALL_MS };
+  planner.loadJob(record, { ...ACTIVE, failedRuns, done }, at(0));
+  const text = encodeProgress(planner.table.jobs.get('a')!, planner.table.listJobTasks('a'));
+  assert.ok(text.length < RECORD_BYTES, `${text.length} bytes`);
+  assert.equal(decodeProgress(text).done, done);
+});
+
+// Guards against the same for a job with an occurrence each second for days.
+test('the progress of a job does not grow with its finished occurrences', () => {
+  const { planner, at } = createHarness({ runBase: 100 });
+  const change = { repeatCount: 200_000, startAtMs: WALL_MS + 1_000, intervalMs: 1 };
+  const record = { spec: makeJob('a', undefined, change), policy: POLICY, acceptedAtMs: WALL_MS };
+  const occurrencesDone = new Set(Array.from({ length: 100_000 }, (_, number) => number));
+  occurrencesDone.add(100_007);
+  planner.loadJob(record, { ...ACTIVE, occurrencesDone }, at(0));
+  const text = encodeProgress(planner.table.jobs.get('a')!, []);
+  assert.ok(text.length < 200, `${text.length} bytes`);
+  assert.equal(decodeProgress(text).occurrencesDone, occurrencesDone);
+});
+
+// Guards against the same for a job that lasts for days and whose tasks fail now and then.
+test('the progress of a lasting job does not grow with the failures of its tasks', () => {
+  const { report, submit, addWorkers, store, stored } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ isLasting: true })]), 1);
+  const countBytes = (failures: number) => {
+    const ends = Array.from({ length: failures }, (_, index) =>
+      makeEnd(index + 1, 'a.0.0.0', index + 1, 'failed'),
+    );
+    report('w1', failures, [], ends);
+    store();
+    return stored.get(`${POOL}:a:p`)!.length;
+  };
+  const once = countBytes(1);
+  assert.ok(countBytes(500) < once + 10);
+});
+
 test('crashes are read as they were stored, in their order, also from old records', () => {
   const first = makeCrash('w1', { suspicion: 'recent', isConfirmed: false });
   const second = makeCrash('w2', { suspicion: 'earlier', isAlone: true });
