--- a/packages/vanilladock/src/lib/shutdown/shutdown-plan.ts
+++ b/packages/vanilladock/src/lib/shutdown/shutdown-plan.ts
@@ -102,11 +102,13 @@
 
 /**
  * Computes how long, in ms, what has arrived may still be read and answered before the connections
- * are closed: as long as answers are given, or, when the calls have taken that time, until the close.
+ * are closed. A process that needs the time has little processor time: it has found the signal late,
+ * and closes slowly, so that it keeps a reserve twice; one that has come here late has one of them.
  */
 export function computeReadingMs(plan: ShutdownPlan, nowMs: number): number {
-  const readsUntilMs = nowMs < plan.answersByMs ? plan.answersByMs : plan.closesByMs;
-  return Math.max(0, readsUntilMs - nowMs);
+  const reserveMs = plan.closesByMs - plan.answersByMs;
+  const lateUntilMs = Math.min(nowMs + reserveMs, plan.closesByMs);
+  return Math.max(0, Math.max(plan.answersByMs - reserveMs, lateUntilMs) - nowMs);
 }
 
 /** Decides the next step of a stop; 'close' ends it. */
