Tell of stops under way over more than one take-over

What callers would see: a lasting task is moved while another one of its step is being stopped, so that more of them are away than the step allows (AVAIL), when instances are stopped one after the other. Not seen on a deployment.

Cause: a planner hands over the runs whose stop it has ordered. One that was told of them and ended before their worker reported did not pass them on; and one that was told after the first reports had taken these runs for running, and did not look at them again. Evidence: both new cases of hand-over.test.ts fail on the code before: the plan stops the task on w22 where only the stop on w1 is repeated. Fix: what was told is told again while a worker has not reported and the task is not known to run; a hand-over also marks runs that were adopted before it.

--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -82,7 +82,7 @@
   readonly findTask: (taskKey: string) => Task | undefined;
   readonly inheritance: Pick<
     Inheritance,
-    'listUnreported' | 'getLastOrderMs' | 'getPredecessorUntilMs' | 'getTeamUse'
+    'listUnreported' | 'listStoppedRuns' | 'getLastOrderMs' | 'getPredecessorUntilMs' | 'getTeamUse'
   >;
   readonly jobs: ReadonlyMap<string, Job>;
   readonly allotments: ToldAllotments | undefined;
@@ -147,14 +147,21 @@
   return [...leases.values()];
 }
 
-/** Lists the runs whose stop was ordered and whose end is not known. */
-function listStoppedRuns({ workers, findTask }: HandOverSources): RunName[] {
+/**
+ * Lists the runs whose stop was ordered and whose end is not known, by this planner or by one before
+ * it, as long as no report has shown this one where they are.
+ */
+function listStoppedRuns({ workers, findTask, inheritance }: HandOverSources): RunName[] {
+  const unseen = inheritance
+    .listStoppedRuns()
+    .filter(({ taskKey }) => findTask(taskKey)?.state.kind === 'waiting');
   const taskKeys = [...workers.values()].flatMap(({ tasks }) => [...tasks]);
-  return taskKeys.flatMap((taskKey) => {
+  const own = taskKeys.flatMap((taskKey) => {
     const state = findTask(taskKey)?.state;
     const isStopping = state?.kind === 'assigned' && state.phase === 'stopping';
     return isStopping ? [{ taskKey, run: state.run }] : [];
   });
+  return [...unseen, ...own];
 }
 
 /** Makes the hand-over of a planner that stops at the monotonic time `nowMs`. */
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -47,6 +47,8 @@
   readonly observeHandOver: (timed: TimedHandOver) => void;
   /** Says whether the preceding planner has ordered the stop of a run. */
   readonly wasStopped: (run: RunName) => boolean;
+  /** Lists these runs while some of them may be on workers that have not reported. */
+  readonly listStoppedRuns: () => readonly RunName[];
   /** Returns until when earlier planners may send orders; in the past once they may not. */
   readonly getPredecessorUntilMs: () => number;
   /** Returns when earlier planners may last extend the lease of a worker that has not reported. */
@@ -171,6 +173,8 @@
         });
     },
     wasStopped: ({ taskKey, run }) => stoppedRuns.get(taskKey) === run,
+    listStoppedRuns: () =>
+      unreported.size === 0 ? [] : [...stoppedRuns].map(([taskKey, run]) => ({ taskKey, run })),
     getPredecessorUntilMs: () => predecessorUntilMs,
     getLastOrderMs,
     getTeamUse: (workerId) => {
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -3,11 +3,12 @@
  * shows whether the worker has it.
  */
 import type { OrderOutcome, Rejection } from '../ports/task-workers.js';
+import type { RunName } from './hand-over.js';
 import { estimateWorkerMs, hasClockRestarted, MAX_LEASE_MS } from './lease-clock.js';
 import type { StartAction } from './plan-starts.js';
 import type { StopAction } from './plan-stops.js';
 import type { PoolContext } from './pool-context.js';
-import { releaseUnendedRun } from './run-release.js';
+import { isAdopted, releaseUnendedRun } from './run-release.js';
 import { makeStepKey } from './spec.js';
 import { makeAvoidance, type Moment, type Task } from './state.js';
 import { stopOtherMembers } from './stop-gang.js';
@@ -169,3 +170,12 @@
   if (task.state.run !== action.run || outcome.kind !== 'accepted') return;
   table.moveTask(task, { ...task.state, stopAnsweredMs: at.nowMs });
 }
+
+/** Records that the planner before has ordered the stop of runs; those adopted before are known. */
+export function observeStoppedRuns({ table }: PoolContext, runs: readonly RunName[]): void {
+  runs.forEach(({ taskKey, run }) => {
+    const task = table.findTask(taskKey);
+    if (task?.state.kind !== 'assigned' || task.state.run !== run) return;
+    if (isAdopted(task.state)) table.moveTask(task, { ...task.state, phase: 'stopping' });
+  });
+}
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -14,7 +14,7 @@
 import { createInheritance } from './inheritance.js';
 import { createJobIntake } from './job-intake.js';
 import { dropFinishedJobs, openDueOccurrences, openLoadedOccurrences } from './job-lifecycle.js';
-import { observeStart, observeStop } from './observe-orders.js';
+import { observeStart, observeStop, observeStoppedRuns } from './observe-orders.js';
 import { observeReport } from './observe-report.js';
 import { createMeanWork } from './mean-work.js';
 import { planPaces } from './pace.js';
@@ -193,7 +193,8 @@
     observePredecessorStopped: inheritance.observePredecessorStopped,
     observeHandOver: (timed) => {
       inheritance.observeHandOver(timed);
-      const { allotments } = timed.handOver;
+      const { allotments, stoppedRuns = [] } = timed.handOver;
+      observeStoppedRuns(context, stoppedRuns);
       if (allotments !== undefined) teams.applyTold(allotments, timed.atMs);
     },
     computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
--- a/packages/vanilladock/src/test/jobs/hand-over.test.ts
+++ b/packages/vanilladock/src/test/jobs/hand-over.test.ts
@@ -137,38 +137,81 @@
   assert.is(isStarting(harness, LONG_LEASE_END_MS - 1_000), true);
 });
 
-// Guards against a lasting task that is moved while another one of its step is being stopped.
-test('a run that the planner before has ordered to stop does not count as at work', () => {
-  const step = makeStep({ count: 2, isLasting: true, maxUnavailable: 1, maxPerWorker: 1 });
-  const first = createHarness();
-  first.addWorkers(0, ...ENTRIES);
-  first.submit(makeJob('b', [step]), 1);
-  const starts = first.planStarts(2);
-  first.accept(starts, 3);
+/** Step of two lasting tasks of which one at a time may be away. */
+const PAIR = makeStep({ count: 2, isLasting: true, maxUnavailable: 1, maxPerWorker: 1 });
+const PAIR_WORKERS = [...ENTRIES, makeEntry('w333')];
+const PAIR_WORKER_IDS = PAIR_WORKERS.map(({ id }) => id);
+
+/** Opens a planner that has ordered the stop of one task of a pair, at 12, which goes on. */
+const openStopping = () => {
+  const harness = createHarness();
+  harness.addWorkers(0, ...ENTRIES);
+  harness.submit(makeJob('b', [PAIR]), 1);
+  const starts = harness.planStarts(2);
+  harness.accept(starts, 3);
   const rows = new Map(
     starts.map(({ worker, taskKey, run }) => [worker.id, makeRow(taskKey, run, { percent: 100 })]),
   );
-  const third = makeEntry('w333');
-  const addThird = ({ planner, at, report }: Harness, nowMs: number) => {
-    planner.observeWorkers([...ENTRIES, third], at(nowMs));
-    planner.markWorkersRecorded(['w1', 'w22', 'w333']);
+  /** Lists all workers to a planner and has them report to it. */
+  const reportAll = ({ planner, at, report }: Harness, nowMs: number) => {
+    planner.observeWorkers(PAIR_WORKERS, at(nowMs));
+    planner.markWorkersRecorded(PAIR_WORKER_IDS);
     ['w1', 'w22'].forEach((id) => report(id, nowMs, [rows.get(id)!]));
     report('w333', nowMs);
   };
-  addThird(first, 10);
-  first.planner.evacuate('w1', first.at(11));
-  const stops = first.planner.plan(first.at(12)).filter(({ kind }) => kind === 'stop');
-  assert.is(stops.length, 1);
-  const second = createHarness({ runBase: 100, inheritedWorkers: ['w1', 'w22', 'w333'] });
-  const record = { spec: makeJob('b', [step]), policy: POLICY, acceptedAtMs: WALL_MS };
-  second.planner.loadJob(record, undefined, second.at(0));
+  reportAll(harness, 10);
+  harness.planner.evacuate('w1', harness.at(11));
+  assert.equal(listStops(harness, 12), ['w1']);
+  return { ...harness, reportAll };
+};
+
+/** Opens a planner that loads the pair at 0. */
+const openNext = () => {
+  const harness = createHarness({
+    runBase: 100,
+    inheritedWorkers: PAIR_WORKER_IDS,
+    hasPredecessor: true,
+  });
+  const record = { spec: makeJob('b', [PAIR]), policy: POLICY, acceptedAtMs: WALL_MS };
+  harness.planner.loadJob(record, undefined, harness.at(0));
+  return harness;
+};
+
+/** Lists the workers on which a plan stops tasks. */
+const listStops = ({ planner, at }: Harness, nowMs: number) =>
+  planner.plan(at(nowMs)).flatMap((action) => (action.kind === 'stop' ? [action.worker.id] : []));
+
+// Guards against a lasting task that is moved while another one of its step is being stopped.
+test('a run that the planner before has ordered to stop does not count as at work', () => {
+  const first = openStopping();
+  const second = openNext();
   second.planner.observeHandOver({ handOver: first.planner.makeHandOver(TOKEN, 13), atMs: 1 });
-  addThird(second, 5);
+  first.reportAll(second, 5);
   second.planner.evacuate('w22', second.at(6));
-  const again = second.planner
-    .plan(second.at(7))
-    .flatMap((action) => (action.kind === 'stop' ? [action.worker.id] : []));
-  assert.equal(again, ['w1'], 'the stop of before alone, once more');
+  assert.equal(listStops(second, 7), ['w1'], 'the stop of before alone, once more');
+});
+
+test('a planner that ends before any report tells of the stops that it was told of', () => {
+  const first = openStopping();
+  const second = openNext();
+  second.planner.observeHandOver({ handOver: first.planner.makeHandOver(TOKEN, 13), atMs: 1 });
+  const third = openNext();
+  const told = second.planner.makeHandOver(TOKEN + 1, 100);
+  third.planner.observeHandOver({ handOver: told, atMs: 1 });
+  first.reportAll(third, 5);
+  third.planner.evacuate('w22', third.at(6));
+  assert.equal(listStops(third, 7), ['w1']);
+  assert.is(third.planner.makeHandOver(TOKEN + 2, 8).stoppedRuns?.length, 1, 'told once');
+});
+
+test('a hand-over that comes after the first reports tells of the stops too', () => {
+  const first = openStopping();
+  const second = openNext();
+  first.reportAll(second, 5);
+  second.planner.observeHandOver({ handOver: first.planner.makeHandOver(TOKEN, 13), atMs: 20 });
+  first.reportAll(second, 30);
+  second.planner.evacuate('w22', second.at(31));
+  assert.equal(listStops(second, 32), ['w1']);
 });
 
 test('a hand-over does not bring back a worker that has reported', () => {
