Let waits for the end of a long lease go on over planners

What callers would see: lasting tasks stand, and accepted jobs do not begin, although their workers answer, when workers restart beside a series of stops of instances (LOST).

Each planner took that lease for 10 s from its own first report, as the record of before says that it is long, or names another incarnation; so no planner that lives for less than 6.3 s ever used a worker that had restarted. Fix: a planner tells the next one the end of such a lease on the clock of the worker's incarnation. It is the latest end that any order has named, also for an incarnation that is not known yet, and does not move; a planner without a report passes it on. With it no task of these series stands for more than 9 s. A new case for the rest of such a lease fails if it is taken for a short one.

--- a/packages/daemon/src/test/stop-series.ts
+++ b/packages/daemon/src/test/stop-series.ts
@@ -44,6 +44,10 @@
 /** When the calls to a worker are cut off, after the first stop. */
 const CUT_AT_MS = 8 * SECOND_MS;
 
+/** When the workers of the first pool restart, after the first stop, and for how long each is down. */
+const RESTARTS_AT_MS = [2_000, 3_500, 5_000, 6_500] as const;
+const RESTART_MS = 800;
+
 /** A stop at a time after the calm start. */
 interface Stop {
   readonly atMs: number;
@@ -57,6 +61,8 @@
   readonly stops: readonly Stop[];
   /** Whether a worker answers no calls from `CUT_AT_MS` on. */
   readonly isWorkerCut: boolean;
+  /** Whether the workers of the first pool restart one after the other. */
+  readonly hasRestarts?: boolean;
 }
 
 /** What a series has led to. */
@@ -98,7 +104,7 @@
     (_, index) => index * intervalMs,
   ).flatMap((atMs) => INSTANCES.map((instance) => ({ atMs, instance })));
 
-const runSeries = async ({ seed, jobs, stops, isWorkerCut }: Series): Promise<Finding> => {
+const runSeries = async ({ seed, jobs, stops, ...faults }: Series): Promise<Finding> => {
   const clock = createMovingClock();
   try {
     const simulation = createInstanceSimulation({ seed });
@@ -113,6 +119,11 @@
     for (let atMs = 0; atMs < endMs; atMs += BATCH_INTERVAL_MS) {
       setTimeout(() => void simulation.submitBatch(), atMs);
     }
+    const { isWorkerCut, hasRestarts = false } = faults;
+    const restartsAtMs = hasRestarts ? RESTARTS_AT_MS : [];
+    restartsAtMs.forEach((atMs, index) =>
+      setTimeout(() => void places.restart(index, RESTART_MS, 100), atMs),
+    );
     if (isWorkerCut) setTimeout(() => places.setLost(0, 'orders'), CUT_AT_MS);
     await clock.tickAsync(endMs + RECOVERY_MS);
     const gaps = places.listGaps();
@@ -171,6 +182,11 @@
     ),
   );
 
+export const listSeriesWithRestarts = (): ReadonlyMap<string, Series> =>
+  new Map(
+    [...listSeriesInTurn(false)].map(([name, series]) => [name, { ...series, hasRestarts: true }]),
+  );
+
 export const listSeriesOfRounds = (isWorkerCut: boolean): ReadonlyMap<string, Series> =>
   new Map(
     JOB_COUNTS.flatMap((jobs) =>
--- a/packages/daemon/src/test/stops-in-series.test.ts
+++ b/packages/daemon/src/test/stops-in-series.test.ts
@@ -6,6 +6,7 @@
   listSeriesInTurn,
   listSeriesOfRounds,
   listSeriesTogether,
+  listSeriesWithRestarts,
 } from './stop-series.js';
 
 const test = suite('stops in series');
@@ -25,4 +26,9 @@
   assert.equal(await listFaults(listSeriesTogether(false)), []);
 });
 
+// Guards against restarted workers that get no tasks as each planner takes their leases for long anew.
+test('lasting tasks run again within 9 s while workers restart beside a series of stops', async () => {
+  assert.equal(await listFaults(listSeriesWithRestarts()), []);
+});
+
 test.run();
--- a/packages/vanilladock/src/lib/jobs/first-lease.ts
+++ b/packages/vanilladock/src/lib/jobs/first-lease.ts
@@ -1,6 +1,6 @@
 /** Bounds the lease that a worker may hold when it first reports to a planner. */
 import type { Inheritance } from './inheritance.js';
-import { CLOCK_DRIFT, MAX_LEASE_MS } from './lease-clock.js';
+import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { TimedReport } from './observe-report.js';
 import type { Worker } from './state.js';
 
@@ -19,13 +19,19 @@
  * rejects the orders of earlier planners.
  */
 export function computeFirstLease(
-  inheritance: Pick<Inheritance, 'computeForeignLeaseMs'>,
+  inheritance: Pick<Inheritance, 'computeForeignLeaseMs' | 'findLeaseEnd'>,
   worker: Worker,
   timed: TimedReport,
 ): number {
   const { id, bornMs } = worker.entry;
-  const longestMs = hasEarlierLease(worker, timed)
-    ? MAX_LEASE_MS
-    : inheritance.computeForeignLeaseMs(id, bornMs);
-  return timed.report.clockMs + longestMs;
+  const { clockMs } = timed.report;
+  const longestMs = clockMs + MAX_LEASE_MS;
+  if (hasEarlierLease(worker, timed)) return longestMs;
+  // Since its report to the planner that tells, orders of those before have had no effect; this end is
+  // the latest that any order has named.
+  const told = inheritance.findLeaseEnd(id, bornMs);
+  if (told !== undefined) {
+    return Math.min(longestMs, Math.max(told.leaseUntilMs, clockMs + LEASE_MS));
+  }
+  return clockMs + inheritance.computeForeignLeaseMs(id, bornMs);
 }
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -9,7 +9,13 @@
 import { toldAllotmentsSchema, type ToldAllotments } from '../teams/team-budget.js';
 import { addTeamUse, sumTeamUse, type TeamUse } from '../teams/team-usage.js';
 import type { Inheritance } from './inheritance.js';
-import { leaseHolderSchema, makeLeaseHolder, type LeaseHolder } from './lease-holder.js';
+import { LEASE_MS } from './lease-clock.js';
+import {
+  hasLongLease,
+  leaseHolderSchema,
+  makeLeaseHolder,
+  type LeaseHolder,
+} from './lease-holder.js';
 import type { Job, Task, Worker } from './state.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
@@ -31,6 +37,11 @@
   readonly earlierOrdersMs: number;
   /** All workers that may run something, list ends that are not stored, or have not reported. */
   readonly leases: readonly HeldLease[];
+  /**
+   * Ends of leases that are longer than orders name, of workers that have reported; absent in those
+   * of earlier versions.
+   */
+  readonly longLeases?: readonly LeaseEnd[] | undefined;
   /** Runs of which a stop is on its way; absent in those of earlier versions. */
   readonly stoppedRuns?: readonly RunName[] | undefined;
   /**
@@ -47,6 +58,14 @@
   readonly passedOnBy?: number | undefined;
 }
 
+/** Latest end of a worker's lease, on the clock of its incarnation, in milliseconds. */
+export interface LeaseEnd {
+  readonly id: string;
+  /** Start of the incarnation, in milliseconds since 1970. */
+  readonly bornMs: number;
+  readonly leaseUntilMs: number;
+}
+
 /** A run of a task. */
 export interface RunName {
   readonly taskKey: string;
@@ -69,6 +88,9 @@
       teamUse: z.record(z.string(), resourcesSchema).optional(),
     }),
   ),
+  longLeases: z
+    .array(z.object({ id: z.string(), bornMs: z.number(), leaseUntilMs: z.number() }))
+    .optional(),
   stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
   fleetOrderAgoMs: z.number().optional(),
   allotments: toldAllotmentsSchema.optional(),
@@ -82,7 +104,13 @@
   readonly findTask: (taskKey: string) => Task | undefined;
   readonly inheritance: Pick<
     Inheritance,
-    'listUnreported' | 'listStoppedRuns' | 'getLastOrderMs' | 'getPredecessorUntilMs' | 'getTeamUse'
+    | 'listUnreported'
+    | 'findLeaseEnd'
+    | 'computeForeignLeaseMs'
+    | 'listStoppedRuns'
+    | 'getLastOrderMs'
+    | 'getPredecessorUntilMs'
+    | 'getTeamUse'
   >;
   readonly jobs: ReadonlyMap<string, Job>;
   readonly allotments: ToldAllotments | undefined;
@@ -164,6 +192,20 @@
   return [...unseen, ...own];
 }
 
+/**
+ * Lists the ends of long leases that are known to this planner or to those before it, also of leases
+ * that are no longer long while the stored record may say so.
+ */
+function listLongLeases({ workers, inheritance }: HandOverSources, nowMs: number): LeaseEnd[] {
+  return [...workers.values()].flatMap((worker) => {
+    const { id, bornMs } = worker.entry;
+    if (worker.clock === undefined) return inheritance.findLeaseEnd(id, bornMs) ?? [];
+    const isRecorded = inheritance.computeForeignLeaseMs(id, bornMs) > LEASE_MS;
+    const isTold = isRecorded || hasLongLease(worker, nowMs);
+    return isTold ? [{ id, bornMs, leaseUntilMs: worker.leaseUntilMs }] : [];
+  });
+}
+
 /** Makes the hand-over of a planner that stops at the monotonic time `nowMs`. */
 export function makeHandOver(sources: HandOverSources, nowMs: number): HandOver {
   const untilMs = sources.inheritance.getPredecessorUntilMs();
@@ -171,6 +213,7 @@
     token: sources.token,
     earlierOrdersMs: Math.max(0, untilMs - nowMs),
     leases: listLeases(sources, nowMs),
+    longLeases: listLongLeases(sources, nowMs),
     stoppedRuns: listStoppedRuns(sources),
     allotments: sources.allotments,
   };
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -1,6 +1,6 @@
 /** Tracks until when tasks of an earlier planner may still run or start unseen on workers. */
 import { SUCCESSION_MS } from '../duties/authority.js';
-import type { RunName, TimedHandOver } from './hand-over.js';
+import type { LeaseEnd, RunName, TimedHandOver } from './hand-over.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
 import type { TeamUse } from '../teams/team-usage.js';
@@ -78,6 +78,11 @@
   readonly countUnseen: (nowMs: number) => number;
   /** Computes the longest lease that earlier planners may have given an incarnation. */
   readonly computeForeignLeaseMs: (workerId: string, bornMs: number) => number;
+  /**
+   * Finds the latest end of the lease of an incarnation that has reported to an earlier planner, as
+   * the preceding one tells; undefined if it tells none.
+   */
+  readonly findLeaseEnd: (workerId: string, bornMs: number) => LeaseEnd | undefined;
   /** Lists the workers that may hold a lease from an earlier planner and have not reported. */
   readonly listUnreported: () => readonly LeaseHolder[];
 }
@@ -109,6 +114,7 @@
   const teamUses = new Map<string, TeamUse>();
   /** Runs that the preceding planner has ordered to stop, by task key. */
   const stoppedRuns = new Map<string, number>();
+  const leaseEnds = new Map<string, LeaseEnd>();
   let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
 
   const getLastOrderMs = (workerId: string) => orderedMs.get(workerId) ?? predecessorUntilMs;
@@ -162,6 +168,7 @@
       predecessorUntilMs = Math.min(predecessorUntilMs, atMs + handOver.earlierOrdersMs);
       const reportedIds = new Set([...inherited.keys()].filter((id) => !unreported.has(id)));
       handOver.stoppedRuns?.forEach(({ taskKey, run }) => stoppedRuns.set(taskKey, run));
+      handOver.longLeases?.forEach((end) => leaseEnds.set(end.id, end));
       unreported.clear();
       longLeases.clear();
       handOver.leases
@@ -202,6 +209,10 @@
       const isLong = holder?.longLeaseTasks !== undefined || hasOtherIncarnation(holder, bornMs);
       return isLong ? MAX_LEASE_MS : LEASE_MS;
     },
+    findLeaseEnd: (workerId, bornMs) => {
+      const found = leaseEnds.get(workerId);
+      return found?.bornMs === bornMs ? found : undefined;
+    },
     listUnreported: () => [...unreported.values()],
   };
 }
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -274,7 +274,7 @@
  */
 export function observeReport(
   context: PoolContext,
-  inheritance: Pick<Inheritance, 'computeForeignLeaseMs' | 'wasStopped'>,
+  inheritance: Pick<Inheritance, 'computeForeignLeaseMs' | 'findLeaseEnd' | 'wasStopped'>,
   workerId: string,
   timed: TimedReport,
   at: Moment,
--- a/packages/vanilladock/src/test/jobs/long-leases.test.ts
+++ b/packages/vanilladock/src/test/jobs/long-leases.test.ts
@@ -4,6 +4,7 @@
  */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
+import type { HandOver } from '../../lib/jobs/hand-over.js';
 import { LEASE_MS, MAX_LEASE_MS } from '../../lib/jobs/lease-clock.js';
 import { isCovered, type LeaseHolder } from '../../lib/jobs/lease-holder.js';
 import type { RunningTask } from '../../lib/ports/task-workers.js';
@@ -204,4 +205,74 @@
   assert.not(isCovered({ id: 'w1', bornMs: 2 }, undefined));
 });
 
+/** Takes jobs over at 0 on `w1` alone, whose second incarnation answers, from a planner that tells. */
+const takeOverFrom = (inheritedWorkers: readonly LeaseHolder[], handOver: HandOver) => {
+  const harness = createHarness({ runBase: 100, inheritedWorkers, hasPredecessor: true });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  harness.planner.loadJob(record, undefined, harness.at(0));
+  harness.planner.observeHandOver({ handOver, atMs: 0 });
+  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], harness.at(0));
+  harness.planner.markWorkersRecorded(['w1']);
+  return harness;
+};
+
+/** Reports `w1`'s second incarnation with its clock. */
+const reportAt = (
+  { planner, at }: Harness,
+  nowMs: number,
+  clockMs: number,
+  running: readonly RunningTask[] = [],
+) => {
+  const report = { bornMs: 2, clockMs, running, ended: [] };
+  planner.observeReport('w1', { report, sentMs: nowMs, receivedMs: nowMs }, at(nowMs));
+};
+
+const NOTHING: HandOver = { token: 1, earlierOrdersMs: 0, leases: [] };
+
+// Guards against a restarted worker that gets no tasks while planners follow each other.
+test('the wait for the end of a long lease goes on over planners', () => {
+  const isStarting = (harness: Harness, nowMs: number, clockMs: number) => {
+    reportAt(harness, nowMs, clockMs);
+    return harness.planStarts(nowMs).length > 0;
+  };
+  const first = takeOverFrom([{ id: 'w1', bornMs: 1 }], NOTHING);
+  assert.is(isStarting(first, 10, 1_000), false);
+  assert.is(isStarting(first, 3_000, 3_990), false);
+  const told = first.planner.makeHandOver(2, 3_000);
+  // The second one ends before any report.
+  const second = takeOverFrom(first.planner.listLeaseHolders(3_000), told);
+  const third = takeOverFrom(
+    second.planner.listLeaseHolders(100),
+    second.planner.makeHandOver(3, 100),
+  );
+  assert.is(isStarting(third, 10, 4_100), false);
+  assert.is(isStarting(third, 2_700, 6_790), false, 'a successor would not wait for this lease');
+  const last = takeOverFrom(
+    third.planner.listLeaseHolders(2_700),
+    third.planner.makeHandOver(4, 2_700),
+  );
+  assert.is(isStarting(last, 100, 6_950), true, 'first report at 1,000, lease until 11,000');
+});
+
+// Guards against a task that runs twice, as the rest of a lease is taken for a short one.
+test('a run on a worker whose long lease was told is kept until that ends', () => {
+  const first = takeOverFrom([{ id: 'w1', bornMs: 1 }], NOTHING);
+  const row = makeRow(TASK, 1);
+  reportAt(first, 10, 1_000, [row]);
+  const told = first.planner.makeHandOver(2, 500);
+  const second = takeOverFrom(first.planner.listLeaseHolders(500), told);
+  reportAt(second, 10, 1_500, [row]);
+  const listed = [makeEntry('w1', { bornMs: 2 }), makeEntry('w22')];
+  second.planner.observeWorkers(listed, second.at(20));
+  second.planner.markWorkersRecorded(['w22']);
+  second.report('w22', 20);
+  second.planner.observeMissedReport('w1', second.at(700));
+  const isStarting = (nowMs: number) => {
+    second.report('w22', nowMs);
+    return second.planStarts(nowMs).length > 0;
+  };
+  assert.is(isStarting(9_510), false, 'the lease ends at 11,000 on a clock that was at 1,500');
+  assert.is(isStarting(9_990), true);
+});
+
 test.run();
