Say what waits, and why, when a planner ends

The review of the incident measured that all 7 to 21 planners of a pool logged `pool-released` with phase `settled` while 8 tasks stood for 24 to 27 s: their workers were excluded (`long-lease`), which nothing added up, and `queue-stands` needs 2 s within one planner. So logs could not tell that cause from a wait for predecessors.

`pool-released` now has the waiting tasks and the workers by the reason of their exclusion, one line a planner as before. The new test fails on the code before (undefined instead of 1 waiting task).

--- a/packages/daemon/src/lib/jobs/pool-runner.ts
+++ b/packages/daemon/src/lib/jobs/pool-runner.ts
@@ -82,7 +82,7 @@
     subscription?.unsubscribe();
     loops.stop();
     stateWriter.stop();
-    settlingLog.logEnd(performance.now());
+    settlingLog.logEnd(planner, performance.now());
     guard.wrap('hand-over', recordTelling)();
   };
   const handleLoss = (why: string) => {
--- a/packages/daemon/src/lib/jobs/settling-log.ts
+++ b/packages/daemon/src/lib/jobs/settling-log.ts
@@ -1,8 +1,10 @@
 /**
  * Logs how long the inherited jobs of a pool wait for what earlier planners ordered, also when the
- * planner ends before they may go on, so that waits can be added up over successive planners.
+ * planner ends before they may go on, and what else stands when it ends, so that waits can be added
+ * up over successive planners.
  */
 import type { InheritanceWaits } from 'vanilladock/lib/jobs/inheritance.js';
+import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
 import type { JsonLog } from '../json-log.js';
 
 /** Pool and claim of a planner. */
@@ -18,8 +20,8 @@
 export interface SettlingLog {
   /** Records what inherited jobs wait for; they wait for nothing any more if it is undefined. */
   readonly observeWaits: (waits: InheritanceWaits | undefined, nowMs: number) => void;
-  /** Logs the end of the planner. */
-  readonly logEnd: (nowMs: number) => void;
+  /** Logs the end of the planner, which may not have loaded its jobs. */
+  readonly logEnd: (planner: Pick<PoolPlanner, 'getFigures'> | undefined, nowMs: number) => void;
 }
 
 /** Greatest number of worker ids in one line. */
@@ -47,10 +49,20 @@
       const waitedMs = Math.round(nowMs - claimedMs);
       log.info({ event: 'pool-settled', pool, token, waitedMs, ...makeFields() });
     },
-    logEnd: (nowMs) => {
+    logEnd: (planner, nowMs) => {
       const heldMs = Math.round(nowMs - claimedMs);
       const waits = phase === 'waiting' ? makeFields() : {};
-      log.info({ event: 'pool-released', pool, token, phase, heldMs, ...waits });
+      const { waitingTasks, workers } = planner?.getFigures(nowMs) ?? {};
+      log.info({
+        event: 'pool-released',
+        pool,
+        token,
+        phase,
+        heldMs,
+        ...waits,
+        waitingTasks,
+        workers,
+      });
     },
   };
 }
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -187,4 +187,19 @@
   assert.is(settled.listLines('pool-released')[0]?.phase, 'settled');
 });
 
+// Guards against tasks that stand over many settled planners, of which each ends before it says so.
+test('says what waits, and which workers are excluded, when the planner ends', async () => {
+  const clock = install({ now: 0 });
+  const { runner, state, listLines } = openRunner();
+  await clock.tickAsync(SECOND_MS);
+  state.isInForce = false;
+  void runner.answer({ kind: 'submit', pool: POOL, spec: SPEC, policy: POLICY });
+  await clock.tickAsync(SECOND_MS);
+  runner.stop();
+  clock.uninstall();
+  const [released] = listLines('pool-released');
+  assert.is(released?.waitingTasks, 1);
+  assert.equal(released?.workers, { accepting: 1 });
+});
+
 test.run();
