Move the reading of connections with many calls to the daemon package

What a connection may have open and when it is read on is a decision, and names nothing of the platform, whose folder only translates. No change of behaviour: 13 tests of pipelined and open calls pass.

--- a/platform/src/lib/connection-calls.ts
+++ b/packages/daemon/src/lib/connection-calls.ts
@@ -8,7 +8,7 @@
  */
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
-import { waitArrived, waitInput } from '@vanilladock/daemon/lib/servers.js';
+import { waitArrived, waitInput } from './servers.js';
 
 /** Open calls of a server by connection. */
 export interface ConnectionCalls {
