--- a/packages/daemon/src/lib/jobs/fleet-holder.ts
+++ b/packages/daemon/src/lib/jobs/fleet-holder.ts
@@ -1,6 +1,6 @@
 /** Carries out the fleet duty while this instance holds it. */
 import type { Claim } from 'vanilladock/lib/duties/claim-table.js';
-import type { DutyClaims } from './duty-claims.js';
+import type { DutyClaims } from './duty-claims-types.js';
 import {
   FLEET_DUTY,
   startFleetRunner,
--- a/packages/daemon/src/lib/jobs/pool-runners.ts
+++ b/packages/daemon/src/lib/jobs/pool-runners.ts
@@ -1,6 +1,6 @@
 /** Runs the planners of the pools whose duties an instance holds. */
 import type { HandOverMemory } from './hand-over-memory.js';
-import type { DutyClaims } from './duty-claims.js';
+import type { DutyClaims } from './duty-claims-types.js';
 import { makePoolDuty } from './job-gateway.js';
 import { startPoolRunner, type PoolRunner, type PoolSources } from './pool-runner.js';
 
--- a/packages/daemon/src/test/duty-authority.test.ts
+++ b/packages/daemon/src/test/duty-authority.test.ts
@@ -9,7 +9,8 @@
   KeyedStore,
   StoredKeyedRecord,
 } from 'vanilladock/lib/ports/keyed-store.js';
-import { createDutyClaims, type DutyClaims } from '../lib/jobs/duty-claims.js';
+import { createDutyClaims } from '../lib/jobs/duty-claims.js';
+import type { DutyClaims } from '../lib/jobs/duty-claims-types.js';
 import { SILENT_LOG } from './job-fixtures.js';
 
 const DUTY = 'pool/stalls';
--- a/packages/daemon/src/test/simulated-instance.ts
+++ b/packages/daemon/src/test/simulated-instance.ts
@@ -3,7 +3,8 @@
  * them. A process that is gone sends nothing and gets no answers.
  */
 import { FLEET_DUTY } from '../lib/jobs/fleet-runner.js';
-import { createDutyClaims, type DutyClaims } from '../lib/jobs/duty-claims.js';
+import { createDutyClaims } from '../lib/jobs/duty-claims.js';
+import type { DutyClaims } from '../lib/jobs/duty-claims-types.js';
 import { createHandOverMemory } from '../lib/jobs/hand-over-memory.js';
 import { makePoolDuty } from '../lib/jobs/job-gateway.js';
 import type { SentNotice } from '../lib/jobs/peer-messages.js';
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -14,7 +14,8 @@
 import { openBegunOccurrence } from './job-lifecycle.js';
 import type { PoolContext } from './pool-context.js';
 import { computeFootprint } from './free-capacity.js';
-import { parseTaskKey, type StepSpec } from './spec.js';
+import { parseTaskKey } from './spec.js';
+import { computeStallLimit } from './stall-limit.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
 import {
   makeAssignment,
@@ -30,18 +31,6 @@
 /** Maximum number of ends in one report; a report that reaches it may omit later ends. */
 const MAX_ENDS_PER_REPORT = 500;
 
-/** A batch task without progress for this long, or longer, is stopped and moved to another worker. */
-const STALL_MS = 1_500;
-
-/**
- * The same as a share of the estimated duration: progress is reported in whole percent, and a task may
- * take several times as long as estimated.
- */
-const STALL_SHARE = 0.05;
-
-/** Stalls of a task from which on each doubles the time, as its duration is far from the estimate. */
-const FREE_STALLS = 2;
-
 /** A report with the monotonic times of its request and response, in milliseconds. */
 export interface TimedReport {
   readonly report: TaskReport;
@@ -124,12 +113,6 @@
   });
 }
 
-/** Computes for how long a task may be without progress, in milliseconds. */
-function computeStallLimit({ stalls }: Task, { estimateMs }: StepSpec): number {
-  const factor = 2 ** Math.max(0, stalls + 1 - FREE_STALLS);
-  return Math.max(STALL_MS, STALL_SHARE * estimateMs) * factor;
-}
-
 /** Updates a known run from its row in the report and stops it if it has stalled. */
 function refreshKnownRun(context: PoolContext, task: Task, row: RunningTask, at: Moment): void {
   const { state } = task;
