--- a/packages/daemon/src/test/queue-simulation.ts
+++ b/packages/daemon/src/test/queue-simulation.ts
@@ -4,7 +4,7 @@
  * take over from each other, also while the one before does not know it yet. Time passes only when the
  * clock ticks.
  */
-import { install, type Clock } from '@sinonjs/fake-timers';
+import type { Clock } from '@sinonjs/fake-timers';
 import { BehaviorSubject } from 'rxjs';
 import type { FleetConfig } from 'vanilladock/lib/ports/fleet.js';
 import type { TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
@@ -14,6 +14,7 @@
 import { createQueueGateway, type QueueRequest } from '../lib/jobs/queue-gateway.js';
 import { makeStoppedQuery, POLICY, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
+import { runSteps, type TimedStep } from './run-steps.js';
 import { createPartitionedStore } from './partitioned-store.js';
 
 const SECOND_MS = 1_000;
@@ -254,20 +255,5 @@
 };
 
 /** Runs a case and returns what was violated. */
-export const runCase = async (
-  seed: number,
-  list: readonly { readonly step: Step; readonly waitMs: number }[],
-): Promise<readonly string[]> => {
-  const clock = install({ now: 0 });
-  try {
-    const simulation = createSimulation(seed);
-    await clock.tickAsync(SECOND_MS);
-    for (const { step, waitMs } of list) {
-      void simulation.applyStep(step);
-      await clock.tickAsync(waitMs);
-    }
-    return await simulation.check(clock);
-  } finally {
-    clock.uninstall();
-  }
-};
+export const runCase = (seed: number, list: readonly TimedStep<Step>[]) =>
+  runSteps(() => createSimulation(seed), list);
--- a/packages/daemon/src/test/stored-acceptances-machine.test.ts
+++ b/packages/daemon/src/test/stored-acceptances-machine.test.ts
@@ -4,7 +4,7 @@
  * middle of a submission or superseded. What was accepted is loaded by each next planner, and what was
  * only refused by none.
  */
-import { install, type Clock } from '@sinonjs/fake-timers';
+import type { Clock } from '@sinonjs/fake-timers';
 import fc from 'fast-check';
 import { BehaviorSubject } from 'rxjs';
 import * as assert from 'uvu/assert';
@@ -17,6 +17,7 @@
 import { createFaultyStore, type StoreFault } from './faulty-store.js';
 import { POLICY, POOL, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
+import { runSteps, type TimedStep } from './run-steps.js';
 
 const SEED = 20_261_206;
 const CASES = 150;
@@ -192,23 +193,8 @@
 );
 
 /** Runs a case and returns what was violated. */
-const runCase = async (
-  seed: number,
-  list: readonly { readonly step: Step; readonly waitMs: number }[],
-): Promise<readonly string[]> => {
-  const clock = install({ now: 0 });
-  try {
-    const simulation = createSimulation(seed);
-    await clock.tickAsync(SECOND_MS);
-    for (const { step, waitMs } of list) {
-      void simulation.applyStep(step);
-      await clock.tickAsync(waitMs);
-    }
-    return await simulation.check(clock);
-  } finally {
-    clock.uninstall();
-  }
-};
+const runCase = (seed: number, list: readonly TimedStep<Step>[]) =>
+  runSteps(() => createSimulation(seed), list);
 
 const test = suite('stored acceptances machine');
 
