Confirm stored possible crashes by the next incarnation

What callers would see: a work item that crashes its workers is started once more for each crash whose planner stopped between the second missed report and the worker's next incarnation (BUDGET).

Cause: only a planner's own silences told which incarnation may have crashed on a machine. A successor that first saw the next incarnation left the stored record as possible for good, and unconfirmed records do not lead to a decision. Evidence: the first new case of crash-watch.test.ts fails on the code before, with the record left as possible. Fix: the possible crashes of loaded jobs are kept by machine like those of the planner itself, so that the next incarnation confirms them, one record for each incarnation as before. As a successor does not know whether a run had begun, the record now says if that is not known, and such a record is never confirmed; before, an incarnation's end confirmed it at a successor. The second new case fails in a trial without that mark.

--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -24,6 +24,8 @@
   readonly machine: string;
   /** Whether the incarnation has ended with a confirmed run; else the worker does not answer. */
   readonly isConfirmed: boolean;
+  /** Present if it is not known whether the run has begun; such a record is never confirmed. */
+  readonly isStartUnknown?: true | undefined;
   readonly suspicion: Suspicion;
   /** Whether no other job had a run there that may have been the cause, nor the machine itself. */
   readonly isAlone: boolean;
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -12,7 +12,7 @@
   LONG_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
-import { makeIncarnationKey } from './ended-incarnations.js';
+import { makeIncarnationKey, type Incarnation } from './ended-incarnations.js';
 import { createMachineCrashes, getMachine } from './machine-crashes.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
@@ -29,7 +29,7 @@
 
 /** Watch over the workers of a pool. */
 export interface CrashWatch {
-  /** Indexes the crashes that were stored with a job. */
+  /** Indexes the crashes that were stored with a job; possible ones may still be confirmed. */
   readonly observeLoadedJob: (jobId: string) => void;
   /** Records that a worker has not answered; from the second time on it may have crashed. */
   readonly observeSilence: (worker: Worker, at: Moment) => void;
@@ -58,7 +58,7 @@
   /** Keys of the tasks with a record of an incarnation's crash, by the key of the incarnation. */
   const tasksByCrash = new Map<string, Set<string>>();
   /** Incarnations that may have crashed, by machine. */
-  const possibleByMachine = new Map<string, Pick<WorkerEntry, 'id' | 'bornMs'>>();
+  const possibleByMachine = new Map<string, readonly Incarnation[]>();
   const changedJobs = new Set<string>();
 
   const setCrashes = (task: Task, crashes: readonly CrashRecord[]) => {
@@ -127,6 +127,7 @@
         bornMs,
         machine,
         isConfirmed: isEnded && run.isConfirmed,
+        ...(run.isConfirmed ? undefined : { isStartUnknown: true }),
         suspicion,
         isAlone:
           silence.possibleCauses.size === 1 &&
@@ -139,18 +140,22 @@
       if (isTelling(record)) dropOtherSuspicions(task);
     });
   };
-  const updateToConfirmed = (entry: Pick<WorkerEntry, 'id' | 'bornMs'>, nowMs: number) => {
-    const silence = silences.find(entry.id, entry.bornMs);
-    const runs = silence?.runs ?? [];
-    const unconfirmed = new Set(
-      runs.filter(({ isConfirmed }) => !isConfirmed).map(({ taskKey }) => taskKey),
-    );
-    updateRecords(makeIncarnationKey(entry.id, entry.bornMs), (record, taskKey) =>
-      record.isConfirmed || unconfirmed.has(taskKey)
+  const dropPossible = (machine: string, isDropped: (possible: Incarnation) => boolean) => {
+    const retained = (possibleByMachine.get(machine) ?? []).filter((known) => !isDropped(known));
+    if (retained.length === 0) possibleByMachine.delete(machine);
+    else possibleByMachine.set(machine, retained);
+  };
+  const addPossible = (machine: string, { id, bornMs }: Incarnation) => {
+    dropPossible(machine, (known) => known.id === id && known.bornMs === bornMs);
+    const known = possibleByMachine.get(machine) ?? [];
+    possibleByMachine.set(machine, [...known, { id, bornMs }]);
+  };
+  const updateToConfirmed = ({ id, bornMs }: Incarnation, nowMs: number) =>
+    updateRecords(makeIncarnationKey(id, bornMs), (record) =>
+      record.isConfirmed || record.isStartUnknown === true
         ? record
         : { ...record, isConfirmed: true, atMs: nowMs },
     );
-  };
   const logCrash = ({ entry }: Worker, silence: Silence, nowMs: number) => {
     const runs = [...silence.runs].sort((a, b) => a.aliveMs - b.aliveMs);
     report({
@@ -209,7 +214,13 @@
   return {
     observeLoadedJob: (jobId) => {
       const suspects = table.listJobTasks(jobId).filter(({ crashes }) => crashes.length > 0);
-      suspects.forEach(({ key, crashes }) => crashes.forEach((record) => addToIndex(key, record)));
+      suspects.forEach(({ key, crashes }) =>
+        crashes.forEach((record) => {
+          const { workerId: id, bornMs, machine, isConfirmed } = record;
+          addToIndex(key, record);
+          if (!isConfirmed && bornMs !== 0) addPossible(machine, { id, bornMs });
+        }),
+      );
       if (suspects.length > 0) changedJobs.add(jobId);
     },
     observeSilence: (worker, { nowMs }) => {
@@ -217,7 +228,7 @@
       const silence = silences.add(worker, nowMs);
       const isIgnored = silence.isEndPlanned || silence.isSettled || silence.runs.length === 0;
       if (!isKnown || isIgnored) return;
-      possibleByMachine.set(getMachine(worker.entry), worker.entry);
+      addPossible(getMachine(worker.entry), worker.entry);
       addRecords(worker, silence, false, nowMs);
     },
     observeAnswer: ({ id, bornMs }) => {
@@ -243,7 +254,7 @@
       silences.recordSettled(entry.id, entry.bornMs);
       const isKnownRun = ({ isReported }: SilencedRun) => isReported || wasSilent || !isSameId;
       const silence = { ...added, runs: added.runs.filter(isKnownRun) };
-      possibleByMachine.delete(getMachine(entry));
+      dropPossible(getMachine(entry), ({ bornMs }) => bornMs <= entry.bornMs);
       dropSettledCrashes();
       if (isOrdered || silence.isEndPlanned) {
         updateRecords(makeIncarnationKey(entry.id, entry.bornMs), () => undefined);
@@ -256,10 +267,11 @@
       if (silence.runs.length > 0) logCrash(worker, silence, nowMs);
     },
     observeEntry: (entry, { nowMs }) => {
-      const possible = possibleByMachine.get(getMachine(entry));
-      if (possible === undefined || possible.bornMs >= entry.bornMs) return;
-      possibleByMachine.delete(getMachine(entry));
-      updateToConfirmed(possible, nowMs);
+      const machine = getMachine(entry);
+      const isEarlier = ({ bornMs }: Incarnation) => bornMs < entry.bornMs;
+      const possible = possibleByMachine.get(machine)?.filter(isEarlier) ?? [];
+      dropPossible(machine, isEarlier);
+      possible.forEach((incarnation) => updateToConfirmed(incarnation, nowMs));
     },
     hasCrashedWithout: (entry, jobId, nowMs) =>
       machineCrashes.hasCrashedWithout(getMachine(entry), jobId, nowMs),
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -12,8 +12,11 @@
  */
 const MAX_LISTED_OCCURRENCES = 1_000;
 
-/** A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone. */
-type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean];
+/**
+ * A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone, and
+ * `true` if it is not known whether the run had begun.
+ */
+type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean, true?];
 
 /** Progress in its stored, compact form. */
 interface StoredProgress {
@@ -77,8 +80,9 @@
 
 /** Encodes a crash. */
 function encodeCrash(crash: CrashRecord): StoredCrash {
-  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone } = crash;
-  return [workerId, bornMs, machine, isConfirmed, suspicion, isAlone];
+  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, isStartUnknown } = crash;
+  const stored = [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] as const;
+  return isStartUnknown === true ? [...stored, isStartUnknown] : stored;
 }
 
 /** Encodes the crashes of tasks; nothing without any. */
@@ -101,8 +105,9 @@
 
 /** Decodes a crash. */
 function decodeCrash(stored: StoredCrash): CrashRecord {
-  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] = stored;
-  return { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
+  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone, isStartUnknown] = stored;
+  const crash = { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
+  return isStartUnknown === true ? { ...crash, isStartUnknown } : crash;
 }
 
 /** Decodes the crashes of tasks, by task. */
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -163,6 +163,49 @@
   assert.is(second.readProgress('a')!.crashes.get('0.0.0')![0]!.isConfirmed, true);
 });
 
+/** Opens a planner for what another has stored, and lists the next incarnation of `w1` there. */
+const openSuccessor = (first: Pick<Harness, 'readProgress'>) => {
+  const second = createHarness({ runBase: 100 });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  second.planner.loadJob(record, first.readProgress('a'), second.at(300));
+  return second;
+};
+
+// Guards against a crash that never counts as its planner stopped before the next incarnation came.
+test('a stored possible crash is confirmed by the next incarnation that a successor sees', () => {
+  const first = openRunning();
+  [50, 200].forEach((atMs) => first.planner.observeMissedReport('w1', first.at(atMs)));
+  first.store();
+  const same = openSuccessor(first);
+  same.planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], same.at(310));
+  assert.equal(listCrashes(same), [['w1', false]]);
+  const next = makeEntry('w1', { bornMs: 2 });
+  [next, makeEntry('w333', { instance: 'm-w1', bornMs: 2 })].forEach((entry) => {
+    const second = openSuccessor(first);
+    second.planner.observeWorkers([entry, makeEntry('w22')], second.at(310));
+    assert.equal(listCrashes(second), [['w1', true]]);
+  });
+  same.planner.observeWorkers([next, makeEntry('w22')], same.at(400));
+  same.planner.observeWorkers([makeEntry('w1', { bornMs: 3 }), makeEntry('w22')], same.at(500));
+  assert.equal(listCrashes(same), [['w1', true]]);
+});
+
+// Guards against a sound job given up for a start that never arrived.
+test('a successor confirms no crash under a start that may never have arrived', () => {
+  const first = createHarness();
+  first.addWorkers(0, makeEntry('w1'));
+  first.submit(makeJob('a'), 1);
+  const [start] = first.planStarts(2);
+  first.planner.observeStart(start!, { kind: 'unknown' }, first.at(40));
+  [50, 200].forEach((atMs) => first.planner.observeMissedReport('w1', first.at(atMs)));
+  first.store();
+  const second = openSuccessor(first);
+  second.planner.observeWorkers([makeEntry('w1', { bornMs: 2 })], second.at(310));
+  assert.equal(listCrashes(second), [['w1', false]]);
+  second.planner.observeWorkers([makeEntry('w1', { bornMs: 3 })], second.at(400));
+  assert.equal(listCrashes(second), [['w1', false]]);
+});
+
 test('a successor ends a job whose evidence its predecessor had stored', () => {
   const { planner, at, store, readProgress } = createHarness({ runBase: 100 });
   const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
