Drop possible crashes once an order has ended the worker

What callers could see: a sound work item is given up (failed, LOST) with a worker that the fleet ended as one of its crashes, when the planner is replaced between the order and the worker's next incarnation.

Cause: a worker that is ended by an order may miss two reports before the notice comes, so that a possible crash is stored. Its planner dropped it only when it saw the incarnation's end; a successor knows nothing of the notice and confirms the record. Evidence: the new case of crash-watch.test.ts fails on the code before. Fix: the notice drops the unconfirmed records of the incarnation at once, as its end did. What remains: a notice whose change is not stored when the planner stops. An end seen by the planner that has the notice is dealt with as before.

--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -35,6 +35,11 @@
   readonly observeSilence: (worker: Worker, at: Moment) => void;
   /** Records that an incarnation answers. */
   readonly observeAnswer: (entry: WorkerEntry) => void;
+  /**
+   * Drops the possible crash of an incarnation that an order has ended, so that no successor, which
+   * does not know of the order, confirms it.
+   */
+  readonly observeOrderedEnd: (entry: WorkerEntry) => void;
   /** Drops the crashes of the tasks that have gone on for long on a worker that has just reported. */
   readonly dropDisproved: (worker: Worker, nowMs: number) => void;
   /** Records that a worker's incarnation has ended; to be called while its runs are assigned. */
@@ -156,6 +161,11 @@
         ? record
         : { ...record, isConfirmed: true, atMs: nowMs },
     );
+  const dropUnconfirmed = ({ id, bornMs }: Incarnation) => {
+    updateRecords(makeIncarnationKey(id, bornMs), (record) =>
+      record.isConfirmed ? record : undefined,
+    );
+  };
   const logCrash = ({ entry }: Worker, silence: Silence, nowMs: number) => {
     const runs = [...silence.runs].sort((a, b) => a.aliveMs - b.aliveMs);
     report({
@@ -231,13 +241,11 @@
       addPossible(getMachine(worker.entry), worker.entry);
       addRecords(worker, silence, false, nowMs);
     },
-    observeAnswer: ({ id, bornMs }) => {
-      silences.drop(id, bornMs);
-      const key = makeIncarnationKey(id, bornMs);
-      if (tasksByCrash.has(key)) {
-        updateRecords(key, (record) => (record.isConfirmed ? record : undefined));
-      }
+    observeAnswer: (entry) => {
+      silences.drop(entry.id, entry.bornMs);
+      dropUnconfirmed(entry);
     },
+    observeOrderedEnd: dropUnconfirmed,
     dropDisproved: ({ tasks }, nowMs) => {
       if (table.crashedTaskKeys.size === 0) return;
       tasks.forEach((key) => {
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -260,6 +260,7 @@
       const worker = table.workers.get(workerId);
       if (worker === undefined) return;
       endNoticedMs.set(workerId, nowMs);
+      crashWatch.observeOrderedEnd(worker.entry);
       table.updateWorker(workerId, { missedReports: worker.missedReports + 1 });
     },
     recordReport: (workerId, sentMs) => {
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -190,6 +190,19 @@
   assert.equal(listCrashes(same), [['w1', true]]);
 });
 
+// Guards against a sound job given up for a worker that the fleet ended just before the hand-over.
+test('a successor confirms no possible crash of a worker that an order had ended', () => {
+  const first = openRunning();
+  [50, 200].forEach((atMs) => first.planner.observeMissedReport('w1', first.at(atMs)));
+  first.store();
+  assert.is(first.readProgress('a')!.crashes.size, 1);
+  first.planner.observeEndNotice('w1', first.at(250));
+  first.store();
+  const second = openSuccessor(first);
+  second.planner.observeWorkers([makeEntry('w1', { bornMs: 2 }), makeEntry('w22')], second.at(310));
+  assert.equal(listCrashes(second), []);
+});
+
 // Guards against a sound job given up for a start that never arrived.
 test('a successor confirms no crash under a start that may never have arrived', () => {
   const first = createHarness();
