--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -15,8 +15,11 @@
 /** A record of more characters is stored without what failed; the store takes 262,144 bytes. */
 const MAX_RECORD_CHARS = 250_000;
 
-/** A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone. */
-type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean];
+/**
+ * A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone, and
+ * `true` if it is not known whether the run had begun.
+ */
+type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean, true?];
 
 /** Progress in its stored, compact form. */
 interface StoredProgress {
@@ -80,8 +83,9 @@
 
 /** Encodes a crash. */
 function encodeCrash(crash: CrashRecord): StoredCrash {
-  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone } = crash;
-  return [workerId, bornMs, machine, isConfirmed, suspicion, isAlone];
+  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, isStartUnknown } = crash;
+  const stored = [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] as const;
+  return isStartUnknown === true ? [...stored, isStartUnknown] : stored;
 }
 
 /** Encodes the crashes of tasks; nothing without any. */
@@ -104,8 +108,9 @@
 
 /** Decodes a crash. */
 function decodeCrash(stored: StoredCrash): CrashRecord {
-  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] = stored;
-  return { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
+  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone, isStartUnknown] = stored;
+  const crash = { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
+  return isStartUnknown === true ? { ...crash, isStartUnknown } : crash;
 }
 
 /** Decodes the crashes of tasks, by task. */
