Known red: a crash that its planner has not recorded before a hand-over

The review of the incident showed it by a test, which lands failing: a worker that has missed one report or none when its pool is handed over has no run at the successor, so that no crash is ever recorded and its task starts once more.

--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -265,4 +265,23 @@
   assert.not(events.some(({ event }) => event === 'job-given-up'));
 });
 
+// Guards against a task that crashes its workers and is started more often over a hand-over.
+test('a crash that its planner has not recorded before a hand-over is known to the successor', () => {
+  const first = openRunning();
+  first.planner.observeMissedReport('w1', first.at(50));
+  first.store();
+  const second = createHarness({ runBase: 100, inheritedWorkers: ['w1'], hasPredecessor: true });
+  const { planner, at } = second;
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  planner.loadJob(record, first.readProgress('a'), at(0));
+  planner.observeHandOver({ handOver: first.planner.makeHandOver(7, 100), atMs: 1 });
+  planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], at(2));
+  planner.markWorkersRecorded(['w1', 'w22']);
+  second.report('w22', 5);
+  [20, 170].forEach((atMs) => planner.observeMissedReport('w1', at(atMs)));
+  planner.observeWorkers([makeEntry('w1', { bornMs: 2 }), makeEntry('w22')], at(900));
+  planner.plan(at(901));
+  assert.equal(listCrashes(second), [['w1', true]]);
+});
+
 test.run();
