Give the test of a late response connections of its own

The test before it has the proxy send stray answers some milliseconds after the real ones; a request that is written to such a connection just then is answered 502, may have run, which is what the entry promises for it, and what the test before allows. The late response is now asked for on fresh connections; the checks are the same.

--- a/packages/daemon/src/test/verdicts.test.ts
+++ b/packages/daemon/src/test/verdicts.test.ts
@@ -85,17 +85,20 @@
   });
 });
 
+// Uses connections of its own: the stray answers of the test before may still be on their way.
 test('a request with a late response may have run, and the late response reaches no caller', async () => {
+  const fresh = await startHarness({ retryBudgetShare: 1 });
   const headers = { 'stand-in-fault': 'late-answer', 'vanilladock-deadline-ms': '100' };
-  const result = await harness.call({ id: 'late', method: 'POST', body: 'x', headers });
+  const result = await fresh.call({ id: 'late', method: 'POST', body: 'x', headers });
   assert.is(result.status, 504);
   assert.is(result.code, 'upstream-timeout');
   assert.is(result.verdict, 'may-have-run');
   const laterCalls = Array.from({ length: 20 }, (_, index) =>
-    harness.call({ id: `after-${index}`, method: 'POST', body: 'x' }),
+    fresh.call({ id: `after-${index}`, method: 'POST', body: 'x' }),
   );
   const results = await Promise.all(laterCalls);
   results.forEach(({ body }, index) => assert.is(JSON.parse(body).id, `after-${index}`));
+  await fresh.close();
 });
 
 test('a request may have run when its upstream crashes after running it', async () => {
