--- a/packages/daemon/src/lib/jobs/fleet-order-gap.ts
+++ b/packages/daemon/src/lib/jobs/fleet-order-gap.ts
@@ -61,11 +61,12 @@
     }
   };
   const findEarlierOrderMs = (): number | undefined => {
-    const { told } = predecessor ?? {};
-    const agoMs = told?.handOver.fleetOrderAgoMs;
+    if (predecessor?.told === undefined) return undefined;
+    const { handOver, atMs } = predecessor.told;
     // An older holder knows nothing of the orders of the one before this.
-    if (agoMs === undefined || told?.handOver.token !== predecessor?.token) return undefined;
-    return told && told.atMs - agoMs;
+    const isByPredecessor = handOver.token === predecessor.token;
+    if (handOver.fleetOrderAgoMs === undefined || !isByPredecessor) return undefined;
+    return atMs - handOver.fleetOrderAgoMs;
   };
   /** Computes when this holder takes the orders of earlier ones to have ended. */
   const computeEarlierEndMs = () =>
--- a/packages/vanilladock/src/lib/teams/team-ceilings.ts
+++ b/packages/vanilladock/src/lib/teams/team-ceilings.ts
@@ -37,7 +37,8 @@
   readonly hasRoom: (team: string, used: Resources, size: Resources) => boolean;
   /**
    * Plans what to store now, for all teams with a limit; undefined if what is stored will do and
-   * nothing is written anyway, or if there is no such team. What it returns is kept to from then on, as the write may succeed late.
+   * nothing is written anyway, or if there is no such team. What it returns is kept to from then on,
+   * as the write may succeed late.
    */
   readonly plan: (
     needs: ReadonlyMap<string, CeilingNeed>,
