--- a/packages/vanilladock/src/lib/jobs/store-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/store-queue.ts
@@ -35,7 +35,8 @@
   readonly addRemoved: (jobIds: readonly string[]) => void;
   /**
    * Removes and returns what has to be stored now, as much as fits into a call to the store, the
-   * longest due first; undefined if there is nothing. The caller reports the outcome by `handleStored` or `dropUnstored` before it takes the next batch.
+   * longest due first; undefined if there is nothing. The caller reports the outcome by
+   * `handleStored` or `dropUnstored` before it takes the next batch.
    */
   readonly takeBatch: () => StoreBatch | undefined;
   /** Drops submissions that the store refused and requeues the other jobs of the batch. */
