--- a/packages/daemon/src/test/pool-state-writer.test.ts
+++ b/packages/daemon/src/test/pool-state-writer.test.ts
@@ -10,6 +10,29 @@
 const WRITE_COUNT = 40;
 const NEW_WORKER_AT = 5;
 
+/** A planner that has nothing to store and knows of nothing before it. */
+const IDLE_PLANNER = {
+  takeStoreBatch: () => undefined,
+  computeEarlierOrdersMs: () => 0,
+  planTeamCeilings: () => undefined,
+  observeCeilingsWrite: () => {},
+  hasStoredHolders: () => true,
+  listLeaseHolders: () => [],
+  markWorkersRecorded: () => {},
+};
+
+/** Opens a state writer of doubles; what the planner's lacks is that of the idle one. */
+const openWriter = (store: object, planner: object) =>
+  createPoolStateWriter({
+    store: store as unknown as PoolStore,
+    getPlanner: () => ({ ...IDLE_PLANNER, ...planner }) as unknown as PoolPlanner,
+    schedulePlan: () => {},
+    handleLost: () => {},
+    handleFailed: (error) => {
+      throw error;
+    },
+  });
+
 const test = suite('pool state writer');
 
 test('new workers are recorded while there is always something to write', async () => {
@@ -20,9 +43,6 @@
       writes < WRITE_COUNT
         ? { records: [{ key: 'stalls:a', value: `${writes}` }], handleStored: () => {} }
         : undefined,
-    computeEarlierOrdersMs: () => 0,
-    planTeamCeilings: () => undefined,
-    observeCeilingsWrite: () => {},
     hasStoredHolders: (stored: ReadonlyMap<string, unknown>) =>
       stored.size === (writes < NEW_WORKER_AT ? 1 : 2),
     listLeaseHolders: () =>
@@ -39,15 +59,7 @@
     },
     encodeMeta: () => ({ key: 'stalls:meta', value: '' }),
   };
-  const stateWriter = createPoolStateWriter({
-    store: store as unknown as PoolStore,
-    getPlanner: () => planner as unknown as PoolPlanner,
-    schedulePlan: () => {},
-    handleLost: () => {},
-    handleFailed: (error) => {
-      throw error;
-    },
-  });
+  const stateWriter = openWriter(store, planner);
   await stateWriter.writeDirty();
   const newWorker = recorded.find(({ id }) => id === 'w2');
   assert.ok(newWorker !== undefined, 'the new worker was never recorded');
@@ -59,28 +71,14 @@
   const clock = install({ now: 0 });
   const written: unknown[] = [];
   const planner = {
-    takeStoreBatch: () => undefined,
     computeEarlierOrdersMs: (nowMs: number) => Math.max(0, 1_200 - nowMs),
-    planTeamCeilings: () => undefined,
-    hasStoredHolders: () => true,
-    listLeaseHolders: () => [],
-    markWorkersRecorded: () => {},
-    observeCeilingsWrite: () => {},
   };
   const store = {
     write: () => Promise.resolve('stored'),
     encodeMeta: ({ isSettled, earlierOrdersMs }: PoolMeta) =>
       written.push([isSettled, earlierOrdersMs]),
   };
-  const stateWriter = createPoolStateWriter({
-    store: store as unknown as PoolStore,
-    getPlanner: () => planner as unknown as PoolPlanner,
-    schedulePlan: () => {},
-    handleLost: () => {},
-    handleFailed: (error) => {
-      throw error;
-    },
-  });
+  const stateWriter = openWriter(store, planner);
   stateWriter.setMeta({ generation: 2, workers: [], isSettled: false });
   for (let nowMs = 100; nowMs <= 1_500; nowMs += 100) {
     await clock.tickAsync(100);
@@ -100,11 +98,6 @@
   const written: unknown[] = [];
   const outcomes = ['refused', 'stored', 'lost'] as const;
   const planner = {
-    takeStoreBatch: () => undefined,
-    computeEarlierOrdersMs: () => 0,
-    hasStoredHolders: () => true,
-    listLeaseHolders: () => [],
-    markWorkersRecorded: () => {},
     planTeamCeilings: () => ({ fishmongers: { cores: written.length } }),
     observeCeilingsWrite: (isStored: boolean) => told.push(isStored),
   };
@@ -112,15 +105,7 @@
     write: () => Promise.resolve(outcomes[written.length - 1]),
     encodeMeta: (meta: { readonly teamCeilings?: unknown }) => written.push(meta.teamCeilings),
   };
-  const stateWriter = createPoolStateWriter({
-    store: store as unknown as PoolStore,
-    getPlanner: () => planner as unknown as PoolPlanner,
-    schedulePlan: () => {},
-    handleLost: () => {},
-    handleFailed: (error) => {
-      throw error;
-    },
-  });
+  const stateWriter = openWriter(store, planner);
   for (let write = 0; write < outcomes.length; write += 1) await stateWriter.writeDirty();
   assert.equal(told, [false, true]);
   assert.equal(written.at(-1), { fishmongers: { cores: 2 } });
