Log suspects that wait for a worker, and what a planner that ends has on silent ones

Of the hypotheses on jobs that stand after crashes two could not be told apart by the log: whether the runs of a crashed worker ended with the planner that knew of them (H2), and whether released tasks wait for a worker of their own (H3). pool-released now counts the runs on workers that do not answer, and suspects-wait says how many suspects wait, for how long, and whether a worker is kept for them. Isolation.refresh, plans and records are unchanged.

--- a/packages/daemon/src/lib/jobs/settling-log.ts
+++ b/packages/daemon/src/lib/jobs/settling-log.ts
@@ -5,6 +5,7 @@
  */
 import type { InheritanceWaits } from 'vanilladock/lib/jobs/inheritance.js';
 import type { PoolPlanner } from 'vanilladock/lib/jobs/pool-planner.js';
+import { countUnansweredRuns } from 'vanilladock/lib/jobs/worker-exclusion.js';
 import type { JsonLog } from '../json-log.js';
 
 /** Pool and claim of a planner. */
@@ -21,7 +22,10 @@
   /** Records what inherited jobs wait for; they wait for nothing any more if it is undefined. */
   readonly observeWaits: (waits: InheritanceWaits | undefined, nowMs: number) => void;
   /** Logs the end of the planner, which may not have loaded its jobs. */
-  readonly logEnd: (planner: Pick<PoolPlanner, 'getFigures'> | undefined, nowMs: number) => void;
+  readonly logEnd: (
+    planner: Pick<PoolPlanner, 'getFigures' | 'table'> | undefined,
+    nowMs: number,
+  ) => void;
 }
 
 /** Greatest number of worker ids in one line. */
@@ -61,6 +65,7 @@
         heldMs,
         ...waits,
         waitingTasks,
+        unansweredRuns: planner && countUnansweredRuns(planner.table),
         workers,
       });
     },
--- a/packages/daemon/src/test/pool-runner-log.test.ts
+++ b/packages/daemon/src/test/pool-runner-log.test.ts
@@ -200,6 +200,7 @@
   const [released] = listLines('pool-released');
   assert.is(released?.waitingTasks, 1);
   assert.equal(released?.workers, { accepting: 1 });
+  assert.is(released?.unansweredRuns, 0);
 });
 
 test.run();
--- a/packages/vanilladock/src/lib/jobs/isolation.ts
+++ b/packages/vanilladock/src/lib/jobs/isolation.ts
@@ -8,6 +8,7 @@
 import { isAcceptingTasks, isEligible } from './choose-worker.js';
 import { isSuspect, isToBeIsolated, PROVEN_RUN_MS } from './crash-evidence.js';
 import { hasFreeCapacity } from './free-capacity.js';
+import { createIsolationWaitLog } from './isolation-wait-log.js';
 import { addResources, isWithin } from '../placement/resources.js';
 import { makeRequest, type PlacementRequest } from './placement-request.js';
 import type { PoolContext } from './pool-context.js';
@@ -50,6 +51,7 @@
   const { context, hasCrashedWithout, findTicket } = options;
   const { table, report } = context;
   const isolatedIds = new Set<string>();
+  const waitLog = createIsolationWaitLog(context);
 
   const isClearFor = (worker: Worker, jobId: string, nowMs: number) =>
     worker.orphanedRuns.size === 0 &&
@@ -172,6 +174,7 @@
         if (!firstByJob.has(task.jobId)) firstByJob.set(task.jobId, task);
       });
       firstByJob.forEach((task) => handleWaiting(task, nowMs));
+      waitLog.observeWaiting(waiting, nowMs);
     },
   };
 }
--- a/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-exclusion.ts
@@ -54,3 +54,10 @@
   });
   return counts;
 }
+
+/** Counts the runs on workers of a pool whose newest report is missing. */
+export function countUnansweredRuns({ workers }: TaskTable): number {
+  return [...workers.values()]
+    .filter(({ missedReports }) => missedReports > 0)
+    .reduce((sum, { tasks }) => sum + tasks.size, 0);
+}
