--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -3,7 +3,7 @@
  * test advances: real claims and planners, a store in memory, notices as direct calls. Instances are
  * stopped and killed, and start again under their names.
  */
-import type { JobSpec, StepSpec } from 'vanilladock/lib/jobs/spec.js';
+import type { JobPolicy, JobSpec, StepSpec } from 'vanilladock/lib/jobs/spec.js';
 import { makeTaskKey } from 'vanilladock/lib/jobs/spec.js';
 import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { Member } from 'vanilladock/lib/duties/claim-table.js';
@@ -25,7 +25,7 @@
 import { createProcessClock, startProcessTimers, runOutside } from './process-clock.js';
 import { createPolledStore } from './polled-store.js';
 import { startSimulatedInstance, type SimulatedInstance } from './simulated-instance.js';
-import { createWorkerPlaces } from './worker-places.js';
+import { createWorkerPlaces, type PlaceOptions } from './worker-places.js';
 
 export const POOLS = ['stalls', 'kilns', 'looms'] as const;
 
@@ -61,6 +61,12 @@
   readonly instances?: number;
   readonly pools?: readonly string[];
   readonly workersPerPool?: number;
+  /** How workers and tasks behave, where that differs from the tasks that are submitted here. */
+  readonly behaviour?: Partial<
+    Pick<PlaceOptions, 'cores' | 'getTaskCores' | 'getDurationMs' | 'getCrashMs'>
+  >;
+  /** Called with the records of each append that is stored. */
+  readonly handleStored?: (records: readonly KeyedRecord[]) => void;
   /** Called with what the instances log. */
   readonly handleLog?: (instance: string, fields: LogFields) => void;
 }
@@ -105,6 +111,7 @@
     pickMs: pickWayMs,
     handleStored: (records) => {
       lives.observeStored(records);
+      options.handleStored?.(records);
       records.forEach(handleClaim);
     },
   });
@@ -118,6 +125,7 @@
         ? MIN_FAILURE_MS + pick(MAX_FAILURE_MS - MIN_FAILURE_MS)
         : Infinity,
     handleRenewed: lives.observeRenewal,
+    ...options.behaviour,
   });
   const processes: readonly Process[] = Array.from({ length: instances }, (_, index): Process => {
     const links = makeOpenLinks();
@@ -187,10 +195,16 @@
       .sort((a, b) => b.runner.claim.token - a.runner.claim.token)
       .at(0);
   /** Submits a job to the planner of its pool until it is accepted; resolves to whether it was. */
-  const submit = async (pool: string, id: string, step: StepSpec, attempts: number) => {
-    const spec: JobSpec = { ...SPEC, id, steps: [step] };
+  const submit = async (
+    pool: string,
+    id: string,
+    steps: readonly StepSpec[],
+    attempts: number,
+    policy: JobPolicy = LENIENT_POLICY,
+  ) => {
+    const spec: JobSpec = { ...SPEC, id, steps };
     for (let attempt = 1; attempt <= attempts && !isOver; attempt += 1) {
-      const request = { kind: 'submit', pool, spec, policy: LENIENT_POLICY } as const;
+      const request = { kind: 'submit', pool, spec, policy } as const;
       const owner = findOwner(pool);
       const reply = await owner?.instance.clock.call(() => owner.runner.answer(request));
       if (reply?.kind === 'accepted') return true;
@@ -242,7 +256,7 @@
         Array.from({ length: count }, async (_, index) => {
           const id = `lasting${index}`;
           const step = { ...STEP, count: TASKS_PER_JOB, isLasting: true };
-          if (!(await submit(pools[index % pools.length]!, id, step, 50))) {
+          if (!(await submit(pools[index % pools.length]!, id, [step], 50))) {
             places.violations.push(`${id} was not accepted`);
             return;
           }
@@ -255,8 +269,10 @@
     submitBatch: () => {
       jobCount += 1;
       const step = { ...STEP, count: 3, estimateMs: BATCH_MS };
-      return submit(pools[pick(pools.length) - 1]!, `batch${jobCount}`, step, 20);
+      return submit(pools[pick(pools.length) - 1]!, `batch${jobCount}`, [step], 20);
     },
+    /** Submits a job to its pool until it is accepted; resolves to whether it was. */
+    submit,
     pick,
     /** Ends everything. */
     close: () => {
--- a/packages/daemon/src/test/worker-places.ts
+++ b/packages/daemon/src/test/worker-places.ts
@@ -3,7 +3,12 @@
  * the network treats them, and the checks of what runs on them.
  */
 import { BehaviorSubject } from 'rxjs';
-import type { OrderOutcome, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
+import type {
+  OrderOutcome,
+  TaskWorkers,
+  WorkerEntry,
+  WorkerTarget,
+} from 'vanilladock/lib/ports/task-workers.js';
 import { ENTRY } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
 import { createIncarnation, type Incarnation, type Run } from './simulated-worker.js';
@@ -25,11 +30,28 @@
 
 const CORES = 8;
 
-/** A worker id with its present incarnation, and whether calls or answers are lost. */
+/** Time after a crash at which the entry of the worker is removed. */
+const CRASHED_ENTRY_MS = 4_500;
+
+/** Time after a crash at which another worker starts on the machine. */
+const DOWN_MS = 3_000;
+
+const UNKNOWN = { kind: 'unknown' } as const;
+const OTHER_LIFE = { kind: 'rejected', why: 'other-life' } as const;
+
+/** A machine with its present worker, and whether calls or answers are lost. */
 interface Place {
-  readonly id: string;
+  /** Name of the machine. */
+  readonly address: string;
+  /** Another one after each crash. */
+  id: string;
   readonly pool: string;
   incarnation: Incarnation | undefined;
+  /** Whether the process is gone and the machine refuses connections, so that calls end at once. */
+  isRefusing: boolean;
+  /** Ends the open calls to the present worker. */
+  closeCalls: () => void;
+  callsEnded: Promise<void>;
   lost: 'none' | 'orders' | 'answers';
   /** Name of the only process that reaches it; undefined if all do. */
   onlyFrom: string | undefined;
@@ -59,10 +81,21 @@
   readonly getOnlyWorker: () => number | undefined;
 }
 
+/** A worker that has crashed, with the tasks that ran there. */
+export interface WorkerCrash {
+  readonly atMs: number;
+  readonly taskKeys: readonly string[];
+}
+
 /** How workers and tasks behave. */
 export interface PlaceOptions {
   readonly pools: readonly string[];
   readonly workersPerPool: number;
+  /** Cores of each worker. */
+  readonly cores?: number;
+  readonly getTaskCores?: (taskKey: string) => number;
+  /** Gets after how long a run crashes its worker, in milliseconds; `Infinity` if it does not. */
+  readonly getCrashMs?: (taskKey: string) => number;
   /** Draws a whole number from 1 to `max`. */
   readonly pick: (max: number) => number;
   /** Gets how long a task runs, in milliseconds. */
@@ -76,6 +109,7 @@
 /** Creates the workers, each with an incarnation that starts now, and starts to watch them. */
 export function createWorkerPlaces(options: PlaceOptions) {
   const { pools, workersPerPool, pick, getDurationMs, pickFailureMs } = options;
+  const { cores = CORES, getCrashMs = () => Infinity, getTaskCores = () => 1 } = options;
   const entries = new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map());
   const violations: string[] = [];
   const repeats: string[] = [];
@@ -83,24 +117,39 @@
   const workerOfRun = new Map<string, string>();
   const failsAtMs = new Map<string, number>();
   const watched = new Map<string, Watched>();
+  const crashes: WorkerCrash[] = [];
+  const startsMs = new Map<string, readonly number[]>();
+  /** When a job was last seen to run, by job id. */
+  const jobRunsMs = new Map<string, number>();
   let bornCount = 0;
+  /** When half of what the workers have was last in use. */
+  let busyMs = 0;
 
   const places: readonly Place[] = pools.flatMap((pool) =>
     Array.from({ length: workersPerPool }, (_, index): Place => {
+      const address = `${pool}-w${index}`;
       return {
-        id: `${pool}-w${index}`,
+        address,
+        id: address,
         pool,
         incarnation: undefined,
+        isRefusing: false,
+        closeCalls: () => {},
+        callsEnded: NEVER,
         lost: 'none',
         onlyFrom: undefined,
       };
     }),
   );
-  const setEntry = ({ id, pool }: Place, bornMs: number | undefined) => {
+  const dropEntry = (id: string) => {
+    const updated = new Map(entries.value);
+    updated.delete(id);
+    entries.next(updated);
+  };
+  const setEntry = ({ id, pool, address }: Place, bornMs: number) => {
     const updated = new Map(entries.value);
-    const capacity = { ...ENTRY.capacity, cores: CORES };
-    if (bornMs === undefined) updated.delete(id);
-    else updated.set(id, { ...ENTRY, id, bornMs, pool, capacity, address: id, instance: id });
+    const capacity = { ...ENTRY.capacity, cores };
+    updated.set(id, { ...ENTRY, id, bornMs, pool, capacity, address, instance: address });
     entries.next(updated);
   };
   const makeRunKey = ({ taskKey, run }: Pick<Run, 'taskKey' | 'run'>) => `${taskKey} run ${run}`;
@@ -117,37 +166,68 @@
     if (known !== place.id) violations.push(`${what} on ${place.id} and on ${known}`);
     workerOfRun.set(what, place.id);
     failsAtMs.set(what, performance.now() + pickFailureMs(taskKey));
+    startsMs.set(taskKey, [...(startsMs.get(taskKey) ?? []), performance.now()]);
   };
   const openIncarnation = (place: Place) => {
     bornCount += 1;
-    const incarnation = createIncarnation(bornCount, getDurationMs, {
-      handleStart: (taskKey, run) => checkStart(place, taskKey, run),
+    const incarnation: Incarnation = createIncarnation(bornCount, getDurationMs, {
+      handleStart: (taskKey, run) => {
+        checkStart(place, taskKey, run);
+        const crashMs = getCrashMs(taskKey);
+        if (crashMs === Infinity) return;
+        setTimeout(() => {
+          if (incarnation.hasRun(taskKey)) void startCrash(place, incarnation);
+        }, crashMs);
+      },
       handleAcknowledged: ({ taskKey, how }) => {
         if (how === 'done') completed.add(taskKey);
       },
     });
-    Object.assign(place, { incarnation });
+    let closeCalls = () => {};
+    const callsEnded = new Promise<void>((resolve) => {
+      closeCalls = resolve;
+    });
+    Object.assign(place, { incarnation, isRefusing: false, closeCalls, callsEnded });
     return incarnation;
   };
+  /** Ends a worker that is up with all that runs there; later another one starts in its place. */
+  const startCrash = async (place: Place, incarnation: Incarnation) => {
+    if (place.incarnation !== incarnation) return;
+    const { id } = place;
+    const taskKeys = incarnation.listRuns().map(({ taskKey }) => taskKey);
+    crashes.push({ atMs: performance.now(), taskKeys });
+    Object.assign(place, { incarnation: undefined, isRefusing: true });
+    place.closeCalls();
+    setTimeout(() => dropEntry(id), CRASHED_ENTRY_MS);
+    await waitFor(DOWN_MS);
+    Object.assign(place, { id: `${place.address}.${bornCount + 1}` });
+    const { bornMs } = openIncarnation(place);
+    await waitFor(pick(MAX_ENTRY_MS));
+    if (place.incarnation?.bornMs === bornMs) setEntry(place, bornMs);
+  };
   const sendCall = async <T extends { readonly kind: string }>(
     { name, getOnlyWorker }: Caller,
-    id: string,
+    { id, address }: WorkerTarget,
     timeoutMs: number,
     execute: (incarnation: Incarnation) => T | Promise<T>,
-  ): Promise<T | { readonly kind: 'unknown' }> => {
-    const unanswered = waitFor(timeoutMs).then(() => ({ kind: 'unknown' }) as const);
+  ): Promise<T | typeof UNKNOWN | typeof OTHER_LIFE> => {
+    const unanswered = waitFor(timeoutMs).then(() => UNKNOWN);
     const answerCall = async () => {
-      const place = places.find((item) => item.id === id)!;
+      const place = places.find((item) => item.address === address)!;
       const isReached = () => {
         const only = getOnlyWorker();
         const isOwn = only === undefined || places[only] === place;
         return isOwn && (place.onlyFrom ?? name) === name;
       };
       await waitFor(pick(MAX_WAY_MS));
-      if (!isReached()) return NEVER;
-      if (place.lost === 'orders' || place.incarnation === undefined) return NEVER;
+      if (!isReached() || place.lost === 'orders') return NEVER;
       const { incarnation } = place;
-      const outcome = await execute(incarnation);
+      if (incarnation === undefined) return place.isRefusing ? UNKNOWN : NEVER;
+      if (place.id !== id) return OTHER_LIFE;
+      const outcome = await Promise.race([
+        execute(incarnation),
+        place.callsEnded.then(() => UNKNOWN),
+      ]);
       await waitFor(pick(MAX_WAY_MS));
       const isLost = place.lost !== 'none' || place.incarnation !== incarnation || !isReached();
       return isLost ? NEVER : outcome;
@@ -156,15 +236,15 @@
   };
   /** Creates the workers as a process reaches them. */
   const createWorkers = (caller: Caller): TaskWorkers => ({
-    startTask: ({ id }, order) =>
-      sendCall<OrderOutcome>(caller, id, TIMEOUT_MS, (w) => w.start(order)),
-    stopTask: ({ id }, order) =>
-      sendCall<OrderOutcome>(caller, id, TIMEOUT_MS, (w) => w.stop(order)),
-    renew: async ({ id }, order) => {
+    startTask: (worker, order) =>
+      sendCall<OrderOutcome>(caller, worker, TIMEOUT_MS, (w) => w.start(order)),
+    stopTask: (worker, order) =>
+      sendCall<OrderOutcome>(caller, worker, TIMEOUT_MS, (w) => w.stop(order)),
+    renew: async (worker, order) => {
       const sentMs = performance.now();
       const timeoutMs = TIMEOUT_MS + order.waitMs;
-      const outcome = await sendCall(caller, id, timeoutMs, (w) => w.renew(order));
-      if (outcome.kind === 'report') options.handleRenewed(id, order.fencingToken, sentMs);
+      const outcome = await sendCall(caller, worker, timeoutMs, (w) => w.renew(order));
+      if (outcome.kind === 'report') options.handleRenewed(worker.id, order.fencingToken, sentMs);
       return outcome;
     },
     pace: () => Promise.resolve({ kind: 'accepted', clockMs: 0 }),
@@ -178,14 +258,24 @@
     }
     if (workerId !== undefined) Object.assign(task, { lastRunMs: nowMs, workerId });
   };
+  /** Says whether workers are up and less than half of what they have is in use. */
+  const isMostlyFree = () => {
+    const up = places.flatMap(({ incarnation }) => incarnation ?? []);
+    const used = up
+      .flatMap((incarnation) => incarnation.listRuns())
+      .reduce((sum, { taskKey }) => sum + getTaskCores(taskKey), 0);
+    return used < (up.length * cores) / 2;
+  };
   const watchRuns = () => {
     const nowMs = performance.now();
     const workerOfTask = new Map<string, string>();
+    if (!isMostlyFree()) busyMs = nowMs;
     places.forEach(({ id, incarnation }) =>
       incarnation?.listRuns().forEach((run) => {
         const other = workerOfTask.get(run.taskKey);
         if (other !== undefined) violations.push(`${makeRunKey(run)} on ${id} and on ${other}`);
         workerOfTask.set(run.taskKey, id);
+        jobRunsMs.set(run.taskKey.slice(0, run.taskKey.indexOf('.')), nowMs);
         if (nowMs >= (failsAtMs.get(makeRunKey(run)) ?? Infinity)) incarnation.failRun(run);
       }),
     );
@@ -200,6 +290,12 @@
     /** Starts of tasks that had run to their end on a worker that was up; not wrong in a cut. */
     repeats,
     ids: places.map(({ id }) => id),
+    crashes,
+    /** Times at which each task was started. */
+    startsMs,
+    /** Gets for how long a job has had nothing running while less than half was in use. */
+    getStandingMs: (jobId: string) =>
+      performance.now() - Math.max(busyMs, jobRunsMs.get(jobId) ?? 0),
     /** Watches from now on for how long a task that is to last has no run. */
     watchLasting: (taskKey: string) => {
       const lastRunMs = performance.now();
@@ -233,7 +329,7 @@
       }, entryMs);
       await waitFor(STALE_ENTRY_MS);
       const isStale = entries.value.get(place.id)?.bornMs === incarnation?.bornMs;
-      if (isStale) setEntry(place, undefined);
+      if (isStale) dropEntry(place.id);
     },
     stop: () => clearInterval(watchTimer),
   };
