End the wait for a worker whose incarnation is known to have ended

Callers saw jobs of which nothing ran over several owners of their pool. Cause, one of three: all inherited jobs wait for each worker that may hold a lease of an earlier planner, until it reports or the lease is over. That another worker answers at its address, which proves that its runs are gone and releases those of this planner, did not end that wait.

The end of an incarnation now ends the wait for it and for those before it, once earlier planners order no more: a later incarnation that an earlier planner knew of is waited for as before.

--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -31,12 +31,17 @@
    * before the earlier planner had stopped.
    */
   readonly recordReport: (workerId: string, sentMs: number) => void;
+  /**
+   * Records that an incarnation and all before it have ended, and no other answers for the worker:
+   * nothing is left there to wait for.
+   */
+  readonly recordEnd: (workerId: string, bornMs: number) => void;
   /**
    * Records the incarnation that a worker's entry names. If the earlier planner did not know of it,
    * its orders may have given that incarnation the longest lease, and for any task.
    */
   readonly recordIncarnation: (workerId: string, bornMs: number) => void;
-  /** Records that no lease from an earlier planner is valid any more, once that is certain. */
+  /** Forgets the workers that hold no lease from an earlier planner any more, once that is certain. */
   readonly expire: (nowMs: number) => void;
   /** Records that no earlier planner sends orders after `nowMs`. */
   readonly observePredecessorStopped: (nowMs: number) => void;
@@ -108,6 +113,8 @@
   const unreported = new Map<string, LeaseHolder>();
   /** Incarnations that the workers' entries name, by worker id. */
   const listedBornMs = new Map<string, number>();
+  /** Newest incarnation of each worker that is known to have ended, by worker id. */
+  const endedBornMs = new Map<string, number>();
   /** When the lease of a worker may last have been extended, as the preceding planner tells. */
   const orderedMs = new Map<string, number>();
   /** What teams may use on a worker, as the preceding planner tells. */
@@ -124,6 +131,9 @@
   /** Says whether an unreported worker has an incarnation that the earlier planner did not know. */
   const hasRestarted = (holder: LeaseHolder) =>
     hasOtherIncarnation(holder, listedBornMs.get(holder.id) ?? 0);
+  /** Says whether the incarnation that earlier planners knew of has ended. */
+  const hasEnded = ({ id, bornMs }: LeaseHolder) =>
+    bornMs !== 0 && bornMs <= (endedBornMs.get(id) ?? -Infinity);
   const isHeldFor = (workerId: string, leaseMs: number, nowMs: number) =>
     unreported.has(workerId) &&
     (nowMs < computeLeaseEndMs(workerId, leaseMs) || isAwaited(workerId));
@@ -153,13 +163,18 @@
       if (sentMs < predecessorUntilMs) return;
       unreported.delete(workerId);
     },
+    recordEnd: (workerId, bornMs) => {
+      endedBornMs.set(workerId, Math.max(bornMs, endedBornMs.get(workerId) ?? -Infinity));
+    },
     recordIncarnation: (workerId, bornMs) => {
       if (unreported.has(workerId)) listedBornMs.set(workerId, bornMs);
     },
     expire: (nowMs) => {
-      [...unreported.keys()]
-        .filter((id) => !isPossibleHolder(id, nowMs) && !isAwaited(id))
-        .forEach((id) => unreported.delete(id));
+      const isOver = (holder: LeaseHolder) =>
+        hasEnded(holder)
+          ? nowMs >= predecessorUntilMs
+          : !isPossibleHolder(holder.id, nowMs) && !isAwaited(holder.id);
+      [...unreported.values()].filter(isOver).forEach(({ id }) => unreported.delete(id));
     },
     observePredecessorStopped: (nowMs) => {
       predecessorUntilMs = Math.min(predecessorUntilMs, nowMs);
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -252,6 +252,7 @@
       const worker = table.workers.get(workerId);
       if (worker?.entry.bornMs !== bornMs) return;
       reportEnd(workerId, 'other-life', nowMs);
+      inheritance.recordEnd(workerId, bornMs);
       ended.addUnresponsive(worker.entry, nowMs);
       dropWorker(worker, { why: 'other-life', newBornMs: undefined }, at);
     },
--- a/packages/vanilladock/src/test/jobs/hand-over.test.ts
+++ b/packages/vanilladock/src/test/jobs/hand-over.test.ts
@@ -137,6 +137,36 @@
   assert.is(isStarting(harness, LONG_LEASE_END_MS - 1_000), true);
 });
 
+// Guards against inherited jobs that wait on for a worker whose incarnation is known to have ended.
+test('a worker in whose place another one answers keeps no inherited task waiting', () => {
+  const leases = [{ id: 'w1', bornMs: 1, orderedAgoMs: 0 }];
+  const harness = takeOverFrom({ token: TOKEN, earlierOrdersMs: 0, leases });
+  assert.is(isStarting(harness, 99), false);
+  harness.planner.observeIncarnationEnd('w1', 1, harness.at(100));
+  assert.is(isStarting(harness, 101), true);
+  assert.equal(harness.planner.makeHandOver(TOKEN + 1, 102).leases, [
+    { id: 'w22', bornMs: 1, orderedAgoMs: 0 },
+  ]);
+});
+
+// Guards against a task that runs twice: the place of a worker is taken while orders may still come.
+test('the end of a worker counts only once earlier planners order no more', () => {
+  const leases = [{ id: 'w1', bornMs: 1, orderedAgoMs: -500 }];
+  const harness = takeOverFrom({ token: TOKEN, earlierOrdersMs: 500, leases });
+  harness.planner.observeIncarnationEnd('w1', 1, harness.at(100));
+  assert.is(isStarting(harness, 499), false);
+  harness.report('w22', 500);
+  assert.is(isStarting(harness, 501), true);
+});
+
+// Guards against a task that runs twice on a later incarnation, which an earlier planner knew of.
+test('the end of an incarnation says nothing of a later one that is inherited', () => {
+  const leases = [{ id: 'w1', bornMs: 2, orderedAgoMs: 0 }];
+  const harness = takeOverFrom({ token: TOKEN, earlierOrdersMs: 0, leases });
+  harness.planner.observeIncarnationEnd('w1', 1, harness.at(100));
+  assert.is(isStarting(harness, 101), false);
+});
+
 /** Step of two lasting tasks of which one at a time may be away. */
 const PAIR = makeStep({ count: 2, isLasting: true, maxUnavailable: 1, maxPerWorker: 1 });
 const PAIR_WORKERS = [...ENTRIES, makeEntry('w333')];
