Split the records of crashes from the watch over workers

crash-watch.ts had 298 lines of two matters: what becomes of the records of a crash, and which events of workers are one.

--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -12,6 +12,7 @@
   LONG_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
+import { createCrashRecords } from './crash-records.js';
 import { makeIncarnationKey, type Incarnation } from './ended-incarnations.js';
 import { createMachineCrashes, getMachine } from './machine-crashes.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
@@ -57,64 +58,13 @@
 
 /** Creates the watch of a pool. */
 export function createCrashWatch(context: PoolContext): CrashWatch {
-  const { table, dirtyJobs, report } = context;
+  const { table, report } = context;
+  const records = createCrashRecords(context);
+  const { setCrashes, updateRecords, dropOtherSuspicions } = records;
   const silences = createWorkerSilences(context);
   const machineCrashes = createMachineCrashes();
-  /** Keys of the tasks with a record of an incarnation's crash, by the key of the incarnation. */
-  const tasksByCrash = new Map<string, Set<string>>();
   /** Incarnations that may have crashed, by machine. */
   const possibleByMachine = new Map<string, readonly Incarnation[]>();
-  const changedJobs = new Set<string>();
-
-  const setCrashes = (task: Task, crashes: readonly CrashRecord[]) => {
-    table.moveTask(task, task.state, { crashes });
-    const job = table.jobs.get(task.jobId);
-    if (job !== undefined) table.updateJob(task.jobId, { crashVersion: job.crashVersion + 1 });
-    dirtyJobs.add(task.jobId);
-    changedJobs.add(task.jobId);
-  };
-  const addToIndex = (taskKey: string, { workerId, bornMs }: CrashRecord) => {
-    const key = makeIncarnationKey(workerId, bornMs);
-    tasksByCrash.set(key, (tasksByCrash.get(key) ?? new Set()).add(taskKey));
-  };
-  /**
-   * Applies a change to the records of one incarnation's crash, and returns the number of tasks that
-   * it changed; undefined drops the record.
-   */
-  const updateRecords = (
-    key: string,
-    change: (record: CrashRecord, taskKey: string) => CrashRecord | undefined,
-  ): number => {
-    const changed = [...(tasksByCrash.get(key) ?? [])].filter((taskKey) => {
-      const task = table.findTask(taskKey);
-      if (task === undefined || task.state.kind === 'done') return false;
-      const known = task.crashes.find(
-        (record) => makeIncarnationKey(record.workerId, record.bornMs) === key,
-      );
-      const updated = known === undefined ? undefined : change(known, taskKey);
-      if (updated === known) return false;
-      setCrashes(
-        task,
-        task.crashes.flatMap((record) => (record === known ? (updated ?? []) : record)),
-      );
-      return true;
-    });
-    return changed.length;
-  };
-  /**
-   * Marks the crashes of a task as explained for the tasks of other jobs; returns how many tasks that
-   * changes.
-   */
-  const dropOtherSuspicions = ({ jobId, crashes }: Task): number =>
-    crashes
-      .map(({ workerId, bornMs }) =>
-        updateRecords(makeIncarnationKey(workerId, bornMs), (record, taskKey) => {
-          const isOfJob = table.findTask(taskKey)?.jobId === jobId;
-          const isExplained = record.suspicion === 'explained';
-          return isOfJob || isExplained ? record : { ...record, suspicion: 'explained' };
-        }),
-      )
-      .reduce((sum, count) => sum + count, 0);
   const addRecords = (worker: Worker, silence: Silence, isEnded: boolean, nowMs: number) => {
     const { id: workerId, bornMs } = worker.entry;
     const machine = getMachine(worker.entry);
@@ -140,7 +90,7 @@
           !machineCrashes.hasCrashedWithout(machine, run.jobId, nowMs),
         atMs: nowMs,
       };
-      addToIndex(run.taskKey, record);
+      records.add(run.taskKey, record);
       setCrashes(task, [...task.crashes, record]);
       if (isTelling(record)) dropOtherSuspicions(task);
     });
@@ -195,13 +145,6 @@
     );
     return [...byCrash.values()].sort((a, b) => a.atMs - b.atMs);
   };
-  /** Forgets the crashes under which no task is left. */
-  const dropSettledCrashes = () =>
-    tasksByCrash.forEach((taskKeys, key) => {
-      if (![...taskKeys].some((taskKey) => table.crashedTaskKeys.has(taskKey))) {
-        tasksByCrash.delete(key);
-      }
-    });
   const giveUpJob = (task: Task, crashes: readonly CrashRecord[], at: Moment) => {
     const why = decideGiveUp(crashes);
     if (why === undefined) return false;
@@ -227,11 +170,11 @@
       suspects.forEach(({ key, crashes }) =>
         crashes.forEach((record) => {
           const { workerId: id, bornMs, machine, isConfirmed } = record;
-          addToIndex(key, record);
+          records.add(key, record);
           if (!isConfirmed && bornMs !== 0) addPossible(machine, { id, bornMs });
         }),
       );
-      if (suspects.length > 0) changedJobs.add(jobId);
+      if (suspects.length > 0) records.recordChange(jobId);
     },
     observeSilence: (worker, { nowMs }) => {
       const isKnown = silences.find(worker.entry.id, worker.entry.bornMs) !== undefined;
@@ -263,7 +206,7 @@
       const isKnownRun = ({ isReported }: SilencedRun) => isReported || wasSilent || !isSameId;
       const silence = { ...added, runs: added.runs.filter(isKnownRun) };
       dropPossible(getMachine(entry), ({ bornMs }) => bornMs <= entry.bornMs);
-      dropSettledCrashes();
+      records.dropSettled();
       if (isOrdered || silence.isEndPlanned) {
         updateRecords(makeIncarnationKey(entry.id, entry.bornMs), () => undefined);
         return;
@@ -284,9 +227,7 @@
     hasCrashedWithout: (entry, jobId, nowMs) =>
       machineCrashes.hasCrashedWithout(getMachine(entry), jobId, nowMs),
     giveUpJobs: (at) => {
-      const jobIds = [...changedJobs];
-      changedJobs.clear();
-      jobIds.forEach((jobId) => {
+      records.takeChangedJobs().forEach((jobId) => {
         if (!table.activeJobs.has(jobId)) return;
         table
           .listJobTasks(jobId)
