Clear a suspect whose run has gone on for 4 s, and bound the wait of lasting ones

A lasting task that two crashes made suspect waited for a worker of its own without a limit, and again at each start after it had failed by itself: only a run of 10 s dropped its records, although a crash after 4 s makes nobody suspect. A run of 4 s now clears its task of the crashes before it, which still count to the limit of five; crashes after 4 s do not count to the three that always isolate; a lasting suspect of two crashes waits for 6 s since the second. Batch suspects wait as before. Three new tests failed before.

--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -10,8 +10,8 @@
 /**
  * What a crash says about a task. `recent`: the run had just started when the worker was last heard
  * of. `earlier`: it had gone on for some time. `mass`: several workers were lost at that moment,
- * which says little. `none`: the run had gone on for long. `explained`: another task was found to be
- * the cause.
+ * which says little. `none`: the run had gone on for long, or a later one has. `explained`: another
+ * task was found to be the cause.
  */
 export type Suspicion = 'recent' | 'earlier' | 'mass' | 'none' | 'explained';
 
@@ -60,7 +60,10 @@
 const ISOLATION_PATIENCE_MS = 6_000;
 const LASTING_PATIENCE_MS = 3_000;
 
-/** Crashes of any kind from which a suspect runs on a worker of its own, whatever they say. */
+/** How long a lasting suspect of two crashes waits for one since the second. */
+const LASTING_PATIENCE_TWICE_MS = 6_000;
+
+/** Crashes from which a suspect runs on a worker of its own, also if others explain them. */
 const ISOLATED_CRASHES = 3;
 
 /** Confirmed crashes without which no job is given up. */
@@ -106,6 +109,11 @@
   return crashes.length > 0 && listSuspicious(crashes).length > 0;
 }
 
+/** Makes the record of a crash after which a run of its task has gone on for long. */
+export function dropSuspicion(crash: CrashRecord): CrashRecord {
+  return isSuspect({ crashes: [crash] }) ? { ...crash, suspicion: 'none' } : crash;
+}
+
 /** Says whether a crash names a suspect: only its job ran there, and no other worker was lost. */
 export function isTelling({ suspicion, isAlone }: CrashRecord): boolean {
   return isAlone && (suspicion === 'recent' || suspicion === 'earlier');
@@ -113,7 +121,8 @@
 
 /**
  * Says whether a task must run on a worker without other jobs: it is a suspect of several crashes,
- * or had just started at the only one and has not waited too long since. Members of a gang start on
+ * or had just started at the only one and has not waited too long since. A lasting one of two crashes
+ * has waited too long later than that. Members of a gang start on
  * many workers at once, so that none of them can run alone.
  */
 export function isToBeIsolated(
@@ -122,9 +131,11 @@
   nowMs: number,
 ): boolean {
   if (crashes.length === 0 || isGang) return false;
-  const [first, ...others] = listSuspicious(crashes);
+  const [first, second] = listSuspicious(crashes);
   if (first === undefined) return false;
-  if (others.length > 0 || crashes.length >= ISOLATED_CRASHES) return true;
+  const counted = crashes.filter(({ suspicion }) => suspicion !== 'none');
+  if (counted.length >= ISOLATED_CRASHES) return true;
+  if (second !== undefined) return !isLasting || nowMs - second.atMs < LASTING_PATIENCE_TWICE_MS;
   const patienceMs = isLasting ? LASTING_PATIENCE_MS : ISOLATION_PATIENCE_MS;
   const isPatient = nowMs - first.atMs < patienceMs;
   return first.isConfirmed && first.suspicion === 'recent' && isPatient;
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -8,8 +8,11 @@
   classifyCrash,
   decideGiveUp,
   isMassLoss,
+  dropSuspicion,
+  isSuspect,
   isTelling,
   LONG_RUN_MS,
+  PROVEN_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
 import { createCrashRecords } from './crash-records.js';
@@ -41,7 +44,10 @@
    * does not know of the order, confirms it.
    */
   readonly observeOrderedEnd: (entry: WorkerEntry) => void;
-  /** Drops the crashes of the tasks that have gone on for long on a worker that has just reported. */
+  /**
+   * Clears the tasks that have gone on for long enough on a worker that has just reported of being
+   * suspect, and drops the crashes of those that have gone on for long.
+   */
   readonly dropDisproved: (worker: Worker, nowMs: number) => void;
   /** Records that a worker's incarnation has ended; to be called while its runs are assigned. */
   readonly observeEnd: (worker: Worker, at: Moment, end: IncarnationEnd) => void;
@@ -194,7 +200,11 @@
       tasks.forEach((key) => {
         const task = table.crashedTaskKeys.has(key) ? table.findTask(key) : undefined;
         if (task === undefined || task.state.kind !== 'assigned') return;
-        if (nowMs - (task.state.confirmedMs ?? nowMs) >= LONG_RUN_MS) setCrashes(task, []);
+        const aliveMs = nowMs - (task.state.confirmedMs ?? nowMs);
+        if (aliveMs >= LONG_RUN_MS) setCrashes(task, []);
+        else if (aliveMs >= PROVEN_RUN_MS && isSuspect(task)) {
+          setCrashes(task, task.crashes.map(dropSuspicion));
+        }
       });
     },
     observeEnd: (worker, { nowMs }, { isOrdered, isSameId }) => {
--- a/packages/vanilladock/src/test/jobs/crash-evidence.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-evidence.test.ts
@@ -122,4 +122,19 @@
   assert.ok(isToBeIsolated(often, BATCH, 1_000_000));
 });
 
+// Guards against lasting tasks that wait for a worker of their own for as long as there is none.
+test('a lasting suspect of two crashes waits for a worker of its own for 6 s since the second', () => {
+  const crashes = [makeCrash('a'), makeCrash('b', { atMs: 1_000 })];
+  const lasting = { isLasting: true, isGang: false };
+  assert.ok(isToBeIsolated({ crashes }, lasting, 6_999));
+  assert.not(isToBeIsolated({ crashes }, lasting, 7_000));
+  assert.ok(isToBeIsolated({ crashes }, BATCH, 60_000));
+  assert.ok(isToBeIsolated({ crashes: [...crashes, makeCrash('c')] }, lasting, 60_000));
+});
+
+test('crashes of runs that had gone on for long do not count to those that isolate a suspect', () => {
+  const crashes = [makeCrash('a'), ...['b', 'c'].map((m) => makeCrash(m, { suspicion: 'none' }))];
+  assert.not(isToBeIsolated({ crashes }, { isLasting: true, isGang: false }, 3_000));
+});
+
 test.run();
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -138,6 +138,24 @@
   assert.is(harness.readProgress('a')!.crashes.size, 0);
 });
 
+// Guards against lasting tasks that fail after some seconds, and are suspects again at each start.
+test('a run that goes on for 4 s clears its task of the crash before it', () => {
+  const { planner, at, ...harness } = openRunning();
+  planner.observeIncarnationEnd('w1', 1, at(50));
+  harness.store();
+  const [start] = harness.planStarts(60);
+  harness.accept([start!], 70);
+  const row = makeRow(TASK, start!.run);
+  const readSuspicions = () =>
+    planner.table.findTask(TASK)!.crashes.map((crash) => crash.suspicion);
+  harness.report('w22', 4_060, [row]);
+  assert.equal(readSuspicions(), ['recent']);
+  harness.report('w22', 4_080, [{ ...row, percent: 20 }]);
+  assert.equal(readSuspicions(), ['none']);
+  harness.store();
+  assert.is(harness.readProgress('a')!.crashes.get('0.0.0')![0]!.suspicion, 'none');
+});
+
 test('a task is not started again before the crash under it is stored', () => {
   const { planner, at, planStarts, store } = openRunning();
   planner.observeIncarnationEnd('w1', 1, at(50));
