Keep a clear worker for a suspect rather than one that has to drain

Jobs stood for seconds after crashes as their suspects waited for a worker to drain although another one had become empty: a worker was chosen once, and half of the accepting ones, rounded down, may be kept, so that three accepting workers tested one job at a time. A worker that is clear now takes the place of one that is not and runs no suspect, and the half is rounded up.

--- a/packages/vanilladock/src/lib/jobs/isolation.ts
+++ b/packages/vanilladock/src/lib/jobs/isolation.ts
@@ -37,7 +37,7 @@
   readonly findTicket: (stepKey: string, workerId: string, nowMs: number) => string | undefined;
 }
 
-/** Largest share of the accepting workers that is isolated at once; one is always allowed. */
+/** Share of the accepting workers that is isolated at once at most, rounded up. */
 const MAX_ISOLATED_SHARE = 0.5;
 
 /** Says whether a run has gone on for long enough not to be the cause of a crash. */
@@ -131,36 +131,50 @@
       isAcceptingTasks(worker, nowMs),
     );
     const isolated = accepting.filter(({ isolation }) => isolation !== undefined);
-    return isolated.length < Math.max(1, Math.floor(accepting.length * MAX_ISOLATED_SHARE));
+    return isolated.length < Math.ceil(accepting.length * MAX_ISOLATED_SHARE);
   };
-  /** Says whether a worker is isolated for the job that can take the task, now or once it is clear. */
-  const hasOwnWorker = (request: PlacementRequest, nowMs: number) =>
+  /** Lists the workers that are isolated for the job of a task and can take it once they are clear. */
+  const listOwnWorkers = (request: PlacementRequest, nowMs: number): readonly Worker[] =>
     [...isolatedIds]
       .flatMap((id) => table.workers.get(id) ?? [])
       .filter(({ isolation }) => isolation?.jobId === request.task.jobId)
       .filter(({ entry }) => hasTicket(request.task, entry.id, nowMs))
-      .some(
+      .filter(
         (worker) =>
           worker.isolation?.isClear === false ||
           (hasFreeCapacity(worker, request.footprint) && isEligible(worker, request)),
       );
-  const handleWaiting = (task: Task, nowMs: number) => {
-    const request = makeRequest(context, task, nowMs);
-    if (hasOwnWorker(request, nowMs) || !isAnotherAllowed(nowMs)) return;
-    const crashedMachines = new Set(task.crashes.map(({ machine }) => machine));
+  const chooseWorker = (request: PlacementRequest, isCandidate: (worker: Worker) => boolean) => {
+    const { task, nowMs } = request;
     const workers = [...table.workers.values()].filter(
-      (candidate) =>
-        hasTicket(task, candidate.entry.id, nowMs) &&
+      (worker) =>
+        isCandidate(worker) &&
+        hasTicket(task, worker.entry.id, nowMs) &&
         isWithin(
-          addResources(sumLastingUse(table, candidate), request.footprint),
-          candidate.entry.capacity,
+          addResources(sumLastingUse(table, worker), request.footprint),
+          worker.entry.capacity,
         ),
     );
-    const worker = chooseIsolatedWorker(workers, request, {
-      crashedMachines,
+    return chooseIsolatedWorker(workers, request, {
+      crashedMachines: new Set(task.crashes.map(({ machine }) => machine)),
       hasCrashedWithout: (entry) => hasCrashedWithout(entry, task.jobId, nowMs),
     });
-    if (worker !== undefined) setIsolation(worker, task.jobId, nowMs);
+  };
+  const handleWaiting = (task: Task, nowMs: number) => {
+    const request = makeRequest(context, task, nowMs);
+    const own = listOwnWorkers(request, nowMs);
+    const hasOwn = own.length > 0;
+    if (
+      own.some((worker) => worker.isolation?.isClear === true || hasRunningSuspect(worker, nowMs))
+    )
+      return;
+    if (!hasOwn && !isAnotherAllowed(nowMs)) return;
+    const isClear = (worker: Worker) => isClearFor(worker, task.jobId, nowMs);
+    const worker = chooseWorker(request, hasOwn ? isClear : () => true);
+    if (worker === undefined) return;
+    // One that is clear takes the place of one that still has to drain.
+    own.forEach(({ entry }) => openWorker(entry.id));
+    setIsolation(worker, task.jobId, nowMs);
   };
   return {
     refresh: (nowMs) => {
