Take a machine for a witness if another suspect may have crashed it

A job is given up at its second crash only if the machine is a witness: one that crashed lately without the job is not, as it may fail by itself. Where tasks of several jobs crash workers, all machines of a pool have crashed without each of these jobs after some seconds, so that each had to crash three workers (crashed-often) or five, and took a worker away for longer. A crash of the machine for which some task is still suspect does not count against it now; once these are done, given up or cleared, it does. The choice of a worker for a suspect still avoids every machine that has crashed. Of two new tests the first failed before, the second guards the other side.

--- a/packages/vanilladock/src/lib/jobs/crash-records.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-records.ts
@@ -2,7 +2,7 @@
  * Records of crashes under the tasks of a pool, found by the incarnation that crashed: what is learned
  * of one crash changes the records of all tasks that ran there.
  */
-import type { CrashRecord } from './crash-evidence.js';
+import { isSuspect, type CrashRecord } from './crash-evidence.js';
 import { makeIncarnationKey } from './ended-incarnations.js';
 import type { PoolContext } from './pool-context.js';
 import type { Task } from './state.js';
@@ -23,6 +23,8 @@
    * changes.
    */
   readonly dropOtherSuspicions: (task: Task) => number;
+  /** Says whether some task is still suspect for the crash of an incarnation. */
+  readonly hasSuspect: (key: string) => boolean;
   /** Forgets the crashes under which no task is left. */
   readonly dropSettled: () => void;
   /** Adds a job to those whose records have changed. */
@@ -82,6 +84,12 @@
           }),
         )
         .reduce((sum, count) => sum + count, 0),
+    hasSuspect: (key) =>
+      [...(tasksByCrash.get(key) ?? [])].some((taskKey) => {
+        const task = table.findTask(taskKey);
+        if (task === undefined || task.state.kind === 'done') return false;
+        return isSuspect({ crashes: task.crashes.filter((record) => makeKey(record) === key) });
+      }),
     dropSettled: () =>
       tasksByCrash.forEach((taskKeys, key) => {
         if (![...taskKeys].some((taskKey) => table.crashedTaskKeys.has(taskKey))) {
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -93,7 +93,7 @@
         isAlone:
           silence.possibleCauses.size === 1 &&
           silence.possibleCauses.has(run.jobId) &&
-          !machineCrashes.hasCrashedWithout(machine, run.jobId, nowMs),
+          !machineCrashes.hasCrashedWithout(machine, run.jobId, nowMs, records.hasSuspect),
         atMs: nowMs,
       };
       records.add(run.taskKey, record);
@@ -224,7 +224,8 @@
       addRecords(worker, silence, true, nowMs);
       updateToConfirmed(entry, nowMs);
       const jobIds = new Set([...silence.runs.map(({ jobId }) => jobId), ...added.possibleCauses]);
-      machineCrashes.add(getMachine(entry), [...jobIds], nowMs);
+      const incarnation = makeIncarnationKey(entry.id, entry.bornMs);
+      machineCrashes.add({ machine: getMachine(entry), incarnation, jobIds: [...jobIds] }, nowMs);
       if (silence.runs.length > 0) logCrash(worker, silence, nowMs);
     },
     observeEntry: (entry, { nowMs }) => {
--- a/packages/vanilladock/src/lib/jobs/machine-crashes.ts
+++ b/packages/vanilladock/src/lib/jobs/machine-crashes.ts
@@ -4,22 +4,33 @@
  */
 import type { WorkerEntry } from '../ports/task-workers.js';
 
-/** Crashes of machines. */
-export interface MachineCrashes {
-  /** Records a crash with the jobs that had runs on the machine. */
-  readonly add: (machine: string, jobIds: readonly string[], nowMs: number) => void;
-  /** Says whether a machine has crashed lately without runs of a job. */
-  readonly hasCrashedWithout: (machine: string, jobId: string, nowMs: number) => boolean;
-  /** Drops the crashes that a job explains. */
-  readonly dropExplained: (jobId: string) => void;
-}
-
 /** A crash of a machine. */
 interface MachineCrash {
+  readonly machine: string;
+  /** Key of the worker's incarnation. */
+  readonly incarnation: string;
+  /** The jobs that had runs there. */
   readonly jobIds: readonly string[];
   readonly atMs: number;
 }
 
+/** Crashes of machines. */
+export interface MachineCrashes {
+  readonly add: (crash: Omit<MachineCrash, 'atMs'>, nowMs: number) => void;
+  /**
+   * Says whether a machine has crashed lately without runs of a job; crashes of incarnations that
+   * `isIgnored` do not count.
+   */
+  readonly hasCrashedWithout: (
+    machine: string,
+    jobId: string,
+    nowMs: number,
+    isIgnored?: (incarnation: string) => boolean,
+  ) => boolean;
+  /** Drops the crashes that a job explains. */
+  readonly dropExplained: (jobId: string) => void;
+}
+
 /** How long a crash is held against its machine. */
 const CRASH_TTL_MS = 60_000;
 
@@ -40,12 +51,14 @@
   const listRecent = (machine: string, nowMs: number) =>
     dropUnless(machine, ({ atMs }) => nowMs - atMs <= CRASH_TTL_MS);
   return {
-    add: (machine, jobIds, nowMs) => {
-      const known = listRecent(machine, nowMs);
-      crashesByMachine.set(machine, [...known, { jobIds, atMs: nowMs }]);
+    add: (crash, nowMs) => {
+      const known = listRecent(crash.machine, nowMs);
+      crashesByMachine.set(crash.machine, [...known, { ...crash, atMs: nowMs }]);
     },
-    hasCrashedWithout: (machine, jobId, nowMs) =>
-      listRecent(machine, nowMs).some(({ jobIds }) => !jobIds.includes(jobId)),
+    hasCrashedWithout: (machine, jobId, nowMs, isIgnored = () => false) =>
+      listRecent(machine, nowMs).some(
+        ({ jobIds, incarnation }) => !jobIds.includes(jobId) && !isIgnored(incarnation),
+      ),
     dropExplained: (jobId) =>
       [...crashesByMachine.keys()].forEach((machine) =>
         dropUnless(machine, ({ jobIds }) => !jobIds.includes(jobId)),
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crash-watch.test.ts
@@ -8,6 +8,7 @@
   makeEntry,
   makeJob,
   makeRow,
+  makeStep,
   POLICY,
   WALL_MS,
   type Harness,
@@ -283,6 +284,55 @@
   assert.not(events.some(({ event }) => event === 'job-given-up'));
 });
 
+/** Crashes a machine under job `b`, then under job `a` alone, which crashed another one before. */
+const runCrashAlone = (handleBetween: (harness: Harness) => void) => {
+  const harness = createHarness();
+  const { planner, at, store } = harness;
+  const startAll = (nowMs: number) => {
+    const starts = harness.planStarts(nowMs);
+    harness.accept(starts, nowMs + 1);
+    return starts;
+  };
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a'), 1);
+  startAll(2);
+  const second = makeEntry('w22', { labels: ['b'] });
+  planner.observeWorkers([makeEntry('w1'), second], at(5));
+  planner.markWorkersRecorded(['w22']);
+  harness.report('w22', 5);
+  harness.submit(makeJob('b', [makeStep({ requiredLabel: 'b' })]), 6);
+  startAll(7);
+  planner.observeIncarnationEnd('w22', 1, at(50));
+  planner.observeIncarnationEnd('w1', 1, at(500));
+  store();
+  handleBetween(harness);
+  const third = makeEntry('w333', { instance: 'm-w22' });
+  planner.observeWorkers([third], at(1_000));
+  planner.markWorkersRecorded(['w333']);
+  harness.report('w333', 1_001);
+  assert.equal(
+    startAll(1_010).map(({ taskKey }) => taskKey),
+    [TASK],
+  );
+  planner.observeIncarnationEnd('w333', 1, at(1_100));
+  planner.plan(at(1_110));
+  store();
+  return planner.getJobStatus('a');
+};
+
+// Guards against tasks that crash worker after worker in a pool in which several of them do.
+test('a machine that has crashed under a suspect is a witness against another one', () => {
+  assert.is(
+    runCrashAlone(() => {}),
+    'failed',
+  );
+});
+
+test('a machine that has crashed under no suspect is no witness', () => {
+  const status = runCrashAlone(({ planner, at }) => planner.cancel('b', at(600)));
+  assert.is(status, 'running');
+});
+
 // Guards against a task that crashes its workers and is started more often over a hand-over.
 test('a crash that its planner has not recorded before a hand-over is known to the successor', () => {
   const first = openRunning();
