Tell the next planner of a pool what runs where, and which crashes are known

Cause: what a planner knows of a worker that does not answer ended with it. The next one found nothing assigned there, so that it recorded no crash under the tasks, started the one that had done it again beside others, and never saw enough crashes to give it up; and as it did not know which tasks were there, all inherited jobs of the pool waited for that worker. The class: a fact that outlives the process that observed it, kept only in that process.

A planner that stops now tells the runs on its workers with their ages, since when a worker does not answer, how long ago crashes were and which machines crashed (docs/design/073). The next one holds only the tasks that were there, records the crash under them, counts lasting runs on, and does not begin to wait for a worker of its own anew. What such tasks may use still counts against their teams.

--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-evidence.ts
@@ -29,7 +29,10 @@
   readonly suspicion: Suspicion;
   /** Whether no other job had a run there that may have been the cause, nor the machine itself. */
   readonly isAlone: boolean;
-  /** When the crash was recorded, on the planner's monotonic clock; 0 for a loaded record. */
+  /**
+   * When the crash was recorded, on the planner's monotonic clock; when it was loaded if the planner
+   * before has not told it.
+   */
   readonly atMs: number;
 }
 
--- a/packages/vanilladock/src/lib/jobs/crash-records.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-records.ts
@@ -6,6 +6,7 @@
 import { makeIncarnationKey } from './ended-incarnations.js';
 import type { PoolContext } from './pool-context.js';
 import type { Task } from './state.js';
+import type { CrashAge } from './told-crashes.js';
 
 /** Changes a record; undefined drops it. */
 export type RecordChange = (record: CrashRecord, taskKey: string) => CrashRecord | undefined;
@@ -23,6 +24,10 @@
    * changes.
    */
   readonly dropOtherSuspicions: (task: Task) => number;
+  /** Lists the crashes under tasks that are not done, with the time since each was recorded. */
+  readonly listAges: (nowMs: number) => readonly CrashAge[];
+  /** Sets when the crash of an incarnation was recorded, which is not stored. */
+  readonly setRecordedMs: (key: string, atMs: number) => void;
   /** Says whether some task is still suspect for the crash of an incarnation. */
   readonly hasSuspect: (key: string) => boolean;
   /** Forgets the crashes under which no task is left. */
@@ -84,6 +89,22 @@
           }),
         )
         .reduce((sum, count) => sum + count, 0),
+    listAges: (nowMs) => {
+      const all = [...table.crashedTaskKeys].flatMap((key) => table.findTask(key)?.crashes ?? []);
+      const ages = all.map((record) => {
+        const { workerId: id, bornMs, atMs } = record;
+        return [makeKey(record), { id, bornMs, agoMs: nowMs - atMs }] as const;
+      });
+      return [...new Map(ages).values()];
+    },
+    setRecordedMs: (key, atMs) =>
+      [...(tasksByCrash.get(key) ?? [])].forEach((taskKey) => {
+        const task = table.findTask(taskKey);
+        if (task === undefined) return;
+        const setTime = (record: CrashRecord) =>
+          makeKey(record) === key ? { ...record, atMs } : record;
+        table.moveTask(task, task.state, { crashes: task.crashes.map(setTime) });
+      }),
     hasSuspect: (key) =>
       [...(tasksByCrash.get(key) ?? [])].some((taskKey) => {
         const task = table.findTask(taskKey);
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crash-watch.ts
@@ -17,10 +17,12 @@
 } from './crash-evidence.js';
 import { createCrashRecords } from './crash-records.js';
 import { makeIncarnationKey, type Incarnation } from './ended-incarnations.js';
+import type { InheritedRuns } from './inherited-runs.js';
 import { createMachineCrashes, getMachine } from './machine-crashes.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { PoolContext } from './pool-context.js';
 import type { Moment, Task, Worker } from './state.js';
+import type { ToldCrashes } from './told-crashes.js';
 import { createWorkerSilences, type Silence, type SilencedRun } from './worker-silences.js';
 
 /** How an incarnation has ended. */
@@ -34,7 +36,9 @@
 /** Watch over the workers of a pool. */
 export interface CrashWatch {
   /** Indexes the crashes that were stored with a job; possible ones may still be confirmed. */
-  readonly observeLoadedJob: (jobId: string) => void;
+  readonly observeLoadedJob: (jobId: string, at: Moment) => void;
+  /** Returns since when a worker's incarnation does not answer; undefined if it answers. */
+  readonly findSilentMs: (worker: Worker) => number | undefined;
   /** Records that a worker has not answered; from the second time on it may have crashed. */
   readonly observeSilence: (worker: Worker, at: Moment) => void;
   /** Records that an incarnation answers. */
@@ -55,6 +59,10 @@
   readonly observeEntry: (entry: WorkerEntry, at: Moment) => void;
   /** Says whether a machine has crashed lately without runs of a job. */
   readonly hasCrashedWithout: (entry: WorkerEntry, jobId: string, nowMs: number) => boolean;
+  /** Lists the crashes of which the next planner is told. */
+  readonly listCrashes: (nowMs: number) => ToldCrashes;
+  /** Applies the crashes that the preceding planner has told, as of `atMs`. */
+  readonly observeTold: (crashes: ToldCrashes, atMs: number) => void;
   /** Ends the jobs that are to be given up by what was recorded since the last call. */
   readonly giveUpJobs: (at: Moment) => void;
 }
@@ -63,11 +71,11 @@
 const MAX_LOGGED_RUNS = 24;
 
 /** Creates the watch of a pool. */
-export function createCrashWatch(context: PoolContext): CrashWatch {
+export function createCrashWatch(context: PoolContext, inheritedRuns: InheritedRuns): CrashWatch {
   const { table, report } = context;
   const records = createCrashRecords(context);
   const { setCrashes, updateRecords, dropOtherSuspicions } = records;
-  const silences = createWorkerSilences(context);
+  const silences = createWorkerSilences(context, inheritedRuns);
   const machineCrashes = createMachineCrashes();
   /** Incarnations that may have crashed, by machine. */
   const possibleByMachine = new Map<string, readonly Incarnation[]>();
@@ -171,19 +179,25 @@
     return true;
   };
   return {
-    observeLoadedJob: (jobId) => {
+    observeLoadedJob: (jobId, { nowMs }) => {
       const suspects = table.listJobTasks(jobId).filter(({ crashes }) => crashes.length > 0);
-      suspects.forEach(({ key, crashes }) =>
+      suspects.forEach((task) => {
+        const crashes = task.crashes.map((record) => ({ ...record, atMs: nowMs }));
+        table.moveTask(task, task.state, { crashes });
         crashes.forEach((record) => {
           const { workerId: id, bornMs, machine, isConfirmed } = record;
-          records.add(key, record);
+          records.add(task.key, record);
           if (!isConfirmed && bornMs !== 0) addPossible(machine, { id, bornMs });
-        }),
-      );
+        });
+      });
       if (suspects.length > 0) records.recordChange(jobId);
     },
+    findSilentMs: ({ entry, missedReports }) =>
+      missedReports === 0 ? undefined : silences.find(entry.id, entry.bornMs)?.atMs,
     observeSilence: (worker, { nowMs }) => {
-      const isKnown = silences.find(worker.entry.id, worker.entry.bornMs) !== undefined;
+      const { id, bornMs } = worker.entry;
+      const wasToldSilent = inheritedRuns.find(id, bornMs)?.silentAgoMs !== undefined;
+      const isKnown = wasToldSilent || silences.find(id, bornMs) !== undefined;
       const silence = silences.add(worker, nowMs);
       const isIgnored = silence.isEndPlanned || silence.isSettled || silence.runs.length === 0;
       if (!isKnown || isIgnored) return;
@@ -237,6 +251,16 @@
     },
     hasCrashedWithout: (entry, jobId, nowMs) =>
       machineCrashes.hasCrashedWithout(getMachine(entry), jobId, nowMs),
+    listCrashes: (nowMs) => ({
+      incarnations: records.listAges(nowMs),
+      machines: machineCrashes.list(nowMs),
+    }),
+    observeTold: ({ incarnations, machines }, atMs) => {
+      incarnations.forEach(({ id, bornMs, agoMs }) =>
+        records.setRecordedMs(makeIncarnationKey(id, bornMs), atMs - agoMs),
+      );
+      machineCrashes.addTold(machines, atMs);
+    },
     giveUpJobs: (at) => {
       records.takeChangedJobs().forEach((jobId) => {
         if (!table.activeJobs.has(jobId)) return;
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -17,6 +17,8 @@
   type LeaseHolder,
 } from './lease-holder.js';
 import type { Job, Task, Worker } from './state.js';
+import { addElapsedToCrashes, toldCrashesSchema, type ToldCrashes } from './told-crashes.js';
+import { addElapsed, toldWorkerSchema, type ToldWorker } from './told-workers.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
 export interface HeldLease extends LeaseHolder {
@@ -54,6 +56,13 @@
    * earlier versions.
    */
   readonly allotments?: ToldAllotments | undefined;
+  /**
+   * What may run on workers, and on which of them; of a worker in `leases` that is missing here it is
+   * not known, as in hand-overs of earlier versions.
+   */
+  readonly workers?: readonly ToldWorker[] | undefined;
+  /** Crashes of workers; absent in those of earlier versions. */
+  readonly crashes?: ToldCrashes | undefined;
   /** Token of a later planner that passes this on because it has not ordered anything. */
   readonly passedOnBy?: number | undefined;
 }
@@ -94,6 +103,8 @@
   stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
   fleetOrderAgoMs: z.number().optional(),
   allotments: toldAllotmentsSchema.optional(),
+  workers: z.array(toldWorkerSchema).optional(),
+  crashes: toldCrashesSchema.optional(),
   passedOnBy: z.number().optional(),
 });
 
@@ -114,6 +125,9 @@
   >;
   readonly jobs: ReadonlyMap<string, Job>;
   readonly allotments: ToldAllotments | undefined;
+  /** What is told of workers with runs. */
+  readonly toldWorkers: readonly ToldWorker[];
+  readonly toldCrashes: ToldCrashes;
 }
 
 /** Time in which an order that was sent has arrived or been given up, in milliseconds. */
@@ -216,6 +230,8 @@
     longLeases: listLongLeases(sources, nowMs),
     stoppedRuns: listStoppedRuns(sources),
     allotments: sources.allotments,
+    workers: sources.toldWorkers,
+    crashes: sources.toldCrashes,
   };
 }
 
@@ -232,5 +248,7 @@
       ...lease,
       orderedAgoMs: lease.orderedAgoMs + elapsedMs,
     })),
+    workers: handOver.workers?.map((told) => addElapsed(told, elapsedMs)),
+    crashes: handOver.crashes && addElapsedToCrashes(handOver.crashes, elapsedMs),
   };
 }
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -1,6 +1,7 @@
 /** Tracks until when tasks of an earlier planner may still run or start unseen on workers. */
 import { SUCCESSION_MS } from '../duties/authority.js';
 import type { LeaseEnd, RunName, TimedHandOver } from './hand-over.js';
+import type { InheritedRuns } from './inherited-runs.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
 import type { TeamUse } from '../teams/team-usage.js';
@@ -52,6 +53,8 @@
   readonly observeHandOver: (timed: TimedHandOver) => void;
   /** Says whether the preceding planner has ordered the stop of a run. */
   readonly wasStopped: (run: RunName) => boolean;
+  /** As `findConfirmedMs` of the inherited runs. */
+  readonly findConfirmedMs: InheritedRuns['findConfirmedMs'];
   /** Lists these runs while some of them may be on workers that have not reported. */
   readonly listStoppedRuns: () => readonly RunName[];
   /** Returns until when earlier planners may send orders; in the past once they may not. */
@@ -75,8 +78,8 @@
   /** Explains what inherited jobs wait for; undefined unless `isUncertain` holds. */
   readonly explainWaits: (nowMs: number) => InheritanceWaits | undefined;
   /**
-   * Says whether a task may run under a long lease on a worker that has not reported yet, although
-   * the others are certain.
+   * Says whether a task may run on a worker that has not reported yet, although the others are
+   * certain: under a long lease, or because the preceding planner tells that it was there.
    */
   readonly mayRunUnseen: (taskKey: string, nowMs: number) => boolean;
   /** Counts the tasks for which `mayRunUnseen` holds. */
@@ -102,12 +105,13 @@
 }
 
 /**
- * Creates the inheritance of a planner. `isAwaited` says of a worker whether its first answer to this
+ * Creates the inheritance of a planner. `runs` is what was told of runs. `isAwaited` says of a worker whether its first answer to this
  * planner is still to come: its lists may name what has ended, also after its lease.
  */
 export function createInheritance(
   options: InheritanceOptions,
   isAwaited: (workerId: string) => boolean,
+  runs: Pick<InheritedRuns, 'find' | 'findConfirmedMs' | 'listWorkers' | 'listTasks'>,
 ): Inheritance {
   const inherited = new Map<string, LeaseHolder>();
   const unreported = new Map<string, LeaseHolder>();
@@ -143,8 +147,14 @@
       holder !== undefined && (hasRestarted(holder) || holder.longLeaseTasks !== undefined);
     return nowMs < computeLeaseEndMs(workerId, isLong ? MAX_LEASE_MS : LEASE_MS);
   };
+  /** Says whether it was told of a worker which tasks may run, or have ended, there. */
+  const hasKnownTasks = (holder: LeaseHolder) => {
+    const told = runs.find(holder.id, holder.bornMs);
+    return told !== undefined && told.hasUnstoredEnds !== true && !hasRestarted(holder);
+  };
   /** Says whether any inherited task may run, or have ended, on a worker that has not reported. */
   const isUnknown = (holder: LeaseHolder, nowMs: number) =>
+    !hasKnownTasks(holder) &&
     isHeldFor(holder.id, hasRestarted(holder) ? MAX_LEASE_MS : LEASE_MS, nowMs);
   const isUncertain = (nowMs: number) =>
     nowMs < predecessorUntilMs ||
@@ -156,7 +166,15 @@
     unreported.set(holder.id, holder);
     holder.longLeaseTasks?.forEach((key) => longLeases.set(key, holder.id));
   };
-  const isUnseen = (workerId: string, nowMs: number) => isHeldFor(workerId, MAX_LEASE_MS, nowMs);
+  const isUnseen = (taskKey: string, nowMs: number) => {
+    const longHolderId = longLeases.get(taskKey);
+    if (longHolderId !== undefined && isHeldFor(longHolderId, MAX_LEASE_MS, nowMs)) return true;
+    return runs.listWorkers(taskKey).some((id) => isHeldFor(id, LEASE_MS, nowMs));
+  };
+  const countUnseen = (nowMs: number) =>
+    [...new Set([...longLeases.keys(), ...runs.listTasks()])].filter((taskKey) =>
+      isUnseen(taskKey, nowMs),
+    ).length;
   options.inheritedWorkers.forEach(addHolder);
   return {
     recordReport: (workerId, sentMs) => {
@@ -194,6 +212,7 @@
           orderedMs.set(holder.id, atMs - orderedAgoMs);
         });
     },
+    findConfirmedMs: runs.findConfirmedMs,
     wasStopped: ({ taskKey, run }) => stoppedRuns.get(taskKey) === run,
     listStoppedRuns: () =>
       unreported.size === 0 ? [] : [...stoppedRuns].map(([taskKey, run]) => ({ taskKey, run })),
@@ -213,12 +232,8 @@
             unreportedWorkers: [...unreported.keys()],
           }
         : undefined,
-    mayRunUnseen: (taskKey, nowMs) => {
-      const workerId = longLeases.get(taskKey);
-      return workerId !== undefined && isUnseen(workerId, nowMs);
-    },
-    countUnseen: (nowMs) =>
-      [...longLeases.values()].filter((workerId) => isUnseen(workerId, nowMs)).length,
+    mayRunUnseen: isUnseen,
+    countUnseen,
     computeForeignLeaseMs: (workerId, bornMs) => {
       const holder = inherited.get(workerId);
       const isLong = holder?.longLeaseTasks !== undefined || hasOtherIncarnation(holder, bornMs);
--- a/packages/vanilladock/src/lib/jobs/machine-crashes.ts
+++ b/packages/vanilladock/src/lib/jobs/machine-crashes.ts
@@ -3,6 +3,7 @@
  * without a job is no witness against it.
  */
 import type { WorkerEntry } from '../ports/task-workers.js';
+import type { MachineCrashAge } from './told-crashes.js';
 
 /** A crash of a machine. */
 interface MachineCrash {
@@ -27,6 +28,10 @@
     nowMs: number,
     isIgnored?: (incarnation: string) => boolean,
   ) => boolean;
+  /** Lists the newest crashes, as the next planner is told. */
+  readonly list: (nowMs: number) => readonly MachineCrashAge[];
+  /** Adds the crashes that the preceding planner has told, as of `atMs`. */
+  readonly addTold: (crashes: readonly MachineCrashAge[], atMs: number) => void;
   /** Drops the crashes that a job explains. */
   readonly dropExplained: (jobId: string) => void;
 }
@@ -34,6 +39,9 @@
 /** How long a crash is held against its machine. */
 const CRASH_TTL_MS = 60_000;
 
+/** Number of crashes of which the next planner is told. */
+const MAX_TOLD_CRASHES = 50;
+
 /** Returns the name of a worker's machine: its instance, or its address without one. */
 export function getMachine({ instance, address }: WorkerEntry): string {
   return instance ?? address;
@@ -50,11 +58,20 @@
   };
   const listRecent = (machine: string, nowMs: number) =>
     dropUnless(machine, ({ atMs }) => nowMs - atMs <= CRASH_TTL_MS);
+  const addCrash = (crash: MachineCrash, nowMs: number) => {
+    const known = listRecent(crash.machine, nowMs);
+    crashesByMachine.set(crash.machine, [...known, crash]);
+  };
   return {
-    add: (crash, nowMs) => {
-      const known = listRecent(crash.machine, nowMs);
-      crashesByMachine.set(crash.machine, [...known, { ...crash, atMs: nowMs }]);
-    },
+    add: (crash, nowMs) => addCrash({ ...crash, atMs: nowMs }, nowMs),
+    list: (nowMs) =>
+      [...crashesByMachine.keys()]
+        .flatMap((machine) => listRecent(machine, nowMs))
+        .map(({ atMs, ...crash }) => ({ ...crash, agoMs: nowMs - atMs }))
+        .sort((a, b) => a.agoMs - b.agoMs)
+        .slice(0, MAX_TOLD_CRASHES),
+    addTold: (crashes, atMs) =>
+      crashes.forEach(({ agoMs, ...crash }) => addCrash({ ...crash, atMs: atMs - agoMs }, atMs)),
     hasCrashedWithout: (machine, jobId, nowMs, isIgnored = () => false) =>
       listRecent(machine, nowMs).some(
         ({ jobIds, incarnation }) => !jobIds.includes(jobId) && !isIgnored(incarnation),
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -4,6 +4,7 @@
  */
 import type { OrderOutcome, Rejection } from '../ports/task-workers.js';
 import type { RunName } from './hand-over.js';
+import type { InheritedRuns } from './inherited-runs.js';
 import { estimateWorkerMs, hasClockRestarted, MAX_LEASE_MS } from './lease-clock.js';
 import type { StartAction } from './plan-starts.js';
 import type { StopAction } from './plan-stops.js';
@@ -179,3 +180,16 @@
     if (isAdopted(task.state)) table.moveTask(task, { ...task.state, phase: 'stopping' });
   });
 }
+
+/** Applies since when runs go on that were adopted before the planner before told it. */
+export function observeToldRuns({ table }: PoolContext, inheritedRuns: InheritedRuns): void {
+  inheritedRuns.listTasks().forEach((taskKey) => {
+    const task = table.findTask(taskKey);
+    if (task?.state.kind !== 'assigned' || !isAdopted(task.state)) return;
+    const { state } = task;
+    const worker = table.workers.get(state.workerId);
+    const run = { taskKey, run: state.run };
+    const confirmedMs = worker && inheritedRuns.findConfirmedMs(worker.entry, run);
+    if (confirmedMs !== undefined) table.moveTask(task, { ...state, confirmedMs });
+  });
+}
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -78,7 +78,7 @@
   context: PoolContext,
   worker: Worker,
   row: RunningTask,
-  wasStopped: Inheritance['wasStopped'],
+  inheritance: Pick<Inheritance, 'wasStopped' | 'findConfirmedMs'>,
   at: Moment,
 ): void {
   const task = context.table.findTask(row.taskKey);
@@ -87,8 +87,8 @@
     return;
   }
   const assignment = makeAssignment(worker.entry.id, row.run, {
-    phase: wasStopped(row) ? 'stopping' : 'running',
-    confirmedMs: at.nowMs,
+    phase: inheritance.wasStopped(row) ? 'stopping' : 'running',
+    confirmedMs: inheritance.findConfirmedMs(worker.entry, row) ?? at.nowMs,
     isReported: true,
     leaseUntilMs: worker.leaseUntilMs,
     percent: row.percent,
@@ -264,7 +264,10 @@
  */
 export function observeReport(
   context: PoolContext,
-  inheritance: Pick<Inheritance, 'computeForeignLeaseMs' | 'findLeaseEnd' | 'wasStopped'>,
+  inheritance: Pick<
+    Inheritance,
+    'computeForeignLeaseMs' | 'findLeaseEnd' | 'wasStopped' | 'findConfirmedMs'
+  >,
   workerId: string,
   timed: TimedReport,
   at: Moment,
@@ -293,7 +296,7 @@
       task.state.workerId === workerId &&
       task.state.run === row.run;
     if (isKnown) refreshKnownRun(context, task, row, at);
-    else recordUnknownRun(context, worker, row, inheritance.wasStopped, at);
+    else recordUnknownRun(context, worker, row, inheritance, at);
   });
   if (report.ended.length < MAX_ENDS_PER_REPORT) releaseMissingRuns(context, worker, timed);
   table.refreshUsedCapacity(workerId);
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -10,14 +10,15 @@
 import { createCrashWatch } from './crash-watch.js';
 import { createIsolation } from './isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
-import { makeHandOver } from './hand-over.js';
 import { createInheritance } from './inheritance.js';
+import { createInheritedRuns } from './inherited-runs.js';
 import { createJobIntake } from './job-intake.js';
 import { dropFinishedJobs, openDueOccurrences, openLoadedOccurrences } from './job-lifecycle.js';
-import { observeStart, observeStop, observeStoppedRuns } from './observe-orders.js';
+import { observeStart, observeStop } from './observe-orders.js';
 import { observeReport } from './observe-report.js';
 import { createMeanWork } from './mean-work.js';
 import { planPaces } from './pace.js';
+import { createPlannerHandOver } from './planner-hand-over.js';
 import { createPlanSchedule } from './plan-scope.js';
 import { createStartPlanner } from './plan-starts.js';
 import { planStops } from './plan-stops.js';
@@ -73,8 +74,9 @@
     if (worker === undefined) return table.workers.size === 0;
     return worker.isListed && worker.clock === undefined && worker.missedReports === 0;
   };
-  const inheritance = createInheritance(options, isAwaited);
-  const crashWatch = createCrashWatch(context);
+  const inheritedRuns = createInheritedRuns();
+  const inheritance = createInheritance(options, isAwaited, inheritedRuns);
+  const crashWatch = createCrashWatch(context, inheritedRuns);
   const incarnations = createWorkerIncarnations(context, inheritance, crashWatch);
   const isolation = createIsolation({
     context,
@@ -89,6 +91,14 @@
     planner: options.runBase,
     report: options.report,
   });
+  const handOver = createPlannerHandOver({
+    context,
+    inheritance,
+    inheritedRuns,
+    crashWatch,
+    incarnations,
+    teams,
+  });
   const intake = createJobIntake({
     context,
     arrivals,
@@ -133,7 +143,7 @@
       const job = table.addJob(record, { progress, runBase: options.runBase, storedPhase }, at);
       openLoadedOccurrences(table, job, progress, at);
       meanWork.addJob(job);
-      crashWatch.observeLoadedJob(record.spec.id);
+      crashWatch.observeLoadedJob(record.spec.id, at);
     },
     loadTombstone: (tombstone, { nowMs }) => tombstones.load(tombstone, nowMs),
     submit: intake.submit,
@@ -192,25 +202,9 @@
     observeIncarnationEnd: incarnations.observeIncarnationEnd,
     observeEndNotice: incarnations.observeEndNotice,
     observePredecessorStopped: inheritance.observePredecessorStopped,
-    observeHandOver: (timed) => {
-      inheritance.observeHandOver(timed);
-      const { allotments, stoppedRuns = [] } = timed.handOver;
-      observeStoppedRuns(context, stoppedRuns);
-      if (allotments !== undefined) teams.applyTold(allotments, timed.atMs);
-    },
+    observeHandOver: handOver.observe,
     computeEarlierOrdersMs: (nowMs) => Math.max(0, inheritance.getPredecessorUntilMs() - nowMs),
-    makeHandOver: (token, nowMs) =>
-      makeHandOver(
-        {
-          token,
-          workers: table.workers,
-          findTask: table.findTask,
-          inheritance,
-          jobs: table.jobs,
-          allotments: teams.makeTold(nowMs),
-        },
-        nowMs,
-      ),
+    makeHandOver: handOver.make,
     explainWaits: inheritance.explainWaits,
     observeStart: (action, outcome, at) => observeStart(context, tickets, action, outcome, at),
     observeStop: (action, outcome, at) => observeStop(context, action, outcome, at),
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -60,6 +60,8 @@
    * definitely expired, and drops those that are unlisted and without tasks.
    */
   readonly releaseUnresponsive: (workerIds: Iterable<string>, at: Moment) => void;
+  /** Says whether a notice was received that an order has ended some incarnation of a worker. */
+  readonly isEndOrdered: (workerId: string) => boolean;
   /** Counts the workers that are ignored because their incarnation seems to have ended. */
   readonly countEnded: (nowMs: number) => number;
   /**
@@ -292,6 +294,7 @@
       return true;
     },
     releaseUnresponsive,
+    isEndOrdered: (workerId) => endNoticedMs.has(workerId),
     countEnded: ended.countUnresponsive,
     listLeaseHolders: (nowMs) => listLeaseHolders(makeHolderSources(), nowMs),
     hasStoredHolders: (stored, nowMs) => hasStoredHolders(makeHolderSources(), stored, nowMs),
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-silences.ts
@@ -4,9 +4,12 @@
  */
 import { PROVEN_RUN_MS } from './crash-evidence.js';
 import { makeIncarnationKey } from './ended-incarnations.js';
+import type { InheritedRuns } from './inherited-runs.js';
+import { computeAliveMs, findLastSign } from './last-sign.js';
 import type { PoolContext } from './pool-context.js';
 import { parseTaskKey } from './spec.js';
 import type { Task, Worker } from './state.js';
+import type { ToldWorker } from './told-workers.js';
 import { listWorkerTasks } from './worker-loss.js';
 
 /** A run that a worker had when it stopped to answer. */
@@ -38,7 +41,10 @@
 
 /** Silences of a pool's workers. */
 export interface WorkerSilences {
-  /** Records that a worker has stopped to answer; the first record of an incarnation counts. */
+  /**
+   * Records that a worker has stopped to answer; the first record of an incarnation counts. Of one
+   * that has not reported to this planner, what the preceding one has told counts.
+   */
   readonly add: (worker: Worker, nowMs: number) => Silence;
   readonly find: (workerId: string, bornMs: number) => Silence | undefined;
   /** Marks the end of an incarnation as dealt with; no effect if it has not been silent. */
@@ -61,7 +67,7 @@
 const EVACUATION_MARGIN_MS = 3_000;
 
 /** Says whether a worker is to end: it is draining, or its instance is moved or maintained. */
-function isEnding({ entry, evacuateUntilMs }: Worker, nowMs: number): boolean {
+export function isEnding({ entry, evacuateUntilMs }: Worker, nowMs: number): boolean {
   const isEvacuated = evacuateUntilMs > 0 && evacuateUntilMs + EVACUATION_MARGIN_MS > nowMs;
   return entry.phase === 'draining' || isEvacuated;
 }
@@ -70,9 +76,25 @@
 function makeRun(task: Task, lastSignMs: number): SilencedRun[] {
   const { key: taskKey, jobId, state } = task;
   if (state.kind !== 'assigned') return [];
-  const aliveMs = Math.max(0, Math.round(lastSignMs - (state.confirmedMs ?? lastSignMs)));
-  const isConfirmed = state.confirmedMs !== undefined;
-  return [{ taskKey, jobId, run: state.run, aliveMs, isConfirmed, isReported: state.isReported }];
+  const { run, confirmedMs, isReported } = state;
+  const aliveMs = computeAliveMs(confirmedMs ?? lastSignMs, lastSignMs);
+  return [{ taskKey, jobId, run, aliveMs, isConfirmed: confirmedMs !== undefined, isReported }];
+}
+
+/** Makes the records of the runs that were told of a worker. */
+function makeInheritedRuns({ runs, lastSignAgoMs }: ToldWorker): readonly SilencedRun[] {
+  return runs.map(({ taskKey, run, confirmedAgoMs, isReported }) => {
+    const { jobId } = parseTaskKey(taskKey);
+    const aliveMs = computeAliveMs(lastSignAgoMs, confirmedAgoMs ?? lastSignAgoMs);
+    return {
+      taskKey,
+      jobId,
+      run,
+      aliveMs,
+      isConfirmed: confirmedAgoMs !== undefined,
+      isReported,
+    };
+  });
 }
 
 /**
@@ -80,26 +102,42 @@
  * a job that was cancelled or given up, goes on until it has stopped; its age is not known.
  */
 function listPossibleCauses(
-  { orphanedRuns }: Worker,
+  orphans: Iterable<string>,
   runs: readonly SilencedRun[],
 ): ReadonlySet<string> {
   return new Set([
     ...runs.filter(({ aliveMs }) => aliveMs < PROVEN_RUN_MS).map(({ jobId }) => jobId),
-    ...[...orphanedRuns.keys()].map((key) => parseTaskKey(key).jobId),
+    ...[...orphans].map((key) => parseTaskKey(key).jobId),
   ]);
 }
 
-/** Finds the time at which a worker last answered a renewal or a start. */
-function findLastSign(worker: Worker, tasks: readonly Task[]): number {
-  const confirmations = tasks.map(({ state }) =>
-    state.kind === 'assigned' ? (state.confirmedMs ?? 0) : 0,
-  );
-  return Math.max(worker.lastReportMs, ...confirmations);
-}
-
 /** Creates the memory without any silence. */
-export function createWorkerSilences(context: PoolContext): WorkerSilences {
+export function createWorkerSilences(
+  context: PoolContext,
+  inheritedRuns: Pick<InheritedRuns, 'find' | 'getSilentMs'>,
+): WorkerSilences {
   const silences = new Map<string, Silence>();
+  /** Lists the runs on a worker that this planner knows of by itself. */
+  const listOwnRuns = (worker: Worker) => {
+    const tasks = listWorkerTasks(context, worker);
+    const lastSignMs = findLastSign(worker, tasks);
+    return tasks.flatMap((task) => makeRun(task, lastSignMs));
+  };
+  const makeSilence = (worker: Worker, nowMs: number): Silence => {
+    const { id: workerId, bornMs } = worker.entry;
+    const told = worker.clock === undefined ? inheritedRuns.find(workerId, bornMs) : undefined;
+    const runs = [...(told === undefined ? [] : makeInheritedRuns(told)), ...listOwnRuns(worker)];
+    const orphans = [...worker.orphanedRuns.keys(), ...(told?.orphans ?? [])];
+    return {
+      workerId,
+      bornMs,
+      atMs: told === undefined ? nowMs : inheritedRuns.getSilentMs(told),
+      isEndPlanned: told?.isEndPlanned === true || isEnding(worker, nowMs),
+      runs,
+      possibleCauses: listPossibleCauses(orphans, runs),
+      isSettled: false,
+    };
+  };
   const listCoincident = ({ atMs }: Silence) =>
     [...silences.values()].filter((other) => Math.abs(other.atMs - atMs) <= MOMENT_MS);
   const dropOld = (nowMs: number) =>
@@ -113,18 +151,7 @@
       const known = silences.get(key);
       if (known !== undefined) return known;
       dropOld(nowMs);
-      const tasks = listWorkerTasks(context, worker);
-      const lastSignMs = findLastSign(worker, tasks);
-      const runs = tasks.flatMap((task) => makeRun(task, lastSignMs));
-      const silence: Silence = {
-        workerId,
-        bornMs,
-        atMs: nowMs,
-        isEndPlanned: isEnding(worker, nowMs),
-        runs,
-        possibleCauses: listPossibleCauses(worker, runs),
-        isSettled: false,
-      };
+      const silence = makeSilence(worker, nowMs);
       silences.set(key, silence);
       return silence;
     },
--- a/packages/vanilladock/src/lib/teams/pool-teams.ts
+++ b/packages/vanilladock/src/lib/teams/pool-teams.ts
@@ -28,7 +28,7 @@
   /** What may run of inherited jobs that no report has shown yet. */
   readonly inheritance: Pick<
     Inheritance,
-    'isUncertain' | 'mayPredecessorOrder' | 'listUnreported' | 'getTeamUse'
+    'isUncertain' | 'countUnseen' | 'mayPredecessorOrder' | 'listUnreported' | 'getTeamUse'
   >;
   /** What the teams could use at most by the orders of earlier planners. */
   readonly inheritedCeilings: TeamCeilings;
@@ -131,9 +131,12 @@
     const hidden = unseen.get(team);
     return hidden === undefined ? used : addResources(used, hidden);
   };
+  /** Says whether any inherited task may run on a worker that has not reported. */
+  const isAnyUnseen = (nowMs: number) =>
+    inheritance.isUncertain(nowMs) || inheritance.countUnseen(nowMs) > 0;
   /** Estimates what may run unseen, by team; no more than the ceiling of the earlier planners. */
   const estimateUnseen = (nowMs: number) => {
-    if (!inheritance.isUncertain(nowMs)) {
+    if (!isAnyUnseen(nowMs)) {
       unseen = new Map();
       return;
     }
@@ -249,7 +252,7 @@
       if (isApplied && others.length > 0) {
         rates.setOthers(new Map(others), Math.max(0, sources.countPools() - 1));
       }
-      return { teams: listReports(nowMs), isSettled: !inheritance.isUncertain(nowMs), planner };
+      return { teams: listReports(nowMs), isSettled: !isAnyUnseen(nowMs), planner };
     },
     applyTold: (told, atMs) => {
       budget.applyTold(told, atMs);
