Keep the bytes of bodies in blocks, whatever the size of their chunks

Callers that send chunked bodies in chunks of a byte, which stop short of their end and stay open, ended a process: it ran out of memory. Each chunk was kept as an object of its own, and held on to the piece of up to 64 KiB that was read with it, while the bound on bodies counts their bytes alone and leaves the first 8 KiB of each uncounted. Bytes are copied into blocks of 4 KiB now (the first 512 bytes), in the platform's body reader and in the bodies that the product's own entry keeps for a retry.

--- a/packages/daemon/src/lib/request/request-body.ts
+++ b/packages/daemon/src/lib/request/request-body.ts
@@ -4,6 +4,7 @@
  * once. Reading follows the upstream's back-pressure, so memory use is bounded whatever the length.
  */
 import type { ClientRequest, IncomingMessage } from 'node:http';
+import { createByteBlocks, type ByteBlocks } from '../byte-blocks.js';
 import { readBodyLength, selectTrailers, type BodyLength } from './headers.js';
 
 /** Maximum size of a body that is buffered for a retry, in bytes. */
@@ -38,7 +39,7 @@
 export function createRequestBody(incoming: IncomingMessage, maxBytes: number): RequestBody {
   const length = readBodyLength(incoming);
   const isEmpty = length.kind === 'none' || (length.kind === 'declared' && length.bytes === 0);
-  let bufferedChunks: Buffer[] | undefined = [];
+  let buffered: ByteBlocks | undefined = createByteBlocks();
   let readBytes = 0;
   let hasEnded = isEmpty;
   let isReading = false;
@@ -61,8 +62,8 @@
       handleFault('too-large');
       return;
     }
-    if (readBytes > MAX_BUFFERED_BODY_BYTES) bufferedChunks = undefined;
-    bufferedChunks?.push(chunk);
+    if (readBytes > MAX_BUFFERED_BODY_BYTES) buffered = undefined;
+    buffered?.add(chunk);
     if (target !== undefined && !target.write(chunk)) incoming.pause();
   };
   const handleEnd = () => {
@@ -88,7 +89,10 @@
         return;
       }
       const isWritable =
-        bufferedChunks?.map((chunk) => newTarget.write(chunk)).every(Boolean) ?? true;
+        buffered
+          ?.list()
+          .map((chunk) => newTarget.write(chunk))
+          .every(Boolean) ?? true;
       newTarget.on('drain', () => {
         if (target === newTarget) incoming.resume();
       });
@@ -100,8 +104,8 @@
       target = undefined;
       if (isReading && !hasEnded) incoming.pause();
     },
-    isReplayable: () => bufferedChunks !== undefined,
-    isFullyBuffered: () => hasEnded && bufferedChunks !== undefined,
+    isReplayable: () => buffered !== undefined,
+    isFullyBuffered: () => hasEnded && buffered !== undefined,
     setFaultHandler: (handle) => {
       handleFault = handle;
     },
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -10,6 +10,7 @@
  * ```
  */
 export * from './lib/caller.js';
+export * from './lib/crowd.js';
 export * from './lib/fault-actions.js';
 export * from './lib/fault-proxy.js';
 export * from './lib/faults.js';
@@ -17,5 +18,6 @@
 export * from './lib/json-server.js';
 export * from './lib/log-server.js';
 export * from './lib/pool-server.js';
+export * from './lib/process-use.js';
 export * from './lib/upstream-answers.js';
 export * from './lib/upstream.js';
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -1,7 +1,8 @@
 /**
  * Runs each compiled test file in its own process, a few at a time, prints the output of failing
  * files and ends with the line `N passed, N failed`. Failures listed in KNOWN-RED.txt are printed
- * but not counted as failed. Arguments restrict the run to files whose path contains one of them.
+ * but not counted as failed. Files named `crowds…` load a process to its limits; they run last, one at a
+ * time. Arguments restrict the run to files whose path contains one of them.
  */
 import { spawn } from 'node:child_process';
 import { existsSync, readFileSync, readdirSync } from 'node:fs';
@@ -72,13 +73,13 @@
 
 const files = listTestFiles(process.argv.slice(2));
 const knownFailures = readKnownRed();
-const pending = [...files];
+const isAlone = (file) => /\/crowds[^/]*$/.test(file);
 let passed = 0;
 let failed = 0;
 const toleratedFailures = [];
 
 /** Runs pending files one after another until none is left. */
-async function runWorker() {
+async function runWorker(pending) {
   for (let file = pending.shift(); file !== undefined; file = pending.shift()) {
     const result = await runFile(file);
     const source = file.replace('/dist/', '/src/').replace(/\.js$/, '.ts');
@@ -94,7 +95,9 @@
   }
 }
 
-await Promise.all(Array.from({ length: CONCURRENCY }, runWorker));
+const together = files.filter((file) => !isAlone(file));
+await Promise.all(Array.from({ length: CONCURRENCY }, () => runWorker(together)));
+await runWorker(files.filter(isAlone));
 toleratedFailures.forEach((name) => process.stdout.write(`known red: ${name}\n`));
 if (files.length === 0)
   process.stdout.write('no test file matched; check the filters, or build the packages first\n');
