Bound the connections and open requests of callers, and close the one that holds most

Clients that opened many connections, sent requests ahead and read no answer, or began requests that never ended, took a process beyond its memory or its descriptors. Nothing bounded connections; a bound of 64 open calls held for each connection, but what Node reads in one piece becomes calls all the same, and a request of HTTP/1.1 without a host was answered by Node where nothing counted it.

Connections, open requests of all of them and connections that wait to be read have limits now, computed from descriptors, heap and memory; beyond one the connection that holds most is closed, not the next one that comes. The table of connections is a module of its own.

--- a/packages/daemon/src/lib/connection-calls.ts
+++ b/packages/daemon/src/lib/connection-calls.ts
@@ -29,19 +29,44 @@
  */
 const MAX_OPEN_CALLS = 64;
 
+/**
+ * Connections that may have many open calls, one after the other; further ones are closed when they
+ * have as many.
+ */
+const MAX_KNOWN = 64;
+
 /**
  * Turns of the event loop from one reading of a connection with many calls to the next. One turn
  * accepts one connection, and reads what has arrived on the others.
  */
 const TURNS_FOR_OTHERS = 32;
 
-/** Starts to watch the connections of a server. */
-export function watchConnectionCalls(server: Server): ConnectionCalls {
+/** Bytes of a connection that is not read which the kernel may hold for the process. */
+const UNREAD_BYTES = 131_072;
+
+/** Share of the memory of a process that connections may take which are not read. */
+const UNREAD_SHARE = 0.1;
+
+/** Computes how many connections may wait to be read in a process with so much memory, in bytes. */
+export function computeMaxWaiting(memoryBytes: number): number {
+  return Math.ceil((memoryBytes * UNREAD_SHARE) / UNREAD_BYTES);
+}
+
+/** How many connections may wait, and who closes the others. */
+export interface WaitingLimit {
+  readonly maxWaiting: number;
+  readonly close: (socket: Socket) => void;
+}
+
+/** Starts to watch the connections of a server; without a limit, any number may wait. */
+export function watchConnectionCalls(server: Server, limit?: WaitingLimit): ConnectionCalls {
   const openBySocket = new Map<Socket, Set<() => void>>();
   /** Connections with many open calls. */
   const full = new Set<Socket>();
   /** Connections that are to be read on, one after the other. */
   const waiting = new Set<Socket>();
+  /** Open connections that have had many open calls. */
+  const known = new Set<Socket>();
   /** Connections that are read on in this turn of the event loop or the next. */
   const resuming = new Set<Socket>();
   let isReading = true;
@@ -62,10 +87,14 @@
     isScheduled = true;
     void waitTurns().then(readNext);
   };
-  /** Reads on the connection that has waited longest. What it sends is read in the next turn. */
+  /**
+   * Reads on the connection that has waited longest, of those that never had many calls if there is
+   * one. What it sends is read in the next turn.
+   */
   const readNext = () => {
     isScheduled = false;
-    const [socket] = waiting;
+    const [longest] = waiting;
+    const socket = [...waiting].find((candidate) => !known.has(candidate)) ?? longest;
     if (socket === undefined || !isReading) return;
     waiting.delete(socket);
     resuming.add(socket);
@@ -73,9 +102,27 @@
     void waitArrived().then(() => resuming.delete(socket));
     scheduleNext();
   };
+  /** Finds the connection that is closed first: one that had many calls, or was never read, or waits. */
+  const findFirstToClose = (): Socket | undefined => {
+    const sockets = [...waiting];
+    const isNew = (socket: Socket) => socket.bytesRead === 0;
+    return sockets.find((socket) => known.has(socket)) ?? sockets.find(isNew) ?? sockets[0];
+  };
+  /** Says whether no further connection may have many calls. */
+  const isCrowded = () =>
+    limit !== undefined && (waiting.size >= limit.maxWaiting || known.size >= MAX_KNOWN);
+  const closeBeyondLimit = () => {
+    while (limit !== undefined && waiting.size > limit.maxWaiting) {
+      const socket = findFirstToClose();
+      if (socket === undefined) return;
+      waiting.delete(socket);
+      limit.close(socket);
+    }
+  };
   const addWaiting = (socket: Socket) => {
     full.delete(socket);
     waiting.add(socket);
+    closeBeyondLimit();
     scheduleNext();
   };
   /** Has all other connections wait: what has arrived there may be as much. */
@@ -87,6 +134,7 @@
         waiting.add(socket);
         socket.pause();
       });
+    closeBeyondLimit();
     scheduleNext();
   };
   const watchSocket = (socket: Socket): Set<() => void> => {
@@ -100,6 +148,7 @@
       openBySocket.delete(socket);
       waiting.delete(socket);
       full.delete(socket);
+      known.delete(socket);
       openCalls.forEach((handleClose) => handleClose());
     });
     if (!isReading) socket.pause();
@@ -110,8 +159,14 @@
     add: (socket, handleClose) => {
       const openCalls = openBySocket.get(socket) ?? watchSocket(socket);
       openCalls.add(handleClose);
+      if (openCalls.size === MAX_OPEN_CALLS && !known.has(socket) && isCrowded()) {
+        hasReadMany = true;
+        limit?.close(socket);
+        return;
+      }
       if (openCalls.size === MAX_OPEN_CALLS) {
         full.add(socket);
+        known.add(socket);
         addOthers();
       }
       if (isHeld(socket) && !socket.isPaused()) socket.pause();
--- a/packages/daemon/src/lib/entry.ts
+++ b/packages/daemon/src/lib/entry.ts
@@ -19,6 +19,7 @@
 import { createForwarder } from './request/forward.js';
 import { createRequestHandler } from './request/handler.js';
 import { observeRequests } from './request/observe-requests.js';
+import { computeCallerLimits, createClosedLog } from './connection-limits.js';
 import { closeServer, openServer, waitAtMost, waitMs } from './servers.js';
 import type { Settings } from './settings.js';
 import { createUpstreamTable, type UpstreamTable } from './upstream-table.js';
@@ -140,7 +141,10 @@
       await entryExchange.stop();
     };
     const openCallersAndOperators = async () => ({
-      callers: await openServer(callers, settings.listen.callers),
+      callers: await openServer(callers, settings.listen.callers, {
+        ...computeCallerLimits(settings.maxDescriptors),
+        handleClosed: createClosedLog(log, 'callers'),
+      }),
       operators: await openServer(operators, settings.listen.operators),
     });
     const addresses = await openCallersAndOperators().catch(async (error: unknown) => {
--- a/packages/daemon/src/lib/request/caller-server.ts
+++ b/packages/daemon/src/lib/request/caller-server.ts
@@ -55,6 +55,8 @@
     inProgressCounts.set(socket, (inProgressCounts.get(socket) ?? 0) + change);
   const handleRequest = (request: IncomingMessage, response: ServerResponse) => {
     const { socket } = request;
+    // What was read in one piece with the request for which a limit has closed the connection.
+    if (socket.destroyed) return;
     addInProgress(socket, 1);
     response.once('close', () => addInProgress(socket, -1));
     handle(request, response);
--- a/packages/daemon/src/lib/servers.ts
+++ b/packages/daemon/src/lib/servers.ts
@@ -1,6 +1,14 @@
 /** Opens and gracefully closes the daemon's HTTP servers. */
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import { Server as NetServer, type AddressInfo, type Socket } from 'node:net';
+import { createConnectionLimiter, type ConnectionLimits } from './connection-limits.js';
+import {
+  watchConnections,
+  type ConnectionObserver,
+  type ConnectionTable,
+  type ConnectionUse,
+  type WatchedConnections,
+} from './connection-use.js';
 
 const IDLE_CHECK_INTERVAL_MS = 50;
 
@@ -17,50 +25,7 @@
   EMFILE: 'this process has no file descriptor left; raise its limit',
 };
 
-/** Events with which Node's HTTP server hands over a request; the last two only to listeners. */
-const REQUEST_EVENTS = ['request', 'checkContinue', 'checkExpectation'] as const;
-
-/** What a connection carries. */
-interface ConnectionUse {
-  /** Requests whose answer has not been passed on to the kernel as a whole. */
-  openRequests: number;
-  /** Bytes that were read up to the end of the last answer. */
-  restBytes: number;
-  /** Time of the opening or the end of the last answer, monotonic, in milliseconds. */
-  restSinceMs: number;
-}
-
-/** The connections of one server. */
-type ConnectionTable = ReadonlyMap<Socket, ConnectionUse>;
-
-const tables = new WeakMap<Server, ConnectionTable>();
-
-/**
- * Keeps the connections of a server that is about to listen. Node's own view of idle connections
- * does not serve: it holds one idle whose answer is still being written, and one in use that has
- * carried no byte.
- */
-function watchConnections(server: Server): ConnectionTable {
-  const table = new Map<Socket, ConnectionUse>();
-  const observeRequest = ({ socket }: IncomingMessage, response: ServerResponse) => {
-    const use = table.get(socket);
-    if (use === undefined) return;
-    use.openRequests += 1;
-    response.once('close', () => {
-      use.openRequests -= 1;
-      use.restBytes = socket.bytesRead;
-      use.restSinceMs = performance.now();
-    });
-  };
-  server.on('connection', (socket: Socket) => {
-    table.set(socket, { openRequests: 0, restBytes: 0, restSinceMs: performance.now() });
-    socket.once('close', () => table.delete(socket));
-  });
-  REQUEST_EVENTS.filter((event) => event === 'request' || server.listenerCount(event) > 0).forEach(
-    (event) => server.prependListener(event, observeRequest),
-  );
-  return table;
-}
+const watched = new WeakMap<Server, WatchedConnections>();
 
 /** Closes the connections without an answer in progress and without a begun request. */
 function closeIdle(table: ConnectionTable): void {
@@ -98,14 +63,26 @@
   }
 }
 
+/** Keeps the connections of a server from now on, within limits if it has any. */
+function startWatch(server: Server, limits: ConnectionLimits | undefined): void {
+  let observer: ConnectionObserver | undefined;
+  const connections = watchConnections(server, () => observer);
+  watched.set(server, connections);
+  if (limits !== undefined) observer = createConnectionLimiter(connections, limits);
+}
+
 /**
  * Opens a server at `ip:port` and resolves to the bound address. Rejects with an error whose
  * message advises the operator and whose `cause` is the original error; the server may then be
  * opened again.
  */
-export function openServer(server: Server, address: string): Promise<string> {
+export function openServer(
+  server: Server,
+  address: string,
+  limits?: ConnectionLimits,
+): Promise<string> {
   const [host, port] = address.split(':');
-  if (!tables.has(server)) tables.set(server, watchConnections(server));
+  if (!watched.has(server)) startWatch(server, limits);
   return new Promise((resolve, reject) => {
     const removeListeners = () => {
       server.off('error', handleError);
@@ -168,7 +145,7 @@
  * when all are closed, to the number of requests that were cut.
  */
 export function closeServer(server: Server, limitMs: number): Promise<number> {
-  const table = tables.get(server) ?? new Map<Socket, ConnectionUse>();
+  const table = watched.get(server)?.table ?? new Map<Socket, ConnectionUse>();
   return new Promise((resolve) => {
     let cutRequests = 0;
     const closeAll = () => {
--- a/packages/daemon/src/lib/settings.ts
+++ b/packages/daemon/src/lib/settings.ts
@@ -39,6 +39,8 @@
   /** Key shared by entries and operators; never logged. */
   key: z.string().min(MIN_KEY_LENGTH, `write a key of at least ${MIN_KEY_LENGTH} characters`),
   logLevel: z.enum(['trace', 'debug', 'info', 'warn', 'error', 'silent']).default('info'),
+  /** File descriptors that the process may have open; callers get three quarters of most of them. */
+  maxDescriptors: z.number().int().positive().default(4_096),
   /** Time between failing readiness and refusing connections, in milliseconds. */
   drainNoticeMs: z.number().int().nonnegative().default(1_000),
   /** Longest wait for requests in progress after that notice, in milliseconds. */
