Give what is said of crashes a room of its own

jobs/ was one hall of 66 modules; the ten that record crashes, weigh them and keep workers for suspects are in jobs/crashes/ now, with their tests beside them in the same folder of tests.

--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -6,9 +6,9 @@
  * near their data if there is free capacity, so that workers become idle and can be lent after the
  * peak. Tasks that slow each other down are kept apart while another worker fits.
  */
-import { isToBeIsolated } from './crash-evidence.js';
+import { isToBeIsolated } from './crashes/crash-evidence.js';
 import { computeUsedCoreShare, hasFreeCapacity } from './free-capacity.js';
-import { getMachine } from './machine-crashes.js';
+import { getMachine } from './crashes/machine-crashes.js';
 import type { PlacementRequest } from './placement-request.js';
 import type { StepRun, Task, Worker } from './state.js';
 import { explainExclusion } from './worker-exclusion.js';
--- a/packages/vanilladock/src/lib/jobs/choose-isolated-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/choose-isolated-worker.ts
@@ -2,12 +2,12 @@
  * Chooses a worker that is to run the suspects of one job alone. Load pattern: the pool is full, so
  * that no worker is empty, and some of its machines have just crashed.
  */
-import { isAcceptingTasks, isAllowed } from './choose-worker.js';
-import { computeUsedCoreShare } from './free-capacity.js';
+import { isAcceptingTasks, isAllowed } from '../choose-worker.js';
+import { computeUsedCoreShare } from '../free-capacity.js';
 import { getMachine } from './machine-crashes.js';
-import type { PlacementRequest } from './placement-request.js';
-import type { Worker } from './state.js';
-import type { WorkerEntry } from '../ports/task-workers.js';
+import type { PlacementRequest } from '../placement-request.js';
+import type { Worker } from '../state.js';
+import type { WorkerEntry } from '../../ports/task-workers.js';
 
 /** What is known of machines. */
 export interface MachineRecord {
--- a/packages/vanilladock/src/lib/jobs/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-evidence.ts
@@ -5,7 +5,7 @@
  * has crashed again on which, of all suspects, only its job ran.
  */
 
-import type { StepSpec } from './spec.js';
+import type { StepSpec } from '../spec.js';
 
 /**
  * What a crash says about a task. `recent`: the run had just started when the worker was last heard
--- a/packages/vanilladock/src/lib/jobs/crash-records.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-records.ts
@@ -3,9 +3,9 @@
  * of one crash changes the records of all tasks that ran there.
  */
 import { isSuspect, type CrashRecord } from './crash-evidence.js';
-import { makeIncarnationKey } from './ended-incarnations.js';
-import type { PoolContext } from './pool-context.js';
-import type { Task } from './state.js';
+import { makeIncarnationKey } from '../ended-incarnations.js';
+import type { PoolContext } from '../pool-context.js';
+import type { Task } from '../state.js';
 import type { CrashAge } from './told-crashes.js';
 
 /** Changes a record; undefined drops it. */
--- a/packages/vanilladock/src/lib/jobs/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
@@ -3,7 +3,7 @@
  * once a worker has not answered twice, as confirmed when its incarnation has ended without an
  * order, and not at all if it answers again.
  */
-import { closeJob, listStepTasks } from './apply-ends.js';
+import { closeJob, listStepTasks } from '../apply-ends.js';
 import {
   classifyCrash,
   decideGiveUp,
@@ -16,12 +16,12 @@
   type CrashRecord,
 } from './crash-evidence.js';
 import { createCrashRecords } from './crash-records.js';
-import { makeIncarnationKey, type Incarnation } from './ended-incarnations.js';
-import type { InheritedRuns } from './inherited-runs.js';
+import { makeIncarnationKey, type Incarnation } from '../ended-incarnations.js';
+import type { InheritedRuns } from '../inherited-runs.js';
 import { createMachineCrashes, getMachine } from './machine-crashes.js';
-import type { WorkerEntry } from '../ports/task-workers.js';
-import type { PoolContext } from './pool-context.js';
-import type { Moment, Task, Worker } from './state.js';
+import type { WorkerEntry } from '../../ports/task-workers.js';
+import type { PoolContext } from '../pool-context.js';
+import type { Moment, Task, Worker } from '../state.js';
 import type { ToldCrashes } from './told-crashes.js';
 import { createWorkerSilences, type Silence, type SilencedRun } from './worker-silences.js';
 
--- a/packages/vanilladock/src/lib/jobs/isolation-wait-log.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/isolation-wait-log.ts
@@ -2,9 +2,9 @@
  * Logs the suspects of crashes that wait for a worker of their own, so that such a wait can be told
  * from one for earlier planners, for a limit or for capacity.
  */
-import { isAcceptingTasks } from './choose-worker.js';
-import type { PoolContext } from './pool-context.js';
-import type { Task } from './state.js';
+import { isAcceptingTasks } from '../choose-worker.js';
+import type { PoolContext } from '../pool-context.js';
+import type { Task } from '../state.js';
 
 /** Log of the waits of a pool's suspects. */
 export interface IsolationWaitLog {
--- a/packages/vanilladock/src/lib/jobs/isolation.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/isolation.ts
@@ -5,19 +5,19 @@
  * cleared. At most a share of the pool is used for it, at least one worker.
  */
 import { chooseIsolatedWorker } from './choose-isolated-worker.js';
-import { isAcceptingTasks, isEligible } from './choose-worker.js';
+import { isAcceptingTasks, isEligible } from '../choose-worker.js';
 import { isSuspect, isToBeIsolated, PROVEN_RUN_MS } from './crash-evidence.js';
-import { hasFreeCapacity } from './free-capacity.js';
+import { hasFreeCapacity } from '../free-capacity.js';
 import { createIsolationWaitLog } from './isolation-wait-log.js';
-import { addResources, isWithin } from '../placement/resources.js';
-import { makeRequest, type PlacementRequest } from './placement-request.js';
-import type { PoolContext } from './pool-context.js';
-import { listReadySteps } from './ready-steps.js';
-import { sumLastingUse } from './reservations.js';
-import { makeStepKey } from './spec.js';
-import type { Task, Worker } from './state.js';
-import { listWorkerTasks } from './worker-loss.js';
-import type { WorkerEntry } from '../ports/task-workers.js';
+import { addResources, isWithin } from '../../placement/resources.js';
+import { makeRequest, type PlacementRequest } from '../placement-request.js';
+import type { PoolContext } from '../pool-context.js';
+import { listReadySteps } from '../ready-steps.js';
+import { sumLastingUse } from '../reservations.js';
+import { makeStepKey } from '../spec.js';
+import type { Task, Worker } from '../state.js';
+import { listWorkerTasks } from '../worker-loss.js';
+import type { WorkerEntry } from '../../ports/task-workers.js';
 
 /** Isolation of a pool's suspects. */
 export interface Isolation {
--- a/packages/vanilladock/src/lib/jobs/last-sign.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/last-sign.ts
@@ -1,5 +1,5 @@
 /** When workers last gave a sign of life, and for how long their runs are known to have gone on. */
-import type { Task, Worker } from './state.js';
+import type { Task, Worker } from '../state.js';
 
 /** Finds the monotonic time in milliseconds at which a worker last answered a renewal or a start. */
 export function findLastSign(worker: Worker, tasks: readonly Task[]): number {
--- a/packages/vanilladock/src/lib/jobs/machine-crashes.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/machine-crashes.ts
@@ -2,7 +2,7 @@
  * Remembers which machines have crashed and under which jobs, as a machine that also crashes
  * without a job is no witness against it.
  */
-import type { WorkerEntry } from '../ports/task-workers.js';
+import type { WorkerEntry } from '../../ports/task-workers.js';
 import type { MachineCrashAge } from './told-crashes.js';
 
 /** A crash of a machine. */
--- a/packages/vanilladock/src/lib/jobs/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
@@ -3,14 +3,14 @@
  * can be told from single ones. Load pattern: a rack, a data centre or a whole pool is lost at once.
  */
 import { PROVEN_RUN_MS } from './crash-evidence.js';
-import { makeIncarnationKey } from './ended-incarnations.js';
-import type { InheritedRuns } from './inherited-runs.js';
+import { makeIncarnationKey } from '../ended-incarnations.js';
+import type { InheritedRuns } from '../inherited-runs.js';
 import { computeAliveMs, findLastSign } from './last-sign.js';
-import type { PoolContext } from './pool-context.js';
-import { parseTaskKey } from './spec.js';
-import type { Task, Worker } from './state.js';
-import type { ToldWorker } from './told-workers.js';
-import { listWorkerTasks } from './worker-loss.js';
+import type { PoolContext } from '../pool-context.js';
+import { parseTaskKey } from '../spec.js';
+import type { Task, Worker } from '../state.js';
+import type { ToldWorker } from '../told-workers.js';
+import { listWorkerTasks } from '../worker-loss.js';
 
 /** A run that a worker had when it stopped to answer. */
 export interface SilencedRun {
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -17,7 +17,11 @@
   type LeaseHolder,
 } from './lease-holder.js';
 import type { Job, Task, Worker } from './state.js';
-import { addElapsedToCrashes, toldCrashesSchema, type ToldCrashes } from './told-crashes.js';
+import {
+  addElapsedToCrashes,
+  toldCrashesSchema,
+  type ToldCrashes,
+} from './crashes/told-crashes.js';
 import { addElapsed, toldWorkerSchema, type ToldWorker } from './told-workers.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
--- a/packages/vanilladock/src/lib/jobs/placement-request.ts
+++ b/packages/vanilladock/src/lib/jobs/placement-request.ts
@@ -1,6 +1,6 @@
 /** Request for a worker for one task, with what the choice needs to know of other tasks. */
 import type { Resources } from '../ports/workers.js';
-import { isSuspect } from './crash-evidence.js';
+import { isSuspect } from './crashes/crash-evidence.js';
 import { computeFootprint } from './free-capacity.js';
 import type { PoolContext } from './pool-context.js';
 import type { StepSpec } from './spec.js';
--- a/packages/vanilladock/src/lib/jobs/planner-hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-hand-over.ts
@@ -1,6 +1,6 @@
 /** Makes what a planner tells its successor, and applies what the one before has told. */
 import type { PoolTeams } from '../teams/pool-teams.js';
-import type { CrashWatch } from './crash-watch.js';
+import type { CrashWatch } from './crashes/crash-watch.js';
 import { makeHandOver, type HandOver, type TimedHandOver } from './hand-over.js';
 import type { Inheritance } from './inheritance.js';
 import type { InheritedRuns } from './inherited-runs.js';
@@ -9,7 +9,7 @@
 import type { Worker } from './state.js';
 import { makeToldWorkers } from './told-workers.js';
 import type { WorkerIncarnations } from './worker-incarnations.js';
-import { isEnding } from './worker-silences.js';
+import { isEnding } from './crashes/worker-silences.js';
 
 /** The parts of a planner that tell, and that are told. */
 export interface PlannerHandOverOptions {
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -7,8 +7,8 @@
 import { createArrivalForecast } from '../lending/arrival-forecast.js';
 import { refreshEjections } from './eject-workers.js';
 import { createCancelTombstones } from './cancel-tombstones.js';
-import { createCrashWatch } from './crash-watch.js';
-import { createIsolation } from './isolation.js';
+import { createCrashWatch } from './crashes/crash-watch.js';
+import { createIsolation } from './crashes/isolation.js';
 import { createExclusionLog } from './exclusion-log.js';
 import { createInheritance } from './inheritance.js';
 import { createInheritedRuns } from './inherited-runs.js';
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -3,7 +3,7 @@
  * workers and the phase.
  */
 import type { CancelSource, CancelTombstone } from './cancel-tombstones.js';
-import type { CrashRecord, Suspicion } from './crash-evidence.js';
+import type { CrashRecord, Suspicion } from './crashes/crash-evidence.js';
 import type { Job, JobPhase, Task } from './state.js';
 
 /**
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -2,7 +2,7 @@
 import { createCandidates, type Candidates } from './candidates.js';
 import { chooseCheckpoint } from './checkpoints.js';
 import { chooseWorker, isEligible, isFitting } from './choose-worker.js';
-import { isToBeIsolated } from './crash-evidence.js';
+import { isToBeIsolated } from './crashes/crash-evidence.js';
 import { releaseNeededWorkers } from './eject-workers.js';
 import { computeFootprint, hasFreeCapacity } from './free-capacity.js';
 import { estimateWorkerMs, LEASE_MS } from './lease-clock.js';
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -2,7 +2,7 @@
 import type { Resources } from '../ports/workers.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { Checkpoint } from './checkpoints.js';
-import type { CrashRecord } from './crash-evidence.js';
+import type { CrashRecord } from './crashes/crash-evidence.js';
 import type { JobRecord, StepSpec } from './spec.js';
 
 /** Progress of a lasting task that is fully running, and pace of a task that is not slowed down. */
--- a/packages/vanilladock/src/lib/jobs/told-workers.ts
+++ b/packages/vanilladock/src/lib/jobs/told-workers.ts
@@ -3,7 +3,7 @@
  * one knows which tasks may run on a worker that does not answer, and under which runs it crashed.
  */
 import { z } from 'zod';
-import { findLastSign } from './last-sign.js';
+import { findLastSign } from './crashes/last-sign.js';
 import type { Task, Worker } from './state.js';
 
 /** A run on a worker. */
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -1,6 +1,6 @@
 /** Tracks the incarnations of a pool's workers: which exist, and which have ended. */
 import type { WorkerEntry } from '../ports/task-workers.js';
-import type { CrashWatch } from './crash-watch.js';
+import type { CrashWatch } from './crashes/crash-watch.js';
 import { observeEntryCapacity } from './worker-capacity.js';
 import { createEndedIncarnations } from './ended-incarnations.js';
 import { ORDER_DELAY_MS } from './hand-over.js';
--- a/packages/vanilladock/src/test/jobs/crash-evidence.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/crash-evidence.test.ts
@@ -8,7 +8,7 @@
   isSuspect,
   isToBeIsolated,
   type CrashRecord,
-} from '../../lib/jobs/crash-evidence.js';
+} from '../../../lib/jobs/crashes/crash-evidence.js';
 
 const BATCH = { isLasting: false, isGang: false };
 
--- a/packages/vanilladock/src/test/jobs/crash-scenes.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/crash-scenes.ts
@@ -1,13 +1,13 @@
 /** Scenes of workers that crash: a pool under steady traffic, and what became of its jobs. */
-import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
-import type { JobSpec, StepSpec } from '../../lib/jobs/spec.js';
-import { makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
+import type { DecisionEvent } from '../../../lib/jobs/pool-context.js';
+import type { JobSpec, StepSpec } from '../../../lib/jobs/spec.js';
+import { makeEntry, makeJob, makeStep, POLICY } from '../planner-harness.js';
 import {
   createPoolSimulation,
   type PlannedEnd,
   type PoolSimulation,
   type SimulatedAdvisor,
-} from './pool-simulation.js';
+} from '../pool-simulation.js';
 
 /** Options of a scene. */
 export interface CrashSceneOptions {
--- a/packages/vanilladock/src/test/jobs/crash-watch.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/crash-watch.test.ts
@@ -1,8 +1,8 @@
 /** Tests of what counts as a crash under a task, and that it is stored and counted once. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import type { CrashRecord } from '../../lib/jobs/crash-evidence.js';
-import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
+import type { CrashRecord } from '../../../lib/jobs/crashes/crash-evidence.js';
+import type { DecisionEvent } from '../../../lib/jobs/pool-context.js';
 import {
   createHarness,
   makeEntry,
@@ -12,7 +12,7 @@
   POLICY,
   WALL_MS,
   type Harness,
-} from './planner-harness.js';
+} from '../planner-harness.js';
 
 const TASK = 'a.0.0.0';
 
--- a/packages/vanilladock/src/test/jobs/crashing-tasks.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/crashing-tasks.test.ts
@@ -2,7 +2,7 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { openCrashScene } from './crash-scenes.js';
-import { createHarness, makeEntry, makeJob, makeStep } from './planner-harness.js';
+import { createHarness, makeEntry, makeJob, makeStep } from '../planner-harness.js';
 
 const test = suite('crashing tasks');
 
--- a/packages/vanilladock/src/test/jobs/isolation-wait-log.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/isolation-wait-log.test.ts
@@ -1,8 +1,8 @@
 /** Tests that the log says which suspects of crashes wait for a worker of their own. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import type { DecisionEvent } from '../../lib/jobs/pool-context.js';
-import { createHarness, makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
+import type { DecisionEvent } from '../../../lib/jobs/pool-context.js';
+import { createHarness, makeEntry, makeJob, makeStep, POLICY } from '../planner-harness.js';
 
 const test = suite('log of waiting suspects');
 
--- a/packages/vanilladock/src/test/jobs/isolation.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/isolation.test.ts
@@ -8,7 +8,7 @@
   makeJob,
   makeRow,
   makeStep,
-} from './planner-harness.js';
+} from '../planner-harness.js';
 
 const test = suite('isolation');
 
--- a/packages/vanilladock/src/test/jobs/long-tasks.test.ts
+++ b/packages/vanilladock/src/test/jobs/long-tasks.test.ts
@@ -1,7 +1,7 @@
 /** Tests that batch tasks of minutes go on: their progress, in whole percent, rises seldom. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { makeWorkers } from './crash-scenes.js';
+import { makeWorkers } from './crashes/crash-scenes.js';
 import { makeJob, makeStep } from './planner-harness.js';
 import { createPoolSimulation } from './pool-simulation.js';
 
--- a/packages/vanilladock/src/test/jobs/progress.test.ts
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -1,7 +1,7 @@
 /** Tests of the stored progress of jobs: its size, and what a next planner reads from it. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import type { CrashRecord } from '../../lib/jobs/crash-evidence.js';
+import type { CrashRecord } from '../../lib/jobs/crashes/crash-evidence.js';
 import { decodeProgress, encodeProgress, type Progress } from '../../lib/jobs/progress.js';
 import {
   createHarness,
