Tell the runs of a worker as partial until earlier planners have ended

Found by reading the change once more: a planner that takes over may get the report of a worker while an earlier planner still orders there. It told the runs of that report to its successor as all that there may be, so that the successor would have started a task that the earlier planner had begun there after the report. Such a worker is told as partial now, as one that lists ends that are not stored, and all inherited jobs wait for it. The new test of told-runs.test.ts failed before.

--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -105,8 +105,9 @@
 }
 
 /**
- * Creates the inheritance of a planner. `runs` is what was told of runs. `isAwaited` says of a worker whether its first answer to this
- * planner is still to come: its lists may name what has ended, also after its lease.
+ * Creates the inheritance of a planner. `isAwaited` says of a worker whether its first answer to this
+ * planner is still to come: its lists may name what has ended, also after its lease. `runs` is what
+ * the preceding planner has told of runs.
  */
 export function createInheritance(
   options: InheritanceOptions,
@@ -150,7 +151,7 @@
   /** Says whether it was told of a worker which tasks may run, or have ended, there. */
   const hasKnownTasks = (holder: LeaseHolder) => {
     const told = runs.find(holder.id, holder.bornMs);
-    return told !== undefined && told.hasUnstoredEnds !== true && !hasRestarted(holder);
+    return told !== undefined && told.isPartial !== true && !hasRestarted(holder);
   };
   /** Says whether any inherited task may run, or have ended, on a worker that has not reported. */
   const isUnknown = (holder: LeaseHolder, nowMs: number) =>
--- a/packages/vanilladock/src/lib/jobs/planner-hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-hand-over.ts
@@ -43,6 +43,7 @@
         findTask: table.findTask,
         findSilentMs: crashWatch.findSilentMs,
         isEndPlanned,
+        unreportedIds,
         passedOn: inheritedRuns.list(unreportedIds, nowMs),
       },
       nowMs,
--- a/packages/vanilladock/src/lib/jobs/told-workers.ts
+++ b/packages/vanilladock/src/lib/jobs/told-workers.ts
@@ -23,8 +23,11 @@
   readonly runs: readonly ToldRun[];
   /** Keys of the tasks of runs that were to be stopped, as they belonged to no task. */
   readonly orphans: readonly string[];
-  /** Present if the worker lists ends that are not stored, so that others may have ended there. */
-  readonly hasUnstoredEnds?: true | undefined;
+  /**
+   * Present if other tasks may run, or have ended, there: it lists ends that are not stored, or has not
+   * reported since the planners before the one that tells have ended.
+   */
+  readonly isPartial?: true | undefined;
   /** Time since its last answer to a renewal or a start, in milliseconds. */
   readonly lastSignAgoMs: number;
   /** Time since it was found not to answer, in milliseconds; absent if it answers. */
@@ -46,7 +49,7 @@
     }),
   ),
   orphans: z.array(z.string()),
-  hasUnstoredEnds: z.literal(true).optional(),
+  isPartial: z.literal(true).optional(),
   lastSignAgoMs: z.number(),
   silentAgoMs: z.number().optional(),
   isEndPlanned: z.literal(true).optional(),
@@ -59,6 +62,8 @@
   /** When an incarnation stopped to answer; undefined if it answers. Monotonic, in milliseconds. */
   readonly findSilentMs: (worker: Worker) => number | undefined;
   readonly isEndPlanned: (worker: Worker) => boolean;
+  /** Ids of the workers that have not reported since earlier planners have ended. */
+  readonly unreportedIds: ReadonlySet<string>;
   /** What earlier planners have told of workers that have not reported to this one. */
   readonly passedOn: readonly ToldWorker[];
 }
@@ -84,7 +89,7 @@
     bornMs: entry.bornMs,
     runs: assigned.flatMap((task) => makeToldRun(task, nowMs)),
     orphans: [...orphanedRuns.keys()],
-    hasUnstoredEnds: lastEnd > storedEnd || undefined,
+    isPartial: lastEnd > storedEnd || sources.unreportedIds.has(entry.id) || undefined,
     lastSignAgoMs: nowMs - findLastSign(worker, assigned),
     silentAgoMs: silentMs === undefined ? undefined : nowMs - silentMs,
     isEndPlanned: sources.isEndPlanned(worker) || undefined,
--- a/packages/vanilladock/src/test/jobs/told-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/told-runs.test.ts
@@ -94,6 +94,22 @@
   assert.equal(listStarts(second, 21), []);
 });
 
+// Guards against a task that runs twice: an earlier planner orders after the report that is told.
+test('all inherited tasks wait for a worker that has reported while earlier planners may order', () => {
+  const first = openFirst();
+  const second = takeOver(
+    { token: TOKEN, earlierOrdersMs: 900, leases: [{ id: 'w1', bornMs: 1, orderedAgoMs: -900 }] },
+    ['a', 'b'],
+  );
+  second.report('w1', 20, [makeRow('a.0.0.0', first.start.run)]);
+  const handOver = second.planner.makeHandOver(TOKEN + 1, 500);
+  assert.is(handOver.workers!.find(({ id }) => id === 'w1')!.isPartial, true);
+  const third = takeOver(handOver, ['a', 'b']);
+  third.planner.observeMissedReport('w1', third.at(20));
+  third.report('w22', 401);
+  assert.equal(listStarts(third, 500), []);
+});
+
 test('a planner that a worker has not answered passes on what it was told', () => {
   const first = openFirst();
   first.planner.observeMissedReport('w1', first.at(600));
