Count what was told of a silent worker only until it answers

Found by reading: a worker that the planner before had found silent, and that answered the next one since, was taken as crashed at the first report that it missed later, not at the second. The new test failed before.

--- a/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
@@ -196,7 +196,8 @@
       missedReports === 0 ? undefined : silences.find(entry.id, entry.bornMs)?.atMs,
     observeSilence: (worker, { nowMs }) => {
       const { id, bornMs } = worker.entry;
-      const wasToldSilent = inheritedRuns.find(id, bornMs)?.silentAgoMs !== undefined;
+      const told = worker.clock === undefined ? inheritedRuns.find(id, bornMs) : undefined;
+      const wasToldSilent = told?.silentAgoMs !== undefined;
       const isKnown = wasToldSilent || silences.find(id, bornMs) !== undefined;
       const silence = silences.add(worker, nowMs);
       const isIgnored = silence.isEndPlanned || silence.isSettled || silence.runs.length === 0;
--- a/packages/vanilladock/src/test/jobs/told-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/told-runs.test.ts
@@ -155,6 +155,19 @@
   ]);
 });
 
+// Guards against a crash that is recorded at the first report that a worker misses.
+test('a worker that has answered since counts as silent from its second missed report on', () => {
+  const first = openFirst();
+  first.planner.observeMissedReport('w1', first.at(600));
+  const second = takeOver(first.planner.makeHandOver(TOKEN, 1_000), ['a']);
+  const countCrashes = () => second.planner.table.findTask('a.0.0.0')!.crashes.length;
+  second.report('w1', 20, [makeRow('a.0.0.0', first.start.run)]);
+  second.planner.observeMissedReport('w1', second.at(300));
+  assert.is(countCrashes(), 0);
+  second.planner.observeMissedReport('w1', second.at(450));
+  assert.is(countCrashes(), 1);
+});
+
 // Guards against suspects that begin to wait for a worker of their own anew with each planner.
 test('a successor knows how long ago a crash was, and which machines have crashed', () => {
   const first = openFirst();
