Log a spread that is exceeded, the other run of an ended task, and queues that stand by spread

A worker's report with more tasks of a step than allowed now gives a line (spread-exceeded, once for each new set), run-ended names the run that the task has elsewhere by then (otherRun, otherWorker), and queue-stands counts the steps that only their spread holds up (spreadSteps).

--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -51,17 +51,23 @@
   return count;
 }
 
-/** Says whether label and spread rules allow a task of the step on a worker. */
-export function isAllowed(worker: Worker, request: PlacementRequest): boolean {
-  const { step, stepRun } = request;
-  if (step.requiredLabel !== undefined && !worker.entry.labels.includes(step.requiredLabel)) {
-    return false;
-  }
+/** Says whether a worker may get another task of a step by the step's spread. */
+export function isWithinSpread(
+  worker: Worker,
+  { step, stepRun }: Pick<PlacementRequest, 'step' | 'stepRun'>,
+): boolean {
   return (
     step.maxPerWorker === undefined || countOnWorker(stepRun, worker.entry.id) < step.maxPerWorker
   );
 }
 
+/** Says whether label and spread rules allow a task of the step on a worker. */
+export function isAllowed(worker: Worker, request: PlacementRequest): boolean {
+  const { requiredLabel } = request.step;
+  const hasLabel = requiredLabel === undefined || worker.entry.labels.includes(requiredLabel);
+  return hasLabel && isWithinSpread(worker, request);
+}
+
 /** Says whether a worker is open to a task: some are isolated for the suspects of one job. */
 function isOpen({ isolation }: Worker, { task, step, nowMs }: PlacementRequest): boolean {
   const isSuspect = isToBeIsolated(task, step, nowMs);
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -50,6 +50,12 @@
   return { value: checkpoint, run, reportedMs: nowMs };
 }
 
+/** Makes the log fields of the run that a task has beside another one; none if it has no other. */
+function makeOtherRunFields(task: Task | undefined, run: number) {
+  if (task?.state.kind !== 'assigned' || task.state.run === run) return {};
+  return { otherRun: task.state.run, otherWorker: task.state.workerId };
+}
+
 /** Records a run that belongs to no task, or whose task is done or assigned to another run. */
 function recordOrphan(
   context: PoolContext,
@@ -61,15 +67,13 @@
   if (knownOrphan?.run === row.run) return;
   const size = findRunSize(context, row.taskKey) ?? worker.entry.capacity;
   worker.orphanedRuns.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
-  const other = task?.state.kind === 'assigned' ? task.state : undefined;
   context.report({
     event: 'run-orphaned',
     task: row.taskKey,
     run: row.run,
     worker: worker.entry.id,
     bornMs: worker.entry.bornMs,
-    otherRun: other?.run,
-    otherWorker: other?.workerId,
+    ...makeOtherRunFields(task, row.run),
   });
 }
 
@@ -248,6 +252,7 @@
       worker: workerId,
       how: row.how,
       number: row.number,
+      ...makeOtherRunFields(task, row.run),
     });
     applyEnd(
       context,
--- a/packages/vanilladock/src/lib/jobs/pool-planner.ts
+++ b/packages/vanilladock/src/lib/jobs/pool-planner.ts
@@ -27,6 +27,7 @@
 import type { PlannerOptions, PoolPlanner } from './planner-types.js';
 import { parseJobId } from './spec.js';
 import type { Moment } from './state.js';
+import { createSpreadLog } from './spread-log.js';
 import { createStandingQueueWatch } from './standing-queue.js';
 import { createPoolTeams } from '../teams/pool-teams.js';
 import type { TeamSources } from '../teams/team-budget.js';
@@ -111,6 +112,7 @@
   });
   const exclusionLog = createExclusionLog(context);
   const standingQueue = createStandingQueueWatch(context);
+  const spreadLog = createSpreadLog(context);
 
   let nextDropMs = 0;
   const schedule = createPlanSchedule();
@@ -188,6 +190,7 @@
       const hasMissedReports = (table.workers.get(workerId)?.missedReports ?? 0) > 0;
       if (hasMissedReports) options.report({ event: 'worker-regained', worker: workerId });
       observeReport(context, inheritance, workerId, timed, at);
+      spreadLog.observeRunning(workerId, timed.report.running);
       const reporter = table.workers.get(workerId);
       if (reporter !== undefined) {
         crashWatch.observeAnswer(reporter.entry);
--- a/packages/vanilladock/src/lib/jobs/standing-queue.ts
+++ b/packages/vanilladock/src/lib/jobs/standing-queue.ts
@@ -1,8 +1,9 @@
 /**
  * Watches for a standing queue: tasks wait, and no plan starts any of them. The log line has what
- * is needed to tell the causes apart: exclusion of the workers, no free capacity, reservations,
- * missing tickets, an uncertain inheritance, or no workers.
+ * is needed to tell the causes apart: exclusion of the workers, no free capacity, spread
+ * rules, reservations, missing tickets, an uncertain inheritance, or no workers.
  */
+import { isWithinSpread } from './choose-worker.js';
 import { computeFootprint, computeFreeCapacity, hasFreeCapacity } from './free-capacity.js';
 import type { PoolContext } from './pool-context.js';
 import type { Resources } from '../ports/workers.js';
@@ -85,14 +86,19 @@
   const steps = jobs.flatMap((waiting) => waiting.steps);
   const [oldest] = jobs.map(({ job }) => job).sort((a, b) => a.arrivedMs - b.arrivedMs);
   const [smallest] = steps.map(({ step }) => computeFootprint(step)).sort(compareFootprints);
-  const isFitting = ({ step }: StartableStep) =>
-    accepting.some((worker) => hasFreeCapacity(worker, computeFootprint(step)));
+  const listFitting = ({ step }: StartableStep) =>
+    accepting.filter((worker) => hasFreeCapacity(worker, computeFootprint(step)));
+  const isFitting = (startable: StartableStep) => listFitting(startable).length > 0;
+  const isSpreadFull = (startable: StartableStep) =>
+    isFitting(startable) &&
+    listFitting(startable).every((worker) => !isWithinSpread(worker, startable));
   return {
     waitingTasks: countTasks(steps),
     waitingJobs: jobs.length,
     waitingSteps: steps.length,
     waitingGangs: steps.filter(({ step }) => step.isGang).length,
     fittingSteps: steps.filter(isFitting).length,
+    spreadSteps: steps.filter(isSpreadFull).length,
     smallest,
     job: oldest?.record.spec.id,
     route: oldest?.record.spec.route,
