--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -63,7 +63,10 @@
   readonly workersPerPool?: number;
   /** How workers and tasks behave, where that differs from the tasks that are submitted here. */
   readonly behaviour?: Partial<
-    Pick<PlaceOptions, 'cores' | 'getTaskCores' | 'getDurationMs' | 'getCrashMs'>
+    Pick<
+      PlaceOptions,
+      'cores' | 'getTaskCores' | 'getDurationMs' | 'getCrashMs' | 'getMaxPerWorker'
+    >
   >;
   /** Called with the records of each append that is stored. */
   readonly handleStored?: (records: readonly KeyedRecord[]) => void;
--- a/packages/daemon/src/test/worker-places.ts
+++ b/packages/daemon/src/test/worker-places.ts
@@ -11,7 +11,8 @@
 } from 'vanilladock/lib/ports/task-workers.js';
 import { ENTRY } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
-import { createIncarnation, type Incarnation, type Run } from './simulated-worker.js';
+import { createIncarnation, type Incarnation } from './simulated-worker.js';
+import { createStartChecks, makeRunKey } from './start-checks.js';
 
 /** Time after which a call counts as unanswered, beside the time that a poll may take. */
 const TIMEOUT_MS = 400;
@@ -100,6 +101,8 @@
   readonly pick: (max: number) => number;
   /** Gets how long a task runs, in milliseconds. */
   readonly getDurationMs: (taskKey: string) => number;
+  /** Gets how many tasks of a task's step may run on one worker; `Infinity` without a limit. */
+  readonly getMaxPerWorker?: (taskKey: string) => number;
   /** Draws after how long a run fails, in milliseconds; `Infinity` if it does not. */
   readonly pickFailureMs: (taskKey: string) => number;
   /** Called for each answered renewal. */
@@ -110,15 +113,11 @@
 export function createWorkerPlaces(options: PlaceOptions) {
   const { pools, workersPerPool, pick, getDurationMs, pickFailureMs } = options;
   const { cores = CORES, getCrashMs = () => Infinity, getTaskCores = () => 1 } = options;
+  const { getMaxPerWorker = () => Infinity } = options;
   const entries = new BehaviorSubject<ReadonlyMap<string, WorkerEntry>>(new Map());
-  const violations: string[] = [];
-  const repeats: string[] = [];
-  const completed = new Set<string>();
-  const workerOfRun = new Map<string, string>();
   const failsAtMs = new Map<string, number>();
   const watched = new Map<string, Watched>();
   const crashes: WorkerCrash[] = [];
-  const startsMs = new Map<string, readonly number[]>();
   /** When a job was last seen to run, by job id. */
   const jobRunsMs = new Map<string, number>();
   let bornCount = 0;
@@ -152,27 +151,19 @@
     updated.set(id, { ...ENTRY, id, bornMs, pool, capacity, address, instance: address });
     entries.next(updated);
   };
-  const makeRunKey = ({ taskKey, run }: Pick<Run, 'taskKey' | 'run'>) => `${taskKey} run ${run}`;
-  const checkStart = (place: Place, taskKey: string, run: number) => {
-    const what = makeRunKey({ taskKey, run });
-    const other = places.find((item) => item.incarnation?.hasRun(taskKey));
-    if (other !== undefined) {
-      violations.push(`${what} on ${place.id} while it runs on ${other.id}`);
-    }
-    const lister = places.find(({ incarnation }) => incarnation?.listsDone(taskKey));
-    if (lister !== undefined) repeats.push(`${what} on ${place.id}, done on ${lister.id}`);
-    if (completed.has(taskKey)) violations.push(`${what} after its end`);
-    const known = workerOfRun.get(what) ?? place.id;
-    if (known !== place.id) violations.push(`${what} on ${place.id} and on ${known}`);
-    workerOfRun.set(what, place.id);
-    failsAtMs.set(what, performance.now() + pickFailureMs(taskKey));
-    startsMs.set(taskKey, [...(startsMs.get(taskKey) ?? []), performance.now()]);
-  };
+  const { violations, repeats, startsMs, checkStart, observeCompleted } = createStartChecks({
+    listUp: () =>
+      places.flatMap(({ id, incarnation }) =>
+        incarnation === undefined ? [] : { id, incarnation },
+      ),
+    getMaxPerWorker,
+  });
   const openIncarnation = (place: Place) => {
     bornCount += 1;
     const incarnation: Incarnation = createIncarnation(bornCount, getDurationMs, {
       handleStart: (taskKey, run) => {
-        checkStart(place, taskKey, run);
+        checkStart(place.id, { taskKey, run });
+        failsAtMs.set(makeRunKey({ taskKey, run }), performance.now() + pickFailureMs(taskKey));
         const crashMs = getCrashMs(taskKey);
         if (crashMs === Infinity) return;
         setTimeout(() => {
@@ -180,7 +171,7 @@
         }, crashMs);
       },
       handleAcknowledged: ({ taskKey, how }) => {
-        if (how === 'done') completed.add(taskKey);
+        if (how === 'done') observeCompleted(taskKey);
       },
     });
     let closeCalls = () => {};
--- /dev/null
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -0,0 +1,105 @@
+/** Runs that go on though they belong to no task: they count on their worker until they have ended. */
+import * as assert from 'uvu/assert';
+import { suite } from 'uvu';
+import type { StartAction } from '../../lib/jobs/plan-starts.js';
+import type { EndedTask } from '../../lib/ports/task-workers.js';
+import type { StepSpec } from '../../lib/jobs/spec.js';
+import {
+  createHarness,
+  makeEnd,
+  makeEntry,
+  makeJob,
+  makeRow,
+  makeStep,
+  type Harness,
+} from './planner-harness.js';
+
+const test = suite('orphaned runs');
+
+const FIRST = 'a.0.0.0';
+
+/** Time after which the lease of a worker that does not answer is over. */
+const SILENT_MS = 5_600;
+
+/** Plans at a time and returns the stops. */
+const planStops = ({ planner, at }: Harness, nowMs: number) =>
+  planner.plan(at(nowMs)).flatMap((action) => (action.kind === 'stop' ? [action] : []));
+
+const listKeys = (starts: readonly StartAction[]) => starts.map(({ taskKey }) => taskKey);
+
+/**
+ * Starts the first task of job `a` on `w1`, which then does not answer for longer than its lease, and
+ * again on `w22`. The other tasks of the job wait after one failure there.
+ */
+const startTwice = (step: Partial<StepSpec> & Pick<StepSpec, 'count'>) => {
+  const harness = createHarness();
+  const { planner, at, report } = harness;
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a', [makeStep({ maxPerWorker: 1, ...step })]), 1);
+  const [first] = harness.planStarts(2);
+  harness.accept([first!], 3);
+  report('w1', 10, [makeRow(FIRST, 1)]);
+  for (let missedMs = 500; missedMs < SILENT_MS; missedMs += 500)
+    planner.observeMissedReport('w1', at(missedMs));
+  planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], at(SILENT_MS));
+  planner.markWorkersRecorded(['w22']);
+  planner.plan(at(SILENT_MS));
+  harness.store();
+  let nowMs = SILENT_MS + 10;
+  report('w22', nowMs);
+  const ends: EndedTask[] = [];
+  for (let index = 1; index < step.count; index += 1) {
+    const [other] = harness.planStarts((nowMs += 1));
+    harness.accept([other!], (nowMs += 1));
+    ends.push(makeEnd(index, other!.taskKey, other!.run, 'failed'));
+    report('w22', (nowMs += 1), [], ends);
+  }
+  const [second] = harness.planStarts((nowMs += 1));
+  assert.equal([second?.taskKey, second?.worker.id], [FIRST, 'w22']);
+  return { ...harness, harness, second: second!, ends, nowMs };
+};
+
+// Guards against more tasks of a step on a worker than its spread allows (issue 55).
+test('a run counts in the spread of its worker while its task is done by a run elsewhere', () => {
+  const scene = startTwice({ count: 3 });
+  const { nowMs, second, ends, accept, report, planStarts } = scene;
+  accept([second], nowMs);
+  report('w22', nowMs + 10, [makeRow(FIRST, 2)]);
+  report('w1', nowMs + 20, [], [makeEnd(1, FIRST, 1)]);
+  const starts = planStarts(nowMs + 21);
+  assert.equal(
+    starts.map(({ taskKey, worker }) => [taskKey, worker.id]),
+    [['a.0.0.1', 'w1']],
+  );
+  report('w22', nowMs + 700, [], [...ends, makeEnd(3, FIRST, 2, 'stopped')]);
+  assert.equal(listKeys(planStarts(nowMs + 701)), ['a.0.0.2']);
+});
+
+test('a run uses capacity while its task is done by a run elsewhere', () => {
+  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
+  const { nowMs, second, accept, report, planStarts } = startTwice({
+    count: 3,
+    size,
+    maxPerWorker: undefined,
+  });
+  accept([second], nowMs);
+  report('w22', nowMs + 10, [makeRow(FIRST, 2)]);
+  report('w1', nowMs + 20, [], [makeEnd(1, FIRST, 1)]);
+  assert.equal(
+    planStarts(nowMs + 21).map(({ worker }) => worker.id),
+    ['w1'],
+  );
+});
+
+test('a run is stopped as soon as its task is done by a run elsewhere', () => {
+  const { harness, nowMs, second, accept, report } = startTwice({ count: 2 });
+  accept([second], nowMs);
+  report('w22', nowMs + 10, [makeRow(FIRST, 2)]);
+  report('w1', nowMs + 20, [], [makeEnd(1, FIRST, 1)]);
+  assert.equal(
+    planStops(harness, nowMs + 21).map(({ taskKey, run, worker }) => [taskKey, run, worker.id]),
+    [[FIRST, 2, 'w22']],
+  );
+});
+
+test.run();
