Count a run on its worker until it has ended, also when its task is done elsewhere

Cause: what runs on a worker followed from the states of tasks. A task that was done by the end of a run on one worker left its assignment to another one, and the run there was in no table until a report listed it: not in the spread, nor in the used capacity, and it got no stop. And a run that was known to belong to no task counted by capacity alone.

Now a task cannot leave an assignment without saying what has become of the run: it stays on its worker as an orphaned run unless it has ended (moveTask). The spread counts the runs of a step on a worker, with or without a task, and the stop goes out with the end.

--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -3,6 +3,7 @@
 import { observeCheckpoint } from './checkpoints.js';
 import type { PoolContext } from './pool-context.js';
 import { isStepDone } from './ready-steps.js';
+import type { StepSpec } from './spec.js';
 import { makeAvoidance, type Job, type JobPhase, type Moment, type Task } from './state.js';
 
 /** End of a run as reported by a worker. */
@@ -15,12 +16,12 @@
 }
 
 /**
- * Returns an assigned task to the queue; does nothing in any other state. The task starts no
+ * Returns an assigned task whose run has ended to the queue; does nothing in any other state. The task starts no
  * earlier than `notBeforeMs` on the monotonic clock, in milliseconds.
  */
 export function releaseTask(context: PoolContext, task: Task, notBeforeMs = 0): void {
   if (task.state.kind !== 'assigned') return;
-  context.table.moveTask(task, { kind: 'waiting', notBeforeMs });
+  context.table.moveTask(task, { kind: 'waiting', notBeforeMs }, {}, 'ended');
 }
 
 /**
@@ -68,14 +69,26 @@
     .filter((t) => t.occurrence === task.occurrence && t.stepIndex === task.stepIndex);
 }
 
-/** Marks a task, or its whole gang, as done and closes the occurrence if it is complete. */
-function applyDone(context: PoolContext, task: Task, at: Moment): void {
+/** Says whether the run of a task has ended with the given end; a gang's members end together. */
+function hasEndedWith({ state }: Task, { isGang }: StepSpec, { workerId, run }: TaskEnd): boolean {
+  if (state.kind !== 'assigned' || state.run !== run) return false;
+  return isGang || state.workerId === workerId;
+}
+
+/**
+ * Marks a task, or its whole gang, as done and closes the occurrence if it is complete. A run of it
+ * that goes on elsewhere becomes an orphaned run.
+ */
+function applyDone(context: PoolContext, task: Task, end: TaskEnd, at: Moment): void {
   const { table, dirtyJobs } = context;
   const job = table.jobs.get(task.jobId);
   if (job === undefined) return;
   const step = table.findStep(task);
   const members = step.isGang ? listStepTasks(context, task) : [task];
-  members.forEach((member) => table.moveTask(member, { kind: 'done' }));
+  members.forEach((member) => {
+    const leftRun = hasEndedWith(member, step, end) ? 'ended' : 'may-go-on';
+    table.moveTask(member, { kind: 'done' }, {}, leftRun);
+  });
   dirtyJobs.add(task.jobId);
   if (isOccurrenceDone(job, task.occurrence)) closeOccurrence(context, job, task.occurrence, at);
 }
@@ -121,7 +134,7 @@
   const updated = table.moveTask(task, state, { checkpoint, lastRun });
   if (state.kind === 'done') return;
   if (end.how === 'done' && !step.isLasting) {
-    applyDone(context, updated, at);
+    applyDone(context, updated, end, at);
     return;
   }
   if (isCurrent) releaseTask(context, updated);
--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -42,11 +42,14 @@
   return explainExclusion(worker, nowMs) === undefined;
 }
 
-/** Counts the tasks of a step that are assigned to a worker. */
-export function countOnWorker(stepRun: StepRun, workerId: string): number {
+/** Counts the runs of a step on a worker, those included that no task waits for any more. */
+function countOnWorker({ assigned, key }: StepRun, { entry, orphanedRuns }: Worker): number {
   let count = 0;
-  stepRun.assigned.forEach((id) => {
-    if (id === workerId) count += 1;
+  assigned.forEach((id) => {
+    if (id === entry.id) count += 1;
+  });
+  orphanedRuns.forEach(({ stepKey }) => {
+    if (stepKey === key) count += 1;
   });
   return count;
 }
@@ -56,9 +59,7 @@
   worker: Worker,
   { step, stepRun }: Pick<PlacementRequest, 'step' | 'stepRun'>,
 ): boolean {
-  return (
-    step.maxPerWorker === undefined || countOnWorker(stepRun, worker.entry.id) < step.maxPerWorker
-  );
+  return step.maxPerWorker === undefined || countOnWorker(stepRun, worker) < step.maxPerWorker;
 }
 
 /** Says whether label and spread rules allow a task of the step on a worker. */
@@ -97,7 +98,7 @@
   const isFirst = worker.lastingTasks === 0 && step.tailTargetMs === undefined;
   return (
     (isFirst ? FIRST_LASTING_PENALTY : 0) +
-    SIBLING_PENALTY * countOnWorker(stepRun, worker.entry.id) +
+    SIBLING_PENALTY * countOnWorker(stepRun, worker) +
     RACK_SIBLING_PENALTY * (siblingsByRack.get(worker.entry.rack ?? '') ?? 0)
   );
 }
--- a/packages/vanilladock/src/lib/jobs/free-capacity.ts
+++ b/packages/vanilladock/src/lib/jobs/free-capacity.ts
@@ -1,5 +1,5 @@
 /** Capacity of workers: what their tasks reserve and whether another task fits. */
-import { subtractResources } from '../placement/resources.js';
+import { addResources, subtractResources } from '../placement/resources.js';
 import type { Resources } from '../ports/workers.js';
 import type { StepSpec } from './spec.js';
 import type { Worker } from './state.js';
@@ -14,6 +14,21 @@
   return step.isFilling ? { ...step.size, cores: 0 } : step.size;
 }
 
+/** Computes what the steps of a worker's tasks reserve and its orphaned runs use. */
+export function computeUse(
+  { orphanedRuns }: Pick<Worker, 'orphanedRuns'>,
+  steps: readonly StepSpec[],
+): Pick<Worker, 'used' | 'lastingTasks'> {
+  let used = NO_RESOURCES;
+  steps.forEach((step) => {
+    used = addResources(used, computeFootprint(step));
+  });
+  orphanedRuns.forEach(({ size }) => {
+    used = addResources(used, size);
+  });
+  return { used, lastingTasks: steps.filter(({ isLasting }) => isLasting).length };
+}
+
 /** Computes the free capacity of a worker; negative for a resource that is overcommitted. */
 export function computeFreeCapacity(worker: Worker): Resources {
   return subtractResources(worker.entry.capacity, worker.used);
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -4,7 +4,6 @@
  * end return to the queue.
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
-import type { Resources } from '../ports/workers.js';
 import { applyEnd } from './apply-ends.js';
 import { observeCheckpoint, type Checkpoint } from './checkpoints.js';
 import { recordFailedRun } from './eject-workers.js';
@@ -13,7 +12,7 @@
 import type { Inheritance } from './inheritance.js';
 import { openBegunOccurrence } from './job-lifecycle.js';
 import type { PoolContext } from './pool-context.js';
-import { computeFootprint } from './free-capacity.js';
+import { makeOtherRunFields, recordOrphan } from './record-orphan.js';
 import { parseTaskKey } from './spec.js';
 import { computeStallLimit } from './stall-limit.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
@@ -38,45 +37,11 @@
   readonly receivedMs: number;
 }
 
-/** Finds the capacity that a run takes, also of an ended job; undefined for an unknown job. */
-function findRunSize({ table }: PoolContext, taskKey: string): Resources | undefined {
-  const { jobId, stepIndex } = parseTaskKey(taskKey);
-  const step = table.jobs.get(jobId)?.record.spec.steps[stepIndex];
-  return step === undefined ? undefined : computeFootprint(step);
-}
-
 /** Makes the checkpoint that a row of a report names. */
 function makeCheckpoint({ checkpoint, run }: RunningTask, { nowMs }: Moment): Checkpoint {
   return { value: checkpoint, run, reportedMs: nowMs };
 }
 
-/** Makes the log fields of the run that a task has beside another one; none if it has no other. */
-function makeOtherRunFields(task: Task | undefined, run: number) {
-  if (task?.state.kind !== 'assigned' || task.state.run === run) return {};
-  return { otherRun: task.state.run, otherWorker: task.state.workerId };
-}
-
-/** Records a run that belongs to no task, or whose task is done or assigned to another run. */
-function recordOrphan(
-  context: PoolContext,
-  worker: Worker,
-  row: RunningTask,
-  task: Task | undefined,
-): void {
-  const knownOrphan = worker.orphanedRuns.get(row.taskKey);
-  if (knownOrphan?.run === row.run) return;
-  const size = findRunSize(context, row.taskKey) ?? worker.entry.capacity;
-  worker.orphanedRuns.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
-  context.report({
-    event: 'run-orphaned',
-    task: row.taskKey,
-    run: row.run,
-    worker: worker.entry.id,
-    bornMs: worker.entry.bornMs,
-    ...makeOtherRunFields(task, row.run),
-  });
-}
-
 /** Records a run that the table does not have: adopts it for a waiting task, else as an orphan. */
 function recordUnknownRun(
   context: PoolContext,
@@ -87,7 +52,7 @@
 ): void {
   const task = context.table.findTask(row.taskKey);
   if (task === undefined || task.state.kind !== 'waiting') {
-    recordOrphan(context, worker, row, task);
+    recordOrphan(context, worker, row, task, at);
     return;
   }
   const assignment = makeAssignment(worker.entry.id, row.run, {
@@ -202,7 +167,7 @@
     releaseUnendedRun(context, task, proof, { nowMs: timed.receivedMs });
   });
   [...worker.orphanedRuns.keys()].forEach((key) => {
-    if (!listed.has(key)) worker.orphanedRuns.delete(key);
+    if (!listed.has(key)) context.table.orphanedRuns.drop(key, worker.entry.id);
   });
 }
 
@@ -238,8 +203,8 @@
   rows.forEach((row) => {
     const worker = table.workers.get(workerId);
     if (worker === undefined) return;
-    if (worker.orphanedRuns.get(row.taskKey)?.run === row.run)
-      worker.orphanedRuns.delete(row.taskKey);
+    if (worker.orphanedRuns.get(row.taskKey)?.assignment.run === row.run)
+      table.orphanedRuns.drop(row.taskKey, workerId);
     const task = table.findTask(row.taskKey);
     if (task === undefined) return;
     if (row.how === 'done' || row.how === 'failed') {
--- a/packages/vanilladock/src/lib/jobs/plan-stops.ts
+++ b/packages/vanilladock/src/lib/jobs/plan-stops.ts
@@ -109,15 +109,11 @@
   workers.forEach((worker) => {
     const target = { id: worker.entry.id, address: worker.entry.address };
     worker.orphanedRuns.forEach((orphanedRun, taskKey) => {
-      if (!isStopDue(orphanedRun.stopSentMs, at.nowMs)) return;
-      worker.orphanedRuns.set(taskKey, { ...orphanedRun, stopSentMs: at.nowMs });
-      stops.push({
-        kind: 'stop',
-        worker: target,
-        taskKey,
-        run: orphanedRun.run,
-        why: 'not-wanted',
-      });
+      const { assignment } = orphanedRun;
+      if (!isStopDue(assignment.stopSentMs, at.nowMs)) return;
+      const stopped: Assignment = { ...assignment, phase: 'stopping', stopSentMs: at.nowMs };
+      context.table.orphanedRuns.set(taskKey, { ...orphanedRun, assignment: stopped });
+      stops.push({ kind: 'stop', worker: target, taskKey, run: stopped.run, why: 'not-wanted' });
     });
     [...worker.tasks].forEach((key) => {
       const task = context.table.findTask(key);
--- a/packages/vanilladock/src/lib/jobs/spec.ts
+++ b/packages/vanilladock/src/lib/jobs/spec.ts
@@ -116,6 +116,11 @@
   return stepKey.slice(0, stepKey.indexOf('.'));
 }
 
+/** Parses the key of the step from the key of one of its tasks. */
+export function parseStepKey(taskKey: string): string {
+  return taskKey.slice(0, taskKey.lastIndexOf('.'));
+}
+
 /** Makes the key of a task from its step key and its index within the step. */
 export function makeTaskKey(id: string, occurrence: number, step: number, index: number): string {
   return `${makeStepKey(id, occurrence, step)}.${index}`;
--- a/packages/vanilladock/src/lib/jobs/start-pass.ts
+++ b/packages/vanilladock/src/lib/jobs/start-pass.ts
@@ -175,7 +175,7 @@
       const assigned = table.findTask(member.key);
       if (assigned?.state.kind !== 'assigned') return;
       const { workerId } = assigned.state;
-      table.moveTask(assigned, member.state, { lastRun: member.lastRun });
+      table.moveTask(assigned, member.state, { lastRun: member.lastRun }, 'ended');
       allWorkers?.refreshWorker(workerId);
       changedWorkers.refreshWorker(workerId);
     });
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -3,7 +3,7 @@
 import type { WorkerEntry } from '../ports/task-workers.js';
 import type { Checkpoint } from './checkpoints.js';
 import type { CrashRecord } from './crashes/crash-evidence.js';
-import type { JobRecord, StepSpec } from './spec.js';
+import type { JobRecord } from './spec.js';
 
 /** Progress of a lasting task that is fully running, and pace of a task that is not slowed down. */
 export const FULL_PERCENT = 100;
@@ -137,17 +137,13 @@
 
 /** Indices of a step's tasks in one occurrence, by state; `assigned` maps them to worker ids. */
 export interface StepRun {
+  /** Key of the step; see `makeStepKey`. */
+  readonly key: string;
   readonly waiting: Set<number>;
   readonly done: Set<number>;
   readonly assigned: Map<number, string>;
 }
 
-/** Makes a step run in which every task is waiting. */
-export function makeStepRun({ count }: StepSpec): StepRun {
-  const indices = Array.from({ length: count }, (_, index) => index);
-  return { waiting: new Set(indices), done: new Set(), assigned: new Map() };
-}
-
 /** One occurrence of a job. */
 export interface Occurrence {
   /** Counts from 0. */
@@ -197,14 +193,15 @@
 }
 
 /**
- * A run on a worker that belongs to no task; it is stopped and uses capacity until it has ended.
+ * A run on a worker that is no longer, or never was, the one that its task waits for. It is stopped,
+ * and it counts on its worker, by capacity and spread, until it has ended.
  */
 export interface OrphanedRun {
-  readonly run: number;
-  /** Capacity that the run counts as using; zero if its task is unknown. */
+  readonly assignment: Assignment;
+  /** Key of its step; see `makeStepKey`. */
+  readonly stepKey: string;
+  /** Capacity that the run counts as using; all of the worker's if its step is unknown. */
   readonly size: Resources;
-  /** When the last stop was sent, on the monotonic clock; undefined if none was. */
-  readonly stopSentMs: number | undefined;
 }
 
 /** A worker's monotonic clock as of its last report. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -3,18 +3,17 @@
  * consistent: a task has exactly one state at a time, and the used capacity of a worker is the sum
  * of its runs.
  */
-import { addResources } from '../placement/resources.js';
 import type { WorkerEntry } from '../ports/task-workers.js';
-import { NO_CHECKPOINT } from './checkpoints.js';
 import { makeTaskSuffix } from './progress.js';
-import { computeFootprint, NO_RESOURCES } from './free-capacity.js';
-import { findLastRun, makeJob, type JobOrigin } from './make-job.js';
+import { computeFootprint, computeUse } from './free-capacity.js';
+import { makeJob, type JobOrigin } from './make-job.js';
+import { makeStepRuns, makeWaitingTask, type TaskPlace } from './make-task.js';
 import { makeWorker } from './make-worker.js';
+import { createOrphanedRuns, type OrphanedRuns } from './orphaned-runs.js';
 import { makeTaskKey, type JobRecord, type StepSpec } from './spec.js';
 import { createTeamUsage, sumTeamUse, type TeamUsage } from '../teams/team-usage.js';
 import {
   makeMovedTask,
-  makeStepRun,
   type Job,
   type Moment,
   type Occurrence,
@@ -26,6 +25,9 @@
 } from './state.js';
 import { createChangeRecord, type TableChanges } from './table-changes.js';
 
+/** What is known of the run that a task leaves: it may go on, or it has ended or never started. */
+export type LeftRun = 'may-go-on' | 'ended';
+
 /** Tables of one pool; its jobs and workers are replaced at each change, so look them up again. */
 export interface TaskTable {
   /** Jobs by id, ended ones included until they are dropped. */
@@ -36,6 +38,8 @@
   readonly crashedTaskKeys: ReadonlySet<string>;
   /** Workers by id. */
   readonly workers: ReadonlyMap<string, Worker>;
+  /** Runs that go on although no task waits for them. */
+  readonly orphanedRuns: OrphanedRuns;
   /** What the tasks and orphaned runs of each team use; filling tasks count with their cores. */
   readonly teamUsage: TeamUsage;
   readonly findTask: (key: string) => Task | undefined;
@@ -58,8 +62,11 @@
   readonly dropTasks: (tasks: readonly Task[]) => void;
   /** Removes a job; its tasks have to be dropped before. */
   readonly dropJob: (jobId: string) => void;
-  /** Moves a task to a state, applies further changes and returns the task that replaces it. */
-  readonly moveTask: (task: Task, state: TaskState, change?: TaskChange) => Task;
+  /**
+   * Moves a task to a state, applies further changes and returns the task that replaces it. The run of
+   * an assignment that it leaves becomes an orphaned run, unless that is known to have `ended`.
+   */
+  readonly moveTask: (task: Task, state: TaskState, change?: TaskChange, leftRun?: LeftRun) => Task;
   /** Adds a worker that has not reported; replaces one of the same id. */
   readonly addWorker: (entry: WorkerEntry) => Worker;
   /** Applies changes to a worker; does nothing if it is unknown. */
@@ -85,6 +92,7 @@
   const workers = new Map<string, Worker>();
   const origins = new Map<string, JobOrigin>();
   const changes = createChangeRecord();
+  const orphanedRuns = createOrphanedRuns(workers, changes);
   const teamUsage = createTeamUsage();
   /** Whether any job has had a team; the sums cost time that other deployments need not spend. */
   let hasTeams = false;
@@ -122,18 +130,8 @@
   const refreshUsedCapacity = (workerId: string) => {
     const worker = workers.get(workerId);
     if (worker === undefined) return;
-    let used = NO_RESOURCES;
-    let lastingTasks = 0;
-    worker.tasks.forEach((key) => {
-      const task = tasks.get(key);
-      if (task === undefined) return;
-      const step = findStep(task);
-      used = addResources(used, computeFootprint(step));
-      if (step.isLasting) lastingTasks += 1;
-    });
-    worker.orphanedRuns.forEach((orphanedRun) => {
-      used = addResources(used, orphanedRun.size);
-    });
+    const assigned = [...worker.tasks].flatMap((key) => tasks.get(key) ?? []);
+    const { used, lastingTasks } = computeUse(worker, assigned.map(findStep));
     setWorker({ ...worker, used, lastingTasks });
     if (hasTeams) teamUsage.setWorkerUse(workerId, sumTeamUse(worker, jobs));
   };
@@ -161,7 +159,19 @@
         task.state satisfies never;
     }
   };
-  const moveTask = (task: Task, state: TaskState, change: TaskChange = {}): Task => {
+  /** Keeps the run of an assigned task on its worker when the task leaves it. */
+  const addOrphanedRun = (task: Task) => {
+    if (task.state.kind !== 'assigned') return;
+    const size = computeFootprint(findStep(task));
+    const { key: stepKey } = findStepRun(task);
+    orphanedRuns.set(task.key, { assignment: task.state, stepKey, size });
+  };
+  const moveTask = (
+    task: Task,
+    state: TaskState,
+    change: TaskChange = {},
+    leftRun: LeftRun = 'may-go-on',
+  ): Task => {
     const previousWorkerId = task.state.kind === 'assigned' ? task.state.workerId : undefined;
     const nextWorkerId = state.kind === 'assigned' ? state.workerId : undefined;
     const moved = makeMovedTask(task, state, change);
@@ -169,6 +179,7 @@
     if (moved.crashes.length > 0) crashedTaskKeys.add(task.key);
     else crashedTaskKeys.delete(task.key);
     if (previousWorkerId !== nextWorkerId || task.state.kind !== state.kind) {
+      if (leftRun !== 'ended') addOrphanedRun(task);
       removeFromIndexes(task);
       tasks.set(task.key, moved);
       addToIndexes(moved);
@@ -180,38 +191,20 @@
     }
     return moved;
   };
-  const openTask = (
-    job: Job,
-    { occurrence, stepIndex, index }: Pick<Task, 'occurrence' | 'stepIndex' | 'index'>,
-    notBeforeMs: number,
-  ) => {
+  const openTask = (job: Job, place: TaskPlace, notBeforeMs: number) => {
     const origin = origins.get(job.record.spec.id);
-    const key = makeTaskKey(job.record.spec.id, occurrence, stepIndex, index);
-    const suffix = makeTaskSuffix({ occurrence, stepIndex, index });
-    const failedRuns = origin?.progress?.failedRuns.get(suffix) ?? [];
-    const task: Task = {
-      key,
-      jobId: job.record.spec.id,
-      occurrence,
-      stepIndex,
-      index,
-      failedRuns,
-      crashes: origin?.progress?.crashes.get(suffix) ?? [],
-      lastRun: findLastRun(failedRuns, origin?.runBase ?? 0),
-      checkpoint: NO_CHECKPOINT,
-      stalls: 0,
-      avoidedWorkerIds: [],
-      state: { kind: 'waiting', notBeforeMs },
-    };
+    const task = makeWaitingTask(job, place, notBeforeMs, origin);
+    const { key } = task;
+    const isDone = origin?.progress?.done.has(makeTaskSuffix(place)) === true;
     tasks.set(key, task);
     if (task.crashes.length > 0) crashedTaskKeys.add(key);
-    if (origin?.progress?.done.has(suffix) === true) moveTask(task, { kind: 'done' });
+    if (isDone) moveTask(task, { kind: 'done' });
   };
   const openOccurrence = (jobId: string, number: number, notBeforeMs = 0) => {
     const job = getJob(jobId);
     if (job.occurrences.has(number)) return;
     const { steps } = job.record.spec;
-    const occurrence: Occurrence = { number, steps: steps.map(makeStepRun) };
+    const occurrence: Occurrence = { number, steps: makeStepRuns(jobId, number, steps) };
     job.occurrences.set(number, occurrence);
     changes.addJob(jobId);
     steps.forEach((step, stepIndex) => {
@@ -233,11 +226,7 @@
   };
   const dropTask = (task: Task) => {
     const { state } = task;
-    if (state.kind === 'assigned') {
-      const size = computeFootprint(findStep(task));
-      const orphanedRun = { run: state.run, size, stopSentMs: state.stopSentMs };
-      workers.get(state.workerId)?.orphanedRuns.set(task.key, orphanedRun);
-    }
+    addOrphanedRun(task);
     removeFromIndexes(task);
     tasks.delete(task.key);
     crashedTaskKeys.delete(task.key);
@@ -249,6 +238,7 @@
     activeJobs,
     crashedTaskKeys,
     workers,
+    orphanedRuns,
     teamUsage,
     findTask: (key) => tasks.get(key),
     findStep,
@@ -279,6 +269,7 @@
     },
     moveTask,
     addWorker: (entry) => {
+      orphanedRuns.dropAll(entry.id);
       const worker = makeWorker(entry);
       setWorker(worker);
       teamUsage.setWorkerUse(entry.id, new Map());
@@ -286,6 +277,7 @@
     },
     updateWorker,
     dropWorker: (workerId) => {
+      orphanedRuns.dropAll(workerId);
       workers.delete(workerId);
       teamUsage.setWorkerUse(workerId, new Map());
       changes.addWorker(workerId);
--- a/packages/vanilladock/src/lib/jobs/worker-loss.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -78,6 +78,6 @@
       { nowMs },
     );
   });
-  worker.orphanedRuns.clear();
+  context.table.orphanedRuns.dropAll(worker.entry.id);
   context.table.refreshUsedCapacity(worker.entry.id);
 }
