Keep a run of an ended job until its start can no longer arrive

Cause: an orphaned run was dropped by the first report that did not list it, also by one that was requested before its start had arrived. A job that was cancelled, or ended, while a start was on its way left the worker with a run that nothing counted: beyond its capacity and spread until a later report showed it. What proves that a run has ended was known for tasks only.

An orphaned run keeps the assignment that it had, and the same proofs hold for both: a report requested after its confirmation or after the answer to its stop, a lease that has ended, a rejected start. One that no report has listed may be started by the next incarnation under the worker's id, as a task's, and makes its worker a lease holder.

--- a/packages/vanilladock/src/lib/jobs/lease-holder.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-holder.ts
@@ -27,12 +27,18 @@
   longLeaseTasks: z.array(z.string()).readonly().optional(),
 });
 
+/** Says whether a worker may run anything, for a task or not. */
+function hasRuns({ tasks, orphanedRuns }: Worker): boolean {
+  return tasks.size > 0 || orphanedRuns.size > 0;
+}
+
 /**
  * Says whether a worker may hold a lease that is longer than orders to its present incarnation name,
  * at the monotonic time `nowMs`. Until its first report, one that may have got orders does.
  */
-export function hasLongLease({ clock, leaseUntilMs, tasks }: Worker, nowMs: number): boolean {
-  if (clock === undefined) return tasks.size > 0;
+export function hasLongLease(worker: Worker, nowMs: number): boolean {
+  const { clock, leaseUntilMs } = worker;
+  if (clock === undefined) return hasRuns(worker);
   return leaseUntilMs > computeEarliestWorkerMs(clock, nowMs) + LEASE_MS + LEASE_MARGIN_MS;
 }
 
@@ -57,8 +63,8 @@
  * to have ended holds none before it has reported.
  */
 function isPossibleHolder(worker: Worker, { hasSeemedEnded }: LeaseHolderSources): boolean {
-  const { clock, isListed, tasks } = worker;
-  return clock !== undefined || tasks.size > 0 || (isListed && !hasSeemedEnded(worker));
+  const { clock, isListed } = worker;
+  return clock !== undefined || hasRuns(worker) || (isListed && !hasSeemedEnded(worker));
 }
 
 /** Lists the possible lease holders at the monotonic time `nowMs`. */
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -11,7 +11,7 @@
 import type { PoolContext } from './pool-context.js';
 import { isAdopted, releaseUnendedRun } from './run-release.js';
 import { makeStepKey } from './spec.js';
-import { makeAvoidance, type Moment, type Task } from './state.js';
+import { makeAvoidance, type Moment, type OrphanedRun, type Task } from './state.js';
 import { stopOtherMembers } from './stop-gang.js';
 import type { TicketRegistry } from './tickets.js';
 
@@ -104,6 +104,34 @@
   } else startPause(context, worker.id, why, nowMs);
 }
 
+/** Finds the orphaned run that an order was about; undefined if its worker has none. */
+function findOrphanedRun(
+  { table }: PoolContext,
+  { worker, taskKey, run }: StartAction | StopAction,
+): OrphanedRun | undefined {
+  const orphanedRun = table.workers.get(worker.id)?.orphanedRuns.get(taskKey);
+  return orphanedRun?.assignment.run === run ? orphanedRun : undefined;
+}
+
+/** Applies the outcome of a start whose run was orphaned before it was known. */
+function observeOrphanedStart(
+  context: PoolContext,
+  action: StartAction,
+  outcome: OrderOutcome,
+  { nowMs }: Moment,
+): void {
+  const { orphanedRuns, refreshUsedCapacity } = context.table;
+  const orphanedRun = findOrphanedRun(context, action);
+  if (orphanedRun === undefined || orphanedRun.assignment.confirmedMs !== undefined) return;
+  if (outcome.kind === 'accepted') {
+    const assignment = { ...orphanedRun.assignment, confirmedMs: nowMs };
+    orphanedRuns.set(action.taskKey, { ...orphanedRun, assignment });
+  } else if (outcome.kind === 'rejected') {
+    orphanedRuns.drop(action.taskKey, action.worker.id);
+    refreshUsedCapacity(action.worker.id);
+  }
+}
+
 /**
  * Applies the outcome of a start: a rejected task returns to the queue unless its run was confirmed
  * before, and an unconfirmed run with an unknown outcome is to be stopped; the other members of a
@@ -119,6 +147,7 @@
 ): void {
   const { table } = context;
   recordStartAnswer(context, action.worker.id, outcome, at);
+  observeOrphanedStart(context, action, outcome, at);
   const task = table.findTask(action.taskKey);
   const isSameRun =
     task !== undefined && task.state.kind === 'assigned' && task.state.run === action.run;
@@ -166,9 +195,15 @@
   at: Moment,
 ): void {
   const { table } = context;
+  if (outcome.kind !== 'accepted') return;
+  const orphanedRun = findOrphanedRun(context, action);
+  if (orphanedRun !== undefined) {
+    const assignment = { ...orphanedRun.assignment, stopAnsweredMs: at.nowMs };
+    table.orphanedRuns.set(action.taskKey, { ...orphanedRun, assignment });
+    return;
+  }
   const task = table.findTask(action.taskKey);
-  if (task === undefined || task.state.kind !== 'assigned') return;
-  if (task.state.run !== action.run || outcome.kind !== 'accepted') return;
+  if (task?.state.kind !== 'assigned' || task.state.run !== action.run) return;
   table.moveTask(task, { ...task.state, stopAnsweredMs: at.nowMs });
 }
 
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -149,7 +149,7 @@
 }
 
 /**
- * Requeues the tasks whose runs are gone without a reported end, and drops unlisted orphaned runs.
+ * Requeues the tasks whose runs are gone without a reported end, and drops such orphaned runs.
  */
 function releaseMissingRuns(context: PoolContext, worker: Worker, timed: TimedReport): void {
   const listed = new Set(timed.report.running.map((row) => row.taskKey));
@@ -167,8 +167,9 @@
     });
     releaseUnendedRun(context, task, proof, { nowMs: timed.receivedMs });
   });
-  [...worker.orphanedRuns.keys()].forEach((key) => {
-    if (!listed.has(key)) context.table.orphanedRuns.drop(key, worker.entry.id);
+  [...worker.orphanedRuns].forEach(([key, { assignment }]) => {
+    if (listed.has(key) || findProof(assignment, worker, timed) === undefined) return;
+    context.table.orphanedRuns.drop(key, worker.entry.id);
   });
 }
 
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -10,9 +10,11 @@
 import type { TimedReport } from './observe-report.js';
 import type { PoolContext } from './pool-context.js';
 import type { IncarnationEndCause } from './run-release.js';
-import type { Moment, Task, Worker } from './state.js';
+import type { Moment, Worker } from './state.js';
 import {
   computeReportAge,
+  isRunReported,
+  listUnreportedRuns,
   listWorkerTasks,
   releaseEnded,
   releaseExpired,
@@ -76,11 +78,6 @@
 /** How long an evacuation order remains in effect after it was last given. */
 export const EVACUATION_ORDER_TTL_MS = 3_000;
 
-/** Says whether a task's run is listed in a report of its worker's incarnation. */
-function isReported({ state }: Task): boolean {
-  return state.kind === 'assigned' && state.isReported;
-}
-
 /** Creates the tracker of a pool's worker incarnations. */
 export function createWorkerIncarnations(
   context: PoolContext,
@@ -159,13 +156,15 @@
     reportLoss(context, worker, loss, nowMs);
     const isOrdered = endNoticedMs.has(worker.entry.id);
     crashWatch.observeEnd(worker, at, { isOrdered, isSameId: true });
-    releaseEnded(context, tasks.filter(isReported), loss, nowMs);
+    releaseEnded(context, tasks.filter(isRunReported), loss, nowMs);
     ended.addReplaced(worker.entry);
     evacuateUntilMsById.delete(entry.id);
+    const unreportedRuns = listUnreportedRuns(worker);
     addWorker(entry, at);
     table.updateWorker(entry.id, { lastLeaseCallMs: worker.lastLeaseCallMs });
     const added = table.workers.get(entry.id);
-    tasks.filter((task) => !isReported(task)).forEach((task) => added?.tasks.add(task.key));
+    tasks.filter((task) => !isRunReported(task)).forEach((task) => added?.tasks.add(task.key));
+    unreportedRuns.forEach(([taskKey, run]) => table.orphanedRuns.set(taskKey, run));
     table.refreshUsedCapacity(entry.id);
   };
   const observeEntry = (entry: WorkerEntry, at: Moment) => {
--- a/packages/vanilladock/src/lib/jobs/worker-loss.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -2,7 +2,7 @@
 import { computeEarliestWorkerMs } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { isAdopted, releaseUnendedRun, type IncarnationEndCause } from './run-release.js';
-import type { Task, Worker } from './state.js';
+import type { OrphanedRun, Task, Worker } from './state.js';
 
 /** Why a worker is lost, and the start of its new incarnation in ms since 1970, if known. */
 export interface WorkerLoss {
@@ -20,6 +20,18 @@
   return [...worker.tasks].flatMap((key) => table.findTask(key) ?? []);
 }
 
+/** Says whether a task's run is listed in a report of its worker's incarnation. */
+export function isRunReported({ state }: Task): boolean {
+  return state.kind === 'assigned' && state.isReported;
+}
+
+/** Lists the orphaned runs on a worker that no report of its incarnation has listed, by task key. */
+export function listUnreportedRuns({
+  orphanedRuns,
+}: Worker): readonly (readonly [string, OrphanedRun])[] {
+  return [...orphanedRuns].filter(([, { assignment }]) => !assignment.isReported);
+}
+
 /** Logs that the incarnation of a worker has ended. */
 export function reportLoss(
   context: PoolContext,
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -75,6 +75,18 @@
   assert.equal(listKeys(planStarts(nowMs + 701)), ['a.0.0.2']);
 });
 
+test('a run whose start has no answer yet counts while its task is done by a run elsewhere', () => {
+  const { nowMs, report, planStarts } = startTwice({ count: 3 });
+  report('w1', nowMs + 20, [], [makeEnd(1, FIRST, 1)]);
+  assert.equal(
+    planStarts(nowMs + 21).map(({ worker }) => worker.id),
+    ['w1'],
+  );
+  // The report does not list it, but the start may still arrive.
+  report('w22', nowMs + 30);
+  assert.equal(planStarts(nowMs + 31), []);
+});
+
 test('a run uses capacity while its task is done by a run elsewhere', () => {
   const size = { cores: 4, memoryMb: 100, accelerators: 0 };
   const { nowMs, second, accept, report, planStarts } = startTwice({
@@ -102,6 +114,36 @@
   );
 });
 
+test('a run of a job that has ended uses capacity until its start can no longer arrive', () => {
+  const harness = createHarness();
+  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a', [makeStep({ size })]), 1);
+  const [start] = harness.planStarts(2);
+  harness.planner.cancel('a', harness.at(3));
+  harness.submit(makeJob('b', [makeStep({ size })]), 4);
+  harness.report('w1', 10);
+  const [stop] = planStops(harness, 11);
+  assert.is(stop?.taskKey, FIRST);
+  assert.equal(harness.planStarts(12), [], 'the start may still arrive');
+  harness.planner.observeStart(start!, { kind: 'unknown' }, harness.at(400));
+  harness.planner.observeStop(stop!, { kind: 'accepted', clockMs: 410 }, harness.at(410));
+  harness.report('w1', 420);
+  assert.equal(listKeys(harness.planStarts(421)), ['b.0.0.0']);
+});
+
+test('a start that is rejected after its job has ended frees its capacity', () => {
+  const harness = createHarness();
+  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a', [makeStep({ size })]), 1);
+  const [start] = harness.planStarts(2);
+  harness.planner.cancel('a', harness.at(3));
+  harness.submit(makeJob('b', [makeStep({ size })]), 4);
+  harness.planner.observeStart(start!, { kind: 'rejected', why: 'late' }, harness.at(5));
+  assert.equal(listKeys(harness.planStarts(6)), ['b.0.0.0']);
+});
+
 // Guards against a task that runs twice as a run of it elsewhere was not looked at.
 test('a task does not start again while an earlier run of it goes on elsewhere', () => {
   const { nowMs, second, accept, report, planStarts } = startTwice({ count: 1 });
@@ -113,4 +155,19 @@
   assert.equal(planStarts(nowMs + 31), []);
 });
 
+test('a start of an ended job may still arrive at the next incarnation of its worker', () => {
+  const harness = createHarness();
+  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a', [makeStep({ size })]), 1);
+  harness.planStarts(2);
+  harness.planner.cancel('a', harness.at(3));
+  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 5 })], harness.at(10));
+  harness.planner.markWorkersRecorded(['w1']);
+  const report = { bornMs: 5, clockMs: 5, running: [], ended: [] };
+  harness.planner.observeReport('w1', { report, sentMs: 14, receivedMs: 15 }, harness.at(15));
+  harness.submit(makeJob('b', [makeStep({ size })]), 16);
+  assert.equal(harness.planStarts(17), []);
+});
+
 test.run();
