--- a/packages/vanilladock/src/lib/jobs/choose-worker.ts
+++ b/packages/vanilladock/src/lib/jobs/choose-worker.ts
@@ -42,24 +42,31 @@
   return explainExclusion(worker, nowMs) === undefined;
 }
 
-/** Counts the tasks of a step that are assigned to a worker. */
-export function countOnWorker(stepRun: StepRun, workerId: string): number {
+/** Counts the runs of a step on a worker, those included that no task waits for any more. */
+function countOnWorker({ assigned, key }: StepRun, { entry, orphanedRuns }: Worker): number {
   let count = 0;
-  stepRun.assigned.forEach((id) => {
-    if (id === workerId) count += 1;
+  assigned.forEach((id) => {
+    if (id === entry.id) count += 1;
+  });
+  orphanedRuns.forEach(({ stepKey }) => {
+    if (stepKey === key) count += 1;
   });
   return count;
 }
 
+/** Says whether a worker may get another task of a step by the step's spread. */
+export function isWithinSpread(
+  worker: Worker,
+  { step, stepRun }: Pick<PlacementRequest, 'step' | 'stepRun'>,
+): boolean {
+  return step.maxPerWorker === undefined || countOnWorker(stepRun, worker) < step.maxPerWorker;
+}
+
 /** Says whether label and spread rules allow a task of the step on a worker. */
 export function isAllowed(worker: Worker, request: PlacementRequest): boolean {
-  const { step, stepRun } = request;
-  if (step.requiredLabel !== undefined && !worker.entry.labels.includes(step.requiredLabel)) {
-    return false;
-  }
-  return (
-    step.maxPerWorker === undefined || countOnWorker(stepRun, worker.entry.id) < step.maxPerWorker
-  );
+  const { requiredLabel } = request.step;
+  const hasLabel = requiredLabel === undefined || worker.entry.labels.includes(requiredLabel);
+  return hasLabel && isWithinSpread(worker, request);
 }
 
 /** Says whether a worker is open to a task: some are isolated for the suspects of one job. */
@@ -91,7 +98,7 @@
   const isFirst = worker.lastingTasks === 0 && step.tailTargetMs === undefined;
   return (
     (isFirst ? FIRST_LASTING_PENALTY : 0) +
-    SIBLING_PENALTY * countOnWorker(stepRun, worker.entry.id) +
+    SIBLING_PENALTY * countOnWorker(stepRun, worker) +
     RACK_SIBLING_PENALTY * (siblingsByRack.get(worker.entry.rack ?? '') ?? 0)
   );
 }
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -4,7 +4,6 @@
  * end return to the queue.
  */
 import type { RunningTask, TaskReport } from '../ports/task-workers.js';
-import type { Resources } from '../ports/workers.js';
 import { applyEnd } from './apply-ends.js';
 import { observeCheckpoint, type Checkpoint } from './checkpoints.js';
 import { recordFailedRun } from './eject-workers.js';
@@ -13,7 +12,7 @@
 import type { Inheritance } from './inheritance.js';
 import { openBegunOccurrence } from './job-lifecycle.js';
 import type { PoolContext } from './pool-context.js';
-import { computeFootprint } from './free-capacity.js';
+import { makeOtherRunFields, recordOrphan } from './record-orphan.js';
 import { parseTaskKey } from './spec.js';
 import { computeStallLimit } from './stall-limit.js';
 import { makeAdopted, releaseUnendedRun, type ReleaseProof } from './run-release.js';
@@ -38,41 +37,11 @@
   readonly receivedMs: number;
 }
 
-/** Finds the capacity that a run takes, also of an ended job; undefined for an unknown job. */
-function findRunSize({ table }: PoolContext, taskKey: string): Resources | undefined {
-  const { jobId, stepIndex } = parseTaskKey(taskKey);
-  const step = table.jobs.get(jobId)?.record.spec.steps[stepIndex];
-  return step === undefined ? undefined : computeFootprint(step);
-}
-
 /** Makes the checkpoint that a row of a report names. */
 function makeCheckpoint({ checkpoint, run }: RunningTask, { nowMs }: Moment): Checkpoint {
   return { value: checkpoint, run, reportedMs: nowMs };
 }
 
-/** Records a run that belongs to no task, or whose task is done or assigned to another run. */
-function recordOrphan(
-  context: PoolContext,
-  worker: Worker,
-  row: RunningTask,
-  task: Task | undefined,
-): void {
-  const knownOrphan = worker.orphanedRuns.get(row.taskKey);
-  if (knownOrphan?.run === row.run) return;
-  const size = findRunSize(context, row.taskKey) ?? worker.entry.capacity;
-  worker.orphanedRuns.set(row.taskKey, { run: row.run, size, stopSentMs: undefined });
-  const other = task?.state.kind === 'assigned' ? task.state : undefined;
-  context.report({
-    event: 'run-orphaned',
-    task: row.taskKey,
-    run: row.run,
-    worker: worker.entry.id,
-    bornMs: worker.entry.bornMs,
-    otherRun: other?.run,
-    otherWorker: other?.workerId,
-  });
-}
-
 /** Records a run that the table does not have: adopts it for a waiting task, else as an orphan. */
 function recordUnknownRun(
   context: PoolContext,
@@ -82,8 +51,9 @@
   at: Moment,
 ): void {
   const task = context.table.findTask(row.taskKey);
-  if (task === undefined || task.state.kind !== 'waiting') {
-    recordOrphan(context, worker, row, task);
+  const isOrphaned = worker.orphanedRuns.get(row.taskKey)?.assignment.run === row.run;
+  if (task?.state.kind !== 'waiting' || isOrphaned) {
+    recordOrphan(context, worker, row, task, at);
     return;
   }
   const assignment = makeAssignment(worker.entry.id, row.run, {
@@ -179,7 +149,7 @@
 }
 
 /**
- * Requeues the tasks whose runs are gone without a reported end, and drops unlisted orphaned runs.
+ * Requeues the tasks whose runs are gone without a reported end, and drops such orphaned runs.
  */
 function releaseMissingRuns(context: PoolContext, worker: Worker, timed: TimedReport): void {
   const listed = new Set(timed.report.running.map((row) => row.taskKey));
@@ -197,8 +167,9 @@
     });
     releaseUnendedRun(context, task, proof, { nowMs: timed.receivedMs });
   });
-  [...worker.orphanedRuns.keys()].forEach((key) => {
-    if (!listed.has(key)) worker.orphanedRuns.delete(key);
+  [...worker.orphanedRuns].forEach(([key, { assignment }]) => {
+    if (listed.has(key) || findProof(assignment, worker, timed) === undefined) return;
+    context.table.orphanedRuns.drop(key, worker.entry.id);
   });
 }
 
@@ -234,8 +205,8 @@
   rows.forEach((row) => {
     const worker = table.workers.get(workerId);
     if (worker === undefined) return;
-    if (worker.orphanedRuns.get(row.taskKey)?.run === row.run)
-      worker.orphanedRuns.delete(row.taskKey);
+    if (worker.orphanedRuns.get(row.taskKey)?.assignment.run === row.run)
+      table.orphanedRuns.drop(row.taskKey, workerId);
     const task = table.findTask(row.taskKey);
     if (task === undefined) return;
     if (row.how === 'done' || row.how === 'failed') {
@@ -248,6 +219,7 @@
       worker: workerId,
       how: row.how,
       number: row.number,
+      ...makeOtherRunFields(task, row.run),
     });
     applyEnd(
       context,
