Take a crash for one under a run only if the run cannot have ended in the silence before

Callers saw a sound job end as failed although one worker only, or none, had crashed under its task. The task runs alone on its second worker; that worker stops to answer, the run ends unseen, the worker crashes three seconds later with nothing on it. The next incarnation registers, and the job is given up (crashed-alone).

Cause: the moment of a crash was taken for the moment of the last answer. A cut and a crash look the same until the process is found to be gone, so the crash may have come at any time in between.

A renewal now says whether the address refused or closed the connection. A crash counts as one under a run if that was within 1.5 s of the last sign, or, where no connection was closed, another incarnation was known within 4.5 s, or if the process was gone before the run needed to end by its estimate. Any other has its moment unknown: it clears no other suspect and asks for a third confirmed crash, as a possible one does until more is known. The mark is stored as an eighth value of a crash, which versions before ignore, and a successor keeps it.

--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -123,11 +123,15 @@
         if (outcome.why === 'fenced') options.handleFenced();
         else if (outcome.why === 'other-life')
           planner.observeIncarnationEnd(workerId, bornMs, receivedAt);
-        else planner.observeMissedReport(workerId, receivedAt, true);
+        else planner.observeMissedReport(workerId, receivedAt, 'answered');
         await waitOrWake(RETRY_MS);
         return;
       case 'unknown':
-        planner.observeMissedReport(workerId, receivedAt);
+        planner.observeMissedReport(
+          workerId,
+          receivedAt,
+          outcome.isClosed === true ? 'closed' : 'unanswered',
+        );
         await waitOrWake(RETRY_MS);
         return;
       default:
--- a/packages/vanilladock/src/lib/jobs/crashes/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-evidence.ts
@@ -26,6 +26,11 @@
   readonly isConfirmed: boolean;
   /** Present if it is not known whether the run has begun; such a record is never confirmed. */
   readonly isStartUnknown?: true | undefined;
+  /**
+   * Present if the run may have ended before the crash, as the worker was silent for longer than the
+   * run needed, or may be up still. Such a record names no suspect and asks for a third one.
+   */
+  readonly isMomentUnknown?: true | undefined;
   readonly suspicion: Suspicion;
   /** Whether no other job had a run there that may have been the cause, nor the machine itself. */
   readonly isAlone: boolean;
@@ -72,7 +77,7 @@
 /** Confirmed crashes without which no job is given up. */
 const MIN_CRASHES = 2;
 
-/** Crashes alone, each at the moment of others, at which a job is given up. */
+/** Crashes alone, each at the moment of others or at an unknown one, at which a job is given up. */
 const ALONE_MASS_CRASHES = 2;
 
 /** Crashes on several machines, not explained otherwise, at which a job is given up. */
@@ -102,9 +107,11 @@
   return crashes.filter(({ suspicion }) => suspicion !== 'none' && suspicion !== 'explained');
 }
 
-/** Lists those of them that were the only ones at their moment, or one of two. */
+/** Lists those of them that were under the run for certain, and the only ones then, or one of two. */
 function listSingle(crashes: readonly CrashRecord[]): readonly CrashRecord[] {
-  return listSuspicious(crashes).filter(({ suspicion }) => suspicion !== 'mass');
+  return listSuspicious(crashes).filter(
+    ({ suspicion, isMomentUnknown }) => suspicion !== 'mass' && isMomentUnknown !== true,
+  );
 }
 
 /** Says whether a task may have crashed a worker. */
@@ -117,9 +124,12 @@
   return isSuspect({ crashes: [crash] }) ? { ...crash, suspicion: 'none' } : crash;
 }
 
-/** Says whether a crash names a suspect: only its job ran there, and no other worker was lost. */
-export function isTelling({ suspicion, isAlone }: CrashRecord): boolean {
-  return isAlone && (suspicion === 'recent' || suspicion === 'earlier');
+/**
+ * Says whether a crash names a suspect: only its job ran there, for certain, and no other worker was
+ * lost.
+ */
+export function isTelling(crash: CrashRecord): boolean {
+  return crash.isAlone && listSingle([crash]).length > 0;
 }
 
 /**
@@ -160,6 +170,11 @@
   return isEnough && countMachines(crashes.filter(({ isConfirmed }) => isConfirmed)) > 1;
 }
 
+/** Returns how many confirmed crashes it takes: one more if one of them may not be under a run. */
+function getMinCrashes(confirmed: readonly CrashRecord[]): number {
+  return MIN_CRASHES + (confirmed.some(({ isMomentUnknown }) => isMomentUnknown) ? 1 : 0);
+}
+
 /** Says whether the limit is reached by a crash that no other task explains. */
 function hasReachedLimit(crashes: readonly CrashRecord[]): boolean {
   return crashes.length >= MAX_CRASHES && crashes.at(-1)?.suspicion !== 'explained';
@@ -168,7 +183,7 @@
 /** Decides whether the job of a task with these crashes, oldest first, is given up. */
 export function decideGiveUp(crashes: readonly CrashRecord[]): GiveUpReason | undefined {
   const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
-  if (confirmed.length < MIN_CRASHES) return undefined;
+  if (confirmed.length < getMinCrashes(confirmed)) return undefined;
   if (hasCrashedAlone(crashes)) return 'crashed-alone';
   const single = listSingle(confirmed);
   if (single.length >= OFTEN_CRASHES && countMachines(single) > 1) return 'crashed-often';
--- a/packages/vanilladock/src/lib/jobs/crashes/crash-records.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-records.ts
@@ -2,7 +2,7 @@
  * Records of crashes under the tasks of a pool, found by the incarnation that crashed: what is learned
  * of one crash changes the records of all tasks that ran there.
  */
-import { isSuspect, type CrashRecord } from './crash-evidence.js';
+import { isSuspect, isTelling, type CrashRecord } from './crash-evidence.js';
 import { makeIncarnationKey } from '../ended-incarnations.js';
 import type { PoolContext } from '../pool-context.js';
 import type { Task } from '../state.js';
@@ -19,6 +19,11 @@
   readonly setCrashes: (task: Task, crashes: readonly CrashRecord[]) => void;
   /** Applies a change to the records of one incarnation's crash; returns how many tasks it changed. */
   readonly updateRecords: (key: string, change: RecordChange) => number;
+  /**
+   * Records that an incarnation has crashed under the runs of the tasks for which `isUnderRun` holds;
+   * what tells against one of them clears the others.
+   */
+  readonly updateMoments: (key: string, isUnderRun: (task: Task) => boolean) => void;
   /**
    * Marks the crashes of a task as explained for the tasks of other jobs; returns how many tasks that
    * changes.
@@ -72,6 +77,28 @@
       const task = table.findTask(taskKey);
       return task !== undefined && task.state.kind !== 'done' && updateTask(task, key, change);
     }).length;
+  const dropOtherSuspicions: CrashRecords['dropOtherSuspicions'] = ({ jobId, crashes }) =>
+    crashes
+      .map((crash) =>
+        updateRecords(makeKey(crash), (record, taskKey) => {
+          const isOfJob = table.findTask(taskKey)?.jobId === jobId;
+          const isExplained = record.suspicion === 'explained';
+          return isOfJob || isExplained ? record : { ...record, suspicion: 'explained' };
+        }),
+      )
+      .reduce((sum, count) => sum + count, 0);
+  const updateMoments: CrashRecords['updateMoments'] = (key, isUnderRun) => {
+    const isChanged = (record: CrashRecord, task: Task | undefined) =>
+      record.isMomentUnknown === true && task !== undefined && isUnderRun(task);
+    const telling: string[] = [];
+    updateRecords(key, (record, taskKey) => {
+      if (!isChanged(record, table.findTask(taskKey))) return record;
+      const updated = { ...record, isMomentUnknown: undefined };
+      if (isTelling(updated)) telling.push(taskKey);
+      return updated;
+    });
+    telling.flatMap((taskKey) => table.findTask(taskKey) ?? []).forEach(dropOtherSuspicions);
+  };
   return {
     add: (taskKey, record) => {
       const key = makeKey(record);
@@ -79,16 +106,8 @@
     },
     setCrashes,
     updateRecords,
-    dropOtherSuspicions: ({ jobId, crashes }) =>
-      crashes
-        .map((crash) =>
-          updateRecords(makeKey(crash), (record, taskKey) => {
-            const isOfJob = table.findTask(taskKey)?.jobId === jobId;
-            const isExplained = record.suspicion === 'explained';
-            return isOfJob || isExplained ? record : { ...record, suspicion: 'explained' };
-          }),
-        )
-        .reduce((sum, count) => sum + count, 0),
+    updateMoments,
+    dropOtherSuspicions,
     listAges: (nowMs) => {
       const all = [...table.crashedTaskKeys].flatMap((key) => table.findTask(key)?.crashes ?? []);
       const ages = all.map((record) => {
--- a/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
@@ -15,6 +15,7 @@
   PROVEN_RUN_MS,
   type CrashRecord,
 } from './crash-evidence.js';
+import { isCrashUnderRun, type GoneSign } from './crash-moment.js';
 import { createCrashRecords } from './crash-records.js';
 import { makeIncarnationKey, type Incarnation } from '../ended-incarnations.js';
 import type { InheritedRuns } from '../inherited-runs.js';
@@ -39,8 +40,11 @@
   readonly observeLoadedJob: (jobId: string, at: Moment) => void;
   /** Returns since when a worker's incarnation does not answer; undefined if it answers. */
   readonly findSilentMs: (worker: Worker) => number | undefined;
-  /** Records that a worker has not answered; from the second time on it may have crashed. */
-  readonly observeSilence: (worker: Worker, at: Moment) => void;
+  /**
+   * Records that a worker has not answered; from the second time on it may have crashed. `isClosed`:
+   * its address refused or closed the connection.
+   */
+  readonly observeSilence: (worker: Worker, at: Moment, isClosed: boolean) => void;
   /** Records that an incarnation answers. */
   readonly observeAnswer: (entry: WorkerEntry) => void;
   /**
@@ -97,6 +101,9 @@
         machine,
         isConfirmed: isEnded && run.isConfirmed,
         ...(run.isConfirmed ? undefined : { isStartUnknown: true }),
+        ...(isCrashUnderRun(silence, run.aliveMs, table.findStep(task))
+          ? undefined
+          : { isMomentUnknown: true }),
         suspicion,
         isAlone:
           silence.possibleCauses.size === 1 &&
@@ -119,6 +126,17 @@
     const known = possibleByMachine.get(machine) ?? [];
     possibleByMachine.set(machine, [...known, { id, bornMs }]);
   };
+  /** Records when an incarnation was found to be gone; returns its silence, if it was silent. */
+  const recordGone = (incarnation: Incarnation, sign: GoneSign, nowMs: number) => {
+    const silence = silences.recordGone(incarnation, sign, nowMs);
+    const ages = new Map(silence?.runs.map(({ taskKey, aliveMs }) => [taskKey, aliveMs]));
+    records.updateMoments(makeIncarnationKey(incarnation.id, incarnation.bornMs), (task) => {
+      const aliveMs = ages.get(task.key);
+      if (silence === undefined || aliveMs === undefined) return false;
+      return isCrashUnderRun(silence, aliveMs, table.findStep(task));
+    });
+    return silence;
+  };
   const updateToConfirmed = ({ id, bornMs }: Incarnation, nowMs: number) =>
     updateRecords(makeIncarnationKey(id, bornMs), (record) =>
       record.isConfirmed || record.isStartUnknown === true
@@ -139,6 +157,7 @@
       instance: entry.instance,
       rack: entry.rack,
       silentForMs: Math.round(nowMs - silence.atMs),
+      goneAfterMs: Math.round((silence.closedMs ?? nowMs) - silence.lastSignMs),
       coincident: silences.countCoincident(silence),
       runs: runs.slice(0, MAX_LOGGED_RUNS).map(({ taskKey, run, aliveMs }) => ({
         task: taskKey,
@@ -155,6 +174,7 @@
     const byCrash = new Map(
       listStepTasks(context, task)
         .flatMap(({ crashes }) => crashes)
+        .sort((a, b) => Number(b.isMomentUnknown === true) - Number(a.isMomentUnknown === true))
         .map((record) => [makeIncarnationKey(record.workerId, record.bornMs), record] as const),
     );
     return [...byCrash.values()].sort((a, b) => a.atMs - b.atMs);
@@ -194,14 +214,16 @@
     },
     findSilentMs: ({ entry, missedReports }) =>
       missedReports === 0 ? undefined : silences.find(entry.id, entry.bornMs)?.atMs,
-    observeSilence: (worker, { nowMs }) => {
+    observeSilence: (worker, { nowMs }, isClosed) => {
       const { id, bornMs } = worker.entry;
       const told = worker.clock === undefined ? inheritedRuns.find(id, bornMs) : undefined;
       const wasToldSilent = told?.silentAgoMs !== undefined;
       const isKnown = wasToldSilent || silences.find(id, bornMs) !== undefined;
-      const silence = silences.add(worker, nowMs);
-      const isIgnored = silence.isEndPlanned || silence.isSettled || silence.runs.length === 0;
-      if (!isKnown || isIgnored) return;
+      const added = silences.add(worker, nowMs);
+      if (added.isEndPlanned || added.isSettled || added.runs.length === 0) return;
+      if (isClosed) recordGone(worker.entry, 'closed', nowMs);
+      const silence = silences.find(id, bornMs);
+      if (!isKnown || silence === undefined) return;
       addPossible(getMachine(worker.entry), worker.entry);
       addRecords(worker, silence, false, nowMs);
     },
@@ -236,7 +258,8 @@
         updateRecords(makeIncarnationKey(entry.id, entry.bornMs), () => undefined);
         return;
       }
-      addRecords(worker, silence, true, nowMs);
+      const { replacedMs } = recordGone(entry, 'replaced', nowMs) ?? added;
+      addRecords(worker, { ...silence, replacedMs }, true, nowMs);
       updateToConfirmed(entry, nowMs);
       const jobIds = new Set([...silence.runs.map(({ jobId }) => jobId), ...added.possibleCauses]);
       const incarnation = makeIncarnationKey(entry.id, entry.bornMs);
@@ -248,7 +271,10 @@
       const isEarlier = ({ bornMs }: Incarnation) => bornMs < entry.bornMs;
       const possible = possibleByMachine.get(machine)?.filter(isEarlier) ?? [];
       dropPossible(machine, isEarlier);
-      possible.forEach((incarnation) => updateToConfirmed(incarnation, nowMs));
+      possible.forEach((incarnation) => {
+        recordGone(incarnation, 'replaced', nowMs);
+        updateToConfirmed(incarnation, nowMs);
+      });
     },
     hasCrashedWithout: (entry, jobId, nowMs) =>
       machineCrashes.hasCrashedWithout(getMachine(entry), jobId, nowMs),
--- a/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
@@ -3,7 +3,8 @@
  * can be told from single ones. Load pattern: a rack, a data centre or a whole pool is lost at once.
  */
 import { PROVEN_RUN_MS } from './crash-evidence.js';
-import { makeIncarnationKey } from '../ended-incarnations.js';
+import type { CrashMoment, GoneSign } from './crash-moment.js';
+import { makeIncarnationKey, type Incarnation } from '../ended-incarnations.js';
 import type { InheritedRuns } from '../inherited-runs.js';
 import { computeAliveMs, findLastSign } from './last-sign.js';
 import type { PoolContext } from '../pool-context.js';
@@ -26,7 +27,7 @@
 }
 
 /** The moment at which a worker stopped to answer; times are monotonic, in milliseconds. */
-export interface Silence {
+export interface Silence extends CrashMoment {
   readonly workerId: string;
   readonly bornMs: number;
   readonly atMs: number;
@@ -47,6 +48,15 @@
    */
   readonly add: (worker: Worker, nowMs: number) => Silence;
   readonly find: (workerId: string, bornMs: number) => Silence | undefined;
+  /**
+   * Records that the process of an incarnation was found to be gone; the first time of each sign
+   * counts. Returns its silence; undefined if it has not been silent.
+   */
+  readonly recordGone: (
+    incarnation: Incarnation,
+    sign: GoneSign,
+    nowMs: number,
+  ) => Silence | undefined;
   /** Marks the end of an incarnation as dealt with; no effect if it has not been silent. */
   readonly recordSettled: (workerId: string, bornMs: number) => void;
   /** Drops the silence of an incarnation that answers again. */
@@ -114,24 +124,24 @@
 /** Creates the memory without any silence. */
 export function createWorkerSilences(
   context: PoolContext,
-  inheritedRuns: Pick<InheritedRuns, 'find' | 'getSilentMs'>,
+  inheritedRuns: Pick<InheritedRuns, 'find' | 'getSilentMs' | 'getLastSignMs'>,
 ): WorkerSilences {
   const silences = new Map<string, Silence>();
-  /** Lists the runs on a worker that this planner knows of by itself. */
-  const listOwnRuns = (worker: Worker) => {
-    const tasks = listWorkerTasks(context, worker);
-    const lastSignMs = findLastSign(worker, tasks);
-    return tasks.flatMap((task) => makeRun(task, lastSignMs));
-  };
   const makeSilence = (worker: Worker, nowMs: number): Silence => {
     const { id: workerId, bornMs } = worker.entry;
     const told = worker.clock === undefined ? inheritedRuns.find(workerId, bornMs) : undefined;
-    const runs = [...(told === undefined ? [] : makeInheritedRuns(told)), ...listOwnRuns(worker)];
+    const tasks = listWorkerTasks(context, worker);
+    const ownSignMs = findLastSign(worker, tasks);
+    const ownRuns = tasks.flatMap((task) => makeRun(task, ownSignMs));
+    const runs = [...(told === undefined ? [] : makeInheritedRuns(told)), ...ownRuns];
     const orphans = [...worker.orphanedRuns.keys(), ...(told?.orphans ?? [])];
     return {
       workerId,
       bornMs,
       atMs: told === undefined ? nowMs : inheritedRuns.getSilentMs(told),
+      lastSignMs: told === undefined ? ownSignMs : inheritedRuns.getLastSignMs(told),
+      closedMs: undefined,
+      replacedMs: undefined,
       isEndPlanned: told?.isEndPlanned === true || isEnding(worker, nowMs),
       runs,
       possibleCauses: listPossibleCauses(orphans, runs),
@@ -156,6 +166,15 @@
       return silence;
     },
     find: (workerId, bornMs) => silences.get(makeIncarnationKey(workerId, bornMs)),
+    recordGone: ({ id, bornMs }, sign, nowMs) => {
+      const key = makeIncarnationKey(id, bornMs);
+      const known = silences.get(key);
+      if (known === undefined) return undefined;
+      const field = sign === 'closed' ? 'closedMs' : 'replacedMs';
+      const silence = { ...known, [field]: known[field] ?? nowMs };
+      silences.set(key, silence);
+      return silence;
+    },
     recordSettled: (workerId, bornMs) => {
       const key = makeIncarnationKey(workerId, bornMs);
       const silence = silences.get(key);
--- a/packages/vanilladock/src/lib/jobs/inherited-runs.ts
+++ b/packages/vanilladock/src/lib/jobs/inherited-runs.ts
@@ -16,6 +16,8 @@
    * its last sign of life.
    */
   readonly getSilentMs: (told: ToldWorker) => number;
+  /** Returns when that incarnation gave its last sign of life. */
+  readonly getLastSignMs: (told: ToldWorker) => number;
   /** Finds when an incarnation has confirmed a run; undefined if that was not told. */
   readonly findConfirmedMs: (
     worker: Pick<ToldWorker, 'id' | 'bornMs'>,
@@ -60,6 +62,7 @@
       return told?.confirmedAgoMs === undefined ? undefined : toldMs - told.confirmedAgoMs;
     },
     getSilentMs: ({ silentAgoMs, lastSignAgoMs }) => toldMs - (silentAgoMs ?? lastSignAgoMs),
+    getLastSignMs: ({ lastSignAgoMs }) => toldMs - lastSignAgoMs,
     listWorkers: (taskKey) => workersByTask.get(taskKey) ?? [],
     listTasks: () => [...workersByTask.keys()],
     list: (workerIds, nowMs) =>
--- a/packages/vanilladock/src/lib/jobs/planner-types.ts
+++ b/packages/vanilladock/src/lib/jobs/planner-types.ts
@@ -26,6 +26,7 @@
 import type { TeamCeilings } from '../teams/team-ceilings.js';
 import type { TicketRegistry } from './tickets.js';
 import type { ExclusionCounts } from './worker-exclusion.js';
+import type { MissedReport } from './worker-loss.js';
 
 /** Action for the daemon to execute. */
 export type PoolAction = StartAction | StopAction | PaceAction | AdviseAction;
@@ -116,10 +117,10 @@
     at: Moment,
   ) => readonly PaceAction[];
   /**
-   * Counts a report that was requested but not received; no effect on an unknown worker.
-   * `hasAnswered`: the worker answered, but without a report.
+   * Counts a report that was requested but not received, by default as `unanswered`; no effect on an
+   * unknown worker.
    */
-  readonly observeMissedReport: (workerId: string, at: Moment, hasAnswered?: boolean) => void;
+  readonly observeMissedReport: (workerId: string, at: Moment, how?: MissedReport) => void;
   /**
    * Drops a worker, and requeues its tasks, because another worker responds at the address of its
    * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
--- a/packages/vanilladock/src/lib/jobs/progress.ts
+++ b/packages/vanilladock/src/lib/jobs/progress.ts
@@ -16,10 +16,14 @@
 const MAX_RECORD_CHARS = 250_000;
 
 /**
- * A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone, and
- * `true` if it is not known whether the run had begun.
+ * A crash: worker, its start, machine, whether it is confirmed, what it says, whether alone, `true`
+ * if it is not known whether the run had begun, and `true` if it may have ended before the crash;
+ * what follows the sixth is left out or null if it does not hold.
  */
-type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean, true?];
+type StoredCrash = readonly [string, number, string, boolean, Suspicion, boolean, Mark?, true?];
+
+/** A mark that holds, or that only keeps the place before one that does. */
+type Mark = true | null;
 
 /** Progress in its stored, compact form. */
 interface StoredProgress {
@@ -83,8 +87,10 @@
 
 /** Encodes a crash. */
 function encodeCrash(crash: CrashRecord): StoredCrash {
-  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, isStartUnknown } = crash;
+  const { workerId, bornMs, machine, isConfirmed, suspicion, isAlone } = crash;
+  const { isStartUnknown, isMomentUnknown } = crash;
   const stored = [workerId, bornMs, machine, isConfirmed, suspicion, isAlone] as const;
+  if (isMomentUnknown === true) return [...stored, isStartUnknown ?? null, isMomentUnknown];
   return isStartUnknown === true ? [...stored, isStartUnknown] : stored;
 }
 
@@ -108,9 +114,13 @@
 
 /** Decodes a crash. */
 function decodeCrash(stored: StoredCrash): CrashRecord {
-  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone, isStartUnknown] = stored;
-  const crash = { workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 };
-  return isStartUnknown === true ? { ...crash, isStartUnknown } : crash;
+  const [workerId, bornMs, machine, isConfirmed, suspicion, isAlone, ...marks] = stored;
+  const [isStartUnknown, isMomentUnknown] = marks;
+  return {
+    ...{ workerId, bornMs, machine, isConfirmed, suspicion, isAlone, atMs: 0 },
+    ...(isStartUnknown === true ? { isStartUnknown } : undefined),
+    ...(isMomentUnknown === true ? { isMomentUnknown } : undefined),
+  };
 }
 
 /** Decodes the crashes of tasks, by task. */
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -17,6 +17,7 @@
   releaseEnded,
   releaseExpired,
   reportLoss,
+  type MissedReport,
   type WorkerLoss,
 } from './worker-loss.js';
 
@@ -31,10 +32,10 @@
    */
   readonly observeEntries: (entries: readonly WorkerEntry[], at: Moment) => void;
   /**
-   * Counts a report that was requested but not received; no effect on an unknown worker.
-   * `hasAnswered`: the worker answered, but without a report.
+   * Counts a report that was requested but not received, by default as `unanswered`; no effect on an
+   * unknown worker.
    */
-  readonly observeMissedReport: (workerId: string, at: Moment, hasAnswered?: boolean) => void;
+  readonly observeMissedReport: (workerId: string, at: Moment, how?: MissedReport) => void;
   /**
    * Drops a worker, and requeues its tasks, because another worker responds at the address of its
    * incarnation that started at `bornMs`; ignored if it has another incarnation by now.
@@ -238,11 +239,13 @@
         });
       });
     },
-    observeMissedReport: (workerId, at, hasAnswered = false) => {
+    observeMissedReport: (workerId, at, how = 'unanswered') => {
       const { nowMs } = at;
       const worker = table.workers.get(workerId);
       if (worker === undefined) return;
-      if (!hasAnswered && !endNoticedMs.has(workerId)) crashWatch.observeSilence(worker, at);
+      if (how !== 'answered' && !endNoticedMs.has(workerId)) {
+        crashWatch.observeSilence(worker, at, how === 'closed');
+      }
       const answeredAgoMs = Math.round(nowMs - worker.lastReportMs);
       if (worker.missedReports === 0) {
         report({ event: 'worker-silent', worker: workerId, answeredAgoMs });
--- a/packages/vanilladock/src/lib/jobs/worker-loss.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -4,6 +4,13 @@
 import { isAdopted, releaseUnendedRun, type IncarnationEndCause } from './run-release.js';
 import type { Task, Worker } from './state.js';
 
+/**
+ * Why a requested report is missing. `unanswered`: nothing was answered in time. `answered`: the worker
+ * answered, but without a report. `closed`: its address refused or closed the connection, as that of a
+ * process that has ended.
+ */
+export type MissedReport = 'unanswered' | 'answered' | 'closed';
+
 /** Why a worker is lost, and the start of its new incarnation in ms since 1970, if known. */
 export interface WorkerLoss {
   readonly why: IncarnationEndCause;
--- a/packages/vanilladock/src/test/jobs/progress.test.ts
+++ b/packages/vanilladock/src/test/jobs/progress.test.ts
@@ -126,4 +126,21 @@
   assert.equal([...decodeProgress(JSON.stringify(old)).crashes], [['0.0.0', [first]]]);
 });
 
+test('what a crash leaves open is read as it was stored, and versions before ignore the last', () => {
+  const isStartUnknown = true;
+  const isMomentUnknown = true;
+  const crashes = [
+    makeCrash('w1', { isStartUnknown }),
+    makeCrash('w2', { isMomentUnknown }),
+    makeCrash('w3', { isStartUnknown, isMomentUnknown }),
+  ];
+  const text = makeStored(1, new Map([['0.0.0', crashes]]));
+  assert.equal(decodeProgress(text).crashes.get('0.0.0'), crashes);
+  const { crashTable } = JSON.parse(text) as { readonly crashTable: readonly unknown[][] };
+  assert.equal(
+    crashTable.map((row) => row.slice(6)),
+    [[true], [null, true], [true, true]],
+  );
+});
+
 test.run();
