Count a crash under a run that no task waits for

Cause: the crash of a worker was recorded for the tasks that were assigned there. A task whose earlier run was at work on another worker than its present one, an orphaned run, got no record when that worker crashed, so that it could be started more often after crashes than the users allow (BUDGET). The runs of a silence now have both kinds, with the age, the confirmation and the incarnation of each. The new test failed before (no crash was recorded) and holds now.

--- a/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
@@ -9,7 +9,7 @@
 import { computeAliveMs, findLastSign } from './last-sign.js';
 import type { PoolContext } from '../pool-context.js';
 import { parseTaskKey } from '../spec.js';
-import type { Task, Worker } from '../state.js';
+import type { Assignment, Task, Worker } from '../state.js';
 import type { ToldWorker } from '../told-workers.js';
 import { listWorkerTasks } from '../worker-loss.js';
 
@@ -82,13 +82,27 @@
   return entry.phase === 'draining' || isEvacuated;
 }
 
-/** Makes the record of a task's run as of the last sign of life of its worker. */
-function makeRun(task: Task, lastSignMs: number): SilencedRun[] {
-  const { key: taskKey, jobId, state } = task;
-  if (state.kind !== 'assigned') return [];
-  const { run, confirmedMs, isReported } = state;
+/** Makes the record of a run as of the last sign of life of its worker. */
+function makeRun(taskKey: string, assignment: Assignment, lastSignMs: number): SilencedRun {
+  const { jobId } = parseTaskKey(taskKey);
+  const { run, confirmedMs, isReported } = assignment;
   const aliveMs = computeAliveMs(confirmedMs ?? lastSignMs, lastSignMs);
-  return [{ taskKey, jobId, run, aliveMs, isConfirmed: confirmedMs !== undefined, isReported }];
+  return { taskKey, jobId, run, aliveMs, isConfirmed: confirmedMs !== undefined, isReported };
+}
+
+/** Lists the runs on a worker that this planner knows of by itself, also those without a task. */
+function listOwnRuns(
+  { orphanedRuns }: Worker,
+  tasks: readonly Task[],
+  lastSignMs: number,
+): readonly SilencedRun[] {
+  const assigned = tasks.flatMap(({ key, state }) =>
+    state.kind === 'assigned' ? [makeRun(key, state, lastSignMs)] : [],
+  );
+  const orphaned = [...orphanedRuns].map(([taskKey, { assignment }]) =>
+    makeRun(taskKey, assignment, lastSignMs),
+  );
+  return [...assigned, ...orphaned];
 }
 
 /** Makes the records of the runs that were told of a worker. */
@@ -132,7 +146,7 @@
     const told = worker.clock === undefined ? inheritedRuns.find(workerId, bornMs) : undefined;
     const tasks = listWorkerTasks(context, worker);
     const ownSignMs = findLastSign(worker, tasks);
-    const ownRuns = tasks.flatMap((task) => makeRun(task, ownSignMs));
+    const ownRuns = listOwnRuns(worker, tasks, ownSignMs);
     const runs = [...(told === undefined ? [] : makeInheritedRuns(told)), ...ownRuns];
     const orphans = [...worker.orphanedRuns.keys(), ...(told?.orphans ?? [])];
     return {
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -170,4 +170,23 @@
   assert.equal(harness.planStarts(17), []);
 });
 
+// Guards against a task that is started too often as a crash under a run of it was not counted.
+test('a crash of a worker counts for the task of a run that no task waits for', () => {
+  const { harness, nowMs, second, accept, report, planner, at } = startTwice({ count: 1 });
+  accept([second], nowMs);
+  report('w22', nowMs + 10, [makeRow(FIRST, 2)]);
+  report('w1', nowMs + 20, [makeRow(FIRST, 1)]);
+  planner.observeMissedReport('w1', at(nowMs + 400), 'closed');
+  planner.observeMissedReport('w1', at(nowMs + 600), 'closed');
+  harness.planner.observeWorkers(
+    [makeEntry('w1', { bornMs: 5 }), makeEntry('w22')],
+    at(nowMs + 700),
+  );
+  const crashes = planner.table.findTask(FIRST)?.crashes ?? [];
+  assert.equal(
+    crashes.map(({ workerId, isConfirmed }) => [workerId, isConfirmed]),
+    [['w1', true]],
+  );
+});
+
 test.run();
