--- a/packages/vanilladock/src/test/jobs/planner-harness.ts
+++ b/packages/vanilladock/src/test/jobs/planner-harness.ts
@@ -87,6 +87,10 @@
   how: EndedTask['how'] = 'done',
 ): EndedTask => ({ number, taskKey, run, how, checkpoint: '' });
 
+/** Lists the keys of the tasks that a plan stops. */
+export const listStops = (actions: readonly PoolAction[]) =>
+  actions.flatMap((action) => (action.kind === 'stop' ? [action.taskKey] : []));
+
 export interface Harness {
   readonly planner: PoolPlanner;
   readonly stored: Map<string, string>;
--- a/packages/vanilladock/src/test/jobs/pool-demand.test.ts
+++ b/packages/vanilladock/src/test/jobs/pool-demand.test.ts
@@ -40,6 +40,42 @@
   assert.ok(planner.getDemand(0, at(9)).hasPeaked);
 });
 
+test('demand counts memory if it is scarcer than cores, and shows when a task fits nowhere', () => {
+  const { planner, addWorkers, submit, planStarts, accept, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  const size = { cores: 1, memoryMb: 600, accelerators: 0 };
+  submit(makeJob('a', [makeStep({ size })]), 1);
+  accept(planStarts(2), 3);
+  assert.is(planner.getDemand(0, at(4)).runnableCores, 2.4);
+  assert.not(planner.getDemand(0, at(4)).hasUnplaced);
+  submit(makeJob('b', [makeStep({ size })]), 5);
+  assert.is(planStarts(6).length, 0);
+  assert.ok(planner.getDemand(0, at(7)).hasUnplaced);
+});
+
+test('a task that no worker may run does not create demand for more workers', () => {
+  const { planner, addWorkers, submit, planStarts, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ requiredLabel: 'z' })]), 1);
+  assert.is(planStarts(2).length, 0);
+  assert.not(planner.getDemand(0, at(3)).hasUnplaced);
+});
+
+test('demand distinguishes work that can still meet its objective', () => {
+  const { planner, addWorkers, submit, at } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a', [makeStep({ count: 9 })]), 1);
+  assert.is(planner.getDemand(0, at(2)).onTimeCores, 9);
+  assert.is(planner.getDemand(0, at(60_000)).onTimeCores, 0);
+  assert.is(planner.getDemand(0, at(60_000)).runnableCores, 9);
+});
+
+test('demands one worker more than the spread of its lasting tasks needs', () => {
+  const { planner, submit, at } = createHarness();
+  submit(makeJob('a', [makeStep({ count: 5, maxPerWorker: 2, isLasting: true })]), 1);
+  assert.is(planner.getDemand(0, at(2)).minWorkers, 4);
+});
+
 test('a report changes of a task and its run only what it states', () => {
   const { planner, addWorkers, submit, planStarts, accept, report } = createHarness();
   addWorkers(0, makeEntry('w1'));
--- a/packages/vanilladock/src/test/jobs/tickets.test.ts
+++ b/packages/vanilladock/src/test/jobs/tickets.test.ts
@@ -1,12 +1,25 @@
-/** Replays of a queue that needs tickets of the advisor. */
+/** Tests of tickets of the advisor: one step of a planner, and replays of a queue that needs them. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { makeJob, makeStep } from './planner-harness.js';
+import { createHarness, makeEntry, makeJob, makeStep, POLICY } from './planner-harness.js';
 import { createPoolSimulation } from './pool-simulation.js';
 import { decideEnd, GOOD_POLICY, makeWorkers, MAX_WAIT_MS, SECOND_MS } from './queue-load.js';
 
 const test = suite('tickets');
 
+test('starts tasks of a route with advice only with a ticket', () => {
+  const { planner, addWorkers, submit, planStarts, at } = createHarness();
+  const advice = { decideMs: 1, perWorkerMs: 1, validMs: 1000 };
+  addWorkers(0, makeEntry('w1'), makeEntry('w22'));
+  submit(makeJob('a'), 1, { ...POLICY, advice });
+  const [query] = planner.plan(at(2));
+  assert.is(query!.kind, 'advise');
+  planner.tickets.addAnswer('a.0.0', new Map([['w22', 't']]), 1000, 3);
+  const [start] = planStarts(4);
+  assert.is(start!.worker.id, 'w22');
+  assert.is(start!.ticket, 't');
+});
+
 test('queries to the advisor that take longer than their timeouts leave no queue standing', () => {
   const advisor = { decideMs: 100, perWorkerMs: 10 };
   const simulation = createPoolSimulation({ workers: makeWorkers(10), decideEnd, advisor });
