--- a/packages/daemon/src/test/duty-claims.test.ts
+++ b/packages/daemon/src/test/duty-claims.test.ts
@@ -3,31 +3,27 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { createClaimTable, encodeClaim } from 'vanilladock/lib/duties/claim-table.js';
-import type { KeyedRecord, KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
+import type {
+  KeyedRecord,
+  KeyedStore,
+  StoredKeyedRecord,
+} from 'vanilladock/lib/ports/keyed-store.js';
 import { waitMs } from '../lib/jobs/clock.js';
-import { createDutyClaims } from '../lib/jobs/duty-claims.js';
-import { SILENT_LOG } from './job-fixtures.js';
+import { SELF, startClaims } from './duty-claims-scene.js';
 
-const SELF = { id: 'entry-0~1', name: 'entry-0', address: '127.0.0.1:1', cores: 1 };
 const SECOND_MS = 1_000;
 
 const HEARTBEAT = { key: 'member/entry-0', value: JSON.stringify(SELF), offset: 1 };
 
-const startClaims = (store: KeyedStore) => {
-  const dutyClaims = createDutyClaims({
-    store,
-    self: SELF,
-    listDuties: () => ['pool/stalls'],
-    handleContact: () => {},
-    getStoreContactMs: () => 0,
-    isHandedOver: () => false,
-    findHandOver: () => undefined,
-    sendNotice: () => Promise.resolve({ kind: 'silent' }),
-    log: SILENT_LOG,
-  });
-  dutyClaims.start();
-  return dutyClaims;
-};
+/** Makes reads that take 100 ms for the claims; the heartbeat is read at once. */
+const makeRead =
+  (claims: readonly StoredKeyedRecord[]): KeyedStore['read'] =>
+  async ({ partition }, from) => {
+    if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
+    await waitMs(100);
+    const end = claims.length;
+    return { kind: 'records', records: claims.slice(from), next: end, end };
+  };
 
 const test = suite('duty claims');
 
@@ -58,21 +54,14 @@
 // lost.
 test('a claim without a response is held once it is read back', async () => {
   const clock = install({ now: 0 });
-  const claims: { key: string; value: string | undefined; offset: number }[] = [];
+  const claims: StoredKeyedRecord[] = [];
   const store: KeyedStore = {
     append: ({ partition }, records) => {
       if (partition !== 0) return Promise.resolve({ kind: 'stored', offset: 1, end: 2 });
       claims.push(...records.map((record) => ({ ...record, offset: claims.length })));
       return Promise.resolve({ kind: 'unknown', reason: 'timeout' });
     },
-    read: async ({ partition }, from) => {
-      if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
-      await new Promise((resolve) => {
-        setTimeout(resolve, 100);
-      });
-      const end = claims.length;
-      return { kind: 'records', records: claims.slice(from), next: end, end };
-    },
+    read: makeRead(claims),
     readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
   };
   const dutyClaims = startClaims(store);
@@ -96,7 +85,7 @@
 // Guards against a pool that loses its planner to the release of the planner before.
 test('a release that is stored late does not free the claim of the successor', async () => {
   const clock = install({ now: 0 });
-  const claims: { key: string; value: string | undefined; offset: number }[] = [];
+  const claims: StoredKeyedRecord[] = [];
   const addRecords = (records: readonly KeyedRecord[]) =>
     claims.push(...records.map((record, index) => ({ ...record, offset: claims.length + index })));
   let isLate = false;
@@ -111,12 +100,7 @@
       addRecords(records);
       return { kind: 'stored', offset, end: claims.length };
     },
-    read: async ({ partition }, from) => {
-      if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
-      await waitMs(100);
-      const end = claims.length;
-      return { kind: 'records', records: claims.slice(from), next: end, end };
-    },
+    read: makeRead(claims),
     readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
   };
   const dutyClaims = startClaims(store);
@@ -135,7 +119,7 @@
 // Guards against a pool without a planner, whose claim was under way when its claimant stopped.
 test('a claim that is stored during the stop of its claimant leaves the duty free', async () => {
   const clock = install({ now: 0 });
-  const claims: { key: string; value: string | undefined; offset: number }[] = [];
+  const claims: StoredKeyedRecord[] = [];
   const table = createClaimTable();
   let isClaiming = false;
   const store: KeyedStore = {
@@ -153,12 +137,7 @@
       claims.slice(offset).forEach((record) => table.apply(record, performance.now()));
       return { kind: 'stored', offset, end: claims.length };
     },
-    read: async ({ partition }, from) => {
-      if (partition === 1) return { kind: 'records', records: [HEARTBEAT], next: 2, end: 2 };
-      await waitMs(100);
-      const end = claims.length;
-      return { kind: 'records', records: claims.slice(from), next: end, end };
-    },
+    read: makeRead(claims),
     readNewest: () => Promise.resolve({ kind: 'records', records: [], end: 0 }),
   };
   const dutyClaims = startClaims(store);
--- a/packages/daemon/src/test/endless-loop.test.ts
+++ b/packages/daemon/src/test/endless-loop.test.ts
@@ -4,16 +4,15 @@
 import { suite } from 'uvu';
 import type { KeyedStore } from 'vanilladock/lib/ports/keyed-store.js';
 import { waitMs } from '../lib/jobs/clock.js';
-import { createDutyClaims } from '../lib/jobs/duty-claims.js';
 import { runEndlessLoop } from '../lib/jobs/endless-loop.js';
 import { watchTopic, type TopicEvent } from '../lib/jobs/topic-follower.js';
+import { startClaims } from './duty-claims-scene.js';
 import { createRecordingLog } from './fake-log.js';
 import { SILENT_LOG } from './job-fixtures.js';
 import { createPartitionedStore } from './partitioned-store.js';
 
 const SECOND_MS = 1_000;
 const STORE_MS = 4;
-const SELF = { id: 'entry-0~1', name: 'entry-0', address: '127.0.0.1:1', cores: 1 };
 
 const test = suite('endless loop');
 
@@ -93,18 +92,7 @@
         return Promise.reject(new Error('planted'));
       },
     };
-    const dutyClaims = createDutyClaims({
-      store: failing,
-      self: SELF,
-      listDuties: () => ['pool/stalls'],
-      handleContact: () => {},
-      getStoreContactMs: () => 0,
-      isHandedOver: () => false,
-      findHandOver: () => undefined,
-      sendNotice: () => Promise.resolve({ kind: 'silent' }),
-      log: SILENT_LOG,
-    });
-    dutyClaims.start();
+    const dutyClaims = startClaims(failing);
     await clock.tickAsync(8 * SECOND_MS);
     const held = [...dutyClaims.held.value.keys()];
     void dutyClaims.stop(() => false);
--- a/packages/daemon/src/test/unclaimed-duties.test.ts
+++ b/packages/daemon/src/test/unclaimed-duties.test.ts
@@ -4,10 +4,8 @@
 import { suite } from 'uvu';
 import { encodeClaim, encodeHeartbeat } from 'vanilladock/lib/duties/claim-table.js';
 import type { KeyedStore, StoredKeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
-import { createDutyClaims } from '../lib/jobs/duty-claims.js';
-import { SILENT_LOG } from './job-fixtures.js';
+import { SELF, startClaims } from './duty-claims-scene.js';
 
-const SELF = { id: 'entry-0~1', name: 'entry-0', address: '127.0.0.1:1', cores: 1 };
 const LARGER = { id: 'entry-1~1', name: 'entry-1', address: '127.0.0.1:2', cores: 8 };
 const DUTIES = ['pool/a', 'pool/b', 'pool/c', 'pool/d', 'pool/e', 'pool/f'];
 const SECOND_MS = 1_000;
@@ -51,18 +49,10 @@
 
 test('a duty that a small instance gave up has no holder, as only that instance can claim it', async () => {
   const clock = install({ now: 0 });
-  const dutyClaims = createDutyClaims({
-    store: createStore(),
-    self: SELF,
+  const dutyClaims = startClaims(createStore(), {
     listDuties: () => DUTIES,
-    handleContact: () => {},
     getStoreContactMs: () => performance.now(),
-    isHandedOver: () => false,
-    findHandOver: () => undefined,
-    sendNotice: () => Promise.resolve({ kind: 'silent' }),
-    log: SILENT_LOG,
   });
-  dutyClaims.start();
   await clock.tickAsync(2 * SECOND_MS);
   const heldCount = dutyClaims.held.value.size;
   dutyClaims.dropDuty('pool/a', 'worker-fenced');
