--- a/packages/daemon/src/test/cancelled-jobs-machine.test.ts
+++ b/packages/daemon/src/test/cancelled-jobs-machine.test.ts
@@ -6,62 +6,50 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { INSTANCES, JOB_IDS, POOLS, runCase, type Step } from './queue-simulation.js';
+import { runCase } from './queue-simulation.js';
+import {
+  checkCases,
+  cleans,
+  id,
+  instance,
+  makePublishes,
+  makeTimedSteps,
+  pool,
+  restarts,
+  takeOvers,
+} from './queue-steps.js';
 
 const SEED = 20_261_205;
 const CASES = 150;
 const MAX_HELD_MS = 4_000;
 
-const pool = fc.constantFrom(...POOLS);
-const instance = fc.integer({ min: 0, max: INSTANCES - 1 });
-const id = fc.constantFrom(...JOB_IDS);
 const heldMs = fc.oneof(fc.constant(0), fc.integer({ min: 1, max: MAX_HELD_MS }));
 const submits = fc.record({ kind: fc.constant('submit' as const), id, instance, heldMs });
 const cancels = fc.record({ kind: fc.constant('cancel' as const), id, instance });
-const publishes = fc.record({
-  kind: fc.constant('publish' as const),
+const supersessions = fc.record({
+  kind: fc.constant('supersede' as const),
+  pool,
+  knownAfterMs: fc.integer({ min: 1, max: 1_500 }),
+});
+const delays = fc.record({
+  kind: fc.constant('delay' as const),
   pool,
-  delaysMs: fc.array(fc.integer({ min: 1, max: MAX_HELD_MS }), {
-    minLength: INSTANCES,
-    maxLength: INSTANCES,
-  }),
+  delayMs: fc.constantFrom(0, 300, 1_500),
 });
-const others: readonly fc.Arbitrary<Step>[] = [
-  fc.record({
-    kind: fc.constant('take-over' as const),
-    pool,
-    downMs: fc.integer({ min: 1, max: 400 }),
-  }),
-  fc.record({
-    kind: fc.constant('supersede' as const),
-    pool,
-    knownAfterMs: fc.integer({ min: 1, max: 1_500 }),
-  }),
-  fc.record({ kind: fc.constant('delay' as const), pool, delayMs: fc.constantFrom(0, 300, 1_500) }),
-  fc.record({ kind: fc.constant('restart' as const), instance }),
-  fc.constant({ kind: 'clean' } as const),
-];
-const steps = fc.array(
-  fc.record({
-    step: fc.oneof(
-      { weight: 6, arbitrary: submits },
-      { weight: 6, arbitrary: cancels },
-      { weight: 4, arbitrary: publishes },
-      ...others.map((arbitrary) => ({ weight: 1, arbitrary })),
-    ),
-    waitMs: fc.oneof(fc.integer({ min: 1, max: 60 }), fc.integer({ min: 1, max: 900 })),
-  }),
-  { minLength: 4, maxLength: 16 },
+const steps = makeTimedSteps(
+  [
+    { weight: 6, arbitrary: submits },
+    { weight: 6, arbitrary: cancels },
+    { weight: 4, arbitrary: makePublishes(pool, MAX_HELD_MS) },
+  ],
+  [takeOvers, supersessions, delays, restarts, cleans],
 );
 
 const test = suite('cancelled jobs machine');
 
 // Guards against a job that starts after its cancel was confirmed, as its submission arrives late.
 test('a job whose cancel was confirmed does not go on, however late its submission arrives', async () => {
-  const property = fc.asyncProperty(fc.integer({ min: 1, max: 1e6 }), steps, async (seed, list) =>
-    assert.equal(await runCase(seed, list), []),
-  );
-  await fc.assert(property, { numRuns: CASES, seed: SEED, endOnFailure: true });
+  await checkCases(steps, { numRuns: CASES, seed: SEED });
 });
 
 // Guards against a cancel that is confirmed by a pool that the job's queue is not sent to any more.
--- a/packages/daemon/src/test/instance-simulation.ts
+++ b/packages/daemon/src/test/instance-simulation.ts
@@ -24,6 +24,7 @@
 import { createPlannerLives } from './planner-lives.js';
 import { createProcessClock, startProcessTimers, runOutside } from './process-clock.js';
 import { createPolledStore } from './polled-store.js';
+import { createSeededPick } from './seeded-pick.js';
 import { startSimulatedInstance, type SimulatedInstance } from './simulated-instance.js';
 import { createWorkerPlaces, type PlaceOptions } from './worker-places.js';
 
@@ -86,14 +87,10 @@
   const { seed, instances = 4, workersPerPool = 4, pools = POOLS } = options;
   startProcessTimers();
   const lives = createPlannerLives();
-  let random = seed;
   let jobCount = 0;
   let isOver = false;
 
-  const pick = (max: number) => {
-    random = (random * 48_271) % 2_147_483_647;
-    return 1 + (random % max);
-  };
+  const pick = createSeededPick(seed);
   const pickWayMs = () => pick(MAX_WAY_MS);
   let lostDuty = '';
   let claimant = 0;
--- a/packages/daemon/src/test/late-orders-simulation.ts
+++ b/packages/daemon/src/test/late-orders-simulation.ts
@@ -5,15 +5,12 @@
  */
 import { BehaviorSubject } from 'rxjs';
 import type { JobSpec, StepSpec } from 'vanilladock/lib/jobs/spec.js';
-import type {
-  OrderOutcome,
-  StartOrder,
-  TaskWorkers,
-  WorkerEntry,
-} from 'vanilladock/lib/ports/task-workers.js';
+import type { StartOrder, TaskWorkers, WorkerEntry } from 'vanilladock/lib/ports/task-workers.js';
 import { startPoolRunner } from '../lib/jobs/pool-runner.js';
 import { ENTRY, makeStoppedQuery, POLICY, POOL, RUNNER_BASE, SPEC, STEP } from './job-fixtures.js';
 import { createMemoryStore, NEVER, waitFor } from './memory-store.js';
+import { createSeededPick } from './seeded-pick.js';
+import { makeTaskWorkers } from './simulated-orders.js';
 import { createIncarnation, type Incarnation } from './simulated-worker.js';
 
 export const SECOND_MS = 1_000;
@@ -21,9 +18,6 @@
 const BATCH_MS = 900;
 const GANG_TASK_MS = 4_000;
 
-/** Time after which a call counts as unanswered, beside the time that a poll may take. */
-const TIMEOUT_MS = 400;
-
 /** Latest time at which an order without an answer is carried out. */
 const MAX_LATE_MS = 3_000;
 
@@ -113,17 +107,13 @@
   /** Runs of gangs of which all members have been there at once, by job and run. */
   const completeGangs = new Set<string>();
   const counts = { starts: 0, lateStarts: 0, resumed: 0 };
-  let random = seed;
   let bornCount = 0;
   let token = 0;
   let lastFaultMs = 0;
   /** As `lastFaultMs`, without refusals and cancels. */
   let lastLossMs = 0;
 
-  const pickMs = (maxMs: number) => {
-    random = (random * 48_271) % 2_147_483_647;
-    return 1 + (random % maxMs);
-  };
+  const pickMs = createSeededPick(seed);
   const places: readonly Place[] = WORKER_IDS.map((id) => {
     return { id, incarnation: undefined, orders: 'answered' };
   });
@@ -166,38 +156,28 @@
     await waitFor(afterMs);
     if (place.incarnation === undefined) openIncarnation(place);
   };
-  /** Sends an order to whichever incarnation is up when it is carried out. */
-  const sendCall = async <T extends { readonly kind: string }>(
-    id: string,
-    timeoutMs: number,
-    execute: (incarnation: Incarnation) => T | Promise<T>,
-  ): Promise<T | { readonly kind: 'unknown' }> => {
-    const unanswered = waitFor(timeoutMs).then(() => ({ kind: 'unknown' }) as const);
+  /** Has an order executed by whichever incarnation is up when it is carried out. */
+  const takingWorkers = makeTaskWorkers(async (id, execute) => {
     const place = places.find((item) => item.id === id)!;
     const { orders } = place;
-    const answerCall = async () => {
-      await waitFor(pickMs(orders === 'late' ? MAX_LATE_MS : 30));
-      const { incarnation } = place;
-      if (orders === 'lost' || incarnation === undefined) return NEVER;
-      const outcome = await execute(incarnation);
-      await waitFor(pickMs(30));
-      const isAnswered = orders === 'answered' || orders === 'refused';
-      return isAnswered && place.incarnation === incarnation ? outcome : NEVER;
-    };
-    return Promise.race([answerCall(), unanswered]);
-  };
+    await waitFor(pickMs(orders === 'late' ? MAX_LATE_MS : 30));
+    const { incarnation } = place;
+    if (orders === 'lost' || incarnation === undefined) return NEVER;
+    const outcome = await execute(incarnation);
+    await waitFor(pickMs(30));
+    const isAnswered = orders === 'answered' || orders === 'refused';
+    return isAnswered && place.incarnation === incarnation ? outcome : NEVER;
+  });
   const workers: TaskWorkers = {
-    startTask: async ({ id }, order) => {
+    ...takingWorkers,
+    startTask: async (worker, order) => {
       checkOrder(order);
-      if (places.find((place) => place.id === id)?.orders === 'refused') {
+      if (places.find(({ id }) => id === worker.id)?.orders === 'refused') {
         await waitFor(pickMs(60));
         return { kind: 'rejected', why: 'unhealthy' };
       }
-      return sendCall<OrderOutcome>(id, TIMEOUT_MS, (w) => w.start(order));
+      return takingWorkers.startTask(worker, order);
     },
-    stopTask: ({ id }, order) => sendCall<OrderOutcome>(id, TIMEOUT_MS, (w) => w.stop(order)),
-    renew: ({ id }, order) => sendCall(id, TIMEOUT_MS + order.waitMs, (w) => w.renew(order)),
-    pace: () => Promise.resolve({ kind: 'accepted', clockMs: 0 }),
   };
   const startRunner = () => {
     token += 1;
--- a/packages/daemon/src/test/queue-moves-machine.test.ts
+++ b/packages/daemon/src/test/queue-moves-machine.test.ts
@@ -7,61 +7,42 @@
 import fc from 'fast-check';
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { INSTANCES, JOB_IDS, POOLS, runCase, type Step } from './queue-simulation.js';
+import { runCase } from './queue-simulation.js';
+import {
+  checkCases,
+  cleans,
+  id,
+  instance,
+  makePublishes,
+  makeTimedSteps,
+  pool,
+  restarts,
+  takeOvers,
+} from './queue-steps.js';
 
 const SEED = 20_261_205;
 const CASES = 150;
-
-const pool = fc.constantFrom(...POOLS);
-const instance = fc.integer({ min: 0, max: INSTANCES - 1 });
-const submits = fc.record({
-  kind: fc.constant('submit' as const),
-  id: fc.constantFrom(...JOB_IDS),
-  instance,
-});
-const publishes = fc.record({
-  kind: fc.constant('publish' as const),
-  pool: fc.oneof({ weight: 4, arbitrary: pool }, { weight: 1, arbitrary: fc.constant(undefined) }),
-  delaysMs: fc.array(fc.integer({ min: 1, max: 900 }), {
-    minLength: INSTANCES,
-    maxLength: INSTANCES,
-  }),
-});
-const asks = fc.record({
-  kind: fc.constant('ask' as const),
-  id: fc.constantFrom(...JOB_IDS),
-  instance,
-});
-const others: readonly fc.Arbitrary<Step>[] = [
-  fc.record({
-    kind: fc.constant('take-over' as const),
-    pool,
-    downMs: fc.integer({ min: 1, max: 400 }),
-  }),
-  fc.record({ kind: fc.constant('restart' as const), instance }),
-  fc.constant({ kind: 'clean' } as const),
-];
-const steps = fc.array(
-  fc.record({
-    step: fc.oneof(
-      { weight: 6, arbitrary: submits },
-      { weight: 4, arbitrary: publishes },
-      { weight: 3, arbitrary: asks },
-      ...others.map((arbitrary) => ({ weight: 1, arbitrary })),
-    ),
-    waitMs: fc.oneof(fc.integer({ min: 1, max: 60 }), fc.integer({ min: 1, max: 900 })),
-  }),
-  { minLength: 4, maxLength: 16 },
+const MAX_DELAY_MS = 900;
+const anyPool = fc.oneof(
+  { weight: 4, arbitrary: pool },
+  { weight: 1, arbitrary: fc.constant(undefined) },
+);
+const submits = fc.record({ kind: fc.constant('submit' as const), id, instance });
+const asks = fc.record({ kind: fc.constant('ask' as const), id, instance });
+const steps = makeTimedSteps(
+  [
+    { weight: 6, arbitrary: submits },
+    { weight: 4, arbitrary: makePublishes(anyPool, MAX_DELAY_MS) },
+    { weight: 3, arbitrary: asks },
+  ],
+  [takeOvers, restarts, cleans],
 );
 
 const test = suite('queue moves machine');
 
 // Guards against a job that is accepted in two pools, and one that is lost as its queue has moved.
 test('a job lives in one pool, and is found there wherever its queue is sent', async () => {
-  const property = fc.asyncProperty(fc.integer({ min: 1, max: 1e6 }), steps, async (seed, list) =>
-    assert.equal(await runCase(seed, list), []),
-  );
-  await fc.assert(property, { numRuns: CASES, seed: SEED, endOnFailure: true });
+  await checkCases(steps, { numRuns: CASES, seed: SEED });
 });
 
 // Guards against a 410 for an accepted job from an instance that does not have its version yet.
--- a/packages/daemon/src/test/queue-simulation.ts
+++ b/packages/daemon/src/test/queue-simulation.ts
@@ -16,6 +16,7 @@
 import { NEVER, waitFor } from './memory-store.js';
 import { runSteps, type TimedStep } from './run-steps.js';
 import { createPartitionedStore } from './partitioned-store.js';
+import { createSeededPick } from './seeded-pick.js';
 
 const SECOND_MS = 1_000;
 export const POOLS = ['stalls', 'kilns', 'ovens'] as const;
@@ -75,11 +76,7 @@
 
 /** Creates instances, pools and their store; time passes only when the clock ticks. */
 const createSimulation = (seed: number) => {
-  let random = seed;
-  const pickMs = (maxMs: number) => {
-    random = (random * 48_271) % 2_147_483_647;
-    return 1 + (random % maxMs);
-  };
+  const pickMs = createSeededPick(seed);
   const { store, listRecords } = createPartitionedStore(() => pickMs(12));
   const runners = new Map<string, PoolRunner>();
   /** Planners that have been superseded and that some requests still reach. */
--- a/packages/daemon/src/test/stored-acceptances-machine.test.ts
+++ b/packages/daemon/src/test/stored-acceptances-machine.test.ts
@@ -18,6 +18,7 @@
 import { POLICY, POOL, RUNNER_BASE, SILENT_LOG, SPEC } from './job-fixtures.js';
 import { NEVER, waitFor } from './memory-store.js';
 import { runSteps, type TimedStep } from './run-steps.js';
+import { createSeededPick } from './seeded-pick.js';
 
 const SEED = 20_261_206;
 const CASES = 150;
@@ -43,11 +44,7 @@
 
 /** Creates planners, their store and an instance without planners; time passes only by the clock. */
 const createSimulation = (seed: number) => {
-  let random = seed;
-  const pickMs = (maxMs: number) => {
-    random = (random * 48_271) % 2_147_483_647;
-    return 1 + (random % maxMs);
-  };
+  const pickMs = createSeededPick(seed);
   const { store, setFault } = createFaultyStore(pickMs);
   const told = new Map<string, Told>(JOB_IDS.map((id) => [id, { submissions: [], cancels: [] }]));
   let token = 0;
