--- a/packages/vanilladock/src/lib/placement/fold.ts
+++ b/packages/vanilladock/src/lib/placement/fold.ts
@@ -6,34 +6,24 @@
  * finished.
  */
 import type { PlacedRecord } from '../log/record.js';
-import type { Verdict } from '../verdict.js';
 import { findPlacementDuty } from './duty.js';
-import { foldEvidence } from './fold-evidence.js';
-import { addFinished, foldEarlyCancellation } from './fold-finished.js';
-import {
-  addLease,
-  addQuickCores,
-  addToQueue,
-  removeFromQueue,
-  removeLease,
-  setWorker,
-} from './fold-index.js';
+import { foldEarlyCancellation, setFinished, setQueuedFinished } from './fold-finished.js';
+import { addLease, addQuickCores, addToQueue, removeFromQueue, setWorker } from './fold-index.js';
+import { foldOutcome } from './fold-outcome.js';
 import { foldQuarantine } from './fold-quarantine.js';
 import { setVoid } from './fold-void.js';
-import { chooseSize, GROWTH_FACTOR, isOutOfMemory } from './learn-sizes.js';
+import { chooseSize } from './learn-sizes.js';
 import type {
   CancellationRecord,
   LeaseRecord,
   PlacementRecord,
   SubmissionRecord,
-  TaskOutcomeRecord,
 } from './records.js';
 import { isValidSize } from './resources.js';
 import type {
   CurrentLease,
   PlacementRules,
   PlacementState,
-  TaskResult,
   TaskState,
   VoidReason,
 } from './state.js';
@@ -43,29 +33,6 @@
 export const QUEUED_MAX = 60_000;
 export const QUEUED_MAX_PER_TEAM = 5_000;
 
-/** Failed or lapsed attempts after which a task ends as failed, if the last attempt failed. */
-export const ATTEMPTS_MAX = 3;
-
-/** Lapsed leases after which a task ends, because the task itself may be crashing its workers. */
-export const LAPSES_MAX = 6;
-
-/** Ends a task: removes it from the totals and keeps a summary of its end. */
-function setFinished(
-  state: PlacementState,
-  task: TaskState,
-  end: {
-    readonly result: TaskResult;
-    readonly verdict: Verdict;
-    readonly reason: string;
-    readonly offset: number;
-  },
-): PlacementState {
-  const entry = { ...end, team: task.team, workerId: task.lease?.workerId };
-  const counted = addQuickCores(state, task, -1);
-  const tasks = counted.tasks.remove(task.taskId);
-  return addFinished({ ...counted, tasks }, task.taskId, entry);
-}
-
 /** Estimates the cores that a submitted task needs. */
 function estimateCores(state: PlacementState, record: SubmissionRecord): number {
   const { cores } = chooseSize(state.kinds.get(record.taskKind), record.declared, 0);
@@ -175,83 +142,6 @@
   return { ...counted, tasks: counted.tasks.set(task.taskId, leased) };
 }
 
-/** Says whether only the current planner may append this outcome, not any observer. */
-function isPlannerDecision(record: TaskOutcomeRecord): boolean {
-  return record.result === 'lapsed' || record.result === 'never-runnable';
-}
-
-/** Ends a queued task that fits no worker. */
-function foldNeverRunnable(
-  state: PlacementState,
-  task: TaskState,
-  record: TaskOutcomeRecord,
-  offset: number,
-): PlacementState {
-  if (task.lease !== undefined || record.leaseOffset !== task.newestLease) {
-    return setVoid(state, record.id, 'not-holder');
-  }
-  const verdict = task.newestLease < 0 ? 'not-run' : 'may-have-run';
-  const end = { result: record.result, verdict, reason: record.reason, offset } as const;
-  return setFinished(removeFromQueue(state, task), task, end);
-}
-
-/** Builds the task that returns to its queue after a lease ended without success. */
-function buildRetriedTask(
-  task: TaskState,
-  lease: CurrentLease,
-  record: TaskOutcomeRecord,
-): TaskState {
-  const isFailure = record.result === 'failed';
-  const isShort = isFailure && isOutOfMemory(record.used, lease.size);
-  return {
-    ...task,
-    lease: undefined,
-    failures: task.failures + (isFailure ? 1 : 0),
-    lapses: task.lapses + (record.result === 'lapsed' ? 1 : 0),
-    failedOn: isFailure ? [...task.failedOn, lease.workerId] : task.failedOn,
-    grownMemoryMb: isShort ? lease.size.memoryMb * GROWTH_FACTOR : task.grownMemoryMb,
-  };
-}
-
-/** Resolves how a task ends with this outcome; undefined when it is retried. */
-function resolveEnd(
-  task: TaskState,
-  record: TaskOutcomeRecord,
-): { readonly result: TaskResult; readonly verdict: Verdict } | undefined {
-  if (record.result === 'succeeded') return { result: 'succeeded', verdict: 'ran' };
-  if (task.isCancelled) return { result: 'cancelled', verdict: 'may-have-run' };
-  const isFailure = record.result === 'failed';
-  if (isFailure && task.failures + task.lapses >= ATTEMPTS_MAX)
-    return { result: 'failed', verdict: 'ran' };
-  if (task.lapses >= LAPSES_MAX) return { result: 'lapsed', verdict: 'may-have-run' };
-  return undefined;
-}
-
-/** Folds an outcome: releases the lease's resources, then ends or requeues the task. */
-function foldOutcome(
-  state: PlacementState,
-  record: TaskOutcomeRecord,
-  offset: number,
-  rules: PlacementRules,
-): PlacementState {
-  const task = state.tasks.get(record.taskId);
-  if (task === undefined) return setVoid(state, record.id, 'no-such-task');
-  const isCurrent = rules.isCurrentClaim(findPlacementDuty(task.pool), record.fence);
-  if (isPlannerDecision(record) && !isCurrent) return setVoid(state, record.id, 'stale-claim');
-  if (record.result === 'never-runnable') return foldNeverRunnable(state, task, record, offset);
-  const { lease } = task;
-  if (lease === undefined || lease.offset !== record.leaseOffset) {
-    return setVoid(state, record.id, 'not-holder');
-  }
-  const freed = foldEvidence(removeLease(state, task, lease), task, lease, record);
-  const retried = buildRetriedTask(task, lease, record);
-  const end = resolveEnd(retried, record);
-  if (end !== undefined) {
-    return setFinished(freed, task, { ...end, reason: record.reason, offset });
-  }
-  return addToQueue({ ...freed, tasks: freed.tasks.set(task.taskId, retried) }, retried);
-}
-
 /** Folds a cancellation: ends a queued task, or marks a leased one for its worker to stop. */
 function foldCancellation(
   state: PlacementState,
@@ -268,10 +158,8 @@
     const worker = state.workers.get(task.lease.workerId) ?? EMPTY_WORKER;
     return setWorker(marked, task.lease.workerId, { ...worker });
   }
-  const verdict = task.newestLease < 0 ? 'not-run' : 'may-have-run';
   const reason = `cancelled by ${record.by}`;
-  const end = { result: 'cancelled', verdict, reason, offset } as const;
-  return setFinished(removeFromQueue(state, task), task, end);
+  return setQueuedFinished(state, task, { result: 'cancelled', reason, offset });
 }
 
 /**
--- a/packages/vanilladock/src/test/placement-fold.test.ts
+++ b/packages/vanilladock/src/test/placement-fold.test.ts
@@ -3,7 +3,8 @@
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
 import { FINISHED_KEPT } from '../lib/placement/fold-finished.js';
-import { ATTEMPTS_MAX, LAPSES_MAX, QUEUED_MAX_PER_TEAM } from '../lib/placement/fold.js';
+import { ATTEMPTS_MAX, LAPSES_MAX } from '../lib/placement/fold-outcome.js';
+import { QUEUED_MAX_PER_TEAM } from '../lib/placement/fold.js';
 import { createPlacementState } from '../lib/placement/state.js';
 import {
   foldAll,
