--- a/packages/measure/src/lib/placement/scenario.ts
+++ b/packages/measure/src/lib/placement/scenario.ts
@@ -1,8 +1,7 @@
 /**
- * The timeline of the placement measurement and its simulated environment: workers with drifting
- * clocks, delayed or lost commands and reports, floods, black holes (workers that fail every task),
- * pauses, the loss of a rack, mass cancellations and a store outage of one hour. Times are in
- * milliseconds of the simulation's clock.
+ * The simulated environment of the placement measurement: workers with drifting clocks, delayed or
+ * lost commands and reports, and arrivals with floods. The faults are in `scenario-faults.ts`. Times
+ * are in milliseconds of the simulation's clock.
  */
 import { createWorkerCore } from '@vanilladock/stand-ins/lib/worker-core.js';
 import type { TaskRun, WorkerCore } from '@vanilladock/stand-ins/lib/worker-model.js';
@@ -10,13 +9,14 @@
 import type { Random, WorkerCommand } from 'vanilladock';
 import type { PoolView } from 'vanilladock/lib/placement/plan-input.js';
 import type { PollReport, Scheduler, SendCommand, SentAnswer } from './scheduler.js';
-import { buildPools, createTaskSource, pickItem, WORKER_CAPACITY } from './workload.js';
+import { scheduleFaults } from './scenario-faults.js';
+import { MINUTE_MS, TIMELINE } from './timeline.js';
+import { buildPools, createTaskSource, WORKER_CAPACITY } from './workload.js';
 import type { WorkTask } from './workload.js';
 
 const TICK_MS = 250;
 const OUTAGE_STEP_MS = 2_000;
 const ROUND_MS = 500;
-const MINUTE_MS = 60_000;
 const REPORT_MIN_MS = 3_000;
 const OUTAGE_REPORT_MIN_MS = 6_000;
 const REPORT_SPREAD_MS = 2_000;
@@ -28,23 +28,8 @@
 /** Longest delay of a late command. */
 const LATE_COMMAND_MS = 40_000;
 const CLOCK_RATE_SPREAD = 0.004;
-const BLACK_HOLES = 20;
-const PAUSED_WORKERS = 30;
-const PAUSED_ENTRIES = 4;
 /** Number of pools that the flood of quick tasks goes to. */
 const HOT_POOLS = 24;
-const CANCELLED_SHARE = 0.3;
-
-/** Start of each phase, and the end of the run, in minutes of the simulation's clock. */
-export const TIMELINE = {
-  patientFlood: 1,
-  quickFlood: 2,
-  cancellations: 3,
-  rackLoss: 3.25,
-  outage: 4.25,
-  recovery: 64.25,
-  end: 66,
-} as const;
 
 /** Tasks submitted per second in normal operation, by urgency. */
 const ARRIVALS_PER_SECOND = { quick: 20, heavy: 12, patient: 10 } as const;
@@ -230,62 +215,15 @@
     });
   };
 
-  const scheduleFaults = (): void => {
-    const ids = [...workers.keys()];
-    Array.from({ length: BLACK_HOLES }).forEach(() => {
-      const workerId = pickItem(faultRandom, ids);
-      schedule(MINUTE_MS * (0.75 + 2.5 * faultRandom()), () => {
-        if (failingSince.has(workerId)) return;
-        failingSince.set(workerId, nowMs);
-        workers.get(workerId)?.setBehaviour({ isFailing: true, isPaused: false }, nowMs);
-      });
-    });
-    Array.from({ length: PAUSED_WORKERS }).forEach(() => {
-      const workerId = pickItem(faultRandom, ids);
-      const atMs = MINUTE_MS * (0.75 + 3.5 * faultRandom());
-      const isFailing = (): boolean => failingSince.has(workerId);
-      schedule(atMs, () => {
-        workers.get(workerId)?.setBehaviour({ isFailing: isFailing(), isPaused: true }, nowMs);
-      });
-      schedule(atMs + MINUTE_MS * (0.2 + 1.3 * faultRandom()), () => {
-        workers.get(workerId)?.setBehaviour({ isFailing: isFailing(), isPaused: false }, nowMs);
-      });
-    });
-    Array.from({ length: PAUSED_ENTRIES }).forEach((_, index) => {
-      const atMs = MINUTE_MS * (0.8 + 0.8 * index);
-      schedule(atMs, () => {
-        scheduler.pauseEntry(index, nowMs, nowMs + MINUTE_MS);
-      });
-    });
-    const rack = pools
-      .flatMap(({ workers: poolWorkers }) => poolWorkers)
-      .filter(({ location }) => location.rack === 'rack-17');
-    schedule(MINUTE_MS * TIMELINE.rackLoss, () => {
-      rack.forEach(({ id }) => {
-        workers.get(id)?.stop(nowMs);
-        stoppedWorkers.add(id);
-      });
-    });
-    schedule(MINUTE_MS * TIMELINE.recovery, () =>
-      rack.forEach(({ id }) => stoppedWorkers.delete(id)),
-    );
-    schedule(MINUTE_MS * TIMELINE.cancellations, () => {
-      tasks.forEach((_task, taskId) => {
-        if (faultRandom() >= CANCELLED_SHARE) return;
-        cancelled.add(taskId);
-        scheduler.cancelTask(taskId, nowMs);
-      });
-    });
-    schedule(MINUTE_MS * TIMELINE.outage, () => scheduler.setStoreAvailable(false, nowMs));
-    schedule(MINUTE_MS * TIMELINE.recovery, () => scheduler.setStoreAvailable(true, nowMs));
-  };
-
   [...workers.keys()].forEach((workerId) => {
     schedule(REPORT_MIN_MS * transportRandom(), () => {
       reportWorker(workerId);
     });
   });
-  scheduleFaults();
+  const effects = { failingSince, stoppedWorkers, cancelled };
+  const getNowMs = () => nowMs;
+  const targets = { pools, workers, tasks, scheduler, schedule, getNowMs };
+  scheduleFaults(targets, effects, faultRandom);
   const endMs = TIMELINE.end * MINUTE_MS;
   while (nowMs < endMs) {
     const isInOutage = isBetween(TIMELINE.outage + 1, TIMELINE.recovery - 1);
