--- a/packages/vanilladock/src/test/config-races.test.ts
+++ b/packages/vanilladock/src/test/config-races.test.ts
@@ -44,6 +44,13 @@
   readonly readers: FleetState[];
 }
 
+/** Creates an empty log and readers that have read nothing. */
+const createSimulation = (): Simulation => ({
+  log: [],
+  allRecords: [],
+  readers: Array.from({ length: READERS }, createFleetState),
+});
+
 const reader = fc.nat({ max: READERS - 1 });
 const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
   {
@@ -139,11 +146,7 @@
 test('all readers agree with the whole log at their offset, and no version decreases', () => {
   fc.assert(
     fc.property(fc.array(stepArbitrary, { maxLength: 30 }), (steps) => {
-      const simulation: Simulation = {
-        log: [],
-        allRecords: [],
-        readers: Array.from({ length: READERS }, createFleetState),
-      };
+      const simulation = createSimulation();
       steps.forEach((step, index) => {
         const before = simulation.readers.map(({ config }) => config.version);
         runStep(simulation, step, index);
@@ -172,11 +175,7 @@
 test('at most one of the publications based on the same version is accepted', () => {
   fc.assert(
     fc.property(fc.array(stepArbitrary, { maxLength: 30 }), (steps) => {
-      const simulation: Simulation = {
-        log: [],
-        allRecords: [],
-        readers: Array.from({ length: READERS }, createFleetState),
-      };
+      const simulation = createSimulation();
       steps.forEach((step, index) => runStep(simulation, step, index));
       const accepted = foldAllRecords(simulation).config.history.filter(
         ({ fate }) => fate.kind === 'accepted',
--- a/packages/vanilladock/src/test/fleet-interleavings.test.ts
+++ b/packages/vanilladock/src/test/fleet-interleavings.test.ts
@@ -13,7 +13,6 @@
   appendTo,
   appendClaimsOf,
   createModel,
-  findFault,
   getFleet,
   appendJoinOf,
   appendPermitOf,
@@ -23,6 +22,7 @@
   sendAcknowledgement,
   type Model,
 } from './fleet-model.js';
+import { findFault } from './fleet-model-checks.js';
 
 const test = suite('fleet-interleavings');
 const SEED = 20_261_203;
--- a/packages/vanilladock/src/test/fleet-model.test.ts
+++ b/packages/vanilladock/src/test/fleet-model.test.ts
@@ -9,7 +9,6 @@
 import {
   appendClaimsOf,
   createModel,
-  findFault,
   appendJoinOf,
   LEASE_MS,
   appendPermitOf,
@@ -20,6 +19,7 @@
   type Model,
   type Omission,
 } from './fleet-model.js';
+import { findFault } from './fleet-model-checks.js';
 
 const test = suite('fleet-model');
 const PLANNERS = [0, 1];
--- a/packages/vanilladock/src/test/fleet-model.ts
+++ b/packages/vanilladock/src/test/fleet-model.ts
@@ -1,8 +1,8 @@
 /**
  * Model of a small fleet whose steps are chosen by tests: planners that race for both duties,
  * entries that apply the log with a delay, a log that is unavailable or loses responses, and
- * passing time. Invariants are checked after each step. The fence, the barrier and the budget can
- * be omitted to show that the checks then find a fault.
+ * passing time. The fence, the barrier and the budget can be omitted to show that the checks of
+ * `fleet-model-checks.ts` then find a fault.
  */
 import { Map as ImmutableMap } from 'immutable';
 import type { LogRecord } from '../lib/log/record.js';
@@ -11,7 +11,7 @@
   foldCapacity,
   type CapacityState,
 } from '../lib/maintenance/capacity.js';
-import { computeBudget, type PolicyOf } from '../lib/maintenance/policy.js';
+import type { PolicyOf } from '../lib/maintenance/policy.js';
 import { decideJoin, type AcknowledgementObservation } from '../lib/pools/barrier.js';
 import { MAINTENANCE_DUTY, MOVES_DUTY } from '../lib/pools/fences.js';
 import { countMembers, getPool } from '../lib/pools/fold.js';
@@ -275,28 +275,3 @@
   };
   return appendAs(model, index, body, omission);
 };
-
-/** Finds a violated invariant; undefined when all hold. */
-export const findFault = (model: Model): string | undefined => {
-  const { pools, maintenance } = getFleet(model);
-  const duplicated = [...pools.memberships.keys()].find((id) => {
-    const owners = pools.members.filter((ids) => ids.has(id)).size;
-    return owners !== (getPool(pools, id) === undefined ? 0 : 1);
-  });
-  if (duplicated !== undefined) return `${duplicated} is not in exactly one pool`;
-  const overBudget = [...pools.members.keys()].find((pool) => {
-    const planned = pools.members.get(pool)?.filter((id) => maintenance.permits.has(id)).size ?? 0;
-    const budget = computeBudget(0.5, countMembers(pools, pool));
-    return planned > budget;
-  });
-  if (overBudget !== undefined) return `the budget of ${overBudget} is exceeded`;
-  if (countMembers(pools, 'a') < MIN_INSTANCES) return 'pool a has too few instances left';
-  const routed = model.entries
-    .filter(({ leaseEndMs }) => model.nowMs < leaseEndMs)
-    .map(({ applied }) => getFleet(model, applied).pools);
-  const split = [...pools.memberships.keys()].find((id) => {
-    const seen = routed.flatMap((view) => getPool(view, id) ?? []);
-    return new Set([...seen, getPool(pools, id)].filter((pool) => pool !== undefined)).size > 1;
-  });
-  return split === undefined ? undefined : `${split} is routed to as a member of two pools`;
-};
