--- a/packages/daemon/src/test/cancelled-jobs-machine.test.ts
+++ b/packages/daemon/src/test/cancelled-jobs-machine.test.ts
@@ -10,11 +10,11 @@
 import {
   checkCases,
   cleans,
-  id,
-  instance,
+  drawnId,
+  drawnInstance,
+  drawnPool,
   makePublishes,
   makeTimedSteps,
-  pool,
   restarts,
   takeOvers,
 } from './queue-steps.js';
@@ -24,23 +24,32 @@
 const MAX_HELD_MS = 4_000;
 
 const heldMs = fc.oneof(fc.constant(0), fc.integer({ min: 1, max: MAX_HELD_MS }));
-const submits = fc.record({ kind: fc.constant('submit' as const), id, instance, heldMs });
-const cancels = fc.record({ kind: fc.constant('cancel' as const), id, instance });
+const submits = fc.record({
+  kind: fc.constant('submit' as const),
+  id: drawnId,
+  instance: drawnInstance,
+  heldMs,
+});
+const cancels = fc.record({
+  kind: fc.constant('cancel' as const),
+  id: drawnId,
+  instance: drawnInstance,
+});
 const supersessions = fc.record({
   kind: fc.constant('supersede' as const),
-  pool,
+  pool: drawnPool,
   knownAfterMs: fc.integer({ min: 1, max: 1_500 }),
 });
 const delays = fc.record({
   kind: fc.constant('delay' as const),
-  pool,
+  pool: drawnPool,
   delayMs: fc.constantFrom(0, 300, 1_500),
 });
 const steps = makeTimedSteps(
   [
     { weight: 6, arbitrary: submits },
     { weight: 6, arbitrary: cancels },
-    { weight: 4, arbitrary: makePublishes(pool, MAX_HELD_MS) },
+    { weight: 4, arbitrary: makePublishes(drawnPool, MAX_HELD_MS) },
   ],
   [takeOvers, supersessions, delays, restarts, cleans],
 );
--- a/packages/daemon/src/test/queue-moves-machine.test.ts
+++ b/packages/daemon/src/test/queue-moves-machine.test.ts
@@ -11,11 +11,11 @@
 import {
   checkCases,
   cleans,
-  id,
-  instance,
+  drawnId,
+  drawnInstance,
+  drawnPool,
   makePublishes,
   makeTimedSteps,
-  pool,
   restarts,
   takeOvers,
 } from './queue-steps.js';
@@ -23,16 +23,20 @@
 const SEED = 20_261_205;
 const CASES = 150;
 const MAX_DELAY_MS = 900;
-const anyPool = fc.oneof(
-  { weight: 4, arbitrary: pool },
+const poolOrNone = fc.oneof(
+  { weight: 4, arbitrary: drawnPool },
   { weight: 1, arbitrary: fc.constant(undefined) },
 );
-const submits = fc.record({ kind: fc.constant('submit' as const), id, instance });
-const asks = fc.record({ kind: fc.constant('ask' as const), id, instance });
+const submits = fc.record({
+  kind: fc.constant('submit' as const),
+  id: drawnId,
+  instance: drawnInstance,
+});
+const asks = fc.record({ kind: fc.constant('ask' as const), id: drawnId, instance: drawnInstance });
 const steps = makeTimedSteps(
   [
     { weight: 6, arbitrary: submits },
-    { weight: 4, arbitrary: makePublishes(anyPool, MAX_DELAY_MS) },
+    { weight: 4, arbitrary: makePublishes(poolOrNone, MAX_DELAY_MS) },
     { weight: 3, arbitrary: asks },
   ],
   [takeOvers, restarts, cleans],
--- a/packages/daemon/src/test/queue-steps.ts
+++ b/packages/daemon/src/test/queue-steps.ts
@@ -4,9 +4,10 @@
 import { INSTANCES, JOB_IDS, POOLS, runCase, type Step } from './queue-simulation.js';
 import type { TimedStep } from './run-steps.js';
 
-export const pool = fc.constantFrom(...POOLS);
-export const instance = fc.integer({ min: 0, max: INSTANCES - 1 });
-export const id = fc.constantFrom(...JOB_IDS);
+/** A pool, an instance and the id of a job, each drawn evenly. */
+export const drawnPool = fc.constantFrom(...POOLS);
+export const drawnInstance = fc.integer({ min: 0, max: INSTANCES - 1 });
+export const drawnId = fc.constantFrom(...JOB_IDS);
 
 /** Draws a publication that sends the queue to a pool and that each instance learns of in time. */
 export const makePublishes = <Pool>(to: fc.Arbitrary<Pool>, maxDelayMs: number) =>
@@ -21,10 +22,13 @@
 
 export const takeOvers = fc.record({
   kind: fc.constant('take-over' as const),
-  pool,
+  pool: drawnPool,
   downMs: fc.integer({ min: 1, max: 400 }),
 });
-export const restarts = fc.record({ kind: fc.constant('restart' as const), instance });
+export const restarts = fc.record({
+  kind: fc.constant('restart' as const),
+  instance: drawnInstance,
+});
 export const cleans = fc.constant({ kind: 'clean' } as const);
 
 /** Draws 4 to 16 steps, the weighted ones and others of weight 1, and the times after them. */
