Take the first answer to a stop as the proof, and forget it when the worker starts anew

What callers could see: a task that waits for good beside free workers (LOST), or for a lease. Cause: a stop is repeated after 0.5 s until its run has ended, and each answer replaced the time of the one before, while a busy worker's report is a long poll of 0.7 s. So the newest answer was nearly always later than the request of the report, and a report without the run never proved its end. Only the end of the start's lease did, 4.2 s later; after a restart under the same id that is on the clock of the incarnation before, which may be ahead by the time for which it was up, and the task never started again.

Now the first answer counts: from then on the worker rejects the start. It is no answer of the next incarnation, which may still get that start, so a restart forgets what was sent and answered.

--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -11,7 +11,13 @@
 import type { PoolContext } from './pool-context.js';
 import { isAdopted, releaseUnendedRun } from './run-release.js';
 import { makeStepKey } from './spec.js';
-import { makeAvoidance, type Moment, type OrphanedRun, type Task } from './state.js';
+import {
+  makeAvoidance,
+  type Assignment,
+  type Moment,
+  type OrphanedRun,
+  type Task,
+} from './state.js';
 import { stopOtherMembers } from './stop-gang.js';
 import type { TicketRegistry } from './tickets.js';
 
@@ -184,6 +190,16 @@
   }
 }
 
+/**
+ * Records the answer to a stop; the first one counts, as the start is rejected from then on. One to a
+ * stop of before the worker's restart does not.
+ */
+function recordStopAnswer(assignment: Assignment, { nowMs }: Moment): Assignment {
+  const { stopSentMs, stopAnsweredMs } = assignment;
+  if (stopSentMs === undefined) return assignment;
+  return { ...assignment, stopAnsweredMs: stopAnsweredMs ?? nowMs };
+}
+
 /**
  * Records when a stop was accepted; any other outcome is ignored, and the stop is repeated later.
  * Only a report shows that the run has ended.
@@ -198,13 +214,13 @@
   if (outcome.kind !== 'accepted') return;
   const orphanedRun = findOrphanedRun(context, action);
   if (orphanedRun !== undefined) {
-    const assignment = { ...orphanedRun.assignment, stopAnsweredMs: at.nowMs };
+    const assignment = recordStopAnswer(orphanedRun.assignment, at);
     table.orphanedRuns.set(action.taskKey, { ...orphanedRun, assignment });
     return;
   }
   const task = table.findTask(action.taskKey);
   if (task?.state.kind !== 'assigned' || task.state.run !== action.run) return;
-  table.moveTask(task, { ...task.state, stopAnsweredMs: at.nowMs });
+  table.moveTask(task, recordStopAnswer(task.state, at));
 }
 
 /** Records that the planner before has ordered the stop of runs; those adopted before are known. */
--- a/packages/vanilladock/src/lib/jobs/state.ts
+++ b/packages/vanilladock/src/lib/jobs/state.ts
@@ -33,7 +33,7 @@
   readonly isReported: boolean;
   /** When the last stop was sent. */
   readonly stopSentMs: number | undefined;
-  /** When the worker last accepted a stop. */
+  /** When the worker's incarnation first accepted a stop. */
   readonly stopAnsweredMs: number | undefined;
   /** Lease end that was sent with the start, on the worker's clock. */
   readonly leaseUntilMs: number;
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -16,6 +16,7 @@
   isRunReported,
   listUnreportedRuns,
   listWorkerTasks,
+  moveUnreportedRuns,
   releaseEnded,
   releaseExpired,
   reportLoss,
@@ -163,9 +164,7 @@
     const unreportedRuns = listUnreportedRuns(worker);
     addWorker(entry, at);
     table.updateWorker(entry.id, { lastLeaseCallMs: worker.lastLeaseCallMs });
-    const added = table.workers.get(entry.id);
-    tasks.filter((task) => !isRunReported(task)).forEach((task) => added?.tasks.add(task.key));
-    unreportedRuns.forEach(([taskKey, run]) => table.orphanedRuns.set(taskKey, run));
+    moveUnreportedRuns(context, [...worker.tasks], unreportedRuns);
     table.refreshUsedCapacity(entry.id);
   };
   const observeEntry = (entry: WorkerEntry, at: Moment) => {
--- a/packages/vanilladock/src/lib/jobs/worker-loss.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -2,7 +2,7 @@
 import { computeEarliestWorkerMs } from './lease-clock.js';
 import type { PoolContext } from './pool-context.js';
 import { isAdopted, releaseUnendedRun, type IncarnationEndCause } from './run-release.js';
-import type { OrphanedRun, Task, Worker } from './state.js';
+import type { Assignment, OrphanedRun, Task, Worker } from './state.js';
 
 /**
  * Why a requested report is missing. `unanswered`: nothing was answered in time. `answered`: the worker
@@ -39,6 +39,31 @@
   return [...orphanedRuns].filter(([, { assignment }]) => !assignment.isReported);
 }
 
+/** Makes an assignment of which no stop is known, as its worker has started anew. */
+function makeUnstopped(assignment: Assignment): Assignment {
+  return { ...assignment, stopSentMs: undefined, stopAnsweredMs: undefined };
+}
+
+/**
+ * Leaves runs that no report has listed on the next incarnation of their worker, in place of which it
+ * was added: it may get their starts. Stops that were sent to the earlier one prove nothing of it.
+ */
+export function moveUnreportedRuns(
+  { table }: PoolContext,
+  taskKeys: readonly string[],
+  orphanedRuns: ReturnType<typeof listUnreportedRuns>,
+): void {
+  taskKeys.forEach((key) => {
+    const task = table.findTask(key);
+    if (task?.state.kind !== 'assigned' || task.state.isReported) return;
+    table.workers.get(task.state.workerId)?.tasks.add(task.key);
+    table.moveTask(task, makeUnstopped(task.state));
+  });
+  orphanedRuns.forEach(([taskKey, { assignment, ...orphanedRun }]) => {
+    table.orphanedRuns.set(taskKey, { ...orphanedRun, assignment: makeUnstopped(assignment) });
+  });
+}
+
 /** Logs that the incarnation of a worker has ended. */
 export function reportLoss(
   context: PoolContext,
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -59,6 +59,26 @@
   return { ...harness, harness, second: second!, ends, nowMs };
 };
 
+const WHOLE = { cores: 4, memoryMb: 100, accelerators: 0 };
+const RESTARTED_CLOCK_MS = 5;
+
+/** Sends a start whose job ends before it is answered, to a worker that then starts anew. */
+const startAcrossRestart = (isStopAnswered: boolean) => {
+  const harness = createHarness();
+  const { planner, at } = harness;
+  harness.addWorkers(0, makeEntry('w1'));
+  harness.submit(makeJob('a', [makeStep({ size: WHOLE })]), 1);
+  harness.planStarts(2);
+  planner.cancel('a', at(3));
+  const [stop] = planStops(harness, 4);
+  if (isStopAnswered) planner.observeStop(stop!, { kind: 'accepted', clockMs: 5 }, at(5));
+  planner.observeWorkers([makeEntry('w1', { bornMs: 5 })], at(10));
+  planner.markWorkersRecorded(['w1']);
+  const report = { bornMs: 5, clockMs: RESTARTED_CLOCK_MS, running: [], ended: [] };
+  planner.observeReport('w1', { report, sentMs: 14, receivedMs: 15 }, at(15));
+  return harness;
+};
+
 // Guards against more tasks of a step on a worker than its spread allows (issue 55).
 test('a run counts in the spread of its worker while its task is done by a run elsewhere', () => {
   const scene = startTwice({ count: 3 });
@@ -88,10 +108,9 @@
 });
 
 test('a run uses capacity while its task is done by a run elsewhere', () => {
-  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
   const { nowMs, second, accept, report, planStarts } = startTwice({
     count: 3,
-    size,
+    size: WHOLE,
     maxPerWorker: undefined,
   });
   accept([second], nowMs);
@@ -116,12 +135,11 @@
 
 test('a run of a job that has ended uses capacity until its start can no longer arrive', () => {
   const harness = createHarness();
-  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
   harness.addWorkers(0, makeEntry('w1'));
-  harness.submit(makeJob('a', [makeStep({ size })]), 1);
+  harness.submit(makeJob('a', [makeStep({ size: WHOLE })]), 1);
   const [start] = harness.planStarts(2);
   harness.planner.cancel('a', harness.at(3));
-  harness.submit(makeJob('b', [makeStep({ size })]), 4);
+  harness.submit(makeJob('b', [makeStep({ size: WHOLE })]), 4);
   harness.report('w1', 10);
   const [stop] = planStops(harness, 11);
   assert.is(stop?.taskKey, FIRST);
@@ -134,12 +152,11 @@
 
 test('a start that is rejected after its job has ended frees its capacity', () => {
   const harness = createHarness();
-  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
   harness.addWorkers(0, makeEntry('w1'));
-  harness.submit(makeJob('a', [makeStep({ size })]), 1);
+  harness.submit(makeJob('a', [makeStep({ size: WHOLE })]), 1);
   const [start] = harness.planStarts(2);
   harness.planner.cancel('a', harness.at(3));
-  harness.submit(makeJob('b', [makeStep({ size })]), 4);
+  harness.submit(makeJob('b', [makeStep({ size: WHOLE })]), 4);
   harness.planner.observeStart(start!, { kind: 'rejected', why: 'late' }, harness.at(5));
   assert.equal(listKeys(harness.planStarts(6)), ['b.0.0.0']);
 });
@@ -156,17 +173,8 @@
 });
 
 test('a start of an ended job may still arrive at the next incarnation of its worker', () => {
-  const harness = createHarness();
-  const size = { cores: 4, memoryMb: 100, accelerators: 0 };
-  harness.addWorkers(0, makeEntry('w1'));
-  harness.submit(makeJob('a', [makeStep({ size })]), 1);
-  harness.planStarts(2);
-  harness.planner.cancel('a', harness.at(3));
-  harness.planner.observeWorkers([makeEntry('w1', { bornMs: 5 })], harness.at(10));
-  harness.planner.markWorkersRecorded(['w1']);
-  const report = { bornMs: 5, clockMs: 5, running: [], ended: [] };
-  harness.planner.observeReport('w1', { report, sentMs: 14, receivedMs: 15 }, harness.at(15));
-  harness.submit(makeJob('b', [makeStep({ size })]), 16);
+  const harness = startAcrossRestart(false);
+  harness.submit(makeJob('b', [makeStep({ size: WHOLE })]), 16);
   assert.equal(harness.planStarts(17), []);
 });
 
@@ -189,4 +197,10 @@
   );
 });
 
+test('a stop that an earlier incarnation has answered proves nothing of the next one', () => {
+  const harness = startAcrossRestart(true);
+  harness.submit(makeJob('b', [makeStep({ size: WHOLE })]), 16);
+  assert.equal(harness.planStarts(17), []);
+});
+
 test.run();
