Take a start of an ended job into account for the lease of the next incarnation

Cause: what a worker may run was asked in six places, in some of them by its tasks alone. A worker that starts anew under its id may get a start that was meant for its earlier incarnation, and with it the longest lease; where that start was of a job that had ended since, the first lease was taken for an ordinary one, about 6 s too short. All of them ask the same function now (worker-runs.ts). The new test failed before (lease end 4,005 in place of 10,005) and holds now. Found by a review; that a task ran twice by it was not seen.

--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -7,6 +7,7 @@
 import { estimateWorkerMs, LEASE_MS } from 'vanilladock/lib/jobs/lease-clock.js';
 import type { TaskWorkers } from 'vanilladock/lib/ports/task-workers.js';
 import { readMoment } from './clock.js';
+import { hasRuns } from 'vanilladock/lib/jobs/worker-runs.js';
 
 /** Dependencies and settings of a loop. */
 export interface WorkerLoopOptions {
@@ -76,7 +77,7 @@
       };
     });
   const renew = async (worker: Worker) => {
-    const isBusy = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
+    const isBusy = hasRuns(worker);
     const sent = readMoment();
     // A renewal without a reply may have been carried out. While the worker is unresponsive, no
     // renewal extends its lease, so that the lease is certain to expire and its tasks can run
@@ -150,7 +151,7 @@
         worker.clock !== undefined &&
         worker.missedReports === 0 &&
         worker.storedEnd >= worker.lastEnd &&
-        worker.tasks.size + worker.orphanedRuns.size === 0;
+        !hasRuns(worker);
       if (isIdle) await waitOrWake(IDLE_PAUSE_MS);
     }
   };
--- a/packages/vanilladock/src/lib/jobs/first-lease.ts
+++ b/packages/vanilladock/src/lib/jobs/first-lease.ts
@@ -3,15 +3,16 @@
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { TimedReport } from './observe-report.js';
 import type { Worker } from './state.js';
+import { hasRuns } from './worker-runs.js';
 
 /**
  * Says whether a call that named a lease end for an earlier incarnation, whose clock was ahead, may
- * have reached the one that reports for the first time: a task is assigned there, or the last such
+ * have reached the one that reports for the first time: something may run there, or the last such
  * call was not answered before this incarnation started.
  */
 function hasEarlierLease(worker: Worker, { report, sentMs, receivedMs }: TimedReport): boolean {
   const startedMs = receivedMs - report.clockMs / (1 - CLOCK_DRIFT);
-  return worker.tasks.size > 0 || worker.lastLeaseCallMs >= Math.min(startedMs, sentMs);
+  return hasRuns(worker) || worker.lastLeaseCallMs >= Math.min(startedMs, sentMs);
 }
 
 /**
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -23,6 +23,7 @@
   type ToldCrashes,
 } from './crashes/told-crashes.js';
 import { addElapsed, toldWorkerSchema, type ToldWorker } from './told-workers.js';
+import { hasRuns } from './worker-runs.js';
 
 /** A worker that may run something, with the time since its lease may last have been extended. */
 export interface HeldLease extends LeaseHolder {
@@ -148,8 +149,8 @@
 }
 
 /** Says whether a worker may run something, or lists ends that are not stored. */
-function isToBeAsked({ tasks, orphanedRuns, lastEnd, storedEnd }: Worker): boolean {
-  return tasks.size > 0 || orphanedRuns.size > 0 || lastEnd > storedEnd;
+function isToBeAsked(worker: Worker): boolean {
+  return hasRuns(worker) || worker.lastEnd > worker.storedEnd;
 }
 
 /** Makes what this planner knows of a worker; the incarnation of a long lease may run more. */
--- a/packages/vanilladock/src/lib/jobs/lease-holder.ts
+++ b/packages/vanilladock/src/lib/jobs/lease-holder.ts
@@ -7,6 +7,7 @@
 import { z } from 'zod';
 import { computeEarliestWorkerMs, LEASE_MARGIN_MS, LEASE_MS } from './lease-clock.js';
 import type { Worker } from './state.js';
+import { hasRuns } from './worker-runs.js';
 
 /** A worker that may hold leases. */
 export interface LeaseHolder {
@@ -27,11 +28,6 @@
   longLeaseTasks: z.array(z.string()).readonly().optional(),
 });
 
-/** Says whether a worker may run anything, for a task or not. */
-function hasRuns({ tasks, orphanedRuns }: Worker): boolean {
-  return tasks.size > 0 || orphanedRuns.size > 0;
-}
-
 /**
  * Says whether a worker may hold a lease that is longer than orders to its present incarnation name,
  * at the monotonic time `nowMs`. Until its first report, one that may have got orders does.
--- a/packages/vanilladock/src/lib/jobs/told-workers.ts
+++ b/packages/vanilladock/src/lib/jobs/told-workers.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { findLastSign } from './crashes/last-sign.js';
 import type { Task, Worker } from './state.js';
+import { hasRuns } from './worker-runs.js';
 
 /** A run on a worker. */
 export interface ToldRun {
@@ -120,9 +121,12 @@
 export function makeToldWorkers(sources: ToldWorkerSources, nowMs: number): readonly ToldWorker[] {
   const { workers, passedOn } = sources;
   const own = [...workers.values()]
-    .filter(({ clock, tasks, orphanedRuns }) => clock && tasks.size + orphanedRuns.size > 0)
+    .filter((worker) => worker.clock !== undefined && hasRuns(worker))
     .map((worker) => makeToldWorker(sources, worker, nowMs));
-  const others = passedOn.filter(({ id }) => (workers.get(id)?.tasks.size ?? 0) === 0);
+  const others = passedOn.filter(({ id }) => {
+    const worker = workers.get(id);
+    return worker === undefined || !hasRuns(worker);
+  });
   const told = [...own, ...others];
   if (countRuns(told) <= MAX_RUNS) return told;
   return selectFewest(told.filter(({ silentAgoMs }) => silentAgoMs !== undefined));
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -1,6 +1,7 @@
 /** Runs that go on though they belong to no task: they count on their worker until they have ended. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
+import { MAX_LEASE_MS } from '../../lib/jobs/lease-clock.js';
 import type { StartAction } from '../../lib/jobs/plan-starts.js';
 import type { EndedTask } from '../../lib/ports/task-workers.js';
 import type { StepSpec } from '../../lib/jobs/spec.js';
@@ -197,6 +198,11 @@
   );
 });
 
+test('a start of an ended job may give the next incarnation of its worker the longest lease', () => {
+  const { planner } = startAcrossRestart(false);
+  assert.is(planner.table.workers.get('w1')?.leaseUntilMs, RESTARTED_CLOCK_MS + MAX_LEASE_MS);
+});
+
 test('a stop that an earlier incarnation has answered proves nothing of the next one', () => {
   const harness = startAcrossRestart(true);
   harness.submit(makeJob('b', [makeStep({ size: WHOLE })]), 16);
