Keep a worker that is not listed until its lease is over, if it runs anything

Cause: a worker that was not listed and had missed a report was dropped at once if it had no tasks, also with a run that no task waits for. The task of that run started again while the lease of the run went on. The end of the lease drops such runs, and then the worker. The new test failed before (run 3 was started) and holds now. Found by a review.

--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -23,6 +23,7 @@
   type MissedReport,
   type WorkerLoss,
 } from './worker-loss.js';
+import { hasRuns } from './worker-runs.js';
 
 /**
  * Tracker of worker incarnations. Times are monotonic, in milliseconds, except `bornMs`, which is
@@ -189,13 +190,12 @@
     const knownForMs = nowMs - (knownSinceMs.get(worker.entry.id) ?? nowMs);
     return knownForMs > ORDER_DELAY_MS + MAX_LEASE_MS / (1 - CLOCK_DRIFT);
   };
-  /** Drops a worker without tasks that has left or, by a notice and a missed report, has ended. */
+  /** Drops a worker without runs that has left or, by a notice and a missed report, has ended. */
   const dropEmpty = (worker: Worker, at: Moment) => {
     const { id } = worker.entry;
-    const hasOrphans = worker.orphanedRuns.size > 0;
-    if (worker.tasks.size > 0 || (hasOrphans && worker.missedReports === 0)) return;
+    if (hasRuns(worker)) return;
     // The notice itself counts as one missed report.
-    const hasEnded = endNoticedMs.has(id) && worker.missedReports > 1 && !hasOrphans;
+    const hasEnded = endNoticedMs.has(id) && worker.missedReports > 1;
     if (hasEnded) {
       ended.addUnresponsive(worker.entry, at.nowMs);
       dropWorker(worker, { why: 'ordered', newBornMs: undefined }, at);
@@ -204,8 +204,8 @@
   const releaseUnresponsive = (workerIds: Iterable<string>, at: Moment) => {
     const workers = [...workerIds].flatMap((id) => table.workers.get(id) ?? []);
     workers.forEach((worker) => {
-      const hasRuns = worker.tasks.size > 0 || worker.orphanedRuns.size > 0;
-      if (hasRuns && hasExpired(worker, at.nowMs)) releaseExpired(context, worker, at.nowMs);
+      if (hasRuns(worker) && hasExpired(worker, at.nowMs))
+        releaseExpired(context, worker, at.nowMs);
       dropEmpty(worker, at);
     });
     missingEntries ??= listedEntries.filter(({ id }) => !table.workers.has(id));
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -1,7 +1,7 @@
 /** Runs that go on though they belong to no task: they count on their worker until they have ended. */
 import * as assert from 'uvu/assert';
 import { suite } from 'uvu';
-import { MAX_LEASE_MS } from '../../lib/jobs/lease-clock.js';
+import { LEASE_MS, MAX_LEASE_MS } from '../../lib/jobs/lease-clock.js';
 import type { StartAction } from '../../lib/jobs/plan-starts.js';
 import type { EndedTask } from '../../lib/ports/task-workers.js';
 import type { StepSpec } from '../../lib/jobs/spec.js';
@@ -60,6 +60,24 @@
   return { ...harness, harness, second: second!, ends, nowMs };
 };
 
+/** As `startTwice` with one task; the first run turns out to go on, as an orphaned run. */
+const startBeside = (isLasting = false) => {
+  const scene = startTwice({ count: 1, isLasting });
+  const { harness, second, accept, report, planner } = scene;
+  let { nowMs } = scene;
+  accept([second], nowMs);
+  nowMs += 10;
+  report('w22', nowMs, [makeRow(FIRST, 2)]);
+  nowMs += 10;
+  report('w1', nowMs, [makeRow(FIRST, 1)]);
+  assert.equal(
+    planStops(harness, nowMs + 1).map(({ run, worker }) => [run, worker.id]),
+    [[1, 'w1']],
+  );
+  planner.table.updateWorker('w1', { leaseUntilMs: nowMs + LEASE_MS });
+  return { ...scene, nowMs: nowMs + 1 };
+};
+
 const WHOLE = { cores: 4, memoryMb: 100, accelerators: 0 };
 const RESTARTED_CLOCK_MS = 5;
 
@@ -198,6 +216,15 @@
   );
 });
 
+test('a task waits for a run on a worker that does not answer and is not listed', () => {
+  const { planner, at, report, planStarts, nowMs } = startBeside();
+  planner.observeMissedReport('w1', at(nowMs + 500));
+  planner.observeWorkers([makeEntry('w22')], at(nowMs + 501));
+  planStarts(nowMs + 502);
+  report('w22', nowMs + 510, [], [makeEnd(1, FIRST, 2, 'failed')]);
+  assert.equal(planStarts(nowMs + 511), [], 'the lease of w1 is not over');
+});
+
 test('a start of an ended job may give the next incarnation of its worker the longest lease', () => {
   const { planner } = startAcrossRestart(false);
   assert.is(planner.table.workers.get('w1')?.leaseUntilMs, RESTARTED_CLOCK_MS + MAX_LEASE_MS);
