End a run that no task waits for once its worker lists the task with another run

Cause: such a run was looked for in reports by its task, so that it stayed, with its capacity and stops, as long as the worker ran the task under another number. The new test failed before and holds now. Found by a review; artificial there, not seen in runs.

--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -152,7 +152,7 @@
  * Requeues the tasks whose runs are gone without a reported end, and drops such orphaned runs.
  */
 function releaseMissingRuns(context: PoolContext, worker: Worker, timed: TimedReport): void {
-  const listed = new Set(timed.report.running.map((row) => row.taskKey));
+  const listed = new Map(timed.report.running.map(({ taskKey, run }) => [taskKey, run]));
   [...worker.tasks].forEach((key) => {
     const task = context.table.findTask(key);
     if (task === undefined || task.state.kind !== 'assigned' || listed.has(key)) return;
@@ -168,7 +168,8 @@
     releaseUnendedRun(context, task, proof, { nowMs: timed.receivedMs });
   });
   [...worker.orphanedRuns].forEach(([key, { assignment }]) => {
-    if (listed.has(key) || findProof(assignment, worker, timed) === undefined) return;
+    const isListed = listed.get(key) === assignment.run;
+    if (isListed || findProof(assignment, worker, timed) === undefined) return;
     context.table.orphanedRuns.drop(key, worker.entry.id);
   });
 }
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -236,4 +236,16 @@
   assert.equal(harness.planStarts(17), []);
 });
 
+test('a run has ended once its worker lists its task with another run', () => {
+  const { planner, addWorkers, submit, planStarts, accept, report } = createHarness();
+  addWorkers(0, makeEntry('w1'));
+  submit(makeJob('a'), 1);
+  const [start] = planStarts(2);
+  report('w1', 10, [makeRow(FIRST, 0)]);
+  assert.is(planner.table.workers.get('w1')?.orphanedRuns.size, 1);
+  accept([start!], 12);
+  report('w1', 20, [makeRow(FIRST, 1)]);
+  assert.is(planner.table.workers.get('w1')?.orphanedRuns.size, 0);
+});
+
 test.run();
