Tell the next planner which of the runs that are being stopped no task waits for

Cause: a hand-over named the stopped runs of tasks only. The successor took the first run that a worker listed for that of its task, also one that no task waits for, and stopped the sound one beside it: both were lost, and of a lasting step the one being stopped counted as at work. Such runs are told with a mark now (isOrphaned, which earlier versions ignore) and stay without a task. The new test failed before (stoppedRuns was empty) and holds now, with the hand-over before and after the first report. Found by a review.

--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -50,7 +50,7 @@
    */
   readonly longLeases?: readonly LeaseEnd[] | undefined;
   /** Runs of which a stop is on its way; absent in those of earlier versions. */
-  readonly stoppedRuns?: readonly RunName[] | undefined;
+  readonly stoppedRuns?: readonly StoppedRun[] | undefined;
   /**
    * Time in milliseconds since the fleet may last have carried out an order of this holder or of one
    * before it; negative if it still may for that long. Only the fleet duty tells it.
@@ -86,6 +86,12 @@
   readonly run: number;
 }
 
+/** Run of which a stop is on its way. */
+export interface StoppedRun extends RunName {
+  /** Present if its task may have another run; absent in what earlier versions tell. */
+  readonly isOrphaned?: true | undefined;
+}
+
 /** A hand-over with the monotonic time in milliseconds to which its times refer. */
 export interface TimedHandOver {
   readonly handOver: HandOver;
@@ -105,7 +111,15 @@
   longLeases: z
     .array(z.object({ id: z.string(), bornMs: z.number(), leaseUntilMs: z.number() }))
     .optional(),
-  stoppedRuns: z.array(z.object({ taskKey: z.string(), run: z.number() })).optional(),
+  stoppedRuns: z
+    .array(
+      z.object({
+        taskKey: z.string(),
+        run: z.number(),
+        isOrphaned: z.literal(true).optional(),
+      }),
+    )
+    .optional(),
   fleetOrderAgoMs: z.number().optional(),
   allotments: toldAllotmentsSchema.optional(),
   workers: z.array(toldWorkerSchema).optional(),
@@ -194,11 +208,29 @@
   return [...leases.values()];
 }
 
+/** Lists the orphaned runs that the next planner could take for those of their tasks. */
+function listOrphanedRuns(
+  workers: HandOverSources['workers'],
+  findTask: HandOverSources['findTask'],
+): StoppedRun[] {
+  const isOpen = (taskKey: string) => (findTask(taskKey)?.state.kind ?? 'done') !== 'done';
+  return [...workers.values()].flatMap(({ orphanedRuns }) =>
+    [...orphanedRuns].flatMap(
+      ([
+        taskKey,
+        {
+          assignment: { run },
+        },
+      ]) => (isOpen(taskKey) ? [{ taskKey, run, isOrphaned: true } as const] : []),
+    ),
+  );
+}
+
 /**
  * Lists the runs whose stop was ordered and whose end is not known, by this planner or by one before
  * it, as long as no report has shown this one where they are.
  */
-function listStoppedRuns({ workers, findTask, inheritance }: HandOverSources): RunName[] {
+function listStoppedRuns({ workers, findTask, inheritance }: HandOverSources): StoppedRun[] {
   const unseen = inheritance
     .listStoppedRuns()
     .filter(({ taskKey }) => findTask(taskKey)?.state.kind === 'waiting');
@@ -208,7 +240,7 @@
     const isStopping = state?.kind === 'assigned' && state.phase === 'stopping';
     return isStopping ? [{ taskKey, run: state.run }] : [];
   });
-  return [...unseen, ...own];
+  return [...unseen, ...own, ...listOrphanedRuns(workers, findTask)];
 }
 
 /**
--- a/packages/vanilladock/src/lib/jobs/inheritance.ts
+++ b/packages/vanilladock/src/lib/jobs/inheritance.ts
@@ -1,6 +1,6 @@
 /** Tracks until when tasks of an earlier planner may still run or start unseen on workers. */
 import { SUCCESSION_MS } from '../duties/authority.js';
-import type { LeaseEnd, RunName, TimedHandOver } from './hand-over.js';
+import type { LeaseEnd, RunName, StoppedRun, TimedHandOver } from './hand-over.js';
 import type { InheritedRuns } from './inherited-runs.js';
 import { CLOCK_DRIFT, LEASE_MS, MAX_LEASE_MS } from './lease-clock.js';
 import type { LeaseHolder } from './lease-holder.js';
@@ -51,12 +51,12 @@
    * the workers that have reported since.
    */
   readonly observeHandOver: (timed: TimedHandOver) => void;
-  /** Says whether the preceding planner has ordered the stop of a run. */
-  readonly wasStopped: (run: RunName) => boolean;
+  /** Finds a run of which the preceding planner has ordered the stop; undefined for any other. */
+  readonly findStopped: (run: RunName) => StoppedRun | undefined;
   /** As `findConfirmedMs` of the inherited runs. */
   readonly findConfirmedMs: InheritedRuns['findConfirmedMs'];
   /** Lists these runs while some of them may be on workers that have not reported. */
-  readonly listStoppedRuns: () => readonly RunName[];
+  readonly listStoppedRuns: () => readonly StoppedRun[];
   /** Returns until when earlier planners may send orders; in the past once they may not. */
   readonly getPredecessorUntilMs: () => number;
   /** Returns when earlier planners may last extend the lease of a worker that has not reported. */
@@ -104,6 +104,11 @@
   return known !== 0 && bornMs !== 0 && known !== bornMs;
 }
 
+/** Makes the key of a run. */
+function makeRunKey({ taskKey, run }: RunName): string {
+  return `${taskKey} ${run}`;
+}
+
 /**
  * Creates the inheritance of a planner. `isAwaited` says of a worker whether its first answer to this
  * planner is still to come: its lists may name what has ended, also after its lease. `runs` is what
@@ -124,8 +129,8 @@
   const orderedMs = new Map<string, number>();
   /** What teams may use on a worker, as the preceding planner tells. */
   const teamUses = new Map<string, TeamUse>();
-  /** Runs that the preceding planner has ordered to stop, by task key. */
-  const stoppedRuns = new Map<string, number>();
+  /** Runs that the preceding planner has ordered to stop, by `makeRunKey`. */
+  const stoppedRuns = new Map<string, StoppedRun>();
   const leaseEnds = new Map<string, LeaseEnd>();
   let predecessorUntilMs = options.claimedMs + SUCCESSION_MS;
 
@@ -201,7 +206,7 @@
     observeHandOver: ({ handOver, atMs }) => {
       predecessorUntilMs = Math.min(predecessorUntilMs, atMs + handOver.earlierOrdersMs);
       const reportedIds = new Set([...inherited.keys()].filter((id) => !unreported.has(id)));
-      handOver.stoppedRuns?.forEach(({ taskKey, run }) => stoppedRuns.set(taskKey, run));
+      handOver.stoppedRuns?.forEach((run) => stoppedRuns.set(makeRunKey(run), run));
       handOver.longLeases?.forEach((end) => leaseEnds.set(end.id, end));
       unreported.clear();
       longLeases.clear();
@@ -214,9 +219,8 @@
         });
     },
     findConfirmedMs: runs.findConfirmedMs,
-    wasStopped: ({ taskKey, run }) => stoppedRuns.get(taskKey) === run,
-    listStoppedRuns: () =>
-      unreported.size === 0 ? [] : [...stoppedRuns].map(([taskKey, run]) => ({ taskKey, run })),
+    findStopped: (run) => stoppedRuns.get(makeRunKey(run)),
+    listStoppedRuns: () => (unreported.size === 0 ? [] : [...stoppedRuns.values()]),
     getPredecessorUntilMs: () => predecessorUntilMs,
     getLastOrderMs,
     getTeamUse: (workerId) => {
--- a/packages/vanilladock/src/lib/jobs/observe-orders.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-orders.ts
@@ -3,7 +3,7 @@
  * shows whether the worker has it.
  */
 import type { OrderOutcome, Rejection } from '../ports/task-workers.js';
-import type { RunName } from './hand-over.js';
+import type { StoppedRun } from './hand-over.js';
 import type { InheritedRuns } from './inherited-runs.js';
 import { estimateWorkerMs, hasClockRestarted, MAX_LEASE_MS } from './lease-clock.js';
 import type { StartAction } from './plan-starts.js';
@@ -223,12 +223,17 @@
   table.moveTask(task, recordStopAnswer(task.state, at));
 }
 
-/** Records that the planner before has ordered the stop of runs; those adopted before are known. */
-export function observeStoppedRuns({ table }: PoolContext, runs: readonly RunName[]): void {
-  runs.forEach(({ taskKey, run }) => {
+/**
+ * Records that the planner before has ordered the stop of runs; those adopted before are known. Of one
+ * that its task did not wait for, the task may have another.
+ */
+export function observeStoppedRuns({ table }: PoolContext, runs: readonly StoppedRun[]): void {
+  runs.forEach(({ taskKey, run, isOrphaned }) => {
     const task = table.findTask(taskKey);
     if (task?.state.kind !== 'assigned' || task.state.run !== run) return;
-    if (isAdopted(task.state)) table.moveTask(task, { ...task.state, phase: 'stopping' });
+    if (!isAdopted(task.state)) return;
+    if (isOrphaned === true) table.moveTask(task, { kind: 'waiting', notBeforeMs: 0 });
+    else table.moveTask(task, { ...task.state, phase: 'stopping' });
   });
 }
 
--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -47,17 +47,18 @@
   context: PoolContext,
   worker: Worker,
   row: RunningTask,
-  inheritance: Pick<Inheritance, 'wasStopped' | 'findConfirmedMs'>,
+  inheritance: Pick<Inheritance, 'findStopped' | 'findConfirmedMs'>,
   at: Moment,
 ): void {
   const task = context.table.findTask(row.taskKey);
-  const isOrphaned = worker.orphanedRuns.get(row.taskKey)?.assignment.run === row.run;
-  if (task?.state.kind !== 'waiting' || isOrphaned) {
+  const stopped = inheritance.findStopped(row);
+  const isKnown = worker.orphanedRuns.get(row.taskKey)?.assignment.run === row.run;
+  if (task?.state.kind !== 'waiting' || isKnown || stopped?.isOrphaned === true) {
     recordOrphan(context, worker, row, task, at);
     return;
   }
   const assignment = makeAssignment(worker.entry.id, row.run, {
-    phase: inheritance.wasStopped(row) ? 'stopping' : 'running',
+    phase: stopped === undefined ? 'running' : 'stopping',
     confirmedMs: inheritance.findConfirmedMs(worker.entry, row) ?? at.nowMs,
     isReported: true,
     leaseUntilMs: worker.leaseUntilMs,
@@ -239,7 +240,7 @@
   context: PoolContext,
   inheritance: Pick<
     Inheritance,
-    'computeForeignLeaseMs' | 'findLeaseEnd' | 'wasStopped' | 'findConfirmedMs'
+    'computeForeignLeaseMs' | 'findLeaseEnd' | 'findStopped' | 'findConfirmedMs'
   >,
   workerId: string,
   timed: TimedReport,
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -12,6 +12,8 @@
   makeJob,
   makeRow,
   makeStep,
+  POLICY,
+  WALL_MS,
   type Harness,
 } from './planner-harness.js';
 
@@ -248,4 +250,28 @@
   assert.is(planner.table.workers.get('w1')?.orphanedRuns.size, 0);
 });
 
+// Guards against a successor that keeps the run that is being stopped, and stops the other.
+test('the next planner keeps the run of a task and stops the one that no task waits for', () => {
+  const first = startBeside();
+  const handOver = first.planner.makeHandOver(7, first.nowMs + 5);
+  assert.equal(handOver.stoppedRuns, [{ taskKey: FIRST, run: 1, isOrphaned: true }]);
+  [false, true].forEach((isToldLate) => {
+    const inheritedWorkers = ['w1', 'w22'];
+    const next = createHarness({ runBase: 100, inheritedWorkers, hasPredecessor: true });
+    const { planner, at, report } = next;
+    const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+    planner.loadJob(record, undefined, at(0));
+    planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], at(0));
+    planner.markWorkersRecorded(inheritedWorkers);
+    if (!isToldLate) planner.observeHandOver({ handOver, atMs: 0 });
+    report('w1', 10, [makeRow(FIRST, 1)]);
+    if (isToldLate) planner.observeHandOver({ handOver, atMs: 0 });
+    report('w22', 11, [makeRow(FIRST, 2)]);
+    assert.equal(
+      planStops(next, 12).map(({ worker, run }) => [worker.id, run]),
+      [['w1', 1]],
+    );
+  });
+});
+
 test.run();
