--- a/packages/stand-ins/src/lib/crowd.ts
+++ b/packages/stand-ins/src/lib/crowd.ts
@@ -3,6 +3,7 @@
  * have begun nor read an answer.
  */
 import { connect, type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 
 /** A crowd of connections. */
 export interface CrowdOptions {
@@ -11,6 +12,8 @@
   readonly connections: number;
   /** Bytes that each connection sends; what the other side does not read waits here. */
   readonly bytes: Buffer;
+  /** Time from the opening of all connections to their first byte; without it each sends at once. */
+  readonly silentMs?: number;
 }
 
 /** An open crowd. */
@@ -22,25 +25,31 @@
 /** Connections that are opened in one turn of the event loop. */
 const CONNECTIONS_PER_TURN = 50;
 
-/** Opens a connection that sends its bytes and reads nothing. */
-function openConnection({ address, bytes }: CrowdOptions): Socket {
+/** Opens a connection that reads nothing. */
+function openConnection({ address }: CrowdOptions): Socket {
   const [host, port] = address.split(':');
   const socket = connect({ host: host ?? '', port: Number(port), allowHalfOpen: true });
   socket.on('error', () => {});
   socket.once('connect', () => socket.pause());
-  socket.write(bytes);
   return socket;
 }
 
-/** Opens a crowd; resolves when all connections have been begun. */
+/** Opens a crowd; resolves when all connections have been begun and send. */
 export async function openCrowd(options: CrowdOptions): Promise<Crowd> {
+  const { bytes, silentMs } = options;
   const sockets: Socket[] = [];
   while (sockets.length < options.connections) {
     const missing = options.connections - sockets.length;
     const count = Math.min(missing, CONNECTIONS_PER_TURN);
-    sockets.push(...Array.from({ length: count }, () => openConnection(options)));
+    const opened = Array.from({ length: count }, () => openConnection(options));
+    if (silentMs === undefined) opened.forEach((socket) => socket.write(bytes));
+    sockets.push(...opened);
     await new Promise(setImmediate);
   }
+  if (silentMs !== undefined) {
+    await delay(silentMs);
+    sockets.forEach((socket) => socket.write(bytes));
+  }
   return {
     close: () => sockets.forEach((socket) => socket.resetAndDestroy()),
   };
