Ask of the spread series that all jobs end, and share what it had twice

The series checked the workers alone, so that a planner that starts little would have passed (found by a review). The stored phases (job-phases.ts) and the draws are those of the other series.

--- a/packages/daemon/src/test/crash-series.ts
+++ b/packages/daemon/src/test/crash-series.ts
@@ -2,12 +2,12 @@
  * Tasks that crash their workers while the owners of their pool follow each other, in a simulation
  * of whole instances, and what has become of the jobs a while after the traffic has ended.
  */
-import type { KeyedRecord } from 'vanilladock/lib/ports/keyed-store.js';
 import type { StepSpec } from 'vanilladock/lib/jobs/spec.js';
 import type { LogFields } from '../lib/json-log.js';
 import { POLICY, STEP } from './job-fixtures.js';
 import { createInstanceSimulation, type InstanceSimulation } from './instance-simulation.js';
 import { waitFor } from './memory-store.js';
+import { createJobPhases } from './job-phases.js';
 import { createMovingClock } from './moving-clock.js';
 
 const POOL = 'stalls';
@@ -85,21 +85,6 @@
 
 const isDeadly = (name: string) => name.startsWith('deadly');
 
-/** Keeps the newest stored phase of each job. */
-const createPhases = () => {
-  const phases = new Map<string, string>();
-  return {
-    get: (jobId: string) => phases.get(jobId),
-    list: (phase: string) => [...phases.keys()].filter((id) => phases.get(id) === phase),
-    observe: (records: readonly KeyedRecord[]) =>
-      records.forEach(({ key, value }) => {
-        const [pool, jobId, kind] = key.split(':');
-        if (pool !== POOL || kind !== 'p' || value === undefined) return;
-        phases.set(jobId!, (JSON.parse(value) as { readonly phase: string }).phase);
-      }),
-  };
-};
-
 const listOverBudget = ({ crashes, startsMs }: InstanceSimulation['places']) =>
   [...startsMs].flatMap(([taskKey, starts]) => {
     const under = crashes.filter(({ taskKeys }) => taskKeys.includes(taskKey));
@@ -193,7 +178,7 @@
 export const runCrashSeries = async (series: CrashSeries): Promise<CrashFinding> => {
   const clock = createMovingClock();
   try {
-    const phases = createPhases();
+    const phases = createJobPhases(POOL);
     const simulation = createInstanceSimulation({
       seed: series.seed,
       pools: [POOL],
--- a/packages/daemon/src/test/spread-at-workers.test.ts
+++ b/packages/daemon/src/test/spread-at-workers.test.ts
@@ -5,11 +5,12 @@
 
 const SEEDS = [1, 2, 3] as const;
 
-/** Runs a series with each seed; no worker may ever have more tasks of a step than it allows. */
+/** Runs a series with each seed; no worker may have more tasks of a step than allowed, and all jobs end. */
 const checkSeries = async (series: Omit<SpreadSeries, 'seed'>): Promise<void> => {
   const faults: string[] = [];
   for (const seed of SEEDS) {
-    const { violations } = await runSpreadSeries({ ...series, seed });
+    const { violations, open } = await runSpreadSeries({ ...series, seed });
+    open.forEach((id) => faults.push(`seed ${seed}: ${id} has not ended`));
     violations.forEach((violation) => faults.push(`seed ${seed}: ${violation}`));
   }
   assert.equal(faults, []);
--- a/packages/daemon/src/test/spread-series.ts
+++ b/packages/daemon/src/test/spread-series.ts
@@ -5,7 +5,9 @@
 import type { LogFields } from '../lib/json-log.js';
 import { POLICY, STEP } from './job-fixtures.js';
 import { createInstanceSimulation, type InstanceSimulation } from './instance-simulation.js';
+import { createJobPhases } from './job-phases.js';
 import { createMovingClock } from './moving-clock.js';
+import { createSeededPick } from './seeded-pick.js';
 
 const POOL = 'stalls';
 const WORKERS = 4;
@@ -48,6 +50,8 @@
   readonly violations: readonly string[];
   /** Number of the jobs whose submission was accepted. */
   readonly accepted: number;
+  /** Ids of those of them that have not ended. */
+  readonly open: readonly string[];
   /** Number of starts at workers. */
   readonly starts: number;
 }
@@ -62,15 +66,6 @@
   };
 };
 
-/** Creates a generator of whole numbers from 1 to `max`. */
-const createPick = (seed: number) => {
-  let random = seed;
-  return (max: number) => {
-    random = (random * 48_271) % 2_147_483_647;
-    return 1 + (random % max);
-  };
-};
-
 const scheduleSilences = ({ places, pick }: InstanceSimulation) => {
   const silentUntilMs = new Map<number, number>();
   const startSilence = () => {
@@ -101,11 +96,14 @@
   }
 };
 
-const scheduleTraffic = ({ pick, submit }: InstanceSimulation, handleAccepted: () => void) => {
+const scheduleTraffic = (
+  { pick, submit }: InstanceSimulation,
+  handleAccepted: (jobId: string) => void,
+) => {
   const submitJob = async (id: string, count: number) => {
     const step = { ...STEP, count, maxPerWorker: 1 };
     const policy = { ...POLICY, maxAttempts: 3, stretch: 20, targetLatencyMs: 600 };
-    if (await submit(POOL, id, [step], MAX_SUBMIT_ATTEMPTS, policy)) handleAccepted();
+    if (await submit(POOL, id, [step], MAX_SUBMIT_ATTEMPTS, policy)) handleAccepted(id);
   };
   for (let index = 0; index < JOBS; index += 1) {
     const count = MIN_TASKS + pick(MAX_TASKS - MIN_TASKS + 1) - 1;
@@ -117,7 +115,8 @@
 export const runSpreadSeries = async (series: SpreadSeries): Promise<SpreadFinding> => {
   const clock = createMovingClock();
   try {
-    let accepted = 0;
+    const accepted: string[] = [];
+    const phases = createJobPhases(POOL);
     const { handleLog } = series;
     const simulation = createInstanceSimulation({
       seed: series.seed,
@@ -125,22 +124,22 @@
       workersPerPool: WORKERS,
       behaviour: {
         cores: WORKER_CORES,
-        getDurationMs: createDurations(createPick(series.seed)),
+        getDurationMs: createDurations(createSeededPick(series.seed)),
         getMaxPerWorker: () => 1,
       },
+      handleStored: phases.observe,
       ...(handleLog === undefined ? {} : { handleLog }),
     });
     const { places, violations } = simulation;
     await clock.tickAsync(CLAIM_MS);
-    scheduleTraffic(simulation, () => {
-      accepted += 1;
-    });
+    scheduleTraffic(simulation, (jobId) => accepted.push(jobId));
     scheduleSilences(simulation);
     scheduleFaults(simulation, series);
     await clock.tickAsync(TRAFFIC_MS + FINISH_MS);
     const starts = [...places.startsMs.values()].reduce((sum, list) => sum + list.length, 0);
     simulation.close();
-    return { violations, accepted, starts };
+    const open = accepted.filter((id) => (phases.get(id) ?? 'active') === 'active');
+    return { violations, accepted: accepted.length, open, starts };
   } finally {
     clock.uninstall();
   }
