--- a/packages/vanilladock/src/lib/jobs/apply-ends.ts
+++ b/packages/vanilladock/src/lib/jobs/apply-ends.ts
@@ -16,8 +16,8 @@
 }
 
 /**
- * Returns an assigned task whose run has ended to the queue; does nothing in any other state. The task starts no
- * earlier than `notBeforeMs` on the monotonic clock, in milliseconds.
+ * Returns an assigned task whose run has ended to the queue; does nothing in any other state. The
+ * task starts no earlier than `notBeforeMs` on the monotonic clock, in milliseconds.
  */
 export function releaseTask(context: PoolContext, task: Task, notBeforeMs = 0): void {
   if (task.state.kind !== 'assigned') return;
--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -214,16 +214,10 @@
   findTask: HandOverSources['findTask'],
 ): StoppedRun[] {
   const isOpen = (taskKey: string) => (findTask(taskKey)?.state.kind ?? 'done') !== 'done';
-  return [...workers.values()].flatMap(({ orphanedRuns }) =>
-    [...orphanedRuns].flatMap(
-      ([
-        taskKey,
-        {
-          assignment: { run },
-        },
-      ]) => (isOpen(taskKey) ? [{ taskKey, run, isOrphaned: true } as const] : []),
-    ),
-  );
+  return [...workers.values()]
+    .flatMap(({ orphanedRuns }) => [...orphanedRuns])
+    .filter(([taskKey]) => isOpen(taskKey))
+    .map(([taskKey, { assignment }]) => ({ taskKey, run: assignment.run, isOrphaned: true }));
 }
 
 /**
