Hold the limit of five crashes whatever is known of their moments, and take only a refusal for an end

Cause: the third confirmed crash that a record of an unknown moment asks for was asked for before the limit of five as well. The limit needs two confirmed crashes again, as before. And a connection that was reset counted as the end of its process, also where the channels of a process were reset that lived on: a silence and a crash after it were taken for a prompt crash. Only a refused connection shows that nobody listens; it follows 0.15 s after the reset of a process that is gone. The new tests failed before (no crash-limit at five; a reset counted) and hold now.

--- a/packages/daemon/src/lib/jobs/worker-loop.ts
+++ b/packages/daemon/src/lib/jobs/worker-loop.ts
@@ -131,7 +131,7 @@
         planner.observeMissedReport(
           workerId,
           receivedAt,
-          outcome.isClosed === true ? 'closed' : 'unanswered',
+          outcome.isRefused === true ? 'refused' : 'unanswered',
         );
         await waitOrWake(RETRY_MS);
         return;
--- a/packages/daemon/src/test/worker-places.ts
+++ b/packages/daemon/src/test/worker-places.ts
@@ -38,7 +38,7 @@
 const DOWN_MS = 3_000;
 
 const UNKNOWN = { kind: 'unknown' } as const;
-const CLOSED = { kind: 'unknown', isClosed: true } as const;
+const REFUSED = { kind: 'unknown', isRefused: true } as const;
 const OTHER_LIFE = { kind: 'rejected', why: 'other-life' } as const;
 
 /** A machine with its present worker, and whether calls or answers are lost. */
@@ -202,7 +202,7 @@
     { id, address }: WorkerTarget,
     timeoutMs: number,
     execute: (incarnation: Incarnation) => T | Promise<T>,
-  ): Promise<T | typeof UNKNOWN | typeof CLOSED | typeof OTHER_LIFE> => {
+  ): Promise<T | typeof UNKNOWN | typeof REFUSED | typeof OTHER_LIFE> => {
     const unanswered = waitFor(timeoutMs).then(() => UNKNOWN);
     const answerCall = async () => {
       const place = places.find((item) => item.address === address)!;
@@ -214,11 +214,11 @@
       await waitFor(pick(MAX_WAY_MS));
       if (!isReached() || place.lost === 'orders') return NEVER;
       const { incarnation } = place;
-      if (incarnation === undefined) return place.isRefusing ? CLOSED : NEVER;
+      if (incarnation === undefined) return place.isRefusing ? REFUSED : NEVER;
       if (place.id !== id) return OTHER_LIFE;
       const outcome = await Promise.race([
         execute(incarnation),
-        place.callsEnded.then(() => CLOSED),
+        place.callsEnded.then(() => UNKNOWN),
       ]);
       await waitFor(pick(MAX_WAY_MS));
       const isLost = place.lost !== 'none' || place.incarnation !== incarnation || !isReached();
--- a/packages/vanilladock/src/lib/jobs/crashes/crash-evidence.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-evidence.ts
@@ -177,15 +177,18 @@
 
 /** Says whether the limit is reached by a crash that no other task explains. */
 function hasReachedLimit(crashes: readonly CrashRecord[]): boolean {
-  return crashes.length >= MAX_CRASHES && crashes.at(-1)?.suspicion !== 'explained';
+  const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
+  if (crashes.length < MAX_CRASHES || confirmed.length < MIN_CRASHES) return false;
+  return crashes.at(-1)?.suspicion !== 'explained';
 }
 
 /** Decides whether the job of a task with these crashes, oldest first, is given up. */
 export function decideGiveUp(crashes: readonly CrashRecord[]): GiveUpReason | undefined {
   const confirmed = crashes.filter(({ isConfirmed }) => isConfirmed);
-  if (confirmed.length < getMinCrashes(confirmed)) return undefined;
-  if (hasCrashedAlone(crashes)) return 'crashed-alone';
-  const single = listSingle(confirmed);
-  if (single.length >= OFTEN_CRASHES && countMachines(single) > 1) return 'crashed-often';
+  if (confirmed.length >= getMinCrashes(confirmed)) {
+    if (hasCrashedAlone(crashes)) return 'crashed-alone';
+    const single = listSingle(confirmed);
+    if (single.length >= OFTEN_CRASHES && countMachines(single) > 1) return 'crashed-often';
+  }
   return hasReachedLimit(crashes) ? 'crash-limit' : undefined;
 }
--- a/packages/vanilladock/src/lib/jobs/crashes/crash-moment.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-moment.ts
@@ -10,24 +10,24 @@
 export interface CrashMoment {
   /** Last sign of life of the incarnation. */
   readonly lastSignMs: number;
-  /** When its address first refused or closed a connection; undefined if it has not. */
-  readonly closedMs: number | undefined;
+  /** When its address first refused a connection; undefined if it has not. */
+  readonly refusedMs: number | undefined;
   /** When another incarnation was found in its place; undefined if none was. */
   readonly replacedMs: number | undefined;
 }
 
 /** How a process was found to be gone. */
-export type GoneSign = 'closed' | 'replaced';
+export type GoneSign = 'refused' | 'replaced';
 
 /**
- * A crash found by a closed connection within this time of the last sign counts as one under any run.
+ * A crash found by a refused connection within this time of the last sign counts as one under any run.
  * An ordinary one may be found no sooner: a poll of 0.7 s goes unanswered for 0.5 s more, and the next
  * call, 0.15 s later, is refused.
  */
 const PROMPT_MS = 1_500;
 
 /**
- * The same where no connection was closed: a worker is back after some 3 s and known 1 s later. One
+ * The same where no connection was refused: a worker is back after some 3 s and known 1 s later. One
  * that takes longer may have been silent before it crashed.
  */
 const RESTART_MS = 4_500;
@@ -37,12 +37,12 @@
  * crashed, by the estimate of its step; false while the process may be up.
  */
 export function isCrashUnderRun(
-  { lastSignMs, closedMs, replacedMs = Infinity }: CrashMoment,
+  { lastSignMs, refusedMs, replacedMs = Infinity }: CrashMoment,
   aliveMs: number,
   { estimateMs, isLasting }: Pick<StepSpec, 'estimateMs' | 'isLasting'>,
 ): boolean {
-  const goneMs = closedMs ?? replacedMs;
-  const promptMs = closedMs === undefined ? RESTART_MS : PROMPT_MS;
+  const goneMs = refusedMs ?? replacedMs;
+  const promptMs = refusedMs === undefined ? RESTART_MS : PROMPT_MS;
   const remainingMs = isLasting ? Infinity : estimateMs - aliveMs;
   return goneMs < Infinity && goneMs - lastSignMs <= Math.max(promptMs, remainingMs);
 }
--- a/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/crash-watch.ts
@@ -41,10 +41,10 @@
   /** Returns since when a worker's incarnation does not answer; undefined if it answers. */
   readonly findSilentMs: (worker: Worker) => number | undefined;
   /**
-   * Records that a worker has not answered; from the second time on it may have crashed. `isClosed`:
-   * its address refused or closed the connection.
+   * Records that a worker has not answered; from the second time on it may have crashed. `isRefused`:
+   * its address refused the connection.
    */
-  readonly observeSilence: (worker: Worker, at: Moment, isClosed: boolean) => void;
+  readonly observeSilence: (worker: Worker, at: Moment, isRefused: boolean) => void;
   /** Records that an incarnation answers. */
   readonly observeAnswer: (entry: WorkerEntry) => void;
   /**
@@ -157,7 +157,7 @@
       instance: entry.instance,
       rack: entry.rack,
       silentForMs: Math.round(nowMs - silence.atMs),
-      goneAfterMs: Math.round((silence.closedMs ?? nowMs) - silence.lastSignMs),
+      goneAfterMs: Math.round((silence.refusedMs ?? nowMs) - silence.lastSignMs),
       coincident: silences.countCoincident(silence),
       runs: runs.slice(0, MAX_LOGGED_RUNS).map(({ taskKey, run, aliveMs }) => ({
         task: taskKey,
@@ -214,14 +214,14 @@
     },
     findSilentMs: ({ entry, missedReports }) =>
       missedReports === 0 ? undefined : silences.find(entry.id, entry.bornMs)?.atMs,
-    observeSilence: (worker, { nowMs }, isClosed) => {
+    observeSilence: (worker, { nowMs }, isRefused) => {
       const { id, bornMs } = worker.entry;
       const told = worker.clock === undefined ? inheritedRuns.find(id, bornMs) : undefined;
       const wasToldSilent = told?.silentAgoMs !== undefined;
       const isKnown = wasToldSilent || silences.find(id, bornMs) !== undefined;
       const added = silences.add(worker, nowMs);
       if (added.isEndPlanned || added.isSettled || added.runs.length === 0) return;
-      if (isClosed) recordGone(worker.entry, 'closed', nowMs);
+      if (isRefused) recordGone(worker.entry, 'refused', nowMs);
       const silence = silences.find(id, bornMs);
       if (!isKnown || silence === undefined) return;
       addPossible(getMachine(worker.entry), worker.entry);
--- a/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
+++ b/packages/vanilladock/src/lib/jobs/crashes/worker-silences.ts
@@ -154,7 +154,7 @@
       bornMs,
       atMs: told === undefined ? nowMs : inheritedRuns.getSilentMs(told),
       lastSignMs: told === undefined ? ownSignMs : inheritedRuns.getLastSignMs(told),
-      closedMs: undefined,
+      refusedMs: undefined,
       replacedMs: undefined,
       isEndPlanned: told?.isEndPlanned === true || isEnding(worker, nowMs),
       runs,
@@ -184,7 +184,7 @@
       const key = makeIncarnationKey(id, bornMs);
       const known = silences.get(key);
       if (known === undefined) return undefined;
-      const field = sign === 'closed' ? 'closedMs' : 'replacedMs';
+      const field = sign === 'refused' ? 'refusedMs' : 'replacedMs';
       const silence = { ...known, [field]: known[field] ?? nowMs };
       silences.set(key, silence);
       return silence;
--- a/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-incarnations.ts
@@ -242,7 +242,7 @@
       const worker = table.workers.get(workerId);
       if (worker === undefined) return;
       if (how !== 'answered' && !endNoticedMs.has(workerId)) {
-        crashWatch.observeSilence(worker, at, how === 'closed');
+        crashWatch.observeSilence(worker, at, how === 'refused');
       }
       const answeredAgoMs = Math.round(nowMs - worker.lastReportMs);
       if (worker.missedReports === 0) {
--- a/packages/vanilladock/src/lib/jobs/worker-loss.ts
+++ b/packages/vanilladock/src/lib/jobs/worker-loss.ts
@@ -6,10 +6,10 @@
 
 /**
  * Why a requested report is missing. `unanswered`: nothing was answered in time. `answered`: the worker
- * answered, but without a report. `closed`: its address refused or closed the connection, as that of a
+ * answered, but without a report. `refused`: its address refused the connection, as that of a
  * process that has ended.
  */
-export type MissedReport = 'unanswered' | 'answered' | 'closed';
+export type MissedReport = 'unanswered' | 'answered' | 'refused';
 
 /** Why a worker is lost, and the start of its new incarnation in ms since 1970, if known. */
 export interface WorkerLoss {
--- a/packages/vanilladock/src/lib/ports/task-workers.ts
+++ b/packages/vanilladock/src/lib/ports/task-workers.ts
@@ -97,13 +97,13 @@
   | { readonly kind: 'unknown' };
 
 /**
- * Outcome of a renewal. `isClosed`: the address refused or closed the connection before the time for
+ * Outcome of a renewal. `isRefused`: the address refused the connection before the time for
  * an answer was over, as that of a process that has ended.
  */
 export type RenewOutcome =
   | { readonly kind: 'report'; readonly report: TaskReport }
   | { readonly kind: 'rejected'; readonly why: Rejection }
-  | { readonly kind: 'unknown'; readonly isClosed?: true | undefined };
+  | { readonly kind: 'unknown'; readonly isRefused?: true | undefined };
 
 /** Order to renew a worker's lease and report its tasks. */
 export interface RenewOrder {
--- a/packages/vanilladock/src/test/jobs/crashes/silent-crashes.test.ts
+++ b/packages/vanilladock/src/test/jobs/crashes/silent-crashes.test.ts
@@ -17,12 +17,12 @@
 const TASK = 'a.0.0.0';
 
 /** Time from the last report of a worker to one in its place: a silence or none, and a restart. */
-const DOWN_MS = { unanswered: 6_000, closed: 3_000 };
+const DOWN_MS = { unanswered: 6_000, refused: 3_000 };
 
 /** Times after the last report at which calls to a silent worker end. */
 const TIMEOUTS_MS = [1_100, 2_300];
 
-type Silence = 'unanswered' | 'closed';
+type Silence = 'unanswered' | 'refused';
 
 const test = suite('silent crashes');
 
@@ -50,7 +50,7 @@
   harness.accept([start!], nowMs + 2);
   const signMs = nowMs + 400;
   harness.report(workerId, signMs, [makeRow(TASK, start!.run)]);
-  const missesMs = how === 'closed' ? [200, 350] : TIMEOUTS_MS;
+  const missesMs = how === 'refused' ? [200, 350] : TIMEOUTS_MS;
   missesMs.forEach((ms) => planner.observeMissedReport(workerId, at(signMs + ms), how));
   store();
 };
@@ -88,7 +88,7 @@
 
 test('a task that crashes a worker whose address refuses calls soon after is given up', () => {
   const harness = openCrashedOnce();
-  runCrashAlone(harness, 'w22', 100, 'closed');
+  runCrashAlone(harness, 'w22', 100, 'refused');
   assert.is(harness.planner.getJobStatus('a'), 'failed');
 });
 
@@ -103,7 +103,7 @@
 test('a silence that ends with a refused call when the run was over leaves the moment unknown', () => {
   const harness = openCrashedOnce();
   startAlone(harness, 'w22', 100, 'unanswered');
-  harness.planner.observeMissedReport('w22', harness.at(500 + 2_800), 'closed');
+  harness.planner.observeMissedReport('w22', harness.at(500 + 2_800), 'refused');
   harness.planner.observeIncarnationEnd('w22', 1, harness.at(500 + 5_800));
   harness.planner.plan(harness.at(6_400));
   harness.store();
@@ -112,17 +112,17 @@
 
 test('a run is under a crash that is found within 1.5 s, or within the rest of its estimate', () => {
   const step = { estimateMs: 4_000, isLasting: false };
-  const moment = { lastSignMs: 0, closedMs: undefined, replacedMs: undefined };
+  const moment = { lastSignMs: 0, refusedMs: undefined, replacedMs: undefined };
   const listUnder = (change: Partial<typeof step>, aliveMs: number) =>
-    [undefined, 1_500, 1_501, 3_000, 3_001].map((closedMs) =>
-      isCrashUnderRun({ ...moment, closedMs }, aliveMs, { ...step, ...change }),
+    [undefined, 1_500, 1_501, 3_000, 3_001].map((refusedMs) =>
+      isCrashUnderRun({ ...moment, refusedMs }, aliveMs, { ...step, ...change }),
     );
   assert.equal(listUnder({}, 1_000), [false, true, true, true, false]);
   assert.equal(listUnder({}, 3_900), [false, true, false, false, false]);
   assert.equal(listUnder({ isLasting: true }, 3_900), [false, true, true, true, true]);
-  const listReplaced = (closedMs: number | undefined) =>
+  const listReplaced = (refusedMs: number | undefined) =>
     [4_500, 4_501].map((replacedMs) =>
-      isCrashUnderRun({ ...moment, closedMs, replacedMs }, 3_900, step),
+      isCrashUnderRun({ ...moment, refusedMs, replacedMs }, 3_900, step),
     );
   assert.equal(
     [listReplaced(undefined), listReplaced(2_000)],
@@ -168,6 +168,27 @@
   );
 });
 
+// Guards against a task that is started without end as its later starts are not answered.
+test('five crashes end a job whatever is known of their moments', () => {
+  const makeCrash = (machine: string, change: Partial<CrashRecord>): CrashRecord => ({
+    workerId: `w-${machine}`,
+    bornMs: 1,
+    machine,
+    isConfirmed: true,
+    suspicion: 'recent',
+    isAlone: true,
+    atMs: 0,
+    ...change,
+  });
+  const late = ['a', 'b'].map((machine) => makeCrash(machine, { isMomentUnknown: true }));
+  const unanswered = ['c', 'd', 'e'].map((machine) =>
+    makeCrash(machine, { isConfirmed: false, isStartUnknown: true }),
+  );
+  const crashes = [...late, ...unanswered];
+  assert.is(decideGiveUp(crashes.slice(0, 4)), undefined);
+  assert.is(decideGiveUp(crashes), 'crash-limit');
+});
+
 // Guards against a deadly task that is cleared by the silence of another worker.
 test('a silence clears other suspects only once its worker is found gone before the run was over', () => {
   const harness = createHarness();
@@ -188,7 +209,7 @@
   TIMEOUTS_MS.forEach((ms) => planner.observeMissedReport(worker.id, at(500 + ms)));
   assert.equal(readCrashes(harness)[1], [worker.id, false, 'earlier', true]);
   assert.equal(readCrashes(harness, 'b.0.0.0'), [['w1', true, 'recent', false]]);
-  planner.observeMissedReport(worker.id, at(500 + 2_800), 'closed');
+  planner.observeMissedReport(worker.id, at(500 + 2_800), 'refused');
   assert.equal(readCrashes(harness)[1], [worker.id, false, 'earlier', false]);
   assert.equal(readCrashes(harness, 'b.0.0.0'), [['w1', true, 'explained', false]]);
 });
@@ -209,7 +230,7 @@
 
 test('a successor knows of a crash that was found in time by the planner before', () => {
   const first = openCrashedOnce();
-  startAlone(first, 'w22', 100, 'closed');
+  startAlone(first, 'w22', 100, 'refused');
   const second = createHarness({ runBase: 100 });
   const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
   second.planner.loadJob(record, first.readProgress('a'), second.at(0));
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -205,8 +205,8 @@
   accept([second], nowMs);
   report('w22', nowMs + 10, [makeRow(FIRST, 2)]);
   report('w1', nowMs + 20, [makeRow(FIRST, 1)]);
-  planner.observeMissedReport('w1', at(nowMs + 400), 'closed');
-  planner.observeMissedReport('w1', at(nowMs + 600), 'closed');
+  planner.observeMissedReport('w1', at(nowMs + 400), 'refused');
+  planner.observeMissedReport('w1', at(nowMs + 600), 'refused');
   harness.planner.observeWorkers(
     [makeEntry('w1', { bornMs: 5 }), makeEntry('w22')],
     at(nowMs + 700),
--- a/packages/vanilladock/src/test/jobs/pool-simulation.ts
+++ b/packages/vanilladock/src/test/jobs/pool-simulation.ts
@@ -186,7 +186,7 @@
     if (nowMs >= state.untilMs) {
       restartWorker(id);
     } else if (nowMs >= state.nextMissMs) {
-      planner.observeMissedReport(id, at(nowMs), state.isDark ? 'unanswered' : 'closed');
+      planner.observeMissedReport(id, at(nowMs), state.isDark ? 'unanswered' : 'refused');
       state.nextMissMs = nowMs + state.missIntervalMs;
       nextPlanMs = nowMs;
     }
