Read a connection that has taken long now and then, also while others keep coming

Cause: connections that had 64 calls open, or 256 calls and pieces of bodies in one turn, were read only when no other waited, and each new one waits while any does. One in eight choices takes such a connection now. The new test failed before (not taken in 1,500 turns with 40 new ones each) and holds now (8).

--- a/packages/daemon/src/lib/reading-queue.ts
+++ b/packages/daemon/src/lib/reading-queue.ts
@@ -2,7 +2,8 @@
  * Order in which connections are read that have to wait for it. Load pattern: a thousand connections
  * at once whose bytes take long to work off, and ordinary callers among them; which is which shows only
  * when a connection is read. So after each reading that took long another way to choose the next one
- * has its turn, and connections that have taken long come last.
+ * has its turn, and connections that have taken long come last, but for one of them now and then, as
+ * others may keep coming for good.
  */
 
 /** What is known of a connection: it was never read, was read in a short time, or has taken long. */
@@ -31,6 +32,9 @@
 /** Connections that are read at once, at most; heavy ones are read one by one. */
 const MAX_BATCH_SIZE = 32;
 
+/** One in so many choices takes a heavy one although others wait. */
+const HEAVY_INTERVAL = 8;
+
 /** Creates an empty queue. */
 export function createReadingQueue<T>(): ReadingQueue<T> {
   const items = { new: new Set<T>(), light: new Set<T>(), heavy: new Set<T>() } as const;
@@ -44,6 +48,8 @@
   let choiceIndex = 0;
   /** Connections that are read at once; grows while no reading takes long. */
   let batchSize = 1;
+  /** Choices since the last one of a heavy connection. */
+  let othersTaken = 0;
   const chooseNext = (): T | undefined => {
     const turned = [...choices.slice(choiceIndex), ...choices.slice(0, choiceIndex)];
     for (const choose of turned) {
@@ -53,6 +59,17 @@
     return undefined;
   };
   const remove = (item: T) => Object.values(items).forEach((set) => set.delete(item));
+  const takeOthers = (): readonly T[] => {
+    const taken: T[] = [];
+    while (taken.length < batchSize) {
+      const item = chooseNext();
+      if (item === undefined) break;
+      remove(item);
+      taken.push(item);
+    }
+    batchSize = Math.min(2 * batchSize, MAX_BATCH_SIZE);
+    return taken;
+  };
   return {
     add: (item, kind) => void items[kind].add(item),
     remove,
@@ -60,16 +77,12 @@
     count: () => items.new.size + items.light.size + items.heavy.size,
     countUnproved: () => items.new.size + items.heavy.size,
     takeNext: () => {
-      const taken: T[] = [];
-      while (taken.length < batchSize) {
-        const item = chooseNext();
-        if (item === undefined) break;
-        remove(item);
-        taken.push(item);
-      }
-      batchSize = Math.min(2 * batchSize, MAX_BATCH_SIZE);
-      const heaviest = taken.length === 0 ? findFirst('heavy') : undefined;
-      if (heaviest === undefined) return taken;
+      othersTaken += 1;
+      const taken = othersTaken < HEAVY_INTERVAL ? takeOthers() : [];
+      if (taken.length > 0) return taken;
+      const heaviest = findFirst('heavy');
+      if (heaviest === undefined) return takeOthers();
+      othersTaken = 0;
       remove(heaviest);
       return [heaviest];
     },
--- a/packages/daemon/src/test/reading-queue.test.ts
+++ b/packages/daemon/src/test/reading-queue.test.ts
@@ -50,6 +50,18 @@
   assert.ok(readings <= 3, `${readings} readings`);
 });
 
+// Guards against a connection that had many calls once and is not read while others keep coming.
+test('a connection that has taken long is read although new ones keep coming', () => {
+  const queue = createReadingQueue<string>();
+  queue.add('heavy', 'heavy');
+  let turns = 0;
+  for (; queue.has('heavy') && turns < CROWD; turns += 1) {
+    for (let index = 0; index < 40; index += 1) queue.add(`new-${turns}-${index}`, 'new');
+    queue.takeNext();
+  }
+  assert.ok(turns <= 8, `${turns} turns`);
+});
+
 test('connections that have taken long come last and one by one', () => {
   const queue = createReadingQueue<string>();
   queue.add('heavy-1', 'heavy');
