Pass on to the planner after the next one which stopped runs no task waits for

Cause: a planner passed on the stopped runs that it had been told of only while their task waited. One that had adopted the sound run of the task told nothing of the other, on a worker that had not reported to it, and its successor could keep that one. The new test failed before (the sound run was stopped) and holds now.

--- a/packages/vanilladock/src/lib/jobs/hand-over.ts
+++ b/packages/vanilladock/src/lib/jobs/hand-over.ts
@@ -225,9 +225,12 @@
  * it, as long as no report has shown this one where they are.
  */
 function listStoppedRuns({ workers, findTask, inheritance }: HandOverSources): StoppedRun[] {
-  const unseen = inheritance
-    .listStoppedRuns()
-    .filter(({ taskKey }) => findTask(taskKey)?.state.kind === 'waiting');
+  const isUnseen = ({ taskKey, run, isOrphaned }: StoppedRun) => {
+    const state = findTask(taskKey)?.state;
+    const hasOtherRun = state?.kind === 'assigned' && state.run !== run;
+    return state?.kind === 'waiting' || (isOrphaned === true && hasOtherRun);
+  };
+  const unseen = inheritance.listStoppedRuns().filter(isUnseen);
   const taskKeys = [...workers.values()].flatMap(({ tasks }) => [...tasks]);
   const own = taskKeys.flatMap((taskKey) => {
     const state = findTask(taskKey)?.state;
--- a/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
+++ b/packages/vanilladock/src/test/jobs/orphaned-runs.test.ts
@@ -250,19 +250,41 @@
   assert.is(planner.table.workers.get('w1')?.orphanedRuns.size, 0);
 });
 
+/** Opens a planner that takes over what the first run of job `a` is about, at 0. */
+const openNext = () => {
+  const inheritedWorkers = ['w1', 'w22'];
+  const next = createHarness({ runBase: 100, inheritedWorkers, hasPredecessor: true });
+  const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
+  next.planner.loadJob(record, undefined, next.at(0));
+  next.planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], next.at(0));
+  next.planner.markWorkersRecorded(inheritedWorkers);
+  return next;
+};
+
+test('the planner after the next one knows it too, if the worker has not reported meanwhile', () => {
+  const first = startBeside();
+  const second = openNext();
+  const handOver = first.planner.makeHandOver(7, first.nowMs + 5);
+  second.planner.observeHandOver({ handOver, atMs: 0 });
+  second.report('w22', 11, [makeRow(FIRST, 2)]);
+  const third = openNext();
+  third.planner.observeHandOver({ handOver: second.planner.makeHandOver(8, 20), atMs: 0 });
+  third.report('w1', 10, [makeRow(FIRST, 1)]);
+  third.report('w22', 11, [makeRow(FIRST, 2)]);
+  assert.equal(
+    planStops(third, 12).map(({ worker, run }) => [worker.id, run]),
+    [['w1', 1]],
+  );
+});
+
 // Guards against a successor that keeps the run that is being stopped, and stops the other.
 test('the next planner keeps the run of a task and stops the one that no task waits for', () => {
   const first = startBeside();
   const handOver = first.planner.makeHandOver(7, first.nowMs + 5);
   assert.equal(handOver.stoppedRuns, [{ taskKey: FIRST, run: 1, isOrphaned: true }]);
   [false, true].forEach((isToldLate) => {
-    const inheritedWorkers = ['w1', 'w22'];
-    const next = createHarness({ runBase: 100, inheritedWorkers, hasPredecessor: true });
-    const { planner, at, report } = next;
-    const record = { spec: makeJob('a'), policy: POLICY, acceptedAtMs: WALL_MS };
-    planner.loadJob(record, undefined, at(0));
-    planner.observeWorkers([makeEntry('w1'), makeEntry('w22')], at(0));
-    planner.markWorkersRecorded(inheritedWorkers);
+    const next = openNext();
+    const { planner, report } = next;
     if (!isToldLate) planner.observeHandOver({ handOver, atMs: 0 });
     report('w1', 10, [makeRow(FIRST, 1)]);
     if (isToldLate) planner.observeHandOver({ handOver, atMs: 0 });
