--- a/packages/vanilladock/src/lib/jobs/observe-report.ts
+++ b/packages/vanilladock/src/lib/jobs/observe-report.ts
@@ -153,7 +153,8 @@
  * Requeues the tasks whose runs are gone without a reported end, and drops such orphaned runs.
  */
 function releaseMissingRuns(context: PoolContext, worker: Worker, timed: TimedReport): void {
-  const listed = new Map(timed.report.running.map(({ taskKey, run }) => [taskKey, run]));
+  const { running } = timed.report;
+  const listed = new Set(running.map((row) => row.taskKey));
   [...worker.tasks].forEach((key) => {
     const task = context.table.findTask(key);
     if (task === undefined || task.state.kind !== 'assigned' || listed.has(key)) return;
@@ -169,7 +170,7 @@
     releaseUnendedRun(context, task, proof, { nowMs: timed.receivedMs });
   });
   [...worker.orphanedRuns].forEach(([key, { assignment }]) => {
-    const isListed = listed.get(key) === assignment.run;
+    const isListed = running.some((row) => row.taskKey === key && row.run === assignment.run);
     if (isListed || findProof(assignment, worker, timed) === undefined) return;
     context.table.orphanedRuns.drop(key, worker.entry.id);
   });
