--- a/packages/vanilladock/src/lib/jobs/free-capacity.ts
+++ b/packages/vanilladock/src/lib/jobs/free-capacity.ts
@@ -14,19 +14,26 @@
   return step.isFilling ? { ...step.size, cores: 0 } : step.size;
 }
 
-/** Computes what the steps of a worker's tasks reserve and its orphaned runs use. */
+/**
+ * Computes what a worker's tasks reserve and its orphaned runs use. Load pattern: each start and end
+ * asks for it, so that nothing is made for each task.
+ */
 export function computeUse(
-  { orphanedRuns }: Pick<Worker, 'orphanedRuns'>,
-  steps: readonly StepSpec[],
+  { tasks, orphanedRuns }: Pick<Worker, 'tasks' | 'orphanedRuns'>,
+  findTaskStep: (taskKey: string) => StepSpec | undefined,
 ): Pick<Worker, 'used' | 'lastingTasks'> {
   let used = NO_RESOURCES;
-  steps.forEach((step) => {
+  let lastingTasks = 0;
+  tasks.forEach((key) => {
+    const step = findTaskStep(key);
+    if (step === undefined) return;
     used = addResources(used, computeFootprint(step));
+    if (step.isLasting) lastingTasks += 1;
   });
   orphanedRuns.forEach(({ size }) => {
     used = addResources(used, size);
   });
-  return { used, lastingTasks: steps.filter(({ isLasting }) => isLasting).length };
+  return { used, lastingTasks };
 }
 
 /** Computes the free capacity of a worker; negative for a resource that is overcommitted. */
--- a/packages/vanilladock/src/lib/jobs/task-table.ts
+++ b/packages/vanilladock/src/lib/jobs/task-table.ts
@@ -127,11 +127,14 @@
     const worker = workers.get(workerId);
     if (worker !== undefined) setWorker({ ...worker, ...change });
   };
+  const findTaskStep = (key: string): StepSpec | undefined => {
+    const task = tasks.get(key);
+    return task === undefined ? undefined : findStep(task);
+  };
   const refreshUsedCapacity = (workerId: string) => {
     const worker = workers.get(workerId);
     if (worker === undefined) return;
-    const assigned = [...worker.tasks].flatMap((key) => tasks.get(key) ?? []);
-    const { used, lastingTasks } = computeUse(worker, assigned.map(findStep));
+    const { used, lastingTasks } = computeUse(worker, findTaskStep);
     setWorker({ ...worker, used, lastingTasks });
     if (hasTeams) teamUsage.setWorkerUse(workerId, sumTeamUse(worker, jobs));
   };
